--- /dev/null
+++ b/cornelcrank-config/src/main/java/org/cornelcrank/config/TeamPolicy.java
@@ -0,0 +1,37 @@
+package org.cornelcrank.config;
+
+import java.util.List;
+import java.util.Set;
+
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
+
+/**
+ * What the settings say of one team or workload, inherited from the paths above it.
+ *
+ * <p>Invariant: {@code targetPatterns} is empty where all targets may serve; a pattern is a target id in which {@code *}
+ * stands for any characters. Immutable, thus thread-safe.
+ */
+public record TeamPolicy(
+        TeamPath team,
+        RegionId homeRegion,
+        Urgency urgency,
+        long deadlineMs,
+        Set<ServiceName> services,
+        List<String> targetPatterns,
+        int share,
+        double maxRequestsPerSecond,
+        long maxTokensPerSecond,
+        int maxOpenJobs,
+        long maxStoredBytes,
+        long batchDeadlineMs,
+        long resultRetentionMs,
+        int maxItemAttempts) {
+
+    public TeamPolicy {
+        services = Set.copyOf(services);
+        targetPatterns = List.copyOf(targetPatterns);
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/DaemonIdentity.java
@@ -0,0 +1,22 @@
+package org.cornelcrank.core;
+
+import java.util.Objects;
+
+/**
+ * Says who this daemon is.
+ *
+ * <p>{@code incarnation} is the start time in ms since the epoch. Immutable, thus thread-safe.
+ */
+public record DaemonIdentity(HostId host, long incarnation, Location location, String peerAddress) {
+
+    public DaemonIdentity {
+        Objects.requireNonNull(host, "host must not be null");
+        Objects.requireNonNull(location, "location must not be null");
+        Objects.requireNonNull(peerAddress, "peerAddress must not be null");
+    }
+
+    /** Returns the name under which this start of the daemon writes to the log. */
+    public String writer() {
+        return host + "/" + Long.toString(incarnation, 36);
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/FileId.java
@@ -0,0 +1,24 @@
+package org.cornelcrank.core;
+
+/**
+ * Identifies an uploaded file of batch items.
+ *
+ * <p>Invariant: {@code value} is made of letters, digits and {@code . _ : -}, at most {@link Names#MAX_LENGTH} characters.
+ * Immutable, thus thread-safe.
+ */
+public record FileId(String value) implements Comparable<FileId> {
+
+    public FileId {
+        Names.requireName(value, "file id");
+    }
+
+    @Override
+    public int compareTo(FileId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/RendezvousHash.java
@@ -0,0 +1,47 @@
+package org.cornelcrank.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Chooses among candidates by highest random weight, so that all who know the same candidates choose alike, and the
+ * loss of a candidate moves only what it had.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class RendezvousHash {
+
+    private RendezvousHash() {}
+
+    /** Returns the candidate with the highest weight for the key, empty if there is none. */
+    public static <T> Optional<T> choose(String key, Collection<T> candidates, Function<T, String> name) {
+        T best = null;
+        long bestWeight = 0;
+        String bestName = "";
+        for (T candidate : candidates) {
+            String candidateName = name.apply(candidate);
+            long weight = StableHash.of(key, candidateName);
+            int order = best == null ? 1 : Long.compareUnsigned(weight, bestWeight);
+            if (order > 0 || order == 0 && candidateName.compareTo(bestName) < 0) {
+                best = candidate;
+                bestWeight = weight;
+                bestName = candidateName;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the candidates from the highest weight for the key to the lowest. */
+    public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
+        List<T> ranked = new ArrayList<>(candidates);
+        ranked.sort((left, right) -> {
+            int byWeight =
+                    Long.compareUnsigned(StableHash.of(key, name.apply(right)), StableHash.of(key, name.apply(left)));
+            return byWeight != 0 ? byWeight : name.apply(left).compareTo(name.apply(right));
+        });
+        return ranked;
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/StableHash.java
@@ -0,0 +1,29 @@
+package org.cornelcrank.core;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * Hashes text and bytes to 64 bits, the same on every host and in every version of the program.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class StableHash {
+
+    private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+    private StableHash() {}
+
+    public static long of(String text) {
+        return HASHER.hashCharsToLong(text);
+    }
+
+    public static long of(byte[] bytes) {
+        return HASHER.hashBytesToLong(bytes);
+    }
+
+    /** Returns the hash of two texts, which differs from that of their concatenation. */
+    public static long of(String first, String second) {
+        return HASHER.hashStream().putString(first).putString(second).getAsLong();
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/StreamName.java
@@ -0,0 +1,24 @@
+package org.cornelcrank.core;
+
+/**
+ * Identifies a stream of the platform's log.
+ *
+ * <p>Invariant: {@code value} is made of letters, digits and {@code . _ : -}, at most {@link Names#MAX_LENGTH} characters.
+ * Immutable, thus thread-safe.
+ */
+public record StreamName(String value) implements Comparable<StreamName> {
+
+    public StreamName {
+        Names.requireName(value, "stream name");
+    }
+
+    @Override
+    public int compareTo(StreamName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/TargetId.java
@@ -0,0 +1,24 @@
+package org.cornelcrank.core;
+
+/**
+ * Identifies a target: a model runner or an instance of a plain service.
+ *
+ * <p>Invariant: {@code value} is made of letters, digits and {@code . _ : -}, at most {@link Names#MAX_LENGTH} characters.
+ * Immutable, thus thread-safe.
+ */
+public record TargetId(String value) implements Comparable<TargetId> {
+
+    public TargetId {
+        Names.requireName(value, "target id");
+    }
+
+    @Override
+    public int compareTo(TargetId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Verdict.java
@@ -0,0 +1,51 @@
+package org.cornelcrank.core;
+
+/**
+ * States whether a request may have run on a target.
+ *
+ * <p>{@link NotRun} is stated only where it is provable. Immutable, thus thread-safe.
+ */
+public sealed interface Verdict {
+
+    NotRun NOT_RUN = new NotRun();
+    MayHaveRun MAY_HAVE_RUN = new MayHaveRun();
+    Completed COMPLETED = new Completed();
+
+    /** Returns the text of the verdict header. */
+    String headerValue();
+
+    /** No target has begun to run the request, and none will. */
+    record NotRun() implements Verdict {
+        @Override
+        public String headerValue() {
+            return "not-run";
+        }
+    }
+
+    /** A target may have run the request, whole or in part. */
+    record MayHaveRun() implements Verdict {
+        @Override
+        public String headerValue() {
+            return "may-have-run";
+        }
+    }
+
+    /** The request ran to its end. */
+    record Completed() implements Verdict {
+        @Override
+        public String headerValue() {
+            return "completed";
+        }
+    }
+
+    /** Returns the verdict on a request of which one part got this verdict and another part the other. */
+    default Verdict and(Verdict other) {
+        if (this instanceof Completed || other instanceof Completed) {
+            return COMPLETED;
+        }
+        if (this instanceof MayHaveRun || other instanceof MayHaveRun) {
+            return MAY_HAVE_RUN;
+        }
+        return NOT_RUN;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchPermit.java
@@ -0,0 +1,11 @@
+package org.cornelcrank.routing;
+
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * The right to run one item of a job on one target, until it is used up, given back or revoked.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+public record BatchPermit(long number, JobId job, TargetId target) {}
