--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/QuarantineListed.java
@@ -0,0 +1,26 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Lists the quarantined requests, ordered by fingerprint.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+public record QuarantineListed(List<Entry> entries) implements CallerReply {
+
+    public QuarantineListed {
+        entries = List.copyOf(entries);
+    }
+
+    /** One quarantined request, with the targets that died while they ran it. */
+    public record Entry(long fingerprint, List<TargetId> targets, long sinceMs, long expiresAtMs) {
+
+        public Entry {
+            targets = List.copyOf(targets);
+        }
+    }
+}
