Declare the commands of batch jobs and guarded calls

The HTTP edge and the duties have to agree on them before either is written. Commands and replies are records in the slice that answers them; a job's result files are views whose ids are derived from the job's.

--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobList.java
@@ -0,0 +1,20 @@
+package org.cornelcrank.batch;
+
+import java.util.List;
+
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.PartitionId;
+
+/**
+ * Answers {@link ListJobs}.
+ *
+ * <p>{@code more} says that older jobs follow. {@code silentPartitions} names the partitions whose owners did not answer in
+ * time, so that jobs may be missing from the list. Immutable, thus thread-safe.
+ */
+public record JobList(List<JobInfo> jobs, boolean more, List<PartitionId> silentPartitions) implements CallerReply {
+
+    public JobList {
+        jobs = List.copyOf(jobs);
+        silentPartitions = List.copyOf(silentPartitions);
+    }
+}
--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobOutputFile.java
@@ -0,0 +1,40 @@
+package org.cornelcrank.batch;
+
+import java.util.Optional;
+
+import org.cornelcrank.core.FileId;
+import org.cornelcrank.core.JobId;
+
+/**
+ * Names the files in which callers read a job's results and failures.
+ *
+ * <p>The files are views: {@link #file()} of a job {@code job-P-X} is {@code file-out-P-X} for results and
+ * {@code file-err-P-X} for failures, and their content is that of {@link ReadResults}. Immutable, thus thread-safe.
+ */
+public record JobOutputFile(JobId job, boolean failures) {
+
+    private static final String JOB_PREFIX = "job-";
+    private static final String RESULTS_PREFIX = "file-out-";
+    private static final String FAILURES_PREFIX = "file-err-";
+
+    /** Returns the job's file that the id names, empty if it names an uploaded file. */
+    public static Optional<JobOutputFile> parse(FileId file) {
+        if (file.value().startsWith(RESULTS_PREFIX)) {
+            return Optional.of(new JobOutputFile(jobAfter(RESULTS_PREFIX, file), false));
+        }
+        if (file.value().startsWith(FAILURES_PREFIX)) {
+            return Optional.of(new JobOutputFile(jobAfter(FAILURES_PREFIX, file), true));
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the id under which callers read the file. */
+    public FileId file() {
+        String prefix = failures ? FAILURES_PREFIX : RESULTS_PREFIX;
+        return new FileId(prefix + job.value().substring(JOB_PREFIX.length()));
+    }
+
+    private static JobId jobAfter(String prefix, FileId file) {
+        return new JobId(JOB_PREFIX + file.value().substring(prefix.length()));
+    }
+}
--- /dev/null
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallAnswer.java
@@ -0,0 +1,13 @@
+package org.cornelcrank.call;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.CallerReply;
+
+/**
+ * Answers {@link CallRequest} with what the service answered.
+ *
+ * <p>{@code replayed} says that the call ran for an earlier request with the same key. {@code idempotencyKey} is the
+ * caller's or the generated one. Immutable, thus thread-safe.
+ */
+public record CallAnswer(int status, String contentType, ByteString body, boolean replayed, String idempotencyKey)
+        implements CallerReply {}
