Add stand-ins of the platform, of engines and of plain services

Tests, the demonstration and the load tool need what docs/PLATFORM.md describes without third-party servers. Each stand-in keeps its state in memory, speaks the documented protocol on Reactor Netty, takes port 0 and shows faults that are switched under /faults: outage, delay, lost answers, slowness, leaving and crash.

--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/EngineSettings.java
@@ -0,0 +1,111 @@
+package org.cornelcrank.standin;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * Settings of the model engine's stand-in.
+ *
+ * <p>{@code cachedPrefixes} bounds the prefix cache; {@code seed} decides which cache events get lost. Immutable, thus
+ * thread-safe.
+ */
+public record EngineSettings(
+        String host,
+        int port,
+        Capacity capacity,
+        EngineTimeModel timeModel,
+        Models models,
+        Reports reports,
+        long seed) {
+
+    public EngineSettings {
+        Objects.requireNonNull(host, "host must not be null");
+        Objects.requireNonNull(capacity, "capacity must not be null");
+        Objects.requireNonNull(timeModel, "timeModel must not be null");
+        Objects.requireNonNull(models, "models must not be null");
+        Objects.requireNonNull(reports, "reports must not be null");
+    }
+
+    /**
+     * Says what an engine has room for: generations at a time, prefixes in its cache, and how long a paused generation
+     * is kept.
+     */
+    public record Capacity(int slots, int cachedPrefixes, long retainMs) {
+
+        public Capacity {
+            if (slots < 1) {
+                throw new IllegalArgumentException("slots must be at least 1 but was " + slots);
+            }
+            if (cachedPrefixes < 1) {
+                throw new IllegalArgumentException("cachedPrefixes must be at least 1 but was " + cachedPrefixes);
+            }
+        }
+    }
+
+    /**
+     * Says which models, adapters and versions an order may load, which are loaded at the start and after a crash, how
+     * long loading and a restart take, and whether an order with an old fencing number is refused.
+     */
+    public record Models(
+            Set<String> available, Set<String> loaded, long loadMs, long restartMs, boolean checksFencing) {
+
+        public Models {
+            available = Set.copyOf(available);
+            loaded = Set.copyOf(loaded);
+        }
+    }
+
+    /** Says how late an engine's reports are and which share of the cache events gets lost. */
+    public record Reports(long loadLagMs, long cacheEventLagMs, double cacheEventLossRate) {
+
+        public Reports {
+            if (loadLagMs < 0 || cacheEventLagMs < 0) {
+                throw new IllegalArgumentException("lags must not be negative");
+            }
+            if (!(cacheEventLossRate >= 0 && cacheEventLossRate <= 1)) {
+                throw new IllegalArgumentException(
+                        "cacheEventLossRate must be from 0 to 1 but was " + cacheEventLossRate);
+            }
+        }
+    }
+
+    /** Returns an engine of eight slots with one loaded model on any port of the loopback address. */
+    public static EngineSettings defaults(String model) {
+        return new EngineSettings(
+                "127.0.0.1",
+                0,
+                new Capacity(8, 512, 60_000),
+                new EngineTimeModel(200, 8_000, 0.03),
+                new Models(Set.of(model), Set.of(model), 500, 1_000, true),
+                new Reports(250, 200, 0.05),
+                1);
+    }
+
+    public EngineSettings withPort(int newPort) {
+        return new EngineSettings(host, newPort, capacity, timeModel, models, reports, seed);
+    }
+
+    public EngineSettings withCapacity(Capacity newCapacity) {
+        return new EngineSettings(host, port, newCapacity, timeModel, models, reports, seed);
+    }
+
+    public EngineSettings withSlots(int newSlots) {
+        return withCapacity(new Capacity(newSlots, capacity.cachedPrefixes(), capacity.retainMs()));
+    }
+
+    public EngineSettings withTimeModel(EngineTimeModel newTimeModel) {
+        return new EngineSettings(host, port, capacity, newTimeModel, models, reports, seed);
+    }
+
+    public EngineSettings withModels(Models newModels) {
+        return new EngineSettings(host, port, capacity, timeModel, newModels, reports, seed);
+    }
+
+    public EngineSettings withReports(Reports newReports) {
+        return new EngineSettings(host, port, capacity, timeModel, models, newReports, seed);
+    }
+
+    public EngineSettings withSeed(long newSeed) {
+        return new EngineSettings(host, port, capacity, timeModel, models, reports, newSeed);
+    }
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/EngineTimeModel.java
@@ -0,0 +1,25 @@
+package org.cornelcrank.standin;
+
+/**
+ * Says how long an engine takes, in microseconds (us).
+ *
+ * <p>A generation that gets a slot first spends {@code prefillUsPerToken} for each prompt token that its cache does not
+ * hold. Each output token then takes {@code outputUsPerToken}, stretched by {@code slowdownPerRunning} for each other
+ * generation that runs at its start. Immutable, thus thread-safe.
+ */
+public record EngineTimeModel(double prefillUsPerToken, double outputUsPerToken, double slowdownPerRunning) {
+
+    public EngineTimeModel {
+        if (prefillUsPerToken < 0 || outputUsPerToken < 0 || slowdownPerRunning < 0) {
+            throw new IllegalArgumentException("times and slowdown must not be negative");
+        }
+    }
+
+    long prefillUs(int uncachedTokens, double slowFactor) {
+        return Math.round(prefillUsPerToken * uncachedTokens * slowFactor);
+    }
+
+    long outputTokenUs(int running, double slowFactor) {
+        return Math.round(outputUsPerToken * (1 + slowdownPerRunning * Math.max(0, running - 1)) * slowFactor);
+    }
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/HostListSettings.java
@@ -0,0 +1,37 @@
+package org.cornelcrank.standin;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Settings of the host list's stand-in.
+ *
+ * <p>{@code lagMs} is the time until a change shows; the hosts given here show at once. Immutable, thus thread-safe.
+ */
+public record HostListSettings(String host, int port, long lagMs, List<ListedHost> hosts) {
+
+    public HostListSettings {
+        Objects.requireNonNull(host, "host must not be null");
+        if (lagMs < 0) {
+            throw new IllegalArgumentException("lagMs must not be negative but was " + lagMs);
+        }
+        hosts = List.copyOf(hosts);
+    }
+
+    /** Returns an empty list without lag on any port of the loopback address. */
+    public static HostListSettings defaults() {
+        return new HostListSettings("127.0.0.1", 0, 0, List.of());
+    }
+
+    public HostListSettings withPort(int newPort) {
+        return new HostListSettings(host, newPort, lagMs, hosts);
+    }
+
+    public HostListSettings withLagMs(long newLagMs) {
+        return new HostListSettings(host, port, newLagMs, hosts);
+    }
+
+    public HostListSettings withHosts(List<ListedHost> newHosts) {
+        return new HostListSettings(host, port, lagMs, newHosts);
+    }
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/HostListStandIn.java
@@ -0,0 +1,72 @@
+package org.cornelcrank.standin;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import reactor.core.publisher.Mono;
+
+/**
+ * Stands in for the platform's list of live and leaving hosts, which lags behind the truth.
+ *
+ * <p>{@code PUT /hosts} with a JSON array replaces the list, for tests and demonstrations. Thread-safe.
+ */
+public final class HostListStandIn extends AbstractStandIn {
+
+    private final HostListSettings settings;
+    private final Clock clock;
+    private final ArrayDeque<Version> versions = new ArrayDeque<>();
+
+    public HostListStandIn(HostListSettings settings) {
+        this(settings, Clock.systemUTC());
+    }
+
+    HostListStandIn(HostListSettings settings, Clock clock) {
+        super(settings.host(), settings.port());
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
+        versions.add(new Version(0, settings.hosts()));
+    }
+
+    /** Replaces the list; readers see it after the lag. */
+    public synchronized void setHosts(List<ListedHost> hosts) {
+        versions.addLast(new Version(clock.millis() + settings.lagMs(), List.copyOf(hosts)));
+    }
+
+    /** Returns the list that readers see now. */
+    public synchronized List<ListedHost> visibleHosts() {
+        long nowMs = clock.millis();
+        Version visible = versions.removeFirst();
+        while (!versions.isEmpty() && versions.peekFirst().visibleAtMs() <= nowMs) {
+            visible = versions.removeFirst();
+        }
+        versions.addFirst(visible);
+        return visible.hosts();
+    }
+
+    @Override
+    Mono<Answer> answer(Call call) {
+        if (call.is("GET", "/hosts")) {
+            return Mono.just(Answer.json(200, Map.of("hosts", visibleHosts())));
+        }
+        if (call.is("PUT", "/hosts")) {
+            return Mono.just(replace(call));
+        }
+        return Mono.just(Answer.error(404, "no such path: " + call.path()));
+    }
+
+    private Answer replace(Call call) {
+        try {
+            setHosts(Answer.JSON.readValue(call.body(), new TypeReference<List<ListedHost>>() {}));
+            return Answer.json(200, Map.of());
+        } catch (IOException e) {
+            return Answer.error(400, "hosts must be a JSON array: " + e.getMessage());
+        }
+    }
+
+    private record Version(long visibleAtMs, List<ListedHost> hosts) {}
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/LogSettings.java
@@ -0,0 +1,38 @@
+package org.cornelcrank.standin;
+
+import java.util.Objects;
+
+/**
+ * Settings of the log service's stand-in.
+ *
+ * <p>A port of zero takes any free one. Immutable, thus thread-safe.
+ */
+public record LogSettings(String host, int port, long retentionMs, double appendsPerSecond) {
+
+    public LogSettings {
+        Objects.requireNonNull(host, "host must not be null");
+        if (retentionMs <= 0) {
+            throw new IllegalArgumentException("retentionMs must be above zero but was " + retentionMs);
+        }
+        if (!(appendsPerSecond > 0)) {
+            throw new IllegalArgumentException("appendsPerSecond must be above zero but was " + appendsPerSecond);
+        }
+    }
+
+    /** Returns a day of retention and 400 appends a second on any port of the loopback address. */
+    public static LogSettings defaults() {
+        return new LogSettings("127.0.0.1", 0, 86_400_000L, 400);
+    }
+
+    public LogSettings withPort(int newPort) {
+        return new LogSettings(host, newPort, retentionMs, appendsPerSecond);
+    }
+
+    public LogSettings withRetentionMs(long newRetentionMs) {
+        return new LogSettings(host, port, newRetentionMs, appendsPerSecond);
+    }
+
+    public LogSettings withAppendsPerSecond(double newAppendsPerSecond) {
+        return new LogSettings(host, port, retentionMs, newAppendsPerSecond);
+    }
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/LogStandIn.java
@@ -0,0 +1,153 @@
+package org.cornelcrank.standin;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Stands in for the platform's log service, as {@code docs/PLATFORM.md} describes it.
+ *
+ * <p>Keeps records in memory only. A read that waits is answered by the first append to its stream. Thread-safe: all
+ * state is guarded by one lock, which is held for short computations only.
+ */
+public final class LogStandIn extends AbstractStandIn {
+
+    private static final int MAX_RECORD_BYTES = 1 << 20;
+    private static final long DEFAULT_READ_BYTES = 1 << 20;
+    private static final Pattern RECORDS_PATH = Pattern.compile("/log/streams/([A-Za-z0-9._:-]{1,128})/records");
+
+    private final LogSettings settings;
+    private final Clock clock;
+    private final RateLimit appendBudget;
+    private final Map<String, LogStream> streams = new HashMap<>();
+    private final Map<String, List<Sinks.Empty<Void>>> readers = new HashMap<>();
+    private long appends;
+    private long readBytes;
+
+    public LogStandIn(LogSettings settings) {
+        this(settings, Clock.systemUTC());
+    }
+
+    LogStandIn(LogSettings settings, Clock clock) {
+        super(settings.host(), settings.port());
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
+        this.appendBudget = new RateLimit(settings.appendsPerSecond(), clock.millis());
+    }
+
+    /** Returns how many records have been appended to all streams. */
+    public synchronized long appends() {
+        return appends;
+    }
+
+    /** Returns how many bytes of payload reads have given. */
+    public synchronized long readBytes() {
+        return readBytes;
+    }
+
+    /** Returns the names of the streams that exist. */
+    public synchronized List<String> streams() {
+        return streams.keySet().stream().sorted().toList();
+    }
+
+    @Override
+    Mono<Answer> answer(Call call) {
+        Matcher path = RECORDS_PATH.matcher(call.path());
+        if (!path.matches()) {
+            return Mono.just(Answer.error(404, "no such path: " + call.path()));
+        }
+        String stream = path.group(1);
+        return switch (call.method()) {
+            case "POST" -> Mono.just(append(stream, call.body()));
+            case "GET" -> read(stream, call);
+            default -> Mono.just(Answer.error(405, "method must be GET or POST but was " + call.method()));
+        };
+    }
+
+    private Answer append(String stream, byte[] payload) {
+        if (payload.length > MAX_RECORD_BYTES) {
+            return Answer.error(413, "a record holds at most " + MAX_RECORD_BYTES + " bytes but had " + payload.length);
+        }
+        long offset;
+        List<Sinks.Empty<Void>> woken;
+        synchronized (this) {
+            long nowMs = clock.millis();
+            if (!appendBudget.tryTake(1, nowMs)) {
+                String retryAfter = Long.toString(appendBudget.retryAfterSeconds(nowMs));
+                return Answer.error(429, Map.of("Retry-After", retryAfter), "append budget used up");
+            }
+            offset = streams.computeIfAbsent(stream, name -> new LogStream(settings.retentionMs()))
+                    .append(payload, nowMs);
+            appends++;
+            List<Sinks.Empty<Void>> waiting = readers.remove(stream);
+            woken = waiting == null ? List.of() : waiting;
+        }
+        woken.forEach(Sinks.Empty::tryEmitEmpty);
+        return Answer.json(201, Map.of("offset", offset));
+    }
+
+    private Mono<Answer> read(String stream, Call call) {
+        long from = call.longParameter("from", 0);
+        long maxBytes = call.longParameter("max-bytes", DEFAULT_READ_BYTES);
+        long waitMs = call.longParameter("wait-ms", 0);
+        LogStream.Page page;
+        Sinks.Empty<Void> arrival = Sinks.empty();
+        synchronized (this) {
+            page = readNow(stream, from, maxBytes);
+            if (page.records().isEmpty() && waitMs > 0) {
+                readers.computeIfAbsent(stream, name -> new ArrayList<>()).add(arrival);
+            }
+        }
+        if (!page.records().isEmpty() || waitMs <= 0) {
+            return Mono.just(answer(page));
+        }
+        return arrival.asMono()
+                .timeout(Duration.ofMillis(waitMs), Mono.empty())
+                .doFinally(signal -> forget(stream, arrival))
+                .then(Mono.fromSupplier(() -> answer(readNow(stream, from, maxBytes))));
+    }
+
+    private synchronized void forget(String stream, Sinks.Empty<Void> reader) {
+        List<Sinks.Empty<Void>> waiting = readers.get(stream);
+        if (waiting != null) {
+            waiting.remove(reader);
+        }
+    }
+
+    private synchronized LogStream.Page readNow(String stream, long from, long maxBytes) {
+        LogStream existing = streams.get(stream);
+        LogStream.Page page = existing == null
+                ? new LogStream.Page(List.of(), Math.max(0, from), 0)
+                : existing.read(from, maxBytes, clock.millis());
+        page.records().forEach(entry -> readBytes += entry.payload().length);
+        return page;
+    }
+
+    private static Answer answer(LogStream.Page page) {
+        Base64.Encoder base64 = Base64.getEncoder();
+        List<Map<String, Object>> records = new ArrayList<>();
+        for (LogStream.StoredRecord stored : page.records()) {
+            Map<String, Object> fields = new LinkedHashMap<>();
+            fields.put("offset", stored.offset());
+            fields.put("appendedAtMs", stored.appendedAtMs());
+            fields.put("payload", base64.encodeToString(stored.payload()));
+            records.add(fields);
+        }
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("records", records);
+        body.put("nextOffset", page.nextOffset());
+        body.put("oldestOffset", page.oldestOffset());
+        return Answer.json(200, body);
+    }
+}
--- /dev/null
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/PlainServiceStandIn.java
@@ -0,0 +1,92 @@
+package org.cornelcrank.standin;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import reactor.core.publisher.Mono;
+
+/**
+ * Stands in for a plain service that issues numbered slips, and records every call that it ran.
+ *
+ * <p>A {@code POST} anywhere issues the next slip, whether or not its key has come before, so that a doubled call
+ * shows. A {@code GET} changes nothing. {@code GET /calls} lists what ran. A call whose body holds
+ * {@link EngineStandIn#CRASH_MARK} crashes the service. Thread-safe.
+ */
+public final class PlainServiceStandIn extends AbstractStandIn {
+
+    private final PlainServiceSettings settings;
+    private final List<ServiceCall> calls = new ArrayList<>();
+    private final AtomicInteger running = new AtomicInteger();
+
+    public PlainServiceStandIn(PlainServiceSettings settings) {
+        super(settings.host(), settings.port());
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+    }
+
+    /** Returns the changing calls that ran, in their order. */
+    public synchronized List<ServiceCall> calls() {
+        return List.copyOf(calls);
+    }
+
+    /** Returns how often each idempotency key ran. */
+    public synchronized Map<String, Integer> runsByKey() {
+        Map<String, Integer> runs = new TreeMap<>();
+        calls.stream()
+                .filter(call -> !call.idempotencyKey().isEmpty())
+                .forEach(call -> runs.merge(call.idempotencyKey(), 1, Integer::sum));
+        return runs;
+    }
+
+    @Override
+    Mono<Answer> answer(Call call) {
+        if (call.is("GET", "/load")) {
+            return Mono.just(settings.reportsLoad() ? load() : Answer.error(404, "this service reports no load"));
+        }
+        if (call.is("GET", "/calls")) {
+            return Mono.just(Answer.json(200, Map.of("calls", calls())));
+        }
+        running.incrementAndGet();
+        return Mono.delay(Duration.ofMillis(settings.serviceTimeMs()))
+                .map(tick -> run(call))
+                .doFinally(signal -> running.decrementAndGet());
+    }
+
+    private Answer run(Call call) {
+        if (call.text().contains(EngineStandIn.CRASH_MARK)) {
+            crash(settings.restartMs());
+            return Answer.error(500, "crashed");
+        }
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("service", settings.service());
+        body.put("path", call.path());
+        if (!call.method().equals("GET")) {
+            body.put("slip", issue(call));
+        }
+        return Answer.json(call.method().equals("POST") ? 201 : 200, body);
+    }
+
+    private synchronized long issue(Call call) {
+        String key = call.headers().get("Idempotency-Key", "");
+        long number = calls.size() + 1L;
+        calls.add(new ServiceCall(number, call.method(), call.path(), key, call.text()));
+        return number;
+    }
+
+    private Answer load() {
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("measuredAtMs", System.currentTimeMillis());
+        report.put("slots", settings.slots());
+        report.put("running", running.get());
+        report.put("queued", 0);
+        report.put("loaded", List.of(settings.service()));
+        report.put("leaving", faults().leaving());
+        report.put("fencingNumber", 0);
+        return Answer.json(200, report);
+    }
+}
