Own partitions of the log by claims that name the epoch they supersede

Durable records need one arbiter that no paused or cut-off daemon can fool. PartitionDuty reads a partition's stream, claims it by an append that names the epoch it supersedes, and reports a proposal as applied only once it was read back at an offset where it took effect. Groups are compressed, packed within a shared append budget, repeated with the same sequence after a lost answer, and kept readable beyond the log's retention by checkpoints.

--- /dev/null
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/BodyReader.java
@@ -0,0 +1,165 @@
+package org.cornelcrank.partition;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.LogRecord;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.partition.wire.Group;
+
+/**
+ * Reads the payloads of single records again, from the cache or in pages from the log.
+ *
+ * <p>Invariant: each read that was started ends in exactly one call of its receiver, in a later event. Not thread-safe:
+ * confined to the daemon's event loop.
+ */
+final class BodyReader {
+
+    private static final String PURPOSE_PREFIX = PartitionContext.PURPOSE_PREFIX + "bodies-";
+
+    /** Records that stand closer together than this are read in one page. */
+    private static final long MAX_PAGE_GAP = 4;
+
+    private static final int PAGE_BYTES = 256 * 1024;
+
+    /** Is told how a read ended. */
+    interface Receiver {
+        void read(long number, Map<RecordPosition, ByteString> bodies, long nowMs, Effects out);
+
+        void unavailable(long number, long nowMs, Effects out);
+    }
+
+    private static final class Read {
+        private final PartitionId partition;
+        private final String slice;
+        private final TreeSet<RecordPosition> missing;
+        private final Map<RecordPosition, ByteString> found = new TreeMap<>();
+        private final Receiver receiver;
+
+        private Read(PartitionId partition, String slice, Collection<RecordPosition> positions, Receiver receiver) {
+            this.partition = partition;
+            this.slice = slice;
+            this.missing = new TreeSet<>(positions);
+            this.receiver = receiver;
+        }
+
+        private void take(long offset, Optional<Group> group) {
+            while (!missing.isEmpty() && missing.first().offset() <= offset) {
+                RecordPosition position = missing.pollFirst();
+                if (position.offset() == offset) {
+                    group.flatMap(it -> GroupBodies.payload(it, position.index(), slice))
+                            .ifPresent(payload -> found.put(position, payload));
+                }
+            }
+        }
+    }
+
+    private final PartitionContext context;
+    private final TimerKey doneTimer = new TimerKey(PartitionContext.DUTY, "bodies");
+    private final Map<Long, Read> reads = new TreeMap<>();
+    private final List<Long> done = new ArrayList<>();
+
+    BodyReader(PartitionContext context) {
+        this.context = context;
+    }
+
+    long start(
+            PartitionId partition,
+            String slice,
+            Collection<RecordPosition> positions,
+            Receiver receiver,
+            long nowMs,
+            Effects out) {
+        long number = context.nextNumber();
+        Read read = new Read(partition, slice, positions, receiver);
+        reads.put(number, read);
+        if (advance(number, read, nowMs, out)) {
+            done.add(number);
+            out.schedule(doneTimer, nowMs);
+        }
+        return number;
+    }
+
+    /** Ends the reads that the cache could answer, if the timer is theirs. */
+    void timerDue(TimerKey key, long nowMs, Effects out) {
+        if (!key.equals(doneTimer)) {
+            return;
+        }
+        List<Long> numbers = List.copyOf(done);
+        done.clear();
+        numbers.forEach(number -> finish(number, nowMs, out));
+    }
+
+    void logRead(Event.LogRead event, long nowMs, Effects out) {
+        Optional<Long> number = numberOf(event.purpose());
+        if (number.isEmpty()) {
+            return;
+        }
+        Read read = reads.get(number.get());
+        for (LogRecord record : event.records()) {
+            Optional<Group> group = GroupCodec.decode(record.payload());
+            group.ifPresent(it -> context.cache.put(event.stream(), record.offset(), it));
+            read.take(record.offset(), group);
+        }
+        if (event.records().isEmpty()) {
+            read.missing.clear();
+        }
+        if (advance(number.get(), read, nowMs, out)) {
+            finish(number.get(), nowMs, out);
+        }
+    }
+
+    void readFailed(Event.LogReadFailed event, long nowMs, Effects out) {
+        numberOf(event.purpose())
+                .ifPresent(number -> reads.remove(number).receiver.unavailable(number, nowMs, out));
+    }
+
+    int readsUnderWay() {
+        return reads.size();
+    }
+
+    /** Takes what the cache has and asks for the next page; returns whether nothing is missing any more. */
+    private boolean advance(long number, Read read, long nowMs, Effects out) {
+        while (!read.missing.isEmpty()) {
+            long offset = read.missing.first().offset();
+            Group cached = context.cache.get(read.partition.stream(), offset);
+            if (cached == null) {
+                askFor(number, read, offset, nowMs, out);
+                return false;
+            }
+            read.take(offset, Optional.of(cached));
+        }
+        return true;
+    }
+
+    private void askFor(long number, Read read, long offset, long nowMs, Effects out) {
+        RecordPosition next = read.missing.higher(new RecordPosition(offset, Integer.MAX_VALUE));
+        boolean close = next != null && next.offset() - offset <= MAX_PAGE_GAP;
+        context.log.asked(nowMs);
+        out.add(new Effect.ReadLog(
+                read.partition.stream(), PURPOSE_PREFIX + number, offset, close ? PAGE_BYTES : 1, 0));
+    }
+
+    private void finish(long number, long nowMs, Effects out) {
+        Read read = reads.remove(number);
+        read.receiver.read(number, read.found, nowMs, out);
+    }
+
+    private Optional<Long> numberOf(String purpose) {
+        if (!purpose.startsWith(PURPOSE_PREFIX)) {
+            return Optional.empty();
+        }
+        long number = Long.parseLong(purpose.substring(PURPOSE_PREFIX.length()));
+        return reads.containsKey(number) ? Optional.of(number) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/CheckpointPointers.java
@@ -0,0 +1,26 @@
+package org.cornelcrank.partition;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.partition.wire.CheckpointPointer;
+
+/**
+ * Reads the records of a stream of checkpoint pointers.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class CheckpointPointers {
+
+    private CheckpointPointers() {}
+
+    /** Returns the pointer of a record, empty if the record is none. */
+    static Optional<CheckpointPointer> decode(ByteString payload) {
+        try {
+            return Optional.of(CheckpointPointer.parseFrom(payload));
+        } catch (InvalidProtocolBufferException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/ClaimBrake.java
@@ -0,0 +1,41 @@
+package org.cornelcrank.partition;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import org.cornelcrank.core.PartitionId;
+
+/**
+ * Keeps two daemons that each believe the other dead from claiming a partition from each other without end.
+ *
+ * <p>Invariant: after each loss of a partition to another's claim this daemon waits longer before it claims it again.
+ * Not thread-safe: confined to the daemon's event loop.
+ */
+final class ClaimBrake {
+
+    private static final long BASE_MS = 2_000;
+    private static final long MAX_MS = 60_000;
+    private static final long FORGET_AFTER_MS = 300_000;
+
+    private record Loss(Backoff backoff, long lostAtMs, long freeAtMs) {}
+
+    private final RandomGenerator random;
+    private final Map<PartitionId, Loss> losses = new TreeMap<>();
+
+    ClaimBrake(RandomGenerator random) {
+        this.random = random;
+    }
+
+    void lost(PartitionId partition, long nowMs) {
+        Loss before = losses.get(partition);
+        boolean recent = before != null && nowMs - before.lostAtMs() < FORGET_AFTER_MS;
+        Backoff backoff = recent ? before.backoff() : new Backoff(BASE_MS, MAX_MS, random);
+        losses.put(partition, new Loss(backoff, nowMs, nowMs + backoff.nextDelayMs()));
+    }
+
+    boolean allows(PartitionId partition, long nowMs) {
+        Loss loss = losses.get(partition);
+        return loss == null || nowMs >= loss.freeAtMs();
+    }
+}
--- /dev/null
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/OwnershipSettings.java
@@ -0,0 +1,33 @@
+package org.cornelcrank.partition;
+
+/**
+ * Says when a daemon claims partitions and when it hands them over.
+ *
+ * <p>{@code settleMs} is how long a daemon watches the membership before it claims, after its start and after a pause
+ * of its own. An owner hands a partition over once another member has been its place by hash for
+ * {@code rebalanceAfterMs}. {@code foreignClaimAfterMs} is how long a home region must have had no member before members
+ * of other regions claim its partitions; zero means never. Immutable, thus thread-safe.
+ */
+public record OwnershipSettings(
+        long tickMs,
+        long settleMs,
+        long rebalanceAfterMs,
+        long handOverTimeoutMs,
+        long cutOffAfterMs,
+        long hintRenewalMs,
+        long foreignClaimAfterMs) {
+
+    public OwnershipSettings {
+        Settings.requireWithin("tickMs", tickMs, 10, 60_000);
+        Settings.requireWithin("settleMs", settleMs, 0, 600_000);
+        Settings.requireWithin("rebalanceAfterMs", rebalanceAfterMs, 1, Long.MAX_VALUE);
+        Settings.requireWithin("handOverTimeoutMs", handOverTimeoutMs, 1, 600_000);
+        Settings.requireWithin("cutOffAfterMs", cutOffAfterMs, 1, Long.MAX_VALUE);
+        Settings.requireWithin("hintRenewalMs", hintRenewalMs, 1, Long.MAX_VALUE);
+        Settings.requireWithin("foreignClaimAfterMs", foreignClaimAfterMs, 0, Long.MAX_VALUE);
+    }
+
+    public static OwnershipSettings defaults() {
+        return new OwnershipSettings(1_000, 3_000, 60_000, 2_000, 10_000, 20_000, 0);
+    }
+}
--- /dev/null
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionMessageCodec.java
@@ -0,0 +1,76 @@
+package org.cornelcrank.partition;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.partition.wire.Empty;
+import org.cornelcrank.partition.wire.PartitionEnvelope;
+
+/**
+ * Encodes {@link PartitionMessage}s with protobuf.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class PartitionMessageCodec implements PeerMessageCodec {
+
+    private static final Empty EMPTY = Empty.getDefaultInstance();
+
+    @Override
+    public String slice() {
+        return PartitionContext.DUTY;
+    }
+
+    @Override
+    public boolean supports(PeerMessage message) {
+        return message instanceof PartitionMessage;
+    }
+
+    @Override
+    public ByteString encode(PeerMessage message) {
+        PartitionMessage partitionMessage = (PartitionMessage) message;
+        PartitionEnvelope.Builder envelope = PartitionEnvelope.newBuilder()
+                .setPartition(partitionMessage.partition().toString())
+                .setEpoch(partitionMessage.epoch());
+        if (message instanceof PartitionMessage.OwnershipQuery) {
+            envelope.setOwnershipQuery(EMPTY);
+        } else if (message instanceof PartitionMessage.OwnershipAnswer answer) {
+            envelope.getOwnershipAnswerBuilder().setOwns(answer.owns());
+        } else if (message instanceof PartitionMessage.HandOverOffer) {
+            envelope.setHandOverOffer(EMPTY);
+        } else if (message instanceof PartitionMessage.HandOverReady) {
+            envelope.setHandOverReady(EMPTY);
+        } else if (message instanceof PartitionMessage.Released) {
+            envelope.setReleased(EMPTY);
+        } else {
+            envelope.setTakeOverRequest(EMPTY);
+        }
+        return envelope.build().toByteString();
+    }
+
+    @Override
+    public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
+        PartitionEnvelope envelope = PartitionEnvelope.parseFrom(payload);
+        PartitionId partition = parsePartition(envelope.getPartition());
+        long epoch = envelope.getEpoch();
+        return switch (envelope.getMessageCase()) {
+            case OWNERSHIP_QUERY -> new PartitionMessage.OwnershipQuery(partition, epoch);
+            case OWNERSHIP_ANSWER -> new PartitionMessage.OwnershipAnswer(
+                    partition, epoch, envelope.getOwnershipAnswer().getOwns());
+            case HAND_OVER_OFFER -> new PartitionMessage.HandOverOffer(partition, epoch);
+            case HAND_OVER_READY -> new PartitionMessage.HandOverReady(partition, epoch);
+            case RELEASED -> new PartitionMessage.Released(partition, epoch);
+            case TAKE_OVER_REQUEST -> new PartitionMessage.TakeOverRequest(partition, epoch);
+            default -> throw new InvalidProtocolBufferException("partition message must hold a known body");
+        };
+    }
+
+    private static PartitionId parsePartition(String text) throws InvalidProtocolBufferException {
+        try {
+            return PartitionId.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException(e.getMessage());
+        }
+    }
+}
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionWriter.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionWriter.java
@@ -15,6 +15,9 @@
  */
 public interface PartitionWriter {
 
+    /** The most bytes that the payload of one record may have. */
+    int MAX_RECORD_BYTES = 900 * 1024;
+
     /** Returns whether this daemon owns the partition and has read all that took effect before. */
     boolean owns(PartitionId partition);
 
@@ -33,6 +36,16 @@
     /** Returns how many bytes of proposals wait for the log in a partition. */
     long pendingBytes(PartitionId partition);
 
+    /**
+     * Returns whether so many more bytes may be proposed to a partition within its bound.
+     *
+     * <p>Proposals are never refused for their size together, so that accepted work can end; those who take on new work
+     * ask first.
+     */
+    default boolean hasRoom(PartitionId partition, long bytes) {
+        return true;
+    }
+
     /**
      * Proposes a record; {@link PartitionClient#proposalApplied} follows once it has taken effect.
      *
@@ -40,6 +53,7 @@
      *
      * @return the proposal's number, unique for this daemon
      * @throws IllegalStateException if this daemon does not own the partition
+     * @throws IllegalArgumentException if the payload has more than {@link #MAX_RECORD_BYTES} bytes
      */
     long propose(PartitionId partition, DurableRecord record, boolean urgent, long nowMs, Effects out);
 
