Find out which daemons are alive, and spread facts among them

Every duty needs to know which daemons there are, and which of them leave.

Probes run within a data centre, directly and over others, with a time to refute before a member is declared dead. News goes to a few random members at once and with every probe; a comparison of hashes mends what was missed and lets daemons join. Two relays of each data centre pass news on to the others and tell when a whole data centre is no longer heard of.

--- /dev/null
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/MembershipDuty.java
@@ -0,0 +1,356 @@
+package org.cornelcrank.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.Member;
+import org.cornelcrank.core.MemberState;
+import org.cornelcrank.core.MembershipListener;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.TimerKey;
+
+/**
+ * Finds out which daemons are alive, and spreads facts among them.
+ *
+ * <p>Probes and gossip run within the data centre; a few relays exchange summaries with the other data centres. All of it
+ * is soft state: wrong for a while at worst. Not thread-safe: confined to the daemon's event loop.
+ */
+public final class MembershipDuty implements Duty, MembershipView, Dissemination {
+
+    static final String NAME = "membership";
+
+    /** A timer that is later than this shows that the process did not run, in ms. */
+    private static final long PAUSE_TOLERANCE_MS = 300;
+
+    /** While nothing came from the own data centre for this long, the fault is probably this daemon's own, in ms. */
+    private static final long LOCAL_SILENCE_MS = 3_000;
+
+    /** An exchange that told more than this is not gossiped: others have it from their own exchanges. */
+    private static final int BULK_NEWS = 16;
+
+    private static final TimerKey MASK_TIMER = new TimerKey(NAME, "unreachable");
+
+    private final MembershipSettings settings;
+    private final MemberRegistry registry;
+    private final FactTable facts;
+    private final Gossip gossip;
+    private final Suspicions suspicions;
+    private final Prober prober;
+    private final AntiEntropy antiEntropy;
+    private final RelayExchange relays;
+    private final TreeMap<DataCentreId, Long> unreachableUntilMs = new TreeMap<>();
+    private boolean bulk;
+    private boolean accused;
+    private long heardLocalAtMs;
+    private long expectedTimerAtMs = Long.MAX_VALUE;
+
+    public MembershipDuty(
+            DaemonIdentity identity,
+            Map<HostId, String> seedAddresses,
+            MembershipSettings settings,
+            RandomGenerator random,
+            MetricRegistry metrics) {
+        Objects.requireNonNull(identity, "identity must not be null");
+        Objects.requireNonNull(seedAddresses, "seedAddresses must not be null");
+        Objects.requireNonNull(random, "random must not be null");
+        Objects.requireNonNull(metrics, "metrics must not be null");
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.registry = new MemberRegistry(identity, seedAddresses, metrics);
+        this.facts = new FactTable(settings.maxFacts(), metrics);
+        this.gossip = new Gossip(registry, facts, settings, random, metrics);
+        this.suspicions = new Suspicions(registry, settings, metrics);
+        this.prober = new Prober(registry, gossip, suspicions, settings, random, metrics);
+        this.antiEntropy = new AntiEntropy(registry, facts, settings, random, metrics);
+        this.relays = new RelayExchange(registry, facts, antiEntropy, this::publish, settings, random, metrics);
+        registry.observe(this::entryChanged);
+        facts.subscribe(NAME, this::reachabilityReceived);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Registers a listener for changes of members; called before the daemon starts. */
+    public void subscribe(MembershipListener listener) {
+        registry.subscribe(listener);
+    }
+
+    @Override
+    public void subscribe(String slice, FactListener listener) {
+        facts.subscribe(slice, listener);
+    }
+
+    @Override
+    public void publish(Fact fact, long nowMs, Effects out) {
+        absorbFact(fact, nowMs, out);
+    }
+
+    @Override
+    public Member self() {
+        return registry.self();
+    }
+
+    @Override
+    public List<Member> members() {
+        return registry.members();
+    }
+
+    @Override
+    public Optional<Member> find(HostId host) {
+        return registry.find(host);
+    }
+
+    @Override
+    public Optional<String> address(HostId host) {
+        return registry.address(host);
+    }
+
+    @Override
+    public long version() {
+        return registry.version();
+    }
+
+    @Override
+    public void on(Event event, long nowMs, Effects out) {
+        if (event instanceof Event.Started) {
+            start(nowMs, out);
+        } else if (event instanceof Event.TimerDue timer) {
+            timerDue(timer.key(), nowMs, out);
+        } else if (event instanceof Event.PeerMessageReceived received
+                && received.message() instanceof MembershipMessage message) {
+            messageReceived(received.from(), message, nowMs, out);
+        } else if (event instanceof Event.HostListRead read) {
+            hostListRead(read, nowMs, out);
+        } else if (event instanceof Event.StopRequested) {
+            registry.leave(nowMs, out);
+            gossip.flush(nowMs, out);
+            relays.sendNews(nowMs, out);
+        }
+    }
+
+    @Override
+    public void dump(StateWriter writer, long nowMs) {
+        new MembershipDump(registry, facts, relays).write(writer, nowMs);
+        writer.field("joined", antiEntropy.joined());
+        writer.field("patience", prober.patience());
+        writer.field("openSuspicions", suspicions.size());
+        writer.field("queuedNews", gossip.queued());
+        writer.field("gossipBudgetBytes", gossip.budgetBytes(nowMs));
+    }
+
+    private void start(long nowMs, Effects out) {
+        heardLocalAtMs = nowMs;
+        relays.reviewRole(nowMs, out);
+        antiEntropy.offerNext(relays.isRelay(), nowMs, out);
+        prober.start(nowMs, out);
+        expectedTimerAtMs = nowMs + settings.probeIntervalMs();
+    }
+
+    private void timerDue(TimerKey key, long nowMs, Effects out) {
+        if (!key.duty().equals(NAME)) {
+            return;
+        }
+        noticePause(nowMs, out);
+        if (key.equals(Prober.ROUND_TIMER)) {
+            prober.probeNext(nowMs, out);
+            expectedTimerAtMs = nowMs + settings.probeIntervalMs() * prober.patience();
+        } else if (key.equals(Prober.TIMEOUT_TIMER)) {
+            prober.timeOut(nowMs, out);
+        } else if (key.equals(Suspicions.TIMER)) {
+            suspicions.review(nowMs, out);
+        } else if (key.equals(Gossip.TIMER)) {
+            gossip.flush(nowMs, out);
+        } else if (key.equals(AntiEntropy.TIMER)) {
+            facts.forgetLapsed(nowMs);
+            registry.forgetDead(nowMs, settings.deadRetentionMs(), settings.maxDeadMembers());
+            antiEntropy.offerNext(relays.isRelay(), nowMs, out);
+        } else if (key.equals(RelayExchange.ROUND_TIMER)) {
+            relays.runRound(hearsLocalPeers(nowMs), nowMs, out);
+        } else if (key.equals(RelayExchange.NEWS_TIMER)) {
+            relays.sendNews(nowMs, out);
+        } else if (key.equals(MASK_TIMER)) {
+            unmaskLapsed(nowMs, out);
+        }
+    }
+
+    /** Gives others the benefit of the doubt for the time in which this process did not run. */
+    private void noticePause(long nowMs, Effects out) {
+        long lateMs = nowMs - expectedTimerAtMs;
+        if (lateMs <= PAUSE_TOLERANCE_MS) {
+            return;
+        }
+        expectedTimerAtMs = nowMs;
+        heardLocalAtMs = nowMs;
+        prober.abandon();
+        suspicions.extend(lateMs, out);
+        relays.forgive(nowMs);
+        out.add(new Effect.StateChanged(NAME, "did not run for " + lateMs + " ms"));
+    }
+
+    private boolean hearsLocalPeers(long nowMs) {
+        return registry.localPeers().isEmpty() || nowMs - heardLocalAtMs <= LOCAL_SILENCE_MS;
+    }
+
+    private void messageReceived(HostId from, MembershipMessage message, long nowMs, Effects out) {
+        suspicions.heardFrom(from, nowMs);
+        accused = false;
+        handle(from, message, nowMs, out);
+        if (accused) {
+            News refutation = new News(List.of(registry.self()), List.of());
+            out.sendDatagram(from, new MembershipMessage.Gossip(refutation));
+        }
+    }
+
+    private void handle(HostId from, MembershipMessage message, long nowMs, Effects out) {
+        boolean isLocal = registry.known(from)
+                .filter(member -> member.location().dataCentre().equals(registry.localDataCentre()))
+                .isPresent();
+        if (isLocal) {
+            heardLocalAtMs = nowMs;
+        }
+        if (message instanceof MembershipMessage.Probe probe) {
+            absorb(probe.news(), nowMs, out);
+            prober.answer(from, probe.number(), nowMs, out);
+        } else if (message instanceof MembershipMessage.ProbeAck ack) {
+            absorb(ack.news(), nowMs, out);
+            prober.acknowledged(ack.number(), nowMs, out);
+        } else if (message instanceof MembershipMessage.IndirectProbe request) {
+            absorb(request.news(), nowMs, out);
+            prober.relay(from, request, nowMs, out);
+        } else if (message instanceof MembershipMessage.Gossip carried) {
+            absorb(carried.news(), nowMs, out);
+        } else if (message instanceof MembershipMessage.RelaySummary summary) {
+            summaryReceived(summary, nowMs, out);
+        } else {
+            syncReceived(from, message, nowMs, out);
+        }
+    }
+
+    private void syncReceived(HostId from, MembershipMessage message, long nowMs, Effects out) {
+        if (message instanceof MembershipMessage.SyncOffer offer) {
+            registry.apply(offer.sender(), nowMs, out);
+            antiEntropy.compare(offer.sender(), offer.hashes(), nowMs, out);
+        } else if (message instanceof MembershipMessage.SyncDigest digest) {
+            registry.apply(digest.sender(), nowMs, out);
+            antiEntropy.answer(digest, nowMs, out);
+        } else if (message instanceof MembershipMessage.SyncDelta delta) {
+            absorbBulk(delta.news(), nowMs, out);
+            antiEntropy.give(from, delta, nowMs, out);
+        }
+    }
+
+    private void summaryReceived(MembershipMessage.RelaySummary summary, long nowMs, Effects out) {
+        relays.setNewsOrigin(summary.sender().location().dataCentre());
+        registry.apply(summary.sender(), nowMs, out);
+        absorb(summary.news(), nowMs, out);
+        relays.setNewsOrigin(null);
+        relays.takeHeartbeats(summary, nowMs, out);
+        if (!summary.hashes().equals(DigestHashes.NONE)) {
+            antiEntropy.compare(summary.sender(), summary.hashes(), nowMs, out);
+        }
+    }
+
+    private void hostListRead(Event.HostListRead read, long nowMs, Effects out) {
+        Map<HostId, HostEntry> daemons = new TreeMap<>();
+        for (HostEntry entry : read.hosts()) {
+            if (entry.role() == HostRole.ENTRY) {
+                daemons.put(new HostId(entry.name()), entry);
+            }
+        }
+        registry.listed(daemons, nowMs, out);
+    }
+
+    private void absorbBulk(News news, long nowMs, Effects out) {
+        bulk = news.members().size() + news.facts().size() > BULK_NEWS;
+        if (bulk) {
+            antiEntropy.fellBehind();
+        }
+        absorb(news, nowMs, out);
+        bulk = false;
+    }
+
+    private void absorb(News news, long nowMs, Effects out) {
+        for (Member member : news.members()) {
+            accused |= isAccusation(member);
+            registry.apply(member, nowMs, out);
+        }
+        for (Fact fact : news.facts()) {
+            absorbFact(fact, nowMs, out);
+        }
+    }
+
+    private boolean isAccusation(Member member) {
+        boolean isSelf = member.host().equals(registry.self().host());
+        return isSelf && (member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD);
+    }
+
+    private void absorbFact(Fact fact, long nowMs, Effects out) {
+        if (!facts.apply(fact, nowMs, out)) {
+            return;
+        }
+        if (!bulk) {
+            gossip.factChanged(FactKey.of(fact), nowMs, out);
+        }
+        relays.factChanged(fact, nowMs, out);
+    }
+
+    private void entryChanged(Member before, Member after, long nowMs, Effects out) {
+        boolean isSelf = after.host().equals(registry.self().host());
+        if (!bulk || isSelf) {
+            gossip.memberChanged(after, nowMs, out);
+        }
+        if (!isSelf) {
+            suspicions.entryChanged(after, prober.patience(), nowMs, out);
+        }
+        relays.memberChanged(before, after, nowMs, out);
+        boolean isLocal = after.location().dataCentre().equals(registry.localDataCentre());
+        if (isLocal && (before == null || before.state() != after.state()) && after.state() != MemberState.SUSPECT) {
+            out.add(new Effect.StateChanged(
+                    NAME, after.host() + " is " + after.state() + " in incarnation " + after.incarnation()));
+        }
+    }
+
+    private void reachabilityReceived(Fact fact, long nowMs, Effects out) {
+        if (!fact.key().startsWith(RelayExchange.UNREACHABLE_PREFIX)) {
+            return;
+        }
+        DataCentreId dataCentre = new DataCentreId(fact.key().substring(RelayExchange.UNREACHABLE_PREFIX.length()));
+        if (!RelayExchange.saysUnreachable(fact)) {
+            unreachableUntilMs.remove(dataCentre);
+            registry.setUnreachable(dataCentre, false, nowMs, out);
+            return;
+        }
+        unreachableUntilMs.put(dataCentre, nowMs + fact.lifetimeMs());
+        registry.setUnreachable(dataCentre, true, nowMs, out);
+        out.schedule(MASK_TIMER, nowMs + fact.lifetimeMs());
+        relays.contradictIfHeard(dataCentre, nowMs, out);
+    }
+
+    private void unmaskLapsed(long nowMs, Effects out) {
+        for (DataCentreId dataCentre : List.copyOf(unreachableUntilMs.keySet())) {
+            if (unreachableUntilMs.get(dataCentre) <= nowMs) {
+                unreachableUntilMs.remove(dataCentre);
+                registry.setUnreachable(dataCentre, false, nowMs, out);
+            }
+        }
+        unreachableUntilMs.values().stream().min(Long::compare).ifPresent(dueAtMs -> out.schedule(MASK_TIMER, dueAtMs));
+    }
+}
--- /dev/null
+++ b/cornelcrank-membership/src/test/java/org/cornelcrank/membership/MembershipScaleTests.java
@@ -0,0 +1,79 @@
+package org.cornelcrank.membership;
+
+import java.util.LongSummaryStatistics;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.MemberState;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Measures 390 daemons in five data centres against the budget for control. */
+class MembershipScaleTests {
+
+    private static final int HOSTS_PER_DATA_CENTRE = 78;
+    private static final long BUDGET_BYTES_PER_SECOND = 4_096;
+    private static final long SPREAD_LIMIT_MS = 3_000;
+
+    @Test
+    void sizeOfTwoYearsAheadStaysWithinBytesAndTimes() {
+        MembershipCluster cluster = new MembershipCluster(11);
+        cluster.startAll(HOSTS_PER_DATA_CENTRE, "a", "b", "c", "d", "e");
+        long joinedMs = cluster.runUntil(cluster::allSeeEachOther, 60_000);
+        cluster.runFor(60_000);
+
+        LongSummaryStatistics idle = sentPerSecond(cluster, 60_000);
+        cluster.crash("c-40");
+        long foundMs = cluster.runUntil(() -> localNodesSee(cluster, "c-40", MemberState.DEAD), 10_000);
+        long foundEverywhereMs = foundMs + cluster.runUntil(() -> cluster.allSee("c-40", MemberState.DEAD), 10_000);
+        cluster.nodes.get("b-7").handle(new Event.StopRequested());
+        long leavingMs = cluster.runUntil(() -> localNodesSee(cluster, "b-7", MemberState.LEAVING), 10_000);
+        cluster.nodes.get("d-3").publish(leavingTarget());
+        long factMs = cluster.runUntil(() -> localNodesReceived(cluster, "d"), 10_000);
+        LongSummaryStatistics afterwards = sentPerSecond(cluster, 60_000);
+        int largestDatagram = cluster.nodes.values().stream()
+                .mapToInt(node -> node.largestDatagram)
+                .max()
+                .orElseThrow();
+
+        System.out.println("390 daemons in 5 data centres: cold start " + joinedMs + " ms; sent per daemon idle mean "
+                + (long) idle.getAverage() + " max " + idle.getMax() + " B/s, with changes mean "
+                + (long) afterwards.getAverage() + " max " + afterwards.getMax()
+                + " B/s; death known in its data centre "
+                + foundMs + " ms, everywhere " + foundEverywhereMs + " ms; leaving known " + leavingMs
+                + " ms; fact known " + factMs + " ms; largest datagram " + largestDatagram + " B");
+        assertThat(idle.getMax()).isLessThan(BUDGET_BYTES_PER_SECOND);
+        assertThat(afterwards.getMax()).isLessThan(BUDGET_BYTES_PER_SECOND);
+        assertThat(foundMs).isLessThan(SPREAD_LIMIT_MS);
+        assertThat(leavingMs).isLessThan(SPREAD_LIMIT_MS);
+        assertThat(factMs).isLessThan(SPREAD_LIMIT_MS);
+        assertThat(largestDatagram).isLessThan(1_200);
+    }
+
+    private static Fact leavingTarget() {
+        ByteString value = ByteString.copyFromUtf8("leaving");
+        return new Fact("test", "target/r1", 1, value, 60_000, Fact.Scope.DATA_CENTRE);
+    }
+
+    private static LongSummaryStatistics sentPerSecond(MembershipCluster cluster, long ms) {
+        cluster.nodes.values().forEach(node -> node.sentBytes = 0);
+        cluster.runFor(ms);
+        return cluster.nodes.values().stream()
+                .mapToLong(node -> node.sentBytes * 1_000 / ms)
+                .summaryStatistics();
+    }
+
+    private static boolean localNodesSee(MembershipCluster cluster, String host, MemberState state) {
+        return cluster.nodes.values().stream()
+                .filter(node -> host.startsWith(node.dataCentre + "-") && !node.host.equals(host))
+                .allMatch(node -> node.stateOf(host) == state);
+    }
+
+    private static boolean localNodesReceived(MembershipCluster cluster, String dataCentre) {
+        return cluster.nodes.values().stream()
+                .filter(node -> node.dataCentre.equals(dataCentre))
+                .allMatch(node -> node.received.size() == 1);
+    }
+}
