Run batch jobs on owned partitions

Files and jobs need to outlive every daemon, so both are folded from a partition's records and answered only after read-back. Any daemon takes a command and forwards it to the likely owner; ForwardedCommands in the core keeps the identities, resends on a change of owner, and states not-run only where no send may have had an effect. The owner pages lines in ahead of demand, runs them under permits of BatchCapacity, and groups results into records; item state is a bit for each item and positions are kept per record.

--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchMessageCodec.java
@@ -0,0 +1,116 @@
+package org.cornelcrank.batch;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.batch.wire.BatchEnvelope;
+import org.cornelcrank.batch.wire.CommandAnsweredMessage;
+import org.cornelcrank.batch.wire.CommandDeclinedMessage;
+import org.cornelcrank.batch.wire.CommandForwardedMessage;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.ForwardedCommand;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.TeamPath;
+
+/**
+ * Encodes the messages of batch jobs with protobuf.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class BatchMessageCodec implements PeerMessageCodec {
+
+    @Override
+    public String slice() {
+        return BatchRecords.SLICE;
+    }
+
+    @Override
+    public boolean supports(PeerMessage message) {
+        return message instanceof BatchMessage;
+    }
+
+    @Override
+    public ByteString encode(PeerMessage message) {
+        if (!(message instanceof BatchMessage batch)) {
+            throw new IllegalArgumentException("message must be one of batch jobs but was " + message.getClass());
+        }
+        BatchEnvelope.Builder envelope = BatchEnvelope.newBuilder();
+        if (batch instanceof BatchMessage.Forwarded forwarded) {
+            envelope.setForwarded(encodeForwarded(forwarded.command()));
+        } else if (batch instanceof BatchMessage.Answered answered) {
+            envelope.setAnswered(CommandAnsweredMessage.newBuilder()
+                    .setRequest(answered.request().toString())
+                    .setLeg(answered.leg())
+                    .setSend(answered.send())
+                    .setReply(ReplyCodec.encode(answered.reply())));
+        } else if (batch instanceof BatchMessage.Declined declined) {
+            envelope.setDeclined(CommandDeclinedMessage.newBuilder()
+                    .setRequest(declined.request().toString())
+                    .setLeg(declined.leg())
+                    .setSend(declined.send())
+                    .setUntouched(declined.untouched()));
+        }
+        return envelope.build().toByteString();
+    }
+
+    @Override
+    public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
+        BatchEnvelope envelope = BatchEnvelope.parseFrom(payload);
+        try {
+            return decode(envelope);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException(e.getMessage());
+        }
+    }
+
+    private static BatchMessage decode(BatchEnvelope envelope) {
+        return switch (envelope.getMessageCase()) {
+            case FORWARDED -> new BatchMessage.Forwarded(decodeForwarded(envelope.getForwarded()));
+            case ANSWERED -> {
+                CommandAnsweredMessage answered = envelope.getAnswered();
+                yield new BatchMessage.Answered(
+                        RequestId.parse(answered.getRequest()),
+                        answered.getLeg(),
+                        answered.getSend(),
+                        ReplyCodec.decode(answered.getReply()));
+            }
+            case DECLINED -> {
+                CommandDeclinedMessage declined = envelope.getDeclined();
+                yield new BatchMessage.Declined(
+                        RequestId.parse(declined.getRequest()),
+                        declined.getLeg(),
+                        declined.getSend(),
+                        declined.getUntouched());
+            }
+            case MESSAGE_NOT_SET -> throw new IllegalArgumentException("message must be of a known kind");
+        };
+    }
+
+    private static CommandForwardedMessage encodeForwarded(ForwardedCommand command) {
+        return CommandForwardedMessage.newBuilder()
+                .setRequest(command.request().toString())
+                .setLeg(command.leg())
+                .setSend(command.send())
+                .setPartition(command.partition().toString())
+                .setDeadlineAtMs(command.deadlineAtMs())
+                .setTeam(command.caller().team().value())
+                .setKeyId(command.caller().keyId())
+                .setOperator(command.caller().scope() == Caller.Scope.OPERATOR)
+                .setCommand(CommandCodec.encode(command.command()))
+                .build();
+    }
+
+    private static ForwardedCommand decodeForwarded(CommandForwardedMessage message) {
+        Caller.Scope scope = message.getOperator() ? Caller.Scope.OPERATOR : Caller.Scope.CALLER;
+        return new ForwardedCommand(
+                RequestId.parse(message.getRequest()),
+                message.getLeg(),
+                message.getSend(),
+                new Caller(new TeamPath(message.getTeam()), message.getKeyId(), scope),
+                PartitionId.parse(message.getPartition()),
+                CommandCodec.decode(message.getCommand()),
+                message.getDeadlineAtMs());
+    }
+}
--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/FileCommands.java
@@ -0,0 +1,266 @@
+package org.cornelcrank.batch;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FileId;
+import org.cornelcrank.core.ForwardedCommand;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.TeamPath;
+
+/**
+ * Answers the commands on files of one owned partition.
+ *
+ * <p>Invariant: what changes the state is answered after read-back, and is idempotent. Not thread-safe: confined to the
+ * daemon's event loop.
+ */
+final class FileCommands {
+
+    private static final int MAX_ADDED_BYTES = 512 * 1024;
+
+    private final BatchContext context;
+    private final PartitionId partition;
+    private final BatchPartitionState state;
+    private final PendingWrites writes;
+    private final OwnerReplies replies;
+    private final PageReader pages;
+    private final OwnerChecks checks;
+
+    FileCommands(
+            BatchContext context,
+            PartitionId partition,
+            BatchPartitionState state,
+            PendingWrites writes,
+            OwnerReplies replies,
+            PageReader pages) {
+        this.context = context;
+        this.partition = partition;
+        this.state = state;
+        this.writes = writes;
+        this.replies = replies;
+        this.pages = pages;
+        this.checks = new OwnerChecks(context, partition);
+    }
+
+    /** Handles a command on a file; returns false if it is none. */
+    boolean handle(HostId origin, ForwardedCommand command, CallerCommand asked, long nowMs, Effects out) {
+        if (asked instanceof OpenFile open) {
+            open(origin, command, open, nowMs, out);
+        } else if (asked instanceof AddItems add) {
+            add(origin, command, add, nowMs, out);
+        } else if (asked instanceof SealFile seal) {
+            seal(origin, command, seal, nowMs, out);
+        } else if (asked instanceof AbandonFile abandon) {
+            abandon(origin, command, abandon, nowMs, out);
+        } else if (asked instanceof GetFile get) {
+            replies.answer(origin, command, fileInfo(command.caller(), get.file()), nowMs, out);
+        } else if (asked instanceof ReadFile read) {
+            read(origin, command, read, nowMs, out);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    long expiresAtMs(StoredFile file) {
+        boolean kept = file.sealed() || file.phase() == StoredFile.Phase.SAME_AS_EARLIER;
+        long lifetimeMs =
+                kept ? context.resultRetentionMs(file.team()) : context.limits().unsealedFileLifetimeMs();
+        return file.changedAtMs() + lifetimeMs;
+    }
+
+    private void open(HostId origin, ForwardedCommand command, OpenFile open, long nowMs, Effects out) {
+        FileId file = BatchIds.fileOf(partition, command.request());
+        if (state.file(file).isPresent()) {
+            replies.answer(origin, command, new FileOpened(file), nowMs, out);
+            return;
+        }
+        TeamPath team = command.caller().team();
+        Optional<Refusal> refusal = checks.unwritable(nowMs);
+        if (refusal.isPresent()) {
+            replies.answer(origin, command, refusal.get(), nowMs, out);
+            return;
+        }
+        writes.propose(
+                origin,
+                command,
+                BatchRecords.fileOpened(file, team, open),
+                true,
+                (atMs, effects) -> new FileOpened(file),
+                nowMs,
+                out);
+    }
+
+    private void add(HostId origin, ForwardedCommand command, AddItems add, long nowMs, Effects out) {
+        Optional<CallerReply> atOnce = addWithoutWriting(command.caller(), add, nowMs);
+        if (atOnce.isPresent()) {
+            replies.answer(origin, command, atOnce.get(), nowMs, out);
+            return;
+        }
+        writes.propose(
+                origin,
+                command,
+                BatchRecords.itemsAdded(add, firstService(add)),
+                false,
+                (atMs, effects) -> itemsAdded(add),
+                nowMs,
+                out);
+    }
+
+    private Optional<CallerReply> addWithoutWriting(Caller caller, AddItems add, long nowMs) {
+        Optional<StoredFile> found = visible(caller, add.file());
+        if (found.isEmpty()) {
+            return Optional.of(OwnerChecks.notFound(add.file()));
+        }
+        StoredFile file = found.get();
+        if (file.phase() != StoredFile.Phase.OPEN) {
+            return Optional.of(OwnerChecks.conflict("file " + file.id() + " takes no more items"));
+        }
+        if (add.lines().isEmpty() || add.firstItem() < 0 || add.firstItem() > file.itemCount()) {
+            String message = "firstItem must be at most " + file.itemCount() + ", with at least one line, but was "
+                    + add.firstItem() + " with " + add.lines().size();
+            return Optional.of(OwnerChecks.invalid(message));
+        }
+        if (add.firstItem() < file.itemCount()) {
+            return Optional.of(itemsAdded(add));
+        }
+        return refuseItems(file, add).or(() -> checks.unwritable(nowMs)).map(refusal -> refusal);
+    }
+
+    private Optional<Refusal> refuseItems(StoredFile file, AddItems add) {
+        long bytes = add.lines().stream().mapToLong(ByteString::size).sum();
+        if (bytes > MAX_ADDED_BYTES) {
+            String message = "at most " + MAX_ADDED_BYTES + " bytes can be added at once but there were " + bytes;
+            return Optional.of(Refusal.notRun(RefusalCode.TOO_LARGE, message));
+        }
+        if (add.firstItem() == 0 && firstService(add).isEmpty()) {
+            return Optional.of(OwnerChecks.invalid("the first line must name a model in its body"));
+        }
+        long allowed = context.settings()
+                .team(file.team())
+                .map(policy -> policy.maxStoredBytes())
+                .orElse(Long.MAX_VALUE);
+        if (storedBytes(file.team()) + bytes > allowed) {
+            String message = "the team may keep at most " + allowed + " bytes of files in partition " + partition;
+            return Optional.of(Refusal.notRun(RefusalCode.LIMIT_EXCEEDED, message));
+        }
+        return Optional.empty();
+    }
+
+    private long storedBytes(TeamPath team) {
+        return state.files().stream()
+                .filter(file -> file.team().team().equals(team.team()))
+                .mapToLong(StoredFile::byteCount)
+                .sum();
+    }
+
+    private CallerReply itemsAdded(AddItems add) {
+        Optional<StoredFile> file = state.file(add.file());
+        int end = add.firstItem() + add.lines().size();
+        if (file.isEmpty() || file.get().itemCount() < end) {
+            return OwnerChecks.conflict("lines of " + add.file() + " were added by another request at the same place");
+        }
+        return new ItemsAdded(file.get().itemCount());
+    }
+
+    private static String firstService(AddItems add) {
+        if (add.firstItem() != 0) {
+            return "";
+        }
+        return ItemLine.parse(add.lines().get(0)).map(ItemLine::service).orElse("");
+    }
+
+    private void seal(HostId origin, ForwardedCommand command, SealFile seal, long nowMs, Effects out) {
+        Optional<CallerReply> atOnce = sealWithoutWriting(command.caller(), seal, nowMs);
+        if (atOnce.isPresent()) {
+            replies.answer(origin, command, atOnce.get(), nowMs, out);
+            return;
+        }
+        writes.propose(
+                origin, command, BatchRecords.fileSealed(seal), true, (atMs, effects) -> sealed(seal), nowMs, out);
+    }
+
+    private Optional<CallerReply> sealWithoutWriting(Caller caller, SealFile seal, long nowMs) {
+        Optional<StoredFile> found = visible(caller, seal.file());
+        if (found.isEmpty()) {
+            return Optional.of(OwnerChecks.notFound(seal.file()));
+        }
+        StoredFile file = found.get();
+        if (file.phase() != StoredFile.Phase.OPEN) {
+            return Optional.of(sealed(seal));
+        }
+        if (seal.itemCount() != file.itemCount() || seal.itemCount() == 0) {
+            String message = "itemCount must be " + file.itemCount() + " and above zero but was " + seal.itemCount();
+            return Optional.of(OwnerChecks.invalid(message));
+        }
+        return checks.unwritable(nowMs).map(refusal -> refusal);
+    }
+
+    private CallerReply sealed(SealFile seal) {
+        Optional<StoredFile> file = state.file(seal.file());
+        if (file.isEmpty()) {
+            return OwnerChecks.notFound(seal.file());
+        }
+        return switch (file.get().phase()) {
+            case SEALED -> new FileSealed(info(file.get()));
+            case SAME_AS_EARLIER -> file.get()
+                    .earlierFile()
+                    .flatMap(state::file)
+                    .<CallerReply>map(earlier -> new FileSealed(info(earlier)))
+                    .orElse(OwnerChecks.notFound(seal.file()));
+            case CONFLICTING -> OwnerChecks.conflict("the idempotency key was used for other content");
+            case OPEN -> OwnerChecks.conflict("items were added to " + seal.file() + " while it was sealed");
+        };
+    }
+
+    private void abandon(HostId origin, ForwardedCommand command, AbandonFile abandon, long nowMs, Effects out) {
+        Optional<StoredFile> file = visible(command.caller(), abandon.file());
+        if (file.isEmpty()) {
+            replies.answer(origin, command, new FileAbandoned(abandon.file()), nowMs, out);
+            return;
+        }
+        Optional<Refusal> refusal = file.get().sealed()
+                ? Optional.of(OwnerChecks.conflict("file " + abandon.file() + " is sealed"))
+                : checks.unwritable(nowMs);
+        if (refusal.isPresent()) {
+            replies.answer(origin, command, refusal.get(), nowMs, out);
+            return;
+        }
+        writes.propose(
+                origin,
+                command,
+                BatchRecords.fileAbandoned(abandon.file()),
+                false,
+                (atMs, effects) -> new FileAbandoned(abandon.file()),
+                nowMs,
+                out);
+    }
+
+    private void read(HostId origin, ForwardedCommand command, ReadFile read, long nowMs, Effects out) {
+        Optional<StoredFile> file = visible(command.caller(), read.file());
+        if (file.isEmpty()) {
+            replies.answer(origin, command, OwnerChecks.notFound(read.file()), nowMs, out);
+            return;
+        }
+        pages.readFile(origin, command, file.get(), read, nowMs, out);
+    }
+
+    private CallerReply fileInfo(Caller caller, FileId id) {
+        return visible(caller, id).<CallerReply>map(this::info).orElse(OwnerChecks.notFound(id));
+    }
+
+    private FileInfo info(StoredFile file) {
+        return file.info(expiresAtMs(file));
+    }
+
+    private Optional<StoredFile> visible(Caller caller, FileId id) {
+        return state.file(id).filter(file -> OwnerChecks.maySee(caller, file.team()));
+    }
+}
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobOutputFile.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobOutputFile.java
@@ -8,14 +8,14 @@
 /**
  * Names the files in which callers read a job's results and failures.
  *
- * <p>The files are views: {@link #file()} of a job {@code job-P-X} is {@code file-out-P-X} for results and
- * {@code file-err-P-X} for failures, and their content is that of {@link ReadResults}. Immutable, thus thread-safe.
+ * <p>The files are views: {@link #file()} of a job {@code job-P-X} is {@code results-P-X} for results and
+ * {@code failures-P-X} for failures, and their content is that of {@link ReadResults}. Immutable, thus thread-safe.
  */
 public record JobOutputFile(JobId job, boolean failures) {
 
     private static final String JOB_PREFIX = "job-";
-    private static final String RESULTS_PREFIX = "file-out-";
-    private static final String FAILURES_PREFIX = "file-err-";
+    private static final String RESULTS_PREFIX = "results-";
+    private static final String FAILURES_PREFIX = "failures-";
 
     /** Returns the job's file that the id names, empty if it names an uploaded file. */
     public static Optional<JobOutputFile> parse(FileId file) {
--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
@@ -0,0 +1,226 @@
+package org.cornelcrank.batch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.DispatchSource;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.routing.BatchDemand;
+import org.cornelcrank.routing.BatchPermit;
+import org.cornelcrank.routing.BatchWork;
+
+/**
+ * Runs the items of one job while this daemon owns its partition.
+ *
+ * <p>Invariants: an item runs under one permit at a time; a run that was preempted or that no target began counts as no
+ * attempt; an item ends with a result, or with a failure after its attempts. Not thread-safe: confined to the daemon's
+ * event loop.
+ */
+final class JobRunner implements ItemWindow.WindowListener {
+
+    private static final String JSON = "application/json";
+    private static final int MAX_DELAY_DOUBLINGS = 10;
+
+    private final BatchContext context;
+    private final StoredJob job;
+    private final ResultBuffer results;
+    private final ItemWindow window;
+    private final Map<BatchPermit, WaitingItem> running = new LinkedHashMap<>();
+    private int statedWanted;
+    private boolean stopped;
+
+    JobRunner(BatchContext context, PartitionId partition, StoredJob job, StoredFile file, ResultBuffer results) {
+        this.context = context;
+        this.job = job;
+        this.results = results;
+        this.window = new ItemWindow(context, partition, job, file, this);
+    }
+
+    void start(long nowMs, Effects out) {
+        context.windows().jobStarted();
+        window.fill(nowMs, out);
+    }
+
+    /** Cancels what runs and withdraws the demand. */
+    void stop(long nowMs, Effects out) {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        context.windows().jobStopped();
+        List<BatchPermit> cancelled = List.copyOf(running.keySet());
+        running.clear();
+        cancelled.forEach(permit -> context.capacity().cancel(permit, nowMs, out));
+        demand(0, nowMs, out);
+    }
+
+    void permitGranted(BatchPermit permit, long nowMs, Effects out) {
+        Optional<WaitingItem> item = stopped || context.budget().exhausted() ? Optional.empty() : window.take();
+        if (item.isEmpty()) {
+            context.capacity().giveBack(permit, nowMs, out);
+        } else {
+            running.put(permit, item.get());
+            context.capacity().run(permit, work(item.get()), nowMs, out);
+            window.fill(nowMs, out);
+        }
+        stateDemand(nowMs, out);
+    }
+
+    void workEnded(
+            BatchPermit permit,
+            AttemptOutcome outcome,
+            boolean preempted,
+            Optional<ResumePoint> resume,
+            long nowMs,
+            Effects out) {
+        WaitingItem item = running.remove(permit);
+        if (item == null) {
+            return;
+        }
+        if (preempted) {
+            context.count("items-preempted");
+            window.putFirst(item.afterPreemption(resume));
+        } else if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
+            answered(item, succeeded, nowMs, out);
+        } else if (outcome instanceof AttemptOutcome.Failed failed) {
+            failed(item, failed, nowMs, out);
+        }
+        flushIfIdle(nowMs, out);
+        stateDemand(nowMs, out);
+    }
+
+    /** Goes on after delays, a refused read or an exhausted budget. */
+    void resume(long nowMs, Effects out) {
+        window.readyDue(nowMs, out);
+        stateDemand(nowMs, out);
+    }
+
+    @Override
+    public void windowFilled(long nowMs, Effects out) {
+        if (stopped) {
+            return;
+        }
+        flushIfIdle(nowMs, out);
+        stateDemand(nowMs, out);
+        if (window.ready() == 0) {
+            window.fill(nowMs, out);
+        }
+    }
+
+    @Override
+    public void itemInvalid(int item, String customId, String reason, long nowMs, Effects out) {
+        if (!stopped) {
+            fail(item, customId, new ItemFailure(0, ByteString.EMPTY, "invalid_request", reason), nowMs, out);
+        }
+    }
+
+    StoredJob job() {
+        return job;
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    int ready() {
+        return window.ready();
+    }
+
+    private BatchWork work(WaitingItem item) {
+        ItemLine line = item.line();
+        DispatchSource.Inline source = new DispatchSource.Inline(line.method(), line.url(), JSON, line.body());
+        long fingerprint = StableHash.of(line.body().toByteArray());
+        String itemId = job.terms().job() + ":" + item.number();
+        long timeoutMs = context.attemptTimeoutMs(job.terms().service());
+        return new BatchWork(itemId, fingerprint, source, item.resume(), timeoutMs);
+    }
+
+    private void answered(WaitingItem item, AttemptOutcome.Succeeded answer, long nowMs, Effects out) {
+        if (answer.body().size() > context.limits().maxResultBytes()) {
+            String reason = "the answer has more than " + context.limits().maxResultBytes() + " bytes";
+            fail(item, new ItemFailure(answer.status(), ByteString.EMPTY, "answer_too_large", reason), nowMs, out);
+            return;
+        }
+        context.count("items-answered");
+        ResultLine line = new ResultLine(
+                item.number(), item.line().customId(), answer.status(), answer.body(), Optional.empty(), "");
+        results.add(job.terms().job(), line, nowMs, out);
+    }
+
+    private void failed(WaitingItem item, AttemptOutcome.Failed failure, long nowMs, Effects out) {
+        switch (failure.kind()) {
+            case CANCELLED -> window.putFirst(item);
+            case CONNECTION_REFUSED, OVERLOADED -> delay(item.afterRefusal(), item.refusals(), nowMs, out);
+            case REJECTED, ANSWER_TOO_LARGE -> fail(item, ItemFailure.of(failure, context.limits()), nowMs, out);
+            default -> retryOrFail(item.afterFailure(), failure, nowMs, out);
+        }
+    }
+
+    private void retryOrFail(WaitingItem item, AttemptOutcome.Failed failure, long nowMs, Effects out) {
+        if (item.attempts() >= context.maxItemAttempts(job.terms().team())) {
+            fail(item, ItemFailure.of(failure, context.limits()), nowMs, out);
+            return;
+        }
+        context.count("items-retried");
+        results.countAttempts(job.terms().job(), item.number(), item.attempts(), nowMs, out);
+        delay(item, item.attempts() - 1, nowMs, out);
+    }
+
+    private void delay(WaitingItem item, int earlierDelays, long nowMs, Effects out) {
+        long delayMs = context.limits().retryDelayMs() << Math.min(earlierDelays, MAX_DELAY_DOUBLINGS);
+        window.putDelayed(item, nowMs + Math.min(delayMs, context.limits().maxRetryDelayMs()), out);
+    }
+
+    private void fail(WaitingItem item, ItemFailure failure, long nowMs, Effects out) {
+        fail(item.number(), item.line().customId(), failure, nowMs, out);
+    }
+
+    private void fail(int item, String customId, ItemFailure failure, long nowMs, Effects out) {
+        context.count("items-failed");
+        String itemId = job.terms().job() + ":" + item;
+        out.explain(Subject.Kind.ITEM, itemId, nowMs, "failed for good", failure.code() + ": " + failure.message());
+        results.add(job.terms().job(), failure.line(item, customId), nowMs, out);
+    }
+
+    private void flushIfIdle(long nowMs, Effects out) {
+        if (running.isEmpty() && window.exhausted()) {
+            results.flush(job.terms().job(), nowMs, out);
+        }
+    }
+
+    private void stateDemand(long nowMs, Effects out) {
+        if (stopped) {
+            return;
+        }
+        int wanted = context.budget().exhausted() ? 0 : window.ready();
+        boolean toOrFromNone = (wanted == 0) != (statedWanted == 0);
+        if (toOrFromNone || Math.abs(wanted - statedWanted) > statedWanted / 4) {
+            demand(wanted, nowMs, out);
+        }
+    }
+
+    private void demand(int wanted, long nowMs, Effects out) {
+        statedWanted = wanted;
+        StoredJob.Terms terms = job.terms();
+        context.capacity()
+                .setDemand(
+                        new BatchDemand(
+                                terms.job(),
+                                terms.team(),
+                                terms.service(),
+                                terms.deadlineAtMs(),
+                                context.share(terms.team()),
+                                wanted,
+                                job.ended() ? 0 : job.remaining()),
+                        nowMs,
+                        out);
+    }
+}
--- /dev/null
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/RecordPages.java
@@ -0,0 +1,132 @@
+package org.cornelcrank.batch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.cornelcrank.batch.wire.PagesSnapshot;
+import org.cornelcrank.partition.RecordPosition;
+
+/**
+ * Says which durable records hold the bodies of which items, in {@value #BYTES_PER_PAGE} bytes a record.
+ *
+ * <p>A page is one record with the lowest and the highest item in it; the ranges of pages may overlap. Not thread-safe:
+ * confined to the daemon's event loop.
+ */
+final class RecordPages {
+
+    static final int BYTES_PER_PAGE = 2 * Integer.BYTES + Long.BYTES + Integer.BYTES;
+
+    private static final int FIRST_CAPACITY = 4;
+
+    private int size;
+    private int[] firstItems = new int[FIRST_CAPACITY];
+    private int[] lastItems = new int[FIRST_CAPACITY];
+    private long[] offsets = new long[FIRST_CAPACITY];
+    private int[] indexes = new int[FIRST_CAPACITY];
+
+    static RecordPages of(PagesSnapshot snapshot) {
+        RecordPages pages = new RecordPages();
+        for (int page = 0; page < snapshot.getOffsetsCount(); page++) {
+            pages.add(
+                    snapshot.getFirstItems(page),
+                    snapshot.getLastItems(page),
+                    new RecordPosition(snapshot.getOffsets(page), snapshot.getIndexes(page)));
+        }
+        return pages;
+    }
+
+    void add(int firstItem, int lastItem, RecordPosition position) {
+        if (size == offsets.length) {
+            grow(size + size / 2);
+        }
+        firstItems[size] = firstItem;
+        lastItems[size] = lastItem;
+        offsets[size] = position.offset();
+        indexes[size] = position.index();
+        size++;
+    }
+
+    int size() {
+        return size;
+    }
+
+    /** Returns the records that may hold items from the first to the last given, in the order in which they came. */
+    List<RecordPosition> covering(int firstItem, int lastItem) {
+        List<RecordPosition> found = new ArrayList<>();
+        for (int page = 0; page < size; page++) {
+            if (firstItems[page] <= lastItem && lastItems[page] >= firstItem) {
+                found.add(position(page));
+            }
+        }
+        return found;
+    }
+
+    /** Returns the first item of the page after the one that holds the item, for pages that do not overlap. */
+    int endOfPage(int item) {
+        int low = 0;
+        int high = size - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            if (lastItems[middle] < item) {
+                low = middle + 1;
+            } else if (firstItems[middle] > item) {
+                high = middle - 1;
+            } else {
+                return lastItems[middle] + 1;
+            }
+        }
+        throw new IllegalArgumentException("item must be in a page but was " + item);
+    }
+
+    /** Adds to the list the positions before the offset. */
+    void collectBefore(long offset, List<RecordPosition> found) {
+        for (int page = 0; page < size; page++) {
+            if (offsets[page] < offset) {
+                found.add(position(page));
+            }
+        }
+    }
+
+    /** Replaces a position; does nothing if no page stands there. */
+    void move(RecordPosition from, RecordPosition to) {
+        for (int page = 0; page < size; page++) {
+            if (offsets[page] == from.offset() && indexes[page] == from.index()) {
+                offsets[page] = to.offset();
+                indexes[page] = to.index();
+            }
+        }
+    }
+
+    void clear() {
+        size = 0;
+        grow(FIRST_CAPACITY);
+    }
+
+    /** Returns the bytes held in arrays, used or not. */
+    long allocatedBytes() {
+        return (long) offsets.length * BYTES_PER_PAGE;
+    }
+
+    PagesSnapshot snapshot() {
+        PagesSnapshot.Builder snapshot = PagesSnapshot.newBuilder();
+        for (int page = 0; page < size; page++) {
+            snapshot.addFirstItems(firstItems[page])
+                    .addLastItems(lastItems[page])
+                    .addOffsets(offsets[page])
+                    .addIndexes(indexes[page]);
+        }
+        return snapshot.build();
+    }
+
+    private RecordPosition position(int page) {
+        return new RecordPosition(offsets[page], indexes[page]);
+    }
+
+    private void grow(int capacity) {
+        firstItems = Arrays.copyOf(firstItems, capacity);
+        lastItems = Arrays.copyOf(lastItems, capacity);
+        offsets = Arrays.copyOf(offsets, capacity);
+        indexes = Arrays.copyOf(indexes, capacity);
+    }
+}
