--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Duty.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Duty.java
@@ -17,4 +17,13 @@
 
     /** Writes the whole present state, without payloads and keys. */
     void dump(StateWriter writer, long nowMs);
+
+    /**
+     * Returns whether the process may end now without cutting anything that this duty has begun.
+     *
+     * <p>Asked after {@link Event.StopRequested}, again and again until every duty says so or the time to drain is over.
+     */
+    default boolean quiescent() {
+        return true;
+    }
 }
--- /dev/null
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
@@ -0,0 +1,61 @@
+package org.cornelcrank.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+
+/**
+ * The decision core of one daemon: offers each event to every duty and gathers what they want done.
+ *
+ * <p>Invariant: the effects depend on nothing but the events, their times and the seed that the duties were built with.
+ * Does no I/O and starts no threads. Not thread-safe: confined to the daemon's event loop.
+ */
+public final class DaemonCore {
+
+    private final List<Duty> duties;
+    private final DecisionJournal journal;
+
+    /**
+     * Creates a core.
+     *
+     * @param duties the duties, in the order in which each event is offered
+     * @param journal keeps the decisions that the duties explain
+     */
+    public DaemonCore(List<Duty> duties, DecisionJournal journal) {
+        this.duties = List.copyOf(duties);
+        this.journal = Objects.requireNonNull(journal, "journal must not be null");
+    }
+
+    /**
+     * Handles one event.
+     *
+     * @param event what happened
+     * @param nowMs the present time in ms since the epoch, never less than at an earlier event
+     * @return what has to be done, in order
+     */
+    public List<Effect> on(Event event, long nowMs) {
+        Effects out = new Effects();
+        for (Duty duty : duties) {
+            duty.on(event, nowMs, out);
+        }
+        List<Effect> external = new ArrayList<>(out.list().size());
+        for (Effect effect : out.list()) {
+            if (effect instanceof Effect.Explain explain) {
+                journal.record(explain);
+            } else {
+                external.add(effect);
+            }
+        }
+        return external;
+    }
+
+    /** Returns the duties in their order. */
+    public List<Duty> duties() {
+        return duties;
+    }
+}
--- /dev/null
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DecisionJournal.java
@@ -0,0 +1,84 @@
+package org.cornelcrank.daemon;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Subject;
+
+/**
+ * Keeps the latest decisions about each subject for explanations.
+ *
+ * <p>Invariant: holds at most {@code maxSubjects} subjects with at most {@code maxPerSubject} decisions each; the subject
+ * that was decided on least recently goes first. Not thread-safe: confined to the daemon's event loop.
+ */
+public final class DecisionJournal {
+
+    private final int maxPerSubject;
+    private final Map<Subject, Deque<Decision>> decisions;
+
+    /**
+     * Creates an empty journal.
+     *
+     * @param maxSubjects how many subjects are kept, at least one
+     * @param maxPerSubject how many decisions are kept of each, at least one
+     */
+    public DecisionJournal(int maxSubjects, int maxPerSubject) {
+        if (maxSubjects < 1 || maxPerSubject < 1) {
+            throw new IllegalArgumentException(
+                    "bounds must be at least 1 but were " + maxSubjects + " and " + maxPerSubject);
+        }
+        this.maxPerSubject = maxPerSubject;
+        this.decisions = new BoundedSubjects(maxSubjects);
+    }
+
+    void record(Effect.Explain explain) {
+        Deque<Decision> kept = decisions.computeIfAbsent(explain.subject(), subject -> new ArrayDeque<>(2));
+        if (kept.size() == maxPerSubject) {
+            kept.removeFirst();
+        }
+        kept.addLast(new Decision(explain.atMs(), explain.decision(), explain.reason()));
+    }
+
+    /**
+     * Returns what is known of a subject, oldest first.
+     *
+     * @param subject the subject asked for
+     * @return its decisions, empty if none is known any longer
+     */
+    public List<Decision> of(Subject subject) {
+        Deque<Decision> kept = decisions.get(subject);
+        return kept == null ? List.of() : List.copyOf(kept);
+    }
+
+    /**
+     * Returns how many subjects are known.
+     *
+     * @return the number of subjects
+     */
+    public int size() {
+        return decisions.size();
+    }
+
+    /** One decision with its time and reason. */
+    public record Decision(long atMs, String decision, String reason) {}
+
+    /** Drops the subject that was used least recently once there are too many. */
+    private static final class BoundedSubjects extends LinkedHashMap<Subject, Deque<Decision>> {
+
+        private final int maxSubjects;
+
+        BoundedSubjects(int maxSubjects) {
+            super(16, 0.75f, true);
+            this.maxSubjects = maxSubjects;
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Subject, Deque<Decision>> eldest) {
+            return size() > maxSubjects;
+        }
+    }
+}
