Add the edge: callers over HTTP, peers over Netty, log, hosts and targets

Cause: the decision core does no I/O.

Change: an event loop that confines the core; OpenAI-compatible routes, plain services, files, batches and operators' routes on Reactor Netty; connections between daemons with protobuf frames and a proof of the shared key; clients of the log, the host list and the targets; checked settings.

--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/ExchangeRegistry.java
@@ -0,0 +1,116 @@
+package org.cornelcrank.server.exchange;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.EffectRunner;
+
+/**
+ * Knows the open exchanges, and brings the core's replies to them.
+ *
+ * <p>Invariant: an exchange is known from its opening to its reply or the caller's leaving. Thread-safe.
+ */
+public final class ExchangeRegistry implements EffectRunner {
+
+    private final Map<RequestId, Exchange> open = new ConcurrentHashMap<>();
+    private final AtomicLong lastNumber = new AtomicLong();
+    private final DaemonIdentity identity;
+    private final CoreLoop loop;
+    private final Function<Refusal, byte[]> errorEvent;
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param identity names this daemon in request ids
+     * @param loop receives callers' commands
+     * @param errorEvent renders a refusal for a stream that has begun
+     * @param metrics receives the gauge of open exchanges
+     */
+    public ExchangeRegistry(
+            DaemonIdentity identity, CoreLoop loop, Function<Refusal, byte[]> errorEvent, MetricRegistry metrics) {
+        this.identity = Objects.requireNonNull(identity, "identity must not be null");
+        this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        this.errorEvent = Objects.requireNonNull(errorEvent, "errorEvent must not be null");
+        metrics.registerGauge("exchanges.open", open::size);
+    }
+
+    /**
+     * Opens an exchange and hands its command to the core.
+     *
+     * @param caller who asks
+     * @param command what is asked
+     * @param outgoing what a target is to get, empty if the core answers itself
+     * @return the exchange
+     */
+    public Exchange open(Caller caller, CallerCommand command, Optional<OutgoingRequest> outgoing) {
+        RequestId id = new RequestId(identity.host(), identity.incarnation(), lastNumber.incrementAndGet());
+        Exchange exchange = new Exchange(id, outgoing);
+        open.put(id, exchange);
+        loop.post(new Event.CallerArrived(id, caller, command));
+        return exchange;
+    }
+
+    /**
+     * Returns an open exchange.
+     *
+     * @param id its request
+     * @return the exchange, empty if it has ended
+     */
+    public Optional<Exchange> find(RequestId id) {
+        return Optional.ofNullable(open.get(id));
+    }
+
+    /**
+     * Tells the core that a caller hung up; does nothing if the exchange has ended.
+     *
+     * @param exchange the caller's exchange
+     */
+    public void callerLeft(Exchange exchange) {
+        if (open.remove(exchange.id()) != null) {
+            loop.post(new Event.CallerLeft(exchange.id()));
+        }
+    }
+
+    /**
+     * Returns how many callers wait for their answers.
+     *
+     * @return the number of open exchanges
+     */
+    public int size() {
+        return open.size();
+    }
+
+    @Override
+    public boolean run(Effect effect) {
+        if (!(effect instanceof Effect.Reply reply)) {
+            return false;
+        }
+        Exchange exchange = open.remove(reply.request());
+        if (exchange != null) {
+            end(exchange, reply.reply());
+        }
+        return true;
+    }
+
+    private void end(Exchange exchange, CallerReply reply) {
+        if (reply instanceof Refusal refusal) {
+            exchange.end(reply, false, errorEvent.apply(refusal));
+        } else {
+            exchange.end(reply, true, new byte[0]);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/OutgoingRequest.java
@@ -0,0 +1,16 @@
+package org.cornelcrank.server.exchange;
+
+import java.util.List;
+
+/**
+ * What is sent to a target on behalf of a caller.
+ *
+ * <p>{@code path} includes the query. Immutable by convention: nobody changes {@code body}.
+ */
+public record OutgoingRequest(
+        String method, String path, String contentType, byte[] body, boolean streaming, List<Long> prefixHashes) {
+
+    public OutgoingRequest {
+        prefixHashes = List.copyOf(prefixHashes);
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AdminRoutes.java
@@ -0,0 +1,147 @@
+package org.cornelcrank.server.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpMethod;
+import org.cornelcrank.config.ChangeSetting;
+import org.cornelcrank.config.ListSettings;
+import org.cornelcrank.config.ReadSetting;
+import org.cornelcrank.config.WatchSettings;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.daemon.DumpState;
+import org.cornelcrank.daemon.ExplainSubject;
+import org.cornelcrank.routing.LiftQuarantine;
+import org.cornelcrank.routing.ListQuarantine;
+import org.cornelcrank.server.exchange.ExchangeRegistry;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves operators: settings, dumps, explanations and quarantine.
+ *
+ * <p>Thread-safe.
+ */
+final class AdminRoutes implements RouteGroup {
+
+    private static final long MAX_WATCH_MS = 60_000;
+    private static final int HEXADECIMAL = 16;
+
+    private final ExchangeRegistry exchanges;
+    private final AnswerWriter writer;
+    private final RequestBodies bodies;
+    private final AdminViews views;
+
+    AdminRoutes(ExchangeRegistry exchanges, AnswerWriter writer, RequestBodies bodies, AdminViews views) {
+        this.exchanges = exchanges;
+        this.writer = writer;
+        this.bodies = bodies;
+        this.views = views;
+    }
+
+    @Override
+    public void addTo(GuardedRoutes routes) {
+        routes.on(HttpMethod.GET, "/admin/config", Caller.Scope.OPERATOR, this::list);
+        routes.on(HttpMethod.GET, "/admin/config/watch", Caller.Scope.OPERATOR, this::watch);
+        routes.on(HttpMethod.GET, "/admin/config/value", Caller.Scope.OPERATOR, this::read);
+        routes.on(HttpMethod.PUT, "/admin/config/value", Caller.Scope.OPERATOR, this::set);
+        routes.on(HttpMethod.DELETE, "/admin/config/value", Caller.Scope.OPERATOR, this::delete);
+        routes.on(HttpMethod.GET, "/admin/dump", Caller.Scope.OPERATOR, this::dump);
+        routes.on(HttpMethod.GET, "/admin/explain", Caller.Scope.OPERATOR, this::explain);
+        routes.on(HttpMethod.GET, "/admin/quarantine", Caller.Scope.OPERATOR, this::quarantine);
+        routes.on(HttpMethod.DELETE, "/admin/quarantine", Caller.Scope.OPERATOR, this::lift);
+    }
+
+    private Mono<Void> list(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        String prefix = new QueryParameters(request).text("prefix").orElse("/");
+        return run(admission, response, new ListSettings(prefix), views::settings);
+    }
+
+    private Mono<Void> watch(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        QueryParameters query = new QueryParameters(request);
+        WatchSettings command = new WatchSettings(
+                query.text("prefix").orElse("/"),
+                query.number("from", 0, 0, Long.MAX_VALUE),
+                query.number("wait-ms", 0, 0, MAX_WATCH_MS));
+        return run(admission, response, command, views::settings);
+    }
+
+    private Mono<Void> read(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        String path = new QueryParameters(request).requireText("path");
+        return run(admission, response, new ReadSetting(path), views::setting);
+    }
+
+    private Mono<Void> set(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        String path = new QueryParameters(request).requireText("path");
+        return bodies.read(request).flatMap(body -> {
+            JsonNode change = bodies.parseObject(body);
+            if (!change.path("value").isTextual()) {
+                throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, "'value' must be a text");
+            }
+            Optional<Long> expected = change.hasNonNull("expectVersion")
+                    ? Optional.of(change.get("expectVersion").asLong())
+                    : Optional.empty();
+            Optional<String> value = Optional.of(change.get("value").asText());
+            return run(admission, response, new ChangeSetting(path, expected, value), views::change);
+        });
+    }
+
+    private Mono<Void> delete(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        QueryParameters query = new QueryParameters(request);
+        long expected = query.number("expect-version", -1, 0, Long.MAX_VALUE);
+        ChangeSetting command = new ChangeSetting(
+                query.requireText("path"), expected < 0 ? Optional.empty() : Optional.of(expected), Optional.empty());
+        return run(admission, response, command, views::change);
+    }
+
+    private Mono<Void> dump(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        QueryParameters query = new QueryParameters(request);
+        boolean asJson = query.text("format").orElse("json").equals("json");
+        DumpState command = new DumpState(
+                query.text("host").map(host -> requireValid(() -> new HostId(host))), query.text("section"));
+        return run(admission, response, command, reply -> views.dump(reply, asJson));
+    }
+
+    private Mono<Void> explain(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        QueryParameters query = new QueryParameters(request);
+        String kind = query.requireText("kind");
+        Subject subject = requireValid(
+                () -> new Subject(Subject.Kind.valueOf(kind.toUpperCase(Locale.ROOT)), query.requireText("id")));
+        return run(admission, response, new ExplainSubject(subject), views::explanation);
+    }
+
+    private Mono<Void> quarantine(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        return run(admission, response, new ListQuarantine(), views::quarantine);
+    }
+
+    private Mono<Void> lift(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        String text = new QueryParameters(request).requireText("fingerprint");
+        long fingerprint = requireValid(() -> Long.parseUnsignedLong(text, HEXADECIMAL));
+        return run(admission, response, new LiftQuarantine(fingerprint), views::quarantine);
+    }
+
+    private Mono<Void> run(
+            Admission admission,
+            HttpServerResponse response,
+            CallerCommand command,
+            Function<CallerReply, AnswerWriter.Rendered> renderer) {
+        return writer.write(exchanges.open(admission.caller(), command, Optional.empty()), response, renderer);
+    }
+
+    private static <T> T requireValid(Supplier<T> parsed) {
+        try {
+            return parsed.get();
+        } catch (IllegalArgumentException e) {
+            throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AdminViews.java
@@ -0,0 +1,91 @@
+package org.cornelcrank.server.http;
+
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cornelcrank.config.SettingChangedReply;
+import org.cornelcrank.config.SettingEntry;
+import org.cornelcrank.config.SettingList;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.daemon.DumpJson;
+import org.cornelcrank.daemon.DumpText;
+import org.cornelcrank.daemon.Explanation;
+import org.cornelcrank.daemon.StateDump;
+import org.cornelcrank.routing.QuarantineListed;
+
+/**
+ * Renders replies to operators.
+ *
+ * <p>Thread-safe.
+ */
+final class AdminViews {
+
+    private final ObjectMapper json;
+
+    AdminViews(ObjectMapper json) {
+        this.json = json;
+    }
+
+    AnswerWriter.Rendered settings(CallerReply reply) {
+        SettingList list = (SettingList) reply;
+        ObjectNode root = json.createObjectNode().put("version", list.version());
+        ArrayNode entries = root.putArray("entries");
+        list.entries().forEach(entry -> entries.add(entry(entry)));
+        return AnswerWriter.Rendered.json(root);
+    }
+
+    AnswerWriter.Rendered setting(CallerReply reply) {
+        return AnswerWriter.Rendered.json(entry(((SettingList) reply).entries().get(0)));
+    }
+
+    AnswerWriter.Rendered change(CallerReply reply) {
+        SettingChangedReply change = (SettingChangedReply) reply;
+        return AnswerWriter.Rendered.json(entry(new SettingEntry(change.path(), change.value(), change.version())));
+    }
+
+    AnswerWriter.Rendered dump(CallerReply reply, boolean asJson) {
+        StateDump dump = (StateDump) reply;
+        return asJson
+                ? AnswerWriter.Rendered.json(DumpJson.render(dump, json))
+                : AnswerWriter.Rendered.text("text/plain; charset=utf-8", DumpText.render(dump));
+    }
+
+    AnswerWriter.Rendered explanation(CallerReply reply) {
+        Explanation explanation = (Explanation) reply;
+        ObjectNode root = json.createObjectNode();
+        root.put("kind", explanation.subject().kind().name().toLowerCase(Locale.ROOT));
+        root.put("id", explanation.subject().id());
+        root.put("known", !explanation.lines().isEmpty());
+        ArrayNode lines = root.putArray("decisions");
+        explanation.lines().forEach(line -> lines.addObject()
+                .put("atMs", line.atMs())
+                .put("host", line.host().value())
+                .put("decision", line.decision())
+                .put("reason", line.reason()));
+        ArrayNode silent = root.putArray("silentHosts");
+        explanation.silent().forEach(host -> silent.add(host.value()));
+        return AnswerWriter.Rendered.json(root);
+    }
+
+    AnswerWriter.Rendered quarantine(CallerReply reply) {
+        ObjectNode root = json.createObjectNode();
+        ArrayNode entries = root.putArray("entries");
+        for (QuarantineListed.Entry entry : ((QuarantineListed) reply).entries()) {
+            ObjectNode node = entries.addObject()
+                    .put("fingerprint", Long.toHexString(entry.fingerprint()))
+                    .put("sinceMs", entry.sinceMs())
+                    .put("expiresAtMs", entry.expiresAtMs());
+            ArrayNode targets = node.putArray("targets");
+            entry.targets().forEach(target -> targets.add(target.value()));
+        }
+        return AnswerWriter.Rendered.json(root);
+    }
+
+    private ObjectNode entry(SettingEntry entry) {
+        ObjectNode node = json.createObjectNode().put("path", entry.path());
+        node.put("value", entry.value().orElse(null));
+        return node.put("version", entry.version());
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AnswerWriter.java
@@ -0,0 +1,104 @@
+package org.cornelcrank.server.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.server.exchange.Answer;
+import org.cornelcrank.server.exchange.Exchange;
+import org.cornelcrank.server.exchange.ExchangeRegistry;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Writes answers and refusals to callers.
+ *
+ * <p>Every answer names its request, and every refusal its verdict and when to come back. Thread-safe.
+ */
+final class AnswerWriter {
+
+    static final String REQUEST_ID = "Cornelcrank-Request-Id";
+
+    private static final String VERDICT = "Cornelcrank-Verdict";
+    private static final String RETRY_AFTER_MS = "Retry-After-Ms";
+    private static final String JSON = "application/json";
+    private static final long MS_PER_SECOND = 1_000;
+
+    private final ExchangeRegistry exchanges;
+    private final ErrorBodies errors;
+
+    AnswerWriter(ExchangeRegistry exchanges, ErrorBodies errors) {
+        this.exchanges = exchanges;
+        this.errors = errors;
+    }
+
+    /** Writes the answer of an exchange once there is one; the renderer serves replies of the core itself. */
+    Mono<Void> write(Exchange exchange, HttpServerResponse response, Function<CallerReply, Rendered> renderer) {
+        response.header(REQUEST_ID, exchange.id().toString());
+        return exchange.answer()
+                .flatMap(answer -> write(answer, response, renderer))
+                .doOnCancel(() -> exchanges.callerLeft(exchange));
+    }
+
+    /** Writes a refusal. */
+    Mono<Void> refuse(HttpServerResponse response, Refusal refusal) {
+        response.header(VERDICT, refusal.verdict().headerValue());
+        if (refusal.retryAfterMs() > 0) {
+            long seconds = (refusal.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND;
+            response.header(HttpHeaderNames.RETRY_AFTER, Long.toString(seconds));
+            response.header(RETRY_AFTER_MS, Long.toString(refusal.retryAfterMs()));
+        }
+        return send(response, refusal.code().httpStatus(), JSON, errors.body(refusal));
+    }
+
+    /** Writes what the front end has rendered itself. */
+    Mono<Void> send(HttpServerResponse response, Rendered rendered) {
+        rendered.headers().forEach(response::header);
+        return send(response, rendered.status(), rendered.contentType(), rendered.body());
+    }
+
+    private Mono<Void> write(Answer answer, HttpServerResponse response, Function<CallerReply, Rendered> renderer) {
+        if (answer instanceof Answer.Streamed streamed) {
+            return response.sse()
+                    .header(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
+                    .sendByteArray(streamed.events())
+                    .then();
+        }
+        if (answer instanceof Answer.Whole whole) {
+            return send(response, whole.status(), whole.contentType(), whole.body());
+        }
+        CallerReply reply = ((Answer.FromCore) answer).reply();
+        if (reply instanceof Refusal refusal) {
+            return refuse(response, refusal);
+        }
+        return send(response, renderer.apply(reply));
+    }
+
+    private static Mono<Void> send(HttpServerResponse response, int status, String contentType, byte[] body) {
+        return response.status(status)
+                .header(HttpHeaderNames.CONTENT_TYPE, contentType)
+                .header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length))
+                .sendByteArray(Mono.just(body))
+                .then();
+    }
+
+    /** A reply as HTTP shows it. */
+    record Rendered(int status, String contentType, byte[] body, Map<String, String> headers) {
+
+        static Rendered json(JsonNode body) {
+            return new Rendered(
+                    HttpResponseStatus.OK.code(), JSON, body.toString().getBytes(StandardCharsets.UTF_8), Map.of());
+        }
+
+        static Rendered text(String contentType, String body) {
+            return new Rendered(
+                    HttpResponseStatus.OK.code(), contentType, body.getBytes(StandardCharsets.UTF_8), Map.of());
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
@@ -0,0 +1,133 @@
+package org.cornelcrank.server.http;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpMethod;
+import org.cornelcrank.config.ServiceKind;
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.routing.OnlineRequest;
+import org.cornelcrank.server.exchange.Exchange;
+import org.cornelcrank.server.exchange.ExchangeRegistry;
+import org.cornelcrank.server.exchange.OutgoingRequest;
+import org.cornelcrank.server.loop.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves inference and the list of models.
+ *
+ * <p>Thread-safe.
+ */
+final class CompletionRoutes implements RouteGroup {
+
+    private static final String MODEL_KIND = "model";
+
+    private final ExchangeRegistry exchanges;
+    private final AnswerWriter writer;
+    private final RequestBodies bodies;
+    private final ServiceDirectory services;
+    private final MonotonicClock clock;
+    private final ObjectMapper json;
+
+    CompletionRoutes(
+            ExchangeRegistry exchanges,
+            AnswerWriter writer,
+            RequestBodies bodies,
+            ServiceDirectory services,
+            MonotonicClock clock,
+            ObjectMapper json) {
+        this.exchanges = exchanges;
+        this.writer = writer;
+        this.bodies = bodies;
+        this.services = services;
+        this.clock = clock;
+        this.json = json;
+    }
+
+    @Override
+    public void addTo(GuardedRoutes routes) {
+        routes.on(HttpMethod.GET, "/v1/models", Caller.Scope.CALLER, this::models);
+        routes.on(HttpMethod.POST, "/v1/chat/completions", Caller.Scope.CALLER, this::complete);
+        routes.on(HttpMethod.POST, "/v1/completions", Caller.Scope.CALLER, this::complete);
+    }
+
+    private Mono<Void> models(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        ObjectNode list = json.createObjectNode().put("object", "list");
+        ArrayNode data = list.putArray("data");
+        admission.requirePolicy().services().stream().sorted().forEach(service -> data.addObject()
+                .put("id", service.value())
+                .put("object", MODEL_KIND)
+                .put("created", 0)
+                .put("owned_by", admission.caller().team().team()));
+        return writer.send(response, AnswerWriter.Rendered.json(list));
+    }
+
+    private Mono<Void> complete(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        return bodies.read(request).flatMap(body -> {
+            JsonNode prompt = bodies.parseObject(body);
+            ServiceName model = services.requireAllowed(admission, text(prompt, "model"));
+            return services.require(model, ServiceKind.MODEL)
+                    .flatMap(policy -> complete(admission, request, response, body, prompt, model));
+        });
+    }
+
+    private Mono<Void> complete(
+            Admission admission,
+            HttpServerRequest request,
+            HttpServerResponse response,
+            byte[] body,
+            JsonNode prompt,
+            ServiceName model) {
+        requirePrompt(request, prompt);
+        TeamPolicy policy = admission.requirePolicy();
+        boolean streaming = prompt.path("stream").asBoolean(false);
+        List<Long> prefixHashes = PromptPrefixes.of(prompt);
+        OnlineRequest command = new OnlineRequest(
+                admission.workload(),
+                model,
+                policy.urgency(),
+                Deadlines.deadlineAtMs(request, policy, clock.nowMs()),
+                true,
+                streaming,
+                prefixHashes,
+                StableHash.of(body),
+                Math.max(0, prompt.path("max_tokens").asInt(0)),
+                streaming);
+        OutgoingRequest outgoing =
+                new OutgoingRequest("POST", "/" + request.path(), "application/json", body, streaming, prefixHashes);
+        Exchange exchange = exchanges.open(admission.caller(), command, Optional.of(outgoing));
+        return writer.write(exchange, response, reply -> {
+            throw new IllegalStateException("a whole answer must be held for " + exchange.id());
+        });
+    }
+
+    private static void requirePrompt(HttpServerRequest request, JsonNode prompt) {
+        if (request.path().endsWith("chat/completions")) {
+            JsonNode messages = prompt.path("messages");
+            if (!messages.isArray() || messages.isEmpty()) {
+                throw RefusedException.notRun(
+                        RefusalCode.INVALID_REQUEST, "'messages' must be a list that is not empty");
+            }
+        } else if (!prompt.path("prompt").isTextual()) {
+            throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, "'prompt' must be a text");
+        }
+    }
+
+    private static String text(JsonNode body, String field) {
+        JsonNode value = body.path(field);
+        if (!value.isTextual()) {
+            throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, "'" + field + "' must be a text");
+        }
+        return value.asText();
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CoreCommands.java
@@ -0,0 +1,64 @@
+package org.cornelcrank.server.http;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.server.exchange.Answer;
+import org.cornelcrank.server.exchange.Exchange;
+import org.cornelcrank.server.exchange.ExchangeRegistry;
+import reactor.core.publisher.Mono;
+import reactor.util.retry.Retry;
+
+/**
+ * Runs commands of the decision core and gives their replies.
+ *
+ * <p>Thread-safe.
+ */
+final class CoreCommands {
+
+    private static final int MAX_RETRIES = 5;
+    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+
+    private final ExchangeRegistry exchanges;
+
+    CoreCommands(ExchangeRegistry exchanges) {
+        this.exchanges = exchanges;
+    }
+
+    /** Runs a command, and fails with a refusal if it is refused. */
+    <T extends CallerReply> Mono<T> run(Caller caller, CallerCommand command, Class<T> replyType) {
+        return Mono.defer(() -> {
+            Exchange exchange = exchanges.open(caller, command, Optional.empty());
+            return exchange.answer()
+                    .doOnCancel(() -> exchanges.callerLeft(exchange))
+                    .map(answer -> replyType.cast(accepted(answer)));
+        });
+    }
+
+    /** Runs a command that changes nothing when it is repeated, again if the daemon that must answer is in transition. */
+    <T extends CallerReply> Mono<T> runIdempotent(Caller caller, CallerCommand command, Class<T> replyType) {
+        return run(caller, command, replyType)
+                .retryWhen(Retry.backoff(MAX_RETRIES, RETRY_DELAY)
+                        .filter(CoreCommands::isPassing)
+                        .onRetryExhaustedThrow((spec, signal) -> signal.failure()));
+    }
+
+    private static CallerReply accepted(Answer answer) {
+        CallerReply reply = ((Answer.FromCore) answer).reply();
+        if (reply instanceof Refusal refusal) {
+            throw new RefusedException(refusal);
+        }
+        return reply;
+    }
+
+    private static boolean isPassing(Throwable error) {
+        return error instanceof RefusedException refused
+                && (refused.refusal().code() == RefusalCode.NOT_READY
+                        || refused.refusal().code() == RefusalCode.STORE_UNAVAILABLE);
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/GuardedRoutes.java
@@ -0,0 +1,76 @@
+package org.cornelcrank.server.http;
+
+import io.netty.handler.codec.http.HttpMethod;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.Verdict;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.netty.channel.AbortedException;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * Adds routes behind the gatekeeper, and turns refusals into answers.
+ *
+ * <p>Not thread-safe: used while the server is set up.
+ */
+final class GuardedRoutes {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(GuardedRoutes.class);
+
+    private final HttpServerRoutes routes;
+    private final Gatekeeper gatekeeper;
+    private final AnswerWriter writer;
+
+    GuardedRoutes(HttpServerRoutes routes, Gatekeeper gatekeeper, AnswerWriter writer) {
+        this.routes = routes;
+        this.gatekeeper = gatekeeper;
+        this.writer = writer;
+    }
+
+    /** Adds a route for a method and a path, in which a name in braces stands for any segment. */
+    void on(HttpMethod method, String path, Caller.Scope scope, Handler handler) {
+        switch (method.name()) {
+            case "GET" -> routes.get(path, (request, response) -> handle(request, response, scope, handler));
+            case "POST" -> routes.post(path, (request, response) -> handle(request, response, scope, handler));
+            case "PUT" -> routes.put(path, (request, response) -> handle(request, response, scope, handler));
+            case "DELETE" -> routes.delete(path, (request, response) -> handle(request, response, scope, handler));
+            default -> throw new IllegalArgumentException("method must be GET, POST, PUT or DELETE but was " + method);
+        }
+    }
+
+    /** Adds a route for every method and every path that starts with a prefix. */
+    void onPrefix(String prefix, Caller.Scope scope, Handler handler) {
+        routes.route(
+                request -> request.uri().startsWith(prefix),
+                (request, response) -> handle(request, response, scope, handler));
+    }
+
+    private Mono<Void> handle(
+            HttpServerRequest request, HttpServerResponse response, Caller.Scope scope, Handler handler) {
+        return gatekeeper
+                .admit(request, scope)
+                .flatMap(admission -> handler.handle(admission, request, response))
+                .onErrorResume(RefusedException.class, refused -> writer.refuse(response, refused.refusal()))
+                .onErrorResume(error -> failed(request, response, error));
+    }
+
+    private Mono<Void> failed(HttpServerRequest request, HttpServerResponse response, Throwable error) {
+        if (error instanceof AbortedException) {
+            return Mono.empty();
+        }
+        LOGGER.warn("Request {} {} failed", request.method(), request.path(), error);
+        Refusal refusal = new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "the daemon failed", 0);
+        return response.hasSentHeaders() ? Mono.empty() : writer.refuse(response, refusal);
+    }
+
+    /** Handles a request of an admitted caller. */
+    @FunctionalInterface
+    interface Handler {
+        Mono<Void> handle(Admission admission, HttpServerRequest request, HttpServerResponse response);
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
@@ -0,0 +1,130 @@
+package org.cornelcrank.server.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.cornelcrank.call.CallAnswer;
+import org.cornelcrank.call.CallRequest;
+import org.cornelcrank.config.ServiceKind;
+import org.cornelcrank.config.ServicePolicy;
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.routing.OnlineRequest;
+import org.cornelcrank.server.exchange.Exchange;
+import org.cornelcrank.server.exchange.ExchangeRegistry;
+import org.cornelcrank.server.exchange.OutgoingRequest;
+import org.cornelcrank.server.loop.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves plain services under their own path prefix.
+ *
+ * <p>Only what the settings name as repeatable is ever repeated. Thread-safe.
+ */
+final class PlainServiceRoutes implements RouteGroup {
+
+    private static final String PREFIX = "/s/";
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final String REPLAYED = "Cornelcrank-Replayed";
+
+    private final ExchangeRegistry exchanges;
+    private final AnswerWriter writer;
+    private final RequestBodies bodies;
+    private final ServiceDirectory services;
+    private final MonotonicClock clock;
+
+    PlainServiceRoutes(
+            ExchangeRegistry exchanges,
+            AnswerWriter writer,
+            RequestBodies bodies,
+            ServiceDirectory services,
+            MonotonicClock clock) {
+        this.exchanges = exchanges;
+        this.writer = writer;
+        this.bodies = bodies;
+        this.services = services;
+        this.clock = clock;
+    }
+
+    @Override
+    public void addTo(GuardedRoutes routes) {
+        routes.onPrefix(PREFIX, Caller.Scope.CALLER, this::forward);
+    }
+
+    private Mono<Void> forward(Admission admission, HttpServerRequest request, HttpServerResponse response) {
+        ServiceName service = services.requireAllowed(admission, serviceName(request));
+        return services.require(service, ServiceKind.PLAIN).flatMap(policy -> bodies.read(request)
+                .flatMap(body -> forward(admission, request, response, policy, body)));
+    }
+
+    private static String serviceName(HttpServerRequest request) {
+        return request.uri().substring(PREFIX.length()).split("[/?]", 2)[0];
+    }
+
+    private Mono<Void> forward(
+            Admission admission,
+            HttpServerRequest request,
+            HttpServerResponse response,
+            ServicePolicy policy,
+            byte[] body) {
+        String uri = request.uri();
+        String pathAndQuery =
+                uri.substring(PREFIX.length() + policy.service().value().length());
+        String path = pathAndQuery.isEmpty() || pathAndQuery.startsWith("?") ? "/" + pathAndQuery : pathAndQuery;
+        String method = request.method().name();
+        String contentType = request.requestHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
+        boolean repeatable =
+                policy.repeatableRoutes().stream().anyMatch(route -> route.matches(method, path.split("\\?", 2)[0]));
+        OutgoingRequest outgoing = new OutgoingRequest(method, path, contentType, body, false, List.of());
+        Exchange exchange = repeatable
+                ? exchanges.open(admission.caller(), online(admission, request, policy, body), Optional.of(outgoing))
+                : exchanges.open(admission.caller(), call(admission, request, policy, outgoing), Optional.empty());
+        return writer.write(exchange, response, PlainServiceRoutes::render);
+    }
+
+    private OnlineRequest online(Admission admission, HttpServerRequest request, ServicePolicy service, byte[] body) {
+        TeamPolicy policy = admission.requirePolicy();
+        return new OnlineRequest(
+                admission.workload(),
+                service.service(),
+                policy.urgency(),
+                Deadlines.deadlineAtMs(request, policy, clock.nowMs()),
+                true,
+                false,
+                List.of(),
+                StableHash.of(request.uri(), Long.toHexString(StableHash.of(body))),
+                0,
+                false);
+    }
+
+    private CallRequest call(
+            Admission admission, HttpServerRequest request, ServicePolicy service, OutgoingRequest outgoing) {
+        TeamPolicy policy = admission.requirePolicy();
+        return new CallRequest(
+                admission.workload(),
+                service.service(),
+                outgoing.method(),
+                outgoing.path(),
+                outgoing.contentType(),
+                ByteString.copyFrom(outgoing.body()),
+                Optional.ofNullable(request.requestHeaders().get(IDEMPOTENCY_KEY)),
+                Deadlines.deadlineAtMs(request, policy, clock.nowMs()),
+                policy.urgency());
+    }
+
+    private static AnswerWriter.Rendered render(CallerReply reply) {
+        CallAnswer answer = (CallAnswer) reply;
+        Map<String, String> headers =
+                Map.of(IDEMPOTENCY_KEY, answer.idempotencyKey(), REPLAYED, Boolean.toString(answer.replayed()));
+        return new AnswerWriter.Rendered(
+                answer.status(), answer.contentType(), answer.body().toByteArray(), headers);
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestBodies.java
@@ -0,0 +1,72 @@
+package org.cornelcrank.server.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.cornelcrank.core.RefusalCode;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * Reads request bodies up to a bound.
+ *
+ * <p>Thread-safe.
+ */
+final class RequestBodies {
+
+    private final ObjectMapper json;
+    private final int maxBodyBytes;
+
+    RequestBodies(ObjectMapper json, int maxBodyBytes) {
+        this.json = json;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /** Returns the whole body, or fails with a refusal if it is too large. */
+    Mono<byte[]> read(HttpServerRequest request) {
+        if (request.requestHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, 0) > maxBodyBytes) {
+            return Mono.error(tooLarge());
+        }
+        return request.receive()
+                .asByteArray()
+                .collect(ByteArrayOutputStream::new, this::append)
+                .map(ByteArrayOutputStream::toByteArray);
+    }
+
+    /** Returns a body as a JSON object, or fails with a refusal if it is none. */
+    JsonNode parseObject(byte[] body) {
+        try {
+            JsonNode node = json.readTree(body);
+            if (node != null && node.isObject()) {
+                return node;
+            }
+            throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, "body must be a JSON object");
+        } catch (JsonProcessingException e) {
+            throw RefusedException.notRun(
+                    RefusalCode.INVALID_REQUEST, "body must be JSON: " + e.getOriginalMessage() + at(e));
+        } catch (IOException e) {
+            throw RefusedException.notRun(RefusalCode.INVALID_REQUEST, "body must be JSON");
+        }
+    }
+
+    private static String at(JsonProcessingException error) {
+        JsonLocation location = error.getLocation();
+        return location == null ? "" : " at line " + location.getLineNr() + ", column " + location.getColumnNr();
+    }
+
+    private void append(ByteArrayOutputStream whole, byte[] part) {
+        if (whole.size() + part.length > maxBodyBytes) {
+            throw tooLarge();
+        }
+        whole.writeBytes(part);
+    }
+
+    private RefusedException tooLarge() {
+        return RefusedException.notRun(RefusalCode.TOO_LARGE, "body must have at most " + maxBodyBytes + " bytes");
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/SocketAddresses.java
@@ -0,0 +1,64 @@
+package org.cornelcrank.server.peer;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+import io.netty.util.NetUtil;
+
+/**
+ * Reads addresses of the form {@code ip:port}.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class SocketAddresses {
+
+    private static final int MAX_PORT = 65_535;
+
+    private SocketAddresses() {}
+
+    /**
+     * Parses an address; no name is looked up.
+     *
+     * @param text the address, with an IPv6 number in brackets
+     * @return the address
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0
+                || !NetUtil.isValidIpV4Address(text.substring(0, colon))
+                        && !NetUtil.isValidIpV6Address(text.substring(0, colon))) {
+            throw new IllegalArgumentException(
+                    "address must look like 127.0.0.1:7000 or [::1]:7000 but was '" + text + "'");
+        }
+        try {
+            byte[] number = NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+            return new InetSocketAddress(InetAddress.getByAddress(number), port(text, colon));
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("address must hold an IP number but was '" + text + "'", e);
+        }
+    }
+
+    /**
+     * Renders an address so that {@link #parse} reads it.
+     *
+     * @param address the address
+     * @return its text
+     */
+    public static String format(InetSocketAddress address) {
+        return NetUtil.toSocketAddressString(address);
+    }
+
+    private static int port(String text, int colon) {
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port >= 0 && port <= MAX_PORT) {
+                return port;
+            }
+        } catch (NumberFormatException e) {
+            // Reported below, as a number out of range is.
+        }
+        throw new IllegalArgumentException("port must be 0 to " + MAX_PORT + " in '" + text + "'");
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HostListPoller.java
@@ -0,0 +1,121 @@
+package org.cornelcrank.server.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Reads the platform's host list again and again.
+ *
+ * <p>Rows that cannot be understood are passed over and counted. Thread-safe.
+ */
+public final class HostListPoller {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(HostListPoller.class);
+    private static final long TIMEOUT_MS = 3_000;
+
+    private final HttpClient http;
+    private final Duration interval;
+    private final CoreLoop loop;
+    private final ObjectMapper json;
+    private final Counter failures;
+    private final Counter badRows;
+
+    /**
+     * Creates a poller that is not started.
+     *
+     * @param baseUrl where the host list is served
+     * @param interval the time between two reads
+     * @param loop receives the events
+     * @param json reads answers
+     * @param metrics receives the counters
+     */
+    public HostListPoller(String baseUrl, Duration interval, CoreLoop loop, ObjectMapper json, MetricRegistry metrics) {
+        this.http = HttpClient.create().baseUrl(baseUrl);
+        this.interval = interval;
+        this.loop = loop;
+        this.json = json;
+        this.failures = metrics.counter("hosts.read-failures");
+        this.badRows = metrics.counter("hosts.bad-rows");
+    }
+
+    /**
+     * Starts to poll.
+     *
+     * @return stops it when disposed of
+     */
+    public Disposable start() {
+        return Mono.defer(this::readOnce)
+                .repeatWhen(completions -> completions.delayElements(interval))
+                .subscribe();
+    }
+
+    private Mono<Void> readOnce() {
+        return http.get()
+                .uri("/hosts")
+                .responseSingle((response, body) -> response.status().code() == HttpResponseStatus.OK.code()
+                        ? body.asByteArray()
+                        : Mono.error(new IOException("host list answered " + response.status())))
+                .timeout(Duration.ofMillis(TIMEOUT_MS))
+                .map(this::parse)
+                .doOnNext(hosts -> loop.post(new Event.HostListRead(hosts)))
+                .doOnError(error -> failures.inc())
+                .onErrorResume(error -> Mono.empty())
+                .then();
+    }
+
+    private List<HostEntry> parse(byte[] body) {
+        try {
+            List<HostEntry> hosts = new ArrayList<>();
+            for (JsonNode row : json.readTree(body).required("hosts")) {
+                addRow(row, hosts);
+            }
+            return hosts;
+        } catch (IOException e) {
+            throw new UncheckedIOException("host list must be JSON", e);
+        }
+    }
+
+    private void addRow(JsonNode row, List<HostEntry> hosts) {
+        try {
+            Set<ServiceName> services = new TreeSet<>();
+            row.path("services").forEach(name -> services.add(new ServiceName(name.asText())));
+            hosts.add(new HostEntry(
+                    row.required("name").asText(),
+                    HostRole.valueOf(row.required("role").asText().toUpperCase(Locale.ROOT)),
+                    new Location(
+                            new RegionId(row.required("region").asText()),
+                            new DataCentreId(row.required("dataCentre").asText())),
+                    row.required("address").asText(),
+                    services,
+                    row.path("leaving").asBoolean()));
+        } catch (IllegalArgumentException e) {
+            badRows.inc();
+            LOGGER.debug("Host list row passed over: {}", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/ProcessSetting.java
@@ -0,0 +1,18 @@
+package org.cornelcrank.server.settings;
+
+import java.util.Locale;
+
+/**
+ * Declares one setting of the process: its flag, its environment variable, its default and what it means.
+ *
+ * <p>An empty {@code defaultValue} means that there is none. Immutable, thus thread-safe.
+ */
+public record ProcessSetting(String flag, String argument, String defaultValue, boolean required, String description) {
+
+    private static final String ENVIRONMENT_PREFIX = "CORNELCRANK_";
+
+    /** Returns the environment variable that is read where the flag is not given. */
+    public String environmentVariable() {
+        return ENVIRONMENT_PREFIX + flag.toUpperCase(Locale.ROOT).replace('-', '_');
+    }
+}
