--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -0,0 +1,292 @@
+package org.cornelcrank.routing;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.core.Verdict;
+
+/**
+ * Holds the batch permits of this daemon's jobs, runs their work and gives it up at once when a permit is revoked.
+ *
+ * <p>Invariant: each permit ends exactly once, used or not. Not thread-safe: confined to the daemon's event loop.
+ */
+final class BatchRunner implements BatchCapacity {
+
+    private static final long UNUSED_PERMIT_MS = 2_000;
+    private static final int HTTP_GONE = 410;
+
+    private final RoutingContext context;
+    private final BatchDemandTeller teller;
+    private final Map<Long, BatchRun> runs = new TreeMap<>();
+    private final Map<AttemptId, BatchRun> byPermitId = new LinkedHashMap<>();
+    private final Map<AttemptId, BatchRun> byAttempt = new LinkedHashMap<>();
+    private BatchCapacityListener listener;
+    private long lastNumber;
+
+    BatchRunner(RoutingContext context, BatchDemandTeller teller) {
+        this.context = context;
+        this.teller = teller;
+    }
+
+    @Override
+    public void subscribe(BatchCapacityListener newListener) {
+        if (listener != null) {
+            throw new IllegalStateException("batch capacity has one listener, which is set already");
+        }
+        listener = newListener;
+    }
+
+    @Override
+    public void setDemand(BatchDemand demand, long nowMs, Effects out) {
+        teller.setDemand(demand, nowMs, out);
+    }
+
+    void granted(HostId from, RoutingMessage.BatchGranted granted, long nowMs, Effects out) {
+        if (byPermitId.containsKey(granted.attempt())) {
+            return;
+        }
+        Optional<TargetState> target = context.directory().find(granted.target());
+        Optional<BatchDemand> demand = teller.demand(granted.job());
+        if (listener == null || target.isEmpty() || demand.isEmpty() || !teller.takeGrant(granted.job())) {
+            release(from, granted.attempt(), granted.target(), RoutingMessage.Use.UNUSED, 0, out);
+            return;
+        }
+        BatchPermit permit = new BatchPermit(++lastNumber, granted.job(), granted.target());
+        BatchRun run = new BatchRun(permit, granted.attempt(), demand.get(), target.get(), from, nowMs);
+        runs.put(permit.number(), run);
+        byPermitId.put(granted.attempt(), run);
+        listener.permitGranted(permit, nowMs, out);
+    }
+
+    @Override
+    public void run(BatchPermit permit, BatchWork work, long nowMs, Effects out) {
+        BatchRun run = runs.get(permit.number());
+        if (run == null || run.work() != null) {
+            endUnstarted(permit, work, nowMs, out);
+            return;
+        }
+        run.assign(work);
+        if (context.suspects().quarantined(work.fingerprint(), nowMs)) {
+            end(run, quarantined(), RoutingMessage.Use.UNUSED, nowMs, out);
+        } else if (run.revoked()) {
+            end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
+        } else if (context.suspects().suspected(work.fingerprint(), nowMs)) {
+            run.markSuspect();
+            RoutingMessage.AskPermit ask = new RoutingMessage.AskPermit(
+                    run.permitId(), permit.target(), run.service(), Urgency.BATCH, work.timeoutMs(), true);
+            context.peers().send(run.controller(), ask, out);
+        } else {
+            dispatch(run, run.permitId(), out);
+        }
+    }
+
+    /** Ends work whose permit is gone, as if it had been preempted before it began. */
+    private void endUnstarted(BatchPermit permit, BatchWork work, long nowMs, Effects out) {
+        listener.workEnded(permit, work, notStarted(), true, work.resume(), nowMs, out);
+    }
+
+    private static AttemptOutcome.Failed notStarted() {
+        return new AttemptOutcome.Failed(
+                Verdict.NOT_RUN, FailureKind.CANCELLED, 0, 0, false, 0, ByteString.EMPTY, "the permit was revoked");
+    }
+
+    private static AttemptOutcome.Failed quarantined() {
+        return new AttemptOutcome.Failed(
+                Verdict.NOT_RUN,
+                FailureKind.REJECTED,
+                RefusalCode.QUARANTINED.httpStatus(),
+                0,
+                false,
+                0,
+                ByteString.EMPTY,
+                "the request brought targets down before");
+    }
+
+    private void dispatch(BatchRun run, AttemptId attempt, Effects out) {
+        run.started(attempt);
+        byAttempt.put(attempt, run);
+        out.add(new Effect.Dispatch(
+                attempt,
+                run.target().id(),
+                run.target().address(),
+                run.work().source(),
+                run.resume(),
+                run.work().timeoutMs()));
+    }
+
+    /** Handles the controller's leave to run a suspect; returns whether the permit is one of this runner's. */
+    boolean suspectAllowed(AttemptId permitId, Effects out) {
+        BatchRun run = byPermitId.get(permitId);
+        if (run != null && run.suspect() && !run.dispatched()) {
+            dispatch(run, permitId, out);
+        }
+        return run != null;
+    }
+
+    /** Handles the controller's refusal to run a suspect now; returns whether the permit is one of this runner's. */
+    boolean suspectRefused(AttemptId permitId, long nowMs, Effects out) {
+        BatchRun run = byPermitId.get(permitId);
+        if (run != null && run.work() != null && !run.dispatched()) {
+            run.revoke();
+            end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
+        }
+        return run != null;
+    }
+
+    void revoked(RoutingMessage.PermitRevoked revoked, long nowMs, Effects out) {
+        BatchRun run = byPermitId.get(revoked.attempt());
+        if (run == null || run.revoked()) {
+            return;
+        }
+        run.revoke();
+        context.count("batch-preempted");
+        if (run.dispatched()) {
+            out.add(new Effect.CancelAttempt(run.attempt()));
+        } else if (run.work() != null) {
+            end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
+        }
+    }
+
+    @Override
+    public void giveBack(BatchPermit permit, long nowMs, Effects out) {
+        BatchRun run = runs.get(permit.number());
+        if (run != null && run.work() == null) {
+            forget(run);
+            release(run, RoutingMessage.Use.UNUSED, out);
+        }
+    }
+
+    @Override
+    public void cancel(BatchPermit permit, long nowMs, Effects out) {
+        BatchRun run = runs.get(permit.number());
+        if (run == null) {
+            return;
+        }
+        if (run.dispatched()) {
+            out.add(new Effect.CancelAttempt(run.attempt()));
+        } else if (run.work() != null) {
+            end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
+        } else {
+            giveBack(permit, nowMs, out);
+        }
+    }
+
+    /** Handles the end of an attempt; returns whether it was one of this runner's. */
+    boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
+        BatchRun run = byAttempt.remove(attempt);
+        if (run == null) {
+            return false;
+        }
+        if (outcome instanceof AttemptOutcome.Failed failure) {
+            boolean generationGone = failure.status() == HTTP_GONE
+                    && run.resume().filter(point -> point.fromToken() > 0).isPresent();
+            if (generationGone && !run.revoked()) {
+                run.forgetGeneration();
+                dispatch(run, context.attempts().next(), out);
+                return true;
+            }
+            TargetFailures.note(context, run.target(), failure, run.work().fingerprint(), run.suspect(), nowMs, out);
+        } else {
+            run.target().health().attemptSucceeded();
+            if (context.suspects().suspected(run.work().fingerprint(), nowMs)) {
+                context.suspects().clear(run.work().fingerprint(), nowMs, out);
+            }
+        }
+        end(run, outcome, OnlineRouter.useOf(outcome), nowMs, out);
+        return true;
+    }
+
+    private void end(BatchRun run, AttemptOutcome outcome, RoutingMessage.Use use, long nowMs, Effects out) {
+        forget(run);
+        boolean preempted = run.revoked()
+                && outcome instanceof AttemptOutcome.Failed failed
+                && failed.kind() == FailureKind.CANCELLED;
+        Optional<ResumePoint> resume = run.dispatched() ? Optional.empty() : run.resume();
+        if (run.dispatched() && outcome instanceof AttemptOutcome.Failed failed) {
+            resume = run.resumeAfter(failed);
+            countPreempted(run, failed, preempted, resume, nowMs, out);
+        }
+        listener.workEnded(run.permit(), run.work(), outcome, preempted, resume, nowMs, out);
+        release(run, use, out);
+    }
+
+    private void countPreempted(
+            BatchRun run,
+            AttemptOutcome.Failed failed,
+            boolean preempted,
+            Optional<ResumePoint> resume,
+            long nowMs,
+            Effects out) {
+        if (!preempted) {
+            return;
+        }
+        context.count("batch-tokens-preempted", failed.tokens());
+        out.explain(
+                Subject.Kind.ITEM,
+                run.work().itemId(),
+                nowMs,
+                "preempted on " + run.target().id() + " after " + failed.tokens() + " tokens",
+                resume.isPresent() ? "the target keeps the generation" : "the work is lost");
+    }
+
+    private void forget(BatchRun run) {
+        runs.remove(run.permit().number());
+        byPermitId.remove(run.permitId());
+        if (run.dispatched()) {
+            byAttempt.remove(run.attempt());
+        }
+    }
+
+    private void release(BatchRun run, RoutingMessage.Use use, Effects out) {
+        int wanted = teller.wanted(run.permit().job());
+        release(run.controller(), run.permitId(), run.target().id(), use, wanted, out);
+    }
+
+    private void release(
+            HostId controller, AttemptId permitId, TargetId target, RoutingMessage.Use use, int wanted, Effects out) {
+        context.peers().send(controller, new RoutingMessage.PermitReleased(permitId, target, use, wanted), out);
+    }
+
+    /** Gives back permits that the jobs have left lying, and states demand again. */
+    void refresh(boolean restate, long nowMs, Effects out) {
+        for (BatchRun run : List.copyOf(runs.values())) {
+            if (run.work() == null && nowMs - run.grantedAtMs() > UNUSED_PERMIT_MS) {
+                giveBack(run.permit(), nowMs, out);
+            }
+        }
+        if (restate) {
+            teller.refresh(nowMs, out);
+        }
+    }
+
+    /** Turns to the controllers of a changed membership. */
+    void controllersChanged() {
+        for (BatchRun run : runs.values()) {
+            context.controllers().controllerOf(run.target()).ifPresent(run::controlledBy);
+        }
+    }
+
+    Collection<BatchRun> running() {
+        return runs.values();
+    }
+
+    List<BatchDemand> demands() {
+        return teller.demands();
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/LinkBudget.java
@@ -0,0 +1,53 @@
+package org.cornelcrank.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Meters what this daemon's requests take of the paid link between regions, by purpose, and holds it to a budget.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class LinkBudget {
+
+    private static final double DEPTH_SECONDS = 2;
+
+    private final RoutingSettings.Link settings;
+    private final TokenBucket bucket;
+    private final Map<Purpose, Long> bytesByPurpose = new EnumMap<>(Purpose.class);
+
+    LinkBudget(RoutingSettings.Link settings) {
+        this.settings = settings;
+        this.bucket = new TokenBucket(depth(), 0);
+    }
+
+    /** Returns whether one more request may cross the link, and counts what it sends. */
+    boolean tryTake(Purpose purpose, long nowMs) {
+        if (bucket.tryTake(settings.requestBytes(), settings.bytesPerSecond(), depth(), nowMs) > 0) {
+            return false;
+        }
+        bytesByPurpose.merge(purpose, (long) settings.requestBytes(), Long::sum);
+        return true;
+    }
+
+    /** Counts an answer that came over the link. */
+    void answered(Purpose purpose, int tokens) {
+        long bytes = (long) tokens * settings.bytesPerToken();
+        bucket.take(bytes);
+        bytesByPurpose.merge(purpose, bytes, Long::sum);
+    }
+
+    long bytes(Purpose purpose) {
+        return bytesByPurpose.getOrDefault(purpose, 0L);
+    }
+
+    private double depth() {
+        return settings.bytesPerSecond() * DEPTH_SECONDS;
+    }
+
+    /** Says what the link is used for. */
+    enum Purpose {
+        ONLINE,
+        BATCH
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRejected.java
@@ -0,0 +1,13 @@
+package org.cornelcrank.routing;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+
+/**
+ * Tells the edge that a target refused the request for the request's own fault, with the target's error body.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+public record OnlineRejected(TargetId target, Verdict verdict, int status, ByteString body) implements CallerReply {}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineReserve.java
@@ -0,0 +1,64 @@
+package org.cornelcrank.routing;
+
+/**
+ * Says how many slots of a target batch work leaves free for online requests that are about to come.
+ *
+ * <p>The reserve is the smallest number that arrivals within the time to get a batch permit back exceed with at most the
+ * given probability, at the higher of the recent and the longer-term rate. Not thread-safe: confined to the daemon's
+ * event loop.
+ */
+final class OnlineReserve {
+
+    private static final double RECENT_SPAN_MS = 1_000;
+    private static final double LONG_SPAN_MS = 30_000;
+    private static final double REVOCATION_WEIGHT = 0.2;
+    private static final double FIRST_REVOCATION_MS = 10;
+
+    private final double missShare;
+    private double recentCount;
+    private double longCount;
+    private long countedAtMs;
+    private double revocationMs = FIRST_REVOCATION_MS;
+
+    OnlineReserve(double missShare) {
+        this.missShare = missShare;
+    }
+
+    void onlineArrived(long nowMs) {
+        decay(nowMs);
+        recentCount++;
+        longCount++;
+    }
+
+    /** Notes how long a revoked permit took to come back. */
+    void revocationTook(long elapsedMs) {
+        revocationMs += REVOCATION_WEIGHT * (elapsedMs - revocationMs);
+    }
+
+    double revocationMs() {
+        return revocationMs;
+    }
+
+    /** Returns the number of slots to keep free, at most half of them. */
+    int slots(int capacity, long nowMs) {
+        decay(nowMs);
+        double ratePerMs = Math.max(recentCount / RECENT_SPAN_MS, longCount / LONG_SPAN_MS);
+        double expected = ratePerMs * revocationMs;
+        double probability = Math.exp(-expected);
+        double atMost = probability;
+        int reserve = 0;
+        while (1 - atMost > missShare && reserve < capacity / 2) {
+            reserve++;
+            probability *= expected / reserve;
+            atMost += probability;
+        }
+        return reserve;
+    }
+
+    private void decay(long nowMs) {
+        double elapsedMs = Math.max(0, nowMs - countedAtMs);
+        recentCount *= Math.exp(-elapsedMs / RECENT_SPAN_MS);
+        longCount *= Math.exp(-elapsedMs / LONG_SPAN_MS);
+        countedAtMs = Math.max(countedAtMs, nowMs);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -0,0 +1,527 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.cornelcrank.config.ServicePolicy;
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.core.Verdict;
+
+/**
+ * Takes each request from its arrival to its end: target, permit, attempt, and retries where they are allowed.
+ *
+ * <p>Invariant: the listener of a request is told of its end exactly once; what comes later for the request is passed
+ * over, and permits that come too late are given back. Not thread-safe: confined to the daemon's event loop.
+ */
+final class OnlineRouter implements RequestRouter {
+
+    static final TimerKey TIMER = new TimerKey(RoutingDuty.NAME, "requests");
+
+    private static final long NO_TARGET_RETRY_MS = 1_000;
+    private static final long RECHECK_MS = 1_000;
+    private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
+    private static final int MAX_REDIRECTS = 2;
+    private static final int OTHER_REGION_PATIENCE_FACTOR = 12;
+
+    private final RoutingContext context;
+    private final TeamLimiter limiter;
+    private final LinkBudget link;
+    private final TargetChoice choice;
+    private final RetryPolicy retryPolicy;
+    private final RetryBudget retryBudget;
+    private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
+    private final Map<RequestId, Route> routes = new LinkedHashMap<>();
+    private final Map<AttemptId, Route> byAttempt = new LinkedHashMap<>();
+
+    OnlineRouter(RoutingContext context, TeamLimiter limiter, LinkBudget link) {
+        this.context = context;
+        this.limiter = limiter;
+        this.link = link;
+        this.choice = new TargetChoice(context, link);
+        this.retryPolicy = new RetryPolicy(context.routing().retries().maxAttempts());
+        this.retryBudget = new RetryBudget(context.routing().retries());
+    }
+
+    @Override
+    public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
+        Route route = new Route(request, listener);
+        context.count("requests");
+        if (routes.containsKey(request.id())) {
+            throw new IllegalArgumentException("request must be routed once but was again: " + request.id());
+        }
+        Optional<Refusal> refusal = refusalOnArrival(request, nowMs);
+        if (refusal.isPresent()) {
+            end(route, new RouteOutcome.GivenUp(refusal.get()), nowMs, out);
+            return;
+        }
+        retryBudget.requestArrived();
+        route.suspect = context.suspects().suspected(request.fingerprint(), nowMs);
+        routes.put(request.id(), route);
+        seek(route, nowMs, out);
+    }
+
+    private Optional<Refusal> refusalOnArrival(RoutedRequest request, long nowMs) {
+        if (context.suspects().quarantined(request.fingerprint(), nowMs)) {
+            return Optional.of(Refusal.notRun(RefusalCode.QUARANTINED, "the request brought targets down before"));
+        }
+        Optional<TeamPolicy> team = context.settings().team(request.team());
+        if (team.isEmpty()
+                || !team.get().services().isEmpty() && !team.get().services().contains(request.service())) {
+            return Optional.of(Refusal.notRun(
+                    RefusalCode.FORBIDDEN, "team " + request.team() + " may not use " + request.service()));
+        }
+        if (routes.size() >= context.routing().queues().maxOpenRequests()) {
+            return Optional.of(Refusal.notRun(
+                    RefusalCode.OVERLOADED, "too many open requests at this daemon", NO_TARGET_RETRY_MS));
+        }
+        long waitMs = limiter.tryTake(team.get(), nowMs);
+        if (waitMs > 0) {
+            context.count("requests-over-limit");
+            return Optional.of(Refusal.notRun(
+                    RefusalCode.LIMIT_EXCEEDED, "team " + request.team() + " is over its limit", waitMs));
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public void cancel(RequestId request, long nowMs, Effects out) {
+        Route route = routes.get(request);
+        if (route == null) {
+            return;
+        }
+        if (route.phase == Route.Phase.RUNNING) {
+            route.verdict = route.verdict.and(Verdict.MAY_HAVE_RUN);
+            out.add(new Effect.CancelAttempt(route.attempt));
+        } else {
+            withdraw(route, out);
+        }
+        giveUp(route, RefusalCode.CANCELLED, "cancelled by the caller", nowMs, out);
+    }
+
+    private void seek(Route route, long nowMs, Effects out) {
+        RoutedRequest request = route.request;
+        route.phase = Route.Phase.CHOOSING;
+        if (nowMs >= request.deadlineAtMs()) {
+            giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before a target was free", nowMs, out);
+            return;
+        }
+        Optional<TargetState> chosen = context.settings()
+                .team(request.team())
+                .flatMap(team -> choice.choose(request, team, route.excluded, nowMs, out));
+        if (chosen.isEmpty()) {
+            giveUpForLackOfTargets(route, nowMs, out);
+            return;
+        }
+        route.target = chosen.get();
+        obtainPermit(route, nowMs, out);
+    }
+
+    private void giveUpForLackOfTargets(Route route, long nowMs, Effects out) {
+        if (route.retryAfterMs > 0) {
+            giveUp(route, RefusalCode.OVERLOADED, "no target can meet the deadline", nowMs, out);
+            return;
+        }
+        route.retryAfterMs = NO_TARGET_RETRY_MS;
+        giveUp(route, RefusalCode.NO_TARGET, "no target serves " + route.request.service(), nowMs, out);
+    }
+
+    private void obtainPermit(Route route, long nowMs, Effects out) {
+        route.attempt = context.attempts().next();
+        route.permitted = false;
+        byAttempt.put(route.attempt, route);
+        if (context.policy().admission() == AdmissionOrder.ARRIVAL) {
+            dispatch(route, nowMs, out);
+            return;
+        }
+        Optional<HostId> controller = context.controllers().controllerOf(route.target);
+        route.controller = controller.orElse(null);
+        if (controller.isEmpty()) {
+            goAheadWithoutPermit(route, "no controller is known", nowMs, out);
+            return;
+        }
+        ask(route, nowMs, out);
+    }
+
+    private void ask(Route route, long nowMs, Effects out) {
+        route.phase = Route.Phase.ASKED;
+        RoutedRequest request = route.request;
+        RoutingMessage.AskPermit message = new RoutingMessage.AskPermit(
+                route.attempt,
+                route.target.id(),
+                request.service(),
+                request.urgency(),
+                request.deadlineAtMs() - nowMs,
+                route.suspect);
+        context.peers().send(route.controller, message, out);
+        wakeups.put(request.id(), Math.min(request.deadlineAtMs(), nowMs + patienceMs(route)), out);
+    }
+
+    private long patienceMs(Route route) {
+        boolean far =
+                context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION;
+        return context.routing().permits().patienceMs() * (far ? OTHER_REGION_PATIENCE_FACTOR : 1);
+    }
+
+    void granted(HostId from, RoutingMessage.PermitGranted granted, long nowMs, Effects out) {
+        Route route = byAttempt.get(granted.attempt());
+        if (route == null || route.phase == Route.Phase.ENDED) {
+            giveBack(from, granted.attempt(), granted.target(), out);
+            return;
+        }
+        route.target.told(granted.occupancy(), nowMs);
+        route.permitted = true;
+        if (route.seeksPermit()) {
+            dispatch(route, nowMs, out);
+        }
+    }
+
+    void queued(HostId from, RoutingMessage.PermitQueued queued, long nowMs, Effects out) {
+        Route route = byAttempt.get(queued.attempt());
+        if (route == null || !route.seeksPermit()) {
+            if (route == null) {
+                giveBack(from, queued.attempt(), queued.target(), out);
+            }
+            return;
+        }
+        route.target.told(queued.occupancy(), nowMs);
+        if (route.phase == Route.Phase.ASKED && moveToTargetWithRoom(route, nowMs, out)) {
+            return;
+        }
+        route.phase = Route.Phase.QUEUED;
+        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + RECHECK_MS), out);
+    }
+
+    private boolean moveToTargetWithRoom(Route route, long nowMs, Effects out) {
+        if (route.bytesReachedCaller
+                || route.asks + 1 >= context.routing().permits().maxAsks()) {
+            return false;
+        }
+        List<TargetId> excluded = new ArrayList<>(route.excluded);
+        excluded.add(route.target.id());
+        Optional<TargetState> other = context.settings()
+                .team(route.request.team())
+                .flatMap(team -> choice.chooseWithRoom(route.request, team, excluded, nowMs));
+        if (other.isEmpty()) {
+            return false;
+        }
+        route.asks++;
+        withdraw(route, out);
+        route.target = other.get();
+        obtainPermit(route, nowMs, out);
+        return true;
+    }
+
+    void refused(RoutingMessage.PermitRefused refused, long nowMs, Effects out) {
+        Route route = byAttempt.get(refused.attempt());
+        if (route == null || !route.seeksPermit()) {
+            return;
+        }
+        if (refused.reason() == RoutingMessage.Reason.NOT_CONTROLLER) {
+            redirect(route, refused.controller(), nowMs, out);
+            return;
+        }
+        out.explain(
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                "permit refused by " + refused.target(),
+                refused.reason().name());
+        byAttempt.remove(route.attempt);
+        route.asks++;
+        route.excluded.add(route.target.id());
+        if (refused.retryAfterMs() > 0) {
+            route.retryAfterMs = route.retryAfterMs == 0
+                    ? refused.retryAfterMs()
+                    : Math.min(route.retryAfterMs, refused.retryAfterMs());
+        }
+        boolean mayAskAgain = route.asks < context.routing().permits().maxAsks()
+                || refused.reason() == RoutingMessage.Reason.UNAVAILABLE;
+        if (route.bytesReachedCaller || !mayAskAgain) {
+            giveUp(route, RefusalCode.OVERLOADED, "no target can meet the deadline", nowMs, out);
+            return;
+        }
+        seek(route, nowMs, out);
+    }
+
+    private void redirect(Route route, Optional<HostId> controller, long nowMs, Effects out) {
+        route.redirects++;
+        if (controller.isEmpty() || route.redirects > MAX_REDIRECTS) {
+            goAheadWithoutPermit(route, "controllers disagree", nowMs, out);
+            return;
+        }
+        route.controller = controller.get();
+        ask(route, nowMs, out);
+    }
+
+    /** Handles the requests whose patience or deadline is over. */
+    void timerDue(long nowMs, Effects out) {
+        for (RequestId id : wakeups.takeDue(nowMs, out)) {
+            Route route = routes.get(id);
+            if (route == null || !route.seeksPermit()) {
+                continue;
+            }
+            if (nowMs >= route.request.deadlineAtMs()) {
+                withdraw(route, out);
+                giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before a slot was free", nowMs, out);
+            } else if (route.phase == Route.Phase.ASKED) {
+                goAheadWithoutPermit(route, "the controller " + route.controller + " is silent", nowMs, out);
+            } else {
+                ask(route, nowMs, out);
+            }
+        }
+    }
+
+    private void goAheadWithoutPermit(Route route, String reason, long nowMs, Effects out) {
+        if (route.request.urgency() == Urgency.BATCH || route.suspect) {
+            withdraw(route, out);
+            route.excluded.add(route.target.id());
+            seek(route, nowMs, out);
+            return;
+        }
+        context.count("permits-skipped");
+        out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "goes ahead without a permit", reason);
+        dispatch(route, nowMs, out);
+    }
+
+    private void dispatch(Route route, long nowMs, Effects out) {
+        RoutedRequest request = route.request;
+        wakeups.remove(request.id());
+        route.phase = Route.Phase.RUNNING;
+        route.attempts++;
+        route.dispatchedAtMs = nowMs;
+        route.target.began();
+        route.target.cache().sent(request.prefixHashes());
+        long timeoutMs = Math.max(1, Math.min(request.deadlineAtMs() - nowMs, attemptTimeoutMs(request)));
+        out.add(new Effect.Dispatch(
+                route.attempt,
+                route.target.id(),
+                route.target.address(),
+                request.source(),
+                resumePoint(route),
+                timeoutMs));
+        route.listener.routeDispatched(request, route.target.id(), nowMs, out);
+    }
+
+    private Optional<ResumePoint> resumePoint(Route route) {
+        if (!route.request.resumable()) {
+            return Optional.empty();
+        }
+        route.resumedFrom = route.bytesReachedCaller ? route.deliveredTokens : 0;
+        if (!route.bytesReachedCaller) {
+            route.generation = route.attempts;
+        }
+        return Optional.of(new ResumePoint(route.resumeKey + "-" + route.generation, route.resumedFrom));
+    }
+
+    private long attemptTimeoutMs(RoutedRequest request) {
+        return context.settings()
+                .service(request.service())
+                .map(ServicePolicy::attemptTimeoutMs)
+                .filter(timeoutMs -> timeoutMs > 0)
+                .orElse(DEFAULT_ATTEMPT_TIMEOUT_MS);
+    }
+
+    void attemptStarted(AttemptId attempt, long nowMs) {
+        Route route = byAttempt.get(attempt);
+        if (route != null) {
+            route.target.health().attemptStarted(nowMs - route.dispatchedAtMs);
+        }
+    }
+
+    /** Handles the end of an attempt; returns whether it was one of this router's. */
+    boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
+        Route route = byAttempt.remove(attempt);
+        if (route == null) {
+            return false;
+        }
+        route.target.ended();
+        releasePermit(route, attempt, useOf(outcome), out);
+        meterLink(route, outcome);
+        if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
+            attemptSucceeded(route, succeeded, nowMs, out);
+        } else if (outcome instanceof AttemptOutcome.Failed failed) {
+            attemptFailed(route, failed, nowMs, out);
+        }
+        return true;
+    }
+
+    private void meterLink(Route route, AttemptOutcome outcome) {
+        int tokens = outcome instanceof AttemptOutcome.Succeeded succeeded
+                ? succeeded.tokens()
+                : ((AttemptOutcome.Failed) outcome).tokens();
+        limiter.answered(route.request.team(), tokens);
+        if (context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION) {
+            link.answered(LinkBudget.Purpose.ONLINE, tokens);
+        }
+    }
+
+    private void attemptSucceeded(Route route, AttemptOutcome.Succeeded outcome, long nowMs, Effects out) {
+        route.target.health().attemptSucceeded();
+        if (context.suspects().suspected(route.request.fingerprint(), nowMs)) {
+            context.suspects().clear(route.request.fingerprint(), nowMs, out);
+        }
+        if (route.phase != Route.Phase.ENDED) {
+            route.verdict = Verdict.COMPLETED;
+            end(route, new RouteOutcome.Answered(route.target.id(), outcome, route.attempts), nowMs, out);
+        }
+    }
+
+    private void attemptFailed(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
+        boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
+        if (!ownDeadline) {
+            TargetFailures.note(context, route.target, failure, route.request.fingerprint(), route.suspect, nowMs, out);
+        }
+        if (route.phase == Route.Phase.ENDED) {
+            return;
+        }
+        route.verdict = route.verdict.and(failure.verdict());
+        out.explain(
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                "attempt " + route.attempts + " failed on " + route.target.id(),
+                failure.kind() + ", " + failure.verdict().headerValue());
+        if (failure.kind() == FailureKind.REJECTED && route.resumedFrom == 0) {
+            end(route, new RouteOutcome.Answered(route.target.id(), failure, route.attempts), nowMs, out);
+            return;
+        }
+        route.bytesReachedCaller |= failure.bytesReachedCaller();
+        route.deliveredTokens = route.resumedFrom + failure.tokens();
+        route.suspect |= failure.kind() == FailureKind.CONNECTION_LOST;
+        retry(route, failure, nowMs, out);
+    }
+
+    private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
+        RetryPolicy.Step step = retryPolicy.after(route, failure);
+        if (context.suspects().quarantined(route.request.fingerprint(), nowMs)) {
+            giveUp(route, RefusalCode.QUARANTINED, "the request brought targets down", nowMs, out);
+        } else if (step == RetryPolicy.Step.GIVE_UP || !retryBudget.tryTake()) {
+            route.retryAfterMs = failure.retryAfterMs();
+            giveUp(
+                    route,
+                    codeOf(failure.kind()),
+                    "target " + route.target.id() + " failed: " + failure.kind(),
+                    nowMs,
+                    out);
+        } else {
+            context.count("retries");
+            route.asks = 0;
+            route.redirects = 0;
+            if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
+                obtainPermit(route, nowMs, out);
+            } else {
+                route.excluded.add(route.target.id());
+                seek(route, nowMs, out);
+            }
+        }
+    }
+
+    private static RefusalCode codeOf(FailureKind kind) {
+        return switch (kind) {
+            case OVERLOADED -> RefusalCode.OVERLOADED;
+            case TIMED_OUT -> RefusalCode.DEADLINE_EXCEEDED;
+            case ANSWER_TOO_LARGE -> RefusalCode.TOO_LARGE;
+            case CANCELLED -> RefusalCode.CANCELLED;
+            default -> RefusalCode.TARGET_FAILED;
+        };
+    }
+
+    static RoutingMessage.Use useOf(AttemptOutcome outcome) {
+        if (outcome instanceof AttemptOutcome.Failed failed) {
+            return switch (failed.kind()) {
+                case OVERLOADED -> RoutingMessage.Use.OVERLOADED;
+                case CANCELLED -> RoutingMessage.Use.CANCELLED;
+                default -> RoutingMessage.Use.FAILED;
+            };
+        }
+        return RoutingMessage.Use.COMPLETED;
+    }
+
+    private void giveUp(Route route, RefusalCode code, String message, long nowMs, Effects out) {
+        Refusal refusal = new Refusal(route.verdict, code, message, route.retryAfterMs);
+        end(route, new RouteOutcome.GivenUp(refusal), nowMs, out);
+    }
+
+    private void end(Route route, RouteOutcome outcome, long nowMs, Effects out) {
+        route.phase = Route.Phase.ENDED;
+        routes.remove(route.request.id());
+        wakeups.remove(route.request.id());
+        if (outcome instanceof RouteOutcome.GivenUp givenUp) {
+            Refusal refusal = givenUp.refusal();
+            context.count("given-up-" + refusal.code().errorCode());
+            out.explain(
+                    Subject.Kind.REQUEST,
+                    route.request.id(),
+                    nowMs,
+                    "given up, " + refusal.verdict().headerValue(),
+                    refusal.code() + ": " + refusal.message());
+        }
+        route.listener.routeEnded(route.request, outcome, nowMs, out);
+    }
+
+    /** Gives up the place in a controller's queue, or a permit that is on its way. */
+    private void withdraw(Route route, Effects out) {
+        byAttempt.remove(route.attempt);
+        releasePermit(route, route.attempt, RoutingMessage.Use.UNUSED, out);
+    }
+
+    private void releasePermit(Route route, AttemptId attempt, RoutingMessage.Use use, Effects out) {
+        if (route.controller != null) {
+            RoutingMessage.PermitReleased released =
+                    new RoutingMessage.PermitReleased(attempt, route.target.id(), use, 0);
+            context.peers().send(route.controller, released, out);
+        }
+    }
+
+    private void giveBack(HostId controller, AttemptId attempt, TargetId target, Effects out) {
+        RoutingMessage.PermitReleased released =
+                new RoutingMessage.PermitReleased(attempt, target, RoutingMessage.Use.UNUSED, 0);
+        context.peers().send(controller, released, out);
+    }
+
+    /** Turns to the controllers of a changed membership with what waits and what runs. */
+    void controllersChanged(long nowMs, Effects out) {
+        for (Route route : List.copyOf(byAttempt.values())) {
+            Optional<HostId> controller = context.controllers().controllerOf(route.target);
+            if (controller.isEmpty() || controller.get().equals(route.controller)) {
+                continue;
+            }
+            route.controller = controller.get();
+            if (route.seeksPermit()) {
+                ask(route, nowMs, out);
+            }
+        }
+    }
+
+    /** Returns what runs now, for the announcement to controllers. */
+    Collection<Route> running() {
+        return byAttempt.values().stream().filter(route -> !route.seeksPermit()).toList();
+    }
+
+    Collection<Route> open() {
+        return routes.values();
+    }
+
+    double retryTokens() {
+        return retryBudget.tokens();
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PeerLink.java
@@ -0,0 +1,67 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Sends messages about permits; those to this daemon itself wait in a queue until the present step is done.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class PeerLink {
+
+    private final HostId self;
+    private final Deque<RoutingMessage> toSelf = new ArrayDeque<>();
+    private final Set<TargetId> touched = new TreeSet<>();
+    private boolean delivering;
+
+    PeerLink(HostId self) {
+        this.self = self;
+    }
+
+    void send(HostId to, RoutingMessage message, Effects out) {
+        if (message instanceof RoutingMessage.AskPermit ask) {
+            touched.add(ask.target());
+        } else if (message instanceof RoutingMessage.PermitReleased released) {
+            touched.add(released.target());
+        }
+        if (to.equals(self)) {
+            toSelf.add(message);
+        } else {
+            out.send(to, message);
+        }
+    }
+
+    /** Returns the targets for which permits were asked or given back since the last call. */
+    Set<TargetId> takeTouched() {
+        Set<TargetId> taken = new TreeSet<>(touched);
+        touched.clear();
+        return taken;
+    }
+
+    /** Delivers what waits for this daemon, and what that brings about; does nothing while a delivery is under way. */
+    void deliver(Receiver receiver) {
+        if (delivering) {
+            return;
+        }
+        delivering = true;
+        try {
+            while (!toSelf.isEmpty()) {
+                receiver.received(self, toSelf.remove());
+            }
+        } finally {
+            delivering = false;
+        }
+    }
+
+    /** Handles one message. */
+    interface Receiver {
+        void received(HostId from, RoutingMessage message);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitAnnouncer.java
@@ -0,0 +1,82 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Names this daemon's running permits to the controllers: now and then, so that a lost release frees its slot in the
+ * end, and at once to a new controller.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class PermitAnnouncer {
+
+    private final RoutingContext context;
+    private final OnlineRouter online;
+    private final BatchRunner batch;
+    private final Map<TargetId, HostId> announcedTo = new TreeMap<>();
+
+    PermitAnnouncer(RoutingContext context, OnlineRouter online, BatchRunner batch) {
+        this.context = context;
+        this.online = online;
+        this.batch = batch;
+    }
+
+    /** Names all that runs, and the targets where permits were given back since the last time. */
+    void announceAll(long nowMs, Effects out) {
+        Map<TargetId, List<RoutingMessage.RunningPermit>> running = running(nowMs);
+        context.peers().takeTouched().forEach(target -> running.computeIfAbsent(target, id -> new ArrayList<>()));
+        announcedTo.clear();
+        running.forEach((target, permits) -> announce(target, permits, out));
+    }
+
+    /** Names what runs on targets whose controller is another than before. */
+    void announceToNewControllers(long nowMs, Effects out) {
+        running(nowMs).forEach((target, permits) -> {
+            Optional<HostId> controller = controllerOf(target);
+            if (controller.isPresent() && !controller.get().equals(announcedTo.get(target))) {
+                announce(target, permits, out);
+            }
+        });
+    }
+
+    private void announce(TargetId target, List<RoutingMessage.RunningPermit> permits, Effects out) {
+        Optional<HostId> controller = controllerOf(target);
+        if (controller.isEmpty()) {
+            return;
+        }
+        context.peers().send(controller.get(), new RoutingMessage.RunningPermits(target, permits), out);
+        if (!permits.isEmpty()) {
+            announcedTo.put(target, controller.get());
+        }
+    }
+
+    private Optional<HostId> controllerOf(TargetId target) {
+        return context.directory().find(target).flatMap(context.controllers()::controllerOf);
+    }
+
+    private Map<TargetId, List<RoutingMessage.RunningPermit>> running(long nowMs) {
+        Map<TargetId, List<RoutingMessage.RunningPermit>> running = new TreeMap<>();
+        for (Route route : online.running()) {
+            running.computeIfAbsent(route.target.id(), id -> new ArrayList<>())
+                    .add(new RoutingMessage.RunningPermit(
+                            route.attempt,
+                            route.request.service(),
+                            route.request.urgency(),
+                            nowMs - route.dispatchedAtMs,
+                            route.suspect,
+                            Optional.empty()));
+        }
+        for (BatchRun run : batch.running()) {
+            running.computeIfAbsent(run.target().id(), id -> new ArrayList<>()).add(run.announcement(nowMs));
+        }
+        return running;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -0,0 +1,337 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.core.Urgency;
+
+/**
+ * Grants permits to run requests on one target, urgent requests first, and takes batch permits back for them.
+ *
+ * <p>Invariant: granted permits exceed the target's slots only by batch permits that were revoked a moment ago, whose
+ * slots the online requests granted in their place are about to find, and by what holders began without asking. Not
+ * thread-safe: confined to the daemon's event loop.
+ */
+final class PermitLedger {
+
+    private static final double HOLD_WEIGHT = 0.1;
+
+    private final RoutingSettings settings;
+    private final SlotCapacity capacity;
+    private final OnlineReserve reserve;
+    private final long learningUntilMs;
+    private final Map<AttemptId, HeldPermit> permits = new LinkedHashMap<>();
+    private final TreeSet<PermitWaiter> waiters = new TreeSet<>();
+    private final Map<AttemptId, PermitWaiter> waitersByAttempt = new LinkedHashMap<>();
+    private final Map<ServiceName, Double> holdMs = new TreeMap<>();
+    private boolean closed;
+    private int unknownRunning;
+    private long exceededAtMs = Long.MIN_VALUE / 2;
+
+    PermitLedger(RoutingSettings settings, long nowMs) {
+        this.settings = settings;
+        this.capacity = new SlotCapacity(settings.permits().unreportedSlots());
+        this.reserve = new OnlineReserve(settings.queues().reserveMissShare());
+        this.learningUntilMs = nowMs + settings.permits().handoverMs();
+    }
+
+    /** Takes over what the settings say, and whether the target still gets new work. */
+    void configure(int configuredSlots, boolean open) {
+        capacity.configured(configuredSlots);
+        closed = !open;
+    }
+
+    void reported(TargetReport report, long nowMs) {
+        boolean settled =
+                report.measuredAtMs() > exceededAtMs + settings.permits().revokePatienceMs();
+        capacity.reported(report, settled && report.running() + report.queued() <= permits.size() + 1, nowMs);
+        unknownRunning = learning(nowMs) ? Math.max(0, report.running() - permits.size()) : 0;
+    }
+
+    /** Takes a request in; its decision and those it brings about follow from {@link #admit}. */
+    Optional<LedgerDecision> ask(PermitWaiter waiter, long nowMs) {
+        HeldPermit held = permits.get(waiter.attempt());
+        if (held != null) {
+            return Optional.of(askAgain(held, waiter));
+        }
+        if (waitersByAttempt.containsKey(waiter.attempt())) {
+            return Optional.of(new LedgerDecision.Queue(waiter.attempt(), waiter.holder()));
+        }
+        if (closed) {
+            return Optional.of(refuse(waiter, RoutingMessage.Reason.UNAVAILABLE, 0));
+        }
+        if (waiter.urgency() != Urgency.BATCH) {
+            reserve.onlineArrived(nowMs);
+        }
+        long waitMs = expectedWaitMs(waiter, nowMs);
+        if (waitMs > 0 && nowMs + waitMs + expectedHoldMs(waiter.service()) > waiter.deadlineAtMs()) {
+            return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
+        }
+        add(waiter);
+        return Optional.empty();
+    }
+
+    private LedgerDecision askAgain(HeldPermit held, PermitWaiter waiter) {
+        if (waiter.suspect() && !held.suspect()) {
+            if (suspectRuns()) {
+                return refuse(waiter, RoutingMessage.Reason.SUSPECT_RUNNING, expectedHoldMs(waiter.service()));
+            }
+            held.markSuspect();
+        }
+        return new LedgerDecision.Grant(held.attempt(), held.holder());
+    }
+
+    /** Decides what may happen now: grants, revocations, refusals of what cannot be met, in order. */
+    List<LedgerDecision> admit(long nowMs) {
+        List<LedgerDecision> decisions = new ArrayList<>();
+        if (closed) {
+            dropWaiters().forEach(waiter -> decisions.add(refuse(waiter, RoutingMessage.Reason.UNAVAILABLE, 0)));
+        }
+        refuseExcess(nowMs, decisions);
+        for (PermitWaiter first = firstRunnable(); first != null; first = firstRunnable()) {
+            if (nowMs >= first.deadlineAtMs()) {
+                remove(first);
+                decisions.add(refuse(first, RoutingMessage.Reason.OVERLOADED, expectedHoldMs(first.service())));
+            } else if (hasRoom(nowMs) || revokeOne(first, nowMs, decisions)) {
+                remove(first);
+                grant(first, nowMs);
+                decisions.add(new LedgerDecision.Grant(first.attempt(), first.holder()));
+            } else {
+                break;
+            }
+        }
+        return decisions;
+    }
+
+    /** Returns the first waiter, but no suspect while another suspect runs. */
+    private PermitWaiter firstRunnable() {
+        boolean suspectRuns = suspectRuns();
+        for (PermitWaiter waiter : waiters) {
+            if (!waiter.suspect() || !suspectRuns) {
+                return waiter;
+            }
+        }
+        return null;
+    }
+
+    private void refuseExcess(long nowMs, List<LedgerDecision> decisions) {
+        int most = Math.max(1, capacity.slots(nowMs) * settings.queues().maxWaitersPerSlot());
+        while (waiters.size() > most) {
+            PermitWaiter last = waiters.last();
+            remove(last);
+            decisions.add(refuse(last, RoutingMessage.Reason.OVERLOADED, queueMs(waiters.size(), last, nowMs)));
+        }
+    }
+
+    private boolean hasRoom(long nowMs) {
+        return used() - revokedLately(nowMs) < capacity.slots(nowMs);
+    }
+
+    private boolean revokeOne(PermitWaiter waiter, long nowMs, List<LedgerDecision> decisions) {
+        if (waiter.urgency() == Urgency.BATCH) {
+            return false;
+        }
+        HeldPermit latest = null;
+        for (HeldPermit permit : permits.values()) {
+            if (permit.batch()
+                    && !permit.revoked()
+                    && (latest == null || permit.grantedAtMs() > latest.grantedAtMs())) {
+                latest = permit;
+            }
+        }
+        if (latest == null) {
+            return false;
+        }
+        latest.revoke(nowMs);
+        exceededAtMs = nowMs;
+        decisions.add(new LedgerDecision.Revoke(latest.attempt(), latest.holder()));
+        return hasRoom(nowMs);
+    }
+
+    private void grant(PermitWaiter waiter, long nowMs) {
+        RoutingMessage.RunningPermit permit = new RoutingMessage.RunningPermit(
+                waiter.attempt(), waiter.service(), waiter.urgency(), 0, waiter.suspect(), Optional.empty());
+        permits.put(waiter.attempt(), new HeldPermit(permit, waiter.holder(), nowMs));
+    }
+
+    /** Returns how many batch permits may be granted now; none while a request waits or others' permits are unknown. */
+    int roomForBatch(long nowMs) {
+        if (closed || learning(nowMs) || !waiters.isEmpty()) {
+            return 0;
+        }
+        int slots = capacity.slots(nowMs);
+        return Math.max(0, slots - used() - reserve.slots(slots, nowMs));
+    }
+
+    /** Records a permit that is granted to a job, or that a holder names as running. */
+    HeldPermit add(RoutingMessage.RunningPermit permit, HostId holder, long nowMs) {
+        PermitWaiter waiter = waitersByAttempt.get(permit.attempt());
+        if (waiter != null) {
+            remove(waiter);
+        }
+        if (!permits.containsKey(permit.attempt()) && unknownRunning > 0) {
+            unknownRunning--;
+        }
+        return permits.computeIfAbsent(permit.attempt(), id -> new HeldPermit(permit, holder, nowMs));
+    }
+
+    /** Takes a permit back, or withdraws a waiter; returns the permit if there was one. */
+    Optional<HeldPermit> release(AttemptId attempt, RoutingMessage.Use use, long nowMs) {
+        PermitWaiter waiter = waitersByAttempt.get(attempt);
+        if (waiter != null) {
+            remove(waiter);
+        }
+        HeldPermit permit = permits.remove(attempt);
+        if (permit == null) {
+            return Optional.empty();
+        }
+        if (permit.revoked()) {
+            reserve.revocationTook(nowMs - permit.revokedAtMs());
+        }
+        if (use == RoutingMessage.Use.COMPLETED && !permit.batch()) {
+            holdMs.merge(
+                    permit.service(),
+                    (double) (nowMs - permit.grantedAtMs()),
+                    (old, latest) -> old + HOLD_WEIGHT * (latest - old));
+        }
+        if (use == RoutingMessage.Use.OVERLOADED) {
+            capacity.overloaded(permits.size() + 1, nowMs);
+        }
+        return Optional.of(permit);
+    }
+
+    /** Frees what a holder has that it no longer names, unless it was granted so lately that it could not. */
+    void reconcile(HostId holder, Collection<AttemptId> named, long nowMs) {
+        long grantedBeforeMs = nowMs - settings.permits().handoverMs();
+        permits.values()
+                .removeIf(permit -> permit.holder().equals(holder)
+                        && permit.grantedAtMs() < grantedBeforeMs
+                        && !named.contains(permit.attempt()));
+    }
+
+    /** Frees all that a lost holder has; returns whether there was anything. */
+    boolean holderLost(HostId holder) {
+        boolean freed = permits.values().removeIf(permit -> permit.holder().equals(holder));
+        for (Iterator<PermitWaiter> iterator = waiters.iterator(); iterator.hasNext(); ) {
+            PermitWaiter waiter = iterator.next();
+            if (waiter.holder().equals(holder)) {
+                iterator.remove();
+                waitersByAttempt.remove(waiter.attempt());
+                freed = true;
+            }
+        }
+        return freed;
+    }
+
+    /** Empties the queue, as when another daemon takes the target over; returns who waited. */
+    List<PermitWaiter> dropWaiters() {
+        List<PermitWaiter> dropped = List.copyOf(waiters);
+        waiters.clear();
+        waitersByAttempt.clear();
+        return dropped;
+    }
+
+    Collection<HeldPermit> permits() {
+        return permits.values();
+    }
+
+    int waiting() {
+        return waiters.size();
+    }
+
+    int slots(long nowMs) {
+        return capacity.slots(nowMs);
+    }
+
+    int reservedSlots(long nowMs) {
+        return reserve.slots(capacity.slots(nowMs), nowMs);
+    }
+
+    double revocationMs() {
+        return reserve.revocationMs();
+    }
+
+    boolean learning(long nowMs) {
+        return nowMs < learningUntilMs;
+    }
+
+    /** Returns how many permits online requests hold; batch permits give way to them. */
+    int onlineRunning() {
+        return (int) permits.values().stream().filter(permit -> !permit.batch()).count();
+    }
+
+    /** Returns what an urgent request that came now would wait. */
+    long expectedWaitMs(long nowMs) {
+        return queueMs(waiters.size(), null, nowMs);
+    }
+
+    private long expectedWaitMs(PermitWaiter waiter, long nowMs) {
+        return queueMs(waiters.headSet(waiter).size(), waiter, nowMs);
+    }
+
+    private long queueMs(int ahead, PermitWaiter waiter, long nowMs) {
+        int slots = capacity.slots(nowMs);
+        int batch = permits.size() - onlineRunning();
+        int free = slots - used() + batch;
+        if (ahead < free) {
+            return 0;
+        }
+        double hold = waiter == null ? meanHoldMs() : expectedHoldMs(waiter.service());
+        return Math.max(1, (long) (hold * (ahead - free + 1) / slots));
+    }
+
+    private double meanHoldMs() {
+        return holdMs.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(0);
+    }
+
+    private long expectedHoldMs(ServiceName service) {
+        return holdMs.getOrDefault(service, 0.0).longValue();
+    }
+
+    private int used() {
+        return permits.size() + unknownRunning;
+    }
+
+    private int revokedLately(long nowMs) {
+        int count = 0;
+        for (HeldPermit permit : permits.values()) {
+            if (permit.revoked()
+                    && nowMs - permit.revokedAtMs() < settings.permits().revokePatienceMs()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private boolean suspectRuns() {
+        return permits.values().stream().anyMatch(HeldPermit::suspect);
+    }
+
+    private void add(PermitWaiter waiter) {
+        waiters.add(waiter);
+        waitersByAttempt.put(waiter.attempt(), waiter);
+    }
+
+    private void remove(PermitWaiter waiter) {
+        waiters.remove(waiter);
+        waitersByAttempt.remove(waiter.attempt());
+    }
+
+    private static LedgerDecision.Refuse refuse(PermitWaiter waiter, RoutingMessage.Reason reason, long retryAfterMs) {
+        return new LedgerDecision.Refuse(waiter.attempt(), waiter.holder(), reason, retryAfterMs);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PrefixCacheView.java
@@ -0,0 +1,60 @@
+package org.cornelcrank.routing;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cornelcrank.core.CacheEvent;
+
+/**
+ * What one target's cache of prompt prefixes is believed to hold, from its late and gappy events and from what this
+ * daemon has sent there.
+ *
+ * <p>Invariant: holds at most {@value #MAX_PREFIXES} prefixes, the least recently seen leave first. A wrong belief costs
+ * speed only. Not thread-safe: confined to the daemon's event loop.
+ */
+final class PrefixCacheView {
+
+    static final int MAX_PREFIXES = 512;
+
+    private final LinkedHashMap<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+
+    void changed(List<CacheEvent> changes, boolean gap) {
+        if (gap) {
+            prefixes.clear();
+        }
+        for (CacheEvent change : changes) {
+            if (change.cached()) {
+                remember(change.prefixHash());
+            } else {
+                prefixes.remove(change.prefixHash());
+            }
+        }
+    }
+
+    /** Notes that a prompt with these prefixes was sent to the target, which will hold them soon. */
+    void sent(List<Long> prefixHashes) {
+        prefixHashes.forEach(this::remember);
+    }
+
+    /** Returns how many of the prefixes, shortest first, are believed to be held without a break. */
+    int held(List<Long> prefixHashes) {
+        int count = 0;
+        while (count < prefixHashes.size() && prefixes.containsKey(prefixHashes.get(count))) {
+            count++;
+        }
+        return count;
+    }
+
+    int size() {
+        return prefixes.size();
+    }
+
+    private void remember(long prefixHash) {
+        prefixes.put(prefixHash, Boolean.TRUE);
+        if (prefixes.size() > MAX_PREFIXES) {
+            Map.Entry<Long, Boolean> eldest = prefixes.entrySet().iterator().next();
+            prefixes.remove(eldest.getKey());
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -0,0 +1,61 @@
+package org.cornelcrank.routing;
+
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+
+/**
+ * The present state of one request that this daemon routes.
+ *
+ * <p>Invariant: {@code verdict} covers all attempts that have ended. Not thread-safe: confined to the daemon's event loop.
+ */
+final class Route {
+
+    final RoutedRequest request;
+    final RequestRouter.RouteListener listener;
+    final Set<TargetId> excluded = new TreeSet<>();
+    final String resumeKey;
+    Phase phase = Phase.CHOOSING;
+    Verdict verdict = Verdict.NOT_RUN;
+    AttemptId attempt;
+    TargetState target;
+    HostId controller;
+    boolean permitted;
+    boolean suspect;
+    int asks;
+    int redirects;
+    int attempts;
+    int deliveredTokens;
+    int resumedFrom;
+    int generation;
+    boolean bytesReachedCaller;
+    long dispatchedAtMs;
+    long retryAfterMs;
+
+    Route(RoutedRequest request, RequestRouter.RouteListener listener) {
+        this.request = request;
+        this.listener = listener;
+        this.resumeKey = "online-" + Long.toHexString(StableHash.of(request.id().toString()));
+    }
+
+    /** Returns whether a permit was asked for and no attempt is under way. */
+    boolean seeksPermit() {
+        return phase == Phase.ASKED || phase == Phase.QUEUED;
+    }
+
+    /** Says how far a request has come. */
+    enum Phase {
+        CHOOSING,
+        /** The controller was asked and has not answered. */
+        ASKED,
+        /** The controller has the request in its queue. */
+        QUEUED,
+        RUNNING,
+        ENDED
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDuty.java
@@ -0,0 +1,321 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Member;
+import org.cornelcrank.core.MemberState;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.core.TimerKey;
+
+/**
+ * Routes requests to targets, grants the permits of the targets that this daemon controls, and lends idle capacity to
+ * batch jobs.
+ *
+ * <p>Invariant: urgent requests go before batch work everywhere. Not thread-safe: confined to the daemon's event loop.
+ */
+public final class RoutingDuty implements Duty, RequestRouter, BatchCapacity {
+
+    public static final String NAME = "routing";
+
+    private static final TimerKey TICK = new TimerKey(NAME, "tick");
+    private static final long TICK_INTERVAL_MS = 1_000;
+
+    private final RoutingContext context;
+    private final MembershipView membership;
+    private final TargetNotices notices;
+    private final TargetController controller;
+    private final OnlineRouter online;
+    private final BatchRunner batch;
+    private final PermitAnnouncer announcer;
+    private final OnlineCallers callers;
+    private final RoutingDump dump;
+    private long seenMembership = -1;
+    private long seenDirectory = -1;
+    private long announcedAtMs;
+    private long restatedAtMs;
+
+    /** Creates the duty; it does nothing until it gets {@link Event.Started}. */
+    public RoutingDuty(
+            DaemonIdentity identity,
+            MembershipView membership,
+            Dissemination dissemination,
+            Settings settings,
+            RoutingPolicy policy,
+            RandomGenerator random,
+            MetricRegistry metrics) {
+        this.membership = Objects.requireNonNull(membership, "membership must not be null");
+        RoutingSettings routing = policy.settings();
+        context = new RoutingContext(
+                identity,
+                settings,
+                policy,
+                new TargetDirectory(settings, routing),
+                new ControllerMap(membership),
+                new PeerLink(identity.host()),
+                new AttemptNumbers(identity),
+                new SuspectRegistry(routing.quarantine(), dissemination),
+                random,
+                metrics);
+        TeamLimiter limiter = new TeamLimiter(membership);
+        LinkBudget link = new LinkBudget(routing.link());
+        notices = new TargetNotices(dissemination, routing.quarantine().deathWindowMs());
+        controller = new TargetController(context, new OccupancyPublisher(routing.permits(), dissemination));
+        online = new OnlineRouter(context, limiter, link);
+        batch = new BatchRunner(context, new BatchDemandTeller(context));
+        announcer = new PermitAnnouncer(context, online, batch);
+        callers = new OnlineCallers(online);
+        dump = new RoutingDump(context, controller, online, batch, limiter, link);
+        dissemination.subscribe(NAME, this::factReceived);
+        settings.subscribe(this::settingsChanged);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void on(Event event, long nowMs, Effects out) {
+        followMembership(nowMs, out);
+        if (event instanceof Event.Started) {
+            out.schedule(TICK, nowMs + TICK_INTERVAL_MS);
+        } else if (event instanceof Event.TimerDue due) {
+            timerDue(due.key(), nowMs, out);
+        } else if (event instanceof Event.PeerMessageReceived received
+                && received.message() instanceof RoutingMessage message) {
+            receive(received.from(), message, nowMs, out);
+        } else if (event instanceof Event.CallerArrived arrived) {
+            callerArrived(arrived.request(), arrived.caller(), arrived.command(), nowMs, out);
+        } else if (event instanceof Event.CallerLeft left) {
+            online.cancel(left.request(), nowMs, out);
+        } else if (event instanceof Event.AttemptStarted started) {
+            online.attemptStarted(started.attempt(), nowMs);
+        } else if (event instanceof Event.AttemptEnded ended) {
+            attemptEnded(ended, nowMs, out);
+        } else {
+            targetEvent(event, nowMs, out);
+        }
+        deliver(nowMs, out);
+    }
+
+    private void timerDue(TimerKey key, long nowMs, Effects out) {
+        if (key.equals(OnlineRouter.TIMER)) {
+            online.timerDue(nowMs, out);
+        } else if (key.equals(TICK)) {
+            out.schedule(TICK, nowMs + TICK_INTERVAL_MS);
+            tick(nowMs, out);
+        }
+    }
+
+    private void tick(long nowMs, Effects out) {
+        context.suspects().expire(nowMs);
+        controller.refresh(List.of(), nowMs, out);
+        boolean restate = nowMs - restatedAtMs >= context.routing().queues().demandRefreshMs();
+        batch.refresh(restate, nowMs, out);
+        if (restate) {
+            restatedAtMs = nowMs;
+        }
+        if (nowMs - announcedAtMs >= context.routing().permits().announceIntervalMs()) {
+            announcer.announceAll(nowMs, out);
+            announcedAtMs = nowMs;
+        }
+    }
+
+    private void attemptEnded(Event.AttemptEnded ended, long nowMs, Effects out) {
+        if (!online.attemptEnded(ended.attempt(), ended.outcome(), nowMs, out)) {
+            batch.attemptEnded(ended.attempt(), ended.outcome(), nowMs, out);
+        }
+    }
+
+    private void targetEvent(Event event, long nowMs, Effects out) {
+        if (event instanceof Event.HostListRead read) {
+            context.directory().listRead(read.hosts()).forEach(target -> notices.leaving(target, nowMs, out));
+            followMembership(nowMs, out);
+            controller.refresh(List.of(), nowMs, out);
+        } else if (event instanceof Event.TargetReported reported) {
+            reported(reported.report(), nowMs, out);
+        } else if (event instanceof Event.TargetUnreachable unreachable && unreachable.refused()) {
+            notices.down(unreachable.target(), nowMs, out);
+            controller.unreachable(unreachable.target(), nowMs, out);
+        } else if (event instanceof Event.CacheChanged changed) {
+            context.directory().find(changed.target()).ifPresent(target -> target.cache()
+                    .changed(changed.changes(), changed.gap()));
+        }
+    }
+
+    private void reported(TargetReport report, long nowMs, Effects out) {
+        Optional<TargetState> target = context.directory().find(report.target());
+        if (target.isEmpty()) {
+            return;
+        }
+        target.get().reported(report);
+        if (report.leaving()) {
+            notices.leaving(target.get(), nowMs, out);
+        }
+        controller.reported(report, nowMs, out);
+    }
+
+    private void callerArrived(RequestId id, Caller caller, CallerCommand command, long nowMs, Effects out) {
+        if (command instanceof OnlineRequest request) {
+            callers.arrived(id, request, nowMs, out);
+        } else if (command instanceof ListQuarantine || command instanceof LiftQuarantine) {
+            quarantineAsked(id, caller, command, nowMs, out);
+        }
+    }
+
+    private void quarantineAsked(RequestId id, Caller caller, CallerCommand command, long nowMs, Effects out) {
+        if (caller.scope() != Caller.Scope.OPERATOR) {
+            out.reply(id, Refusal.notRun(RefusalCode.FORBIDDEN, "the quarantine is for operators"));
+            return;
+        }
+        if (command instanceof LiftQuarantine lift) {
+            context.suspects().clear(lift.fingerprint(), nowMs, out);
+        }
+        out.reply(id, new QuarantineListed(context.suspects().quarantine(nowMs)));
+    }
+
+    private void receive(HostId from, RoutingMessage message, long nowMs, Effects out) {
+        if (message instanceof RoutingMessage.AskPermit ask) {
+            controller.asked(from, ask, nowMs, out);
+        } else if (message instanceof RoutingMessage.PermitGranted granted) {
+            if (!batch.suspectAllowed(granted.attempt(), out)) {
+                online.granted(from, granted, nowMs, out);
+            }
+        } else if (message instanceof RoutingMessage.PermitQueued queued) {
+            online.queued(from, queued, nowMs, out);
+        } else if (message instanceof RoutingMessage.PermitRefused refused) {
+            if (!batch.suspectRefused(refused.attempt(), nowMs, out)) {
+                online.refused(refused, nowMs, out);
+            }
+        } else if (message instanceof RoutingMessage.PermitReleased released) {
+            controller.released(released, nowMs, out);
+        } else if (message instanceof RoutingMessage.PermitRevoked revoked) {
+            batch.revoked(revoked, nowMs, out);
+        } else if (message instanceof RoutingMessage.BatchDemandStated stated) {
+            controller.demandStated(from, stated, nowMs, out);
+        } else if (message instanceof RoutingMessage.BatchGranted granted) {
+            batch.granted(from, granted, nowMs, out);
+        } else if (message instanceof RoutingMessage.RunningPermits running) {
+            controller.runningNamed(from, running, nowMs, out);
+        }
+    }
+
+    private void factReceived(Fact fact, long nowMs, Effects out) {
+        String key = fact.key();
+        String rest = key.substring(key.indexOf('/') + 1);
+        if (key.startsWith(SuspectRegistry.DEATH_PREFIX) || key.startsWith(SuspectRegistry.CLEARED_PREFIX)) {
+            context.suspects().factReceived(fact, nowMs, out);
+            return;
+        }
+        Optional<TargetState> target = context.directory().find(new TargetId(rest));
+        if (target.isEmpty()) {
+            return;
+        }
+        if (key.startsWith(OccupancyPublisher.KEY_PREFIX)) {
+            OccupancyPublisher.occupancyOf(fact)
+                    .ifPresent(occupancy -> target.get().told(occupancy, nowMs));
+        } else if (key.startsWith(TargetNotices.LEAVING_PREFIX)) {
+            TargetNotices.leavingTold(target.get(), fact, nowMs, out);
+        } else if (key.startsWith(TargetNotices.DOWN_PREFIX)) {
+            target.get().health().eject(nowMs);
+            context.suspects().targetDown(target.get().id(), nowMs, out);
+        }
+    }
+
+    private void settingsChanged(long nowMs, Effects out) {
+        controller.refresh(List.of(), nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    private void followMembership(long nowMs, Effects out) {
+        long membershipVersion = membership.version();
+        long directoryVersion = context.directory().version();
+        if (membershipVersion == seenMembership && directoryVersion == seenDirectory) {
+            return;
+        }
+        seenMembership = membershipVersion;
+        seenDirectory = directoryVersion;
+        controller.assignTargets(nowMs, out);
+        controller.refresh(controller.holders().stream().filter(this::lost).toList(), nowMs, out);
+        online.controllersChanged(nowMs, out);
+        batch.controllersChanged();
+        announcer.announceToNewControllers(nowMs, out);
+        batch.refresh(true, nowMs, out);
+    }
+
+    private boolean lost(HostId holder) {
+        Optional<Member> member = membership.find(holder);
+        return !holder.equals(context.identity().host())
+                && (member.isEmpty() || member.get().state() == MemberState.DEAD);
+    }
+
+    private void deliver(long nowMs, Effects out) {
+        context.peers().deliver((from, message) -> receive(from, message, nowMs, out));
+    }
+
+    @Override
+    public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
+        online.route(request, listener, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void cancel(RequestId request, long nowMs, Effects out) {
+        online.cancel(request, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void setDemand(BatchDemand demand, long nowMs, Effects out) {
+        batch.setDemand(demand, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void run(BatchPermit permit, BatchWork work, long nowMs, Effects out) {
+        batch.run(permit, work, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void giveBack(BatchPermit permit, long nowMs, Effects out) {
+        batch.giveBack(permit, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void cancel(BatchPermit permit, long nowMs, Effects out) {
+        batch.cancel(permit, nowMs, out);
+        deliver(nowMs, out);
+    }
+
+    @Override
+    public void subscribe(BatchCapacityListener listener) {
+        batch.subscribe(listener);
+    }
+
+    @Override
+    public void dump(StateWriter writer, long nowMs) {
+        dump.write(writer, nowMs);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -0,0 +1,249 @@
+package org.cornelcrank.routing;
+
+import java.util.Optional;
+import java.util.TreeSet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.routing.wire.WireAskPermit;
+import org.cornelcrank.routing.wire.WireAttemptId;
+import org.cornelcrank.routing.wire.WireBatchDemandStated;
+import org.cornelcrank.routing.wire.WireBatchGranted;
+import org.cornelcrank.routing.wire.WireOccupancy;
+import org.cornelcrank.routing.wire.WirePermitGranted;
+import org.cornelcrank.routing.wire.WirePermitQueued;
+import org.cornelcrank.routing.wire.WirePermitRefused;
+import org.cornelcrank.routing.wire.WirePermitReleased;
+import org.cornelcrank.routing.wire.WirePermitRevoked;
+import org.cornelcrank.routing.wire.WireRoutingMessage;
+import org.cornelcrank.routing.wire.WireRunningPermit;
+import org.cornelcrank.routing.wire.WireRunningPermits;
+
+/**
+ * Encodes the messages about permits.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class RoutingMessageCodec implements PeerMessageCodec {
+
+    @Override
+    public String slice() {
+        return RoutingDuty.NAME;
+    }
+
+    @Override
+    public boolean supports(PeerMessage message) {
+        return message instanceof RoutingMessage;
+    }
+
+    @Override
+    public ByteString encode(PeerMessage message) {
+        WireRoutingMessage.Builder wire = WireRoutingMessage.newBuilder();
+        if (message instanceof RoutingMessage.AskPermit ask) {
+            wire.setAskPermit(WireAskPermit.newBuilder()
+                    .setAttempt(attempt(ask.attempt()))
+                    .setTarget(ask.target().value())
+                    .setService(ask.service().value())
+                    .setUrgency(ask.urgency().ordinal())
+                    .setRemainingMs(ask.remainingMs())
+                    .setSuspect(ask.suspect()));
+        } else if (message instanceof RoutingMessage.PermitGranted granted) {
+            wire.setPermitGranted(WirePermitGranted.newBuilder()
+                    .setAttempt(attempt(granted.attempt()))
+                    .setTarget(granted.target().value())
+                    .setOccupancy(occupancy(granted.occupancy())));
+        } else if (message instanceof RoutingMessage.PermitQueued queued) {
+            wire.setPermitQueued(WirePermitQueued.newBuilder()
+                    .setAttempt(attempt(queued.attempt()))
+                    .setTarget(queued.target().value())
+                    .setOccupancy(occupancy(queued.occupancy())));
+        } else if (message instanceof RoutingMessage.PermitRefused refused) {
+            wire.setPermitRefused(WirePermitRefused.newBuilder()
+                    .setAttempt(attempt(refused.attempt()))
+                    .setTarget(refused.target().value())
+                    .setReason(refused.reason().ordinal())
+                    .setRetryAfterMs(refused.retryAfterMs())
+                    .setController(refused.controller().map(HostId::value).orElse("")));
+        } else if (message instanceof RoutingMessage.PermitReleased released) {
+            wire.setPermitReleased(WirePermitReleased.newBuilder()
+                    .setAttempt(attempt(released.attempt()))
+                    .setTarget(released.target().value())
+                    .setUse(released.use().ordinal())
+                    .setWanted(released.wanted()));
+        } else if (message instanceof RoutingMessage.PermitRevoked revoked) {
+            wire.setPermitRevoked(WirePermitRevoked.newBuilder()
+                    .setAttempt(attempt(revoked.attempt()))
+                    .setTarget(revoked.target().value()));
+        } else {
+            encodeBatch(message, wire);
+        }
+        return wire.build().toByteString();
+    }
+
+    private static void encodeBatch(PeerMessage message, WireRoutingMessage.Builder wire) {
+        if (message instanceof RoutingMessage.BatchDemandStated stated) {
+            wire.setBatchDemandStated(WireBatchDemandStated.newBuilder()
+                    .setJob(stated.job().value())
+                    .setTeam(stated.team().value())
+                    .setService(stated.service().value())
+                    .setDueInMs(stated.dueInMs())
+                    .setShare(stated.share())
+                    .setWanted(stated.wanted())
+                    .setRemaining(stated.remaining())
+                    .setControllers(stated.controllers()));
+        } else if (message instanceof RoutingMessage.BatchGranted granted) {
+            wire.setBatchGranted(WireBatchGranted.newBuilder()
+                    .setAttempt(attempt(granted.attempt()))
+                    .setTarget(granted.target().value())
+                    .setJob(granted.job().value()));
+        } else if (message instanceof RoutingMessage.RunningPermits running) {
+            WireRunningPermits.Builder permits =
+                    WireRunningPermits.newBuilder().setTarget(running.target().value());
+            running.permits().forEach(permit -> permits.addPermits(runningPermit(permit)));
+            wire.setRunningPermits(permits);
+        } else {
+            throw new IllegalArgumentException("message must belong to the slice " + RoutingDuty.NAME + " but was "
+                    + message.getClass().getName());
+        }
+    }
+
+    private static WireRunningPermit runningPermit(RoutingMessage.RunningPermit permit) {
+        return WireRunningPermit.newBuilder()
+                .setAttempt(attempt(permit.attempt()))
+                .setService(permit.service().value())
+                .setUrgency(permit.urgency().ordinal())
+                .setAgeMs(permit.ageMs())
+                .setSuspect(permit.suspect())
+                .setJob(permit.owner().map(owner -> owner.job().value()).orElse(""))
+                .setTeam(permit.owner().map(owner -> owner.team().value()).orElse(""))
+                .build();
+    }
+
+    @Override
+    public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
+        WireRoutingMessage wire = WireRoutingMessage.parseFrom(payload);
+        try {
+            return decode(wire);
+        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+            throw new InvalidProtocolBufferException("malformed message about permits: " + e.getMessage());
+        }
+    }
+
+    private static RoutingMessage decode(WireRoutingMessage wire) throws InvalidProtocolBufferException {
+        return switch (wire.getKindCase()) {
+            case ASK_PERMIT -> ask(wire.getAskPermit());
+            case PERMIT_GRANTED -> new RoutingMessage.PermitGranted(
+                    attempt(wire.getPermitGranted().getAttempt()),
+                    new TargetId(wire.getPermitGranted().getTarget()),
+                    occupancy(wire.getPermitGranted().getOccupancy()));
+            case PERMIT_QUEUED -> new RoutingMessage.PermitQueued(
+                    attempt(wire.getPermitQueued().getAttempt()),
+                    new TargetId(wire.getPermitQueued().getTarget()),
+                    occupancy(wire.getPermitQueued().getOccupancy()));
+            case PERMIT_REFUSED -> refused(wire.getPermitRefused());
+            case PERMIT_RELEASED -> new RoutingMessage.PermitReleased(
+                    attempt(wire.getPermitReleased().getAttempt()),
+                    new TargetId(wire.getPermitReleased().getTarget()),
+                    RoutingMessage.Use.values()[wire.getPermitReleased().getUse()],
+                    wire.getPermitReleased().getWanted());
+            case PERMIT_REVOKED -> new RoutingMessage.PermitRevoked(
+                    attempt(wire.getPermitRevoked().getAttempt()),
+                    new TargetId(wire.getPermitRevoked().getTarget()));
+            case BATCH_DEMAND_STATED -> demand(wire.getBatchDemandStated());
+            case BATCH_GRANTED -> new RoutingMessage.BatchGranted(
+                    attempt(wire.getBatchGranted().getAttempt()),
+                    new TargetId(wire.getBatchGranted().getTarget()),
+                    new JobId(wire.getBatchGranted().getJob()));
+            case RUNNING_PERMITS -> new RoutingMessage.RunningPermits(
+                    new TargetId(wire.getRunningPermits().getTarget()),
+                    wire.getRunningPermits().getPermitsList().stream()
+                            .map(RoutingMessageCodec::runningPermit)
+                            .toList());
+            case KIND_NOT_SET -> throw new InvalidProtocolBufferException("unknown kind of message about permits");
+        };
+    }
+
+    private static RoutingMessage.AskPermit ask(WireAskPermit wire) {
+        return new RoutingMessage.AskPermit(
+                attempt(wire.getAttempt()),
+                new TargetId(wire.getTarget()),
+                new ServiceName(wire.getService()),
+                Urgency.values()[wire.getUrgency()],
+                wire.getRemainingMs(),
+                wire.getSuspect());
+    }
+
+    private static RoutingMessage.PermitRefused refused(WirePermitRefused wire) {
+        return new RoutingMessage.PermitRefused(
+                attempt(wire.getAttempt()),
+                new TargetId(wire.getTarget()),
+                RoutingMessage.Reason.values()[wire.getReason()],
+                wire.getRetryAfterMs(),
+                wire.getController().isEmpty() ? Optional.empty() : Optional.of(new HostId(wire.getController())));
+    }
+
+    private static RoutingMessage.BatchDemandStated demand(WireBatchDemandStated wire) {
+        return new RoutingMessage.BatchDemandStated(
+                new JobId(wire.getJob()),
+                new TeamPath(wire.getTeam()),
+                new ServiceName(wire.getService()),
+                wire.getDueInMs(),
+                wire.getShare(),
+                wire.getWanted(),
+                wire.getRemaining(),
+                wire.getControllers());
+    }
+
+    private static RoutingMessage.RunningPermit runningPermit(WireRunningPermit wire) {
+        Optional<RoutingMessage.BatchOwner> owner = wire.getJob().isEmpty()
+                ? Optional.empty()
+                : Optional.of(new RoutingMessage.BatchOwner(new JobId(wire.getJob()), new TeamPath(wire.getTeam())));
+        return new RoutingMessage.RunningPermit(
+                attempt(wire.getAttempt()),
+                new ServiceName(wire.getService()),
+                Urgency.values()[wire.getUrgency()],
+                wire.getAgeMs(),
+                wire.getSuspect(),
+                owner);
+    }
+
+    private static WireAttemptId attempt(AttemptId attempt) {
+        return WireAttemptId.newBuilder()
+                .setHost(attempt.host().value())
+                .setIncarnation(attempt.incarnation())
+                .setNumber(attempt.number())
+                .build();
+    }
+
+    private static AttemptId attempt(WireAttemptId wire) {
+        return new AttemptId(new HostId(wire.getHost()), wire.getIncarnation(), wire.getNumber());
+    }
+
+    static WireOccupancy occupancy(TargetOccupancy occupancy) {
+        return WireOccupancy.newBuilder()
+                .setSlots(occupancy.slots())
+                .setRunning(occupancy.running())
+                .setWaiting(occupancy.waiting())
+                .setExpectedWaitMs(occupancy.expectedWaitMs())
+                .addAllLoaded(occupancy.loaded())
+                .build();
+    }
+
+    static TargetOccupancy occupancy(WireOccupancy wire) {
+        return new TargetOccupancy(
+                wire.getSlots(),
+                wire.getRunning(),
+                wire.getWaiting(),
+                wire.getExpectedWaitMs(),
+                new TreeSet<>(wire.getLoadedList()));
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -0,0 +1,132 @@
+package org.cornelcrank.routing;
+
+/**
+ * Settings of the routing of requests.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+public record RoutingSettings(
+        Permits permits, Queues queues, Retries retries, Ejection ejection, Quarantine quarantine, Link link) {
+
+    /** Returns settings for a deployment of any size up to hundreds of daemons. */
+    public static RoutingSettings defaults() {
+        return new RoutingSettings(
+                new Permits(8, 3, 1_000, 5_000, 1_000, 3_000, 100, 8),
+                new Queues(20_000, 4, 2_000, 10_000, 0.01),
+                new Retries(4, 0.2, 20),
+                new Ejection(3, 5_000, 10_000),
+                new Quarantine(2_000, 600_000, 2),
+                new Link(500_000, 2_048, 6));
+    }
+
+    /**
+     * Settings of the permits.
+     *
+     * <p>{@code patienceMs} is how long an urgent request waits for any word of a controller before it goes ahead
+     * without a permit. {@code maxAsks} bounds the targets asked for one attempt. {@code handoverMs} is how long a new
+     * controller learns of running permits before it serves batch work. {@code announceIntervalMs} is how often a holder
+     * names its running permits. {@code occupancyIntervalMs} and {@code occupancyStaleMs} bound how often occupancy is
+     * published and how long it is believed. {@code revokePatienceMs} is how long a revoked permit is expected back.
+     * {@code unreportedSlots} is the capacity of a target that reports none.
+     */
+    public record Permits(
+            long patienceMs,
+            int maxAsks,
+            long handoverMs,
+            long announceIntervalMs,
+            long occupancyIntervalMs,
+            long occupancyStaleMs,
+            long revokePatienceMs,
+            int unreportedSlots) {
+
+        public Permits {
+            requirePositive(patienceMs, "patienceMs");
+            requirePositive(maxAsks, "maxAsks");
+            requirePositive(handoverMs, "handoverMs");
+            requirePositive(announceIntervalMs, "announceIntervalMs");
+            requirePositive(occupancyIntervalMs, "occupancyIntervalMs");
+            requirePositive(occupancyStaleMs, "occupancyStaleMs");
+            requirePositive(revokePatienceMs, "revokePatienceMs");
+            requirePositive(unreportedSlots, "unreportedSlots");
+        }
+    }
+
+    /**
+     * Settings of queues and of batch demand.
+     *
+     * <p>{@code maxOpenRequests} bounds the requests of one daemon, {@code maxWaitersPerSlot} those that wait for one
+     * slot of a target. {@code demandRefreshMs} and {@code demandLifetimeMs} say how often batch demand is restated and
+     * how long it holds. {@code reserveMissShare} is the share of online requests that may find no slot in reserve.
+     */
+    public record Queues(
+            int maxOpenRequests,
+            int maxWaitersPerSlot,
+            long demandRefreshMs,
+            long demandLifetimeMs,
+            double reserveMissShare) {
+
+        public Queues {
+            requirePositive(maxOpenRequests, "maxOpenRequests");
+            requirePositive(maxWaitersPerSlot, "maxWaitersPerSlot");
+            requirePositive(demandRefreshMs, "demandRefreshMs");
+            requirePositive(demandLifetimeMs, "demandLifetimeMs");
+            if (!(reserveMissShare > 0 && reserveMissShare < 1)) {
+                throw new IllegalArgumentException(
+                        "reserveMissShare must lie between 0 and 1 but was " + reserveMissShare);
+            }
+        }
+    }
+
+    /** Bounds retries: attempts for each request, and retries as a share of requests beyond a burst. */
+    public record Retries(int maxAttempts, double budgetShare, int budgetBurst) {
+
+        public Retries {
+            requirePositive(maxAttempts, "maxAttempts");
+            requirePositive(budgetBurst, "budgetBurst");
+            if (!(budgetShare >= 0 && budgetShare <= 1)) {
+                throw new IllegalArgumentException("budgetShare must be 0 to 1 but was " + budgetShare);
+            }
+        }
+    }
+
+    /** Says after how many failures in a row a target is ejected, for how long, and how gradually it returns. */
+    public record Ejection(int failuresInRow, long ejectionMs, long returnMs) {
+
+        public Ejection {
+            requirePositive(failuresInRow, "failuresInRow");
+            requirePositive(ejectionMs, "ejectionMs");
+            requirePositive(returnMs, "returnMs");
+        }
+    }
+
+    /**
+     * Settings of requests that crash their targets.
+     *
+     * <p>{@code deathWindowMs} is the time within which signs of one target's death belong together. After
+     * {@code deathsToQuarantine} deaths a request is refused for {@code quarantineMs}.
+     */
+    public record Quarantine(long deathWindowMs, long quarantineMs, int deathsToQuarantine) {
+
+        public Quarantine {
+            requirePositive(deathWindowMs, "deathWindowMs");
+            requirePositive(quarantineMs, "quarantineMs");
+            requirePositive(deathsToQuarantine, "deathsToQuarantine");
+        }
+    }
+
+    /** Bounds what one daemon's requests send over the paid link between regions, and estimates what one takes. */
+    public record Link(long bytesPerSecond, int requestBytes, int bytesPerToken) {
+
+        public Link {
+            requirePositive(bytesPerSecond, "bytesPerSecond");
+            requirePositive(requestBytes, "requestBytes");
+            requirePositive(bytesPerToken, "bytesPerToken");
+        }
+    }
+
+    private static void requirePositive(long value, String name) {
+        if (value <= 0) {
+            throw new IllegalArgumentException(name + " must be above zero but was " + value);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRecord.java
@@ -0,0 +1,51 @@
+package org.cornelcrank.routing;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.cornelcrank.core.TargetId;
+
+/**
+ * The deaths of targets at which one request was in flight, and when it was cleared last.
+ *
+ * <p>Invariant: holds no death that a clearing voids. Not thread-safe: confined to the daemon's event loop.
+ */
+final class SuspectRecord {
+
+    private final Map<TargetId, Death> deaths = new TreeMap<>();
+    private long clearedAtMs = Long.MIN_VALUE;
+    private long expiresAtMs;
+
+    void died(TargetId target, long atMs, int count, long newExpiresAtMs) {
+        if (atMs <= clearedAtMs) {
+            return;
+        }
+        deaths.merge(target, new Death(atMs, count), (old, latest) -> latest.count() >= old.count() ? latest : old);
+        expiresAtMs = newExpiresAtMs;
+    }
+
+    void clear(long atMs, long newExpiresAtMs) {
+        expiresAtMs = Math.max(expiresAtMs, newExpiresAtMs);
+        clearedAtMs = Math.max(clearedAtMs, atMs);
+        deaths.values().removeIf(death -> death.atMs() <= clearedAtMs);
+    }
+
+    int deathCount() {
+        return deaths.values().stream().mapToInt(Death::count).sum();
+    }
+
+    long latestDeathMs() {
+        return deaths.values().stream().mapToLong(Death::atMs).max().orElse(0);
+    }
+
+    long expiresAtMs() {
+        return expiresAtMs;
+    }
+
+    Map<TargetId, Death> deaths() {
+        return deaths;
+    }
+
+    /** How often a target went down with the request in flight, and when it did last. */
+    record Death(long atMs, int count) {}
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -0,0 +1,177 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Knows the requests that were in flight on targets that died, and quarantines those that bring a second target down.
+ *
+ * <p>Each death and each clearing is a fact of its own, so that what different daemons find out merges without
+ * conflict. Invariant: remembers at most {@link #MAX_FINGERPRINTS} requests. Not thread-safe: confined to the daemon's
+ * event loop.
+ */
+final class SuspectRegistry {
+
+    static final String DEATH_PREFIX = "death/";
+    static final String CLEARED_PREFIX = "cleared/";
+
+    private static final int MAX_FINGERPRINTS = 10_000;
+
+    private final RoutingSettings.Quarantine settings;
+    private final Dissemination dissemination;
+    private final Map<Long, SuspectRecord> records = new TreeMap<>();
+    private final List<Loss> losses = new ArrayList<>();
+
+    SuspectRegistry(RoutingSettings.Quarantine settings, Dissemination dissemination) {
+        this.settings = settings;
+        this.dissemination = dissemination;
+    }
+
+    /**
+     * Notes that a request lost its connection to a target.
+     *
+     * <p>A request that ran as a suspect counts as the cause at once; another only once the target's death is confirmed
+     * by {@link #targetDown} or by a further loss.
+     */
+    void connectionLost(TargetId target, long fingerprint, boolean ranAsSuspect, long nowMs, Effects out) {
+        losses.add(new Loss(target, fingerprint, nowMs));
+        if (ranAsSuspect) {
+            confirm(loss -> loss.fingerprint == fingerprint, settings.quarantineMs(), nowMs, out);
+        }
+        long onTarget = losses.stream()
+                .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
+                .count();
+        if (onTarget > 1) {
+            targetDown(target, nowMs, out);
+        }
+    }
+
+    /** Notes a sign that a target is down; what lost its connection to it lately becomes a suspect. */
+    void targetDown(TargetId target, long nowMs, Effects out) {
+        confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), nowMs, out);
+    }
+
+    private void confirm(Predicate<Loss> which, long windowMs, long nowMs, Effects out) {
+        for (Loss loss : List.copyOf(losses)) {
+            if (which.test(loss) && nowMs - loss.atMs <= windowMs) {
+                losses.remove(loss);
+                publishDeath(loss, nowMs, out);
+            }
+        }
+    }
+
+    private void publishDeath(Loss loss, long nowMs, Effects out) {
+        SuspectRecord record = records.get(loss.fingerprint);
+        SuspectRecord.Death before = record == null ? null : record.deaths().get(loss.target);
+        int count = 1;
+        if (before != null) {
+            count = loss.atMs - before.atMs() > settings.deathWindowMs() ? before.count() + 1 : before.count();
+        }
+        out.explain(
+                Subject.Kind.TARGET,
+                loss.target,
+                nowMs,
+                "request suspected",
+                Long.toHexString(loss.fingerprint) + " was in flight when the target went down");
+        publish(DEATH_PREFIX + Long.toHexString(loss.fingerprint) + "/" + loss.target, loss.atMs, count, nowMs, out);
+    }
+
+    /** Clears a request that ran to its end, or that an operator lets run again. */
+    void clear(long fingerprint, long nowMs, Effects out) {
+        SuspectRecord record = records.get(fingerprint);
+        if (record == null) {
+            return;
+        }
+        losses.removeIf(loss -> loss.fingerprint == fingerprint);
+        long version = Math.max(nowMs, record.latestDeathMs() + 1);
+        publish(CLEARED_PREFIX + Long.toHexString(fingerprint), version, 0, nowMs, out);
+    }
+
+    private void publish(String key, long version, int count, long nowMs, Effects out) {
+        ByteString value = ByteString.copyFromUtf8(Integer.toString(count));
+        Fact fact = new Fact(RoutingDuty.NAME, key, version, value, settings.quarantineMs(), Fact.Scope.EVERYWHERE);
+        dissemination.publish(fact, nowMs, out);
+    }
+
+    /** Takes over what any daemon, this one included, has found out. */
+    void factReceived(Fact fact, long nowMs, Effects out) {
+        String[] parts = fact.key().split("/");
+        long fingerprint = Long.parseUnsignedLong(parts[1], 16);
+        SuspectRecord record = records.computeIfAbsent(fingerprint, key -> new SuspectRecord());
+        boolean before = quarantined(fingerprint, nowMs);
+        if (fact.key().startsWith(CLEARED_PREFIX)) {
+            record.clear(fact.version(), nowMs + settings.quarantineMs());
+        } else {
+            int count = Integer.parseInt(fact.value().toStringUtf8());
+            record.died(new TargetId(parts[2]), fact.version(), count, nowMs + settings.quarantineMs());
+        }
+        boolean after = quarantined(fingerprint, nowMs);
+        if (before != after) {
+            String text = "request " + parts[1] + (after ? " quarantined" : " released from quarantine");
+            out.add(new Effect.StateChanged(RoutingDuty.NAME, text));
+        }
+        forgetExcess();
+    }
+
+    private void forgetExcess() {
+        while (records.size() > MAX_FINGERPRINTS) {
+            long oldest = records.entrySet().stream()
+                    .min(Map.Entry.comparingByValue(Comparator.comparingLong(SuspectRecord::expiresAtMs)))
+                    .orElseThrow()
+                    .getKey();
+            records.remove(oldest);
+        }
+    }
+
+    void expire(long nowMs) {
+        records.values().removeIf(record -> nowMs >= record.expiresAtMs());
+        losses.removeIf(loss -> nowMs - loss.atMs > settings.quarantineMs());
+    }
+
+    /** Returns whether the request was in flight on a target that died, and has not been cleared since. */
+    boolean suspected(long fingerprint, long nowMs) {
+        return deaths(fingerprint, nowMs) > 0;
+    }
+
+    boolean quarantined(long fingerprint, long nowMs) {
+        return deaths(fingerprint, nowMs) >= settings.deathsToQuarantine();
+    }
+
+    private int deaths(long fingerprint, long nowMs) {
+        SuspectRecord record = records.get(fingerprint);
+        return record == null || nowMs >= record.expiresAtMs() ? 0 : record.deathCount();
+    }
+
+    /** Returns what is quarantined now, by fingerprint. */
+    List<QuarantineListed.Entry> quarantine(long nowMs) {
+        List<QuarantineListed.Entry> entries = new ArrayList<>();
+        records.forEach((fingerprint, record) -> {
+            if (quarantined(fingerprint, nowMs)) {
+                entries.add(new QuarantineListed.Entry(
+                        fingerprint,
+                        List.copyOf(record.deaths().keySet()),
+                        record.latestDeathMs(),
+                        record.expiresAtMs()));
+            }
+        });
+        return entries;
+    }
+
+    Map<Long, SuspectRecord> records() {
+        return records;
+    }
+
+    private record Loss(TargetId target, long fingerprint, long atMs) {}
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetCandidate.java
@@ -0,0 +1,43 @@
+package org.cornelcrank.routing;
+
+import java.util.Objects;
+
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * A target that may serve a request, as the choosing daemon sees it.
+ *
+ * <p>{@code inUse} and {@code waiting} are corrected for what this daemon has done since it was told;
+ * {@code reportedLoad} is the target's own lagging report alone. {@code cachedPrefixes} counts the request's prefixes
+ * that the target is believed to hold. {@code admittedShare} is below 1 for a target that returns from ejection.
+ * Immutable, thus thread-safe.
+ */
+public record TargetCandidate(
+        TargetId target,
+        Location.Distance distance,
+        int slots,
+        int inUse,
+        int waiting,
+        int reportedLoad,
+        int cachedPrefixes,
+        double admittedShare) {
+
+    public TargetCandidate {
+        Objects.requireNonNull(target, "target must not be null");
+        Objects.requireNonNull(distance, "distance must not be null");
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots must be at least 1 but was " + slots);
+        }
+    }
+
+    /** Returns whether a request would find a free slot. */
+    public boolean hasRoom() {
+        return inUse < slots && waiting == 0;
+    }
+
+    /** Returns the occupied share of the slots, above 1 where requests wait. */
+    public double load() {
+        return (double) (inUse + waiting) / slots;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -0,0 +1,158 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Chooses the target of a request: near ones before far ones, by the selector among those that are equally near.
+ *
+ * <p>The other region is chosen only if the own region cannot meet the deadline and the link's budget allows it. Not
+ * thread-safe: confined to the daemon's event loop.
+ */
+final class TargetChoice {
+
+    private static final int MAX_EXPLAINED = 6;
+    private static final double SLOW_FACTOR = 3;
+    private static final double SLOW_MARGIN_MS = 100;
+    private static final double SLOW_SHARE = 0.1;
+
+    private final RoutingContext context;
+    private final LinkBudget link;
+
+    TargetChoice(RoutingContext context, LinkBudget link) {
+        this.context = context;
+        this.link = link;
+    }
+
+    Optional<TargetState> choose(
+            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs, Effects out) {
+        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+        Optional<TargetCandidate> chosen = chooseByDistance(request, candidates(eligible, request, nowMs), nowMs);
+        chosen.ifPresent(candidate -> explain(request, candidate, eligible, nowMs, out));
+        return chosen.flatMap(candidate -> context.directory().find(candidate.target()));
+    }
+
+    /** Returns another target that seems to have a free slot, for a request that would have to wait. */
+    Optional<TargetState> chooseWithRoom(
+            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
+        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+        List<TargetCandidate> candidates = withRoom(inOwnRegion(candidates(eligible, request, nowMs)));
+        return select(candidates, request)
+                .flatMap(candidate -> context.directory().find(candidate.target()));
+    }
+
+    private Optional<TargetCandidate> chooseByDistance(
+            RoutedRequest request, List<TargetCandidate> candidates, long nowMs) {
+        List<TargetCandidate> nearest = at(candidates, Location.Distance.SAME_DATA_CENTRE);
+        List<TargetCandidate> region = inOwnRegion(candidates);
+        List<TargetCandidate> other = at(candidates, Location.Distance.OTHER_REGION);
+        Optional<TargetCandidate> near = select(withRoom(nearest), request);
+        if (near.isPresent()) {
+            return near;
+        }
+        Optional<TargetCandidate> inRegion = select(withRoom(region), request);
+        if (inRegion.isPresent()) {
+            return inRegion;
+        }
+        boolean regionMeetsDeadline = region.stream().anyMatch(candidate -> meetsDeadline(candidate, request, nowMs));
+        if (!regionMeetsDeadline) {
+            List<TargetCandidate> better = region.isEmpty() ? other : withRoom(other);
+            if (!better.isEmpty() && link.tryTake(LinkBudget.Purpose.ONLINE, nowMs)) {
+                return select(better, request);
+            }
+        }
+        return select(region, request);
+    }
+
+    private boolean meetsDeadline(TargetCandidate candidate, RoutedRequest request, long nowMs) {
+        long waitMs = context.directory()
+                .find(candidate.target())
+                .map(target -> target.expectedWaitMs(nowMs, staleMs()))
+                .orElse(0L);
+        return nowMs + waitMs < request.deadlineAtMs();
+    }
+
+    private Optional<TargetCandidate> select(List<TargetCandidate> candidates, RoutedRequest request) {
+        List<TargetCandidate> admitted = new ArrayList<>();
+        for (TargetCandidate candidate : candidates) {
+            if (candidate.admittedShare() >= 1 || context.random().nextDouble() < candidate.admittedShare()) {
+                admitted.add(candidate);
+            }
+        }
+        return context.policy()
+                .selector()
+                .select(admitted.isEmpty() ? candidates : admitted, request, context.random());
+    }
+
+    private List<TargetCandidate> candidates(List<TargetState> targets, RoutedRequest request, long nowMs) {
+        double usualStartMs = medianStartLatencyMs(targets);
+        List<TargetCandidate> candidates = new ArrayList<>(targets.size());
+        for (TargetState target : targets) {
+            double startMs = target.health().startLatencyMs();
+            boolean slow = usualStartMs > 0 && startMs > SLOW_FACTOR * usualStartMs + SLOW_MARGIN_MS;
+            double share = target.health().admittedShare(nowMs) * (slow ? SLOW_SHARE : 1);
+            candidates.add(new TargetCandidate(
+                    target.id(),
+                    context.identity().location().distanceTo(target.location()),
+                    target.slots(context.routing().permits().unreportedSlots()),
+                    target.inUse(nowMs, staleMs()),
+                    target.waiting(nowMs, staleMs()),
+                    target.reportedLoad(),
+                    target.cache().held(request.prefixHashes()),
+                    share));
+        }
+        return candidates;
+    }
+
+    private static double medianStartLatencyMs(List<TargetState> targets) {
+        double[] known = targets.stream()
+                .mapToDouble(target -> target.health().startLatencyMs())
+                .filter(latency -> latency > 0)
+                .sorted()
+                .toArray();
+        return known.length < 2 ? 0 : known[(known.length - 1) / 2];
+    }
+
+    private static List<TargetCandidate> at(List<TargetCandidate> candidates, Location.Distance distance) {
+        return candidates.stream()
+                .filter(candidate -> candidate.distance() == distance)
+                .toList();
+    }
+
+    private static List<TargetCandidate> inOwnRegion(List<TargetCandidate> candidates) {
+        return candidates.stream()
+                .filter(candidate -> candidate.distance() != Location.Distance.OTHER_REGION)
+                .toList();
+    }
+
+    private static List<TargetCandidate> withRoom(List<TargetCandidate> candidates) {
+        return candidates.stream().filter(TargetCandidate::hasRoom).toList();
+    }
+
+    private long staleMs() {
+        return context.routing().permits().occupancyStaleMs();
+    }
+
+    private void explain(
+            RoutedRequest request, TargetCandidate chosen, List<TargetState> eligible, long nowMs, Effects out) {
+        StringBuilder considered = new StringBuilder();
+        eligible.stream().limit(MAX_EXPLAINED).forEach(target -> considered
+                .append(considered.isEmpty() ? "" : ", ")
+                .append(target.id())
+                .append(' ')
+                .append(target.inUse(nowMs, staleMs()))
+                .append('/')
+                .append(target.slots(context.routing().permits().unreportedSlots())));
+        String reason = context.policy().selector().name() + ", " + chosen.distance() + ", cached prefixes "
+                + chosen.cachedPrefixes() + "; of " + eligible.size() + ": " + considered;
+        out.explain(Subject.Kind.REQUEST, request.id(), nowMs, "target " + chosen.target() + " chosen", reason);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -0,0 +1,288 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import org.cornelcrank.config.TargetPolicy;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.core.Urgency;
+
+/**
+ * Grants the permits of the targets that this daemon controls, and lends what online requests leave over to batch jobs.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class TargetController {
+
+    private static final double ITEM_WEIGHT = 0.1;
+
+    private final RoutingContext context;
+    private final OccupancyPublisher publisher;
+    private final BatchDemandBook demands;
+    private final Map<TargetId, PermitLedger> ledgers = new TreeMap<>();
+    private final Set<TargetId> unreachable = new TreeSet<>();
+    private double itemMs;
+
+    TargetController(RoutingContext context, OccupancyPublisher publisher) {
+        this.context = context;
+        this.publisher = publisher;
+        this.demands = new BatchDemandBook(context.routing().queues().demandLifetimeMs());
+    }
+
+    /** Takes over the targets that this daemon now controls, drops the others and asks for the reports of these. */
+    void assignTargets(long nowMs, Effects out) {
+        Map<TargetId, String> watched = new TreeMap<>();
+        for (TargetState target : context.directory().all()) {
+            if (controls(target)) {
+                watched.put(target.id(), target.address());
+                ledgers.computeIfAbsent(target.id(), id -> new PermitLedger(context.routing(), nowMs));
+            }
+        }
+        boolean changed = !watched.keySet().equals(ledgers.keySet()) || !watched.equals(publisher.watched());
+        for (TargetId lost : List.copyOf(ledgers.keySet())) {
+            if (!watched.containsKey(lost)) {
+                dropLedger(lost, out);
+            }
+        }
+        if (changed) {
+            publisher.watch(watched);
+            out.add(new Effect.WatchTargets(watched));
+        }
+        unreachable.retainAll(watched.keySet());
+    }
+
+    private boolean controls(TargetState target) {
+        return context.controllers()
+                .controllerOf(target)
+                .filter(context.identity().host()::equals)
+                .isPresent();
+    }
+
+    private void dropLedger(TargetId target, Effects out) {
+        PermitLedger ledger = ledgers.remove(target);
+        Optional<HostId> successor = context.directory().find(target).flatMap(context.controllers()::controllerOf);
+        RoutingMessage.Reason reason =
+                successor.isPresent() ? RoutingMessage.Reason.NOT_CONTROLLER : RoutingMessage.Reason.UNAVAILABLE;
+        for (PermitWaiter waiter : ledger.dropWaiters()) {
+            context.peers()
+                    .send(
+                            waiter.holder(),
+                            new RoutingMessage.PermitRefused(waiter.attempt(), target, reason, 0, successor),
+                            out);
+        }
+    }
+
+    /** Takes over changed settings, new knowledge of leaving targets and lost holders, and grants what became free. */
+    void refresh(Collection<HostId> lostHolders, long nowMs, Effects out) {
+        for (HostId holder : lostHolders) {
+            demands.holderLost(holder);
+            ledgers.values().forEach(ledger -> ledger.holderLost(holder));
+        }
+        demands.expire(nowMs);
+        for (Map.Entry<TargetId, PermitLedger> entry : ledgers.entrySet()) {
+            TargetPolicy policy = context.settings().target(entry.getKey());
+            entry.getValue().configure(policy.slots(), open(entry.getKey(), nowMs));
+            admit(entry.getKey(), entry.getValue(), nowMs, out);
+        }
+    }
+
+    private boolean open(TargetId target, long nowMs) {
+        return context.directory()
+                        .find(target)
+                        .filter(state -> !context.directory().leaving(state, nowMs))
+                        .isPresent()
+                && !unreachable.contains(target);
+    }
+
+    /** Notes that nothing listens at the target's address; it gets no permits until it reports again. */
+    void unreachable(TargetId target, long nowMs, Effects out) {
+        PermitLedger ledger = ledgers.get(target);
+        if (ledger != null && unreachable.add(target)) {
+            ledger.configure(context.settings().target(target).slots(), false);
+            admit(target, ledger, nowMs, out);
+        }
+    }
+
+    void reported(TargetReport report, long nowMs, Effects out) {
+        unreachable.remove(report.target());
+        PermitLedger ledger = ledgers.get(report.target());
+        if (ledger == null) {
+            return;
+        }
+        ledger.reported(report, nowMs);
+        ledger.configure(context.settings().target(report.target()).slots(), open(report.target(), nowMs));
+        admit(report.target(), ledger, nowMs, out);
+    }
+
+    void asked(HostId from, RoutingMessage.AskPermit ask, long nowMs, Effects out) {
+        PermitLedger ledger = ledgers.get(ask.target());
+        if (ledger == null) {
+            refuseUncontrolled(from, ask, out);
+            return;
+        }
+        ledger.configure(context.settings().target(ask.target()).slots(), open(ask.target(), nowMs));
+        PermitWaiter waiter = new PermitWaiter(
+                ask.attempt(), from, ask.service(), ask.urgency(), nowMs + ask.remainingMs(), ask.suspect());
+        Optional<LedgerDecision> decision = ledger.ask(waiter, nowMs);
+        decision.ifPresent(made -> carryOut(ask.target(), ledger, made, nowMs, out));
+        boolean answered = admit(ask.target(), ledger, nowMs, out).contains(ask.attempt());
+        if (decision.isEmpty() && !answered) {
+            LedgerDecision queue = new LedgerDecision.Queue(ask.attempt(), from);
+            carryOut(ask.target(), ledger, queue, nowMs, out);
+        }
+    }
+
+    private void refuseUncontrolled(HostId from, RoutingMessage.AskPermit ask, Effects out) {
+        Optional<HostId> controller = context.directory()
+                .find(ask.target())
+                .flatMap(context.controllers()::controllerOf)
+                .filter(host -> !host.equals(context.identity().host()));
+        RoutingMessage.Reason reason =
+                controller.isPresent() ? RoutingMessage.Reason.NOT_CONTROLLER : RoutingMessage.Reason.UNAVAILABLE;
+        context.peers()
+                .send(from, new RoutingMessage.PermitRefused(ask.attempt(), ask.target(), reason, 0, controller), out);
+    }
+
+    void released(RoutingMessage.PermitReleased released, long nowMs, Effects out) {
+        PermitLedger ledger = ledgers.get(released.target());
+        if (ledger == null) {
+            return;
+        }
+        Optional<HeldPermit> permit = ledger.release(released.attempt(), released.use(), nowMs);
+        permit.ifPresent(held -> itemEnded(held, released, nowMs));
+        admit(released.target(), ledger, nowMs, out);
+    }
+
+    private void itemEnded(HeldPermit permit, RoutingMessage.PermitReleased released, long nowMs) {
+        permit.owner().ifPresent(owner -> {
+            demands.wanted(owner.job(), released.wanted());
+            if (released.use() == RoutingMessage.Use.COMPLETED) {
+                double tookMs = nowMs - permit.grantedAtMs();
+                itemMs = itemMs == 0 ? tookMs : itemMs + ITEM_WEIGHT * (tookMs - itemMs);
+            }
+        });
+    }
+
+    void demandStated(HostId from, RoutingMessage.BatchDemandStated stated, long nowMs, Effects out) {
+        demands.stated(from, stated, nowMs);
+        ledgers.forEach((target, ledger) -> lendIdleSlots(target, ledger, nowMs, out));
+    }
+
+    void runningNamed(HostId from, RoutingMessage.RunningPermits running, long nowMs, Effects out) {
+        PermitLedger ledger = ledgers.get(running.target());
+        if (ledger == null) {
+            return;
+        }
+        running.permits().forEach(permit -> ledger.add(permit, from, nowMs));
+        Set<AttemptId> named = running.permits().stream()
+                .map(RoutingMessage.RunningPermit::attempt)
+                .collect(Collectors.toSet());
+        ledger.reconcile(from, named, nowMs);
+        admit(running.target(), ledger, nowMs, out);
+    }
+
+    /** Carries out what the ledger decides now; returns the attempts that were answered. */
+    private Collection<AttemptId> admit(TargetId target, PermitLedger ledger, long nowMs, Effects out) {
+        List<AttemptId> answered = new ArrayList<>();
+        for (LedgerDecision decision : ledger.admit(nowMs)) {
+            carryOut(target, ledger, decision, nowMs, out);
+            answered.add(decision.attempt());
+        }
+        lendIdleSlots(target, ledger, nowMs, out);
+        publisher.publish(target, occupancy(target, ledger, nowMs), nowMs, out);
+        return answered;
+    }
+
+    private void carryOut(TargetId target, PermitLedger ledger, LedgerDecision decision, long nowMs, Effects out) {
+        RoutingMessage message;
+        if (decision instanceof LedgerDecision.Grant grant) {
+            context.count("permits-granted");
+            message = new RoutingMessage.PermitGranted(grant.attempt(), target, occupancy(target, ledger, nowMs));
+        } else if (decision instanceof LedgerDecision.Queue queue) {
+            context.count("permits-queued");
+            message = new RoutingMessage.PermitQueued(queue.attempt(), target, occupancy(target, ledger, nowMs));
+        } else if (decision instanceof LedgerDecision.Refuse refuse) {
+            context.count("permits-refused");
+            message = new RoutingMessage.PermitRefused(
+                    refuse.attempt(), target, refuse.reason(), refuse.retryAfterMs(), Optional.empty());
+        } else {
+            context.count("permits-revoked");
+            out.explain(Subject.Kind.TARGET, target, nowMs, "batch permit revoked", decision.attempt() + " for online");
+            message = new RoutingMessage.PermitRevoked(decision.attempt(), target);
+        }
+        context.peers().send(decision.holder(), message, out);
+    }
+
+    private void lendIdleSlots(TargetId target, PermitLedger ledger, long nowMs, Effects out) {
+        Optional<TargetState> state = context.directory().find(target);
+        if (state.isEmpty() || demands.isEmpty() || !open(target, nowMs)) {
+            return;
+        }
+        for (int room = ledger.roomForBatch(nowMs); room > 0; room--) {
+            Optional<BatchDemandBook.StandingDemand> taken = demands.take(state.get(), allPermits(), itemMs, nowMs);
+            if (taken.isEmpty()) {
+                return;
+            }
+            lend(target, ledger, taken.get(), nowMs, out);
+        }
+    }
+
+    private void lend(
+            TargetId target, PermitLedger ledger, BatchDemandBook.StandingDemand demand, long nowMs, Effects out) {
+        RoutingMessage.BatchDemandStated stated = demand.stated();
+        AttemptId attempt = context.attempts().next();
+        Optional<RoutingMessage.BatchOwner> owner =
+                Optional.of(new RoutingMessage.BatchOwner(stated.job(), stated.team()));
+        ledger.add(
+                new RoutingMessage.RunningPermit(attempt, stated.service(), Urgency.BATCH, 0, false, owner),
+                demand.holder(),
+                nowMs);
+        context.count("batch-permits-granted");
+        context.peers().send(demand.holder(), new RoutingMessage.BatchGranted(attempt, target, stated.job()), out);
+    }
+
+    private Collection<HeldPermit> allPermits() {
+        List<HeldPermit> all = new ArrayList<>();
+        ledgers.values().forEach(ledger -> all.addAll(ledger.permits()));
+        return all;
+    }
+
+    private TargetOccupancy occupancy(TargetId target, PermitLedger ledger, long nowMs) {
+        TreeSet<String> loaded = new TreeSet<>();
+        context.directory()
+                .find(target)
+                .filter(state -> state.report() != null)
+                .ifPresent(state -> loaded.addAll(state.report().loaded()));
+        return new TargetOccupancy(
+                ledger.slots(nowMs), ledger.onlineRunning(), ledger.waiting(), ledger.expectedWaitMs(nowMs), loaded);
+    }
+
+    /** Returns the holders of permits that this daemon has granted. */
+    Set<HostId> holders() {
+        Set<HostId> holders = new TreeSet<>();
+        allPermits().forEach(permit -> holders.add(permit.holder()));
+        demands.all().forEach(demand -> holders.add(demand.holder()));
+        return holders;
+    }
+
+    Map<TargetId, PermitLedger> ledgers() {
+        return ledgers;
+    }
+
+    Collection<BatchDemandBook.StandingDemand> demands() {
+        return demands.all();
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -0,0 +1,118 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * The targets that this daemon knows, from the platform's host list, their reports and other daemons' facts.
+ *
+ * <p>Invariant: a target that leaves by any of these or by the settings gets no new work. Not thread-safe: confined to
+ * the daemon's event loop.
+ */
+final class TargetDirectory {
+
+    private final Settings settings;
+    private final RoutingSettings routing;
+    private final Map<TargetId, TargetState> targets = new TreeMap<>();
+    private long version;
+
+    TargetDirectory(Settings settings, RoutingSettings routing) {
+        this.settings = settings;
+        this.routing = routing;
+    }
+
+    /** Returns a number that grows whenever a target appears or vanishes. */
+    long version() {
+        return version;
+    }
+
+    /** Takes over the platform's list; returns the targets that are listed as leaving. */
+    List<TargetState> listRead(List<HostEntry> hosts) {
+        Map<TargetId, TargetState> listed = new TreeMap<>();
+        List<TargetState> leaving = new ArrayList<>();
+        for (HostEntry host : hosts) {
+            if (host.role() != HostRole.TARGET) {
+                continue;
+            }
+            TargetState target = targets.get(new TargetId(host.name()));
+            if (target == null) {
+                target = new TargetState(host, new TargetHealth(routing.ejection()));
+            }
+            target.listed(host);
+            listed.put(target.id(), target);
+            if (host.leaving()) {
+                leaving.add(target);
+            }
+        }
+        if (!listed.keySet().equals(targets.keySet())) {
+            version++;
+        }
+        targets.clear();
+        targets.putAll(listed);
+        return leaving;
+    }
+
+    Optional<TargetState> find(TargetId target) {
+        return Optional.ofNullable(targets.get(target));
+    }
+
+    Collection<TargetState> all() {
+        return targets.values();
+    }
+
+    boolean leaving(TargetState target, long nowMs) {
+        return target.leaving(nowMs) || settings.target(target.id()).draining();
+    }
+
+    /** Returns the targets that may get the request now, by id; those with the model loaded if there are any. */
+    List<TargetState> eligible(RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
+        List<TargetState> offering = new ArrayList<>();
+        List<TargetState> loaded = new ArrayList<>();
+        for (TargetState target : targets.values()) {
+            if (!target.offers(request.service())
+                    || excluded.contains(target.id())
+                    || target.health().ejected(nowMs)
+                    || leaving(target, nowMs)
+                    || !allowed(team, target.id())) {
+                continue;
+            }
+            offering.add(target);
+            if (target.hasLoaded(request.service())) {
+                loaded.add(target);
+            }
+        }
+        return loaded.isEmpty() ? offering : loaded;
+    }
+
+    private static boolean allowed(TeamPolicy team, TargetId target) {
+        return team.targetPatterns().isEmpty()
+                || team.targetPatterns().stream().anyMatch(pattern -> matches(pattern, target.value()));
+    }
+
+    private static boolean matches(String pattern, String text) {
+        int star = pattern.indexOf('*');
+        if (star < 0) {
+            return pattern.equals(text);
+        }
+        if (!text.startsWith(pattern.substring(0, star))) {
+            return false;
+        }
+        String rest = pattern.substring(star + 1);
+        for (int from = star; from <= text.length(); from++) {
+            if (matches(rest, text.substring(from))) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -0,0 +1,61 @@
+package org.cornelcrank.routing;
+
+import java.util.Locale;
+
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.Subject;
+
+/**
+ * Draws the conclusions of a failed attempt for its target and for requests that may have brought it down.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class TargetFailures {
+
+    private TargetFailures() {}
+
+    static void note(
+            RoutingContext context,
+            TargetState target,
+            AttemptOutcome.Failed failure,
+            long fingerprint,
+            boolean ranAsSuspect,
+            long nowMs,
+            Effects out) {
+        boolean ejected = draw(context, target, failure.kind(), fingerprint, ranAsSuspect, nowMs, out);
+        context.count("attempts-failed-" + failure.kind().name().toLowerCase(Locale.ROOT));
+        if (ejected) {
+            noteEjection(target, failure.kind(), nowMs, out);
+        }
+    }
+
+    private static boolean draw(
+            RoutingContext context,
+            TargetState target,
+            FailureKind kind,
+            long fingerprint,
+            boolean ranAsSuspect,
+            long nowMs,
+            Effects out) {
+        return switch (kind) {
+            case CONNECTION_REFUSED -> {
+                context.suspects().targetDown(target.id(), nowMs, out);
+                yield target.health().eject(nowMs);
+            }
+            case CONNECTION_LOST -> {
+                context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
+                yield target.health().attemptFailed(nowMs);
+            }
+            case TIMED_OUT, TARGET_ERROR -> target.health().attemptFailed(nowMs);
+            default -> false;
+        };
+    }
+
+    private static void noteEjection(TargetState target, FailureKind kind, long nowMs, Effects out) {
+        out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", "last failure " + kind);
+        out.add(new Effect.StateChanged(RoutingDuty.NAME, "target " + target.id() + " ejected after " + kind));
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
@@ -0,0 +1,76 @@
+package org.cornelcrank.routing;
+
+/**
+ * Follows the failures of one target, ejects it after several in a row, and lets it back gradually.
+ *
+ * <p>Each further ejection without a success between lasts twice as long, up to a bound. Not thread-safe: confined to
+ * the daemon's event loop.
+ */
+final class TargetHealth {
+
+    private static final int MAX_DOUBLINGS = 4;
+    private static final double FIRST_ADMITTED_SHARE = 0.1;
+    private static final double START_LATENCY_WEIGHT = 0.1;
+    private static final int MIN_LATENCY_SAMPLES = 5;
+
+    private final RoutingSettings.Ejection settings;
+    private int failuresInRow;
+    private int ejections;
+    private long ejectedUntilMs;
+    private double startLatencyMs;
+    private int latencySamples;
+
+    TargetHealth(RoutingSettings.Ejection settings) {
+        this.settings = settings;
+    }
+
+    void attemptSucceeded() {
+        failuresInRow = 0;
+        ejections = 0;
+    }
+
+    void attemptStarted(long latencyMs) {
+        startLatencyMs =
+                latencySamples == 0 ? latencyMs : startLatencyMs + START_LATENCY_WEIGHT * (latencyMs - startLatencyMs);
+        latencySamples++;
+    }
+
+    /** Counts a failure; returns whether the target is ejected by it. */
+    boolean attemptFailed(long nowMs) {
+        failuresInRow++;
+        return failuresInRow >= settings.failuresInRow() && eject(nowMs);
+    }
+
+    /** Ejects the target at once, as when nothing listens at its address; returns whether it was not before. */
+    boolean eject(long nowMs) {
+        if (ejected(nowMs)) {
+            return false;
+        }
+        int doublings = Math.min(ejections, MAX_DOUBLINGS);
+        ejectedUntilMs = nowMs + (settings.ejectionMs() << doublings);
+        ejections++;
+        failuresInRow = 0;
+        return true;
+    }
+
+    boolean ejected(long nowMs) {
+        return nowMs < ejectedUntilMs;
+    }
+
+    /** Returns the share of its usual requests that the target may get, 0 while it is ejected. */
+    double admittedShare(long nowMs) {
+        if (ejected(nowMs)) {
+            return 0;
+        }
+        long backMs = nowMs - ejectedUntilMs;
+        if (ejectedUntilMs == 0 || backMs >= settings.returnMs()) {
+            return 1;
+        }
+        return FIRST_ADMITTED_SHARE + (1 - FIRST_ADMITTED_SHARE) * backMs / settings.returnMs();
+    }
+
+    /** Returns the usual time in ms from dispatch to the start of the answer, 0 while too few are known. */
+    double startLatencyMs() {
+        return latencySamples < MIN_LATENCY_SAMPLES ? 0 : startLatencyMs;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetNotices.java
@@ -0,0 +1,57 @@
+package org.cornelcrank.routing;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Spreads what one daemon learns first of a target: that it leaves, or that nothing listens at its address.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class TargetNotices {
+
+    static final String LEAVING_PREFIX = "leaving/";
+    static final String DOWN_PREFIX = "down/";
+
+    private static final long LEAVING_LIFETIME_MS = 30_000;
+
+    private final Dissemination dissemination;
+    private final long downLifetimeMs;
+
+    TargetNotices(Dissemination dissemination, long downLifetimeMs) {
+        this.dissemination = dissemination;
+        this.downLifetimeMs = downLifetimeMs;
+    }
+
+    /** Tells the others that the target leaves, unless somebody has told so lately. */
+    void leaving(TargetState target, long nowMs, Effects out) {
+        if (target.toldLeavingUntilMs() - nowMs > LEAVING_LIFETIME_MS / 2) {
+            return;
+        }
+        publish(LEAVING_PREFIX + target.id(), LEAVING_LIFETIME_MS, nowMs, out);
+    }
+
+    /** Tells the others that nothing listens at the target's address. */
+    void down(TargetId target, long nowMs, Effects out) {
+        publish(DOWN_PREFIX + target, downLifetimeMs, nowMs, out);
+    }
+
+    private void publish(String key, long lifetimeMs, long nowMs, Effects out) {
+        Fact fact = new Fact(RoutingDuty.NAME, key, nowMs, ByteString.EMPTY, lifetimeMs, Fact.Scope.EVERYWHERE);
+        dissemination.publish(fact, nowMs, out);
+    }
+
+    /** Takes over that a target leaves. */
+    static void leavingTold(TargetState target, Fact fact, long nowMs, Effects out) {
+        if (target.toldLeavingUntilMs() <= nowMs) {
+            out.explain(Subject.Kind.TARGET, target.id(), nowMs, "gets no new work", "it leaves");
+            out.add(new Effect.StateChanged(RoutingDuty.NAME, "target " + target.id() + " leaves"));
+        }
+        target.toldLeaving(nowMs + fact.lifetimeMs());
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -0,0 +1,151 @@
+package org.cornelcrank.routing;
+
+import java.util.Set;
+
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
+
+/**
+ * What this daemon knows of one target.
+ *
+ * <p>The load is what the controller told last, corrected by what this daemon has begun and ended since. Not
+ * thread-safe: confined to the daemon's event loop.
+ */
+final class TargetState {
+
+    private final TargetId id;
+    private final TargetHealth health;
+    private final PrefixCacheView cache = new PrefixCacheView();
+    private HostEntry entry;
+    private TargetReport report;
+    private TargetOccupancy told;
+    private long toldAtMs;
+    private int changeSinceTold;
+    private int own;
+    private long toldLeavingUntilMs;
+
+    TargetState(HostEntry entry, TargetHealth health) {
+        this.id = new TargetId(entry.name());
+        this.entry = entry;
+        this.health = health;
+    }
+
+    TargetId id() {
+        return id;
+    }
+
+    String address() {
+        return entry.address();
+    }
+
+    Location location() {
+        return entry.location();
+    }
+
+    TargetHealth health() {
+        return health;
+    }
+
+    PrefixCacheView cache() {
+        return cache;
+    }
+
+    TargetReport report() {
+        return report;
+    }
+
+    void listed(HostEntry newEntry) {
+        entry = newEntry;
+    }
+
+    void reported(TargetReport newReport) {
+        if (report == null || newReport.measuredAtMs() >= report.measuredAtMs()) {
+            report = newReport;
+        }
+    }
+
+    /** Takes over what the controller tells, which counts this daemon's own requests as well. */
+    void told(TargetOccupancy occupancy, long nowMs) {
+        told = occupancy;
+        toldAtMs = nowMs;
+        changeSinceTold = 0;
+    }
+
+    void toldLeaving(long untilMs) {
+        toldLeavingUntilMs = Math.max(toldLeavingUntilMs, untilMs);
+    }
+
+    long toldLeavingUntilMs() {
+        return toldLeavingUntilMs;
+    }
+
+    /** Returns whether the list or the target's own report says that it leaves. */
+    boolean knownLeaving() {
+        return entry.leaving() || report != null && report.leaving();
+    }
+
+    boolean leaving(long nowMs) {
+        return knownLeaving() || nowMs < toldLeavingUntilMs;
+    }
+
+    boolean offers(ServiceName service) {
+        return entry.services().contains(service) || loadedNames().contains(service.value());
+    }
+
+    /** Returns whether the target is ready for the service without loading anything, as far as is known. */
+    boolean hasLoaded(ServiceName service) {
+        Set<String> loaded = loadedNames();
+        return loaded.isEmpty() || loaded.contains(service.value());
+    }
+
+    private Set<String> loadedNames() {
+        if (report != null && !report.loaded().isEmpty()) {
+            return report.loaded();
+        }
+        return told == null ? Set.of() : told.loaded();
+    }
+
+    void began() {
+        own++;
+        changeSinceTold++;
+    }
+
+    void ended() {
+        own--;
+        changeSinceTold--;
+    }
+
+    int own() {
+        return own;
+    }
+
+    int slots(int unreportedSlots) {
+        if (told != null) {
+            return Math.max(1, told.slots());
+        }
+        return report != null && report.slots() > 0 ? report.slots() : unreportedSlots;
+    }
+
+    int inUse(long nowMs, long staleMs) {
+        return believed(nowMs, staleMs) ? Math.max(own, told.running() + changeSinceTold) : own;
+    }
+
+    int waiting(long nowMs, long staleMs) {
+        return believed(nowMs, staleMs) ? told.waiting() : 0;
+    }
+
+    long expectedWaitMs(long nowMs, long staleMs) {
+        return believed(nowMs, staleMs) ? Math.max(0, told.expectedWaitMs() - (nowMs - toldAtMs)) : 0;
+    }
+
+    int reportedLoad() {
+        return report == null ? 0 : report.running() + report.queued();
+    }
+
+    private boolean believed(long nowMs, long staleMs) {
+        return told != null && nowMs - toldAtMs < staleMs;
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TeamLimiter.java
@@ -0,0 +1,86 @@
+package org.cornelcrank.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.TeamPath;
+
+/**
+ * Holds each team to its limits of requests and tokens.
+ *
+ * <p>The limits hold for the deployment; each daemon lets through its part of them, with bursts of
+ * {@link #BURST_SECONDS} and at least {@link #MIN_BURST_REQUESTS} requests, as the platform's balancer spreads requests
+ * unevenly over short times. A limit of zero sets none. Invariant: remembers at most {@link #MAX_TEAMS} teams, the least
+ * recently seen leave first. Not thread-safe: confined to the daemon's event loop.
+ */
+final class TeamLimiter {
+
+    private static final int MAX_TEAMS = 8_192;
+    private static final double BURST_SECONDS = 10;
+    private static final double MIN_BURST_REQUESTS = 4;
+
+    private final MembershipView membership;
+    private final Map<TeamPath, Buckets> buckets = new LinkedHashMap<>(16, 0.75f, true);
+
+    TeamLimiter(MembershipView membership) {
+        this.membership = membership;
+    }
+
+    /** Counts a request; returns 0 if it may run, or else the time in ms after which the team may send again. */
+    long tryTake(TeamPolicy team, long nowMs) {
+        if (team.maxRequestsPerSecond() <= 0 && team.maxTokensPerSecond() <= 0) {
+            return 0;
+        }
+        Buckets of = buckets.computeIfAbsent(team.team(), path -> new Buckets(team, daemons(), nowMs));
+        forgetExcess();
+        long tokenWaitMs = 0;
+        if (team.maxTokensPerSecond() > 0) {
+            double rate = (double) team.maxTokensPerSecond() / daemons();
+            tokenWaitMs = of.tokens.tryTake(1, rate, rate * BURST_SECONDS, nowMs);
+        }
+        if (tokenWaitMs > 0 || team.maxRequestsPerSecond() <= 0) {
+            return tokenWaitMs;
+        }
+        double rate = team.maxRequestsPerSecond() / daemons();
+        return of.requests.tryTake(1, rate, requestDepth(rate), nowMs);
+    }
+
+    /** Counts the tokens of an answer, which are known only now. */
+    void answered(TeamPath team, int tokens) {
+        Buckets of = buckets.get(team);
+        if (of != null) {
+            of.tokens.take(tokens);
+        }
+    }
+
+    int size() {
+        return buckets.size();
+    }
+
+    private int daemons() {
+        return Math.max(1, membership.members().size());
+    }
+
+    private void forgetExcess() {
+        if (buckets.size() > MAX_TEAMS) {
+            buckets.remove(buckets.keySet().iterator().next());
+        }
+    }
+
+    private static double requestDepth(double rate) {
+        return Math.max(MIN_BURST_REQUESTS, rate * BURST_SECONDS);
+    }
+
+    private static final class Buckets {
+
+        private final TokenBucket requests;
+        private final TokenBucket tokens;
+
+        Buckets(TeamPolicy team, int daemons, long nowMs) {
+            requests = new TokenBucket(requestDepth(team.maxRequestsPerSecond() / daemons), nowMs);
+            tokens = new TokenBucket(team.maxTokensPerSecond() * BURST_SECONDS / daemons, nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -0,0 +1,109 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * The time model of an engine: so many slots, first in first out, a fixed time for the prompt and for each token.
+ *
+ * <p>A prefix found in the cache saves its share of the prompt's time.
+ */
+final class EngineModel {
+
+    private static final int CACHED_PREFIXES = 24;
+
+    final TargetId id;
+    final int slots;
+    final long promptMs;
+    final long tokenMs;
+    final Map<AttemptId, Job> running = new LinkedHashMap<>();
+    final Deque<Job> queue = new ArrayDeque<>();
+    final Map<String, Integer> keptTokens = new HashMap<>();
+    private final Set<Long> cache = new LinkedHashSet<>();
+    int cacheHits;
+    int cacheLookups;
+    boolean up = true;
+
+    EngineModel(String id, int slots, long promptMs, long tokenMs) {
+        this.id = new TargetId(id);
+        this.slots = slots;
+        this.promptMs = promptMs;
+        this.tokenMs = tokenMs;
+    }
+
+    /** Returns whether the job could begin at once; otherwise it waits in the engine's queue. */
+    boolean hasFreeSlot() {
+        return running.size() < slots;
+    }
+
+    /** Begins a job; its first token comes after the prompt, the others one by one. */
+    void begin(Job job, long nowMs) {
+        job.beganAtMs = nowMs;
+        job.promptMs = promptMs * (100 - cachedPercent(job.prefixes)) / 100;
+        running.put(job.attempt, job);
+    }
+
+    private long cachedPercent(List<Long> prefixes) {
+        if (prefixes.isEmpty()) {
+            return 0;
+        }
+        int held = 0;
+        for (long prefix : prefixes) {
+            held += cache.contains(prefix) ? 1 : 0;
+            cache.remove(prefix);
+            cache.add(prefix);
+        }
+        while (cache.size() > CACHED_PREFIXES) {
+            cache.remove(cache.iterator().next());
+        }
+        cacheLookups += prefixes.size();
+        cacheHits += held;
+        return 80L * held / prefixes.size();
+    }
+
+    /** Returns how many tokens the running job has made, and keeps them under its resume key. */
+    int stop(Job job, long nowMs) {
+        running.remove(job.attempt);
+        queue.remove(job);
+        if (job.beganAtMs < 0) {
+            return 0;
+        }
+        long made = Math.max(0, nowMs - job.beganAtMs - job.promptMs) / tokenMs;
+        int tokens = (int) Math.min(made, job.tokens - job.resumedFrom);
+        job.resume.ifPresent(point -> keptTokens.put(point.key(), job.resumedFrom + tokens));
+        return tokens;
+    }
+
+    /** One attempt on the engine. */
+    static final class Job {
+
+        final AttemptId attempt;
+        final int tokens;
+        final List<Long> prefixes;
+        final Optional<ResumePoint> resume;
+        final int daemon;
+        int resumedFrom;
+        long beganAtMs = -1;
+        long promptMs;
+
+        Job(AttemptId attempt, int tokens, List<Long> prefixes, Optional<ResumePoint> resume, int daemon) {
+            this.attempt = attempt;
+            this.tokens = tokens;
+            this.prefixes = prefixes;
+            this.resume = resume;
+            this.daemon = daemon;
+            this.resumedFrom = resume.map(ResumePoint::fromToken).orElse(0);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
@@ -0,0 +1,89 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.routing.VirtualFleet.Online;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OnlineRoutingTests {
+
+    private static final int TOKENS = 50;
+
+    private final VirtualFleet fleet = new VirtualFleet(1);
+
+    private void startWithTwoTargets() {
+        fleet.addEngine("r1", VirtualFleet.NORTH, 4, 100, 10);
+        fleet.addEngine("r2", VirtualFleet.NORTH, 4, 100, 10);
+        fleet.start(List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH), RoutingPolicy::defaults);
+    }
+
+    @Test
+    void answersARequestThroughOneTarget() {
+        startWithTwoTargets();
+        Online request = fleet.send(0, Work.online(TOKENS, 1));
+        fleet.run(2_000);
+        assertThat(request.reply).isInstanceOf(OnlineEnded.class);
+        assertThat(request.dispatchedTo).hasSize(1);
+    }
+
+    @Test
+    void retriesARefusedConnectionOnAnotherTarget() {
+        startWithTwoTargets();
+        fleet.engines.values().iterator().next().up = false;
+        for (int i = 0; i < 8; i++) {
+            fleet.send(i % 3, Work.online(TOKENS, i).notRepeatable());
+        }
+        fleet.run(3_000);
+        assertThat(fleet.online.values()).allMatch(Online::answered);
+    }
+
+    @Test
+    void neverSendsANonRepeatableRequestTwiceOnceItMayHaveRun() {
+        startWithTwoTargets();
+        Online request = fleet.send(0, Work.online(TOKENS, 1).notRepeatable());
+        fleet.run(200);
+        fleet.crashTarget(request.dispatchedTo.get(0), 1_000);
+        fleet.run(3_000);
+        assertThat(request.dispatchedTo).hasSize(1);
+        assertThat(request.reply).isInstanceOfSatisfying(Refusal.class, refusal -> assertThat(refusal.verdict())
+                .isEqualTo(Verdict.MAY_HAVE_RUN));
+    }
+
+    @Test
+    void refusesNotRunWhereNoTargetServes() {
+        fleet.start(List.of(VirtualFleet.NORTH), RoutingPolicy::defaults);
+        Online request = fleet.send(0, Work.online(TOKENS, 1));
+        assertThat(request.reply).isInstanceOfSatisfying(Refusal.class, refusal -> {
+            assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(refusal.code()).isEqualTo(RefusalCode.NO_TARGET);
+            assertThat(refusal.retryAfterMs()).isPositive();
+        });
+    }
+
+    @Test
+    void givesALeavingTargetNoNewWorkAtAnyDaemonWithinThreeSeconds() {
+        startWithTwoTargets();
+        TargetId leaving = new TargetId("r1");
+        HostEntry entry = fleet.hosts.get(leaving);
+        HostEntry listed =
+                new HostEntry(entry.name(), entry.role(), entry.location(), entry.address(), entry.services(), true);
+        fleet.nodes.get(0).handle(new Event.HostListRead(List.of(listed, fleet.hosts.get(new TargetId("r2")))));
+        fleet.run(3_000);
+        for (int i = 0; i < 12; i++) {
+            fleet.send(i % 3, Work.online(TOKENS, i));
+        }
+        fleet.run(5_000);
+        assertThat(fleet.online.values())
+                .allMatch(Online::answered)
+                .noneMatch(request -> request.dispatchedTo.contains(leaving));
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -0,0 +1,492 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.DispatchSource;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.MemberState;
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.core.Verdict;
+
+/** A few routing duties and engine models on one virtual clock, with a fixed latency between hosts of a region. */
+final class VirtualFleet {
+
+    static final long LATENCY_MS = 1;
+    static final long FAR_LATENCY_MS = 30;
+    static final long REPORT_INTERVAL_MS = 500;
+    static final ServiceName SERVICE = new ServiceName("saarthi-lm");
+    static final Location NORTH = location("north", "north-a");
+    static final Location SOUTH = location("south", "south-a");
+
+    final List<Node> nodes = new ArrayList<>();
+    final Map<TargetId, EngineModel> engines = new TreeMap<>();
+    final Map<TargetId, HostEntry> hosts = new TreeMap<>();
+    final Map<RequestId, Online> online = new TreeMap<>(Comparator.comparing(RequestId::toString));
+    final SplittableRandom random;
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
+    private final RoutingMessageCodec codec = new RoutingMessageCodec();
+    private long order;
+    private long requests;
+    long nowMs = 1_000_000;
+    long peerBytes;
+
+    VirtualFleet(long seed) {
+        random = new SplittableRandom(seed);
+    }
+
+    static Location location(String region, String dataCentre) {
+        return new Location(new RegionId(region), new DataCentreId(dataCentre));
+    }
+
+    EngineModel addEngine(String name, Location location, int slots, long promptMs, long tokenMs) {
+        EngineModel engine = new EngineModel(name, slots, promptMs, tokenMs);
+        engines.put(engine.id, engine);
+        hosts.put(engine.id, new HostEntry(name, HostRole.TARGET, location, "127.0.0.1:9000", Set.of(SERVICE), false));
+        return engine;
+    }
+
+    /** Starts one daemon for each location. */
+    void start(List<Location> locations, Supplier<RoutingPolicy> policy) {
+        List<DaemonIdentity> identities = new ArrayList<>();
+        for (int i = 0; i < locations.size(); i++) {
+            identities.add(new DaemonIdentity(new HostId("d" + i), 1, locations.get(i), "127.0.0.1:" + (8000 + i)));
+        }
+        for (DaemonIdentity identity : identities) {
+            nodes.add(new Node(nodes.size(), identity, identities, policy.get()));
+        }
+        List<HostEntry> list = List.copyOf(hosts.values());
+        nodes.forEach(node -> node.handle(new Event.Started()));
+        nodes.forEach(node -> node.handle(new Event.HostListRead(list)));
+        nodes.forEach(this::pollReports);
+        run(2_000);
+    }
+
+    private void pollReports(Node node) {
+        for (TargetId target : List.copyOf(node.watched)) {
+            EngineModel engine = engines.get(target);
+            if (engine.up) {
+                node.handle(new Event.TargetReported(new TargetReport(
+                        target,
+                        nowMs,
+                        engine.slots,
+                        engine.running.size(),
+                        engine.queue.size(),
+                        Set.of(SERVICE.value()),
+                        false,
+                        0)));
+            } else {
+                node.handle(new Event.TargetUnreachable(target, true));
+            }
+        }
+        at(nowMs + REPORT_INTERVAL_MS, () -> {
+            if (node.alive) {
+                pollReports(node);
+            }
+        });
+    }
+
+    void at(long atMs, Runnable action) {
+        tasks.add(new Task(Math.max(atMs, nowMs), order++, action));
+    }
+
+    /** Runs all that is due within the span. */
+    void run(long spanMs) {
+        long endMs = nowMs + spanMs;
+        while (!tasks.isEmpty() && tasks.peek().atMs <= endMs) {
+            Task task = tasks.remove();
+            nowMs = task.atMs;
+            task.action.run();
+        }
+        nowMs = endMs;
+    }
+
+    /** Sends a request of a caller to a daemon. */
+    Online send(int daemon, Work work) {
+        RequestId id = new RequestId(nodes.get(daemon).identity.host(), 1, ++requests);
+        Online request = new Online(id, work, nowMs);
+        online.put(id, request);
+        OnlineRequest command = new OnlineRequest(
+                new TeamPath("/nilavu/kiosk"),
+                SERVICE,
+                work.urgency,
+                nowMs + work.deadlineMs,
+                work.repeatable,
+                true,
+                work.prefixes,
+                work.fingerprint,
+                work.tokens,
+                true);
+        Caller caller = new Caller(new TeamPath("/nilavu"), "k", Caller.Scope.CALLER);
+        nodes.get(daemon).handle(new Event.CallerArrived(id, caller, command));
+        return request;
+    }
+
+    void crashTarget(TargetId target, long downMs) {
+        EngineModel engine = engines.get(target);
+        engine.up = false;
+        List<EngineModel.Job> lost = new ArrayList<>(engine.running.values());
+        lost.addAll(engine.queue);
+        engine.running.clear();
+        engine.queue.clear();
+        lost.forEach(job -> ended(engine, job, failed(FailureKind.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, 0)));
+        at(nowMs + downMs, () -> engine.up = true);
+    }
+
+    void killDaemon(int daemon, long detectedAfterMs) {
+        Node dead = nodes.get(daemon);
+        dead.alive = false;
+        engines.values().forEach(engine -> {
+            List<EngineModel.Job> gone = new ArrayList<>(engine.running.values());
+            gone.addAll(engine.queue);
+            gone.removeIf(job -> job.daemon != daemon);
+            gone.forEach(job -> engine.stop(job, nowMs));
+            startQueued(engine);
+        });
+        at(
+                nowMs + detectedAfterMs,
+                () -> nodes.forEach(node -> node.membership.set(dead.identity.host(), MemberState.DEAD)));
+    }
+
+    static AttemptOutcome.Failed failed(FailureKind kind, Verdict verdict, int tokens) {
+        return new AttemptOutcome.Failed(verdict, kind, 0, tokens, tokens > 0, 0, ByteString.EMPTY, "");
+    }
+
+    private void dispatch(Node node, Effect.Dispatch dispatch) {
+        EngineModel engine = engines.get(dispatch.target());
+        Work work = workOf(dispatch.source());
+        if (!engine.up) {
+            later(
+                    node,
+                    dispatch.target(),
+                    () -> node.attemptEnded(
+                            dispatch.attempt(), failed(FailureKind.CONNECTION_REFUSED, Verdict.NOT_RUN, 0)));
+            return;
+        }
+        EngineModel.Job job =
+                new EngineModel.Job(dispatch.attempt(), work.tokens, work.prefixes, dispatch.resume(), node.index);
+        if (job.resumedFrom > 0
+                && engine.keptTokens.getOrDefault(dispatch.resume().get().key(), -1) < job.resumedFrom) {
+            AttemptOutcome.Failed gone = new AttemptOutcome.Failed(
+                    Verdict.NOT_RUN, FailureKind.REJECTED, 410, 0, false, 0, ByteString.EMPTY, "gone");
+            later(node, dispatch.target(), () -> node.attemptEnded(dispatch.attempt(), gone));
+            return;
+        }
+        node.jobs.put(dispatch.attempt(), job);
+        at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
+        if (engine.hasFreeSlot()) {
+            begin(engine, job, work);
+        } else {
+            engine.queue.add(job);
+            node.queuedAtEngine++;
+        }
+    }
+
+    private Work workOf(DispatchSource source) {
+        if (source instanceof DispatchSource.FromCaller caller) {
+            return online.get(caller.request()).work;
+        }
+        String body = ((DispatchSource.Inline) source).body().toStringUtf8();
+        return Work.batch(Integer.parseInt(body));
+    }
+
+    private void begin(EngineModel engine, EngineModel.Job job, Work work) {
+        engine.begin(job, nowMs);
+        Node node = nodes.get(job.daemon);
+        at(nowMs + job.promptMs, () -> {
+            if (engine.running.get(job.attempt) == job) {
+                at(nowMs + LATENCY_MS, () -> node.attemptStarted(job.attempt));
+            }
+        });
+        long tookMs = job.promptMs + engine.tokenMs * (job.tokens - job.resumedFrom);
+        at(nowMs + tookMs, () -> complete(engine, job));
+        if (work.crashesAfterMs > 0) {
+            at(nowMs + work.crashesAfterMs, () -> {
+                if (engine.running.get(job.attempt) == job) {
+                    crashTarget(engine.id, 3_000);
+                }
+            });
+        }
+    }
+
+    private void complete(EngineModel engine, EngineModel.Job job) {
+        if (engine.running.get(job.attempt) != job) {
+            return;
+        }
+        engine.running.remove(job.attempt);
+        nodes.get(job.daemon).engineMs += nowMs - job.beganAtMs;
+        ended(engine, job, new AttemptOutcome.Succeeded(200, "text/event-stream", ByteString.EMPTY, job.tokens));
+        startQueued(engine);
+    }
+
+    private void startQueued(EngineModel engine) {
+        while (engine.hasFreeSlot() && !engine.queue.isEmpty()) {
+            EngineModel.Job job = engine.queue.remove();
+            begin(engine, job, Work.batch(job.tokens));
+        }
+    }
+
+    private void stop(Node node, EngineModel engine, EngineModel.Job job, FailureKind kind) {
+        if (engine.running.get(job.attempt) != job && !engine.queue.contains(job)) {
+            return;
+        }
+        int tokens = engine.stop(job, nowMs);
+        ended(engine, job, failed(kind, Verdict.MAY_HAVE_RUN, tokens));
+        startQueued(engine);
+    }
+
+    private void ended(EngineModel engine, EngineModel.Job job, AttemptOutcome outcome) {
+        Node node = nodes.get(job.daemon);
+        later(node, engine.id, () -> node.attemptEnded(job.attempt, outcome));
+    }
+
+    private void later(Node node, TargetId target, Runnable action) {
+        at(nowMs + latencyMs(node.identity.location(), hosts.get(target).location()), action);
+    }
+
+    private static long latencyMs(Location from, Location to) {
+        return from.distanceTo(to) == Location.Distance.OTHER_REGION ? FAR_LATENCY_MS : LATENCY_MS;
+    }
+
+    private void spread(Node from, Fact fact) {
+        for (Node node : nodes) {
+            if (node != from
+                    && (fact.scope() == Fact.Scope.EVERYWHERE
+                            || node.identity
+                                    .location()
+                                    .dataCentre()
+                                    .equals(from.identity.location().dataCentre()))) {
+                at(nowMs + 200, () -> node.receive(fact));
+            }
+        }
+    }
+
+    long count(String name) {
+        return nodes.stream()
+                .mapToLong(node -> node.metrics.counter("routing." + name).getCount())
+                .sum();
+    }
+
+    /** What a request makes the engine do, and how it may be handled. */
+    record Work(
+            int tokens,
+            List<Long> prefixes,
+            Urgency urgency,
+            long deadlineMs,
+            boolean repeatable,
+            long fingerprint,
+            long crashesAfterMs) {
+
+        static Work online(int tokens, long fingerprint) {
+            return new Work(tokens, List.of(), Urgency.IMMEDIATE, 10_000, true, fingerprint, 0);
+        }
+
+        static Work batch(int tokens) {
+            return new Work(tokens, List.of(), Urgency.BATCH, 60_000, true, 0, 0);
+        }
+
+        Work crashing(long afterMs) {
+            return new Work(tokens, prefixes, urgency, deadlineMs, repeatable, fingerprint, afterMs);
+        }
+
+        Work notRepeatable() {
+            return new Work(tokens, prefixes, urgency, deadlineMs, false, fingerprint, crashesAfterMs);
+        }
+
+        Work within(long newDeadlineMs) {
+            return new Work(tokens, prefixes, urgency, newDeadlineMs, repeatable, fingerprint, crashesAfterMs);
+        }
+
+        Work withPrefixes(List<Long> newPrefixes) {
+            return new Work(tokens, newPrefixes, urgency, deadlineMs, repeatable, fingerprint, crashesAfterMs);
+        }
+    }
+
+    /** A caller's request and what became of it. */
+    static final class Online {
+
+        final RequestId id;
+        final Work work;
+        final long sentAtMs;
+        final List<TargetId> dispatchedTo = new ArrayList<>();
+        long firstTokenAtMs = -1;
+        long endedAtMs = -1;
+        Object reply;
+
+        Online(RequestId id, Work work, long sentAtMs) {
+            this.id = id;
+            this.work = work;
+            this.sentAtMs = sentAtMs;
+        }
+
+        boolean answered() {
+            return reply instanceof OnlineEnded;
+        }
+
+        boolean answeredInTime() {
+            return answered() && endedAtMs - sentAtMs <= work.deadlineMs;
+        }
+
+        long waitMs() {
+            return firstTokenAtMs - sentAtMs;
+        }
+    }
+
+    /** One daemon with its surroundings. */
+    final class Node {
+
+        final int index;
+        final DaemonIdentity identity;
+        final FakeMembership membership;
+        final FakeSettings settings = new FakeSettings();
+        final FakeDissemination dissemination = new FakeDissemination();
+        final MetricRegistry metrics = new MetricRegistry();
+        final RoutingDuty duty;
+        final Map<AttemptId, EngineModel.Job> jobs = new TreeMap<>(Comparator.comparing(AttemptId::toString));
+        final List<Effect> effects = new ArrayList<>();
+        final Map<AttemptId, Online> requestsByAttempt = new TreeMap<>(Comparator.comparing(AttemptId::toString));
+        private final Map<String, Long> timers = new TreeMap<>();
+        Set<TargetId> watched = Set.of();
+        boolean alive = true;
+        long queuedAtEngine;
+        long engineMs;
+
+        Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
+            this.index = index;
+            this.identity = identity;
+            this.membership = new FakeMembership(identity.host(), all);
+            this.duty = new RoutingDuty(identity, membership, dissemination, settings, policy, random.split(), metrics);
+        }
+
+        void handle(Event event) {
+            if (alive) {
+                Effects out = new Effects();
+                duty.on(event, nowMs, out);
+                carryOut(out);
+            }
+        }
+
+        void receive(Fact fact) {
+            if (alive) {
+                Effects out = new Effects();
+                dissemination.receive(fact, nowMs, out);
+                carryOut(out);
+            }
+        }
+
+        void attemptStarted(AttemptId attempt) {
+            Online request = requestsByAttempt.get(attempt);
+            if (request != null && request.firstTokenAtMs < 0) {
+                request.firstTokenAtMs = nowMs;
+            }
+            handle(new Event.AttemptStarted(attempt));
+        }
+
+        void attemptEnded(AttemptId attempt, AttemptOutcome outcome) {
+            jobs.remove(attempt);
+            handle(new Event.AttemptEnded(attempt, outcome));
+        }
+
+        void carryOut(Effects out) {
+            for (Effect effect : out.list()) {
+                carryOut(effect);
+            }
+            dissemination.takePublished().forEach(fact -> spread(this, fact));
+        }
+
+        private void carryOut(Effect effect) {
+            if (effect instanceof Effect.Send send) {
+                peerSend(send);
+            } else if (effect instanceof Effect.Schedule schedule) {
+                schedule(schedule.key(), schedule.dueAtMs());
+            } else if (effect instanceof Effect.Dispatch dispatch) {
+                if (dispatch.source() instanceof DispatchSource.FromCaller caller) {
+                    requestsByAttempt.put(dispatch.attempt(), online.get(caller.request()));
+                    online.get(caller.request()).dispatchedTo.add(dispatch.target());
+                }
+                later(this, dispatch.target(), () -> dispatch(this, dispatch));
+            } else if (effect instanceof Effect.CancelAttempt cancel) {
+                cancel(cancel.attempt());
+            } else if (effect instanceof Effect.Reply reply) {
+                Online request = online.get(reply.request());
+                if (request != null) {
+                    request.reply = reply.reply();
+                    request.endedAtMs = nowMs;
+                }
+            } else if (effect instanceof Effect.WatchTargets watch) {
+                watched = Set.copyOf(watch.addresses().keySet());
+            }
+            effects.add(effect);
+        }
+
+        private void schedule(TimerKey key, long dueAtMs) {
+            timers.put(key.name(), dueAtMs);
+            at(dueAtMs, () -> {
+                if (timers.getOrDefault(key.name(), -1L) == dueAtMs) {
+                    timers.remove(key.name());
+                    handle(new Event.TimerDue(key));
+                }
+            });
+        }
+
+        private void cancel(AttemptId attempt) {
+            EngineModel.Job job = jobs.get(attempt);
+            if (job == null) {
+                return;
+            }
+            engines.values().stream()
+                    .filter(engine -> engine.running.get(attempt) == job || engine.queue.contains(job))
+                    .findFirst()
+                    .ifPresent(engine -> later(this, engine.id, () -> stop(this, engine, job, FailureKind.CANCELLED)));
+        }
+
+        private void peerSend(Effect.Send send) {
+            ByteString bytes = codec.encode(send.message());
+            peerBytes += bytes.size();
+            Optional<Node> to = nodes.stream()
+                    .filter(node -> node.identity.host().equals(send.to()))
+                    .findFirst();
+            to.ifPresent(node -> at(nowMs + latencyMs(identity.location(), node.identity.location()), () -> {
+                try {
+                    node.handle(new Event.PeerMessageReceived(identity.host(), codec.decode(bytes)));
+                } catch (InvalidProtocolBufferException e) {
+                    throw new IllegalStateException("codec must read what it wrote", e);
+                }
+            }));
+        }
+    }
+
+    private record Task(long atMs, long order, Runnable action) {}
+}
