--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JobClient.java
@@ -0,0 +1,122 @@
+package org.cornelcrank.cli;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Submits batch jobs and follows them to their end.
+ *
+ * <p>Invariant: submitting the same file again with the same options names the same job. Blocks the calling thread.
+ * Thread-safe.
+ */
+final class JobClient {
+
+    static final String DEFAULT_ENDPOINT = "/v1/chat/completions";
+    static final String DEFAULT_WINDOW = "24h";
+
+    private static final Set<String> FINAL_STATES = Set.of("completed", "failed", "expired", "cancelled");
+    private static final long POLL_INTERVAL_MS = 250;
+
+    private final DaemonClient daemon;
+
+    JobClient(DaemonClient daemon) {
+        this.daemon = Objects.requireNonNull(daemon, "daemon must not be null");
+    }
+
+    /** Uploads the file and creates the job; an empty key is replaced by one that the content gives. */
+    JsonNode submit(Path file, String endpoint, String window, String idempotencyKey) {
+        String fileId = daemon.uploadBatchFile(file).json().path("id").asText();
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("input_file_id", fileId);
+        body.put("endpoint", endpoint);
+        body.put("completion_window", window);
+        String key = idempotencyKey.isEmpty() ? contentKey(file, endpoint) : idempotencyKey;
+        return daemon.post("/v1/batches", body, Map.of("Idempotency-Key", key)).json();
+    }
+
+    JsonNode status(String job) {
+        return daemon.get("/v1/batches/" + DaemonClient.encode(job)).json();
+    }
+
+    JsonNode cancel(String job) {
+        return daemon.post("/v1/batches/" + DaemonClient.encode(job) + "/cancel", Map.of(), Map.of())
+                .json();
+    }
+
+    JsonNode list(long limit) {
+        return daemon.get("/v1/batches?limit=" + limit).json();
+    }
+
+    /** Waits until the job has ended, and shows how far it is. */
+    JsonNode await(String job, Console console) {
+        while (true) {
+            JsonNode state = status(job);
+            if (ended(state)) {
+                return state;
+            }
+            console.progress(progress(state));
+            pause();
+        }
+    }
+
+    /** Returns the result lines that are there, those of failed items last. */
+    String results(JsonNode job) {
+        return content(job.path("output_file_id").asText(""))
+                + content(job.path("error_file_id").asText(""));
+    }
+
+    static boolean ended(JsonNode job) {
+        return FINAL_STATES.contains(job.path("status").asText());
+    }
+
+    private String content(String fileId) {
+        if (fileId.isEmpty() || fileId.equals("null")) {
+            return "";
+        }
+        String text = daemon.get("/v1/files/" + DaemonClient.encode(fileId) + "/content")
+                .text();
+        return text.isEmpty() || text.endsWith("\n") ? text : text + "\n";
+    }
+
+    private static String progress(JsonNode job) {
+        JsonNode counts = job.path("request_counts");
+        return job.path("id").asText() + " " + job.path("status").asText() + ": "
+                + counts.path("completed").asLong() + " of "
+                + counts.path("total").asLong() + " done, "
+                + counts.path("failed").asLong() + " failed";
+    }
+
+    private static String contentKey(Path file, String endpoint) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(endpoint.getBytes(StandardCharsets.UTF_8));
+            digest.update(Files.readAllBytes(file));
+            return "content-" + HexFormat.of().formatHex(digest.digest()).substring(0, 40);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot read " + file, e);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_INTERVAL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CommandFailure(ExitCode.FAILED, "interrupted while waiting; the job runs on");
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JsonTables.java
@@ -0,0 +1,79 @@
+package org.cornelcrank.cli;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Shows JSON to people: a list of objects as a table, anything else as one line a field.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class JsonTables {
+
+    private static final String EMPTY_TABLE = "(none)";
+
+    private JsonTables() {}
+
+    /** Writes JSON as it is, indented, for programs. */
+    static void printJson(JsonNode json, Console console) {
+        try {
+            console.line(DaemonClient.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(json));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("parsed JSON must be writable", e);
+        }
+    }
+
+    /** Writes JSON for people. */
+    static void print(JsonNode json, Console console) {
+        if (json.isArray()) {
+            printTable(json, console);
+            return;
+        }
+        json.fields().forEachRemaining(field -> {
+            if (field.getValue().isArray() && isTable(field.getValue())) {
+                console.line(field.getKey() + ":");
+                printTable(field.getValue(), console);
+            } else {
+                console.line(field.getKey() + ": " + cell(field.getValue()));
+            }
+        });
+    }
+
+    /** Writes the objects of an array as a table, whose columns are the fields of all of them. */
+    static void printTable(JsonNode array, Console console) {
+        Set<String> columns = new LinkedHashSet<>();
+        array.forEach(entry -> entry.fieldNames().forEachRemaining(columns::add));
+        List<List<String>> rows = new ArrayList<>();
+        for (JsonNode entry : array) {
+            rows.add(columns.stream().map(column -> cell(entry.path(column))).toList());
+        }
+        TextTable.print(List.copyOf(columns), rows, EMPTY_TABLE, console);
+    }
+
+    private static boolean isTable(JsonNode array) {
+        return array.isEmpty() || array.get(0).isObject();
+    }
+
+    private static String cell(JsonNode value) {
+        if (value.isMissingNode() || value.isNull()) {
+            return "-";
+        }
+        if (value.isTextual()) {
+            return value.asText();
+        }
+        if (value.isObject()) {
+            List<String> parts = new ArrayList<>();
+            for (Map.Entry<String, JsonNode> field : value.properties()) {
+                parts.add(field.getKey() + "=" + cell(field.getValue()));
+            }
+            return String.join(" ", parts);
+        }
+        return value.toString();
+    }
+}
--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/TextTable.java
@@ -0,0 +1,45 @@
+package org.cornelcrank.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Writes rows under aligned columns.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class TextTable {
+
+    private static final String COLUMN_GAP = "  ";
+
+    private TextTable() {}
+
+    /** Writes the rows under their headings, or the text for none. */
+    static void print(List<String> headings, List<List<String>> rows, String none, Console console) {
+        if (rows.isEmpty()) {
+            console.line(none);
+            return;
+        }
+        List<Integer> widths = new ArrayList<>();
+        for (int column = 0; column < headings.size(); column++) {
+            int width = headings.get(column).length();
+            for (List<String> row : rows) {
+                width = Math.max(width, row.get(column).length());
+            }
+            widths.add(width);
+        }
+        console.line(line(headings, widths));
+        rows.forEach(row -> console.line(line(row, widths)));
+    }
+
+    private static String line(List<String> cells, List<Integer> widths) {
+        StringBuilder line = new StringBuilder();
+        for (int column = 0; column < cells.size(); column++) {
+            String cell = cells.get(column);
+            line.append(column == 0 ? "" : COLUMN_GAP)
+                    .append(cell)
+                    .append(" ".repeat(widths.get(column) - cell.length()));
+        }
+        return line.toString().stripTrailing();
+    }
+}
