--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/AppendAllowance.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/AppendAllowance.java
@@ -9,7 +9,7 @@
  */
 final class AppendAllowance {
 
-    private static final double HARD_BURST = 8;
+    static final double HARD_BURST = 8;
     private static final double PACKED_BURST = 4;
     private static final double MS_PER_S = 1_000;
 
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/HandOver.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/HandOver.java
@@ -26,6 +26,12 @@
     /** At the successor: the epoch that may be superseded though its owner lives, or that will be released. */
     long takeOverEpoch = PartitionFold.NO_EPOCH;
 
+    /**
+     * At the successor: the owner has asked again after all was read here, so that the log answers this daemon but not
+     * the owner.
+     */
+    boolean takeOverConfirmed;
+
     boolean readySent;
 
     /** At a follower: how often the owner was asked whether it still owns the partition. */
@@ -33,6 +39,19 @@
 
     long nextQueryAtMs;
 
+    /** At the successor: notes an offer of the owner, or a request to take over if {@code from} is null. */
+    void invited(HostId from, long epoch, boolean allRead) {
+        takeOverConfirmed = from == null && allRead && takeOverEpoch == epoch;
+        awaitedFrom = from;
+        takeOverEpoch = epoch;
+        readySent = false;
+    }
+
+    /** At the successor: the owner's invitation has lapsed. */
+    void uninvited() {
+        invited(null, PartitionFold.NO_EPOCH, false);
+    }
+
     boolean misplaced() {
         return misplacedSinceMs != NEVER;
     }
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/OwnershipManager.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/OwnershipManager.java
@@ -109,9 +109,7 @@
             local = follow(partition, nowMs, out);
         }
         if (local.role() == LocalPartition.Role.FOLLOWING) {
-            local.handOver().awaitedFrom = handOver ? owner : null;
-            local.handOver().takeOverEpoch = epoch;
-            local.handOver().readySent = false;
+            local.handOver().invited(handOver ? owner : null, epoch, local.tailing());
         }
     }
 
@@ -163,7 +161,9 @@
         } else if (handOver.awaitedFrom != null) {
             sendReady(local, out);
         } else if (handOver.takeOverEpoch == fold.epoch()) {
-            claim(local, "its owner cannot reach the log", nowMs, out);
+            if (handOver.takeOverConfirmed) {
+                claim(local, "its owner cannot reach the log", nowMs, out);
+            }
         } else {
             judgeOwner(local, new HostId(fold.ownerHost()), nowMs, out);
         }
@@ -286,17 +286,21 @@
         boolean ours = planner.choice(local.partition(), nowMs)
                 .filter(context.identity.host()::equals)
                 .isPresent();
-        boolean invitationLapsed = nowMs - local.startedAtMs() > 3 * settings.handOverTimeoutMs();
+        boolean invitationLapsed = nowMs - local.startedAtMs() > invitationLifetimeMs();
         if (stopping || !ours && (!invited || invitationLapsed)) {
             drop(local);
         } else if (local.tailing()) {
             if (invitationLapsed) {
-                local.handOver().awaitedFrom = null;
+                local.handOver().uninvited();
             }
             caughtUp(local, nowMs, out);
         }
     }
 
+    private long invitationLifetimeMs() {
+        return 3 * settings.handOverTimeoutMs() + settings.cutOffAfterMs();
+    }
+
     private void reviewOwned(LocalPartition local, long nowMs, Effects out) {
         HandOver handOver = local.handOver();
         if (handOver.offeredTo != null) {
@@ -349,7 +353,7 @@
         if (context.log.silentForMs(nowMs) < settings.cutOffAfterMs() || nowMs < handOver.nextQueryAtMs) {
             return;
         }
-        handOver.nextQueryAtMs = nowMs + settings.cutOffAfterMs();
+        handOver.nextQueryAtMs = nowMs + settings.cutOffAfterMs() / 2;
         planner.choiceElsewhere(local.partition())
                 .ifPresent(host -> out.send(
                         host,
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/LedgerClient.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/LedgerClient.java
@@ -18,6 +18,8 @@
     private final Map<Long, RecordPosition> applied = new TreeMap<>();
     private final Map<Long, Integer> timesApplied = new TreeMap<>();
     private final List<Map<RecordPosition, ByteString>> bodies = new ArrayList<>();
+    private final Map<Long, Long> proposedAtMs = new TreeMap<>();
+    private final List<Long> waitsMs = new ArrayList<>();
     private int unavailable;
 
     @Override
@@ -45,6 +47,7 @@
             PartitionId partition, long proposal, RecordPosition position, long nowMs, Effects out) {
         applied.put(proposal, position);
         timesApplied.merge(proposal, 1, Integer::sum);
+        waitsMs.add(nowMs - proposedAtMs.getOrDefault(proposal, nowMs));
     }
 
     @Override
@@ -74,6 +77,15 @@
         return bodies;
     }
 
+    void proposed(long proposal, long nowMs) {
+        proposedAtMs.put(proposal, nowMs);
+    }
+
+    /** Returns how long each proposal waited until it was applied. */
+    List<Long> waitsMs() {
+        return waitsMs;
+    }
+
     int unavailable() {
         return unavailable;
     }
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestFleet.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestFleet.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.DataCentreId;
 import org.cornelcrank.core.Dissemination;
@@ -172,10 +173,11 @@
             long[] number = new long[1];
             act(out -> number[0] = duty.propose(
                     partition,
-                    new DurableRecord(LedgerClient.SLICE, com.google.protobuf.ByteString.copyFromUtf8(text)),
+                    new DurableRecord(LedgerClient.SLICE, ByteString.copyFromUtf8(text)),
                     urgent,
                     nowMs,
                     out));
+            client.proposed(number[0], nowMs);
             return number[0];
         }
 
@@ -213,6 +215,11 @@
             }
         }
 
+        /** Makes this daemon alone believe something of a member. */
+        void believe(HostId host, MemberState state) {
+            view.set(host, state);
+        }
+
         void cutFromLog(boolean cut) {
             cutFromLog = cut;
         }
