--- /dev/null
+++ b/cornelcrank-config/src/main/java/org/cornelcrank/config/SettingSchema.java
@@ -0,0 +1,119 @@
+package org.cornelcrank.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Says which settings there are, and what is wrong with one that is not.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class SettingSchema {
+
+    static final int MAX_PATH_LENGTH = 512;
+    static final int MAX_VALUE_LENGTH = 4_096;
+
+    private static final List<Entry> ENTRIES =
+            SettingKeys.ALL.stream().map(SettingSchema::entry).toList();
+
+    private SettingSchema() {}
+
+    /** Says where a key stands. */
+    public enum Scope {
+        /** {@code /team/workload.../key}, and {@code /fleet/defaults/key} for all teams. */
+        TEAM,
+        /** {@code /team/.../api-keys/keyId}. */
+        API_KEY,
+        /** {@code /fleet/services/service/key}. */
+        SERVICE,
+        /** {@code /fleet/targets/target/key}. */
+        TARGET
+    }
+
+    /**
+     * Describes one key; {@code defaultValue} is absent where there is none, {@code unit} is empty where there is none.
+     *
+     * <p>Immutable, thus thread-safe.
+     */
+    public record Entry(
+            Scope scope,
+            String key,
+            String type,
+            String unit,
+            String allowed,
+            Optional<String> defaultValue,
+            String description) {}
+
+    /** Returns all keys, those of teams first. */
+    public static List<Entry> entries() {
+        return ENTRIES;
+    }
+
+    /** Returns what is wrong with a setting, with its path, its value and what is allowed; empty if nothing is. */
+    public static Optional<String> problem(String path, String value) {
+        Optional<String> pathProblem = pathProblem(path);
+        if (pathProblem.isPresent()) {
+            return pathProblem;
+        }
+        SettingDefinition<?> definition = definition(path).orElseThrow();
+        if (value.length() > MAX_VALUE_LENGTH) {
+            return Optional.of("setting '" + path + "' must have at most " + MAX_VALUE_LENGTH + " characters but had "
+                    + value.length());
+        }
+        if (definition.type().parse(value).isPresent()) {
+            return Optional.empty();
+        }
+        String unit = definition.unit().isEmpty() ? "" : " " + definition.unit();
+        return Optional.of("setting '" + path + "' must be " + definition.type().allowed() + unit + " but was '"
+                + shown(definition, value) + "'");
+    }
+
+    /** Returns what is wrong with the path of a setting, empty if nothing is. */
+    public static Optional<String> pathProblem(String path) {
+        Optional<SettingPath> parsed = SettingPath.parse(path);
+        if (parsed.isEmpty()) {
+            return Optional.of("path '" + path + "' must look like /team/workload/key, /team/api-keys/<keyId>,"
+                    + " /fleet/services/<service>/<key>, /fleet/targets/<target>/<key> or /fleet/defaults/<key>");
+        }
+        if (definition(parsed.get()).isPresent()) {
+            return Optional.empty();
+        }
+        String known = SettingKeys.ALL.stream()
+                .filter(definition -> definition.scope() == parsed.get().scope())
+                .map(SettingDefinition::key)
+                .collect(Collectors.joining(", "));
+        return Optional.of(
+                "path '" + path + "' has the unknown key '" + parsed.get().key() + "'; known here are " + known);
+    }
+
+    static Optional<SettingDefinition<?>> definition(String path) {
+        return SettingPath.parse(path).flatMap(SettingSchema::definition);
+    }
+
+    private static Optional<SettingDefinition<?>> definition(SettingPath path) {
+        for (SettingDefinition<?> definition : SettingKeys.ALL) {
+            boolean named = path.scope() == Scope.API_KEY || definition.key().equals(path.key());
+            if (definition.scope() == path.scope() && named) {
+                return Optional.of(definition);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Hides what may be a key that somebody gave in place of its hash. */
+    private static String shown(SettingDefinition<?> definition, String value) {
+        return definition.scope() == Scope.API_KEY ? "(hidden)" : value;
+    }
+
+    private static Entry entry(SettingDefinition<?> definition) {
+        return new Entry(
+                definition.scope(),
+                definition.key(),
+                definition.type().name(),
+                definition.unit(),
+                definition.type().allowed(),
+                definition.defaultText(),
+                definition.description());
+    }
+}
--- a/cornelcrank-config/src/main/java/org/cornelcrank/config/TeamPolicy.java
+++ b/cornelcrank-config/src/main/java/org/cornelcrank/config/TeamPolicy.java
@@ -34,4 +34,23 @@
         services = Set.copyOf(services);
         targetPatterns = List.copyOf(targetPatterns);
     }
+
+    /** Returns the same policy for a workload that has no settings of its own. */
+    TeamPolicy forTeam(TeamPath workload) {
+        return new TeamPolicy(
+                workload,
+                homeRegion,
+                urgency,
+                deadlineMs,
+                services,
+                targetPatterns,
+                share,
+                maxRequestsPerSecond,
+                maxTokensPerSecond,
+                maxOpenJobs,
+                maxStoredBytes,
+                batchDeadlineMs,
+                resultRetentionMs,
+                maxItemAttempts);
+    }
 }
