Run non-repeatable calls at most once behind a guard in the log

A call that may not be repeated must survive crashes, resends and lost answers without running twice. Its owner keeps an intent under the caller's key, routes the call only after reading it back as the first of its key, and keeps the answer; a resend joins the running call, gets the kept answer, or is told that it may have run.

ForwardedCommands now settles only the sends up to the one that was answered, and an owner remembers until the deadline what it refused as not run, because a late copy could otherwise run after the caller was told that it did not.

Batch: items ask engines for a generation from its first token, so that a resumed run brings the whole answer; result pages name the next ended item; a job's last record is appended at once.

--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
@@ -19,6 +19,8 @@
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusedCommands;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.StateWriter;
 import org.cornelcrank.core.TimerKey;
@@ -47,6 +49,7 @@
     private final BatchContext context;
     private final ForwardedCommands forwarded;
     private final CommandCoordinator coordinator;
+    private final RefusedCommands refused = new RefusedCommands();
     private final TimerKey forwardTimer = new TimerKey(NAME, "forward");
     private final TimerKey expiryTimer = new TimerKey(NAME, "expiry");
     private final SortedMap<PartitionId, OwnedPartition> owned = new TreeMap<>();
@@ -162,12 +165,13 @@
             Optional<ResumePoint> resume,
             long nowMs,
             Effects out) {
-        runner(permit.job()).ifPresent(runner -> runner.workEnded(permit, outcome, preempted, resume, nowMs, out));
+        runner(permit.job()).ifPresent(runner -> runner.workEnded(permit, outcome, preempted, nowMs, out));
     }
 
     @Override
     public void dump(StateWriter writer, long nowMs) {
         writer.field("forwardedCommands", forwarded.size())
+                .field("refusedCommands", refused.size())
                 .field("pendingReads", context.reads().size())
                 .field("heldResultBytes", context.budget().heldBytes())
                 .field("resultBudgetExhausted", context.budget().exhausted())
@@ -244,6 +248,11 @@
     }
 
     private void handle(HostId origin, ForwardedCommand command, long nowMs, Effects out) {
+        Optional<Refusal> before = refused.find(command);
+        if (before.isPresent()) {
+            new Replies().answer(origin, command, before.get(), nowMs, out);
+            return;
+        }
         OwnedPartition partition = owned.get(command.partition());
         if (partition == null || !context.writer().owns(command.partition())) {
             new Replies().decline(origin, command, true, nowMs, out);
@@ -257,6 +266,7 @@
 
         @Override
         public void answer(HostId origin, ForwardedCommand command, CallerReply reply, long nowMs, Effects out) {
+            refused.remember(command, reply, nowMs);
             if (origin.equals(self)) {
                 forwarded.answered(self, command.request(), command.leg(), command.send(), reply, nowMs, out);
             } else {
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/FileCommands.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/FileCommands.java
@@ -24,6 +24,7 @@
 final class FileCommands {
 
     private static final int MAX_ADDED_BYTES = 512 * 1024;
+    private static final int RECORD_BYTES = 1024;
 
     private final BatchContext context;
     private final PartitionId partition;
@@ -83,7 +84,7 @@
             return;
         }
         TeamPath team = command.caller().team();
-        Optional<Refusal> refusal = checks.unwritable(nowMs);
+        Optional<Refusal> refusal = checks.unwritable(RECORD_BYTES, nowMs);
         if (refusal.isPresent()) {
             replies.answer(origin, command, refusal.get(), nowMs, out);
             return;
@@ -108,7 +109,7 @@
                 origin,
                 command,
                 BatchRecords.itemsAdded(add, firstService(add)),
-                false,
+                true,
                 (atMs, effects) -> itemsAdded(add),
                 nowMs,
                 out);
@@ -131,11 +132,13 @@
         if (add.firstItem() < file.itemCount()) {
             return Optional.of(itemsAdded(add));
         }
-        return refuseItems(file, add).or(() -> checks.unwritable(nowMs)).map(refusal -> refusal);
+        return refuseItems(file, add)
+                .or(() -> checks.unwritable(bytesOf(add), nowMs))
+                .map(refusal -> refusal);
     }
 
     private Optional<Refusal> refuseItems(StoredFile file, AddItems add) {
-        long bytes = add.lines().stream().mapToLong(ByteString::size).sum();
+        long bytes = bytesOf(add);
         if (bytes > MAX_ADDED_BYTES) {
             String message = "at most " + MAX_ADDED_BYTES + " bytes can be added at once but there were " + bytes;
             return Optional.of(Refusal.notRun(RefusalCode.TOO_LARGE, message));
@@ -154,6 +157,10 @@
         return Optional.empty();
     }
 
+    private static long bytesOf(AddItems add) {
+        return add.lines().stream().mapToLong(ByteString::size).sum();
+    }
+
     private long storedBytes(TeamPath team) {
         return state.files().stream()
                 .filter(file -> file.team().team().equals(team.team()))
@@ -200,7 +207,7 @@
             String message = "itemCount must be " + file.itemCount() + " and above zero but was " + seal.itemCount();
             return Optional.of(OwnerChecks.invalid(message));
         }
-        return checks.unwritable(nowMs).map(refusal -> refusal);
+        return checks.unwritable(RECORD_BYTES, nowMs).map(refusal -> refusal);
     }
 
     private CallerReply sealed(SealFile seal) {
@@ -228,7 +235,7 @@
         }
         Optional<Refusal> refusal = file.get().sealed()
                 ? Optional.of(OwnerChecks.conflict("file " + abandon.file() + " is sealed"))
-                : checks.unwritable(nowMs);
+                : checks.unwritable(RECORD_BYTES, nowMs);
         if (refusal.isPresent()) {
             replies.answer(origin, command, refusal.get(), nowMs, out);
             return;
@@ -244,11 +251,17 @@
     }
 
     private void read(HostId origin, ForwardedCommand command, ReadFile read, long nowMs, Effects out) {
-        Optional<StoredFile> file = visible(command.caller(), read.file());
+        Optional<StoredFile> file = visible(command.caller(), read.file())
+                .flatMap(found -> found.earlierFile().flatMap(state::file).or(() -> Optional.of(found)));
         if (file.isEmpty()) {
             replies.answer(origin, command, OwnerChecks.notFound(read.file()), nowMs, out);
             return;
         }
+        if (!file.get().sealed()) {
+            Refusal refusal = OwnerChecks.conflict("file " + read.file() + " is not sealed");
+            replies.answer(origin, command, refusal, nowMs, out);
+            return;
+        }
         pages.readFile(origin, command, file.get(), read, nowMs, out);
     }
 
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ItemWindow.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ItemWindow.java
@@ -147,7 +147,7 @@
             listener.itemInvalid(cursor, item.customId(), "the url differs from the job's endpoint", nowMs, out);
             return false;
         }
-        WaitingItem waiting = new WaitingItem(cursor, item, job.attempts(cursor), 0, Optional.empty());
+        WaitingItem waiting = new WaitingItem(cursor, item, job.attempts(cursor), 0);
         ready.addLast(waiting);
         readyBytes += waiting.bytes();
         return true;
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobCommands.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobCommands.java
@@ -29,6 +29,8 @@
     static final Comparator<JobInfo> NEWEST_FIRST =
             Comparator.comparingLong(JobInfo::createdAtMs).reversed().thenComparing(JobInfo::job);
 
+    private static final int RECORD_BYTES = 4 * 1024;
+
     private final BatchContext context;
     private final PartitionId partition;
     private final BatchPartitionState state;
@@ -79,7 +81,7 @@
     private void bind(HostId origin, ForwardedCommand command, BindJobKey bind, long nowMs, Effects out) {
         JobKey key = new JobKey(command.caller().team().team(), bind.key());
         Optional<CallerReply> atOnce =
-                bound(key).or(() -> checks.unwritable(nowMs).map(refusal -> refusal));
+                bound(key).or(() -> checks.unwritable(RECORD_BYTES, nowMs).map(refusal -> refusal));
         if (atOnce.isPresent()) {
             replies.answer(origin, command, atOnce.get(), nowMs, out);
             return;
@@ -155,7 +157,7 @@
             String message = "the team may have at most " + allowed + " jobs in progress in partition " + partition;
             return Optional.of(Refusal.notRun(RefusalCode.LIMIT_EXCEEDED, message));
         }
-        return checks.unwritable(nowMs).map(refusal -> refusal);
+        return checks.unwritable(RECORD_BYTES, nowMs).map(refusal -> refusal);
     }
 
     private long openJobs(TeamPath team) {
@@ -171,7 +173,7 @@
             replies.answer(origin, command, jobInfo(command.caller(), cancel.job(), nowMs), nowMs, out);
             return;
         }
-        Optional<Refusal> refusal = checks.unwritable(nowMs);
+        Optional<Refusal> refusal = checks.unwritable(RECORD_BYTES, nowMs);
         if (refusal.isPresent()) {
             replies.answer(origin, command, refusal.get(), nowMs, out);
             return;
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
@@ -74,22 +74,16 @@
         stateDemand(nowMs, out);
     }
 
-    void workEnded(
-            BatchPermit permit,
-            AttemptOutcome outcome,
-            boolean preempted,
-            Optional<ResumePoint> resume,
-            long nowMs,
-            Effects out) {
+    void workEnded(BatchPermit permit, AttemptOutcome outcome, boolean preempted, long nowMs, Effects out) {
         WaitingItem item = running.remove(permit);
         if (item == null) {
             return;
         }
-        if (preempted) {
-            context.count("items-preempted");
-            window.putFirst(item.afterPreemption(resume));
-        } else if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
+        if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
             answered(item, succeeded, nowMs, out);
+        } else if (preempted) {
+            context.count("items-preempted");
+            window.putFirst(item);
         } else if (outcome instanceof AttemptOutcome.Failed failed) {
             failed(item, failed, nowMs, out);
         }
@@ -140,7 +134,9 @@
         long fingerprint = StableHash.of(line.body().toByteArray());
         String itemId = job.terms().job() + ":" + item.number();
         long timeoutMs = context.attemptTimeoutMs(job.terms().service());
-        return new BatchWork(itemId, fingerprint, source, item.resume(), timeoutMs);
+        Optional<ResumePoint> generation =
+                Optional.of(item.generation(job.terms().job()));
+        return new BatchWork(itemId, fingerprint, source, generation, timeoutMs);
     }
 
     private void answered(WaitingItem item, AttemptOutcome.Succeeded answer, long nowMs, Effects out) {
@@ -192,7 +188,7 @@
 
     private void flushIfIdle(long nowMs, Effects out) {
         if (running.isEmpty() && window.exhausted()) {
-            results.flush(job.terms().job(), nowMs, out);
+            results.flush(job.terms().job(), true, nowMs, out);
         }
     }
 
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/OwnerChecks.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/OwnerChecks.java
@@ -15,7 +15,6 @@
  */
 final class OwnerChecks {
 
-    private static final long MAX_PENDING_BYTES = 8L * 1024 * 1024;
     private static final long RETRY_AFTER_MS = 1_000;
 
     private final BatchContext context;
@@ -26,13 +25,13 @@
         this.partition = partition;
     }
 
-    /** Returns why nothing can be written now; empty if it can. */
-    Optional<Refusal> unwritable(long nowMs) {
+    /** Returns why so many bytes cannot be written now; empty if they can. */
+    Optional<Refusal> unwritable(long bytes, long nowMs) {
         if (!context.writer().logAnswers(nowMs)) {
             String message = "the log does not answer, so nothing new can be kept";
             return Optional.of(Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS));
         }
-        if (context.writer().pendingBytes(partition) > MAX_PENDING_BYTES) {
+        if (!context.writer().hasRoom(partition, bytes)) {
             String message = "too much waits for the log in partition " + partition;
             return Optional.of(Refusal.notRun(RefusalCode.OVERLOADED, message, RETRY_AFTER_MS));
         }
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/PageReader.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/PageReader.java
@@ -44,8 +44,7 @@
     void readFile(HostId origin, ForwardedCommand command, StoredFile file, ReadFile read, long nowMs, Effects out) {
         int from = Math.max(0, read.fromItem());
         if (from >= file.itemCount() || read.most() <= 0) {
-            boolean complete = file.sealed() && from >= file.itemCount();
-            replies.answer(origin, command, new FilePage(List.of(), from, complete), nowMs, out);
+            replies.answer(origin, command, new FilePage(List.of(), from, from >= file.itemCount()), nowMs, out);
             return;
         }
         List<RecordPosition> positions = file.pages().covering(from, from);
@@ -71,7 +70,7 @@
         }
         if (items.isEmpty()) {
             boolean complete = job.ended() && item >= job.terms().total();
-            replies.answer(origin, command, new ResultPage(List.of(), from, complete), nowMs, out);
+            replies.answer(origin, command, new ResultPage(List.of(), item, complete), nowMs, out);
             return;
         }
         List<RecordPosition> inOrder = job.results().covering(items.get(0), items.get(items.size() - 1)).stream()
@@ -100,7 +99,7 @@
             lines.add(line);
         }
         int next = from + lines.size();
-        return new FilePage(lines, next, file.sealed() && next >= file.itemCount());
+        return new FilePage(lines, next, next >= file.itemCount());
     }
 
     private CallerReply resultPage(
@@ -126,8 +125,8 @@
             }
             lines.add(BatchRecords.resultLine(result));
         }
-        int next = lines.get(lines.size() - 1).item() + 1;
-        boolean complete = job.ended() && job.nextFinished(next) >= job.terms().total();
+        int next = job.nextFinished(lines.get(lines.size() - 1).item() + 1);
+        boolean complete = job.ended() && next >= job.terms().total();
         return new ResultPage(lines, next, complete);
     }
 
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ReplyCodec.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ReplyCodec.java
@@ -104,23 +104,12 @@
 
     private static Refusal decodeRefusal(RefusalValue value) {
         return new Refusal(
-                decodeVerdict(value.getVerdict()),
+                Verdict.ofHeaderValue(value.getVerdict()),
                 RefusalCode.valueOf(value.getCode()),
                 value.getMessage(),
                 value.getRetryAfterMs());
     }
 
-    /** An unknown verdict claims nothing: the request may have run. */
-    private static Verdict decodeVerdict(String headerValue) {
-        if (headerValue.equals(Verdict.NOT_RUN.headerValue())) {
-            return Verdict.NOT_RUN;
-        }
-        if (headerValue.equals(Verdict.COMPLETED.headerValue())) {
-            return Verdict.COMPLETED;
-        }
-        return Verdict.MAY_HAVE_RUN;
-    }
-
     private static FileInfoValue encodeFile(FileInfo info) {
         return FileInfoValue.newBuilder()
                 .setFile(info.file().value())
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ResultBuffer.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ResultBuffer.java
@@ -34,14 +34,14 @@
         Group group = group(job, nowMs, out);
         long bytes = result.body().size() + OVERHEAD_BYTES_PER_RESULT;
         if (!group.results.isEmpty() && group.bytes + bytes > context.limits().maxRecordBytes()) {
-            flush(job, nowMs, out);
+            flush(job, false, nowMs, out);
             group = group(job, nowMs, out);
         }
         group.results.add(result);
         group.bytes += bytes;
         hold(bytes);
         if (group.results.size() >= context.limits().maxResultsPerRecord()) {
-            flush(job, nowMs, out);
+            flush(job, false, nowMs, out);
         }
     }
 
@@ -55,14 +55,15 @@
         for (JobId job : List.copyOf(groups.keySet())) {
             long dueAtMs = groups.get(job).sinceMs + context.limits().resultDelayMs();
             if (dueAtMs <= nowMs) {
-                flush(job, nowMs, out);
+                flush(job, false, nowMs, out);
             } else {
                 context.resultTimer().arm(dueAtMs, out);
             }
         }
     }
 
-    void flush(JobId job, long nowMs, Effects out) {
+    /** Proposes what there is of a job; {@code urgent} where the job ends with it. */
+    void flush(JobId job, boolean urgent, long nowMs, Effects out) {
         Group group = groups.remove(job);
         if (group == null) {
             return;
@@ -73,7 +74,7 @@
         if (!group.results.isEmpty()) {
             writes.propose(
                     BatchRecords.itemsFinished(job, group.results),
-                    false,
+                    urgent,
                     (atMs, effects) -> recorded(job, group.bytes, atMs, effects),
                     nowMs,
                     out);
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/WaitingItem.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/WaitingItem.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.batch;
 
-import java.util.Optional;
-
+import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.ResumePoint;
 
 /**
@@ -10,21 +9,27 @@
  * <p>{@code attempts} counts failed attempts that may have run; {@code refusals} those that no target began. Immutable,
  * thus thread-safe.
  */
-record WaitingItem(int number, ItemLine line, int attempts, int refusals, Optional<ResumePoint> resume) {
+record WaitingItem(int number, ItemLine line, int attempts, int refusals) {
 
     int bytes() {
         return line.body().size() + line.customId().length();
     }
 
-    WaitingItem afterPreemption(Optional<ResumePoint> kept) {
-        return new WaitingItem(number, line, attempts, refusals, kept);
+    /**
+     * Returns the generation that a run of the item begins or, where the target still keeps it, takes up.
+     *
+     * <p>It starts from the first token, because the whole answer is wanted: a target that keeps the generation repeats
+     * what it has generated and goes on from there. A failed attempt's generation is not taken up.
+     */
+    ResumePoint generation(JobId job) {
+        return new ResumePoint(job + "." + number + "." + attempts, 0);
     }
 
     WaitingItem afterFailure() {
-        return new WaitingItem(number, line, attempts + 1, refusals, Optional.empty());
+        return new WaitingItem(number, line, attempts + 1, refusals);
     }
 
     WaitingItem afterRefusal() {
-        return new WaitingItem(number, line, attempts, refusals + 1, Optional.empty());
+        return new WaitingItem(number, line, attempts, refusals + 1);
     }
 }
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
@@ -125,12 +125,10 @@
     List<ResultLine> results(String host, Caller caller, JobId job) {
         List<ResultLine> lines = new ArrayList<>();
         ResultPage page = new ResultPage(List.of(), 0, false);
-        while (!page.complete()) {
+        int total = info(host, job).total();
+        while (!page.complete() && page.nextItem() < total) {
             page = cluster.ask(host, caller, new ReadResults(job, page.nextItem(), 64), ResultPage.class);
             lines.addAll(page.lines());
-            if (page.lines().isEmpty()) {
-                return lines;
-            }
         }
         return lines;
     }
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
@@ -53,6 +53,7 @@
     private Predicate<PeerMessage> dropped = message -> false;
     private Runnable afterEachEvent = () -> {};
     private boolean logAnswers = true;
+    private boolean appendsHeld;
     private long nowMs = 1_000_000;
     private long nextRequest;
     private long nextIncarnation = 1;
@@ -97,9 +98,7 @@
     /** Loses a host after the log has taken what it proposed, but before it could read that back. */
     public void crashAfterAppend(String name) {
         pause(name);
-        while (partitions.hasProposals()) {
-            appendNext();
-        }
+        appendPending();
         crash(name);
     }
 
@@ -147,8 +146,21 @@
         logAnswers = false;
     }
 
+    /** Holds appends back without the daemons' knowing. */
+    public void stopAppends() {
+        appendsHeld = true;
+    }
+
+    /** Lets the log take what was proposed so far; the answers are given as hosts run. */
+    public void appendPending() {
+        while (partitions.hasProposals()) {
+            appendNext();
+        }
+    }
+
     public void startLog() {
         logAnswers = true;
+        appendsHeld = false;
         run();
     }
 
@@ -237,6 +249,15 @@
         nowMs = untilMs;
     }
 
+    /** Returns the first message that any daemon sent. */
+    public PeerMessage firstMessage() {
+        return effects.stream()
+                .filter(Effect.Send.class::isInstance)
+                .map(effect -> ((Effect.Send) effect).message())
+                .findFirst()
+                .orElseThrow();
+    }
+
     public List<Effect> effects() {
         return effects;
     }
@@ -272,7 +293,7 @@
     }
 
     private boolean logStep() {
-        if (partitions.hasProposals()) {
+        if (!appendsHeld && partitions.hasProposals()) {
             appendNext();
             return true;
         }
--- /dev/null
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDigest.java
@@ -0,0 +1,32 @@
+package org.cornelcrank.call;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * Computes the digest by which a call that is sent again is known to be the same.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class CallDigest {
+
+    private CallDigest() {}
+
+    /** Returns the SHA-256 digest of all that the service would get. */
+    static ByteString of(CallRequest call) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            for (String part : new String[] {call.service().value(), call.method(), call.path(), call.contentType()}) {
+                digest.update(part.getBytes(StandardCharsets.UTF_8));
+                digest.update((byte) 0);
+            }
+            digest.update(call.body().asReadOnlyByteBuffer());
+            return ByteString.copyFrom(digest.digest());
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform must have SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDuty.java
@@ -0,0 +1,285 @@
+package org.cornelcrank.call;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.config.TeamPolicy;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.ForwardedCommand;
+import org.cornelcrank.core.ForwardedCommands;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RefusedCommands;
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.partition.PartitionClient;
+import org.cornelcrank.partition.PartitionState;
+import org.cornelcrank.partition.PartitionWriter;
+import org.cornelcrank.partition.RecordPosition;
+import org.cornelcrank.routing.RequestRouter;
+import org.cornelcrank.routing.RouteOutcome;
+import org.cornelcrank.routing.RoutedRequest;
+
+/**
+ * Runs calls that may not be repeated at most once, each guarded by its key in a partition of its team's home region.
+ *
+ * <p>Any daemon takes a call and forwards it to the owner of the key's partition. Invariants: no target hears of a call
+ * before its intent was read back as the first of its key; a call sent again joins the running one, gets the kept answer,
+ * or is told that it may have run, for as long as the guard is kept. A verdict speaks of the request that it answers.
+ * Not thread-safe: confined to the daemon's event loop.
+ */
+public final class CallDuty implements Duty, PartitionClient, RequestRouter.RouteListener {
+
+    private static final String NAME = CallRecords.SLICE;
+    private static final long CHECK_INTERVAL_MS = 250;
+
+    private final HostId self;
+    private final Settings settings;
+    private final CallContext context;
+    private final ForwardedCommands forwarded;
+    private final RefusedCommands refused = new RefusedCommands();
+    private final TimerKey forwardTimer = new TimerKey(NAME, "forward");
+    private final TimerKey checkTimer = new TimerKey(NAME, "check");
+    private final TimerKey expiryTimer = new TimerKey(NAME, "expiry");
+    private final SortedMap<PartitionId, OwnedCalls> owned = new TreeMap<>();
+    private boolean checkScheduled;
+    private boolean expiryScheduled;
+
+    public CallDuty(
+            DaemonIdentity identity,
+            PartitionWriter writer,
+            RequestRouter router,
+            Settings settings,
+            CallSettings limits,
+            MetricRegistry metrics) {
+        this.self = identity.host();
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.context = new CallContext(writer, router, limits, new Replies(), new RoutedCalls(), metrics);
+        this.forwarded = new ForwardedCommands(forwardTimer, limits.forwarding(), writer::likelyOwner, this::carry);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public String slice() {
+        return NAME;
+    }
+
+    @Override
+    public void on(Event event, long nowMs, Effects out) {
+        if (event instanceof Event.CallerArrived arrived && arrived.command() instanceof CallRequest call) {
+            begin(arrived.request(), arrived.caller(), call, nowMs, out);
+        } else if (event instanceof Event.PeerMessageReceived received
+                && received.message() instanceof CallMessage message) {
+            onMessage(received.from(), message, nowMs, out);
+        } else if (event instanceof Event.TimerDue due) {
+            onTimer(due.key(), nowMs, out);
+        }
+    }
+
+    @Override
+    public PartitionState newState(PartitionId partition) {
+        return new CallPartitionState();
+    }
+
+    @Override
+    public void ownershipGained(PartitionId partition, PartitionState state, long nowMs, Effects out) {
+        if (!(state instanceof CallPartitionState callState)) {
+            throw new IllegalArgumentException("state must be one of guarded calls but was " + state.getClass());
+        }
+        OwnedCalls gained = new OwnedCalls(context, partition, callState);
+        owned.put(partition, gained);
+        gained.adoptRouted();
+        scheduleExpiry(nowMs, out);
+    }
+
+    @Override
+    public void ownershipLost(PartitionId partition, long nowMs, Effects out) {
+        OwnedCalls lost = owned.remove(partition);
+        if (lost != null) {
+            lost.ownershipLost(nowMs, out);
+        }
+    }
+
+    @Override
+    public void proposalApplied(
+            PartitionId partition, long proposal, RecordPosition position, long nowMs, Effects out) {
+        OwnedCalls found = owned.get(partition);
+        if (found != null) {
+            found.proposalApplied(proposal, this, nowMs, out);
+        }
+    }
+
+    @Override
+    public void bodiesRead(
+            PartitionId partition, long readNumber, Map<RecordPosition, ByteString> bodies, long nowMs, Effects out) {
+        OwnedCalls found = owned.get(partition);
+        if (found != null) {
+            Optional<ByteString> payload = bodies.values().stream().findFirst();
+            found.bodiesRead(readNumber, payload, nowMs, out);
+        }
+    }
+
+    @Override
+    public void bodiesUnavailable(PartitionId partition, long readNumber, long nowMs, Effects out) {
+        OwnedCalls found = owned.get(partition);
+        if (found != null) {
+            found.bodiesUnavailable(readNumber, nowMs, out);
+        }
+    }
+
+    @Override
+    public void routeEnded(RoutedRequest request, RouteOutcome outcome, long nowMs, Effects out) {
+        RoutedCalls.Routed ended = context.routed().remove(request.id());
+        if (ended != null) {
+            ended.owner().routeEnded(ended.call(), outcome, nowMs, out);
+        }
+    }
+
+    @Override
+    public void dump(StateWriter writer, long nowMs) {
+        writer.field("forwardedCalls", forwarded.size())
+                .field("refusedCalls", refused.size())
+                .field("routedCalls", context.routed().size());
+        writer.table("ownedPartitions", "partition", "guards", "unfinishedGuards", "running");
+        owned.forEach((partition, calls) ->
+                writer.row(partition, calls.state().size(), calls.state().unfinished(), calls.runningCount()));
+    }
+
+    private void begin(RequestId request, Caller caller, CallRequest asked, long nowMs, Effects out) {
+        Optional<RegionId> home = settings.team(asked.workload()).map(TeamPolicy::homeRegion);
+        if (home.isEmpty()) {
+            String message = "the settings do not name team " + asked.workload();
+            out.reply(request, Refusal.notRun(RefusalCode.FORBIDDEN, message));
+            return;
+        }
+        String key = asked.idempotencyKey().orElse("auto-" + request);
+        CallRequest call = withKey(asked, key, nowMs + context.limits().maxCallMs());
+        PartitionId partition = PartitionId.ofKey(
+                home.get(),
+                "call|" + asked.workload().team() + "|" + key,
+                context.writer().partitionCount());
+        long answerUntilMs = call.deadlineAtMs() + context.limits().answerGraceMs();
+        forwarded.begin(
+                new ForwardedCommand(request, 0, 0, caller, partition, call, answerUntilMs),
+                (reply, atMs, effects) -> effects.reply(request, reply),
+                nowMs,
+                out);
+    }
+
+    private static CallRequest withKey(CallRequest asked, String key, long latestDeadlineAtMs) {
+        return new CallRequest(
+                asked.workload(),
+                asked.service(),
+                asked.method(),
+                asked.path(),
+                asked.contentType(),
+                asked.body(),
+                Optional.of(key),
+                Math.min(asked.deadlineAtMs(), latestDeadlineAtMs),
+                asked.urgency());
+    }
+
+    private void onMessage(HostId from, CallMessage message, long nowMs, Effects out) {
+        if (message instanceof CallMessage.Forwarded forward) {
+            handle(from, forward.command(), nowMs, out);
+        } else if (message instanceof CallMessage.Answered answer) {
+            forwarded.answered(from, answer.request(), 0, answer.send(), answer.reply(), nowMs, out);
+        } else if (message instanceof CallMessage.Declined decline) {
+            forwarded.declined(from, decline.request(), 0, decline.send(), decline.untouched(), nowMs, out);
+        }
+    }
+
+    private void onTimer(TimerKey key, long nowMs, Effects out) {
+        if (key.equals(forwardTimer)) {
+            forwarded.check(nowMs, out);
+        } else if (key.equals(checkTimer)) {
+            checkScheduled = false;
+            owned.values().forEach(calls -> calls.check(nowMs, out));
+            scheduleCheck(nowMs, out);
+        } else if (key.equals(expiryTimer)) {
+            expiryScheduled = false;
+            owned.values().forEach(calls -> calls.expire(nowMs, out));
+            scheduleExpiry(nowMs, out);
+        }
+    }
+
+    private void scheduleCheck(long nowMs, Effects out) {
+        boolean anyRunning = owned.values().stream().anyMatch(calls -> calls.runningCount() > 0);
+        if (!checkScheduled && anyRunning) {
+            checkScheduled = true;
+            out.schedule(checkTimer, nowMs + CHECK_INTERVAL_MS);
+        }
+    }
+
+    private void scheduleExpiry(long nowMs, Effects out) {
+        if (!expiryScheduled && !owned.isEmpty()) {
+            expiryScheduled = true;
+            out.schedule(expiryTimer, nowMs + context.limits().expiryIntervalMs());
+        }
+    }
+
+    private void carry(HostId owner, ForwardedCommand command, long nowMs, Effects out) {
+        if (owner.equals(self)) {
+            handle(self, command, nowMs, out);
+        } else {
+            out.send(owner, new CallMessage.Forwarded(command));
+        }
+    }
+
+    private void handle(HostId origin, ForwardedCommand command, long nowMs, Effects out) {
+        Optional<Refusal> before = refused.find(command);
+        if (before.isPresent()) {
+            context.replies().answer(origin, command, before.get(), nowMs, out);
+            return;
+        }
+        OwnedCalls calls = owned.get(command.partition());
+        if (calls == null || !context.writer().owns(command.partition())) {
+            context.replies().decline(origin, command, true, nowMs, out);
+            return;
+        }
+        calls.handle(origin, command, this, nowMs, out);
+        scheduleCheck(nowMs, out);
+    }
+
+    /** Takes answers to this daemon's own legs, or to the daemon that forwarded the call. */
+    private final class Replies implements CallReplies {
+
+        @Override
+        public void answer(HostId origin, ForwardedCommand command, CallerReply reply, long nowMs, Effects out) {
+            refused.remember(command, reply, nowMs);
+            if (origin.equals(self)) {
+                forwarded.answered(self, command.request(), command.leg(), command.send(), reply, nowMs, out);
+            } else {
+                out.send(origin, new CallMessage.Answered(command.request(), command.send(), reply));
+            }
+        }
+
+        @Override
+        public void decline(HostId origin, ForwardedCommand command, boolean untouched, long nowMs, Effects out) {
+            if (origin.equals(self)) {
+                forwarded.declined(self, command.request(), command.leg(), command.send(), untouched, nowMs, out);
+            } else {
+                out.send(origin, new CallMessage.Declined(command.request(), command.send(), untouched));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallMessageCodec.java
@@ -0,0 +1,174 @@
+package org.cornelcrank.call;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.call.wire.CallAnswerValue;
+import org.cornelcrank.call.wire.CallAnsweredMessage;
+import org.cornelcrank.call.wire.CallDeclinedMessage;
+import org.cornelcrank.call.wire.CallEnvelope;
+import org.cornelcrank.call.wire.CallForwardedMessage;
+import org.cornelcrank.call.wire.CallRefusalValue;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.ForwardedCommand;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.core.Verdict;
+
+/**
+ * Encodes the messages of guarded calls with protobuf.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class CallMessageCodec implements PeerMessageCodec {
+
+    @Override
+    public String slice() {
+        return CallRecords.SLICE;
+    }
+
+    @Override
+    public boolean supports(PeerMessage message) {
+        return message instanceof CallMessage;
+    }
+
+    @Override
+    public ByteString encode(PeerMessage message) {
+        if (!(message instanceof CallMessage call)) {
+            throw new IllegalArgumentException("message must be one of guarded calls but was " + message.getClass());
+        }
+        CallEnvelope.Builder envelope = CallEnvelope.newBuilder();
+        if (call instanceof CallMessage.Forwarded forwarded) {
+            envelope.setForwarded(encodeForwarded(forwarded.command()));
+        } else if (call instanceof CallMessage.Answered answered) {
+            envelope.setAnswered(encodeAnswered(answered));
+        } else if (call instanceof CallMessage.Declined declined) {
+            envelope.setDeclined(CallDeclinedMessage.newBuilder()
+                    .setRequest(declined.request().toString())
+                    .setSend(declined.send())
+                    .setUntouched(declined.untouched()));
+        }
+        return envelope.build().toByteString();
+    }
+
+    @Override
+    public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
+        CallEnvelope envelope = CallEnvelope.parseFrom(payload);
+        try {
+            return switch (envelope.getMessageCase()) {
+                case FORWARDED -> new CallMessage.Forwarded(decodeForwarded(envelope.getForwarded()));
+                case ANSWERED -> decodeAnswered(envelope.getAnswered());
+                case DECLINED -> new CallMessage.Declined(
+                        RequestId.parse(envelope.getDeclined().getRequest()),
+                        envelope.getDeclined().getSend(),
+                        envelope.getDeclined().getUntouched());
+                case MESSAGE_NOT_SET -> throw new InvalidProtocolBufferException("message must be of a known kind");
+            };
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException(e.getMessage());
+        }
+    }
+
+    private static CallForwardedMessage encodeForwarded(ForwardedCommand command) {
+        CallRequest call = (CallRequest) command.command();
+        return CallForwardedMessage.newBuilder()
+                .setRequest(command.request().toString())
+                .setSend(command.send())
+                .setPartition(command.partition().toString())
+                .setAnswerUntilMs(command.deadlineAtMs())
+                .setTeam(command.caller().team().value())
+                .setKeyId(command.caller().keyId())
+                .setOperator(command.caller().scope() == Caller.Scope.OPERATOR)
+                .setWorkload(call.workload().value())
+                .setService(call.service().value())
+                .setMethod(call.method())
+                .setPath(call.path())
+                .setContentType(call.contentType())
+                .setBody(call.body())
+                .setIdempotencyKey(call.idempotencyKey().orElseThrow())
+                .setDeadlineAtMs(call.deadlineAtMs())
+                .setUrgency(call.urgency().name())
+                .build();
+    }
+
+    private static ForwardedCommand decodeForwarded(CallForwardedMessage message) {
+        CallRequest call = new CallRequest(
+                new TeamPath(message.getWorkload()),
+                new ServiceName(message.getService()),
+                message.getMethod(),
+                message.getPath(),
+                message.getContentType(),
+                message.getBody(),
+                Optional.of(message.getIdempotencyKey()),
+                message.getDeadlineAtMs(),
+                Urgency.valueOf(message.getUrgency()));
+        Caller.Scope scope = message.getOperator() ? Caller.Scope.OPERATOR : Caller.Scope.CALLER;
+        return new ForwardedCommand(
+                RequestId.parse(message.getRequest()),
+                0,
+                message.getSend(),
+                new Caller(new TeamPath(message.getTeam()), message.getKeyId(), scope),
+                PartitionId.parse(message.getPartition()),
+                call,
+                message.getAnswerUntilMs());
+    }
+
+    private static CallAnsweredMessage encodeAnswered(CallMessage.Answered answered) {
+        CallAnsweredMessage.Builder message = CallAnsweredMessage.newBuilder()
+                .setRequest(answered.request().toString())
+                .setSend(answered.send());
+        if (answered.reply() instanceof CallAnswer answer) {
+            message.setAnswer(CallAnswerValue.newBuilder()
+                    .setStatus(answer.status())
+                    .setContentType(answer.contentType())
+                    .setBody(answer.body())
+                    .setReplayed(answer.replayed())
+                    .setIdempotencyKey(answer.idempotencyKey()));
+        } else if (answered.reply() instanceof Refusal refusal) {
+            message.setRefusal(CallRefusalValue.newBuilder()
+                    .setVerdict(refusal.verdict().headerValue())
+                    .setCode(refusal.code().name())
+                    .setMessage(refusal.message())
+                    .setRetryAfterMs(refusal.retryAfterMs()));
+        }
+        return message.build();
+    }
+
+    private static CallMessage.Answered decodeAnswered(CallAnsweredMessage message)
+            throws InvalidProtocolBufferException {
+        RequestId request = RequestId.parse(message.getRequest());
+        CallerReply reply =
+                switch (message.getReplyCase()) {
+                    case ANSWER -> decodeAnswer(message.getAnswer());
+                    case REFUSAL -> decodeRefusal(message.getRefusal());
+                    case REPLY_NOT_SET -> throw new InvalidProtocolBufferException("reply must be of a known kind");
+                };
+        return new CallMessage.Answered(request, message.getSend(), reply);
+    }
+
+    private static CallAnswer decodeAnswer(CallAnswerValue value) {
+        return new CallAnswer(
+                value.getStatus(),
+                value.getContentType(),
+                value.getBody(),
+                value.getReplayed(),
+                value.getIdempotencyKey());
+    }
+
+    private static Refusal decodeRefusal(CallRefusalValue value) {
+        return new Refusal(
+                Verdict.ofHeaderValue(value.getVerdict()),
+                RefusalCode.valueOf(value.getCode()),
+                value.getMessage(),
+                value.getRetryAfterMs());
+    }
+}
--- /dev/null
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFixture.java
@@ -0,0 +1,108 @@
+package org.cornelcrank.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.fake.FakeCluster;
+import org.cornelcrank.fake.FakeSettings;
+import org.cornelcrank.partition.PartitionWriter;
+import org.cornelcrank.routing.RouteOutcome;
+import org.cornelcrank.routing.RoutedRequest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Daemons with the call duty over one partition, so that the test knows the owner. Not thread-safe. */
+final class CallFixture {
+
+    static final Caller KIOSK = new Caller(new TeamPath("/nilavu/kiosk"), "k1", Caller.Scope.CALLER);
+    static final PartitionId PARTITION = new PartitionId(FakeCluster.REGION, 0);
+    static final long CALL_MS = 10_000;
+
+    final SortedMap<String, FakeRouter> routers = new TreeMap<>();
+    final List<FakeRouter> everyRouter = new ArrayList<>();
+    final FakeCluster cluster;
+
+    /** The first host owns the partition. */
+    CallFixture(String... hosts) {
+        this.cluster = new FakeCluster(1, new CallMessageCodec(), this::install, hosts);
+    }
+
+    CallRequest call(String key, String body) {
+        return new CallRequest(
+                KIOSK.team(),
+                new ServiceName("slips"),
+                "POST",
+                "/issue",
+                "text/plain",
+                ByteString.copyFromUtf8(body),
+                Optional.ofNullable(key),
+                cluster.nowMs() + CALL_MS,
+                Urgency.IMMEDIATE);
+    }
+
+    RequestId send(String host, String key, String body) {
+        RequestId request = cluster.arrive(host, KIOSK, call(key, body));
+        cluster.run();
+        return request;
+    }
+
+    /** Ends what runs at a host. */
+    void end(String host, RouteOutcome outcome) {
+        FakeRouter router = routers.get(host);
+        for (RoutedRequest request : List.copyOf(router.running.values())) {
+            cluster.inject(new HostId(host), out -> router.end(request, outcome, cluster.nowMs(), out));
+        }
+        cluster.run();
+    }
+
+    int timesRouted() {
+        return everyRouter.stream().mapToInt(router -> router.routed.size()).sum();
+    }
+
+    CallAnswer answer(RequestId request) {
+        CallerReply reply = cluster.reply(request).orElseThrow(() -> new AssertionError("no answer to " + request));
+        assertThat(reply).isInstanceOf(CallAnswer.class);
+        return (CallAnswer) reply;
+    }
+
+    Refusal refusal(RequestId request) {
+        CallerReply reply = cluster.reply(request).orElseThrow(() -> new AssertionError("no answer to " + request));
+        assertThat(reply).isInstanceOf(Refusal.class);
+        return (Refusal) reply;
+    }
+
+    void assertRefused(RequestId request, Verdict verdict, RefusalCode code) {
+        assertThat(refusal(request).verdict()).isEqualTo(verdict);
+        assertThat(refusal(request).code()).isEqualTo(code);
+    }
+
+    private void install(DaemonIdentity identity, PartitionWriter writer, FakeCluster.Installer installer) {
+        FakeRouter router = new FakeRouter();
+        routers.put(identity.host().value(), router);
+        everyRouter.add(router);
+        installer.install(new CallDuty(
+                identity,
+                writer,
+                router,
+                new FakeSettings("/nilavu", "/tatranske"),
+                CallSettings.defaults(),
+                new MetricRegistry()));
+    }
+}
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
@@ -52,14 +52,21 @@
         advance(key, nowMs, out);
     }
 
-    /** Takes an owner's answer; one that was not asked for of this host is passed over. */
+    /**
+     * Takes an owner's answer; one that was not asked for of this host is passed over.
+     *
+     * <p>A refusal as not run waits for the answer to a later send to the same host, which repeats it.
+     */
     public void answered(
             HostId from, RequestId request, int leg, int send, CallerReply reply, long nowMs, Effects out) {
         Leg found = legs.get(key(request, leg));
         if (found == null || !from.equals(found.sends.get(send))) {
             return;
         }
-        found.settleSendsTo(from);
+        found.settleSendsTo(from, send);
+        if (found.awaitsAnswerFrom(from) && isNotRun(reply)) {
+            return;
+        }
         end(found, found.withTrueVerdict(reply), nowMs, out);
     }
 
@@ -105,6 +112,10 @@
         return commands;
     }
 
+    private static boolean isNotRun(CallerReply reply) {
+        return reply instanceof Refusal refusal && refusal.verdict() instanceof Verdict.NotRun;
+    }
+
     private void advance(String key, long nowMs, Effects out) {
         Leg leg = legs.get(key);
         if (leg == null) {
@@ -189,9 +200,14 @@
                     command.deadlineAtMs());
         }
 
-        /** An answer settles what was sent to the same host, which handles a leg's sends as one. */
-        void settleSendsTo(HostId host) {
-            sends.values().removeIf(host::equals);
+        /** An answer settles what was sent to the same host up to then, which handles a leg's sends as one. */
+        void settleSendsTo(HostId host, int send) {
+            sends.entrySet()
+                    .removeIf(sent -> sent.getKey() <= send && sent.getValue().equals(host));
+        }
+
+        boolean awaitsAnswerFrom(HostId host) {
+            return sends.containsValue(host);
         }
 
         CallerReply withTrueVerdict(CallerReply reply) {
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Verdict.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Verdict.java
@@ -14,6 +14,14 @@
     /** Returns the text of the verdict header. */
     String headerValue();
 
+    /** Returns the verdict of a header's text; an unknown one claims nothing, so the request may have run. */
+    static Verdict ofHeaderValue(String text) {
+        if (text.equals(NOT_RUN.headerValue())) {
+            return NOT_RUN;
+        }
+        return text.equals(COMPLETED.headerValue()) ? COMPLETED : MAY_HAVE_RUN;
+    }
+
     /** No target has begun to run the request, and none will. */
     record NotRun() implements Verdict {
         @Override
