Split the program's client and console from its commands

The demonstration and the load tool call daemons as the commands do, so what they share moves into packages of its own. Keys are hashed by the server's own function, and their settings stand under api-keys as the settings' schema has it.

--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/Command.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/Command.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.ExitCode;
 
 /** One command of the program. Implementations are stateless, thus thread-safe. */
 interface Command {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CommandLineProgram.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CommandLineProgram.java
@@ -13,6 +13,9 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.UnrecognizedOptionException;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.console.Console;
 
 /**
  * Finds the command that the words name, parses its options and runs it.
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ConfigCommands.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ConfigCommands.java
@@ -6,6 +6,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
 
 /**
  * The commands on settings.
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.cornelcrank.cli.console.Console;
+
 /** Starts the program for operators and callers. Stateless, thus thread-safe. */
 public final class CornelcrankCli {
 
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/DumpCommand.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/DumpCommand.java
@@ -3,6 +3,9 @@
 import java.util.List;
 
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.console.JsonTables;
 
 /** Shows a daemon's state. Stateless, thus thread-safe. */
 final class DumpCommand implements Command {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ExplainCommand.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ExplainCommand.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
 
 /** Shows what happened to a request, job, target or other subject. Stateless, thus thread-safe. */
 final class ExplainCommand implements Command {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/HelpText.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/HelpText.java
@@ -8,6 +8,8 @@
 
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.console.Console;
 
 /**
  * Writes help on the program, a group of commands or one command.
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/Invocation.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/Invocation.java
@@ -8,6 +8,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.CommandLine;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.console.Console;
+import org.cornelcrank.cli.console.JsonTables;
 
 /** The parsed words of one start of the program. Immutable, thus thread-safe. */
 record Invocation(CommandLine line, Map<String, String> environment, Console console) {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JobCommands.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JobCommands.java
@@ -9,6 +9,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.client.JobClient;
+import org.cornelcrank.cli.console.Console;
+import org.cornelcrank.cli.console.JsonTables;
+import org.cornelcrank.cli.console.TextTable;
 
 /**
  * The commands on batch jobs.
@@ -110,7 +116,7 @@
             if (!invocation.has("wait")) {
                 return show(invocation, job);
             }
-            JsonNode ended = jobs.await(job.path("id").asText(), invocation.console());
+            JsonNode ended = jobs.await(job.path("id").asText(), invocation.console()::progress);
             ExitCode shown = show(invocation, ended);
             if (invocation.has(OUTPUT)) {
                 writeResults(invocation, jobs.results(ended));
@@ -150,7 +156,9 @@
         public ExitCode run(Invocation invocation) {
             JobClient jobs = new JobClient(invocation.daemon());
             String id = invocation.argument(0, "JOB");
-            return show(invocation, invocation.has("wait") ? jobs.await(id, invocation.console()) : jobs.status(id));
+            return show(
+                    invocation,
+                    invocation.has("wait") ? jobs.await(id, invocation.console()::progress) : jobs.status(id));
         }
     }
 
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/KeyCommand.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/KeyCommand.java
@@ -6,6 +6,11 @@
 import java.util.Map;
 
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.ApiKey;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
+import org.cornelcrank.cli.console.JsonTables;
 
 /** Creates an API key; reaches no daemon. Stateless, thus thread-safe. */
 final class KeyCommand implements Command {
@@ -54,7 +59,7 @@
         long expiresAtMs = days == 0 ? 0 : System.currentTimeMillis() + days * MS_PER_DAY;
         String scope = invocation.choice("scope", "caller", SCOPES);
         ApiKey key = ApiKey.create(keyId, scope, expiresAtMs, new SecureRandom());
-        show(invocation, team + "/keys/" + keyId, key);
+        show(invocation, key.settingPath(team), key);
         return ExitCode.OK;
     }
 
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/StandInCommands.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/StandInCommands.java
@@ -9,6 +9,9 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import org.apache.commons.cli.Options;
+import org.cornelcrank.cli.client.CommandFailure;
+import org.cornelcrank.cli.client.DaemonClient;
+import org.cornelcrank.cli.client.ExitCode;
 import org.cornelcrank.standin.EngineSettings;
 import org.cornelcrank.standin.EngineStandIn;
 import org.cornelcrank.standin.HostListSettings;
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ApiKey.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/ApiKey.java
@@ -1,52 +1,47 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
+import org.cornelcrank.server.http.ApiKeys;
+
 /**
  * An API key, and the salted hash by which the settings know it.
  *
- * <p>Immutable, thus thread-safe.
+ * <p>An expiry of zero means never. Immutable, thus thread-safe.
  */
-record ApiKey(String keyId, String secret, String saltHex, String scope, long expiresAtMs) {
+public record ApiKey(String keyId, String secret, String saltHex, String scope, long expiresAtMs) {
 
     private static final int SECRET_BYTES = 24;
     private static final int SALT_BYTES = 12;
 
-    ApiKey {
+    public ApiKey {
         Objects.requireNonNull(keyId, "keyId must not be null");
         Objects.requireNonNull(secret, "secret must not be null");
         Objects.requireNonNull(saltHex, "saltHex must not be null");
         Objects.requireNonNull(scope, "scope must not be null");
     }
 
-    /** Creates a key with a random secret; an expiry of zero means never. */
-    static ApiKey create(String keyId, String scope, long expiresAtMs, RandomGenerator random) {
+    /** Creates a key with a random secret. */
+    public static ApiKey create(String keyId, String scope, long expiresAtMs, RandomGenerator random) {
         return new ApiKey(keyId, randomHex(SECRET_BYTES, random), randomHex(SALT_BYTES, random), scope, expiresAtMs);
     }
 
     /** Returns what a caller sends. */
-    String bearer() {
+    public String bearer() {
         return keyId + "." + secret;
     }
 
-    /** Returns the value of the key's setting. */
-    String settingValue() {
-        String value = saltHex + ":" + hashHex() + ":" + scope;
-        return expiresAtMs == 0 ? value : value + ":" + expiresAtMs;
+    /** Returns the path of the key's setting. */
+    public String settingPath(String team) {
+        return team + "/api-keys/" + keyId;
     }
 
-    private String hashHex() {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest((saltHex + secret).getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+    /** Returns the value of the key's setting. */
+    public String settingValue() {
+        String value = saltHex + ":" + ApiKeys.hash(secret, saltHex) + ":" + scope;
+        return expiresAtMs == 0 ? value : value + ":" + expiresAtMs;
     }
 
     private static String randomHex(int bytes, RandomGenerator random) {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CommandFailure.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/CommandFailure.java
@@ -1,18 +1,18 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
 import java.util.Objects;
 
 /** Ends a command with an exit code and a message of one line for people. */
-final class CommandFailure extends RuntimeException {
+public final class CommandFailure extends RuntimeException {
 
     private final ExitCode exitCode;
 
-    CommandFailure(ExitCode exitCode, String message) {
+    public CommandFailure(ExitCode exitCode, String message) {
         super(message);
         this.exitCode = Objects.requireNonNull(exitCode, "exitCode must not be null");
     }
 
-    ExitCode exitCode() {
+    public ExitCode exitCode() {
         return exitCode;
     }
 }
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/DaemonClient.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/DaemonClient.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
 import java.io.IOException;
 import java.net.URLEncoder;
@@ -23,29 +23,29 @@
  *
  * <p>Blocks the calling thread, which must not belong to an event loop. Thread-safe.
  */
-final class DaemonClient {
+public final class DaemonClient {
 
-    static final ObjectMapper JSON = new ObjectMapper();
+    public static final ObjectMapper JSON = new ObjectMapper();
 
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(90);
 
     private final String url;
     private final HttpClient http;
 
-    DaemonClient(String url, String key) {
+    public DaemonClient(String url, String key) {
         this.url = Objects.requireNonNull(url, "url must not be null").replaceAll("/+$", "");
         HttpClient client = HttpClient.create().responseTimeout(ANSWER_TIMEOUT);
         this.http = key.isEmpty() ? client : client.headers(headers -> headers.set("Authorization", "Bearer " + key));
     }
 
     /** A whole answer. The body must not be changed. */
-    record Response(int status, String verdict, byte[] body) {
+    public record Response(int status, String verdict, byte[] body) {
 
-        String text() {
+        public String text() {
             return new String(body, StandardCharsets.UTF_8);
         }
 
-        JsonNode json() {
+        public JsonNode json() {
             try {
                 return JSON.readTree(body);
             } catch (IOException e) {
@@ -54,24 +54,24 @@
         }
     }
 
-    Response get(String path) {
+    public Response get(String path) {
         return call(HttpMethod.GET, path, null, Map.of());
     }
 
-    Response delete(String path) {
+    public Response delete(String path) {
         return call(HttpMethod.DELETE, path, null, Map.of());
     }
 
-    Response put(String path, Object body) {
+    public Response put(String path, Object body) {
         return call(HttpMethod.PUT, path, body, Map.of());
     }
 
-    Response post(String path, Object body, Map<String, String> headers) {
+    public Response post(String path, Object body, Map<String, String> headers) {
         return call(HttpMethod.POST, path, body, headers);
     }
 
     /** Uploads a JSONL file for a batch job. */
-    Response uploadBatchFile(Path file) {
+    public Response uploadBatchFile(Path file) {
         return exchange(http.post()
                 .uri(url + "/v1/files")
                 .sendForm((request, form) -> form.multipart(true)
@@ -80,7 +80,7 @@
                 .responseSingle(DaemonClient::read));
     }
 
-    static String encode(String parameter) {
+    public static String encode(String parameter) {
         return URLEncoder.encode(parameter, StandardCharsets.UTF_8);
     }
 
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/ExitCode.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/ExitCode.java
@@ -1,7 +1,7 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
 /** Names how the program ends, for scripts. */
-enum ExitCode {
+public enum ExitCode {
     OK(0, "done"),
     FAILED(1, "refused or failed"),
     USAGE(2, "wrong command, option or argument"),
@@ -19,16 +19,16 @@
         this.meaning = meaning;
     }
 
-    int number() {
+    public int number() {
         return number;
     }
 
-    String meaning() {
+    public String meaning() {
         return meaning;
     }
 
     /** Returns the exit code for a refusal with an HTTP status. */
-    static ExitCode ofStatus(int status) {
+    public static ExitCode ofStatus(int status) {
         return switch (status) {
             case 401, 403 -> DENIED;
             case 404 -> NOT_FOUND;
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JobClient.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/JobClient.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -21,22 +22,22 @@
  * <p>Invariant: submitting the same file again with the same options names the same job. Blocks the calling thread.
  * Thread-safe.
  */
-final class JobClient {
+public final class JobClient {
 
-    static final String DEFAULT_ENDPOINT = "/v1/chat/completions";
-    static final String DEFAULT_WINDOW = "24h";
+    public static final String DEFAULT_ENDPOINT = "/v1/chat/completions";
+    public static final String DEFAULT_WINDOW = "24h";
 
     private static final Set<String> FINAL_STATES = Set.of("completed", "failed", "expired", "cancelled");
     private static final long POLL_INTERVAL_MS = 250;
 
     private final DaemonClient daemon;
 
-    JobClient(DaemonClient daemon) {
+    public JobClient(DaemonClient daemon) {
         this.daemon = Objects.requireNonNull(daemon, "daemon must not be null");
     }
 
     /** Uploads the file and creates the job; an empty key is replaced by one that the content gives. */
-    JsonNode submit(Path file, String endpoint, String window, String idempotencyKey) {
+    public JsonNode submit(Path file, String endpoint, String window, String idempotencyKey) {
         String fileId = daemon.uploadBatchFile(file).json().path("id").asText();
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("input_file_id", fileId);
@@ -46,38 +47,38 @@
         return daemon.post("/v1/batches", body, Map.of("Idempotency-Key", key)).json();
     }
 
-    JsonNode status(String job) {
+    public JsonNode status(String job) {
         return daemon.get("/v1/batches/" + DaemonClient.encode(job)).json();
     }
 
-    JsonNode cancel(String job) {
+    public JsonNode cancel(String job) {
         return daemon.post("/v1/batches/" + DaemonClient.encode(job) + "/cancel", Map.of(), Map.of())
                 .json();
     }
 
-    JsonNode list(long limit) {
+    public JsonNode list(long limit) {
         return daemon.get("/v1/batches?limit=" + limit).json();
     }
 
     /** Waits until the job has ended, and shows how far it is. */
-    JsonNode await(String job, Console console) {
+    public JsonNode await(String job, Consumer<String> progress) {
         while (true) {
             JsonNode state = status(job);
             if (ended(state)) {
                 return state;
             }
-            console.progress(progress(state));
+            progress.accept(describe(state));
             pause();
         }
     }
 
     /** Returns the result lines that are there, those of failed items last. */
-    String results(JsonNode job) {
+    public String results(JsonNode job) {
         return content(job.path("output_file_id").asText(""))
                 + content(job.path("error_file_id").asText(""));
     }
 
-    static boolean ended(JsonNode job) {
+    public static boolean ended(JsonNode job) {
         return FINAL_STATES.contains(job.path("status").asText());
     }
 
@@ -90,7 +91,7 @@
         return text.isEmpty() || text.endsWith("\n") ? text : text + "\n";
     }
 
-    private static String progress(JsonNode job) {
+    private static String describe(JsonNode job) {
         JsonNode counts = job.path("request_counts");
         return job.path("id").asText() + " " + job.path("status").asText() + ": "
                 + counts.path("completed").asLong() + " of "
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/Console.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/console/Console.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.console;
 
 import java.io.PrintStream;
 import java.util.Objects;
@@ -8,7 +8,7 @@
  *
  * <p>Not thread-safe.
  */
-final class Console {
+public final class Console {
 
     private static final String CLEAR_LINE = "\r\u001b[K";
 
@@ -17,28 +17,28 @@
     private final boolean terminal;
     private boolean progressShown;
 
-    Console(PrintStream out, PrintStream err, boolean terminal) {
+    public Console(PrintStream out, PrintStream err, boolean terminal) {
         this.out = Objects.requireNonNull(out, "out must not be null");
         this.err = Objects.requireNonNull(err, "err must not be null");
         this.terminal = terminal;
     }
 
-    PrintStream out() {
+    public PrintStream out() {
         return out;
     }
 
-    void line(String text) {
+    public void line(String text) {
         clearProgress();
         out.println(text);
     }
 
-    void error(String text) {
+    public void error(String text) {
         clearProgress();
         err.println(text);
     }
 
     /** Replaces the progress line; writes nothing where the output is no terminal. */
-    void progress(String text) {
+    public void progress(String text) {
         if (terminal) {
             err.print(CLEAR_LINE + text);
             err.flush();
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/JsonTables.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/console/JsonTables.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.console;
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -8,20 +8,21 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import org.cornelcrank.cli.client.DaemonClient;
 
 /**
  * Shows JSON to people: a list of objects as a table, anything else as one line a field.
  *
  * <p>Stateless, thus thread-safe.
  */
-final class JsonTables {
+public final class JsonTables {
 
     private static final String EMPTY_TABLE = "(none)";
 
     private JsonTables() {}
 
     /** Writes JSON as it is, indented, for programs. */
-    static void printJson(JsonNode json, Console console) {
+    public static void printJson(JsonNode json, Console console) {
         try {
             console.line(DaemonClient.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(json));
         } catch (JsonProcessingException e) {
@@ -30,7 +31,7 @@
     }
 
     /** Writes JSON for people. */
-    static void print(JsonNode json, Console console) {
+    public static void print(JsonNode json, Console console) {
         if (json.isArray()) {
             printTable(json, console);
             return;
@@ -46,7 +47,7 @@
     }
 
     /** Writes the objects of an array as a table, whose columns are the fields of all of them. */
-    static void printTable(JsonNode array, Console console) {
+    public static void printTable(JsonNode array, Console console) {
         Set<String> columns = new LinkedHashSet<>();
         array.forEach(entry -> entry.fieldNames().forEachRemaining(columns::add));
         List<List<String>> rows = new ArrayList<>();
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/TextTable.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/console/TextTable.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.console;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,14 +8,14 @@
  *
  * <p>Stateless, thus thread-safe.
  */
-final class TextTable {
+public final class TextTable {
 
     private static final String COLUMN_GAP = "  ";
 
     private TextTable() {}
 
     /** Writes the rows under their headings, or the text for none. */
-    static void print(List<String> headings, List<List<String>> rows, String none, Console console) {
+    public static void print(List<String> headings, List<List<String>> rows, String none, Console console) {
         if (rows.isEmpty()) {
             console.line(none);
             return;
--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/console/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Output for people and programs.
+ *
+ * <p>Depends on no other package of this module.
+ */
+package org.cornelcrank.cli.console;
--- a/cornelcrank-cli/src/test/java/org/cornelcrank/cli/DaemonClientTests.java
+++ b/cornelcrank-cli/src/test/java/org/cornelcrank/cli/DaemonClientTests.java
@@ -4,6 +4,7 @@
 import java.net.ServerSocket;
 import java.util.Map;
 
+import org.cornelcrank.cli.client.ExitCode;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/cornelcrank-cli/src/test/java/org/cornelcrank/cli/ProgramRun.java
+++ b/cornelcrank-cli/src/test/java/org/cornelcrank/cli/ProgramRun.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
+import org.cornelcrank.cli.console.Console;
+
 /** Runs the program in the test's process and keeps what it wrote. Immutable, thus thread-safe. */
 record ProgramRun(int exitCode, String out, String err) {
 
--- a/cornelcrank-cli/src/test/java/org/cornelcrank/cli/ApiKeyTests.java
+++ b/cornelcrank-cli/src/test/java/org/cornelcrank/cli/client/ApiKeyTests.java
@@ -1,4 +1,4 @@
-package org.cornelcrank.cli;
+package org.cornelcrank.cli.client;
 
 import org.junit.jupiter.api.Test;
 
--- a/cornelcrank-standin/src/main/java/org/cornelcrank/standin/CompletionRequest.java
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/CompletionRequest.java
@@ -25,7 +25,7 @@
     static final String TEXT_PATH = "/v1/completions";
     static final int NEW_GENERATION = -1;
 
-    private static final int CHARACTERS_PER_TOKEN = 4;
+    static final int CHARACTERS_PER_TOKEN = 4;
     private static final int MAX_OUTPUT_TOKENS = 100_000;
     private static final int HEXADECIMAL = 16;
 
