Let lasting news go before short-lived facts

Controllers of 1,600 busy targets publish up to 320 occupancy facts a second in each data centre, which shared one queue and one budget with refutations and notices of leaving. A prober also grew patient when many members died at once, though it heard the others.

Lasting news and short-lived facts have a queue and a budget each; a fact that changes keeps its turn; suspicions are sent to few, since the suspect is told directly; patience grows only while nothing is heard at all.

--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/ByteBudget.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/ByteBudget.java
@@ -8,7 +8,7 @@
  */
 final class ByteBudget {
 
-    private static final int BURST_S = 8;
+    private static final int BURST_S = 16;
 
     private final int bytesPerSecond;
     private double available;
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/FactTable.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/FactTable.java
@@ -27,8 +27,8 @@
     /** How long a lapsed fact's version is remembered, in ms. */
     private static final long LAPSED_MEMORY_MS = 10_000;
 
-    /** Facts that lapse sooner are left out of digests, since not all daemons have them any more, in ms. */
-    private static final long DIGEST_MARGIN_MS = 2_000;
+    /** Facts that lapse sooner are renewed or gone soon: they are left out of digests, and wait for others, in ms. */
+    private static final long LASTING_MS = 10_000;
 
     private final int maxFacts;
     private final MetricRegistry metrics;
@@ -73,6 +73,12 @@
         return Optional.of(new Fact(fact.slice(), fact.key(), fact.version(), fact.value(), remainingMs, fact.scope()));
     }
 
+    /** Returns whether a fact is known and does not lapse soon. */
+    boolean isLasting(FactKey key, long nowMs) {
+        Held known = held.get(key);
+        return known != null && known.lapsesAtMs - nowMs >= LASTING_MS;
+    }
+
     /** Returns the version known of a fact, also of one that has lapsed lately; empty if there is none. */
     Optional<Long> version(FactKey key) {
         return Optional.ofNullable(held.get(key)).map(known -> known.fact.version());
@@ -126,7 +132,7 @@
     }
 
     private static boolean isDigested(Held known, Fact.Scope scope, long nowMs) {
-        return known.fact.scope() == scope && known.lapsesAtMs - nowMs > DIGEST_MARGIN_MS;
+        return known.fact.scope() == scope && known.lapsesAtMs - nowMs >= LASTING_MS;
     }
 
     private record Held(Fact fact, long lapsesAtMs) {}
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/Gossip.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/Gossip.java
@@ -8,13 +8,15 @@
 import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Member;
+import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.TimerKey;
 
 /**
  * Spreads news within the data centre: soon after it is learnt to a few random members, and with every probe.
  *
- * <p>Invariant: what it sends on its own stays within a budget of bytes a second; more waits for probes and the next
- * round. Not thread-safe: confined to the daemon's event loop.
+ * <p>Changes of members and lasting facts go first; facts that lapse soon are renewed soon, so a lost one does little harm.
+ * Invariant: each of the two stays within its own budget of bytes a second, so that many short-lived facts delay neither
+ * refutations nor notices of leaving. Not thread-safe: confined to the daemon's event loop.
  */
 final class Gossip {
 
@@ -22,12 +24,20 @@
 
     private static final int DATAGRAM_OVERHEAD_BYTES = 40;
 
+    private static final int SENDS_OF_SHORT_LIVED = 3;
+
+    /** A suspicion need not reach everybody: the suspect is told directly, and what comes of it is spread in full. */
+    private static final int SENDS_OF_SUSPICION = 3;
+
     private final MemberRegistry registry;
-    private final NewsQueue queue;
+    private final FactTable facts;
+    private final NewsQueue lasting;
+    private final NewsQueue shortLived;
     private final MembershipSettings settings;
     private final RandomGenerator random;
     private final MetricRegistry metrics;
-    private final ByteBudget budget;
+    private final ByteBudget lastingBudget;
+    private final ByteBudget shortLivedBudget;
     private boolean scheduled;
 
     Gossip(
@@ -37,26 +47,34 @@
             RandomGenerator random,
             MetricRegistry metrics) {
         this.registry = registry;
-        this.queue = new NewsQueue(registry, facts);
+        this.facts = facts;
+        this.lasting = new NewsQueue(registry, facts);
+        this.shortLived = new NewsQueue(registry, facts);
         this.settings = settings;
         this.random = random;
         this.metrics = metrics;
-        this.budget = new ByteBudget(settings.gossipBytesPerSecond());
+        this.lastingBudget = new ByteBudget(settings.lastingBytesPerSecond());
+        this.shortLivedBudget = new ByteBudget(settings.shortLivedBytesPerSecond());
     }
 
     void memberChanged(Member member, long nowMs, Effects out) {
-        queue.add(member.host(), sendsOfEachNews());
+        boolean isSettled = member.state() != MemberState.SUSPECT;
+        lasting.add(member.host(), isSettled ? sendsOfEachNews() : SENDS_OF_SUSPICION);
         scheduleSoon(nowMs, out);
     }
 
     void factChanged(FactKey fact, long nowMs, Effects out) {
-        queue.add(fact, sendsOfEachNews());
+        if (facts.isLasting(fact, nowMs)) {
+            lasting.add(fact, sendsOfEachNews());
+        } else {
+            shortLived.add(fact, SENDS_OF_SHORT_LIVED);
+        }
         scheduleSoon(nowMs, out);
     }
 
     /** Returns news to go with a probe or its answer. */
     News piggyback(long nowMs) {
-        return queue.take(MessageSizes.MAX_PROBE_NEWS_BYTES, nowMs);
+        return take(MessageSizes.MAX_PROBE_NEWS_BYTES, nowMs);
     }
 
     /** Sends what is queued to a few random members, and comes back later for what is left. */
@@ -64,25 +82,32 @@
         scheduled = false;
         List<Member> peers = pickRandom(registry.localPeers(), settings.gossipFanout(), random);
         if (peers.isEmpty()) {
-            queue.clear();
+            lasting.clear();
+            shortLived.clear();
             return;
         }
         for (Member peer : peers) {
-            if (!queue.isEmpty() && budget.allows(nowMs)) {
-                sendTo(peer, nowMs, out);
+            News news = take(MessageSizes.MAX_DATAGRAM_NEWS_BYTES, nowMs);
+            if (!news.isEmpty()) {
+                metrics.counter("membership.gossip-sent").inc();
+                out.sendDatagram(peer.host(), new MembershipMessage.Gossip(news));
             }
         }
-        if (!queue.isEmpty()) {
+        if (queued() > 0) {
             schedule(nowMs + settings.gossipIntervalMs(), out);
         }
     }
 
     int queued() {
-        return queue.size();
+        return lasting.size() + shortLived.size();
+    }
+
+    long lastingBudgetBytes(long nowMs) {
+        return lastingBudget.availableBytes(nowMs);
     }
 
-    long budgetBytes(long nowMs) {
-        return budget.availableBytes(nowMs);
+    long shortLivedBudgetBytes(long nowMs) {
+        return shortLivedBudget.availableBytes(nowMs);
     }
 
     /** Returns so many random ones of the candidates, or all if there are fewer. */
@@ -95,17 +120,20 @@
         return rest.subList(0, picked);
     }
 
-    private void sendTo(Member peer, long nowMs, Effects out) {
-        News news = queue.take(MessageSizes.MAX_DATAGRAM_NEWS_BYTES, nowMs);
-        if (news.isEmpty()) {
-            return;
+    private News take(int maxBytes, long nowMs) {
+        News first = take(lasting, lastingBudget, maxBytes, nowMs);
+        return first.and(take(shortLived, shortLivedBudget, maxBytes - first.maxBytes(), nowMs));
+    }
+
+    private static News take(NewsQueue queue, ByteBudget budget, int maxBytes, long nowMs) {
+        if (queue.isEmpty() || !budget.allows(nowMs)) {
+            return News.NONE;
+        }
+        News news = queue.take(maxBytes, nowMs);
+        if (!news.isEmpty()) {
+            budget.spend(DATAGRAM_OVERHEAD_BYTES + news.maxBytes());
         }
-        int bytes = DATAGRAM_OVERHEAD_BYTES
-                + news.members().stream().mapToInt(MessageSizes::of).sum()
-                + news.facts().stream().mapToInt(MessageSizes::of).sum();
-        budget.spend(bytes);
-        metrics.counter("membership.gossip-sent").inc();
-        out.sendDatagram(peer.host(), new MembershipMessage.Gossip(news));
+        return news;
     }
 
     private void scheduleSoon(long nowMs, Effects out) {
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/MembershipDuty.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/MembershipDuty.java
@@ -153,7 +153,8 @@
         writer.field("patience", prober.patience());
         writer.field("openSuspicions", suspicions.size());
         writer.field("queuedNews", gossip.queued());
-        writer.field("gossipBudgetBytes", gossip.budgetBytes(nowMs));
+        writer.field("lastingBudgetBytes", gossip.lastingBudgetBytes(nowMs));
+        writer.field("shortLivedBudgetBytes", gossip.shortLivedBudgetBytes(nowMs));
     }
 
     private void start(long nowMs, Effects out) {
@@ -225,6 +226,7 @@
                 .isPresent();
         if (isLocal) {
             heardLocalAtMs = nowMs;
+            prober.heardLocal();
         }
         if (message instanceof MembershipMessage.Probe probe) {
             absorb(probe.news(), nowMs, out);
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/MembershipSettings.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/MembershipSettings.java
@@ -15,7 +15,8 @@
         long gossipDelayMs,
         long gossipIntervalMs,
         int gossipFanout,
-        int gossipBytesPerSecond,
+        int lastingBytesPerSecond,
+        int shortLivedBytesPerSecond,
         long syncIntervalMs,
         long joinRetryMs,
         int relaysPerDataCentre,
@@ -34,7 +35,8 @@
         requirePositive("gossipDelayMs", gossipDelayMs);
         requirePositive("gossipIntervalMs", gossipIntervalMs);
         requirePositive("gossipFanout", gossipFanout);
-        requirePositive("gossipBytesPerSecond", gossipBytesPerSecond);
+        requirePositive("lastingBytesPerSecond", lastingBytesPerSecond);
+        requirePositive("shortLivedBytesPerSecond", shortLivedBytesPerSecond);
         requirePositive("syncIntervalMs", syncIntervalMs);
         requirePositive("joinRetryMs", joinRetryMs);
         requirePositive("relaysPerDataCentre", relaysPerDataCentre);
@@ -52,7 +54,7 @@
     /** Returns settings that find a dead daemon of a data centre of 80 in about 2 s, at less than 4 KB/s for each daemon. */
     public static MembershipSettings defaults() {
         return new MembershipSettings(
-                400, 130, 250, 3, 900, 20, 100, 3, 2_500, 10_000, 1_000, 2, 2_000, 8_000, 600_000, 1_000, 4_096);
+                400, 130, 250, 3, 900, 20, 100, 3, 1_200, 1_500, 10_000, 1_000, 2, 2_000, 8_000, 600_000, 1_000, 4_096);
     }
 
     private static void requirePositive(String name, long value) {
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/News.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/News.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.membership;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.cornelcrank.core.Fact;
 import org.cornelcrank.core.Member;
@@ -19,7 +20,25 @@
         facts = List.copyOf(facts);
     }
 
+    /** Returns these news and the others together. */
+    News and(News other) {
+        if (isEmpty() || other.isEmpty()) {
+            return isEmpty() ? other : this;
+        }
+        return new News(concat(members, other.members), concat(facts, other.facts));
+    }
+
+    /** Returns a bound of the encoded size. */
+    int maxBytes() {
+        return members.stream().mapToInt(MessageSizes::of).sum()
+                + facts.stream().mapToInt(MessageSizes::of).sum();
+    }
+
     boolean isEmpty() {
         return members.isEmpty() && facts.isEmpty();
     }
+
+    private static <T> List<T> concat(List<T> first, List<T> second) {
+        return Stream.concat(first.stream(), second.stream()).toList();
+    }
 }
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/NewsQueue.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/NewsQueue.java
@@ -14,7 +14,7 @@
  * Holds what changed lately and how often it is still to be sent.
  *
  * <p>Entries name members and facts; what is sent is their state at that time, so that a later change replaces an earlier
- * one. Entries take turns. Not thread-safe: confined to the daemon's event loop.
+ * one without losing its turn. Not thread-safe: confined to the daemon's event loop.
  */
 final class NewsQueue {
 
@@ -31,11 +31,11 @@
     }
 
     void add(HostId host, int sends) {
-        put(host, sends);
+        sendsLeft.put(host, sends);
     }
 
     void add(FactKey fact, int sends) {
-        put(fact, sends);
+        sendsLeft.put(fact, sends);
     }
 
     boolean isEmpty() {
@@ -69,11 +69,6 @@
         return new News(members, carriedFacts);
     }
 
-    private void put(Comparable<?> key, int sends) {
-        sendsLeft.remove(key);
-        sendsLeft.put(key, sends);
-    }
-
     private int takeMember(HostId host, int room, List<Member> members) {
         Optional<Member> member = registry.known(host);
         if (member.isEmpty()) {
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/Prober.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/Prober.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.membership;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,7 +19,7 @@
  * Probes the members of the data centre one after another, in a new random order each round; asks others to probe one that
  * does not answer, and suspects it if they get no answer either.
  *
- * <p>Failed probes in a row make it more patient, since the fault may be this daemon's own. Invariant: at most one probe
+ * <p>Probes that fail while nothing at all is heard make it more patient, since the fault is probably this daemon's own. Invariant: at most one probe
  * is open at a time. Not thread-safe: confined to the daemon's event loop.
  */
 final class Prober {
@@ -42,6 +41,7 @@
     private OpenProbe open;
     private long nextNumber;
     private int patience = 1;
+    private boolean heardSinceProbe;
 
     Prober(
             MemberRegistry registry,
@@ -124,12 +124,18 @@
         patience = Math.max(1, patience - 1);
     }
 
+    /** Some member of the data centre was heard of. */
+    void heardLocal() {
+        heardSinceProbe = true;
+    }
+
     int patience() {
         return patience;
     }
 
     private void probe(HostId target, long nowMs, Effects out) {
         open = new OpenProbe(nextNumber++, target, false);
+        heardSinceProbe = false;
         metrics.counter("membership.probes-sent").inc();
         out.sendDatagram(target, new MembershipMessage.Probe(open.number, newsFor(target, nowMs)));
         out.schedule(TIMEOUT_TIMER, nowMs + settings.directTimeoutMs() * patience);
@@ -142,7 +148,7 @@
         registry.known(target)
                 .filter(member -> member.state() != MemberState.DEAD)
                 .ifPresent(member -> suspect(member, nowMs, out));
-        patience = Math.min(MAX_PATIENCE, patience + 1);
+        patience = heardSinceProbe ? patience : Math.min(MAX_PATIENCE, patience + 1);
     }
 
     private void suspect(Member member, long nowMs, Effects out) {
@@ -150,17 +156,12 @@
         out.sendDatagram(member.host(), new MembershipMessage.Gossip(newsFor(member.host(), nowMs)));
     }
 
-    /** Returns news for a member, first of all what it may have to refute. */
+    /** Returns news for a member: what it may have to refute, or else what has to be spread. */
     private News newsFor(HostId host, long nowMs) {
-        News news = gossip.piggyback(nowMs);
-        Optional<Member> accused = registry.known(host)
-                .filter(member -> member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD);
-        if (accused.isEmpty() || news.members().contains(accused.get())) {
-            return news;
-        }
-        List<Member> members = new ArrayList<>(news.members());
-        members.add(accused.get());
-        return new News(members, news.facts());
+        return registry.known(host)
+                .filter(member -> member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD)
+                .map(accused -> new News(List.of(accused), List.of()))
+                .orElseGet(() -> gossip.piggyback(nowMs));
     }
 
     private Optional<HostId> nextTarget() {
--- a/cornelcrank-membership/src/main/java/org/cornelcrank/membership/RelayExchange.java
+++ b/cornelcrank-membership/src/main/java/org/cornelcrank/membership/RelayExchange.java
@@ -33,7 +33,7 @@
 
     private static final int MAX_NEWS_BYTES = 16 * 1024;
     private static final long NEWS_DELAY_MS = 50;
-    private static final long UNREACHABLE_LIFETIME_MS = 10_000;
+    private static final long UNREACHABLE_LIFETIME_MS = 15_000;
     private static final long UNREACHABLE_RENEWAL_MS = 4_000;
     private static final ByteString UNREACHABLE = ByteString.copyFromUtf8("1");
     private static final ByteString REACHABLE = ByteString.copyFromUtf8("0");
--- a/cornelcrank-membership/src/test/java/org/cornelcrank/membership/MembershipScaleTests.java
+++ b/cornelcrank-membership/src/test/java/org/cornelcrank/membership/MembershipScaleTests.java
@@ -16,6 +16,9 @@
     private static final int HOSTS_PER_DATA_CENTRE = 78;
     private static final long BUDGET_BYTES_PER_SECOND = 4_096;
     private static final long SPREAD_LIMIT_MS = 3_000;
+    private static final long RACK_LIMIT_MS = 6_000;
+    private static final int LOST_WITH_RACK = 20;
+    private static final int REPORT_SECONDS = 20;
 
     @Test
     void sizeOfTwoYearsAheadStaysWithinBytesAndTimes() {
@@ -33,6 +36,17 @@
         cluster.nodes.get("d-3").publish(leavingTarget());
         long factMs = cluster.runUntil(() -> localNodesReceived(cluster, "d"), 10_000);
         LongSummaryStatistics afterwards = sentPerSecond(cluster, 60_000);
+        LongSummaryStatistics flooded = sentPerSecondUnderOccupancyReports(cluster);
+        cluster.nodes.get("e-3").publish(leavingTarget());
+        long floodedFactMs = cluster.runUntil(() -> localNodesReceived(cluster, "e"), 10_000);
+        for (int i = 0; i < LOST_WITH_RACK; i++) {
+            cluster.crash("a-" + (20 + i));
+        }
+        long rackMs = cluster.runUntil(
+                () -> cluster.nodes.values().stream()
+                        .filter(node -> node.dataCentre.equals("a"))
+                        .allMatch(node -> node.duty.members().size() == cluster.nodes.size()),
+                20_000);
         int largestDatagram = cluster.nodes.values().stream()
                 .mapToInt(node -> node.largestDatagram)
                 .max()
@@ -43,15 +57,42 @@
                 + (long) afterwards.getAverage() + " max " + afterwards.getMax()
                 + " B/s; death known in its data centre "
                 + foundMs + " ms, everywhere " + foundEverywhereMs + " ms; leaving known " + leavingMs
-                + " ms; fact known " + factMs + " ms; largest datagram " + largestDatagram + " B");
+                + " ms; fact known " + factMs + " ms; under 312 short-lived facts/s in each data centre mean "
+                + (long) flooded.getAverage() + " max " + flooded.getMax() + " B/s, lasting fact known " + floodedFactMs
+                + " ms; loss of 20 daemons at once known " + rackMs + " ms; largest datagram " + largestDatagram
+                + " B");
         assertThat(idle.getMax()).isLessThan(BUDGET_BYTES_PER_SECOND);
         assertThat(afterwards.getMax()).isLessThan(BUDGET_BYTES_PER_SECOND);
         assertThat(foundMs).isLessThan(SPREAD_LIMIT_MS);
         assertThat(leavingMs).isLessThan(SPREAD_LIMIT_MS);
         assertThat(factMs).isLessThan(SPREAD_LIMIT_MS);
+        assertThat(flooded.getMax()).isLessThan(BUDGET_BYTES_PER_SECOND);
+        assertThat(floodedFactMs).isLessThan(SPREAD_LIMIT_MS);
+        assertThat(rackMs).isLessThan(RACK_LIMIT_MS);
         assertThat(largestDatagram).isLessThan(1_200);
     }
 
+    /** Lets every daemon report four targets a second, as controllers of 1,600 busy targets do. */
+    private static LongSummaryStatistics sentPerSecondUnderOccupancyReports(MembershipCluster cluster) {
+        cluster.nodes.values().forEach(node -> node.sentBytes = 0);
+        for (int second = 0; second < REPORT_SECONDS; second++) {
+            for (MembershipCluster.Node node : cluster.nodes.values()) {
+                for (int target = 0; target < 4; target++) {
+                    node.publish(occupancy(node.host + "-" + target, cluster.nowMs()));
+                }
+            }
+            cluster.runFor(1_000);
+        }
+        return cluster.nodes.values().stream()
+                .mapToLong(node -> node.sentBytes / REPORT_SECONDS)
+                .summaryStatistics();
+    }
+
+    private static Fact occupancy(String target, long version) {
+        ByteString value = ByteString.copyFrom(new byte[40]);
+        return new Fact("routing", "occupancy/" + target, version, value, 3_000, Fact.Scope.DATA_CENTRE);
+    }
+
     private static Fact leavingTarget() {
         ByteString value = ByteString.copyFromUtf8("leaving");
         return new Fact("test", "target/r1", 1, value, 60_000, Fact.Scope.DATA_CENTRE);
