Strike every step of the batch and call paths with faults

Each fault (crash with and without restart, crash after the append, pause across a claim, hand-over, lost answers, log outage) follows each event of a job's whole path in turn, and of a call's; every item must be recorded once, and every call run at most once with true answers.

--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
@@ -40,12 +40,34 @@
     private final BatchSettings limits;
 
     BatchFixture(String... hosts) {
-        this(BatchSettings.defaults(), hosts);
+        this(BatchSettings.defaults(), 4, hosts);
     }
 
-    BatchFixture(BatchSettings limits, String... hosts) {
+    BatchFixture(BatchSettings limits, int partitionCount, String... hosts) {
         this.limits = limits;
-        this.cluster = new FakeCluster(4, new BatchMessageCodec(), this::install, hosts);
+        this.cluster = new FakeCluster(partitionCount, new BatchMessageCodec(), this::install, hosts);
+    }
+
+    /** Returns default settings but for the bytes of results that may wait for the log. */
+    static BatchSettings withResultBuffer(int maxBufferedResultBytes) {
+        BatchSettings defaults = BatchSettings.defaults();
+        return new BatchSettings(
+                defaults.forwarding(),
+                defaults.commandTimeoutMs(),
+                defaults.maxWindowBytes(),
+                defaults.maxJobWindowBytes(),
+                defaults.maxJobWindowItems(),
+                defaults.maxResultsPerRecord(),
+                defaults.maxRecordBytes(),
+                defaults.maxResultBytes(),
+                defaults.resultDelayMs(),
+                maxBufferedResultBytes,
+                defaults.maxPageBytes(),
+                defaults.retryDelayMs(),
+                defaults.maxRetryDelayMs(),
+                defaults.unsealedFileLifetimeMs(),
+                defaults.keyRetentionMs(),
+                defaults.expiryIntervalMs());
     }
 
     static ByteString line(int item) {
@@ -62,7 +84,7 @@
     }
 
     FileId upload(String host, Caller caller, int count, String digest) {
-        FileId file = cluster.ask(
+        FileId file = cluster.askAgain(
                         host,
                         caller,
                         new OpenFile("visits.jsonl", Optional.empty(), "head-" + digest),
@@ -70,15 +92,15 @@
                 .file();
         for (int from = 0; from < count; from += 100) {
             List<ByteString> lines = lines(from, Math.min(100, count - from));
-            cluster.ask(host, caller, new AddItems(file, from, lines), ItemsAdded.class);
+            cluster.askAgain(host, caller, new AddItems(file, from, lines), ItemsAdded.class);
         }
-        return cluster.ask(host, caller, new SealFile(file, count, digest), FileSealed.class)
+        return cluster.askAgain(host, caller, new SealFile(file, count, digest), FileSealed.class)
                 .file()
                 .file();
     }
 
     JobInfo create(String host, Caller caller, FileId file) {
-        return cluster.ask(host, caller, job(file, Optional.empty()), JobInfo.class);
+        return cluster.askAgain(host, caller, job(file, Optional.empty()), JobInfo.class);
     }
 
     static CreateJob job(FileId file, Optional<String> key) {
@@ -86,7 +108,7 @@
     }
 
     JobInfo info(String host, JobId job) {
-        return cluster.ask(host, OPERATOR, new GetJob(job), JobInfo.class);
+        return cluster.askAgain(host, OPERATOR, new GetJob(job), JobInfo.class);
     }
 
     String ownerOf(JobId job) {
@@ -127,7 +149,7 @@
         ResultPage page = new ResultPage(List.of(), 0, false);
         int total = info(host, job).total();
         while (!page.complete() && page.nextItem() < total) {
-            page = cluster.ask(host, caller, new ReadResults(job, page.nextItem(), 64), ResultPage.class);
+            page = cluster.askAgain(host, caller, new ReadResults(job, page.nextItem(), 64), ResultPage.class);
             lines.addAll(page.lines());
         }
         return lines;
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
@@ -24,8 +24,10 @@
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.core.PeerMessage;
 import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.partition.PartitionClient;
 import org.cornelcrank.partition.PartitionState;
 import org.cornelcrank.partition.PartitionWriter;
@@ -43,6 +45,7 @@
     public static final RegionId REGION = new RegionId("zapad");
 
     private static final int MAX_STEPS = 1_000_000;
+    private static final int MAX_ASKED_AGAIN = 20;
 
     private final FakePartitions partitions;
     private final PeerMessageCodec codec;
@@ -54,6 +57,7 @@
     private Runnable afterEachEvent = () -> {};
     private boolean logAnswers = true;
     private boolean appendsHeld;
+    private final List<Action> actions = new ArrayList<>();
     private long nowMs = 1_000_000;
     private long nextRequest;
     private long nextIncarnation = 1;
@@ -108,19 +112,19 @@
 
     public void resume(String name) {
         host(name).paused = false;
-        run();
     }
 
     /** Moves a partition to another host, which has read all that took effect. */
     public void own(PartitionId partition, String name) {
         partitions.owner(partition).map(hosts::get).ifPresent(old -> lose(old, partition));
         FakeHost host = host(name);
-        partitions.claim(partition, host.id());
+        long epoch = partitions.claim(partition, host.id());
+        int claimedAt = partitions.size(partition);
         host.inbox.add(out -> {
             PartitionState state = host.client().newState(partition);
-            partitions.replay(partition, state);
+            partitions.replay(partition, claimedAt, state);
             host.states.put(partition, state);
-            host.epochs.put(partition, partitions.epoch(partition));
+            host.epochs.put(partition, epoch);
             host.client().ownershipGained(partition, state, nowMs, out);
         });
     }
@@ -161,7 +165,6 @@
     public void startLog() {
         logAnswers = true;
         appendsHeld = false;
-        run();
     }
 
     public boolean logAnswers() {
@@ -177,6 +180,11 @@
         dropped = predicate;
     }
 
+    /** Runs an action when some time has passed. */
+    public void after(long ms, Runnable action) {
+        actions.add(new Action(nowMs + ms, action));
+    }
+
     /** Runs after each event, as to crash a host there. */
     public void afterEachEvent(Runnable action) {
         afterEachEvent = action;
@@ -207,6 +215,23 @@
         return type.cast(reply);
     }
 
+    /** Asks as a caller does who comes back after a refusal that is worth it, for as long as it did not run. */
+    public <T extends CallerReply> T askAgain(String name, Caller caller, CallerCommand command, Class<T> type) {
+        CallerReply reply = ask(name, caller, command);
+        for (int round = 0; round < MAX_ASKED_AGAIN && comesBack(reply); round++) {
+            advance(((Refusal) reply).retryAfterMs());
+            reply = ask(name, caller, command);
+        }
+        assertThat(reply).isInstanceOf(type);
+        return type.cast(reply);
+    }
+
+    private static boolean comesBack(CallerReply reply) {
+        return reply instanceof Refusal refusal
+                && refusal.verdict().equals(Verdict.NOT_RUN)
+                && refusal.retryAfterMs() > 0;
+    }
+
     /** Returns the answer to a request; there must not be two. */
     public Optional<CallerReply> reply(RequestId request) {
         List<CallerReply> given = replies.getOrDefault(request.toString(), List.of());
@@ -370,6 +395,11 @@
     }
 
     private long nextDueMs() {
+        long actionDueMs = actions.stream().mapToLong(Action::dueAtMs).min().orElse(Long.MAX_VALUE);
+        return Math.min(actionDueMs, nextTimerDueMs());
+    }
+
+    private long nextTimerDueMs() {
         return hosts.values().stream()
                 .filter(host -> !host.paused)
                 .flatMap(host -> host.timers.values().stream())
@@ -379,7 +409,11 @@
     }
 
     private void fireTimers() {
-        for (FakeHost host : hosts.values()) {
+        List<Action> due =
+                actions.stream().filter(action -> action.dueAtMs() <= nowMs).toList();
+        actions.removeAll(due);
+        due.forEach(action -> action.action().run());
+        for (FakeHost host : List.copyOf(hosts.values())) {
             if (host.paused) {
                 continue;
             }
@@ -393,6 +427,8 @@
         }
     }
 
+    private record Action(long dueAtMs, Runnable action) {}
+
     /** Makes the duty of a host that starts. */
     public interface NodeFactory {
         void install(DaemonIdentity identity, PartitionWriter writer, Installer installer);
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakePartitions.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakePartitions.java
@@ -44,10 +44,6 @@
         return Optional.ofNullable(stream(partition).owner);
     }
 
-    long epoch(PartitionId partition) {
-        return stream(partition).epoch;
-    }
-
     List<PartitionId> ownedBy(HostId host) {
         return streams.entrySet().stream()
                 .filter(entry -> host.equals(entry.getValue().owner))
@@ -55,11 +51,16 @@
                 .toList();
     }
 
-    /** Gives the partition to a host under a new epoch; what older epochs still append is void. */
-    void claim(PartitionId partition, HostId host) {
+    /** Gives the partition to a host under a new epoch, and returns that; what older epochs still append is void. */
+    long claim(PartitionId partition, HostId host) {
         Stream stream = stream(partition);
         stream.owner = host;
         stream.epoch++;
+        return stream.epoch;
+    }
+
+    int size(PartitionId partition) {
+        return stream(partition).records.size();
     }
 
     void release(PartitionId partition) {
@@ -68,9 +69,9 @@
         stream.epoch++;
     }
 
-    void replay(PartitionId partition, PartitionState state) {
+    void replay(PartitionId partition, int untilOffset, PartitionState state) {
         Stream stream = stream(partition);
-        for (int offset = 0; offset < stream.records.size(); offset++) {
+        for (int offset = 0; offset < untilOffset; offset++) {
             Entry entry = stream.records.get(offset);
             state.apply(entry.record(), new RecordPosition(offset, 0), entry.writtenAtMs());
         }
--- /dev/null
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFaultTests.java
@@ -0,0 +1,78 @@
+package org.cornelcrank.call;
+
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.fake.Fault;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Brings one fault about after each event of a call's whole path, and checks that it runs at most once and that what the
+ * callers are told is true.
+ *
+ * <p>The owner is e1 at first; the callers stay with e2 and e3.
+ */
+class CallFaultTests {
+
+    private static final int MAX_EVENTS = 500;
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void callRunsAtMostOnceWhateverTheEventThatTheFaultFollows(Fault fault) {
+        int event = 0;
+        while (runWithFaultAfter(fault, event)) {
+            event++;
+            assertThat(event).isLessThan(MAX_EVENTS);
+        }
+        assertThat(event).as("events that the fault followed").isGreaterThan(5);
+    }
+
+    /** Returns whether there was an event of that number. */
+    private static boolean runWithFaultAfter(Fault fault, int event) {
+        CallFixture fixture = new CallFixture("e1", "e2", "e3");
+        int[] events = new int[1];
+        fixture.cluster.afterEachEvent(() -> {
+            if (events[0]++ == event) {
+                fault.strike(fixture.cluster, CallFixture.PARTITION, CallMessage.Answered.class::isInstance);
+            }
+        });
+        RequestId first = fixture.send("e3", "slip-7", "branch 4");
+        RequestId resend = fixture.send("e2", "slip-7", "branch 4");
+        work(fixture);
+        RequestId last = fixture.send("e3", "slip-7", "branch 4");
+        work(fixture);
+        try {
+            assertThat(fixture.timesRouted()).isLessThanOrEqualTo(1);
+            for (RequestId request : new RequestId[] {first, resend, last}) {
+                CallerReply reply = fixture.cluster.reply(request).orElseThrow();
+                assertTrue(reply, fixture.ran(request), fixture.timesRouted());
+            }
+        } catch (AssertionError e) {
+            throw new AssertionError(fault + " after event " + event + ": " + e.getMessage(), e);
+        }
+        return events[0] > event;
+    }
+
+    private static void assertTrue(CallerReply reply, boolean ran, int timesRouted) {
+        if (reply instanceof CallAnswer answer) {
+            assertThat(answer.body().toStringUtf8()).isEqualTo("token 112");
+            assertThat(timesRouted).isEqualTo(1);
+        } else {
+            assertThat(reply).isInstanceOf(Refusal.class);
+            assertThat(((Refusal) reply).verdict()).isNotEqualTo(Verdict.COMPLETED);
+            assertThat(ran && ((Refusal) reply).verdict().equals(Verdict.NOT_RUN))
+                    .isFalse();
+        }
+    }
+
+    private static void work(CallFixture fixture) {
+        for (int round = 0; round < 60; round++) {
+            fixture.routers.keySet().forEach(host -> fixture.end(host, FakeRouter.answered("token 112")));
+            fixture.cluster.advance(200);
+        }
+    }
+}
--- a/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFixture.java
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFixture.java
@@ -65,6 +65,7 @@
 
     /** Ends what runs at a host. */
     void end(String host, RouteOutcome outcome) {
+        cluster.run();
         FakeRouter router = routers.get(host);
         for (RoutedRequest request : List.copyOf(router.running.values())) {
             cluster.inject(new HostId(host), out -> router.end(request, outcome, cluster.nowMs(), out));
@@ -76,6 +77,12 @@
         return everyRouter.stream().mapToInt(router -> router.routed.size()).sum();
     }
 
+    /** Returns whether a target heard of the call on behalf of this request. */
+    boolean ran(RequestId request) {
+        return everyRouter.stream().flatMap(router -> router.routed.stream()).anyMatch(routed -> routed.id()
+                .equals(request));
+    }
+
     CallAnswer answer(RequestId request) {
         CallerReply reply = cluster.reply(request).orElseThrow(() -> new AssertionError("no answer to " + request));
         assertThat(reply).isInstanceOf(CallAnswer.class);
--- a/cornelcrank-call/src/test/java/org/cornelcrank/call/FakeRouter.java
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/FakeRouter.java
@@ -38,8 +38,11 @@
         running.remove(request);
     }
 
+    /** Ends a request if it still runs. */
     void end(RoutedRequest request, RouteOutcome outcome, long nowMs, Effects out) {
-        running.remove(request.id());
+        if (running.remove(request.id()) == null) {
+            return;
+        }
         listeners.remove(request.id()).routeEnded(request, outcome, nowMs, out);
     }
 
