--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
@@ -175,6 +175,7 @@
                 .field("pendingReads", context.reads().size())
                 .field("heldResultBytes", context.budget().heldBytes())
                 .field("resultBudgetExhausted", context.budget().exhausted())
+                .field("heldItemBytes", context.windows().heldBytes())
                 .field("runningJobs", context.windows().jobs());
         writer.table("ownedPartitions", "partition", "files", "jobs", "boundKeys", "pendingWrites");
         owned.forEach((partition, held) -> writer.row(
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ItemWindow.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/ItemWindow.java
@@ -16,8 +16,8 @@
 /**
  * Holds the lines of a job's next items, read from the log ahead of demand.
  *
- * <p>Invariants: each unfinished item passes through the window once, in order; lines are read only up to the job's part
- * of the {@link WindowBudget}, of which one page may be in reading besides. Not thread-safe: confined to the daemon's
+ * <p>Invariants: each unfinished item passes through the window once, in order; items are kept only up to the job's part
+ * of the {@link WindowBudget}, or one; one page may be in reading besides. Not thread-safe: confined to the daemon's
  * event loop.
  */
 final class ItemWindow implements BodyReads.BodyListener {
@@ -31,6 +31,8 @@
     private final SortedMap<Long, Deque<WaitingItem>> delayed = new TreeMap<>();
     private int cursor;
     private long readyBytes;
+    private long heldBytes;
+    private boolean closed;
     private boolean reading;
     private long readAgainAtMs;
 
@@ -73,6 +75,21 @@
         context.retryTimer().arm(readyAtMs, out);
     }
 
+    /** Lets go of an item that ended. */
+    void release(WaitingItem item) {
+        heldBytes -= item.bytes();
+        context.windows().release(item.bytes());
+    }
+
+    /** Lets go of everything; lines that are still being read are passed over. */
+    void close() {
+        closed = true;
+        context.windows().release(heldBytes);
+        heldBytes = 0;
+        ready.clear();
+        delayed.clear();
+    }
+
     /** Readies the items whose delay is over, and arms the timer for the others. */
     void readyDue(long nowMs, Effects out) {
         while (!delayed.isEmpty() && delayed.firstKey() <= nowMs) {
@@ -86,7 +103,7 @@
 
     /** Reads the next page if the window has room for half of itself. */
     void fill(long nowMs, Effects out) {
-        if (reading || !hasRoom(2)) {
+        if (closed || reading || !ready.isEmpty() && !hasRoom(2)) {
             return;
         }
         if (nowMs < readAgainAtMs) {
@@ -105,6 +122,9 @@
     @Override
     public void recordsRead(SortedMap<RecordPosition, BatchRecord> records, long nowMs, Effects out) {
         reading = false;
+        if (closed) {
+            return;
+        }
         if (records.isEmpty()) {
             skipUnreadablePage(nowMs, out);
         } else {
@@ -150,6 +170,8 @@
         WaitingItem waiting = new WaitingItem(cursor, item, job.attempts(cursor), 0);
         ready.addLast(waiting);
         readyBytes += waiting.bytes();
+        heldBytes += waiting.bytes();
+        context.windows().hold(waiting.bytes());
         return true;
     }
 
@@ -164,7 +186,7 @@
     }
 
     private boolean hasRoom(int parts) {
-        return readyBytes < context.windows().bytesPerJob() / parts
+        return context.windows().hasRoom(readyBytes, parts)
                 && ready.size() < context.limits().maxJobWindowItems() / parts;
     }
 
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
@@ -56,6 +56,7 @@
         }
         stopped = true;
         context.windows().jobStopped();
+        window.close();
         List<BatchPermit> cancelled = List.copyOf(running.keySet());
         running.clear();
         cancelled.forEach(permit -> context.capacity().cancel(permit, nowMs, out));
@@ -146,6 +147,7 @@
             return;
         }
         context.count("items-answered");
+        window.release(item);
         ResultLine line = new ResultLine(
                 item.number(), item.line().customId(), answer.status(), answer.body(), Optional.empty(), "");
         results.add(job.terms().job(), line, nowMs, out);
@@ -176,6 +178,7 @@
     }
 
     private void fail(WaitingItem item, ItemFailure failure, long nowMs, Effects out) {
+        window.release(item);
         fail(item.number(), item.line().customId(), failure, nowMs, out);
     }
 
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/WaitingItem.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/WaitingItem.java
@@ -11,8 +11,11 @@
  */
 record WaitingItem(int number, ItemLine line, int attempts, int refusals) {
 
+    private static final int OVERHEAD_BYTES = 256;
+
+    /** Returns about how much memory the item takes. */
     int bytes() {
-        return line.body().size() + line.customId().length();
+        return OVERHEAD_BYTES + line.body().size() + line.customId().length();
     }
 
     /**
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFaultTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFaultTests.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.batch;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.cornelcrank.core.FileId;
@@ -15,49 +16,70 @@
 /**
  * Brings one fault about after each event of a job's whole path, and checks that each item is recorded once.
  *
- * <p>The owner is e1 at first; the caller stays with e3, which never fails.
+ * <p>The owner is e1 or e2; the caller stays with e3, which never fails.
  */
 class BatchFaultTests {
 
     private static final PartitionId PARTITION = new PartitionId(FakeCluster.REGION, 0);
     private static final int ITEMS = 12;
     private static final int MAX_EVENTS = 2_000;
+    private static final int PAIR_STEP = 9;
 
     @ParameterizedTest
     @EnumSource(Fault.class)
     void eachItemIsRecordedOnceWhateverTheEventThatTheFaultFollows(Fault fault) {
         int event = 0;
-        while (runWithFaultAfter(fault, event)) {
+        while (runWithFaults(List.of(fault), event, 0)) {
             event++;
             assertThat(event).isLessThan(MAX_EVENTS);
         }
         assertThat(event).as("events that the fault followed").isGreaterThan(50);
     }
 
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void eachItemIsRecordedOnceAlsoWhenAnotherFaultFollowsSoon(Fault first) {
+        for (Fault second : Fault.values()) {
+            int gap = 1 + (first.ordinal() * 7 + second.ordinal() * 3) % 13;
+            int event = second.ordinal();
+            while (runWithFaults(List.of(first, second), event, gap)) {
+                event += PAIR_STEP;
+            }
+        }
+    }
+
     /** Returns whether there was an event of that number. */
-    private static boolean runWithFaultAfter(Fault fault, int event) {
+    private static boolean runWithFaults(List<Fault> faults, int event, int gap) {
         BatchFixture fixture = new BatchFixture(BatchSettings.defaults(), 1, "e1", "e2", "e3");
         FakeCluster cluster = fixture.cluster;
         int[] events = new int[1];
         cluster.afterEachEvent(() -> {
-            if (events[0]++ == event) {
-                fault.strike(cluster, PARTITION, BatchMessage.Answered.class::isInstance);
+            int past = events[0]++ - event;
+            for (int i = 0; i < faults.size(); i++) {
+                if (past == i * gap) {
+                    faults.get(i).strike(cluster, PARTITION, BatchMessage.Answered.class::isInstance);
+                }
             }
         });
         try {
-            FileId file = fixture.upload("e3", NILAVU, ITEMS, "d1");
-            JobInfo job = cluster.askAgain("e3", NILAVU, BatchFixture.job(file, Optional.of("night")), JobInfo.class);
-            JobInfo again = cluster.askAgain("e3", NILAVU, BatchFixture.job(file, Optional.of("night")), JobInfo.class);
-            assertThat(again.job()).isEqualTo(job.job());
-            fixture.work(20, fixture::countAndEcho);
-            JobInfo ended = fixture.info("e3", job.job());
-            assertThat(ended.state()).isEqualTo(JobState.COMPLETED);
-            assertThat(ended.completed()).isEqualTo(ITEMS);
-            BatchFixture.assertEachOnce(fixture.results("e3", NILAVU, job.job()), ITEMS);
-            assertThat(fixture.runs).hasSize(ITEMS);
-        } catch (AssertionError e) {
-            throw new AssertionError(fault + " after event " + event + ": " + e.getMessage(), e);
+            runJob(fixture);
+        } catch (AssertionError | RuntimeException e) {
+            throw new AssertionError(faults + " after event " + event + " and " + gap + " later: " + e.getMessage(), e);
         }
         return events[0] > event;
     }
+
+    private static void runJob(BatchFixture fixture) {
+        FileId file = fixture.upload("e3", NILAVU, ITEMS, "d1");
+        CreateJob create = BatchFixture.job(file, Optional.of("night"));
+        JobInfo job = fixture.cluster.askAgain("e3", NILAVU, create, JobInfo.class);
+        JobInfo again = fixture.cluster.askAgain("e3", NILAVU, create, JobInfo.class);
+        assertThat(again.job()).isEqualTo(job.job());
+        fixture.work(20, fixture::countAndEcho);
+        JobInfo ended = fixture.info("e3", job.job());
+        assertThat(ended.state()).isEqualTo(JobState.COMPLETED);
+        assertThat(ended.completed()).isEqualTo(ITEMS);
+        BatchFixture.assertEachOnce(fixture.results("e3", NILAVU, job.job()), ITEMS);
+        assertThat(fixture.runs).hasSize(ITEMS);
+    }
 }
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFixture.java
@@ -50,11 +50,20 @@
 
     /** Returns default settings but for the bytes of results that may wait for the log. */
     static BatchSettings withResultBuffer(int maxBufferedResultBytes) {
+        return limits(BatchSettings.defaults().maxWindowBytes(), maxBufferedResultBytes);
+    }
+
+    /** Returns default settings but for the bytes of lines in memory. */
+    static BatchSettings withWindowBytes(int maxWindowBytes) {
+        return limits(maxWindowBytes, BatchSettings.defaults().maxBufferedResultBytes());
+    }
+
+    private static BatchSettings limits(int maxWindowBytes, int maxBufferedResultBytes) {
         BatchSettings defaults = BatchSettings.defaults();
         return new BatchSettings(
                 defaults.forwarding(),
                 defaults.commandTimeoutMs(),
-                defaults.maxWindowBytes(),
+                maxWindowBytes,
                 defaults.maxJobWindowBytes(),
                 defaults.maxJobWindowItems(),
                 defaults.maxResultsPerRecord(),
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
@@ -27,7 +27,6 @@
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.RequestId;
-import org.cornelcrank.core.Verdict;
 import org.cornelcrank.partition.PartitionClient;
 import org.cornelcrank.partition.PartitionState;
 import org.cornelcrank.partition.PartitionWriter;
@@ -215,7 +214,7 @@
         return type.cast(reply);
     }
 
-    /** Asks as a caller does who comes back after a refusal that is worth it, for as long as it did not run. */
+    /** Asks as a caller does who sends an idempotent command again after each refusal that says when. */
     public <T extends CallerReply> T askAgain(String name, Caller caller, CallerCommand command, Class<T> type) {
         CallerReply reply = ask(name, caller, command);
         for (int round = 0; round < MAX_ASKED_AGAIN && comesBack(reply); round++) {
@@ -227,9 +226,7 @@
     }
 
     private static boolean comesBack(CallerReply reply) {
-        return reply instanceof Refusal refusal
-                && refusal.verdict().equals(Verdict.NOT_RUN)
-                && refusal.retryAfterMs() > 0;
+        return reply instanceof Refusal refusal && refusal.retryAfterMs() > 0;
     }
 
     /** Returns the answer to a request; there must not be two. */
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/Fault.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/Fault.java
@@ -5,7 +5,7 @@
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.core.PeerMessage;
 
-/** Faults that strike the owner e1 of a partition; e2 takes over where somebody has to. */
+/** Faults that strike the owner of a partition, e1 or e2; the other one takes over where somebody has to. */
 public enum Fault {
     CRASH,
     CRASH_AND_RESTART,
@@ -17,37 +17,42 @@
     LOST_ANSWERS,
     OUTAGE;
 
-    private static final String OWNER = "e1";
-    private static final String SUCCESSOR = "e2";
+    private static final String FIRST = "e1";
+    private static final String SECOND = "e2";
+
     private static final long PAUSE_MS = 1_200;
     private static final long OUTAGE_MS = 3_000;
 
     /** Brings the fault about; {@code answers} tells which messages a loss of answers takes. */
     public void strike(FakeCluster cluster, PartitionId partition, Predicate<PeerMessage> answers) {
+        String owner = cluster.owner(partition);
+        String successor = owner.equals(FIRST) ? SECOND : FIRST;
         switch (this) {
             case CRASH -> {
-                cluster.crash(OWNER);
-                cluster.own(partition, SUCCESSOR);
+                cluster.crash(owner);
+                cluster.own(partition, successor);
+                cluster.start(owner);
             }
             case CRASH_AND_RESTART -> {
-                cluster.crash(OWNER);
-                cluster.start(OWNER);
-                cluster.own(partition, OWNER);
+                cluster.crash(owner);
+                cluster.start(owner);
+                cluster.own(partition, owner);
             }
             case CRASH_AFTER_APPEND -> {
-                cluster.crashAfterAppend(OWNER);
-                cluster.own(partition, SUCCESSOR);
+                cluster.crashAfterAppend(owner);
+                cluster.own(partition, successor);
+                cluster.start(owner);
             }
-            case PAUSE_ACROSS_CLAIM -> pauseAcrossClaim(cluster, partition);
+            case PAUSE_ACROSS_CLAIM -> pauseAcrossClaim(cluster, partition, owner, successor);
             case PAUSE_ACROSS_CLAIM_AFTER_APPEND -> {
-                cluster.pause(OWNER);
+                cluster.pause(owner);
                 cluster.appendPending();
-                pauseAcrossClaim(cluster, partition);
+                pauseAcrossClaim(cluster, partition, owner, successor);
             }
-            case HAND_OVER -> cluster.own(partition, SUCCESSOR);
+            case HAND_OVER -> cluster.own(partition, successor);
             case HAND_OVER_AND_BACK -> {
-                cluster.own(partition, SUCCESSOR);
-                cluster.own(partition, OWNER);
+                cluster.own(partition, successor);
+                cluster.own(partition, owner);
             }
             case LOST_ANSWERS -> {
                 cluster.dropMessages(answers);
@@ -61,9 +66,9 @@
         }
     }
 
-    private static void pauseAcrossClaim(FakeCluster cluster, PartitionId partition) {
-        cluster.pause(OWNER);
-        cluster.own(partition, SUCCESSOR);
-        cluster.after(PAUSE_MS, () -> cluster.resume(OWNER));
+    private static void pauseAcrossClaim(FakeCluster cluster, PartitionId partition, String owner, String successor) {
+        cluster.pause(owner);
+        cluster.own(partition, successor);
+        cluster.after(PAUSE_MS, () -> cluster.resume(owner));
     }
 }
--- a/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFaultTests.java
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/CallFaultTests.java
@@ -1,5 +1,7 @@
 package org.cornelcrank.call;
 
+import java.util.List;
+
 import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RequestId;
@@ -14,47 +16,69 @@
  * Brings one fault about after each event of a call's whole path, and checks that it runs at most once and that what the
  * callers are told is true.
  *
- * <p>The owner is e1 at first; the callers stay with e2 and e3.
+ * <p>The owner is e1 or e2; the callers stay with e3 and e4.
  */
 class CallFaultTests {
 
     private static final int MAX_EVENTS = 500;
+    private static final int MAX_GAP = 10;
 
     @ParameterizedTest
     @EnumSource(Fault.class)
     void callRunsAtMostOnceWhateverTheEventThatTheFaultFollows(Fault fault) {
         int event = 0;
-        while (runWithFaultAfter(fault, event)) {
+        while (runWithFaults(List.of(fault), event, 0)) {
             event++;
             assertThat(event).isLessThan(MAX_EVENTS);
         }
         assertThat(event).as("events that the fault followed").isGreaterThan(5);
     }
 
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void callRunsAtMostOnceAlsoWhenAnotherFaultFollowsSoon(Fault first) {
+        for (Fault second : Fault.values()) {
+            for (int gap = 1; gap <= MAX_GAP; gap += 3) {
+                int event = 0;
+                while (runWithFaults(List.of(first, second), event, gap)) {
+                    event += 2;
+                }
+            }
+        }
+    }
+
     /** Returns whether there was an event of that number. */
-    private static boolean runWithFaultAfter(Fault fault, int event) {
-        CallFixture fixture = new CallFixture("e1", "e2", "e3");
+    private static boolean runWithFaults(List<Fault> faults, int event, int gap) {
+        CallFixture fixture = new CallFixture("e1", "e2", "e3", "e4");
         int[] events = new int[1];
         fixture.cluster.afterEachEvent(() -> {
-            if (events[0]++ == event) {
-                fault.strike(fixture.cluster, CallFixture.PARTITION, CallMessage.Answered.class::isInstance);
+            int past = events[0]++ - event;
+            for (int i = 0; i < faults.size(); i++) {
+                if (past == i * gap) {
+                    faults.get(i)
+                            .strike(fixture.cluster, CallFixture.PARTITION, CallMessage.Answered.class::isInstance);
+                }
             }
         });
+        try {
+            runCalls(fixture);
+        } catch (AssertionError | RuntimeException e) {
+            throw new AssertionError(faults + " after event " + event + " and " + gap + " later: " + e.getMessage(), e);
+        }
+        return events[0] > event;
+    }
+
+    private static void runCalls(CallFixture fixture) {
         RequestId first = fixture.send("e3", "slip-7", "branch 4");
-        RequestId resend = fixture.send("e2", "slip-7", "branch 4");
+        RequestId resend = fixture.send("e4", "slip-7", "branch 4");
         work(fixture);
         RequestId last = fixture.send("e3", "slip-7", "branch 4");
         work(fixture);
-        try {
-            assertThat(fixture.timesRouted()).isLessThanOrEqualTo(1);
-            for (RequestId request : new RequestId[] {first, resend, last}) {
-                CallerReply reply = fixture.cluster.reply(request).orElseThrow();
-                assertTrue(reply, fixture.ran(request), fixture.timesRouted());
-            }
-        } catch (AssertionError e) {
-            throw new AssertionError(fault + " after event " + event + ": " + e.getMessage(), e);
+        assertThat(fixture.timesRouted()).isLessThanOrEqualTo(1);
+        for (RequestId request : List.of(first, resend, last)) {
+            CallerReply reply = fixture.cluster.reply(request).orElseThrow();
+            assertTrue(reply, fixture.ran(request), fixture.timesRouted());
         }
-        return events[0] > event;
     }
 
     private static void assertTrue(CallerReply reply, boolean ran, int timesRouted) {
