Choose targets by prompt affinity and measure the policies side by side

Change: PrefixAffinityTargetSelector (rendezvous hash, bounded load) with least-loaded, power-of-two and the two baselines; hold times with deviation decide what can still be met; beliefs of fullness decay with the expected wait; waiting requests move to targets that seem to have room; the reserve covers only revocations slower than a tolerated wait.

--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/HoldTimes.java
@@ -0,0 +1,68 @@
+package org.cornelcrank.routing;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.cornelcrank.core.ServiceName;
+
+/**
+ * Learns how long requests of each service hold a slot, and how much that varies.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class HoldTimes {
+
+    private static final double UNKNOWN_MS = 1_000;
+    private static final double WEIGHT = 0.1;
+    private static final double DEVIATIONS = 2;
+
+    private final Map<ServiceName, Estimate> estimates = new TreeMap<>();
+
+    void completed(ServiceName service, long heldMs) {
+        estimates.computeIfAbsent(service, key -> new Estimate(heldMs)).add(heldMs);
+    }
+
+    /** Notes a request that was cut short; it would have held its slot at least this long. */
+    void cutShort(ServiceName service, long heldMs) {
+        Estimate estimate = estimates.get(service);
+        if (estimate != null && heldMs > estimate.meanMs) {
+            estimate.add(heldMs);
+        }
+    }
+
+    /** Returns the mean in ms, a guess while nothing is known. */
+    double meanMs(ServiceName service) {
+        Estimate estimate = estimates.get(service);
+        return estimate == null ? UNKNOWN_MS : estimate.meanMs;
+    }
+
+    /** Returns what few requests exceed in ms, 0 while nothing is known. */
+    long mostMs(ServiceName service) {
+        Estimate estimate = estimates.get(service);
+        return estimate == null ? 0 : (long) (estimate.meanMs + DEVIATIONS * estimate.deviationMs);
+    }
+
+    /** Returns the mean over all services in ms. */
+    double meanMs() {
+        return estimates.values().stream()
+                .mapToDouble(estimate -> estimate.meanMs)
+                .average()
+                .orElse(UNKNOWN_MS);
+    }
+
+    private static final class Estimate {
+
+        private double meanMs;
+        private double deviationMs;
+
+        Estimate(long firstMs) {
+            meanMs = firstMs;
+            deviationMs = firstMs / 4.0;
+        }
+
+        void add(long heldMs) {
+            deviationMs += WEIGHT * (Math.abs(heldMs - meanMs) - deviationMs);
+            meanMs += WEIGHT * (heldMs - meanMs);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/LaggingLeastLoadTargetSelector.java
@@ -0,0 +1,32 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the candidate whose own lagging report shows the least load, at random among equals; a baseline to measure
+ * against.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class LaggingLeastLoadTargetSelector implements TargetSelector {
+
+    @Override
+    public String name() {
+        return "lagging-least-load";
+    }
+
+    @Override
+    public Optional<TargetCandidate> select(
+            List<TargetCandidate> candidates, RoutedRequest request, RandomGenerator random) {
+        int least = candidates.stream()
+                .mapToInt(TargetCandidate::reportedLoad)
+                .min()
+                .orElse(0);
+        List<TargetCandidate> equals = candidates.stream()
+                .filter(candidate -> candidate.reportedLoad() == least)
+                .toList();
+        return equals.isEmpty() ? Optional.empty() : Optional.of(equals.get(random.nextInt(equals.size())));
+    }
+}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineReserve.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineReserve.java
@@ -3,8 +3,8 @@
 /**
  * Says how many slots of a target batch work leaves free for online requests that are about to come.
  *
- * <p>The reserve is the smallest number that arrivals within the time to get a batch permit back exceed with at most the
- * given probability, at the higher of the recent and the longer-term rate. Not thread-safe: confined to the daemon's
+ * <p>The reserve is the smallest number that arrivals exceed with at most the given probability within the
+ * time to get a batch permit back, less the wait that callers do not feel, at the higher of the recent and the longer-term rate. Not thread-safe: confined to the daemon's
  * event loop.
  */
 final class OnlineReserve {
@@ -15,13 +15,15 @@
     private static final double FIRST_REVOCATION_MS = 10;
 
     private final double missShare;
+    private final long toleratedWaitMs;
     private double recentCount;
     private double longCount;
     private long countedAtMs;
     private double revocationMs = FIRST_REVOCATION_MS;
 
-    OnlineReserve(double missShare) {
+    OnlineReserve(double missShare, long toleratedWaitMs) {
         this.missShare = missShare;
+        this.toleratedWaitMs = toleratedWaitMs;
     }
 
     void onlineArrived(long nowMs) {
@@ -43,7 +45,7 @@
     int slots(int capacity, long nowMs) {
         decay(nowMs);
         double ratePerMs = Math.max(recentCount / RECENT_SPAN_MS, longCount / LONG_SPAN_MS);
-        double expected = ratePerMs * revocationMs;
+        double expected = ratePerMs * Math.max(0, revocationMs - toleratedWaitMs);
         double probability = Math.exp(-expected);
         double atMost = probability;
         int reserve = 0;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -37,7 +37,8 @@
     static final TimerKey TIMER = new TimerKey(RoutingDuty.NAME, "requests");
 
     private static final long NO_TARGET_RETRY_MS = 1_000;
-    private static final long RECHECK_MS = 1_000;
+    private static final long RECHECK_MS = 250;
+    private static final long ASK_AGAIN_MS = 1_000;
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
     private static final int OTHER_REGION_PATIENCE_FACTOR = 12;
@@ -163,6 +164,7 @@
 
     private void ask(Route route, long nowMs, Effects out) {
         route.phase = Route.Phase.ASKED;
+        route.askedAtMs = nowMs;
         RoutedRequest request = route.request;
         RoutingMessage.AskPermit message = new RoutingMessage.AskPermit(
                 route.attempt,
@@ -223,7 +225,7 @@
         if (other.isEmpty()) {
             return false;
         }
-        route.asks++;
+        route.moves++;
         withdraw(route, out);
         route.target = other.get();
         obtainPermit(route, nowMs, out);
@@ -285,11 +287,23 @@
             } else if (route.phase == Route.Phase.ASKED) {
                 goAheadWithoutPermit(route, "the controller " + route.controller + " is silent", nowMs, out);
             } else {
-                ask(route, nowMs, out);
+                recheck(route, nowMs, out);
             }
         }
     }
 
+    /** Moves a request that waits to a target that seems to have room by now, and makes sure that it still waits. */
+    private void recheck(Route route, long nowMs, Effects out) {
+        if (moveToTargetWithRoom(route, nowMs, out)) {
+            return;
+        }
+        if (nowMs - route.askedAtMs >= ASK_AGAIN_MS) {
+            ask(route, nowMs, out);
+        } else {
+            wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + RECHECK_MS), out);
+        }
+    }
+
     private void goAheadWithoutPermit(Route route, String reason, long nowMs, Effects out) {
         if (route.request.urgency() == Urgency.BATCH || route.suspect) {
             withdraw(route, out);
@@ -425,6 +439,7 @@
         } else {
             context.count("retries");
             route.asks = 0;
+            route.moves = 0;
             route.redirects = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 obtainPermit(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -7,12 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.TreeSet;
 
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.TargetReport;
 import org.cornelcrank.core.Urgency;
 
@@ -25,8 +23,6 @@
  */
 final class PermitLedger {
 
-    private static final double HOLD_WEIGHT = 0.1;
-
     private final RoutingSettings settings;
     private final SlotCapacity capacity;
     private final OnlineReserve reserve;
@@ -34,7 +30,7 @@
     private final Map<AttemptId, HeldPermit> permits = new LinkedHashMap<>();
     private final TreeSet<PermitWaiter> waiters = new TreeSet<>();
     private final Map<AttemptId, PermitWaiter> waitersByAttempt = new LinkedHashMap<>();
-    private final Map<ServiceName, Double> holdMs = new TreeMap<>();
+    private final HoldTimes holdTimes = new HoldTimes();
     private boolean closed;
     private int unknownRunning;
     private long exceededAtMs = Long.MIN_VALUE / 2;
@@ -42,7 +38,8 @@
     PermitLedger(RoutingSettings settings, long nowMs) {
         this.settings = settings;
         this.capacity = new SlotCapacity(settings.permits().unreportedSlots());
-        this.reserve = new OnlineReserve(settings.queues().reserveMissShare());
+        this.reserve = new OnlineReserve(
+                settings.queues().reserveMissShare(), settings.queues().toleratedWaitMs());
         this.learningUntilMs = nowMs + settings.permits().handoverMs();
     }
 
@@ -75,7 +72,7 @@
             reserve.onlineArrived(nowMs);
         }
         long waitMs = expectedWaitMs(waiter, nowMs);
-        if (waitMs > 0 && nowMs + waitMs + expectedHoldMs(waiter.service()) > waiter.deadlineAtMs()) {
+        if (waitMs > 0 && nowMs + waitMs + holdTimes.mostMs(waiter.service()) > waiter.deadlineAtMs()) {
             return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
         }
         add(waiter);
@@ -85,7 +82,7 @@
     private LedgerDecision askAgain(HeldPermit held, PermitWaiter waiter) {
         if (waiter.suspect() && !held.suspect()) {
             if (suspectRuns()) {
-                return refuse(waiter, RoutingMessage.Reason.SUSPECT_RUNNING, expectedHoldMs(waiter.service()));
+                return refuse(waiter, RoutingMessage.Reason.SUSPECT_RUNNING, holdTimes.mostMs(waiter.service()));
             }
             held.markSuspect();
         }
@@ -100,9 +97,9 @@
         }
         refuseExcess(nowMs, decisions);
         for (PermitWaiter first = firstRunnable(); first != null; first = firstRunnable()) {
-            if (nowMs >= first.deadlineAtMs()) {
+            if (tooLate(first, nowMs)) {
                 remove(first);
-                decisions.add(refuse(first, RoutingMessage.Reason.OVERLOADED, expectedHoldMs(first.service())));
+                decisions.add(refuse(first, RoutingMessage.Reason.OVERLOADED, expectedWaitMs(nowMs)));
             } else if (hasRoom(nowMs) || revokeOne(first, nowMs, decisions)) {
                 remove(first);
                 grant(first, nowMs);
@@ -114,6 +111,12 @@
         return decisions;
     }
 
+    /** Returns whether a request that has waited would most likely not end before its deadline. */
+    private boolean tooLate(PermitWaiter waiter, long nowMs) {
+        long neededMs = nowMs > waiter.askedAtMs() ? holdTimes.mostMs(waiter.service()) : 1;
+        return nowMs + neededMs > waiter.deadlineAtMs();
+    }
+
     /** Returns the first waiter, but no suspect while another suspect runs. */
     private PermitWaiter firstRunnable() {
         boolean suspectRuns = suspectRuns();
@@ -197,13 +200,11 @@
             return Optional.empty();
         }
         if (permit.revoked()) {
-            reserve.revocationTook(nowMs - permit.revokedAtMs());
+            reserve.revocationTook(
+                    Math.min(nowMs - permit.revokedAtMs(), settings.permits().revokePatienceMs()));
         }
-        if (use == RoutingMessage.Use.COMPLETED && !permit.batch()) {
-            holdMs.merge(
-                    permit.service(),
-                    (double) (nowMs - permit.grantedAtMs()),
-                    (old, latest) -> old + HOLD_WEIGHT * (latest - old));
+        if (!permit.batch()) {
+            learnHoldTime(permit, use, nowMs);
         }
         if (use == RoutingMessage.Use.OVERLOADED) {
             capacity.overloaded(permits.size() + 1, nowMs);
@@ -211,6 +212,15 @@
         return Optional.of(permit);
     }
 
+    private void learnHoldTime(HeldPermit permit, RoutingMessage.Use use, long nowMs) {
+        long heldMs = nowMs - permit.grantedAtMs();
+        if (use == RoutingMessage.Use.COMPLETED) {
+            holdTimes.completed(permit.service(), heldMs);
+        } else if (use == RoutingMessage.Use.FAILED) {
+            holdTimes.cutShort(permit.service(), heldMs);
+        }
+    }
+
     /** Frees what a holder has that it no longer names, unless it was granted so lately that it could not. */
     void reconcile(HostId holder, Collection<AttemptId> named, long nowMs) {
         long grantedBeforeMs = nowMs - settings.permits().handoverMs();
@@ -287,19 +297,8 @@
         if (ahead < free) {
             return 0;
         }
-        double hold = waiter == null ? meanHoldMs() : expectedHoldMs(waiter.service());
-        return Math.max(1, (long) (hold * (ahead - free + 1) / slots));
-    }
-
-    private double meanHoldMs() {
-        return holdMs.values().stream()
-                .mapToDouble(Double::doubleValue)
-                .average()
-                .orElse(0);
-    }
-
-    private long expectedHoldMs(ServiceName service) {
-        return holdMs.getOrDefault(service, 0.0).longValue();
+        double holdMs = waiter == null ? holdTimes.meanMs() : holdTimes.meanMs(waiter.service());
+        return Math.max(1, (long) (holdMs * (ahead - free + 1) / slots));
     }
 
     private int used() {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitWaiter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitWaiter.java
@@ -13,7 +13,13 @@
  * <p>Ordered by urgency, then deadline. Immutable, thus thread-safe.
  */
 record PermitWaiter(
-        AttemptId attempt, HostId holder, ServiceName service, Urgency urgency, long deadlineAtMs, boolean suspect)
+        AttemptId attempt,
+        HostId holder,
+        ServiceName service,
+        Urgency urgency,
+        long askedAtMs,
+        long deadlineAtMs,
+        boolean suspect)
         implements Comparable<PermitWaiter> {
 
     private static final Comparator<PermitWaiter> ORDER = Comparator.comparing(PermitWaiter::urgency)
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PowerOfTwoTargetSelector.java
@@ -0,0 +1,32 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the less loaded of two random candidates, so that many daemons with the same stale view do not all choose
+ * the same one.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class PowerOfTwoTargetSelector implements TargetSelector {
+
+    @Override
+    public String name() {
+        return "power-of-two";
+    }
+
+    @Override
+    public Optional<TargetCandidate> select(
+            List<TargetCandidate> candidates, RoutedRequest request, RandomGenerator random) {
+        if (candidates.size() < 2) {
+            return candidates.stream().findFirst();
+        }
+        int first = random.nextInt(candidates.size());
+        int second = random.nextInt(candidates.size() - 1);
+        TargetCandidate one = candidates.get(first);
+        TargetCandidate other = candidates.get(second < first ? second : second + 1);
+        return Optional.of(other.load() < one.load() ? other : one);
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PrefixAffinityTargetSelector.java
@@ -0,0 +1,58 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.cornelcrank.core.RendezvousHash;
+
+/**
+ * Chooses the same candidate for prompts with the same head, unless it is loaded well above the others.
+ *
+ * <p>All daemons rank the candidates of a prompt alike, by rendezvous hash of its head, so that they agree without
+ * talking. A candidate that is believed to hold clearly more of the prompt goes first. Prompts without prefixes go to
+ * the better of two. Stateless, thus thread-safe.
+ */
+public final class PrefixAffinityTargetSelector implements TargetSelector {
+
+    private static final int HEAD_LEVEL = 1;
+    private static final int CLEARLY_MORE_PREFIXES = 2;
+    private static final double LOAD_FACTOR = 1.5;
+
+    private final TargetSelector withoutPrefixes = new PowerOfTwoTargetSelector();
+
+    @Override
+    public String name() {
+        return "prefix-affinity";
+    }
+
+    @Override
+    public Optional<TargetCandidate> select(
+            List<TargetCandidate> candidates, RoutedRequest request, RandomGenerator random) {
+        List<Long> prefixes = request.prefixHashes();
+        if (prefixes.isEmpty() || candidates.size() < 2) {
+            return withoutPrefixes.select(candidates, request, random);
+        }
+        String head = Long.toHexString(prefixes.get(Math.min(HEAD_LEVEL, prefixes.size() - 1)));
+        double meanLoad =
+                candidates.stream().mapToDouble(TargetCandidate::load).average().orElse(0);
+        List<TargetCandidate> admissible =
+                RendezvousHash.rank(head, candidates, candidate -> candidate
+                                .target()
+                                .value())
+                        .stream()
+                        .filter(candidate -> candidate.load() <= LOAD_FACTOR * meanLoad + 1.0 / candidate.slots())
+                        .toList();
+        return admissible.isEmpty() ? withoutPrefixes.select(candidates, request, random) : first(admissible);
+    }
+
+    private static Optional<TargetCandidate> first(List<TargetCandidate> ranked) {
+        TargetCandidate best = ranked.get(0);
+        for (TargetCandidate candidate : ranked) {
+            if (candidate.cachedPrefixes() >= best.cachedPrefixes() + CLEARLY_MORE_PREFIXES) {
+                best = candidate;
+            }
+        }
+        return Optional.of(best);
+    }
+}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -28,12 +28,14 @@
     boolean permitted;
     boolean suspect;
     int asks;
+    int moves;
     int redirects;
     int attempts;
     int deliveredTokens;
     int resumedFrom;
     int generation;
     boolean bytesReachedCaller;
+    long askedAtMs;
     long dispatchedAtMs;
     long retryAfterMs;
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingPolicy.java
@@ -18,6 +18,6 @@
     /** Returns the policy for production. */
     public static RoutingPolicy defaults() {
         return new RoutingPolicy(
-                RoutingSettings.defaults(), new LeastLoadedTargetSelector(), AdmissionOrder.URGENCY_FIRST);
+                RoutingSettings.defaults(), new PrefixAffinityTargetSelector(), AdmissionOrder.URGENCY_FIRST);
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -11,8 +11,8 @@
     /** Returns settings for a deployment of any size up to hundreds of daemons. */
     public static RoutingSettings defaults() {
         return new RoutingSettings(
-                new Permits(8, 3, 1_000, 5_000, 1_000, 3_000, 100, 8),
-                new Queues(20_000, 4, 2_000, 10_000, 0.01),
+                new Permits(8, 3, 10, 1_000, 5_000, 1_000, 3_000, 100, 8),
+                new Queues(20_000, 4, 5_000, 20_000, 0.01, 5),
                 new Retries(4, 0.2, 20),
                 new Ejection(3, 5_000, 10_000),
                 new Quarantine(2_000, 600_000, 2),
@@ -23,7 +23,8 @@
      * Settings of the permits.
      *
      * <p>{@code patienceMs} is how long an urgent request waits for any word of a controller before it goes ahead
-     * without a permit. {@code maxAsks} bounds the targets asked for one attempt. {@code handoverMs} is how long a new
+     * without a permit. {@code maxAsks} bounds the targets that may refuse one attempt, {@code maxMoves} how often a request
+     * that waits turns to a target that seems to have room. {@code handoverMs} is how long a new
      * controller learns of running permits before it serves batch work. {@code announceIntervalMs} is how often a holder
      * names its running permits. {@code occupancyIntervalMs} and {@code occupancyStaleMs} bound how often occupancy is
      * published and how long it is believed. {@code revokePatienceMs} is how long a revoked permit is expected back.
@@ -32,6 +33,7 @@
     public record Permits(
             long patienceMs,
             int maxAsks,
+            int maxMoves,
             long handoverMs,
             long announceIntervalMs,
             long occupancyIntervalMs,
@@ -42,6 +44,7 @@
         public Permits {
             requirePositive(patienceMs, "patienceMs");
             requirePositive(maxAsks, "maxAsks");
+            requirePositive(maxMoves, "maxMoves");
             requirePositive(handoverMs, "handoverMs");
             requirePositive(announceIntervalMs, "announceIntervalMs");
             requirePositive(occupancyIntervalMs, "occupancyIntervalMs");
@@ -56,20 +59,23 @@
      *
      * <p>{@code maxOpenRequests} bounds the requests of one daemon, {@code maxWaitersPerSlot} those that wait for one
      * slot of a target. {@code demandRefreshMs} and {@code demandLifetimeMs} say how often batch demand is restated and
-     * how long it holds. {@code reserveMissShare} is the share of online requests that may find no slot in reserve.
+     * how long it holds. {@code reserveMissShare} is the share of online requests that may find no slot in reserve and
+     * wait longer than {@code toleratedWaitMs} for batch work to give way.
      */
     public record Queues(
             int maxOpenRequests,
             int maxWaitersPerSlot,
             long demandRefreshMs,
             long demandLifetimeMs,
-            double reserveMissShare) {
+            double reserveMissShare,
+            long toleratedWaitMs) {
 
         public Queues {
             requirePositive(maxOpenRequests, "maxOpenRequests");
             requirePositive(maxWaitersPerSlot, "maxWaitersPerSlot");
             requirePositive(demandRefreshMs, "demandRefreshMs");
             requirePositive(demandLifetimeMs, "demandLifetimeMs");
+            requirePositive(toleratedWaitMs, "toleratedWaitMs");
             if (!(reserveMissShare > 0 && reserveMissShare < 1)) {
                 throw new IllegalArgumentException(
                         "reserveMissShare must lie between 0 and 1 but was " + reserveMissShare);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -14,7 +14,8 @@
 /**
  * Chooses the target of a request: near ones before far ones, by the selector among those that are equally near.
  *
- * <p>The other region is chosen only if the own region cannot meet the deadline and the link's budget allows it. Not
+ * <p>For a request that seeks a cached prompt the data centres of a region count as equally near, as a cache hit saves
+ * far more than the way costs. The other region is chosen only if the own region cannot meet the deadline and the link's budget allows it. Not
  * thread-safe: confined to the daemon's event loop.
  */
 final class TargetChoice {
@@ -51,10 +52,15 @@
 
     private Optional<TargetCandidate> chooseByDistance(
             RoutedRequest request, List<TargetCandidate> candidates, long nowMs) {
+        if (context.policy().admission() == AdmissionOrder.ARRIVAL) {
+            List<TargetCandidate> own = inOwnRegion(candidates);
+            return select(own.isEmpty() ? candidates : own, request);
+        }
         List<TargetCandidate> nearest = at(candidates, Location.Distance.SAME_DATA_CENTRE);
         List<TargetCandidate> region = inOwnRegion(candidates);
         List<TargetCandidate> other = at(candidates, Location.Distance.OTHER_REGION);
-        Optional<TargetCandidate> near = select(withRoom(nearest), request);
+        boolean seeksCache = !request.prefixHashes().isEmpty();
+        Optional<TargetCandidate> near = seeksCache ? Optional.empty() : select(withRoom(nearest), request);
         if (near.isPresent()) {
             return near;
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -45,19 +45,23 @@
     /** Takes over the targets that this daemon now controls, drops the others and asks for the reports of these. */
     void assignTargets(long nowMs, Effects out) {
         Map<TargetId, String> watched = new TreeMap<>();
+        Set<TargetId> controlledNow = new TreeSet<>();
         for (TargetState target : context.directory().all()) {
-            if (controls(target)) {
+            boolean controlled = controls(target);
+            if (controlled || context.policy().admission() == AdmissionOrder.ARRIVAL) {
                 watched.put(target.id(), target.address());
+            }
+            if (controlled) {
+                controlledNow.add(target.id());
                 ledgers.computeIfAbsent(target.id(), id -> new PermitLedger(context.routing(), nowMs));
             }
         }
-        boolean changed = !watched.keySet().equals(ledgers.keySet()) || !watched.equals(publisher.watched());
         for (TargetId lost : List.copyOf(ledgers.keySet())) {
-            if (!watched.containsKey(lost)) {
+            if (!controlledNow.contains(lost)) {
                 dropLedger(lost, out);
             }
         }
-        if (changed) {
+        if (!watched.equals(publisher.watched())) {
             publisher.watch(watched);
             out.add(new Effect.WatchTargets(watched));
         }
@@ -135,7 +139,7 @@
         }
         ledger.configure(context.settings().target(ask.target()).slots(), open(ask.target(), nowMs));
         PermitWaiter waiter = new PermitWaiter(
-                ask.attempt(), from, ask.service(), ask.urgency(), nowMs + ask.remainingMs(), ask.suspect());
+                ask.attempt(), from, ask.service(), ask.urgency(), nowMs, nowMs + ask.remainingMs(), ask.suspect());
         Optional<LedgerDecision> decision = ledger.ask(waiter, nowMs);
         decision.ifPresent(made -> carryOut(ask.target(), ledger, made, nowMs, out));
         boolean answered = admit(ask.target(), ledger, nowMs, out).contains(ask.attempt());
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -130,11 +130,19 @@
     }
 
     int inUse(long nowMs, long staleMs) {
-        return believed(nowMs, staleMs) ? Math.max(own, told.running() + changeSinceTold) : own;
+        return believed(nowMs, staleMs) ? Math.max(own, told.running() + changeSinceTold - endedSinceTold(nowMs)) : own;
+    }
+
+    /** Estimates how many requests have ended since a full target was told of, from the wait that went with it. */
+    private int endedSinceTold(long nowMs) {
+        if (told.expectedWaitMs() <= 0) {
+            return 0;
+        }
+        return (int) ((nowMs - toldAtMs) * (told.waiting() + 1) / told.expectedWaitMs());
     }
 
     int waiting(long nowMs, long staleMs) {
-        return believed(nowMs, staleMs) ? told.waiting() : 0;
+        return believed(nowMs, staleMs) ? Math.max(0, told.waiting() - endedSinceTold(nowMs)) : 0;
     }
 
     long expectedWaitMs(long nowMs, long staleMs) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -13,11 +13,12 @@
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Urgency;
 
 /**
  * The time model of an engine: so many slots, first in first out, a fixed time for the prompt and for each token.
  *
- * <p>A prefix found in the cache saves its share of the prompt's time.
+ * <p>A prefix found in the cache saves its share of the prompt's time; a resumed generation saves all of it.
  */
 final class EngineModel {
 
@@ -31,6 +32,9 @@
     final Deque<Job> queue = new ArrayDeque<>();
     final Map<String, Integer> keptTokens = new HashMap<>();
     private final Set<Long> cache = new LinkedHashSet<>();
+    long onlineMs;
+    long batchMs;
+    long wastedBatchMs;
     int cacheHits;
     int cacheLookups;
     boolean up = true;
@@ -50,7 +54,8 @@
     /** Begins a job; its first token comes after the prompt, the others one by one. */
     void begin(Job job, long nowMs) {
         job.beganAtMs = nowMs;
-        job.promptMs = promptMs * (100 - cachedPercent(job.prefixes)) / 100;
+        job.countedFromMs = nowMs;
+        job.promptMs = job.resumedFrom > 0 ? 0 : promptMs * (100 - cachedPercent(job.work.prefixes())) / 100;
         running.put(job.attempt, job);
     }
 
@@ -79,28 +84,55 @@
         if (job.beganAtMs < 0) {
             return 0;
         }
+        if (job.work.urgency() == Urgency.BATCH) {
+            wastedBatchMs += Math.min(nowMs - job.beganAtMs, job.promptMs);
+        }
         long made = Math.max(0, nowMs - job.beganAtMs - job.promptMs) / tokenMs;
-        int tokens = (int) Math.min(made, job.tokens - job.resumedFrom);
+        occupied(job, nowMs);
+        int tokens = (int) Math.min(made, job.work.tokens() - job.resumedFrom);
         job.resume.ifPresent(point -> keptTokens.put(point.key(), job.resumedFrom + tokens));
         return tokens;
     }
 
+    /** Counts what runs up to now. */
+    void countRunning(long nowMs) {
+        running.values().forEach(job -> occupied(job, nowMs));
+    }
+
+    void resetCounters(long nowMs) {
+        countRunning(nowMs);
+        onlineMs = 0;
+        batchMs = 0;
+        wastedBatchMs = 0;
+        cacheHits = 0;
+        cacheLookups = 0;
+    }
+
+    /** Counts the time for which a job has had a slot since the last count. */
+    void occupied(Job job, long nowMs) {
+        if (job.work.urgency() == Urgency.BATCH) {
+            batchMs += nowMs - job.countedFromMs;
+        } else {
+            onlineMs += nowMs - job.countedFromMs;
+        }
+        job.countedFromMs = nowMs;
+    }
+
     /** One attempt on the engine. */
     static final class Job {
 
         final AttemptId attempt;
-        final int tokens;
-        final List<Long> prefixes;
+        final VirtualFleet.Work work;
         final Optional<ResumePoint> resume;
         final int daemon;
         int resumedFrom;
         long beganAtMs = -1;
+        long countedFromMs;
         long promptMs;
 
-        Job(AttemptId attempt, int tokens, List<Long> prefixes, Optional<ResumePoint> resume, int daemon) {
+        Job(AttemptId attempt, VirtualFleet.Work work, Optional<ResumePoint> resume, int daemon) {
             this.attempt = attempt;
-            this.tokens = tokens;
-            this.prefixes = prefixes;
+            this.work = work;
             this.resume = resume;
             this.daemon = daemon;
             this.resumedFrom = resume.map(ResumePoint::fromToken).orElse(0);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,7 +55,7 @@
     final List<Node> nodes = new ArrayList<>();
     final Map<TargetId, EngineModel> engines = new TreeMap<>();
     final Map<TargetId, HostEntry> hosts = new TreeMap<>();
-    final Map<RequestId, Online> online = new TreeMap<>(Comparator.comparing(RequestId::toString));
+    final Map<RequestId, Online> online = new LinkedHashMap<>();
     final SplittableRandom random;
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
@@ -62,6 +64,7 @@
     private long requests;
     long nowMs = 1_000_000;
     long peerBytes;
+    boolean keepEffects;
 
     VirtualFleet(long seed) {
         random = new SplittableRandom(seed);
@@ -195,8 +198,7 @@
                             dispatch.attempt(), failed(FailureKind.CONNECTION_REFUSED, Verdict.NOT_RUN, 0)));
             return;
         }
-        EngineModel.Job job =
-                new EngineModel.Job(dispatch.attempt(), work.tokens, work.prefixes, dispatch.resume(), node.index);
+        EngineModel.Job job = new EngineModel.Job(dispatch.attempt(), work, dispatch.resume(), node.index);
         if (job.resumedFrom > 0
                 && engine.keptTokens.getOrDefault(dispatch.resume().get().key(), -1) < job.resumedFrom) {
             AttemptOutcome.Failed gone = new AttemptOutcome.Failed(
@@ -207,7 +209,7 @@
         node.jobs.put(dispatch.attempt(), job);
         at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
         if (engine.hasFreeSlot()) {
-            begin(engine, job, work);
+            begin(engine, job);
         } else {
             engine.queue.add(job);
             node.queuedAtEngine++;
@@ -222,7 +224,7 @@
         return Work.batch(Integer.parseInt(body));
     }
 
-    private void begin(EngineModel engine, EngineModel.Job job, Work work) {
+    private void begin(EngineModel engine, EngineModel.Job job) {
         engine.begin(job, nowMs);
         Node node = nodes.get(job.daemon);
         at(nowMs + job.promptMs, () -> {
@@ -230,10 +232,10 @@
                 at(nowMs + LATENCY_MS, () -> node.attemptStarted(job.attempt));
             }
         });
-        long tookMs = job.promptMs + engine.tokenMs * (job.tokens - job.resumedFrom);
+        long tookMs = job.promptMs + engine.tokenMs * (job.work.tokens - job.resumedFrom);
         at(nowMs + tookMs, () -> complete(engine, job));
-        if (work.crashesAfterMs > 0) {
-            at(nowMs + work.crashesAfterMs, () -> {
+        if (job.work.crashesAfterMs > 0) {
+            at(nowMs + job.work.crashesAfterMs, () -> {
                 if (engine.running.get(job.attempt) == job) {
                     crashTarget(engine.id, 3_000);
                 }
@@ -246,15 +248,15 @@
             return;
         }
         engine.running.remove(job.attempt);
-        nodes.get(job.daemon).engineMs += nowMs - job.beganAtMs;
-        ended(engine, job, new AttemptOutcome.Succeeded(200, "text/event-stream", ByteString.EMPTY, job.tokens));
+        engine.occupied(job, nowMs);
+        ended(engine, job, new AttemptOutcome.Succeeded(200, "text/event-stream", ByteString.EMPTY, job.work.tokens));
         startQueued(engine);
     }
 
     private void startQueued(EngineModel engine) {
         while (engine.hasFreeSlot() && !engine.queue.isEmpty()) {
             EngineModel.Job job = engine.queue.remove();
-            begin(engine, job, Work.batch(job.tokens));
+            begin(engine, job);
         }
     }
 
@@ -374,14 +376,14 @@
         final FakeDissemination dissemination = new FakeDissemination();
         final MetricRegistry metrics = new MetricRegistry();
         final RoutingDuty duty;
-        final Map<AttemptId, EngineModel.Job> jobs = new TreeMap<>(Comparator.comparing(AttemptId::toString));
+        final Map<AttemptId, EngineModel.Job> jobs = new HashMap<>();
         final List<Effect> effects = new ArrayList<>();
-        final Map<AttemptId, Online> requestsByAttempt = new TreeMap<>(Comparator.comparing(AttemptId::toString));
+        final Map<AttemptId, Online> requestsByAttempt = new HashMap<>();
+        private final Map<AttemptId, TargetId> targetByAttempt = new HashMap<>();
         private final Map<String, Long> timers = new TreeMap<>();
         Set<TargetId> watched = Set.of();
         boolean alive = true;
         long queuedAtEngine;
-        long engineMs;
 
         Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
             this.index = index;
@@ -436,6 +438,7 @@
                     requestsByAttempt.put(dispatch.attempt(), online.get(caller.request()));
                     online.get(caller.request()).dispatchedTo.add(dispatch.target());
                 }
+                targetByAttempt.put(dispatch.attempt(), dispatch.target());
                 later(this, dispatch.target(), () -> dispatch(this, dispatch));
             } else if (effect instanceof Effect.CancelAttempt cancel) {
                 cancel(cancel.attempt());
@@ -448,7 +451,9 @@
             } else if (effect instanceof Effect.WatchTargets watch) {
                 watched = Set.copyOf(watch.addresses().keySet());
             }
-            effects.add(effect);
+            if (keepEffects) {
+                effects.add(effect);
+            }
         }
 
         private void schedule(TimerKey key, long dueAtMs) {
@@ -462,14 +467,13 @@
         }
 
         private void cancel(AttemptId attempt) {
-            EngineModel.Job job = jobs.get(attempt);
-            if (job == null) {
-                return;
-            }
-            engines.values().stream()
-                    .filter(engine -> engine.running.get(attempt) == job || engine.queue.contains(job))
-                    .findFirst()
-                    .ifPresent(engine -> later(this, engine.id, () -> stop(this, engine, job, FailureKind.CANCELLED)));
+            TargetId target = targetByAttempt.get(attempt);
+            later(this, target, () -> {
+                EngineModel.Job job = jobs.get(attempt);
+                if (job != null) {
+                    stop(this, engines.get(target), job, FailureKind.CANCELLED);
+                }
+            });
         }
 
         private void peerSend(Effect.Send send) {
