Run the whole path: streams, batch jobs and settings in one daemon process

Cause: the duties and the edge stood apart; nothing served a request.

The end-to-end test first failed: the job's items never ran, because nobody had subscribed batch jobs to the permits (128 permits granted, none used).

--- /dev/null
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonAssembly.java
@@ -0,0 +1,146 @@
+package org.cornelcrank.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.batch.BatchDuty;
+import org.cornelcrank.batch.BatchMessageCodec;
+import org.cornelcrank.batch.BatchSettings;
+import org.cornelcrank.call.CallDuty;
+import org.cornelcrank.call.CallMessageCodec;
+import org.cornelcrank.call.CallSettings;
+import org.cornelcrank.config.ConfigDuty;
+import org.cornelcrank.config.ConfigMessageCodec;
+import org.cornelcrank.config.ConfigSettings;
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.membership.MembershipDuty;
+import org.cornelcrank.membership.MembershipMessageCodec;
+import org.cornelcrank.membership.MembershipSettings;
+import org.cornelcrank.partition.PartitionDuty;
+import org.cornelcrank.partition.PartitionMessageCodec;
+import org.cornelcrank.partition.PartitionSettings;
+import org.cornelcrank.routing.RoutingDuty;
+import org.cornelcrank.routing.RoutingMessageCodec;
+import org.cornelcrank.routing.RoutingPolicy;
+
+/**
+ * Builds the duties of one daemon and composes them into its decision core.
+ *
+ * <p>Immutable; the duties are confined to the daemon's event loop.
+ */
+public final class DaemonAssembly {
+
+    private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
+    private static final int MAX_EXPLAINED_SUBJECTS = 4_096;
+    private static final int MAX_DECISIONS_PER_SUBJECT = 32;
+
+    private final DaemonCore core;
+    private final MembershipView membership;
+    private final Settings settings;
+
+    private DaemonAssembly(DaemonCore core, MembershipView membership, Settings settings) {
+        this.core = core;
+        this.membership = membership;
+        this.settings = settings;
+    }
+
+    /**
+     * Builds a daemon's duties with their usual settings.
+     *
+     * @param identity who the daemon is
+     * @param options what the deployment has in common, and the seed of random choices
+     * @param metrics receives the duties' counters
+     * @return the composed daemon, to which {@link org.cornelcrank.core.Event.Started} is the first event
+     */
+    public static DaemonAssembly assemble(DaemonIdentity identity, DaemonOptions options, MetricRegistry metrics) {
+        MembershipDuty membership = new MembershipDuty(
+                identity,
+                options.seedAddresses(),
+                MembershipSettings.defaults(),
+                random(options, "membership"),
+                metrics);
+        ConfigDuty settings =
+                new ConfigDuty(identity, membership, ConfigSettings.defaults(), metrics, random(options, "config"));
+        PartitionDuty partitions = new PartitionDuty(
+                identity, membership, membership, partitionSettings(options), random(options, "partition"), metrics);
+        RoutingDuty routing = new RoutingDuty(
+                identity,
+                membership,
+                membership,
+                settings,
+                RoutingPolicy.defaults(),
+                random(options, "routing"),
+                metrics);
+        BatchDuty batch = new BatchDuty(identity, partitions, routing, settings, BatchSettings.defaults(), metrics);
+        CallDuty calls = new CallDuty(identity, partitions, routing, settings, CallSettings.defaults(), metrics);
+        membership.subscribe(partitions);
+        routing.subscribe(batch);
+        partitions.register(batch);
+        partitions.register(calls);
+        DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
+        List<Duty> duties = new ArrayList<>(List.of(membership, settings, partitions, routing, batch, calls));
+        duties.add(new OperationsDuty(membership, journal, () -> duties));
+        return new DaemonAssembly(new DaemonCore(duties, journal), membership, settings);
+    }
+
+    /**
+     * Returns the composed core.
+     *
+     * @return the core
+     */
+    public DaemonCore core() {
+        return core;
+    }
+
+    /**
+     * Returns the daemon's view of the membership, confined to its event loop.
+     *
+     * @return the view
+     */
+    public MembershipView membership() {
+        return membership;
+    }
+
+    /**
+     * Returns the settings in force, confined to the daemon's event loop.
+     *
+     * @return the settings
+     */
+    public Settings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns the codecs of all messages between daemons.
+     *
+     * @return one codec for each slice
+     */
+    public static List<PeerMessageCodec> codecs() {
+        return List.of(
+                new MembershipMessageCodec(),
+                new ConfigMessageCodec(),
+                new PartitionMessageCodec(),
+                new RoutingMessageCodec(),
+                new BatchMessageCodec(),
+                new CallMessageCodec(),
+                new OperationsMessageCodec());
+    }
+
+    private static PartitionSettings partitionSettings(DaemonOptions options) {
+        PartitionSettings usual = PartitionSettings.defaults();
+        return new PartitionSettings(
+                options.partitionsPerRegion(), usual.append(), usual.read(), usual.ownership(), usual.retention());
+    }
+
+    private static RandomGenerator random(DaemonOptions options, String duty) {
+        return RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(options.seed() ^ StableHash.of(duty));
+    }
+}
--- /dev/null
+++ b/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/OperationsDutyTests.java
@@ -0,0 +1,118 @@
+package org.cornelcrank.daemon;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.approvaltests.Approvals;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TimerKey;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OperationsDutyTests {
+
+    private static final HostId ALPHA = new HostId("alpha");
+    private static final HostId BETA = new HostId("beta");
+    private static final HostId GAMMA = new HostId("gamma");
+    private static final RequestId REQUEST = new RequestId(ALPHA, 1, 1);
+    private static final Subject SUBJECT = new Subject(Subject.Kind.ITEM, "job/1");
+
+    private final DecisionJournal journal = new DecisionJournal(10, 10);
+    private final OperationsDuty duty =
+            new OperationsDuty(new FixedMembership(ALPHA, List.of(ALPHA, BETA, GAMMA)), journal, this::duties);
+
+    @Test
+    void anExplanationPutsTheDecisionsOfAllDaemonsInOrder() {
+        journal.record(new Effect.Explain(SUBJECT, 20, "granted", "idle slot"));
+        on(new Event.CallerArrived(REQUEST, null, new ExplainSubject(SUBJECT)));
+        answer(BETA, new DecisionJournal.Decision(10, "taken", "owner of the partition"));
+        Explanation explanation = reply(answer(GAMMA, new DecisionJournal.Decision(30, "finished", "200")));
+        assertThat(explanation.lines())
+                .extracting(Explanation.Line::decision)
+                .containsExactly("taken", "granted", "finished");
+        assertThat(explanation.silent()).isEmpty();
+    }
+
+    @Test
+    void aDaemonThatDoesNotAnswerIsNamed() {
+        Event.TimerDue timeout =
+                new Event.TimerDue(scheduled(on(new Event.CallerArrived(REQUEST, null, new ExplainSubject(SUBJECT)))));
+        answer(BETA, new DecisionJournal.Decision(10, "taken", "owner of the partition"));
+        assertThat(reply(on(timeout)).silent()).containsExactly(GAMMA);
+    }
+
+    @Test
+    void aDaemonThatAnswersTwiceCountsOnce() {
+        on(new Event.CallerArrived(REQUEST, null, new ExplainSubject(SUBJECT)));
+        answer(BETA, new DecisionJournal.Decision(10, "taken", ""));
+        answer(BETA, new DecisionJournal.Decision(10, "taken", ""));
+        assertThat(reply(answer(GAMMA)).lines()).hasSize(1);
+    }
+
+    @Test
+    void theDumpOfAnUnknownHostIsRefused() {
+        DumpState command = new DumpState(Optional.of(new HostId("delta")), Optional.empty());
+        Effect.Reply reply = (Effect.Reply)
+                on(new Event.CallerArrived(REQUEST, null, command)).get(0);
+        assertThat(((Refusal) reply.reply()).code()).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
+    @Test
+    void theDumpShowsTheSectionThatIsAskedFor() {
+        DumpState command = new DumpState(Optional.empty(), Optional.of("operations"));
+        Effect.Reply reply = (Effect.Reply)
+                on(new Event.CallerArrived(REQUEST, null, command)).get(0);
+        Approvals.verify(DumpText.render((StateDump) reply.reply()));
+    }
+
+    private List<Duty> duties() {
+        return List.of(duty);
+    }
+
+    private List<Effect> answer(HostId from, DecisionJournal.Decision... decisions) {
+        OperationsMessage message = new OperationsMessage.ExplainAnswered(1, List.of(decisions));
+        return on(new Event.PeerMessageReceived(from, throughCodec(message)));
+    }
+
+    private static PeerMessage throughCodec(PeerMessage message) {
+        OperationsMessageCodec codec = new OperationsMessageCodec();
+        try {
+            return codec.decode(codec.encode(message));
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private List<Effect> on(Event event) {
+        Effects out = new Effects();
+        duty.on(event, 100, out);
+        return out.list();
+    }
+
+    private static TimerKey scheduled(List<Effect> effects) {
+        return effects.stream()
+                .filter(Effect.Schedule.class::isInstance)
+                .map(effect -> ((Effect.Schedule) effect).key())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static Explanation reply(List<Effect> effects) {
+        return effects.stream()
+                .filter(Effect.Reply.class::isInstance)
+                .map(effect -> (Explanation) ((Effect.Reply) effect).reply())
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/SocketAddresses.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/SocketAddresses.java
@@ -1,7 +1,9 @@
 package org.cornelcrank.server.peer;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.UnknownHostException;
 
 import io.netty.util.NetUtil;
@@ -50,6 +52,22 @@
         return NetUtil.toSocketAddressString(address);
     }
 
+    /**
+     * Returns the address with a free port in place of port 0.
+     *
+     * @param address the address
+     * @return the address itself if its port is not 0
+     * @throws IOException if no port is free
+     */
+    public static InetSocketAddress withFreePort(InetSocketAddress address) throws IOException {
+        if (address.getPort() != 0) {
+            return address;
+        }
+        try (ServerSocket socket = new ServerSocket(0, 1, address.getAddress())) {
+            return new InetSocketAddress(address.getAddress(), socket.getLocalPort());
+        }
+    }
+
     private static int port(String text, int colon) {
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
@@ -30,10 +30,10 @@
  */
 public final class DaemonSettingsParser {
 
-    static final List<String> POLICIES =
-            List.of("prefix-affinity", "least-loaded", "power-of-two", "round-robin", "lagging-least-load");
+    static final List<String> POLICIES = List.of("least-loaded");
     static final List<String> LOG_FORMATS = List.of("text", "json");
 
+    private static final List<RegionId> NO_REGIONS = List.of(new RegionId("none"));
     private static final int MAX_PARTITIONS = 256;
     private static final int MAX_BYTES = 1 << 30;
     private static final long MAX_DURATION_MS = 3_600_000;
@@ -53,7 +53,7 @@
             optional("operator-key", "id.secret", "", "operator's key that is valid besides those in the settings"),
             required("regions", "name,...", "all regions of the deployment, the same on every host"),
             optional("partitions", "count", "16", "partitions of each region, the same on every host for ever"),
-            optional("policy", "name", "prefix-affinity", "choice of target: " + String.join(", ", POLICIES)),
+            optional("policy", "name", "least-loaded", "choice of target: " + String.join(", ", POLICIES)),
             optional("max-body-bytes", "bytes", "4194304", "longest request body, but for file uploads"),
             optional("max-answer-bytes", "bytes", "8388608", "longest answer that is not streamed"),
             optional(
@@ -106,7 +106,7 @@
     private static DaemonSettings read(SettingReader reader) {
         List<RegionId> regions = reader.parsed("regions", "none", DaemonSettingsParser::parseRegions);
         RegionId region = reader.parsed("region", "none", RegionId::new);
-        if (!regions.contains(region)) {
+        if (!regions.equals(NO_REGIONS) && !regions.contains(region)) {
             reader.error("region", "must be one of --regions " + regions + " but was '" + region + "'");
         }
         return new DaemonSettings(
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/AttemptFailures.java
@@ -0,0 +1,139 @@
+package org.cornelcrank.server.target;
+
+import java.net.ConnectException;
+import java.util.concurrent.TimeoutException;
+
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.Verdict;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * Judges failed attempts: how they failed, and whether the request may have run.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+final class AttemptFailures {
+
+    private static final String ENGINE_PATHS = "/v1/";
+    private static final long MS_PER_SECOND = 1_000;
+    private static final int MAX_ERROR_BODY_BYTES = 16 * 1024;
+
+    private AttemptFailures() {}
+
+    /** Judges an attempt that broke off with an error. */
+    static AttemptOutcome.Failed ofError(Throwable error, int tokens, boolean bytesReachedCaller) {
+        if (isConnectFailure(error)) {
+            return failed(Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, 0, false, 0, error.getMessage());
+        }
+        if (error instanceof TimeoutException) {
+            return failed(
+                    Verdict.MAY_HAVE_RUN, FailureKind.TIMED_OUT, 0, tokens, bytesReachedCaller, 0, "no answer in time");
+        }
+        if (error instanceof AnswerTooLargeException) {
+            return failed(
+                    Verdict.MAY_HAVE_RUN,
+                    FailureKind.ANSWER_TOO_LARGE,
+                    0,
+                    tokens,
+                    bytesReachedCaller,
+                    0,
+                    error.getMessage());
+        }
+        return failed(
+                Verdict.MAY_HAVE_RUN,
+                FailureKind.CONNECTION_LOST,
+                0,
+                tokens,
+                bytesReachedCaller,
+                0,
+                error.getClass().getSimpleName());
+    }
+
+    /** Judges an answer with a status of 400 or above. */
+    static AttemptOutcome.Failed ofStatus(String path, HttpClientResponse response, byte[] body) {
+        int status = response.status().code();
+        boolean engine = path.startsWith(ENGINE_PATHS);
+        if (status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+                || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+            Verdict verdict = engine ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+            return answered(verdict, FailureKind.OVERLOADED, response, body);
+        }
+        if (engine && status == HttpResponseStatus.GONE.code()) {
+            return answered(Verdict.NOT_RUN, FailureKind.TARGET_ERROR, response, body);
+        }
+        if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            return answered(Verdict.COMPLETED, FailureKind.REJECTED, response, body);
+        }
+        return answered(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, response, body);
+    }
+
+    /** Returns the outcome of an attempt that the daemon cancelled. */
+    static AttemptOutcome.Failed cancelled(int tokens, boolean bytesReachedCaller) {
+        return failed(Verdict.MAY_HAVE_RUN, FailureKind.CANCELLED, 0, tokens, bytesReachedCaller, 0, "cancelled");
+    }
+
+    /** Returns the outcome of a stream that ended before the engine said that it was whole. */
+    static AttemptOutcome.Failed cutStream(int tokens, boolean bytesReachedCaller) {
+        return failed(
+                Verdict.MAY_HAVE_RUN,
+                FailureKind.CONNECTION_LOST,
+                0,
+                tokens,
+                bytesReachedCaller,
+                0,
+                "the stream ended before its end marker");
+    }
+
+    /** Returns whether no byte of the request can have reached the target. */
+    static boolean isConnectFailure(Throwable error) {
+        return error instanceof ConnectException || error.getCause() instanceof ConnectException;
+    }
+
+    private static AttemptOutcome.Failed answered(
+            Verdict verdict, FailureKind kind, HttpClientResponse response, byte[] body) {
+        ByteString kept = ByteString.copyFrom(body, 0, Math.min(body.length, MAX_ERROR_BODY_BYTES));
+        return new AttemptOutcome.Failed(
+                verdict,
+                kind,
+                response.status().code(),
+                0,
+                false,
+                retryAfterMs(response),
+                kept,
+                "target answered " + response.status().code());
+    }
+
+    private static AttemptOutcome.Failed failed(
+            Verdict verdict,
+            FailureKind kind,
+            int status,
+            int tokens,
+            boolean bytesReachedCaller,
+            long retryAfterMs,
+            String detail) {
+        return new AttemptOutcome.Failed(
+                verdict, kind, status, tokens, bytesReachedCaller, retryAfterMs, ByteString.EMPTY, detail);
+    }
+
+    private static long retryAfterMs(HttpClientResponse response) {
+        try {
+            return Long.parseLong(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER, "0")) * MS_PER_SECOND;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** Signals that a target answered with more than the daemon accepts. */
+    static final class AnswerTooLargeException extends RuntimeException {
+
+        private static final long serialVersionUID = 1L;
+
+        AnswerTooLargeException(int maxAnswerBytes) {
+            super("answer must have at most " + maxAnswerBytes + " bytes");
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
@@ -0,0 +1,78 @@
+package org.cornelcrank.server.target;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+
+/**
+ * Understands an engine's event stream as far as counting its tokens and knowing its end.
+ *
+ * <p>Invariant: an event that carries no token and comes after a resume's start is left out, because the caller has seen
+ * it from the earlier attempt. Not thread-safe: one for each attempt.
+ */
+final class TokenStream {
+
+    private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+    private static final int DATA_PREFIX_LENGTH = "data:".length();
+
+    private final ObjectMapper json;
+    private final boolean resumed;
+    private int tokens;
+    private boolean done;
+
+    TokenStream(ObjectMapper json, int fromToken) {
+        this.json = json;
+        this.resumed = fromToken > 0;
+        this.tokens = fromToken;
+    }
+
+    /** Takes an event, and returns whether the caller is to get it. */
+    boolean accept(byte[] event) {
+        if (startsWith(event, DONE)) {
+            done = true;
+            return true;
+        }
+        if (carriesToken(event)) {
+            tokens++;
+            return true;
+        }
+        return !(resumed && isOpening(event));
+    }
+
+    /** Returns how many tokens the caller has got, those of earlier attempts included. */
+    int tokens() {
+        return tokens;
+    }
+
+    /** Returns whether the engine has said that the stream is whole. */
+    boolean done() {
+        return done;
+    }
+
+    private boolean carriesToken(byte[] event) {
+        JsonNode choice = choice(event);
+        return !choice.at("/delta/content").asText("").isEmpty()
+                || !choice.path("text").asText("").isEmpty();
+    }
+
+    private boolean isOpening(byte[] event) {
+        return choice(event).at("/delta/role").isTextual();
+    }
+
+    private JsonNode choice(byte[] event) {
+        try {
+            JsonNode node = json.readTree(event, DATA_PREFIX_LENGTH, Math.max(0, event.length - DATA_PREFIX_LENGTH));
+            return node == null ? MissingNode.getInstance() : node.at("/choices/0");
+        } catch (IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    private static boolean startsWith(byte[] event, byte[] prefix) {
+        return event.length >= prefix.length && Arrays.equals(event, 0, prefix.length, prefix, 0, prefix.length);
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Clients of targets: attempts, reports and orders.
+ *
+ * <p>Depends on the core, the event loop and the exchanges.
+ */
+package org.cornelcrank.server.target;
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
@@ -0,0 +1,175 @@
+package org.cornelcrank.server.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.daemon.DaemonCore;
+import org.cornelcrank.daemon.DecisionJournal;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerTransportTests {
+
+    private static final HostId ALPHA = new HostId("alpha");
+    private static final HostId BETA = new HostId("beta");
+    private static final long HANG_LIMIT_S = 30;
+
+    private final Map<HostId, String> addresses = new ConcurrentHashMap<>();
+    private final BlockingQueue<PeerMessage> received = new LinkedBlockingQueue<>();
+    private final List<Runnable> closers = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        closers.forEach(Runnable::run);
+    }
+
+    @Test
+    void messagesOfOneConnectionArriveInOrder() throws InterruptedException {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        transport(BETA, "secret");
+        for (int i = 0; i < 100; i++) {
+            send(alpha, "message " + i, Effect.Delivery.CONNECTION);
+        }
+        for (int i = 0; i < 100; i++) {
+            assertThat(next()).isEqualTo(new TextMessage("message " + i));
+        }
+    }
+
+    @Test
+    void aSmallMessageArrivesAsADatagram() throws InterruptedException {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        transport(BETA, "secret");
+        send(alpha, "probe", Effect.Delivery.DATAGRAM);
+        assertThat(next()).isEqualTo(new TextMessage("probe"));
+    }
+
+    @Test
+    void aMessageTooLongForADatagramTakesTheConnection() throws InterruptedException {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        transport(BETA, "secret");
+        String text = "x".repeat(10_000);
+        send(alpha, text, Effect.Delivery.DATAGRAM);
+        assertThat(next()).isEqualTo(new TextMessage(text));
+    }
+
+    @Test
+    void aPeerWithAnotherKeyIsNotHeard() throws InterruptedException {
+        PeerTransport stranger = transport(new HostId("stranger"), "guess");
+        PeerTransport alpha = transport(ALPHA, "secret");
+        transport(BETA, "secret");
+        send(stranger, "forged", Effect.Delivery.DATAGRAM);
+        send(stranger, "forged", Effect.Delivery.CONNECTION);
+        send(alpha, "genuine", Effect.Delivery.CONNECTION);
+        assertThat(next()).isEqualTo(new TextMessage("genuine"));
+    }
+
+    private PeerTransport transport(HostId host, String key) {
+        MetricRegistry metrics = new MetricRegistry();
+        MonotonicClock clock = new MonotonicClock();
+        CoreLoop loop = new CoreLoop(
+                new DaemonCore(List.of(new RecordingDuty(received)), new DecisionJournal(1, 1)), clock, metrics);
+        PeerSecurity security =
+                new PeerSecurity(new PeerIdentity("test", host, 1), new SharedKey(key), Optional.empty());
+        PeerTransport transport = new PeerTransport(
+                security,
+                new PeerCodecs(List.of(new TextCodec())),
+                to -> Optional.ofNullable(addresses.get(to)),
+                loop,
+                clock,
+                metrics);
+        addresses.put(host, SocketAddresses.format(transport.bind(new InetSocketAddress("127.0.0.1", freePort()))));
+        closers.add(() -> {
+            transport.close();
+            loop.stop();
+        });
+        return transport;
+    }
+
+    private static int freePort() {
+        try {
+            return SocketAddresses.withFreePort(new InetSocketAddress("127.0.0.1", 0))
+                    .getPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void send(PeerTransport transport, String text, Effect.Delivery delivery) {
+        transport.run(new Effect.Send(BETA, new TextMessage(text), delivery));
+    }
+
+    private PeerMessage next() throws InterruptedException {
+        return received.poll(HANG_LIMIT_S, TimeUnit.SECONDS);
+    }
+
+    /** A message that is a text. */
+    private record TextMessage(String text) implements PeerMessage {}
+
+    /** Encodes texts as they are. */
+    private static final class TextCodec implements PeerMessageCodec {
+
+        @Override
+        public String slice() {
+            return "text";
+        }
+
+        @Override
+        public boolean supports(PeerMessage message) {
+            return message instanceof TextMessage;
+        }
+
+        @Override
+        public ByteString encode(PeerMessage message) {
+            return ByteString.copyFromUtf8(((TextMessage) message).text());
+        }
+
+        @Override
+        public PeerMessage decode(ByteString payload) {
+            return new TextMessage(payload.toStringUtf8());
+        }
+    }
+
+    /** Keeps what peers send. */
+    private record RecordingDuty(BlockingQueue<PeerMessage> received) implements Duty {
+
+        @Override
+        public String name() {
+            return "recording";
+        }
+
+        @Override
+        public void on(Event event, long nowMs, Effects out) {
+            if (event instanceof Event.PeerMessageReceived message) {
+                received.add(message.message());
+            }
+        }
+
+        @Override
+        public void dump(StateWriter writer, long nowMs) {
+            writer.field("received", received.size());
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/settings/DaemonSettingsParserTests.java
@@ -0,0 +1,57 @@
+package org.cornelcrank.server.settings;
+
+import java.util.Map;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DaemonSettingsParserTests {
+
+    private static final Map<String, String> COMPLETE = Map.of(
+            "CORNELCRANK_DEPLOYMENT", "nilavu",
+            "CORNELCRANK_HOST", "entry-1",
+            "CORNELCRANK_REGION", "kerala-south",
+            "CORNELCRANK_DATA_CENTRE", "tvm-a",
+            "CORNELCRANK_LOG_URL", "http://127.0.0.1:9000",
+            "CORNELCRANK_HOSTS_URL", "http://127.0.0.1:9001",
+            "CORNELCRANK_SHARED_KEY", "secret",
+            "CORNELCRANK_REGIONS", "kerala-south,kerala-north");
+
+    @Test
+    void theEnvironmentAloneSuffices() {
+        DaemonSettings settings = valid(COMPLETE);
+        assertThat(settings.host().value()).isEqualTo("entry-1");
+        assertThat(settings.regions()).hasSize(2);
+        assertThat(settings.partitionsPerRegion()).isEqualTo(16);
+    }
+
+    @Test
+    void aFlagGoesBeforeTheEnvironment() {
+        assertThat(valid(COMPLETE, "--host", "entry-2").host().value()).isEqualTo("entry-2");
+    }
+
+    @Test
+    void everyBadSettingIsNamedWithWhatIsAllowed() {
+        String[] args = {
+            "--host", "no spaces", "--region", "elsewhere", "--http-address", "localhost:80", "--seeds", "alpha",
+            "--partitions", "0", "--policy", "best", "--log-url", "ftp://x", "--tls-key", "/does/not/exist",
+            "--max-body-bytes", "much", "surplus"
+        };
+        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args, Map.of());
+        Approvals.verify(String.join("\n", ((DaemonSettingsParser.Result.Invalid) result).errors()));
+    }
+
+    @Test
+    void helpListsEverySetting() {
+        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(new String[] {"--help"}, Map.of());
+        Approvals.verify(((DaemonSettingsParser.Result.HelpAsked) result).text());
+    }
+
+    private static DaemonSettings valid(Map<String, String> environment, String... args) {
+        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args, environment);
+        assertThat(result).isInstanceOf(DaemonSettingsParser.Result.Valid.class);
+        return ((DaemonSettingsParser.Result.Valid) result).settings();
+    }
+}
