Order targets to load, unload and change role as the settings ask

The owner of one partition of the region decides. Each order is recorded first and leaves only once the record was read back, and not long after; where engines ignore fencing, a new holder waits for the longest order in flight. Orders are declarative, paced, never take a service's last loaded target, and roll a version out target by target, watching each; what fails more is halted in the log. Reports and counts of attempts come from the daemons that watch targets.

--- /dev/null
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/AttemptBook.java
@@ -0,0 +1,82 @@
+package org.cornelcrank.fleet;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Counts this daemon's attempts on each target, and those that failed by the target's fault.
+ *
+ * <p>Invariant: remembers at most so many attempts under way; of more, the oldest are not counted. Not thread-safe: confined
+ * to the daemon's event loop.
+ */
+final class AttemptBook {
+
+    private static final int MAX_UNDER_WAY = 8_192;
+
+    private final Map<AttemptId, TargetId> underWay = new LinkedHashMap<>();
+    private final Map<TargetId, Counts> counts = new TreeMap<>();
+
+    void started(AttemptId attempt, TargetId target) {
+        underWay.put(attempt, target);
+        if (underWay.size() > MAX_UNDER_WAY) {
+            underWay.remove(underWay.keySet().iterator().next());
+        }
+    }
+
+    void ended(AttemptId attempt, AttemptOutcome outcome) {
+        TargetId target = underWay.remove(attempt);
+        if (target == null || isCancelled(outcome)) {
+            return;
+        }
+        Counts before = of(target);
+        counts.put(target, new Counts(before.attempts + 1, before.failures + (isTargetFault(outcome) ? 1 : 0)));
+    }
+
+    Counts of(TargetId target) {
+        return counts.getOrDefault(target, Counts.NONE);
+    }
+
+    /** Forgets targets that are gone. */
+    void retain(Set<TargetId> targets) {
+        counts.keySet().retainAll(targets);
+    }
+
+    private static boolean isCancelled(AttemptOutcome outcome) {
+        return outcome instanceof AttemptOutcome.Failed failed && failed.kind() == FailureKind.CANCELLED;
+    }
+
+    private static boolean isTargetFault(AttemptOutcome outcome) {
+        if (!(outcome instanceof AttemptOutcome.Failed failed)) {
+            return false;
+        }
+        return switch (failed.kind()) {
+            case CONNECTION_REFUSED, CONNECTION_LOST, TIMED_OUT, TARGET_ERROR -> true;
+            default -> false;
+        };
+    }
+
+    /** Attempts and how many of them failed. */
+    record Counts(long attempts, long failures) {
+
+        static final Counts NONE = new Counts(0, 0);
+
+        Counts plus(Counts other) {
+            return new Counts(attempts + other.attempts, failures + other.failures);
+        }
+
+        Counts minus(Counts earlier) {
+            return new Counts(Math.max(0, attempts - earlier.attempts), Math.max(0, failures - earlier.failures));
+        }
+
+        double failureShare() {
+            return attempts == 0 ? 0 : (double) failures / attempts;
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/DesiredState.java
@@ -0,0 +1,17 @@
+package org.cornelcrank.fleet;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * What a target is to be: its role, and the models and adapters that it is to have loaded.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+record DesiredState(String role, Set<String> loaded) {
+
+    DesiredState {
+        Objects.requireNonNull(role, "role must not be null");
+        loaded = Set.copyOf(loaded);
+    }
+}
--- /dev/null
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/FleetPlan.java
@@ -0,0 +1,208 @@
+package org.cornelcrank.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.cornelcrank.config.ServiceKind;
+import org.cornelcrank.config.ServicePolicy;
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.core.LoadedModel;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
+
+/**
+ * Assigns the managed services of a region to its targets.
+ *
+ * <p>A service is managed while the settings ask for replicas of it. Targets that have it already come first, so that no
+ * more than needed is loaded; among others, those with the fewest services, then by hash, so that two holders choose alike.
+ * Where a version has to replace another on the only target that serves, one more target gets it first. What belongs to
+ * services that are not managed stays loaded. Immutable, thus thread-safe.
+ */
+final class FleetPlan {
+
+    private final Map<TargetId, TargetReport> reports;
+    private final Map<ServiceName, ServicePolicy> managed;
+    private final Map<TargetId, DesiredState> desired;
+
+    private FleetPlan(
+            Map<TargetId, TargetReport> reports,
+            Map<ServiceName, ServicePolicy> managed,
+            Map<TargetId, DesiredState> desired) {
+        this.reports = reports;
+        this.managed = managed;
+        this.desired = desired;
+    }
+
+    /** Plans for the targets that report, do not leave and are not drained. */
+    static FleetPlan of(List<TargetBook.Known> targets, Settings settings, long staleMs, long nowMs) {
+        Map<TargetId, TargetReport> reports = new TreeMap<>();
+        List<TargetBook.Known> usable = new ArrayList<>();
+        for (TargetBook.Known target : targets) {
+            Optional<TargetReport> report = target.report(staleMs, nowMs);
+            report.ifPresent(present -> reports.put(target.id(), present));
+            if (report.isPresent()
+                    && !target.isLeaving()
+                    && !settings.target(target.id()).draining()) {
+                usable.add(target);
+            }
+        }
+        Map<ServiceName, ServicePolicy> managed = managed(settings);
+        Map<TargetId, Set<String>> assigned = new TreeMap<>();
+        for (ServicePolicy service : managed.values()) {
+            assign(service, usable, reports, assigned);
+        }
+        Map<TargetId, DesiredState> desired = new TreeMap<>();
+        for (TargetBook.Known target : usable) {
+            if (managed.keySet().stream().anyMatch(target::offers)) {
+                Set<String> loaded = new TreeSet<>(kept(target, reports.get(target.id()), settings, managed));
+                loaded.addAll(assigned.getOrDefault(target.id(), Set.of()));
+                desired.put(
+                        target.id(),
+                        new DesiredState(settings.target(target.id()).role(), loaded));
+            }
+        }
+        return new FleetPlan(reports, managed, desired);
+    }
+
+    Map<TargetId, DesiredState> desired() {
+        return desired;
+    }
+
+    Map<ServiceName, ServicePolicy> managed() {
+        return managed;
+    }
+
+    Optional<TargetReport> report(TargetId target) {
+        return Optional.ofNullable(reports.get(target));
+    }
+
+    /** Returns the managed services that the target serves now but would not serve by the same name after the order. */
+    List<ServiceName> disrupted(TargetId target, DesiredState order) {
+        return managed.keySet().stream()
+                .filter(service -> loadedNameOf(target, service)
+                        .filter(name -> !order.loaded().contains(name))
+                        .isPresent())
+                .toList();
+    }
+
+    /** Returns the managed services whose wanted version the target does not have and the order brings. */
+    List<ServiceName> introduced(TargetId target, DesiredState order) {
+        return managed.values().stream()
+                .filter(policy -> hasWanted(order.loaded(), policy) && !hasWanted(loaded(target), policy))
+                .map(ServicePolicy::service)
+                .toList();
+    }
+
+    /** Returns the targets that serve the service in any version. */
+    List<TargetId> serving(ServiceName service) {
+        return reports.keySet().stream()
+                .filter(target -> LoadedModel.isAmong(loaded(target), service))
+                .toList();
+    }
+
+    /** Returns the targets that serve the service in the wanted version. */
+    List<TargetId> servingWanted(ServiceName service) {
+        return reports.keySet().stream()
+                .filter(target -> hasWanted(loaded(target), managed.get(service)))
+                .toList();
+    }
+
+    private static boolean hasWanted(Set<String> loaded, ServicePolicy policy) {
+        return policy.version().isEmpty()
+                ? LoadedModel.isAmong(loaded, policy.service())
+                : loaded.contains(wantedName(policy));
+    }
+
+    private static String wantedName(ServicePolicy policy) {
+        return new LoadedModel(policy.service(), policy.version()).toString();
+    }
+
+    /** Returns the name to order: any version that is there already suits a service without a version. */
+    private static String nameToLoad(ServicePolicy policy, Set<String> loaded) {
+        return loaded.stream()
+                .filter(name -> policy.version().isEmpty() && LoadedModel.isOf(name, policy.service()))
+                .sorted()
+                .findFirst()
+                .orElse(wantedName(policy));
+    }
+
+    private Optional<String> loadedNameOf(TargetId target, ServiceName service) {
+        return loaded(target).stream()
+                .filter(name -> LoadedModel.isOf(name, service))
+                .findFirst();
+    }
+
+    private Set<String> loaded(TargetId target) {
+        TargetReport report = reports.get(target);
+        return report == null ? Set.of() : new TreeSet<>(report.loaded());
+    }
+
+    private static Map<ServiceName, ServicePolicy> managed(Settings settings) {
+        Map<ServiceName, ServicePolicy> managed = new TreeMap<>();
+        for (ServiceName name : settings.services()) {
+            settings.service(name)
+                    .filter(policy -> policy.kind() == ServiceKind.MODEL && policy.replicas() > 0)
+                    .ifPresent(policy -> managed.put(name, policy));
+        }
+        return managed;
+    }
+
+    private static void assign(
+            ServicePolicy service,
+            List<TargetBook.Known> usable,
+            Map<TargetId, TargetReport> reports,
+            Map<TargetId, Set<String>> assigned) {
+        List<TargetBook.Known> candidates = new ArrayList<>(usable.stream()
+                .filter(target -> target.offers(service.service()))
+                .toList());
+        candidates.sort(Comparator.comparing((TargetBook.Known target) ->
+                        !hasWanted(reports.get(target.id()).loaded(), service))
+                .thenComparing(
+                        target -> !LoadedModel.isAmong(reports.get(target.id()).loaded(), service.service()))
+                .thenComparing(
+                        target -> assigned.getOrDefault(target.id(), Set.of()).size())
+                .thenComparing(target ->
+                        StableHash.of(service.service().value(), target.id().value())));
+        int replicas = Math.min(candidates.size(), service.replicas() + surge(service, candidates, reports));
+        for (TargetBook.Known target : candidates.subList(0, replicas)) {
+            Set<String> names = assigned.computeIfAbsent(target.id(), ignored -> new TreeSet<>());
+            names.add(nameToLoad(service, reports.get(target.id()).loaded()));
+            names.addAll(service.adapters());
+        }
+    }
+
+    private static int surge(
+            ServicePolicy service, List<TargetBook.Known> candidates, Map<TargetId, TargetReport> reports) {
+        List<TargetBook.Known> serving = candidates.stream()
+                .filter(target -> LoadedModel.isAmong(reports.get(target.id()).loaded(), service.service()))
+                .toList();
+        boolean onlyOneServesAnotherVersion = serving.size() == 1
+                && !hasWanted(reports.get(serving.get(0).id()).loaded(), service);
+        return onlyOneServesAnotherVersion && service.replicas() == 1 ? 1 : 0;
+    }
+
+    private static Set<String> kept(
+            TargetBook.Known target, TargetReport report, Settings settings, Map<ServiceName, ServicePolicy> managed) {
+        Set<ServiceName> others = new TreeSet<>(target.entry().services());
+        others.addAll(settings.services());
+        others.removeAll(managed.keySet());
+        Set<String> kept = new TreeSet<>();
+        for (ServiceName service : others) {
+            report.loaded().stream()
+                    .filter(name -> LoadedModel.isOf(name, service))
+                    .forEach(kept::add);
+            settings.service(service).ifPresent(policy -> report.loaded().stream()
+                    .filter(policy.adapters()::contains)
+                    .forEach(kept::add));
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/RegionReconciler.java
@@ -0,0 +1,308 @@
+package org.cornelcrank.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.config.ServicePolicy;
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.OrderOutcome;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetOrder;
+import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.partition.DurableRecord;
+import org.cornelcrank.partition.PartitionWriter;
+
+/**
+ * Brings the targets of a region to what the settings ask for, while this daemon holds the region's claim.
+ *
+ * <p>Invariants: an order leaves only after a record of it took effect under the claim, and not long after; a target that
+ * ignores fencing numbers gets none before the orders of an earlier holder have run out; no order takes a service's last
+ * loaded target; at most {@code maxOrdersAtOnce} are on their way. Not thread-safe: confined to the daemon's event loop.
+ */
+final class RegionReconciler {
+
+    private static final String DEFAULT_ROLE = "mixed";
+
+    private final PartitionId partition;
+    private final FleetState state;
+    private final long gainedAtMs;
+    private final Settings config;
+    private final PartitionWriter writer;
+    private final FleetSettings settings;
+    private final TargetBook targets;
+    private final MetricRegistry metrics;
+    private final OrderFlights flights;
+    private final RolloutGuard guard;
+    private final Map<Long, Proposal> proposals = new TreeMap<>();
+    private final Map<TargetId, String> explained = new HashMap<>();
+    private final Set<TargetId> roleUnsure = new HashSet<>();
+    private final Set<ServiceName> haltProposed = new HashSet<>();
+    private long nextOrderNumber = 1;
+
+    RegionReconciler(
+            Claim claim,
+            Settings config,
+            PartitionWriter writer,
+            FleetSettings settings,
+            TargetBook targets,
+            MetricRegistry metrics) {
+        this.partition = claim.partition;
+        this.state = claim.state;
+        this.gainedAtMs = claim.gainedAtMs;
+        this.config = config;
+        this.writer = writer;
+        this.settings = settings;
+        this.targets = targets;
+        this.metrics = metrics;
+        this.flights = new OrderFlights(settings);
+        this.guard = new RolloutGuard(settings, targets);
+    }
+
+    /** Compares what is with what should be, and takes the next steps. */
+    void reconcile(long nowMs, Effects out) {
+        FleetPlan plan = plan(nowMs);
+        confirmOrders(plan, nowMs, out);
+        reviewRollouts(plan, nowMs, out);
+        for (Map.Entry<TargetId, DesiredState> entry : plan.desired().entrySet()) {
+            TargetId target = entry.getKey();
+            if (flights.size() + proposals.size() >= settings.maxOrdersAtOnce()) {
+                return;
+            }
+            if (!matches(target, entry.getValue(), plan) && !isUnderWay(target, nowMs)) {
+                consider(target, entry.getValue(), plan, nowMs, out);
+            }
+        }
+    }
+
+    /** A record was read back under the claim, which proves the claim at that time. */
+    void proposalApplied(long number, long nowMs, Effects out) {
+        Proposal proposal = proposals.remove(number);
+        if (proposal == null) {
+            return;
+        }
+        FleetPlan plan = plan(nowMs);
+        long ageMs = nowMs - proposal.proposedAtMs;
+        Optional<String> objection = ageMs > settings.claimFreshMs()
+                ? Optional.of("the proof of the claim is " + ageMs + " ms old")
+                : objection(proposal.target, proposal.desired, plan, nowMs);
+        OptionalLong epoch = writer.epoch(partition);
+        if (objection.isPresent() || epoch.isEmpty()) {
+            roleUnsure.add(proposal.target);
+            guard.orderFailed(proposal.target);
+            explain(proposal.target, "drop order", objection.orElse("the claim is lost"), nowMs, out);
+            return;
+        }
+        send(proposal, epoch.getAsLong(), nowMs, out);
+    }
+
+    /** Returns whether the order was one of this region's. */
+    boolean orderEnded(TargetId target, long orderNumber, OrderOutcome outcome, long nowMs, Effects out) {
+        Optional<OrderFlights.Flight> flight = flights.find(target, orderNumber);
+        if (flight.isEmpty()) {
+            return false;
+        }
+        metrics.counter("fleet.orders-" + outcome.name().toLowerCase(Locale.ROOT))
+                .inc();
+        switch (outcome) {
+            case DONE -> {
+                roleUnsure.remove(target);
+                flights.done(target, nowMs);
+                explain(target, "order done", describe(flight.get().desired()), nowMs, out);
+            }
+            case UNKNOWN -> {
+                roleUnsure.add(target);
+                explain(target, "order unanswered", "waits for a report, as it may have taken effect", nowMs, out);
+            }
+            default -> {
+                roleUnsure.add(target);
+                flights.failed(target, nowMs);
+                guard.orderFailed(target);
+                explain(target, "order " + outcome.name().toLowerCase(Locale.ROOT), "tries later", nowMs, out);
+            }
+        }
+        return true;
+    }
+
+    void dump(StateWriter writer, long nowMs) {
+        FleetPlan plan = plan(nowMs);
+        writer.table("targets." + partition, "target", "loaded", "desired", "role", "state");
+        plan.desired()
+                .forEach((target, desired) -> writer.row(
+                        target,
+                        plan.report(target)
+                                .map(TargetReport::loaded)
+                                .map(TreeSet::new)
+                                .orElseThrow(),
+                        new TreeSet<>(desired.loaded()),
+                        desired.role(),
+                        stateOf(target, desired, plan, nowMs)));
+        writer.table("haltedRollouts." + partition, "service", "version", "reason");
+        state.halted().values().forEach(rollout -> writer.row(rollout.service(), rollout.version(), rollout.reason()));
+    }
+
+    private FleetPlan plan(long nowMs) {
+        return FleetPlan.of(targets.inRegion(partition.region()), config, settings.reportStaleMs(), nowMs);
+    }
+
+    private void confirmOrders(FleetPlan plan, long nowMs, Effects out) {
+        for (Map.Entry<TargetId, OrderFlights.Flight> entry : new TreeMap<>(flights.open()).entrySet()) {
+            OrderFlights.Flight flight = entry.getValue();
+            boolean shown = plan.report(entry.getKey())
+                    .filter(report -> report.measuredAtMs() >= flight.sentAtMs())
+                    .filter(report -> report.loaded().equals(flight.desired().loaded()))
+                    .isPresent();
+            if (shown) {
+                flights.confirmed(entry.getKey());
+                guard.orderConfirmed(entry.getKey(), plan, nowMs);
+            }
+        }
+        for (TargetId target : flights.overdue(nowMs)) {
+            flights.failed(target, nowMs);
+            guard.orderFailed(target);
+            explain(target, "order overdue", "its report does not show what was ordered", nowMs, out);
+        }
+    }
+
+    private void reviewRollouts(FleetPlan plan, long nowMs, Effects out) {
+        for (FleetRecord.RolloutHalted failed : guard.review(plan, nowMs)) {
+            haltProposed.add(failed.service());
+            writer.propose(partition, durable(failed), true, nowMs, out);
+            out.add(new Effect.StateChanged(
+                    FleetDuty.NAME,
+                    "roll-out of " + failed.service() + " " + failed.version() + " halted: " + failed.reason()));
+        }
+        for (FleetRecord.RolloutHalted halted : List.copyOf(state.halted().values())) {
+            haltProposed.remove(halted.service());
+            ServicePolicy policy = plan.managed().get(halted.service());
+            if (policy != null && !policy.version().equals(halted.version())) {
+                writer.propose(partition, durable(new FleetRecord.RolloutCleared(halted.service())), false, nowMs, out);
+            }
+        }
+    }
+
+    private void consider(TargetId target, DesiredState desired, FleetPlan plan, long nowMs, Effects out) {
+        Optional<String> objection = objection(target, desired, plan, nowMs);
+        if (objection.isPresent()) {
+            explain(target, "wait with order", objection.get(), nowMs, out);
+            return;
+        }
+        plan.introduced(target, desired).forEach(service -> guard.ordered(service, target, plan));
+        long number =
+                writer.propose(partition, durable(new FleetRecord.OrderIntended(target, desired)), true, nowMs, out);
+        proposals.put(number, new Proposal(target, desired, nowMs));
+    }
+
+    private Optional<String> objection(TargetId target, DesiredState desired, FleetPlan plan, long nowMs) {
+        boolean settling = nowMs - gainedAtMs < settings.settleMs();
+        if (settling && !config.target(target).checksFencing()) {
+            return Optional.of(
+                    "it ignores fencing numbers, so orders of the claim's last holder have to run out first");
+        }
+        for (ServiceName service : plan.disrupted(target, desired)) {
+            long others = plan.serving(service).stream()
+                    .filter(other -> !other.equals(target) && !isDisrupting(other, service, plan))
+                    .count();
+            long needed = Math.max(
+                    1,
+                    Math.min(
+                                    plan.managed().get(service).replicas(),
+                                    plan.serving(service).size())
+                            - 1);
+            if (others < needed) {
+                return Optional.of(
+                        "only " + others + " other targets have " + service + " loaded, " + needed + " must keep it");
+            }
+        }
+        for (ServiceName service : plan.introduced(target, desired)) {
+            Optional<String> objection = haltProposed.contains(service)
+                    ? Optional.of("roll-out of " + service + " is being halted")
+                    : guard.objection(service, target, plan, state);
+            if (objection.isPresent()) {
+                return objection;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private boolean isDisrupting(TargetId other, ServiceName service, FleetPlan plan) {
+        OrderFlights.Flight flight = flights.open().get(other);
+        if (flight != null && plan.disrupted(other, flight.desired()).contains(service)) {
+            return true;
+        }
+        return proposals.values().stream()
+                .anyMatch(proposal -> proposal.target.equals(other)
+                        && plan.disrupted(other, proposal.desired).contains(service));
+    }
+
+    private void send(Proposal proposal, long epoch, long nowMs, Effects out) {
+        TargetId target = proposal.target;
+        long orderNumber = nextOrderNumber++;
+        TargetOrder order = new TargetOrder(proposal.desired.role(), proposal.desired.loaded(), epoch);
+        String address = targets.find(target).orElseThrow().entry().address();
+        flights.sent(target, orderNumber, proposal.desired, nowMs);
+        metrics.counter("fleet.orders-sent").inc();
+        out.add(new Effect.Order(target, address, orderNumber, order));
+        explain(target, "order", describe(proposal.desired) + " under claim " + epoch, nowMs, out);
+    }
+
+    private boolean matches(TargetId target, DesiredState desired, FleetPlan plan) {
+        boolean loaded = plan.report(target)
+                .filter(report -> report.loaded().equals(desired.loaded()))
+                .isPresent();
+        String role = state.lastOrder(target).map(DesiredState::role).orElse(DEFAULT_ROLE);
+        return loaded && role.equals(desired.role()) && !(roleUnsure.contains(target) && !role.equals(DEFAULT_ROLE));
+    }
+
+    private boolean isUnderWay(TargetId target, long nowMs) {
+        return flights.isBusy(target, nowMs) || isProposed(target);
+    }
+
+    private boolean isProposed(TargetId target) {
+        return proposals.values().stream().anyMatch(proposal -> proposal.target.equals(target));
+    }
+
+    private String stateOf(TargetId target, DesiredState desired, FleetPlan plan, long nowMs) {
+        if (matches(target, desired, plan)) {
+            return "as desired";
+        }
+        if (flights.open().containsKey(target)) {
+            return "ordered";
+        }
+        return objection(target, desired, plan, nowMs).orElse("due");
+    }
+
+    private DurableRecord durable(FleetRecord record) {
+        return new DurableRecord(FleetDuty.NAME, record.encode());
+    }
+
+    private void explain(TargetId target, String decision, String reason, long nowMs, Effects out) {
+        String text = decision + ": " + reason;
+        if (!text.equals(explained.put(target, text))) {
+            out.explain(Subject.Kind.TARGET, target, nowMs, decision, reason);
+        }
+    }
+
+    private static String describe(DesiredState desired) {
+        return "role " + desired.role() + ", loaded " + new TreeSet<>(desired.loaded());
+    }
+
+    /** The claim under which a region is reconciled. */
+    record Claim(PartitionId partition, FleetState state, long gainedAtMs) {}
+
+    private record Proposal(TargetId target, DesiredState desired, long proposedAtMs) {}
+}
--- /dev/null
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/RolloutGuard.java
@@ -0,0 +1,136 @@
+package org.cornelcrank.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Lets a new version of a service onto one target after another, and watches each before the next.
+ *
+ * <p>A version fails if a target is lost while it is watched there, or if its targets fail a clearly larger share of their
+ * attempts than those with another version. Not thread-safe: confined to the daemon's event loop.
+ */
+final class RolloutGuard {
+
+    private static final double WORSE_FACTOR = 2;
+    private static final double WORSE_MARGIN = 0.05;
+
+    private final FleetSettings settings;
+    private final TargetBook targets;
+    private final Map<ServiceName, Step> steps = new TreeMap<>();
+
+    RolloutGuard(FleetSettings settings, TargetBook targets) {
+        this.settings = settings;
+        this.targets = targets;
+    }
+
+    /** Returns why the target may not get the wanted version now, empty if it may. */
+    Optional<String> objection(ServiceName service, TargetId target, FleetPlan plan, FleetState state) {
+        String version = plan.managed().get(service).version();
+        if (state.isHalted(service, version)) {
+            return Optional.of("roll-out of " + service + " " + version + " is halted");
+        }
+        if (!replacesAnother(service, plan)) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(steps.get(service))
+                .filter(step -> step.sinceMs >= 0 || !step.target.equals(target))
+                .map(step -> "roll-out of " + service + " " + version + " is watched on " + step.target);
+    }
+
+    /** An order that brings the wanted version to a target is on its way. */
+    void ordered(ServiceName service, TargetId target, FleetPlan plan) {
+        if (replacesAnother(service, plan)) {
+            steps.put(service, new Step(target, plan.managed().get(service).version(), -1, Map.of()));
+        }
+    }
+
+    /** The order of a target came to nothing. */
+    void orderFailed(TargetId target) {
+        steps.values().removeIf(step -> step.target.equals(target) && step.sinceMs < 0);
+    }
+
+    /** The target has what was ordered; it is watched from now on. */
+    void orderConfirmed(TargetId target, FleetPlan plan, long nowMs) {
+        steps.replaceAll((service, step) -> step.target.equals(target) && step.sinceMs < 0
+                ? new Step(target, step.version, nowMs, countsOf(plan.serving(service)))
+                : step);
+    }
+
+    /** Ends the watch of versions that did well for long enough, and returns those that failed with the reason. */
+    List<FleetRecord.RolloutHalted> review(FleetPlan plan, long nowMs) {
+        List<FleetRecord.RolloutHalted> failed = new ArrayList<>();
+        for (ServiceName service : new TreeSet<>(steps.keySet())) {
+            Step step = steps.get(service);
+            boolean outdated = !plan.managed().containsKey(service)
+                    || !plan.managed().get(service).version().equals(step.version);
+            if (outdated) {
+                steps.remove(service);
+                continue;
+            }
+            if (step.sinceMs < 0) {
+                continue;
+            }
+            Optional<String> fault = fault(service, step, plan);
+            if (fault.isPresent()) {
+                failed.add(new FleetRecord.RolloutHalted(service, step.version, fault.get()));
+                steps.remove(service);
+            } else if (nowMs - step.sinceMs >= settings.bakeMs()) {
+                steps.remove(service);
+            }
+        }
+        return failed;
+    }
+
+    private Optional<String> fault(ServiceName service, Step step, FleetPlan plan) {
+        boolean lost = targets.find(step.target)
+                .filter(target -> target.wasLostSince(step.sinceMs))
+                .isPresent();
+        if (lost) {
+            return Optional.of("target " + step.target + " was lost with it");
+        }
+        List<TargetId> others = new ArrayList<>(plan.serving(service));
+        List<TargetId> wanted = plan.servingWanted(service);
+        others.removeAll(wanted);
+        AttemptBook.Counts before = since(step, others);
+        AttemptBook.Counts after = since(step, wanted);
+        boolean worse = after.failures() >= settings.minFailures()
+                && after.failureShare() > before.failureShare() * WORSE_FACTOR + WORSE_MARGIN;
+        return worse
+                ? Optional.of(after.failures() + " of " + after.attempts() + " attempts failed with it, "
+                        + before.failures() + " of " + before.attempts() + " with the other version")
+                : Optional.empty();
+    }
+
+    private AttemptBook.Counts since(Step step, List<TargetId> ids) {
+        AttemptBook.Counts sum = AttemptBook.Counts.NONE;
+        for (TargetId id : ids) {
+            AttemptBook.Counts baseline = step.baseline.getOrDefault(id, AttemptBook.Counts.NONE);
+            sum = sum.plus(countsOf(id).minus(baseline));
+        }
+        return sum;
+    }
+
+    private Map<TargetId, AttemptBook.Counts> countsOf(List<TargetId> ids) {
+        Map<TargetId, AttemptBook.Counts> counts = new TreeMap<>();
+        ids.forEach(id -> counts.put(id, countsOf(id)));
+        return counts;
+    }
+
+    private AttemptBook.Counts countsOf(TargetId id) {
+        return targets.find(id).map(TargetBook.Known::counts).orElse(AttemptBook.Counts.NONE);
+    }
+
+    private static boolean replacesAnother(ServiceName service, FleetPlan plan) {
+        return plan.serving(service).size() > plan.servingWanted(service).size();
+    }
+
+    /** A target that got a version; {@code sinceMs} is negative until it is confirmed there. */
+    private record Step(TargetId target, String version, long sinceMs, Map<TargetId, AttemptBook.Counts> baseline) {}
+}
