Let a routed call reach its caller across a hand-over

When a partition moved while a call ran, the entry daemon asked the new owner, which could only say that the call may have run; so a planned stop cut the call. The old owner now tells the entry daemon that it carries the call to its end, and the entry daemon waits for it until the deadline.

--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDuty.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDuty.java
@@ -203,6 +203,8 @@
             handle(from, forward.command(), nowMs, out);
         } else if (message instanceof CallMessage.Answered answer) {
             forwarded.answered(from, answer.request(), 0, answer.send(), answer.reply(), nowMs, out);
+        } else if (message instanceof CallMessage.Held held) {
+            forwarded.held(from, held.request(), 0, held.send());
         } else if (message instanceof CallMessage.Declined decline) {
             forwarded.declined(from, decline.request(), 0, decline.send(), decline.untouched(), nowMs, out);
         }
@@ -281,5 +283,14 @@
                 out.send(origin, new CallMessage.Declined(command.request(), command.send(), untouched));
             }
         }
+
+        @Override
+        public void hold(HostId origin, ForwardedCommand command, Effects out) {
+            if (origin.equals(self)) {
+                forwarded.held(self, command.request(), command.leg(), command.send());
+            } else {
+                out.send(origin, new CallMessage.Held(command.request(), command.send()));
+            }
+        }
     }
 }
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/CallMessage.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallMessage.java
@@ -20,4 +20,7 @@
 
     /** Tells that the sender does not own the partition; {@code untouched} that it has done nothing for the call. */
     record Declined(RequestId request, int send, boolean untouched) implements CallMessage {}
+
+    /** Tells that the sender no longer owns the partition, but carries the call to its end and answers it. */
+    record Held(RequestId request, int send) implements CallMessage {}
 }
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/CallMessageCodec.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallMessageCodec.java
@@ -9,6 +9,7 @@
 import org.cornelcrank.call.wire.CallDeclinedMessage;
 import org.cornelcrank.call.wire.CallEnvelope;
 import org.cornelcrank.call.wire.CallForwardedMessage;
+import org.cornelcrank.call.wire.CallHeldMessage;
 import org.cornelcrank.call.wire.CallRefusalValue;
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerReply;
@@ -51,6 +52,10 @@
             envelope.setForwarded(encodeForwarded(forwarded.command()));
         } else if (call instanceof CallMessage.Answered answered) {
             envelope.setAnswered(encodeAnswered(answered));
+        } else if (call instanceof CallMessage.Held held) {
+            envelope.setHeld(CallHeldMessage.newBuilder()
+                    .setRequest(held.request().toString())
+                    .setSend(held.send()));
         } else if (call instanceof CallMessage.Declined declined) {
             envelope.setDeclined(CallDeclinedMessage.newBuilder()
                     .setRequest(declined.request().toString())
@@ -71,6 +76,9 @@
                         RequestId.parse(envelope.getDeclined().getRequest()),
                         envelope.getDeclined().getSend(),
                         envelope.getDeclined().getUntouched());
+                case HELD -> new CallMessage.Held(
+                        RequestId.parse(envelope.getHeld().getRequest()),
+                        envelope.getHeld().getSend());
                 case MESSAGE_NOT_SET -> throw new InvalidProtocolBufferException("message must be of a known kind");
             };
         } catch (IllegalArgumentException e) {
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/CallReplies.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallReplies.java
@@ -12,4 +12,7 @@
 
     /** Tells that this daemon does not own the partition; {@code untouched} that it has done nothing for the call. */
     void decline(HostId origin, ForwardedCommand command, boolean untouched, long nowMs, Effects out);
+
+    /** Tells that this daemon no longer owns the partition, but carries the call to its end. */
+    void hold(HostId origin, ForwardedCommand command, Effects out);
 }
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
@@ -28,7 +28,7 @@
  *
  * <p>Invariants: a call is routed only after its intent was read back as the first of its key, and once; whoever asks
  * again joins the running call or gets what the log says of it. A call that was routed is carried to its end also if the
- * partition goes to another daemon, which will not run it. Not thread-safe: confined to the daemon's event loop.
+ * partition goes to another daemon, which does not run what was intended here. Not thread-safe: confined to the daemon's event loop.
  */
 final class OwnedCalls {
 
@@ -160,9 +160,7 @@
                 case INTENDING -> call.declineAll(false, context.replies(), nowMs, out);
                 case RECORDING -> call.replyAnswer(context.replies(), nowMs, out);
                 case LIFTING -> call.declineAll(true, context.replies(), nowMs, out);
-                default -> {
-                    // The new owner refuses what was intended here, so the run under way stays the only one.
-                }
+                default -> call.holdAll(context.replies(), out);
             }
         }
         replay.ownershipLost(nowMs, out);
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/RunningCall.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/RunningCall.java
@@ -132,6 +132,11 @@
         return waiters.values().stream().mapToLong(Waiter::deadlineAtMs).max().orElse(call().deadlineAtMs());
     }
 
+    /** Tells each who waits that the call goes on here. */
+    void holdAll(CallReplies replies, Effects out) {
+        waiters.values().forEach(waiter -> replies.hold(waiter.origin(), waiter.command(), out));
+    }
+
     void declineAll(boolean untouched, CallReplies replies, long nowMs, Effects out) {
         takeWaiters().forEach(waiter -> replies.decline(waiter.origin(), waiter.command(), untouched, nowMs, out));
     }
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallEnvelope.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallEnvelope.java
@@ -61,6 +61,7 @@
     FORWARDED(1),
     ANSWERED(2),
     DECLINED(3),
+    HELD(4),
     MESSAGE_NOT_SET(0);
     private final int value;
     private MessageCase(int value) {
@@ -81,6 +82,7 @@
         case 1: return FORWARDED;
         case 2: return ANSWERED;
         case 3: return DECLINED;
+        case 4: return HELD;
         case 0: return MESSAGE_NOT_SET;
         default: return null;
       }
@@ -189,6 +191,37 @@
     return org.cornelcrank.call.wire.CallDeclinedMessage.getDefaultInstance();
   }
 
+  public static final int HELD_FIELD_NUMBER = 4;
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   * @return Whether the held field is set.
+   */
+  @java.lang.Override
+  public boolean hasHeld() {
+    return messageCase_ == 4;
+  }
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   * @return The held.
+   */
+  @java.lang.Override
+  public org.cornelcrank.call.wire.CallHeldMessage getHeld() {
+    if (messageCase_ == 4) {
+       return (org.cornelcrank.call.wire.CallHeldMessage) message_;
+    }
+    return org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.call.wire.CallHeldMessageOrBuilder getHeldOrBuilder() {
+    if (messageCase_ == 4) {
+       return (org.cornelcrank.call.wire.CallHeldMessage) message_;
+    }
+    return org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -212,6 +245,9 @@
     if (messageCase_ == 3) {
       output.writeMessage(3, (org.cornelcrank.call.wire.CallDeclinedMessage) message_);
     }
+    if (messageCase_ == 4) {
+      output.writeMessage(4, (org.cornelcrank.call.wire.CallHeldMessage) message_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -228,6 +264,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, (org.cornelcrank.call.wire.CallDeclinedMessage) message_);
     }
+    if (messageCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, (org.cornelcrank.call.wire.CallHeldMessage) message_);
+    }
     return size;
   }
   @java.lang.Override
@@ -266,6 +306,10 @@
         if (!getDeclined()
             .equals(other.getDeclined())) return false;
         break;
+      case 4:
+        if (!getHeld()
+            .equals(other.getHeld())) return false;
+        break;
       case 0:
       default:
     }
@@ -293,6 +337,10 @@
         hash = (37 * hash) + DECLINED_FIELD_NUMBER;
         hash = (53 * hash) + getDeclined().hashCode();
         break;
+      case 4:
+        hash = (37 * hash) + HELD_FIELD_NUMBER;
+        hash = (53 * hash) + getHeld().hashCode();
+        break;
       case 0:
       default:
     }
@@ -440,6 +488,9 @@
       if (declinedBuilder_ != null) {
         declinedBuilder_.clear();
       }
+      if (heldBuilder_ != null) {
+        heldBuilder_.clear();
+      }
       messageCase_ = 0;
       message_ = null;
       return this;
@@ -493,6 +544,10 @@
           declinedBuilder_ != null) {
         result.message_ = declinedBuilder_.build();
       }
+      if (messageCase_ == 4 &&
+          heldBuilder_ != null) {
+        result.message_ = heldBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -520,6 +575,10 @@
           mergeDeclined(other.getDeclined());
           break;
         }
+        case HELD: {
+          mergeHeld(other.getHeld());
+          break;
+        }
         case MESSAGE_NOT_SET: {
           break;
         }
@@ -569,6 +628,13 @@
               messageCase_ = 3;
               break;
             } // case 26
+            case 34: {
+              input.readMessage(
+                  internalGetHeldFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              messageCase_ = 4;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1021,6 +1087,146 @@
       return declinedBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.call.wire.CallHeldMessage, org.cornelcrank.call.wire.CallHeldMessage.Builder, org.cornelcrank.call.wire.CallHeldMessageOrBuilder> heldBuilder_;
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     * @return Whether the held field is set.
+     */
+    @java.lang.Override
+    public boolean hasHeld() {
+      return messageCase_ == 4;
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     * @return The held.
+     */
+    @java.lang.Override
+    public org.cornelcrank.call.wire.CallHeldMessage getHeld() {
+      if (heldBuilder_ == null) {
+        if (messageCase_ == 4) {
+          return (org.cornelcrank.call.wire.CallHeldMessage) message_;
+        }
+        return org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+      } else {
+        if (messageCase_ == 4) {
+          return heldBuilder_.getMessage();
+        }
+        return org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    public Builder setHeld(org.cornelcrank.call.wire.CallHeldMessage value) {
+      if (heldBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        message_ = value;
+        onChanged();
+      } else {
+        heldBuilder_.setMessage(value);
+      }
+      messageCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    public Builder setHeld(
+        org.cornelcrank.call.wire.CallHeldMessage.Builder builderForValue) {
+      if (heldBuilder_ == null) {
+        message_ = builderForValue.build();
+        onChanged();
+      } else {
+        heldBuilder_.setMessage(builderForValue.build());
+      }
+      messageCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    public Builder mergeHeld(org.cornelcrank.call.wire.CallHeldMessage value) {
+      if (heldBuilder_ == null) {
+        if (messageCase_ == 4 &&
+            message_ != org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance()) {
+          message_ = org.cornelcrank.call.wire.CallHeldMessage.newBuilder((org.cornelcrank.call.wire.CallHeldMessage) message_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          message_ = value;
+        }
+        onChanged();
+      } else {
+        if (messageCase_ == 4) {
+          heldBuilder_.mergeFrom(value);
+        } else {
+          heldBuilder_.setMessage(value);
+        }
+      }
+      messageCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    public Builder clearHeld() {
+      if (heldBuilder_ == null) {
+        if (messageCase_ == 4) {
+          messageCase_ = 0;
+          message_ = null;
+          onChanged();
+        }
+      } else {
+        if (messageCase_ == 4) {
+          messageCase_ = 0;
+          message_ = null;
+        }
+        heldBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    public org.cornelcrank.call.wire.CallHeldMessage.Builder getHeldBuilder() {
+      return internalGetHeldFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.call.wire.CallHeldMessageOrBuilder getHeldOrBuilder() {
+      if ((messageCase_ == 4) && (heldBuilder_ != null)) {
+        return heldBuilder_.getMessageOrBuilder();
+      } else {
+        if (messageCase_ == 4) {
+          return (org.cornelcrank.call.wire.CallHeldMessage) message_;
+        }
+        return org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.call.wire.CallHeldMessage, org.cornelcrank.call.wire.CallHeldMessage.Builder, org.cornelcrank.call.wire.CallHeldMessageOrBuilder> 
+        internalGetHeldFieldBuilder() {
+      if (heldBuilder_ == null) {
+        if (!(messageCase_ == 4)) {
+          message_ = org.cornelcrank.call.wire.CallHeldMessage.getDefaultInstance();
+        }
+        heldBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.call.wire.CallHeldMessage, org.cornelcrank.call.wire.CallHeldMessage.Builder, org.cornelcrank.call.wire.CallHeldMessageOrBuilder>(
+                (org.cornelcrank.call.wire.CallHeldMessage) message_,
+                getParentForChildren(),
+                isClean());
+        message_ = null;
+      }
+      messageCase_ = 4;
+      onChanged();
+      return heldBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.call.CallEnvelope)
   }
 
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallEnvelopeOrBuilder.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallEnvelopeOrBuilder.java
@@ -55,5 +55,20 @@
    */
   org.cornelcrank.call.wire.CallDeclinedMessageOrBuilder getDeclinedOrBuilder();
 
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   * @return Whether the held field is set.
+   */
+  boolean hasHeld();
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   * @return The held.
+   */
+  org.cornelcrank.call.wire.CallHeldMessage getHeld();
+  /**
+   * <code>.cornelcrank.call.CallHeldMessage held = 4;</code>
+   */
+  org.cornelcrank.call.wire.CallHeldMessageOrBuilder getHeldOrBuilder();
+
   org.cornelcrank.call.wire.CallEnvelope.MessageCase getMessageCase();
 }
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallMessages.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/wire/CallMessages.java
@@ -56,6 +56,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelcrank_call_CallDeclinedMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_call_CallHeldMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_call_CallHeldMessage_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -66,32 +71,34 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\023call_messages.proto\022\020cornelcrank.call\"" +
-      "\314\001\n\014CallEnvelope\022;\n\tforwarded\030\001 \001(\0132&.co" +
+      "\377\001\n\014CallEnvelope\022;\n\tforwarded\030\001 \001(\0132&.co" +
       "rnelcrank.call.CallForwardedMessageH\000\0229\n" +
       "\010answered\030\002 \001(\0132%.cornelcrank.call.CallA" +
       "nsweredMessageH\000\0229\n\010declined\030\003 \001(\0132%.cor" +
-      "nelcrank.call.CallDeclinedMessageH\000B\t\n\007m" +
-      "essage\"\270\002\n\024CallForwardedMessage\022\017\n\007reque" +
-      "st\030\001 \001(\t\022\014\n\004send\030\002 \001(\005\022\021\n\tpartition\030\003 \001(" +
-      "\t\022\027\n\017answer_until_ms\030\004 \001(\003\022\014\n\004team\030\005 \001(\t" +
-      "\022\016\n\006key_id\030\006 \001(\t\022\020\n\010operator\030\007 \001(\010\022\020\n\010wo" +
-      "rkload\030\010 \001(\t\022\017\n\007service\030\t \001(\t\022\016\n\006method\030" +
-      "\n \001(\t\022\014\n\004path\030\013 \001(\t\022\024\n\014content_type\030\014 \001(" +
-      "\t\022\014\n\004body\030\r \001(\014\022\027\n\017idempotency_key\030\016 \001(\t" +
-      "\022\026\n\016deadline_at_ms\030\017 \001(\003\022\017\n\007urgency\030\020 \001(" +
-      "\t\"\251\001\n\023CallAnsweredMessage\022\017\n\007request\030\001 \001" +
-      "(\t\022\014\n\004send\030\002 \001(\005\0223\n\006answer\030\003 \001(\0132!.corne" +
-      "lcrank.call.CallAnswerValueH\000\0225\n\007refusal" +
-      "\030\004 \001(\0132\".cornelcrank.call.CallRefusalVal" +
-      "ueH\000B\007\n\005reply\"p\n\017CallAnswerValue\022\016\n\006stat" +
-      "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\022\020\n\010replayed\030\004 \001(\010\022\027\n\017idempotency_ke" +
-      "y\030\005 \001(\t\"Z\n\020CallRefusalValue\022\017\n\007verdict\030\001" +
-      " \001(\t\022\014\n\004code\030\002 \001(\t\022\017\n\007message\030\003 \001(\t\022\026\n\016r" +
-      "etry_after_ms\030\004 \001(\003\"G\n\023CallDeclinedMessa" +
-      "ge\022\017\n\007request\030\001 \001(\t\022\014\n\004send\030\002 \001(\005\022\021\n\tunt" +
-      "ouched\030\003 \001(\010B\035\n\031org.cornelcrank.call.wir" +
-      "eP\001b\006proto3"
+      "nelcrank.call.CallDeclinedMessageH\000\0221\n\004h" +
+      "eld\030\004 \001(\0132!.cornelcrank.call.CallHeldMes" +
+      "sageH\000B\t\n\007message\"\270\002\n\024CallForwardedMessa" +
+      "ge\022\017\n\007request\030\001 \001(\t\022\014\n\004send\030\002 \001(\005\022\021\n\tpar" +
+      "tition\030\003 \001(\t\022\027\n\017answer_until_ms\030\004 \001(\003\022\014\n" +
+      "\004team\030\005 \001(\t\022\016\n\006key_id\030\006 \001(\t\022\020\n\010operator\030" +
+      "\007 \001(\010\022\020\n\010workload\030\010 \001(\t\022\017\n\007service\030\t \001(\t" +
+      "\022\016\n\006method\030\n \001(\t\022\014\n\004path\030\013 \001(\t\022\024\n\014conten" +
+      "t_type\030\014 \001(\t\022\014\n\004body\030\r \001(\014\022\027\n\017idempotenc" +
+      "y_key\030\016 \001(\t\022\026\n\016deadline_at_ms\030\017 \001(\003\022\017\n\007u" +
+      "rgency\030\020 \001(\t\"\251\001\n\023CallAnsweredMessage\022\017\n\007" +
+      "request\030\001 \001(\t\022\014\n\004send\030\002 \001(\005\0223\n\006answer\030\003 " +
+      "\001(\0132!.cornelcrank.call.CallAnswerValueH\000" +
+      "\0225\n\007refusal\030\004 \001(\0132\".cornelcrank.call.Cal" +
+      "lRefusalValueH\000B\007\n\005reply\"p\n\017CallAnswerVa" +
+      "lue\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(" +
+      "\t\022\014\n\004body\030\003 \001(\014\022\020\n\010replayed\030\004 \001(\010\022\027\n\017ide" +
+      "mpotency_key\030\005 \001(\t\"Z\n\020CallRefusalValue\022\017" +
+      "\n\007verdict\030\001 \001(\t\022\014\n\004code\030\002 \001(\t\022\017\n\007message" +
+      "\030\003 \001(\t\022\026\n\016retry_after_ms\030\004 \001(\003\"G\n\023CallDe" +
+      "clinedMessage\022\017\n\007request\030\001 \001(\t\022\014\n\004send\030\002" +
+      " \001(\005\022\021\n\tuntouched\030\003 \001(\010\"0\n\017CallHeldMessa" +
+      "ge\022\017\n\007request\030\001 \001(\t\022\014\n\004send\030\002 \001(\005B\035\n\031org" +
+      ".cornelcrank.call.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -102,7 +109,7 @@
     internal_static_cornelcrank_call_CallEnvelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_call_CallEnvelope_descriptor,
-        new java.lang.String[] { "Forwarded", "Answered", "Declined", "Message", });
+        new java.lang.String[] { "Forwarded", "Answered", "Declined", "Held", "Message", });
     internal_static_cornelcrank_call_CallForwardedMessage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cornelcrank_call_CallForwardedMessage_fieldAccessorTable = new
@@ -133,6 +140,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_call_CallDeclinedMessage_descriptor,
         new java.lang.String[] { "Request", "Send", "Untouched", });
+    internal_static_cornelcrank_call_CallHeldMessage_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_cornelcrank_call_CallHeldMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_call_CallHeldMessage_descriptor,
+        new java.lang.String[] { "Request", "Send", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cornelcrank-call/src/test/java/org/cornelcrank/call/CallDutyTests.java
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/CallDutyTests.java
@@ -285,6 +285,31 @@
         assertThat(fixture.timesRouted()).isEqualTo(1);
     }
 
+    @Test
+    void handOverDoesNotCutTheRunningCall() {
+        RequestId remote = fixture.send("e2", "slip-7", "branch 4");
+        RequestId local = fixture.send("e1", "slip-8", "branch 4");
+        fixture.cluster.own(CallFixture.PARTITION, "e3");
+        fixture.cluster.advance(5_000);
+        fixture.end("e1", FakeRouter.answered("token 112"));
+
+        assertThat(fixture.answer(remote).body().toStringUtf8()).isEqualTo("token 112");
+        assertThat(fixture.answer(local).body().toStringUtf8()).isEqualTo("token 112");
+        RequestId again = fixture.send("e2", "slip-7", "branch 4");
+        fixture.assertRefused(again, Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED);
+    }
+
+    @Test
+    void callHeldByAHostThatIsLostThenMayHaveRun() {
+        RequestId request = fixture.send("e2", "slip-7", "branch 4");
+        fixture.cluster.own(CallFixture.PARTITION, "e3");
+        fixture.cluster.run();
+        fixture.cluster.crash("e1");
+        fixture.cluster.advance(CallFixture.CALL_MS + 2_000);
+
+        fixture.assertRefused(request, Verdict.MAY_HAVE_RUN, RefusalCode.DEADLINE_EXCEEDED);
+    }
+
     @Test
     void guardIsDroppedAfterItsRetention() {
         fixture.send("e2", "slip-7", "branch 4");
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
@@ -64,7 +64,8 @@
             return;
         }
         found.settleSendsTo(from, send);
-        if (found.awaitsAnswerFrom(from) && isNotRun(reply)) {
+        boolean heldElsewhere = found.holder != null && !found.holder.equals(from);
+        if (found.awaitsAnswerFrom(from) && isNotRun(reply) || heldElsewhere && reply instanceof Refusal) {
             return;
         }
         end(found, found.withTrueVerdict(reply), nowMs, out);
@@ -89,6 +90,18 @@
         }
     }
 
+    /**
+     * Takes the word of a host that it no longer owns the partition, but carries the command to its end all the same.
+     *
+     * <p>The leg then waits for this host, and is not sent to the next owner, who could only refuse it.
+     */
+    public void held(HostId from, RequestId request, int leg, int send) {
+        Leg found = legs.get(key(request, leg));
+        if (found != null && from.equals(found.sends.get(send))) {
+            found.holder = from;
+        }
+    }
+
     /** Sends again what needs it, and ends legs that are past their deadlines; called when the timer is due. */
     public void check(long nowMs, Effects out) {
         timerSet = false;
@@ -176,6 +189,7 @@
         private HostId lastOwner;
         private long lastSentAtMs;
         private boolean declined;
+        private HostId holder;
 
         Leg(ForwardedCommand command, ReplyListener listener) {
             this.command = command;
@@ -183,6 +197,9 @@
         }
 
         boolean wantsSend(HostId owner, long nowMs, ForwardingSettings settings) {
+            if (holder != null) {
+                return false;
+            }
             return lastSend == 0
                     || !owner.equals(lastOwner)
                     || declined
