--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/LocalPartition.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/LocalPartition.java
@@ -90,10 +90,10 @@
         return appender.propose(record, urgent, nowMs, out);
     }
 
-    /** Gives the partition up in favour of another daemon, after all that was proposed before. */
-    void release(HostId successor, long nowMs, Effects out) {
+    /** Gives the partition up, in favour of the successor if there is one, after all that was proposed before. */
+    void release(Optional<HostId> successor, long nowMs, Effects out) {
         role = Role.RELEASING;
-        appender.release(successor.value(), nowMs, out);
+        appender.release(successor.map(HostId::value).orElse(""), nowMs, out);
     }
 
     void maintain(long nowMs, Effects out) {
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/LogHealth.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/LogHealth.java
@@ -13,6 +13,7 @@
     private final long patienceMs;
     private int failuresInRow;
     private long failingSinceMs;
+    private long lastFailureMs;
     private long oldestUnansweredMs = Long.MAX_VALUE;
 
     LogHealth(ReadSettings settings) {
@@ -33,12 +34,15 @@
             failingSinceMs = nowMs;
         }
         failuresInRow++;
+        lastFailureMs = nowMs;
+        oldestUnansweredMs = Long.MAX_VALUE;
     }
 
-    /** Returns whether the log answers; true as long as nothing was asked of it. */
+    /** Returns whether the log answers; true also where nothing was asked of it lately. */
     boolean answers(long nowMs) {
-        return failuresInRow < FAILURES_OF_SILENCE
-                && (oldestUnansweredMs == Long.MAX_VALUE || nowMs - oldestUnansweredMs <= patienceMs);
+        boolean failing = failuresInRow >= FAILURES_OF_SILENCE && nowMs - lastFailureMs <= patienceMs;
+        boolean silent = oldestUnansweredMs != Long.MAX_VALUE && nowMs - oldestUnansweredMs > patienceMs;
+        return !failing && !silent;
     }
 
     /** Returns for how long the log has not answered, zero while it does. */
@@ -46,6 +50,7 @@
         if (answers(nowMs)) {
             return 0;
         }
-        return nowMs - Math.min(oldestUnansweredMs, failuresInRow == 0 ? nowMs : failingSinceMs);
+        long sinceMs = failuresInRow == 0 ? nowMs : failingSinceMs;
+        return nowMs - Math.min(oldestUnansweredMs, sinceMs);
     }
 }
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/OwnershipManager.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/OwnershipManager.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -13,6 +14,7 @@
 import org.cornelcrank.core.Member;
 import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.StateWriter;
 import org.cornelcrank.core.StreamName;
 import org.cornelcrank.core.Subject;
 
@@ -43,6 +45,7 @@
     private final BodyReader bodies;
     private final OwnershipListener listener;
     private final ClaimBrake brake;
+    private final HandOvers handOvers;
     private final Map<PartitionId, LocalPartition> locals = new TreeMap<>();
     private final Map<StreamName, LocalPartition> localsByStream = new TreeMap<>();
     private final Map<PartitionId, Long> unreadableUntilMs = new TreeMap<>();
@@ -65,6 +68,7 @@
         this.bodies = bodies;
         this.listener = listener;
         this.brake = new ClaimBrake(context.random);
+        this.handOvers = new HandOvers(context, planner);
     }
 
     void started(long nowMs) {
@@ -114,13 +118,7 @@
     }
 
     void handOverReady(HostId from, PartitionId partition, long epoch, long nowMs, Effects out) {
-        LocalPartition local = locals.get(partition);
-        if (local != null
-                && local.role() == LocalPartition.Role.OWNING
-                && local.fold().epoch() == epoch
-                && from.equals(local.handOver().offeredTo)) {
-            release(local, from, nowMs, out);
-        }
+        find(partition).ifPresent(local -> handOvers.successorReady(local, from, epoch, nowMs, out));
     }
 
     void ownershipAnswered(HostId from, PartitionId partition, long epoch, boolean owns, long nowMs, Effects out) {
@@ -197,7 +195,7 @@
         }
         PartitionFold fold = local.fold();
         if (fold.released()) {
-            handedOver(local, new HostId(fold.successor()), nowMs, out);
+            handedOver(local, nowMs, out);
             return;
         }
         hints.learn(partition, new HostId(fold.ownerHost()), fold.epoch(), nowMs + HINT_LIFETIME_MS);
@@ -237,6 +235,34 @@
         return locals.values();
     }
 
+    void dump(StateWriter writer) {
+        writer.table(
+                "partitions",
+                "partition",
+                "role",
+                "epoch",
+                "owner",
+                "nextOffset",
+                "pendingRecords",
+                "pendingBytes",
+                "bytesToRead",
+                "offeredTo");
+        for (LocalPartition local : locals.values()) {
+            writer.row(
+                    local.partition(),
+                    local.role(),
+                    local.fold().epoch(),
+                    local.fold().ownerHost(),
+                    local.nextOffset(),
+                    local.appender().pendingRecords(),
+                    local.appender().pendingBytes(),
+                    local.bytesToRead(),
+                    Objects.toString(local.handOver().offeredTo, ""));
+        }
+        writer.table("unreadable", "partition", "untilMs");
+        unreadableUntilMs.forEach(writer::row);
+    }
+
     private void evaluate(long nowMs, Effects out) {
         planner.observe(nowMs);
         for (PartitionId partition : planner.partitions(nowMs)) {
@@ -248,7 +274,7 @@
         for (LocalPartition local : List.copyOf(locals.values())) {
             switch (local.role()) {
                 case FOLLOWING -> reviewFollower(local, nowMs, out);
-                case OWNING -> reviewOwned(local, nowMs, out);
+                case OWNING -> handOvers.review(local, stopping, nowMs, out);
                 default -> {
                     // A claim or a release under way is left to end.
                 }
@@ -301,72 +327,14 @@
         return 3 * settings.handOverTimeoutMs() + settings.cutOffAfterMs();
     }
 
-    private void reviewOwned(LocalPartition local, long nowMs, Effects out) {
-        HandOver handOver = local.handOver();
-        if (handOver.offeredTo != null) {
-            reviewOffer(local, nowMs, out);
-            return;
-        }
-        requestTakeOverIfCutOff(local, nowMs, out);
-        Optional<HostId> choice = planner.choice(local.partition(), nowMs);
-        if (choice.isEmpty() || choice.get().equals(context.identity.host())) {
-            handOver.noLongerMisplaced();
-            return;
-        }
-        if (!handOver.misplaced()) {
-            handOver.misplacedSinceMs = nowMs;
-        }
-        if (stopping || nowMs - handOver.misplacedSinceMs >= settings.rebalanceAfterMs()) {
-            offer(local, choice.get(), nowMs, out);
-        }
-    }
-
-    private void offer(LocalPartition local, HostId successor, long nowMs, Effects out) {
-        local.handOver().offeredTo = successor;
-        local.handOver().offerEndsAtMs = nowMs + settings.handOverTimeoutMs();
-        out.send(
-                successor,
-                new PartitionMessage.HandOverOffer(
-                        local.partition(), local.fold().epoch()));
-    }
-
-    private void reviewOffer(LocalPartition local, long nowMs, Effects out) {
-        HandOver handOver = local.handOver();
-        if (nowMs < handOver.offerEndsAtMs) {
-            return;
-        }
-        if (stopping) {
-            HostId successor = planner.choice(local.partition(), nowMs).orElse(handOver.offeredTo);
-            release(local, successor, nowMs, out);
-            return;
-        }
-        handOver.offeredTo = null;
-        handOver.noLongerMisplaced();
-    }
-
-    private void release(LocalPartition local, HostId successor, long nowMs, Effects out) {
-        local.release(successor, nowMs, out);
-    }
-
-    private void requestTakeOverIfCutOff(LocalPartition local, long nowMs, Effects out) {
-        HandOver handOver = local.handOver();
-        if (context.log.silentForMs(nowMs) < settings.cutOffAfterMs() || nowMs < handOver.nextQueryAtMs) {
-            return;
-        }
-        handOver.nextQueryAtMs = nowMs + settings.cutOffAfterMs() / 2;
-        planner.choiceElsewhere(local.partition())
-                .ifPresent(host -> out.send(
-                        host,
-                        new PartitionMessage.TakeOverRequest(
-                                local.partition(), local.fold().epoch())));
-    }
-
     private void releasedReached(LocalPartition local, long nowMs, Effects out) {
-        HostId successor = new HostId(local.fold().successor());
-        if (successor.equals(context.identity.host())) {
-            claim(local, "its owner released it to this daemon", nowMs, out);
-        } else if (!planner.takesDuties(successor) || nowMs - local.startedAtMs() > QUERY_TIMEOUT_MS * MAX_QUERIES) {
-            claim(local, "its owner released it to " + successor + ", which did not claim it", nowMs, out);
+        String successor = local.fold().successor();
+        boolean awaited = !successor.isEmpty()
+                && !successor.equals(context.identity.host().value())
+                && planner.takesDuties(new HostId(successor))
+                && nowMs - local.startedAtMs() <= QUERY_TIMEOUT_MS * MAX_QUERIES;
+        if (!awaited) {
+            claim(local, "its owner released it", nowMs, out);
         }
     }
 
@@ -412,13 +380,17 @@
         local.claim(nowMs, out);
     }
 
-    private void handedOver(LocalPartition local, HostId successor, long nowMs, Effects out) {
+    private void handedOver(LocalPartition local, long nowMs, Effects out) {
         context.metrics.handOvers.inc();
         PartitionId partition = local.partition();
         long epoch = local.fold().epoch();
-        hints.learn(partition, successor, epoch, nowMs + WEAK_HINT_LIFETIME_MS);
-        explain(partition, "handed over", "released to " + successor, nowMs, out);
-        out.send(successor, new PartitionMessage.Released(partition, epoch));
+        String successor = local.fold().successor();
+        explain(partition, "handed over", "released to " + (successor.isEmpty() ? "nobody" : successor), nowMs, out);
+        if (!successor.isEmpty()) {
+            HostId host = new HostId(successor);
+            hints.learn(partition, host, epoch, nowMs + WEAK_HINT_LIFETIME_MS);
+            out.send(host, new PartitionMessage.Released(partition, epoch));
+        }
     }
 
     private void drop(LocalPartition local) {
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionDuty.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionDuty.java
@@ -221,27 +221,7 @@
         writer.field("logAnswers", logAnswers(nowMs))
                 .field("bodyReadsUnderWay", bodies.readsUnderWay())
                 .field("cachedBytes", context.cache.bytes());
-        writer.table(
-                "partitions",
-                "partition",
-                "role",
-                "epoch",
-                "owner",
-                "nextOffset",
-                "pendingRecords",
-                "pendingBytes",
-                "bytesToRead");
-        for (LocalPartition local : ownership.locals()) {
-            writer.row(
-                    local.partition(),
-                    local.role(),
-                    local.fold().epoch(),
-                    local.fold().ownerHost(),
-                    local.nextOffset(),
-                    local.appender().pendingRecords(),
-                    local.appender().pendingBytes(),
-                    local.bytesToRead());
-        }
+        ownership.dump(writer);
         writer.table("owners", "partition", "likelyOwner", "choice");
         for (PartitionId partition : planner.partitions(nowMs)) {
             writer.row(partition, nameOf(likelyOwner(partition)), nameOf(planner.choice(partition, nowMs)));
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.MemberState;
@@ -46,6 +47,38 @@
         assertThat(successors).as("successors of " + orphans).hasSizeGreaterThan(1);
     }
 
+    @Test
+    void aPartitionWithManyRecordsIsTakenOverInTimeAsWell() {
+        startFleet("a", "b", "c");
+        PartitionId partition = all().get(0);
+        TestFleet.Daemon lost = fleet.owner(partition);
+        SplittableRandom random = new SplittableRandom(7);
+        int records = 40_000;
+        for (int record = 0; record < records; record++) {
+            lost.propose(partition, "item " + record + "#" + incompressible(random, 100), false);
+            if (record % 100 == 0) {
+                fleet.runFor(100);
+            }
+        }
+        fleet.runFor(30_000);
+        long streamBytes = fleet.log().records(partition.stream()).stream()
+                .mapToLong(record -> record.payload().size())
+                .sum();
+        lost.crash(DETECTION_MS);
+        long lostAtMs = fleet.nowMs();
+        while (fleet.owners(partition).isEmpty()) {
+            fleet.runFor(10);
+            assertThat(fleet.nowMs() - lostAtMs).as(fleet.trace()).isLessThan(RECOVERY_GOAL_MS);
+        }
+        System.out.printf(
+                "recovery of a partition with %,d bytes in %d groups, %d checkpoints: %d ms%n",
+                streamBytes,
+                fleet.log().records(partition.stream()).size(),
+                lost.counter("partition.checkpoints-written"),
+                fleet.nowMs() - lostAtMs);
+        assertThat(fleet.owner(partition).ledger(partition).entries()).hasSize(records);
+    }
+
     @Test
     void whatAPausedOwnerAppendsLateIsVoid() {
         startFleet("a", "b", "c");
@@ -133,6 +166,54 @@
         }
     }
 
+    @Test
+    void theLastDaemonReleasesAndTheNextStartClaimsAtOnce() {
+        startFleet("a");
+        PartitionId partition = all().get(0);
+        TestFleet.Daemon last = fleet.daemon("a");
+        last.propose(partition, "last words", false);
+        last.stop();
+        fleet.runFor(3_000);
+        assertThat(last.duty().handedOver()).isTrue();
+        last.crash(0);
+        TestFleet.Daemon next = fleet.start("b");
+        fleet.runFor(START_MS);
+        assertThat(fleet.owner(partition)).isSameAs(next);
+        assertThat(next.ledger(partition).entries()).containsOnlyKeys("last words");
+    }
+
+    @Test
+    void aStopDuringAnOutageKeepsWhatItOwnsUntilTheLogAnswers() {
+        startFleet("a", "b");
+        TestFleet.Daemon leaving = busiest();
+        PartitionId partition = owned(leaving).get(0);
+        fleet.log().outage(true);
+        long proposal = leaving.propose(partition, "during the outage", false);
+        leaving.stop();
+        fleet.runFor(30_000);
+        assertThat(leaving.duty().handedOver()).isFalse();
+        fleet.log().outage(false);
+        fleet.runFor(10_000);
+        assertThat(leaving.duty().handedOver()).as(fleet.trace()).isTrue();
+        assertThat(leaving.client().applied()).containsKey(proposal);
+        assertThat(fleet.owner(partition).ledger(partition).entries()).containsOnlyKeys("during the outage");
+    }
+
+    @Test
+    void anOwnerLostWhileTheLogIsOutIsSucceededOnceItAnswers() {
+        startFleet("a", "b", "c");
+        TestFleet.Daemon lost = busiest();
+        PartitionId partition = owned(lost).get(0);
+        lost.propose(partition, "before the outage", true);
+        fleet.runFor(100);
+        fleet.log().outage(true);
+        lost.crash(DETECTION_MS);
+        fleet.runFor(60_000);
+        fleet.log().outage(false);
+        fleet.runFor(RECOVERY_GOAL_MS);
+        assertThat(fleet.owner(partition).ledger(partition).entries()).containsOnlyKeys("before the outage");
+    }
+
     @Test
     void anOwnerThatRestartsUnderItsNameIsSucceeded() {
         startFleet("a", "b", "c");
@@ -200,6 +281,14 @@
         fleet.runFor(START_MS);
     }
 
+    private static String incompressible(SplittableRandom random, int words) {
+        StringBuilder text = new StringBuilder();
+        for (int word = 0; word < words; word++) {
+            text.append(Long.toString(random.nextLong(), 36));
+        }
+        return text.toString();
+    }
+
     private void believeDead(String believer, String subject) {
         fleet.daemon(believer).believe(new HostId(subject), MemberState.DEAD);
     }
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestFleet.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestFleet.java
@@ -35,6 +35,7 @@
 
     static final RegionId REGION = new RegionId("zapad");
     static final long LOG_LATENCY_MS = 5;
+    static final long LOG_BYTES_PER_MS = 10_000;
     static final long PEER_LATENCY_MS = 1;
     static final long APPEND_TIMEOUT_MS = 200;
 
@@ -308,6 +309,13 @@
                 hold(read, untilMs);
                 return;
             }
+            long bytes = page.records().stream()
+                    .mapToLong(record -> record.payload().size())
+                    .sum();
+            after(bytes / LOG_BYTES_PER_MS, () -> answer(read, page));
+        }
+
+        private void answer(Effect.ReadLog read, FakeLog.Page page) {
             offer(new Event.LogRead(
                     read.stream(),
                     read.purpose(),
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestSettings.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/TestSettings.java
@@ -11,6 +11,7 @@
                 count, defaults.append(), defaults.read(), defaults.ownership(), defaults.retention());
     }
 
+    /** Keeps no groups in memory, so that every body comes from the log. */
     static PartitionSettings retention(RetentionSettings retention, int maxGroupBytes) {
         PartitionSettings defaults = PartitionSettings.defaults();
         AppendSettings append = defaults.append();
@@ -24,7 +25,11 @@
                         append.maxPendingBytes(),
                         append.retryBaseMs(),
                         append.retryMaxMs()),
-                defaults.read(),
+                new ReadSettings(
+                        defaults.read().waitMs(),
+                        defaults.read().silenceMs(),
+                        defaults.read().maxBytes(),
+                        0),
                 defaults.ownership(),
                 retention);
     }
