Show a whole deployment in one process, and measure one under load

The load tool runs a scenario open loop on such a fleet, each policy without and with its batch backlog, and prints latency percentiles from the planned arrivals, slot time, batch items, preemptions, discarded tokens and link bytes, as tables, JSON or a page with plots. The scenario added-latency sends the same requests straight to the engines beside.

--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
@@ -32,6 +32,8 @@
         commands.add(new ExplainCommand());
         commands.addAll(QuarantineCommands.all());
         commands.add(new KeyCommand());
+        commands.add(new DemoCommand());
+        commands.add(new LoadCommand());
         commands.addAll(StandInCommands.all());
         return commands;
     }
--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/StreamingClient.java
@@ -0,0 +1,97 @@
+package org.cornelcrank.cli.client;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.buffer.Unpooled;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends chat requests whose answers are streamed, to a daemon or straight to an engine.
+ *
+ * <p>Thread-safe.
+ */
+public final class StreamingClient {
+
+    private static final int MAX_CONNECTIONS = 2_000;
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(120);
+
+    private final HttpClient http;
+    private final String url;
+
+    /** Creates a client; an empty key or workload is not sent. */
+    public StreamingClient(String url, String key, String workload) {
+        this(
+                HttpClient.create(ConnectionProvider.builder("streams")
+                        .maxConnections(MAX_CONNECTIONS)
+                        .pendingAcquireMaxCount(-1)
+                        .build()),
+                url,
+                key,
+                workload);
+    }
+
+    /** Creates a client that shares connections with others. */
+    public StreamingClient(HttpClient shared, String url, String key, String workload) {
+        this.url = Objects.requireNonNull(url, "url must not be null");
+        this.http = shared.headers(headers -> {
+            headers.set("Content-Type", "application/json");
+            if (!key.isEmpty()) {
+                headers.set("Authorization", "Bearer " + key);
+            }
+            if (!workload.isEmpty()) {
+                headers.set("Cornelcrank-Workload", workload);
+            }
+        });
+    }
+
+    /** Returns the body of a chat request with a streamed answer. */
+    public static byte[] chatBody(String model, String systemText, String userText, int maxTokens) {
+        try {
+            return DaemonClient.JSON.writeValueAsBytes(Map.of(
+                    "model",
+                    model,
+                    "stream",
+                    true,
+                    "max_tokens",
+                    maxTokens,
+                    "messages",
+                    List.of(
+                            Map.of("role", "system", "content", systemText),
+                            Map.of("role", "user", "content", userText))));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("text must be writable as JSON", e);
+        }
+    }
+
+    /** Asks and waits for the whole answer; must not be called from a thread of an event loop. */
+    public StreamedAnswer chat(String model, String systemText, String userText, int maxTokens) {
+        return send(chatBody(model, systemText, userText, maxTokens)).block();
+    }
+
+    /** Sends a request body; a failure ends in an answer that is not complete. */
+    public Mono<StreamedAnswer> send(byte[] body) {
+        return Mono.defer(() -> {
+            StreamReader reader = new StreamReader(System.nanoTime());
+            return http.post()
+                    .uri(url + "/v1/chat/completions")
+                    .send(ByteBufMono.fromCallable(() -> Unpooled.wrappedBuffer(body)))
+                    .response((response, content) -> {
+                        reader.head(
+                                response.status().code(),
+                                response.responseHeaders().get("Cornelcrank-Verdict", ""));
+                        return content.asString(StandardCharsets.UTF_8).doOnNext(reader::accept);
+                    })
+                    .then(Mono.fromSupplier(reader::answer))
+                    .timeout(ANSWER_TIMEOUT)
+                    .onErrorResume(error -> Mono.fromSupplier(reader::answer));
+        });
+    }
+}
--- /dev/null
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/load/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The load tool: scenarios, an open-loop generator, measurements and reports.
+ *
+ * <p>Depends on the client and fleet packages.
+ */
+package org.cornelcrank.cli.load;
--- a/cornelcrank-standin/src/main/java/org/cornelcrank/standin/EngineStandIn.java
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/EngineStandIn.java
@@ -10,11 +10,14 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -33,6 +36,7 @@
     /** The text that makes a request crash the target that runs it. */
     public static final String CRASH_MARK = "CRASH-TARGET";
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(EngineStandIn.class);
     private static final long NS_PER_US = 1000;
     private static final Duration EVENT_POLL_INTERVAL = Duration.ofMillis(50);
     private static final String STREAMS_PREFIX = "/streams/";
@@ -88,7 +92,7 @@
     }
 
     private Mono<Answer> complete(CompletionRequest request, boolean crashesEngine) {
-        return Mono.create(head -> worker.schedule(() -> begin(request, crashesEngine, head)));
+        return Mono.create(head -> schedule(() -> begin(request, crashesEngine, head)));
     }
 
     private void begin(CompletionRequest request, boolean crashesEngine, MonoSink<Answer> head) {
@@ -98,7 +102,7 @@
         }
         state.setSlowFactor(faults().slowFactor());
         AtomicReference<Runnable> hangUp = new AtomicReference<>(() -> {});
-        Runnable onHangUp = () -> worker.schedule(() -> hangUp.get().run());
+        Runnable onHangUp = () -> schedule(() -> hangUp.get().run());
         CompletionAnswer answer = new CompletionAnswer(request, "gen-" + requests++, head, onHangUp);
         Generation generation = request.resumes() ? state.resume(request, answer, nowUs()) : null;
         if (generation == null && request.resumeFrom() > 0) {
@@ -139,7 +143,7 @@
 
     @Override
     void crashed() {
-        worker.schedule(() -> state.reset(nowUs()));
+        schedule(() -> state.reset(nowUs()));
     }
 
     private Answer forget(String key) {
@@ -190,7 +194,7 @@
     }
 
     private <T> Mono<T> onWorker(Supplier<T> work) {
-        return Mono.create(sink -> worker.schedule(() -> {
+        return Mono.create(sink -> schedule(() -> {
             try {
                 sink.success(work.get());
             } catch (RuntimeException e) {
@@ -199,6 +203,14 @@
         }));
     }
 
+    private void schedule(Runnable work) {
+        try {
+            worker.schedule(work);
+        } catch (RejectedExecutionException e) {
+            LOGGER.debug("engine {} is closed, work dropped", address());
+        }
+    }
+
     private long nowUs() {
         return startedUs + (System.nanoTime() - startedNs) / NS_PER_US;
     }
