Run jobs and calls over the partition duty with the log's faults, and write down the decisions

The fakes of partitions could not show what lost append answers, repeated appends, detection delays and hand-overs of the real duty do to jobs and calls. LogCluster composes daemons with the partition duty over a log in memory; jobs and calls run through each append lost, repeated or refused, and through crashes, pauses, planned stops and outages along the path.

A leg that ends at its deadline says when to come back, since its command is idempotent; calls explain their answers.

--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchDutyTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchDutyTests.java
@@ -26,9 +26,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.cornelcrank.batch.BatchFixture.NILAVU;
-import static org.cornelcrank.batch.BatchFixture.OPERATOR;
-import static org.cornelcrank.batch.BatchFixture.TATRANSKE;
+import static org.cornelcrank.batch.BatchScenario.NILAVU;
+import static org.cornelcrank.batch.BatchScenario.OPERATOR;
+import static org.cornelcrank.batch.BatchScenario.TATRANSKE;
 
 class BatchDutyTests {
 
@@ -47,23 +47,23 @@
         assertThat(ended.completed()).isEqualTo(250);
         assertThat(fixture.runs.values()).hasSize(250).containsOnly(1);
         for (String host : List.of("e1", "e2", "e3")) {
-            BatchFixture.assertEachOnce(fixture.results(host, NILAVU, job.job()), 250);
+            BatchScenario.assertEachOnce(fixture.results(host, NILAVU, job.job()), 250);
         }
     }
 
     @Test
     void keyMeetsItsFirstJobAndConflictsWithAnotherFileInWhateverPartition() {
         FileId file = fixture.upload("e1", NILAVU, 3, "d1");
-        JobInfo job = cluster.ask("e1", NILAVU, BatchFixture.job(file, Optional.of("night")), JobInfo.class);
+        JobInfo job = cluster.ask("e1", NILAVU, BatchScenario.job(file, Optional.of("night")), JobInfo.class);
 
         for (int other = 2; other < 10; other++) {
             FileId otherFile = fixture.upload("e2", NILAVU, 3, "d" + other);
             Refusal refusal =
-                    cluster.ask("e2", NILAVU, BatchFixture.job(otherFile, Optional.of("night")), Refusal.class);
+                    cluster.ask("e2", NILAVU, BatchScenario.job(otherFile, Optional.of("night")), Refusal.class);
             assertThat(refusal.code()).isEqualTo(RefusalCode.CONFLICT);
             assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
         }
-        JobInfo again = cluster.ask("e3", NILAVU, BatchFixture.job(file, Optional.of("night")), JobInfo.class);
+        JobInfo again = cluster.ask("e3", NILAVU, BatchScenario.job(file, Optional.of("night")), JobInfo.class);
         assertThat(again.job()).isEqualTo(job.job());
     }
 
@@ -71,14 +71,14 @@
     void uploadOfTheSameContentGivesTheEarlierFileAndAKeyOfOtherContentConflicts() {
         Optional<String> key = Optional.of("upload-1");
         FileId first = open("e1", key);
-        cluster.ask("e1", NILAVU, new AddItems(first, 0, BatchFixture.lines(0, 2)), ItemsAdded.class);
+        cluster.ask("e1", NILAVU, new AddItems(first, 0, BatchScenario.lines(0, 2)), ItemsAdded.class);
         cluster.ask("e1", NILAVU, new SealFile(first, 2, "d1"), FileSealed.class);
 
         FileId resent = open("e2", key);
-        cluster.ask("e2", NILAVU, new AddItems(resent, 0, BatchFixture.lines(0, 2)), ItemsAdded.class);
+        cluster.ask("e2", NILAVU, new AddItems(resent, 0, BatchScenario.lines(0, 2)), ItemsAdded.class);
         FileSealed sealed = cluster.ask("e2", NILAVU, new SealFile(resent, 2, "d1"), FileSealed.class);
         FileId other = open("e3", key);
-        cluster.ask("e3", NILAVU, new AddItems(other, 0, BatchFixture.lines(5, 2)), ItemsAdded.class);
+        cluster.ask("e3", NILAVU, new AddItems(other, 0, BatchScenario.lines(5, 2)), ItemsAdded.class);
         Refusal refusal = cluster.ask("e3", NILAVU, new SealFile(other, 2, "d2"), Refusal.class);
 
         assertThat(sealed.file().file()).isEqualTo(first);
@@ -93,11 +93,11 @@
     @Test
     void linesAddedAgainAreKeptOnce() {
         FileId file = open("e1", Optional.empty());
-        AddItems add = new AddItems(file, 0, BatchFixture.lines(0, 10));
+        AddItems add = new AddItems(file, 0, BatchScenario.lines(0, 10));
         cluster.ask("e1", NILAVU, add, ItemsAdded.class);
 
         ItemsAdded again = cluster.ask("e2", NILAVU, add, ItemsAdded.class);
-        Refusal gap = cluster.ask("e2", NILAVU, new AddItems(file, 11, BatchFixture.lines(11, 1)), Refusal.class);
+        Refusal gap = cluster.ask("e2", NILAVU, new AddItems(file, 11, BatchScenario.lines(11, 1)), Refusal.class);
 
         assertThat(again.total()).isEqualTo(10);
         assertThat(gap.code()).isEqualTo(RefusalCode.INVALID_REQUEST);
@@ -112,8 +112,8 @@
                         new GetFile(file),
                         new ReadFile(file, 0, 10),
                         new SealFile(file, 3, "d1"),
-                        BatchFixture.job(file, Optional.empty()),
-                        BatchFixture.job(file, Optional.of("key")),
+                        BatchScenario.job(file, Optional.empty()),
+                        BatchScenario.job(file, Optional.of("key")),
                         new GetJob(job),
                         new CancelJob(job),
                         new ReadResults(job, 0, 10))
@@ -276,7 +276,7 @@
 
     @Test
     void outageRefusesNewWorkNotRunAndBoundsTheResultsThatWait() {
-        BatchSettings small = BatchFixture.withResultBuffer(8 * 1024);
+        BatchSettings small = BatchScenario.withResultBuffer(8 * 1024);
         BatchFixture bounded = new BatchFixture(small, 1, "e1", "e2");
         JobId job = bounded.create("e2", NILAVU, bounded.upload("e2", NILAVU, 300, "d1"))
                 .job();
@@ -294,7 +294,7 @@
 
         bounded.cluster.startLog();
         bounded.work(60, bounded::countAndEcho);
-        BatchFixture.assertEachOnce(bounded.results("e2", NILAVU, job), 300);
+        BatchScenario.assertEachOnce(bounded.results("e2", NILAVU, job), 300);
         assertThat(bounded.runs.values()).containsOnly(1);
     }
 
@@ -321,7 +321,7 @@
 
         fixture.work(10, fixture::countAndEcho);
 
-        BatchFixture.assertEachOnce(fixture.results("e2", NILAVU, job), 3);
+        BatchScenario.assertEachOnce(fixture.results("e2", NILAVU, job), 3);
     }
 
     @Test
@@ -342,9 +342,9 @@
     @Test
     void linesThatCannotRunEndAsFailures() {
         FileId file = open("e1", Optional.empty());
-        List<ByteString> lines = new ArrayList<>(BatchFixture.lines(0, 2));
+        List<ByteString> lines = new ArrayList<>(BatchScenario.lines(0, 2));
         lines.add(ByteString.copyFromUtf8("{\"custom_id\":\"x\"}"));
-        lines.add(ByteString.copyFromUtf8(BatchFixture.line(3).toStringUtf8().replace("stav-app", "hlasenia-llm")));
+        lines.add(ByteString.copyFromUtf8(BatchScenario.line(3).toStringUtf8().replace("stav-app", "hlasenia-llm")));
         cluster.ask("e1", NILAVU, new AddItems(file, 0, lines), ItemsAdded.class);
         cluster.ask("e1", NILAVU, new SealFile(file, 4, "d1"), FileSealed.class);
         JobId job = fixture.create("e1", NILAVU, file).job();
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFaultTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchFaultTests.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.cornelcrank.batch.BatchFixture.NILAVU;
+import static org.cornelcrank.batch.BatchScenario.NILAVU;
 
 /**
  * Brings one fault about after each event of a job's whole path, and checks that each item is recorded once.
@@ -71,7 +71,7 @@
 
     private static void runJob(BatchFixture fixture) {
         FileId file = fixture.upload("e3", NILAVU, ITEMS, "d1");
-        CreateJob create = BatchFixture.job(file, Optional.of("night"));
+        CreateJob create = BatchScenario.job(file, Optional.of("night"));
         JobInfo job = fixture.cluster.askAgain("e3", NILAVU, create, JobInfo.class);
         JobInfo again = fixture.cluster.askAgain("e3", NILAVU, create, JobInfo.class);
         assertThat(again.job()).isEqualTo(job.job());
@@ -79,7 +79,7 @@
         JobInfo ended = fixture.info("e3", job.job());
         assertThat(ended.state()).isEqualTo(JobState.COMPLETED);
         assertThat(ended.completed()).isEqualTo(ITEMS);
-        BatchFixture.assertEachOnce(fixture.results("e3", NILAVU, job.job()), ITEMS);
+        BatchScenario.assertEachOnce(fixture.results("e3", NILAVU, job.job()), ITEMS);
         assertThat(fixture.runs).hasSize(ITEMS);
     }
 }
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchMemoryTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchMemoryTests.java
@@ -48,17 +48,17 @@
     @Test
     void linesInMemoryAreBoundedForAllJobsTogether() {
         int maxWindowBytes = 40_000;
-        BatchFixture fixture = new BatchFixture(BatchFixture.withWindowBytes(maxWindowBytes), 1, "e1", "e2");
-        FileId file = fixture.upload("e1", BatchFixture.NILAVU, 2_000, "d1");
+        BatchFixture fixture = new BatchFixture(BatchScenario.withWindowBytes(maxWindowBytes), 1, "e1", "e2");
+        FileId file = fixture.upload("e1", BatchScenario.NILAVU, 2_000, "d1");
         for (int i = 0; i < 20; i++) {
-            CreateJob create = BatchFixture.job(file, Optional.of("key-" + i));
-            fixture.cluster.askAgain("e1", BatchFixture.NILAVU, create, JobInfo.class);
+            CreateJob create = BatchScenario.job(file, Optional.of("key-" + i));
+            fixture.cluster.askAgain("e1", BatchScenario.NILAVU, create, JobInfo.class);
         }
         FakeCapacity capacity = fixture.capacity("e1");
         int atStart = capacity.wanted();
         fixture.work(300, fixture::countAndEcho);
 
-        ItemLine line = ItemLine.parse(BatchFixture.line(1_000)).orElseThrow();
+        ItemLine line = ItemLine.parse(BatchScenario.line(1_000)).orElseThrow();
         int itemBytes = new WaitingItem(0, line, 0, 0).bytes();
         int mostBytes = maxWindowBytes + (1 + 20) * itemBytes;
         assertThat(capacity.demands).hasSize(20);
@@ -70,12 +70,12 @@
     private void openJob() {
         apply(BatchRecords.fileOpened(FILE, TEAM, new OpenFile("a", Optional.empty(), "h")));
         for (int from = 0; from < ITEMS; from += LINES_PER_RECORD) {
-            List<ByteString> lines = BatchFixture.lines(from, Math.min(LINES_PER_RECORD, ITEMS - from));
+            List<ByteString> lines = BatchScenario.lines(from, Math.min(LINES_PER_RECORD, ITEMS - from));
             apply(BatchRecords.itemsAdded(new AddItems(FILE, from, lines), "stav-app"));
         }
         apply(BatchRecords.fileSealed(new SealFile(FILE, ITEMS, "d")));
         apply(BatchRecords.jobOpened(
-                JOB, TEAM, new CreateJob(FILE, BatchFixture.ENDPOINT, Optional.empty(), 5, Map.of())));
+                JOB, TEAM, new CreateJob(FILE, BatchScenario.ENDPOINT, Optional.empty(), 5, Map.of())));
     }
 
     private void apply(DurableRecord record) {
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchPartitionStateTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchPartitionStateTests.java
@@ -125,10 +125,10 @@
 
         Run() {
             apply(BatchRecords.fileOpened(FILE, TEAM, new OpenFile("a", Optional.empty(), "h")));
-            apply(BatchRecords.itemsAdded(new AddItems(FILE, 0, BatchFixture.lines(0, ITEMS)), "stav-app"));
+            apply(BatchRecords.itemsAdded(new AddItems(FILE, 0, BatchScenario.lines(0, ITEMS)), "stav-app"));
             apply(BatchRecords.fileSealed(new SealFile(FILE, ITEMS, "d")));
             apply(BatchRecords.jobOpened(
-                    JOB, TEAM, new CreateJob(FILE, BatchFixture.ENDPOINT, Optional.empty(), 5, Map.of())));
+                    JOB, TEAM, new CreateJob(FILE, BatchScenario.ENDPOINT, Optional.empty(), 5, Map.of())));
         }
 
         void apply(DurableRecord record) {
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/FakeCluster.java
@@ -12,7 +12,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerCommand;
-import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.DataCentreId;
 import org.cornelcrank.core.Duty;
@@ -24,33 +23,28 @@
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.core.PeerMessage;
 import org.cornelcrank.core.PeerMessageCodec;
-import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.partition.PartitionClient;
 import org.cornelcrank.partition.PartitionState;
 import org.cornelcrank.partition.PartitionWriter;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 /**
  * A few daemons with one duty each over shared partitions, in virtual time.
  *
  * <p>Faults are brought about by the test: a host crashes, pauses or loses a partition, messages are dropped, the log
  * stops. Messages pass through their codec. Not thread-safe.
  */
-public final class FakeCluster {
+public final class FakeCluster extends TestCluster {
 
     public static final RegionId REGION = new RegionId("zapad");
 
     private static final int MAX_STEPS = 1_000_000;
-    private static final int MAX_ASKED_AGAIN = 20;
 
     private final FakePartitions partitions;
     private final PeerMessageCodec codec;
     private final NodeFactory factory;
     private final SortedMap<HostId, FakeHost> hosts = new TreeMap<>();
-    private final SortedMap<String, List<CallerReply>> replies = new TreeMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private Predicate<PeerMessage> dropped = message -> false;
     private Runnable afterEachEvent = () -> {};
@@ -74,6 +68,7 @@
         run();
     }
 
+    @Override
     public long nowMs() {
         return nowMs;
     }
@@ -88,7 +83,7 @@
         Location location = new Location(REGION, new DataCentreId("trnava-a"));
         FakeHost host = new FakeHost(this, new DaemonIdentity(id, nextIncarnation++, location, "127.0.0.1:1"));
         hosts.put(id, host);
-        factory.install(host.identity, host, new Installer(host));
+        factory.install(host.identity, host, new HostInstaller(host));
     }
 
     /** Loses a host with all that waits in it; what it proposed and the log has not taken never arrives. */
@@ -190,6 +185,7 @@
     }
 
     /** Brings a caller's command to a host, without running anything yet. */
+    @Override
     public RequestId arrive(String name, Caller caller, CallerCommand command) {
         FakeHost host = host(name);
         RequestId request = new RequestId(host.id(), host.identity.incarnation(), ++nextRequest);
@@ -197,46 +193,8 @@
         return request;
     }
 
-    /** Brings a caller's command to a host and returns the answer, giving it a minute of virtual time. */
-    public CallerReply ask(String name, Caller caller, CallerCommand command) {
-        RequestId request = arrive(name, caller, command);
-        run();
-        long untilMs = nowMs + 60_000;
-        while (reply(request).isEmpty() && nowMs < untilMs) {
-            advance(250);
-        }
-        return reply(request).orElseThrow(() -> new AssertionError("no answer to " + command));
-    }
-
-    public <T extends CallerReply> T ask(String name, Caller caller, CallerCommand command, Class<T> type) {
-        CallerReply reply = ask(name, caller, command);
-        assertThat(reply).isInstanceOf(type);
-        return type.cast(reply);
-    }
-
-    /** Asks as a caller does who sends an idempotent command again after each refusal that says when. */
-    public <T extends CallerReply> T askAgain(String name, Caller caller, CallerCommand command, Class<T> type) {
-        CallerReply reply = ask(name, caller, command);
-        for (int round = 0; round < MAX_ASKED_AGAIN && comesBack(reply); round++) {
-            advance(((Refusal) reply).retryAfterMs());
-            reply = ask(name, caller, command);
-        }
-        assertThat(reply).isInstanceOf(type);
-        return type.cast(reply);
-    }
-
-    private static boolean comesBack(CallerReply reply) {
-        return reply instanceof Refusal refusal && refusal.retryAfterMs() > 0;
-    }
-
-    /** Returns the answer to a request; there must not be two. */
-    public Optional<CallerReply> reply(RequestId request) {
-        List<CallerReply> given = replies.getOrDefault(request.toString(), List.of());
-        assertThat(given).as("answers to " + request).hasSizeLessThanOrEqualTo(1);
-        return given.stream().findFirst();
-    }
-
     /** Handles one event of a host from outside, as a grant of capacity. */
+    @Override
     public void inject(HostId id, Consumer<Effects> event) {
         FakeHost host = hosts.get(id);
         if (host != null) {
@@ -250,6 +208,7 @@
     }
 
     /** Runs until nothing is left to do at the present time. */
+    @Override
     public void run() {
         for (int step = 0; step < MAX_STEPS; step++) {
             if (!handleNext() && !(logAnswers && logStep())) {
@@ -260,6 +219,7 @@
     }
 
     /** Passes time, with every timer in its order. */
+    @Override
     public void advance(long ms) {
         long untilMs = nowMs + ms;
         run();
@@ -366,8 +326,7 @@
             if (effect instanceof Effect.Send send) {
                 send(host.id(), send);
             } else if (effect instanceof Effect.Reply reply) {
-                replies.computeIfAbsent(reply.request().toString(), key -> new ArrayList<>())
-                        .add(reply.reply());
+                noteReply(reply);
             } else if (effect instanceof Effect.Schedule schedule) {
                 host.timers.put(schedule.key().toString(), schedule.dueAtMs());
                 host.timerKeys.put(schedule.key().toString(), schedule.key());
@@ -432,14 +391,19 @@
     }
 
     /** Takes the duty that a factory made. */
-    public static final class Installer {
+    public interface Installer {
+        <T extends Duty & PartitionClient> void install(T duty);
+    }
+
+    private static final class HostInstaller implements Installer {
 
         private final FakeHost host;
 
-        private Installer(FakeHost host) {
+        private HostInstaller(FakeHost host) {
             this.host = host;
         }
 
+        @Override
         public <T extends Duty & PartitionClient> void install(T duty) {
             host.install(duty);
         }
--- /dev/null
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/LogCluster.java
@@ -0,0 +1,418 @@
+package org.cornelcrank.fake;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.LogRecord;
+import org.cornelcrank.core.Member;
+import org.cornelcrank.core.MemberState;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StreamName;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.partition.PartitionClient;
+import org.cornelcrank.partition.PartitionDuty;
+import org.cornelcrank.partition.PartitionSettings;
+
+/**
+ * Daemons with the partition duty and one duty that keeps state in partitions, over a log in memory.
+ *
+ * <p>The log and the messages take time; the test chooses the faults of appends, stops the log, and crashes or pauses
+ * daemons, which the others learn a second later. Not thread-safe.
+ */
+public final class LogCluster extends TestCluster {
+
+    private static final long LOG_MS = 5;
+    private static final long PEER_MS = 1;
+    private static final long APPEND_TIMEOUT_MS = 200;
+    private static final long DETECTION_MS = 1_000;
+
+    private final PartitionSettings settings;
+    private final FakeCluster.NodeFactory factory;
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
+    private final Map<HostId, Node> nodes = new TreeMap<>();
+    private final Map<StreamName, List<LogRecord>> streams = new HashMap<>();
+    private final List<Runnable> heldReads = new ArrayList<>();
+    private AppendFaults faults = append -> AppendFault.NONE;
+    private boolean outage;
+    private int appends;
+    private long nowMs = 1_000_000;
+    private long order;
+    private long nextRequest;
+
+    public LogCluster(PartitionSettings settings, FakeCluster.NodeFactory factory, String... names) {
+        this.settings = settings;
+        this.factory = factory;
+        for (String name : names) {
+            start(name);
+        }
+        advance(10_000);
+    }
+
+    public void start(String name) {
+        Node node = new Node(new HostId(name));
+        node.view.learnFrom(nodes.values());
+        nodes.put(node.id, node);
+        announce(node.id, MemberState.ALIVE);
+        node.offer(new Event.Started());
+    }
+
+    public void crash(String name) {
+        Node node = nodes.get(new HostId(name));
+        node.crashed = true;
+        after(DETECTION_MS, () -> announce(node.id, MemberState.DEAD));
+    }
+
+    /** Stops a daemon for a while; the others take it for dead and learn better when it goes on. */
+    public void pause(String name, long ms) {
+        Node node = nodes.get(new HostId(name));
+        node.paused = true;
+        after(DETECTION_MS, () -> announce(node.id, MemberState.DEAD));
+        after(ms, () -> {
+            announce(node.id, MemberState.ALIVE);
+            node.resume();
+        });
+    }
+
+    public void stop(String name) {
+        Node node = nodes.get(new HostId(name));
+        announce(node.id, MemberState.LEAVING);
+        node.offer(new Event.StopRequested());
+    }
+
+    /** Chooses the fault of each append by its number from zero. */
+    public void appendFaults(AppendFaults plan) {
+        faults = plan;
+    }
+
+    public void outage(boolean on) {
+        outage = on;
+    }
+
+    public int appends() {
+        return appends;
+    }
+
+    /** Returns the daemon that owns the partition, or believes so. */
+    public Optional<String> owner(PartitionId partition) {
+        return nodes.values().stream()
+                .filter(node -> !node.crashed && !node.paused && node.partitions.owns(partition))
+                .map(node -> node.id.value())
+                .findFirst();
+    }
+
+    @Override
+    public long nowMs() {
+        return nowMs;
+    }
+
+    @Override
+    public void run() {
+        advance(0);
+    }
+
+    @Override
+    public void advance(long ms) {
+        long endMs = nowMs + ms;
+        while (!tasks.isEmpty() && tasks.peek().atMs() <= endMs) {
+            Task task = tasks.poll();
+            nowMs = Math.max(nowMs, task.atMs());
+            task.action().run();
+        }
+        nowMs = endMs;
+    }
+
+    @Override
+    public void inject(HostId id, Consumer<Effects> event) {
+        after(0, () -> nodes.get(id).act(event));
+    }
+
+    @Override
+    public RequestId arrive(String name, Caller caller, CallerCommand command) {
+        Node node = nodes.get(new HostId(name));
+        RequestId request = new RequestId(node.id, node.identity.incarnation(), ++nextRequest);
+        after(0, () -> node.offer(new Event.CallerArrived(request, caller, command)));
+        return request;
+    }
+
+    /** Runs an action when some time has passed. */
+    public void after(long ms, Runnable action) {
+        tasks.add(new Task(nowMs + ms, order++, action));
+    }
+
+    private void announce(HostId host, MemberState state) {
+        for (Node node : nodes.values()) {
+            node.view.set(nodes.get(host), state);
+        }
+    }
+
+    /** What becomes of one append. */
+    public enum AppendFault {
+        NONE,
+        ANSWER_LOST,
+        REQUEST_LOST,
+        REFUSED
+    }
+
+    /** Chooses the fault of an append by its number. */
+    public interface AppendFaults {
+        AppendFault faultOf(int append);
+    }
+
+    private record Task(long atMs, long order, Runnable action) {}
+
+    /** One daemon. */
+    private final class Node {
+
+        private final HostId id;
+        private final DaemonIdentity identity;
+        private final View view;
+        private final PartitionDuty partitions;
+        private final Map<TimerKey, Long> timers = new HashMap<>();
+        private final Deque<Runnable> heldBack = new ArrayDeque<>();
+        private Duty duty;
+        private boolean crashed;
+        private boolean paused;
+
+        Node(HostId id) {
+            this.id = id;
+            Location location = new Location(FakeCluster.REGION, new DataCentreId("trnava-a"));
+            this.identity = new DaemonIdentity(id, nowMs, location, "127.0.0.1:1");
+            this.view = new View(this);
+            this.partitions = new PartitionDuty(
+                    identity,
+                    view,
+                    new Spread(),
+                    settings,
+                    new SplittableRandom(id.value().hashCode()),
+                    new MetricRegistry());
+            factory.install(identity, partitions, new FakeCluster.Installer() {
+                @Override
+                public <T extends Duty & PartitionClient> void install(T installed) {
+                    duty = installed;
+                    partitions.register(installed);
+                }
+            });
+        }
+
+        void offer(Event event) {
+            act(out -> {
+                partitions.on(event, nowMs, out);
+                duty.on(event, nowMs, out);
+            });
+        }
+
+        void act(Consumer<Effects> action) {
+            if (crashed) {
+                return;
+            }
+            if (paused) {
+                heldBack.add(() -> act(action));
+                return;
+            }
+            Effects out = new Effects();
+            action.accept(out);
+            out.list().forEach(this::carryOut);
+        }
+
+        void resume() {
+            paused = false;
+            while (!heldBack.isEmpty()) {
+                heldBack.poll().run();
+            }
+        }
+
+        private void carryOut(Effect effect) {
+            if (effect instanceof Effect.Append append) {
+                append(append);
+            } else if (effect instanceof Effect.ReadLog read) {
+                after(LOG_MS, () -> read(read, nowMs + read.waitMs()));
+            } else if (effect instanceof Effect.Schedule schedule) {
+                schedule(schedule.key(), schedule.dueAtMs());
+            } else if (effect instanceof Effect.Unschedule unschedule) {
+                timers.remove(unschedule.key());
+            } else if (effect instanceof Effect.Send send) {
+                after(PEER_MS, () -> deliver(send));
+            } else if (effect instanceof Effect.Reply reply) {
+                noteReply(reply);
+            }
+        }
+
+        private void deliver(Effect.Send send) {
+            Node to = nodes.get(send.to());
+            if (to != null) {
+                to.offer(new Event.PeerMessageReceived(id, send.message()));
+            }
+        }
+
+        private void schedule(TimerKey key, long dueAtMs) {
+            timers.put(key, dueAtMs);
+            after(Math.max(0, dueAtMs - nowMs), () -> {
+                if (timers.getOrDefault(key, Long.MIN_VALUE) == dueAtMs) {
+                    timers.remove(key);
+                    offer(new Event.TimerDue(key));
+                }
+            });
+        }
+
+        private void append(Effect.Append append) {
+            AppendFault fault = outage ? AppendFault.REQUEST_LOST : faults.faultOf(appends++);
+            if (fault == AppendFault.REFUSED) {
+                after(LOG_MS, () -> offer(failed(append, false)));
+            } else if (fault != AppendFault.NONE) {
+                after(APPEND_TIMEOUT_MS, () -> offer(failed(append, true)));
+            }
+            if (fault == AppendFault.NONE || fault == AppendFault.ANSWER_LOST) {
+                after(LOG_MS, () -> write(append, fault == AppendFault.NONE));
+            }
+        }
+
+        private void write(Effect.Append append, boolean answered) {
+            List<LogRecord> stream = streams.computeIfAbsent(append.stream(), key -> new ArrayList<>());
+            long offset = stream.size();
+            stream.add(new LogRecord(offset, nowMs, append.payload()));
+            List<Runnable> woken = List.copyOf(heldReads);
+            heldReads.clear();
+            woken.forEach(Runnable::run);
+            if (answered) {
+                after(1, () -> offer(new Event.Appended(append.stream(), append.appendNumber(), offset)));
+            }
+        }
+
+        private Event failed(Effect.Append append, boolean mayHaveTakenEffect) {
+            return new Event.AppendFailed(append.stream(), append.appendNumber(), mayHaveTakenEffect, 0);
+        }
+
+        private void read(Effect.ReadLog read, long untilMs) {
+            if (outage) {
+                offer(new Event.LogReadFailed(read.stream(), read.purpose(), read.fromOffset()));
+                return;
+            }
+            List<LogRecord> stream = streams.getOrDefault(read.stream(), List.of());
+            long from = read.fromOffset() < 0 ? Math.max(0, stream.size() + read.fromOffset()) : read.fromOffset();
+            List<LogRecord> page = new ArrayList<>();
+            long bytes = 0;
+            for (long offset = from; offset < stream.size() && (page.isEmpty() || bytes < read.maxBytes()); offset++) {
+                page.add(stream.get((int) offset));
+                bytes += stream.get((int) offset).payload().size();
+            }
+            if (page.isEmpty() && nowMs < untilMs) {
+                hold(read, untilMs);
+                return;
+            }
+            offer(new Event.LogRead(read.stream(), read.purpose(), read.fromOffset(), page, from + page.size(), 0));
+        }
+
+        private void hold(Effect.ReadLog read, long untilMs) {
+            boolean[] answered = new boolean[1];
+            Runnable answer = () -> after(1, () -> {
+                if (!answered[0]) {
+                    answered[0] = true;
+                    read(read, untilMs);
+                }
+            });
+            heldReads.add(answer);
+            after(untilMs - nowMs, answer);
+        }
+    }
+
+    /** What one daemon believes of the others. */
+    private final class View implements MembershipView {
+
+        private final Node self;
+        private final Map<HostId, Member> members = new TreeMap<>();
+        private long version;
+
+        View(Node self) {
+            this.self = self;
+        }
+
+        void learnFrom(Collection<Node> others) {
+            others.stream()
+                    .filter(other -> !other.crashed)
+                    .forEach(other -> members.put(other.id, member(other, MemberState.ALIVE)));
+        }
+
+        void set(Node of, MemberState state) {
+            Member before = members.get(of.id);
+            Member after = member(of, state);
+            members.put(of.id, after);
+            version++;
+            self.act(out -> self.partitions.memberChanged(before, after, nowMs, out));
+        }
+
+        private Member member(Node of, MemberState state) {
+            return new Member(
+                    of.id, of.identity.location(), of.identity.peerAddress(), of.identity.incarnation(), state);
+        }
+
+        @Override
+        public Member self() {
+            return member(self, MemberState.ALIVE);
+        }
+
+        @Override
+        public List<Member> members() {
+            return members.values().stream()
+                    .filter(member -> member.state() != MemberState.DEAD)
+                    .toList();
+        }
+
+        @Override
+        public Optional<Member> find(HostId host) {
+            return Optional.ofNullable(members.get(host));
+        }
+
+        @Override
+        public Optional<String> address(HostId host) {
+            return find(host).map(Member::address);
+        }
+
+        @Override
+        public long version() {
+            return version;
+        }
+    }
+
+    /** Spreads facts to every daemon. */
+    private final class Spread implements Dissemination {
+
+        @Override
+        public void publish(Fact fact, long atMs, Effects out) {
+            for (Node node : nodes.values()) {
+                after(PEER_MS, () -> node.act(effects -> node.partitions.factReceived(fact, nowMs, effects)));
+            }
+        }
+
+        @Override
+        public void subscribe(String slice, FactListener listener) {
+            throw new UnsupportedOperationException("the cluster delivers facts itself");
+        }
+    }
+}
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
@@ -199,6 +199,8 @@
             replay.begin(key, guard, origin, command, nowMs, out);
         } else {
             context.count("may-have-run");
+            String reason = "the run " + guard.run() + " was intended and its answer never kept";
+            out.explain(Subject.Kind.CALL, command.request(), nowMs, "refused as may have run", reason);
             context.replies().answer(origin, command, CallRefusals.ownerLost(key), nowMs, out);
         }
     }
@@ -273,6 +275,8 @@
 
     private void answered(RunningCall call, ServiceAnswer answer, long nowMs, Effects out) {
         context.count("calls-answered");
+        String keeping = lost ? "not kept, as the partition was handed over" : "kept for resends";
+        out.explain(Subject.Kind.CALL, call.request(), nowMs, "answered with status " + answer.status(), keeping);
         call.answered(answer, nowMs);
         if (lost) {
             call.replyAnswer(context.replies(), nowMs, out);
--- a/cornelcrank-call/src/test/java/org/cornelcrank/call/FakeRouter.java
+++ b/cornelcrank-call/src/test/java/org/cornelcrank/call/FakeRouter.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
@@ -25,12 +26,19 @@
     final Map<RequestId, RoutedRequest> running = new LinkedHashMap<>();
     final List<RoutedRequest> routed = new ArrayList<>();
     private final Map<RequestId, RouteListener> listeners = new LinkedHashMap<>();
+    private Consumer<RoutedRequest> observer = request -> {};
+
+    /** Tells an observer of each routed request. */
+    void whenRouted(Consumer<RoutedRequest> newObserver) {
+        observer = newObserver;
+    }
 
     @Override
     public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
         routed.add(request);
         running.put(request.id(), request);
         listeners.put(request.id(), listener);
+        observer.accept(request);
     }
 
     @Override
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
@@ -18,6 +18,8 @@
  */
 public final class ForwardedCommands {
 
+    private static final long RETRY_AFTER_MS = 1_000;
+
     private final TimerKey timer;
     private final ForwardingSettings settings;
     private final Function<PartitionId, Optional<HostId>> likelyOwner;
@@ -241,7 +243,7 @@
                     : "the owner of partition " + command.partition() + " did not answer in time";
             RefusalCode code = lastSend == 0 ? RefusalCode.NOT_READY : RefusalCode.DEADLINE_EXCEEDED;
             Verdict verdict = sends.isEmpty() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-            return new Refusal(verdict, code, message, 0);
+            return new Refusal(verdict, code, message, RETRY_AFTER_MS);
         }
     }
 }
