Bring about failures of permits, controllers and targets in virtual time

Cause: hand-over, lost holders, lost releases, late grants, drains and requests that crash their targets had code but no tests; and a job in danger of its deadline took four fifths of the slots from another team.

A job's deadline pressure counts for at most twice its share, and teams with equal use are served in turn by what they had so far.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandBook.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandBook.java
@@ -12,15 +12,17 @@
  * A controller's record of which jobs could use an idle slot, and its choice among them.
  *
  * <p>The slot goes to the team with the smallest use for its share, where a team whose job is in danger of missing its
- * deadline counts for up to {@link #MAX_PRESSURE} times its share; within the team to the earliest deadline. Not
+ * deadline counts for up to {@link #MAX_PRESSURE} times its share; among teams with equal use to the one that was served
+ * least so far, and within the team to the earliest deadline. Not
  * thread-safe: confined to the daemon's event loop.
  */
 final class BatchDemandBook {
 
-    private static final double MAX_PRESSURE = 4;
+    private static final double MAX_PRESSURE = 2;
 
     private final long lifetimeMs;
     private final Map<JobId, StandingDemand> demands = new TreeMap<>();
+    private final Map<String, Double> servedByTeam = new TreeMap<>();
 
     BatchDemandBook(long lifetimeMs) {
         this.lifetimeMs = lifetimeMs;
@@ -48,30 +50,50 @@
 
     void expire(long nowMs) {
         demands.values().removeIf(demand -> nowMs >= demand.expiresAtMs);
+        servedByTeam.keySet().removeIf(team -> demands.values().stream()
+                .noneMatch(demand -> demand.team().equals(team)));
     }
 
     /** Chooses the job for one idle slot of the target and counts it as served. */
     Optional<StandingDemand> take(TargetState target, Collection<HeldPermit> running, double itemMs, long nowMs) {
         Map<String, Integer> runningByTeam = runningByTeam(running);
         StandingDemand best = null;
-        double bestUse = 0;
         for (StandingDemand demand : demands.values()) {
             if (demand.wanted <= 0 || !target.offers(demand.stated.service())) {
                 continue;
             }
-            int teamRunning = runningByTeam.getOrDefault(demand.stated.team().team(), 0);
-            double use = teamRunning / (Math.max(1, demand.stated.share()) * demand.pressure(itemMs, nowMs));
-            if (best == null || use < bestUse || use == bestUse && demand.dueAtMs() < best.dueAtMs()) {
+            demand.weight = Math.max(1, demand.stated.share()) * demand.pressure(itemMs, nowMs);
+            demand.use = runningByTeam.getOrDefault(demand.team(), 0) / demand.weight;
+            if (best == null || goesBefore(demand, best)) {
                 best = demand;
-                bestUse = use;
             }
         }
         if (best != null) {
             best.wanted--;
+            serve(best);
         }
         return Optional.ofNullable(best);
     }
 
+    private boolean goesBefore(StandingDemand demand, StandingDemand other) {
+        if (demand.use != other.use) {
+            return demand.use < other.use;
+        }
+        double served = servedByTeam.getOrDefault(demand.team(), 0.0);
+        double otherServed = servedByTeam.getOrDefault(other.team(), 0.0);
+        return served != otherServed ? served < otherServed : demand.dueAtMs() < other.dueAtMs();
+    }
+
+    /** Counts a grant for its team; a team that comes anew starts level with the least served one. */
+    private void serve(StandingDemand demand) {
+        double least = servedByTeam.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .min()
+                .orElse(0);
+        servedByTeam.putIfAbsent(demand.team(), least);
+        servedByTeam.merge(demand.team(), 1 / demand.weight, Double::sum);
+    }
+
     private static Map<String, Integer> runningByTeam(Collection<HeldPermit> running) {
         Map<String, Integer> counts = new TreeMap<>();
         for (HeldPermit permit : running) {
@@ -97,6 +119,8 @@
         private final long statedAtMs;
         private final long expiresAtMs;
         private int wanted;
+        private double weight = 1;
+        private double use;
 
         StandingDemand(HostId holder, RoutingMessage.BatchDemandStated stated, long statedAtMs, long expiresAtMs) {
             this.holder = holder;
@@ -118,6 +142,10 @@
             return wanted;
         }
 
+        String team() {
+            return stated.team().team();
+        }
+
         long dueAtMs() {
             return statedAtMs + stated.dueInMs();
         }
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -0,0 +1,231 @@
+package org.cornelcrank.routing;
+
+import java.util.List;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.MemberState;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Urgency;
+import org.cornelcrank.routing.VirtualFleet.Online;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PermitFailureTests {
+
+    private static final int TOKENS = 100;
+    private static final int SLOTS = 4;
+    private static final TargetId TARGET = new TargetId("r1");
+
+    private final VirtualFleet fleet = new VirtualFleet(9);
+    private EngineModel engine;
+    private int controller;
+
+    @BeforeEach
+    void start() {
+        engine = fleet.addEngine("r1", VirtualFleet.NORTH, SLOTS, 100, 10);
+        fleet.start(List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH), RoutingPolicy::defaults);
+        controller = fleet.nodes.stream()
+                .filter(node -> node.watched.contains(TARGET))
+                .findFirst()
+                .orElseThrow()
+                .index;
+    }
+
+    private int otherThanController() {
+        return (controller + 1) % fleet.nodes.size();
+    }
+
+    private BatchOwnerModel startBatch(int daemon, int items) {
+        BatchOwnerModel owner = new BatchOwnerModel(
+                fleet.nodes.get(daemon), "job" + daemon, "/nilavu/summaries", items, 300, fleet.nowMs + 600_000);
+        owner.start(fleet.nowMs);
+        return owner;
+    }
+
+    @Test
+    void anUrgentRequestGoesAheadWhenTheControllerIsSilent() {
+        fleet.keepEffects = true;
+        fleet.killDaemon(controller, 60_000);
+        Online request = fleet.send(otherThanController(), Work.online(TOKENS, 1));
+        fleet.run(3_000);
+        assertThat(request.answered()).isTrue();
+        assertThat(request.waitMs()).isLessThan(150);
+        assertThat(fleet.nodes.get(otherThanController()).effects)
+                .anyMatch(effect -> effect instanceof Effect.Explain explain
+                        && explain.decision().contains("without a permit"));
+    }
+
+    @Test
+    void aNewControllerCountsRunningPermitsBeforeItGrants() {
+        startBatch(otherThanController(), 100);
+        fleet.run(1_500);
+        assertThat(engine.running).hasSize(SLOTS);
+        fleet.killDaemon(controller, 200);
+        for (int step = 0; step < 300; step++) {
+            fleet.run(10);
+            assertThat(engine.running.size() + engine.queue.size()).isLessThanOrEqualTo(SLOTS);
+        }
+        assertThat(engine.running).hasSize(SLOTS);
+    }
+
+    @Test
+    void thePermitsOfALostHolderAreFreed() {
+        startBatch(otherThanController(), 100);
+        fleet.run(1_500);
+        assertThat(engine.running).hasSize(SLOTS);
+        fleet.killDaemon(otherThanController(), 500);
+        BatchOwnerModel heir = startBatch(controller, 100);
+        fleet.run(1_000);
+        assertThat(heir.running).isEqualTo(SLOTS);
+    }
+
+    @Test
+    void aPermitWhoseReleaseWasLostIsFreedByTheNextAnnouncement() {
+        VirtualFleet.Node node = fleet.nodes.get(controller);
+        HostId stranger = fleet.nodes.get(otherThanController()).identity.host();
+        for (int i = 0; i < SLOTS; i++) {
+            node.handle(new Event.PeerMessageReceived(
+                    stranger,
+                    new RoutingMessage.AskPermit(
+                            new AttemptId(stranger, 1, 1_000 + i),
+                            TARGET,
+                            VirtualFleet.SERVICE,
+                            Urgency.IMMEDIATE,
+                            10_000,
+                            false)));
+        }
+        fleet.run(2_000);
+        node.handle(new Event.PeerMessageReceived(stranger, new RoutingMessage.RunningPermits(TARGET, List.of())));
+        Online request = fleet.send(controller, Work.online(TOKENS, 1));
+        fleet.run(20);
+        assertThat(engine.running).hasSize(1);
+        assertThat(request.dispatchedTo).hasSize(1);
+    }
+
+    @Test
+    void aGrantThatComesTooLateReachesNoOtherRequestAndGoesBack() {
+        VirtualFleet.Node node = fleet.nodes.get(otherThanController());
+        fleet.keepEffects = true;
+        Online request = fleet.send(otherThanController(), Work.online(TOKENS, 1));
+        node.handle(new Event.CallerLeft(request.id));
+        AttemptId asked = node.effects.stream()
+                .filter(Effect.Send.class::isInstance)
+                .map(effect -> ((Effect.Send) effect).message())
+                .filter(RoutingMessage.AskPermit.class::isInstance)
+                .map(message -> ((RoutingMessage.AskPermit) message).attempt())
+                .findFirst()
+                .orElseThrow();
+        Online next = fleet.send(otherThanController(), Work.online(TOKENS, 2));
+        node.effects.clear();
+        node.handle(new Event.PeerMessageReceived(
+                fleet.nodes.get(controller).identity.host(),
+                new RoutingMessage.PermitGranted(asked, TARGET, new TargetOccupancy(SLOTS, 0, 0, 0, new TreeSet<>()))));
+        assertThat(node.effects).noneMatch(Effect.Dispatch.class::isInstance);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Send send
+                        && send.message() instanceof RoutingMessage.PermitReleased released
+                        && released.attempt().equals(asked));
+        fleet.run(2_000);
+        assertThat(next.answered()).isTrue();
+        assertThat(request.dispatchedTo).isEmpty();
+    }
+
+    @Test
+    void preemptedBatchWorkGoesOnWhereItStopped() {
+        BatchOwnerModel owner = startBatch(otherThanController(), 6);
+        fleet.run(2_500);
+        for (int i = 0; i < SLOTS; i++) {
+            fleet.send(i % 3, Work.online(TOKENS, i));
+        }
+        fleet.run(30_000);
+        assertThat(owner.finished).isEqualTo(6);
+        assertThat(owner.keptTokens).isPositive();
+        assertThat(owner.lostTokens).isZero();
+        assertThat(fleet.online.values()).allMatch(request -> request.answered() && request.waitMs() < 120);
+    }
+
+    @Test
+    void everyItemRunsToItsEndThroughAChangeOfController() {
+        BatchOwnerModel owner = startBatch(otherThanController(), 40);
+        fleet.run(2_000);
+        fleet.killDaemon(controller, 1_000);
+        fleet.run(60_000);
+        assertThat(owner.finished).isEqualTo(40);
+        assertThat(owner.failed).isZero();
+    }
+
+    @Test
+    void aTeamWithAHugeJobDoesNotStarveASmallOne() {
+        assertThat(finishedBesideAHugeJobDueIn(36_000_000)).isEqualTo(10);
+    }
+
+    @Test
+    void aHugeJobInDangerOfItsDeadlineStillLeavesOthersAThird() {
+        assertThat(finishedBesideAHugeJobDueIn(60_000)).isGreaterThanOrEqualTo(20_000 / 3_100 * SLOTS / 3);
+    }
+
+    /** Returns how many of ten items finish in 20 s, in which four slots can do 25. */
+    private int finishedBesideAHugeJobDueIn(long dueInMs) {
+        VirtualFleet.Node first = fleet.nodes.get(otherThanController());
+        new BatchOwnerModel(first, "huge", "/nilavu/summaries", 2_000, 300, fleet.nowMs + dueInMs).start(fleet.nowMs);
+        fleet.run(5_000);
+        VirtualFleet.Node second = fleet.nodes.get(controller);
+        BatchOwnerModel small =
+                new BatchOwnerModel(second, "small", "/tatranske/rollup", 10, 300, fleet.nowMs + 36_000_000);
+        small.start(fleet.nowMs);
+        fleet.run(20_000);
+        return small.finished;
+    }
+
+    @Test
+    void aDrainedTargetGetsNoNewWorkAndFinishesWhatRuns() {
+        BatchOwnerModel owner = startBatch(otherThanController(), 100);
+        Online running = fleet.send(0, Work.online(TOKENS, 1));
+        fleet.run(200);
+        for (VirtualFleet.Node node : fleet.nodes) {
+            Effects out = new Effects();
+            node.settings.drain("r1", fleet.nowMs, out);
+            node.carryOut(out);
+        }
+        fleet.run(10);
+        int begun = owner.running;
+        fleet.run(10_000);
+        assertThat(running.answered()).isTrue();
+        assertThat(owner.finished).isEqualTo(begun);
+        assertThat(engine.running).isEmpty();
+    }
+
+    @Test
+    void aLeavingDaemonHandsItsTargetsOverWithoutLosingARequest() {
+        startBatch(otherThanController(), 100);
+        for (int i = 0; i < 60; i++) {
+            int daemon = i % 3;
+            int number = i;
+            fleet.at(fleet.nowMs + 120L * i, () -> fleet.send(daemon, Work.online(20, number)));
+        }
+        fleet.at(
+                fleet.nowMs + 1_000,
+                () -> fleet.nodes.forEach(node ->
+                        node.membership.set(fleet.nodes.get(controller).identity.host(), MemberState.LEAVING)));
+        fleet.run(12_000);
+        assertThat(fleet.online.values()).allMatch(Online::answered);
+    }
+
+    @Test
+    void aTeamOverItsLimitIsRefusedNotRun() {
+        fleet.nodes.get(0).settings.putTeam("/nilavu", List.of(), 3, 0);
+        for (int i = 0; i < 20; i++) {
+            fleet.send(0, Work.online(1, i));
+        }
+        fleet.run(5_000);
+        assertThat(fleet.online.values()).filteredOn(Online::answered).hasSize(10);
+    }
+}
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -353,6 +353,11 @@
             this.sentAtMs = sentAtMs;
         }
 
+        @Override
+        public String toString() {
+            return answered() ? "answered" : id + " at " + sentAtMs + ": " + reply + " on " + dispatchedTo;
+        }
+
         boolean answered() {
             return reply instanceof OnlineEnded;
         }
