--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -208,7 +208,7 @@
                 context.suspects().clear(run.work().fingerprint(), nowMs, out);
             }
         }
-        end(run, outcome, OnlineRouter.useOf(outcome), nowMs, out);
+        end(run, outcome, Failures.permitUse(outcome), nowMs, out);
         return true;
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -41,12 +41,12 @@
     private static final long ASK_AGAIN_MS = 1_000;
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
-    private static final int OTHER_REGION_PATIENCE_FACTOR = 12;
 
     private final RoutingContext context;
     private final TeamLimiter limiter;
     private final LinkBudget link;
     private final TargetChoice choice;
+    private final PermitRequests permits;
     private final RetryPolicy retryPolicy;
     private final RetryBudget retryBudget;
     private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
@@ -58,6 +58,7 @@
         this.limiter = limiter;
         this.link = link;
         this.choice = new TargetChoice(context, link);
+        this.permits = new PermitRequests(context);
         this.retryPolicy = new RetryPolicy(context.routing().retries().maxAttempts());
         this.retryBudget = new RetryBudget(context.routing().retries());
     }
@@ -166,27 +167,14 @@
         route.phase = Route.Phase.ASKED;
         route.askedAtMs = nowMs;
         RoutedRequest request = route.request;
-        RoutingMessage.AskPermit message = new RoutingMessage.AskPermit(
-                route.attempt,
-                route.target.id(),
-                request.service(),
-                request.urgency(),
-                request.deadlineAtMs() - nowMs,
-                route.suspect);
-        context.peers().send(route.controller, message, out);
-        wakeups.put(request.id(), Math.min(request.deadlineAtMs(), nowMs + patienceMs(route)), out);
-    }
-
-    private long patienceMs(Route route) {
-        boolean far =
-                context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION;
-        return context.routing().permits().patienceMs() * (far ? OTHER_REGION_PATIENCE_FACTOR : 1);
+        permits.ask(route, nowMs, out);
+        wakeups.put(request.id(), Math.min(request.deadlineAtMs(), nowMs + permits.patienceMs(route)), out);
     }
 
     void granted(HostId from, RoutingMessage.PermitGranted granted, long nowMs, Effects out) {
         Route route = byAttempt.get(granted.attempt());
         if (route == null || route.phase == Route.Phase.ENDED) {
-            giveBack(from, granted.attempt(), granted.target(), out);
+            permits.giveBack(from, granted.attempt(), granted.target(), out);
             return;
         }
         route.target.told(granted.occupancy(), nowMs);
@@ -200,7 +188,7 @@
         Route route = byAttempt.get(queued.attempt());
         if (route == null || !route.seeksPermit()) {
             if (route == null) {
-                giveBack(from, queued.attempt(), queued.target(), out);
+                permits.giveBack(from, queued.attempt(), queued.target(), out);
             }
             return;
         }
@@ -368,7 +356,7 @@
             return false;
         }
         route.target.ended();
-        releasePermit(route, attempt, useOf(outcome), out);
+        permits.release(route, attempt, Failures.permitUse(outcome), out);
         meterLink(route, outcome);
         if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
             attemptSucceeded(route, succeeded, nowMs, out);
@@ -432,7 +420,7 @@
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
-                    codeOf(failure.kind()),
+                    Failures.refusalCode(failure.kind()),
                     "target " + route.target.id() + " failed: " + failure.kind(),
                     nowMs,
                     out);
@@ -450,27 +438,6 @@
         }
     }
 
-    private static RefusalCode codeOf(FailureKind kind) {
-        return switch (kind) {
-            case OVERLOADED -> RefusalCode.OVERLOADED;
-            case TIMED_OUT -> RefusalCode.DEADLINE_EXCEEDED;
-            case ANSWER_TOO_LARGE -> RefusalCode.TOO_LARGE;
-            case CANCELLED -> RefusalCode.CANCELLED;
-            default -> RefusalCode.TARGET_FAILED;
-        };
-    }
-
-    static RoutingMessage.Use useOf(AttemptOutcome outcome) {
-        if (outcome instanceof AttemptOutcome.Failed failed) {
-            return switch (failed.kind()) {
-                case OVERLOADED -> RoutingMessage.Use.OVERLOADED;
-                case CANCELLED -> RoutingMessage.Use.CANCELLED;
-                default -> RoutingMessage.Use.FAILED;
-            };
-        }
-        return RoutingMessage.Use.COMPLETED;
-    }
-
     private void giveUp(Route route, RefusalCode code, String message, long nowMs, Effects out) {
         Refusal refusal = new Refusal(route.verdict, code, message, route.retryAfterMs);
         end(route, new RouteOutcome.GivenUp(refusal), nowMs, out);
@@ -496,21 +463,7 @@
     /** Gives up the place in a controller's queue, or a permit that is on its way. */
     private void withdraw(Route route, Effects out) {
         byAttempt.remove(route.attempt);
-        releasePermit(route, route.attempt, RoutingMessage.Use.UNUSED, out);
-    }
-
-    private void releasePermit(Route route, AttemptId attempt, RoutingMessage.Use use, Effects out) {
-        if (route.controller != null) {
-            RoutingMessage.PermitReleased released =
-                    new RoutingMessage.PermitReleased(attempt, route.target.id(), use, 0);
-            context.peers().send(route.controller, released, out);
-        }
-    }
-
-    private void giveBack(HostId controller, AttemptId attempt, TargetId target, Effects out) {
-        RoutingMessage.PermitReleased released =
-                new RoutingMessage.PermitReleased(attempt, target, RoutingMessage.Use.UNUSED, 0);
-        context.peers().send(controller, released, out);
+        permits.release(route, route.attempt, RoutingMessage.Use.UNUSED, out);
     }
 
     /** Turns to the controllers of a changed membership with what waits and what runs. */
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
@@ -0,0 +1,58 @@
+package org.cornelcrank.routing;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * Asks controllers for permits of online requests, and gives permits back.
+ *
+ * <p>Not thread-safe: confined to the daemon's event loop.
+ */
+final class PermitRequests {
+
+    private static final int OTHER_REGION_PATIENCE_FACTOR = 12;
+
+    private final RoutingContext context;
+
+    PermitRequests(RoutingContext context) {
+        this.context = context;
+    }
+
+    /** Asks the request's controller; asking again for the same attempt changes nothing. */
+    void ask(Route route, long nowMs, Effects out) {
+        RoutingMessage.AskPermit message = new RoutingMessage.AskPermit(
+                route.attempt,
+                route.target.id(),
+                route.request.service(),
+                route.request.urgency(),
+                route.request.deadlineAtMs() - nowMs,
+                route.suspect);
+        context.peers().send(route.controller, message, out);
+    }
+
+    /** Returns how long the request waits for any word of the controller. */
+    long patienceMs(Route route) {
+        boolean far =
+                context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION;
+        return context.routing().permits().patienceMs() * (far ? OTHER_REGION_PATIENCE_FACTOR : 1);
+    }
+
+    /** Gives a permit back, or withdraws the wish for it. */
+    void release(Route route, AttemptId attempt, RoutingMessage.Use use, Effects out) {
+        if (route.controller != null) {
+            RoutingMessage.PermitReleased released =
+                    new RoutingMessage.PermitReleased(attempt, route.target.id(), use, 0);
+            context.peers().send(route.controller, released, out);
+        }
+    }
+
+    /** Gives a permit back that no request needs any longer. */
+    void giveBack(HostId controller, AttemptId attempt, TargetId target, Effects out) {
+        RoutingMessage.PermitReleased released =
+                new RoutingMessage.PermitReleased(attempt, target, RoutingMessage.Use.UNUSED, 0);
+        context.peers().send(controller, released, out);
+    }
+}
