Keep facts small and pass over unknown ones

Cause: a target that reports many loaded models would have made its occupancy larger than a fact may be, and a fact of a later version's kind would have ended the handling of its event; requests that came before the settings were known were refused as forbidden.

Change: an occupancy names no models where they do not fit; unknown facts are passed over; NOT_READY until the settings are known.

Conclusion: OnlineRoutingTests bring about the first two.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -82,6 +82,10 @@
     }
 
     private Optional<Refusal> refusalOnArrival(RoutedRequest request, long nowMs) {
+        if (!context.settings().ready()) {
+            return Optional.of(
+                    Refusal.notRun(RefusalCode.NOT_READY, "the settings are not known yet", NO_TARGET_RETRY_MS));
+        }
         if (context.suspects().quarantined(request.fingerprint(), nowMs)) {
             return Optional.of(Refusal.notRun(RefusalCode.QUARANTINED, "the request brought targets down before"));
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDuty.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDuty.java
@@ -19,6 +19,7 @@
 import org.cornelcrank.core.Member;
 import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.Names;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
@@ -227,7 +228,8 @@
             context.suspects().factReceived(fact, nowMs, out);
             return;
         }
-        Optional<TargetState> target = context.directory().find(new TargetId(rest));
+        Optional<TargetState> target =
+                Names.isName(rest) ? context.directory().find(new TargetId(rest)) : Optional.empty();
         if (target.isEmpty()) {
             return;
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetOccupancy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetOccupancy.java
@@ -8,12 +8,16 @@
  * What a controller tells others of its target's occupancy.
  *
  * <p>{@code expectedWaitMs} is what an urgent request would wait for a permit. {@code loaded} names the models that the
- * target reports as loaded, empty where it reports none. Immutable, thus thread-safe.
+ * target reports as loaded, empty where it reports none or more than fit into a fact. Immutable, thus thread-safe.
  */
 record TargetOccupancy(int slots, int running, int waiting, long expectedWaitMs, SortedSet<String> loaded) {
 
+    /** Leaves room in a fact for the numbers and for the length of each name. */
+    static final int MAX_LOADED_CHARS = 300;
+
     TargetOccupancy {
         Objects.requireNonNull(loaded, "loaded must not be null");
-        loaded = new TreeSet<>(loaded);
+        int chars = loaded.stream().mapToInt(name -> name.length() + 2).sum();
+        loaded = chars > MAX_LOADED_CHARS ? new TreeSet<>() : new TreeSet<>(loaded);
     }
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
@@ -1,12 +1,17 @@
 package org.cornelcrank.routing;
 
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
 import org.cornelcrank.core.HostEntry;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TargetReport;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.Online;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -86,4 +91,32 @@
                 .allMatch(Online::answered)
                 .noneMatch(request -> request.dispatchedTo.contains(leaving));
     }
+
+    @Test
+    void aTargetWithVeryManyLoadedModelsStillServes() {
+        startWithTwoTargets();
+        TreeSet<String> loaded = new TreeSet<>(Set.of(VirtualFleet.SERVICE.value()));
+        for (int i = 0; i < 100; i++) {
+            loaded.add("adapter-of-customer-" + i);
+        }
+        for (VirtualFleet.Node node : fleet.nodes) {
+            node.handle(new Event.TargetReported(
+                    new TargetReport(new TargetId("r1"), fleet.nowMs, 4, 0, 0, loaded, false, 0)));
+        }
+        Online request = fleet.send(0, Work.online(TOKENS, 1));
+        fleet.run(2_000);
+        assertThat(request.answered()).isTrue();
+    }
+
+    @Test
+    void passesOverAFactOfAKindThatItDoesNotKnow() {
+        startWithTwoTargets();
+        fleet.nodes
+                .get(0)
+                .receive(new Fact(
+                        RoutingDuty.NAME, "later/kind/of-fact", 1, ByteString.EMPTY, 1_000, Fact.Scope.EVERYWHERE));
+        Online request = fleet.send(0, Work.online(TOKENS, 1));
+        fleet.run(2_000);
+        assertThat(request.answered()).isTrue();
+    }
 }
