Test what three trial faults of the partition duty had passed

Nineteen faults were put into a scratch copy of the duty, one at a time (trial). The three new tests each fail for one of them, and pass on the duty as it is: aCheckpointWhoseFollowingRecordsExpiredIsNotServed, othersLearnWhoOwnsAPartitionThatHasAnotherPlaceByHash and whatStillWaitsAtAPlannedStopIsAppendedBeforeTheRelease.

--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/CheckpointTests.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/CheckpointTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import com.google.protobuf.ByteString;
+import org.cornelcrank.core.LogRecord;
 import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.partition.wire.CheckpointPointer;
@@ -92,6 +93,27 @@
         assertThat(fleet.changes()).anyMatch(change -> change.contains("is not served"));
     }
 
+    @Test
+    void aCheckpointWhoseFollowingRecordsExpiredIsNotServed() {
+        TestFleet.Daemon first = ownerWithRecords();
+        fleet.runFor(60_000);
+        List<LogRecord> parts = fleet.log().records(PARTITION.stream()).stream()
+                .filter(record ->
+                        GroupCodec.decode(record.payload()).orElseThrow().hasCheckpoint())
+                .toList();
+        assertThat(parts).isNotEmpty();
+        first.propose(PARTITION, "after the checkpoint", true);
+        fleet.runFor(1_000);
+        first.crash(0);
+        fleet.runFor(1);
+        parts.forEach(part -> fleet.log().append(PARTITION.stream(), part.payload(), fleet.nowMs()));
+        fleet.log().expireBefore(fleet.nowMs());
+        TestFleet.Daemon second = fleet.start("b");
+        fleet.runFor(10_000);
+        assertThat(second.duty().owns(PARTITION)).isFalse();
+        assertThat(second.counter("partition.needed-records-expired")).isPositive();
+    }
+
     @Test
     void anOwnerPausedBeyondTheRetentionGivesUpAndReadsAnew() {
         TestFleet.Daemon paused = ownerWithRecords();
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.PartitionId;
+import org.cornelcrank.core.RendezvousHash;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -264,14 +266,43 @@
     }
 
     @Test
-    void othersLearnWhoOwnsAPartition() {
+    void othersLearnWhoOwnsAPartitionThatHasAnotherPlaceByHash() {
         startFleet("a", "b", "c");
+        fleet.start("d");
+        fleet.start("e");
+        fleet.runFor(30_000);
+        int elsewhere = 0;
         for (PartitionId partition : all()) {
             HostId owner = fleet.owner(partition).host();
-            for (String name : List.of("a", "b", "c")) {
+            assertThat(owner.value()).isIn("a", "b", "c");
+            for (String name : List.of("a", "b", "c", "d", "e")) {
                 assertThat(fleet.daemon(name).duty().likelyOwner(partition)).contains(owner);
             }
+            elsewhere +=
+                    RendezvousHash.choose(partition.toString(), List.of("a", "b", "c", "d", "e"), Function.identity())
+                                    .orElseThrow()
+                                    .equals(owner.value())
+                            ? 0
+                            : 1;
         }
+        assertThat(elsewhere).as("partitions that are not at their place").isPositive();
+    }
+
+    @Test
+    void whatStillWaitsAtAPlannedStopIsAppendedBeforeTheRelease() {
+        startFleet("a", "b", "c");
+        TestFleet.Daemon leaving = busiest();
+        PartitionId partition = owned(leaving).get(0);
+        List<Long> proposals = new ArrayList<>();
+        for (int record = 0; record < 12; record++) {
+            proposals.add(leaving.propose(partition, "record " + record, false));
+            fleet.runFor(20);
+        }
+        assertThat(leaving.client().applied().keySet()).as("some still wait").hasSizeLessThan(proposals.size());
+        leaving.stop();
+        fleet.runFor(5_000);
+        assertThat(leaving.client().applied().keySet()).containsAll(proposals);
+        assertThat(fleet.owner(partition).ledger(partition).entries()).hasSize(proposals.size());
     }
 
     private void startFleet(String... names) {
