Let the partition duty hold up a stop until it has handed over

The process could end before its partitions were handed over, because nothing asked the duty. It is quiescent now only once it owns and claims nothing, in place of a method of its own that nobody called.

--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionDuty.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionDuty.java
@@ -82,11 +82,6 @@
         }
     }
 
-    /** Returns whether this daemon owns nothing and claims nothing, so that it may stop. */
-    public boolean handedOver() {
-        return ownership.locals().isEmpty();
-    }
-
     @Override
     public String name() {
         return SLICE;
@@ -116,6 +111,12 @@
         }
     }
 
+    /** Returns whether this daemon owns nothing and claims nothing. */
+    @Override
+    public boolean quiescent() {
+        return ownership.locals().isEmpty();
+    }
+
     @Override
     public void memberChanged(Member before, Member after, long nowMs, Effects out) {
         ownership.memberChanged(before, after, nowMs, out);
--- a/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
+++ b/cornelcrank-partition/src/test/java/org/cornelcrank/partition/OwnershipFaultTests.java
@@ -161,7 +161,7 @@
         System.out.printf(
                 "hand-over of %d partitions at a planned stop: %d ms%n",
                 handedOver.size(), fleet.nowMs() - stoppedAtMs);
-        assertThat(leaving.duty().handedOver()).isTrue();
+        assertThat(leaving.duty().quiescent()).isTrue();
         assertThat(leaving.client().applied().keySet()).containsAll(proposals);
         for (PartitionId partition : handedOver) {
             assertThat(fleet.owner(partition).ledger(partition).entries()).containsOnlyKeys("last words");
@@ -176,7 +176,7 @@
         last.propose(partition, "last words", false);
         last.stop();
         fleet.runFor(3_000);
-        assertThat(last.duty().handedOver()).isTrue();
+        assertThat(last.duty().quiescent()).isTrue();
         last.crash(0);
         TestFleet.Daemon next = fleet.start("b");
         fleet.runFor(START_MS);
@@ -193,10 +193,10 @@
         long proposal = leaving.propose(partition, "during the outage", false);
         leaving.stop();
         fleet.runFor(30_000);
-        assertThat(leaving.duty().handedOver()).isFalse();
+        assertThat(leaving.duty().quiescent()).isFalse();
         fleet.log().outage(false);
         fleet.runFor(10_000);
-        assertThat(leaving.duty().handedOver()).as(fleet.trace()).isTrue();
+        assertThat(leaving.duty().quiescent()).as(fleet.trace()).isTrue();
         assertThat(leaving.client().applied()).containsKey(proposal);
         assertThat(fleet.owner(partition).ledger(partition).entries()).containsOnlyKeys("during the outage");
     }
