Prove the callers' promises over real sockets, and refuse at once without an owner

Cause: the promises of whole answers, jobs accepted once, cancels, guarded calls, planned stops and truthful refusals had no test through the edge. One of them failed: with the log out and no owner, a guarded call waited for its whole deadline (30 s) before it was refused, although nobody can become an owner without the log.

Change: ForwardedCommands refuses at once, as not run and with a time to come back, when the likely owner has declined, nothing may have run elsewhere and the log does not answer; the routing policies can be named at the start; the fleet's orders are composed into the daemon; a daemon that is killed after its stop closes once.

Conclusion: the whole path holds through the loss and the planned stop of a daemon, a caller's hang-up, resends, and an outage of the log.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/ForwardedCommands.java
@@ -7,6 +7,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 
 /**
  * Brings callers' commands to the owners of partitions, and each answer to the request that it belongs to.
@@ -23,6 +24,7 @@
     private final TimerKey timer;
     private final ForwardingSettings settings;
     private final Function<PartitionId, Optional<HostId>> likelyOwner;
+    private final LongPredicate logAnswers;
     private final Carrier carrier;
     private final SortedMap<String, Leg> legs = new TreeMap<>();
     private boolean timerSet;
@@ -31,15 +33,18 @@
      * Makes an empty table.
      *
      * @param timer the timer on which the owning duty calls {@link #check}
+     * @param logAnswers says at a time in ms whether the log has answered this daemon lately
      */
     public ForwardedCommands(
             TimerKey timer,
             ForwardingSettings settings,
             Function<PartitionId, Optional<HostId>> likelyOwner,
+            LongPredicate logAnswers,
             Carrier carrier) {
         this.timer = Objects.requireNonNull(timer, "timer must not be null");
         this.settings = Objects.requireNonNull(settings, "settings must not be null");
         this.likelyOwner = Objects.requireNonNull(likelyOwner, "likelyOwner must not be null");
+        this.logAnswers = Objects.requireNonNull(logAnswers, "logAnswers must not be null");
         this.carrier = Objects.requireNonNull(carrier, "carrier must not be null");
     }
 
@@ -87,6 +92,10 @@
         if (untouched) {
             found.sends.remove(send);
         }
+        if (found.sends.isEmpty() && !logAnswers.test(nowMs)) {
+            end(found, withoutOwner(found.command.partition()), nowMs, out);
+            return;
+        }
         if (send == found.lastSend) {
             found.declined = true;
         }
@@ -127,6 +136,12 @@
         return commands;
     }
 
+    /** While the log is out nobody can become an owner, so that waiting for one has no prospect. */
+    private static Refusal withoutOwner(PartitionId partition) {
+        String message = "the log does not answer, and no daemon owns partition " + partition;
+        return Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS);
+    }
+
     private static boolean isNotRun(CallerReply reply) {
         return reply instanceof Refusal refusal && refusal.verdict() instanceof Verdict.NotRun;
     }
--- a/cornelcrank-core/src/test/java/org/cornelcrank/core/ForwardedCommandsTests.java
+++ b/cornelcrank-core/src/test/java/org/cornelcrank/core/ForwardedCommandsTests.java
@@ -20,10 +20,12 @@
     private final List<ForwardedCommand> carried = new ArrayList<>();
     private final Effects out = new Effects();
     private Optional<HostId> owner = Optional.of(FIRST);
+    private boolean logAnswers = true;
     private final ForwardedCommands commands = new ForwardedCommands(
             new TimerKey("test", "forward"),
             ForwardingSettings.defaults(),
             partition -> owner,
+            nowMs -> logAnswers,
             (host, command, nowMs, effects) -> carried.add(command));
 
     @Test
@@ -71,6 +73,29 @@
         assertThat(onlyVerdict()).isEqualTo(Verdict.NOT_RUN);
     }
 
+    @Test
+    void commandWithoutAnOwnerIsRefusedAtOnceWhileTheLogIsOut() {
+        logAnswers = false;
+        begin();
+        commands.declined(FIRST, REQUEST, 0, 1, true, 100, out);
+
+        Refusal refusal = (Refusal) replies.get(0);
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(refusal.code()).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        assertThat(refusal.retryAfterMs()).isPositive();
+    }
+
+    @Test
+    void commandThatMayHaveRunElsewhereIsNotRefusedForWantOfAnOwner() {
+        begin();
+        owner = Optional.of(SECOND);
+        commands.check(250, out);
+        logAnswers = false;
+        commands.declined(SECOND, REQUEST, 0, 2, true, 300, out);
+
+        assertThat(replies).isEmpty();
+    }
+
     @Test
     void answersOfOthersAndLateOnesArePassedOver() {
         begin();
--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonAssembly.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonAssembly.java
@@ -21,6 +21,9 @@
 import org.cornelcrank.core.MembershipView;
 import org.cornelcrank.core.PeerMessageCodec;
 import org.cornelcrank.core.StableHash;
+import org.cornelcrank.fleet.FleetDuty;
+import org.cornelcrank.fleet.FleetMessageCodec;
+import org.cornelcrank.fleet.FleetSettings;
 import org.cornelcrank.membership.MembershipDuty;
 import org.cornelcrank.membership.MembershipMessageCodec;
 import org.cornelcrank.membership.MembershipSettings;
@@ -29,7 +32,6 @@
 import org.cornelcrank.partition.PartitionSettings;
 import org.cornelcrank.routing.RoutingDuty;
 import org.cornelcrank.routing.RoutingMessageCodec;
-import org.cornelcrank.routing.RoutingPolicy;
 
 /**
  * Builds the duties of one daemon and composes them into its decision core.
@@ -76,17 +78,19 @@
                 membership,
                 membership,
                 settings,
-                RoutingPolicy.defaults(),
+                RoutingPolicies.named(options.policy()),
                 random(options, "routing"),
                 metrics);
         BatchDuty batch = new BatchDuty(identity, partitions, routing, settings, BatchSettings.defaults(), metrics);
         CallDuty calls = new CallDuty(identity, partitions, routing, settings, CallSettings.defaults(), metrics);
+        FleetDuty fleet = new FleetDuty(identity, settings, partitions, FleetSettings.defaults(), metrics);
         membership.subscribe(partitions);
         routing.subscribe(batch);
         partitions.register(batch);
         partitions.register(calls);
+        partitions.register(fleet);
         DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
-        List<Duty> duties = new ArrayList<>(List.of(membership, settings, partitions, routing, batch, calls));
+        List<Duty> duties = new ArrayList<>(List.of(membership, settings, partitions, routing, batch, calls, fleet));
         duties.add(new OperationsDuty(membership, journal, () -> duties));
         return new DaemonAssembly(new DaemonCore(duties, journal), membership, settings);
     }
@@ -131,6 +135,7 @@
                 new RoutingMessageCodec(),
                 new BatchMessageCodec(),
                 new CallMessageCodec(),
+                new FleetMessageCodec(),
                 new OperationsMessageCodec());
     }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
@@ -43,6 +43,7 @@
     private final Disposable hostList;
     private final DisposableServer http;
     private final AtomicBoolean stopping;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final CountDownLatch stopped = new CountDownLatch(1);
 
     private DaemonProcess(Edge edge, PeerTransport transport, DisposableServer http, Disposable hostList) {
@@ -140,6 +141,9 @@
     }
 
     private void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
         hostList.dispose();
         watcher.stop();
         http.disposeNow();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
@@ -21,6 +21,7 @@
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.Names;
 import org.cornelcrank.core.RegionId;
+import org.cornelcrank.daemon.RoutingPolicies;
 import org.cornelcrank.server.peer.SocketAddresses;
 
 /**
@@ -30,7 +31,7 @@
  */
 public final class DaemonSettingsParser {
 
-    static final List<String> POLICIES = List.of("least-loaded");
+    static final List<String> POLICIES = RoutingPolicies.names();
     static final List<String> LOG_FORMATS = List.of("text", "json");
 
     private static final List<RegionId> NO_REGIONS = List.of(new RegionId("none"));
@@ -53,7 +54,7 @@
             optional("operator-key", "id.secret", "", "operator's key that is valid besides those in the settings"),
             required("regions", "name,...", "all regions of the deployment, the same on every host"),
             optional("partitions", "count", "16", "partitions of each region, the same on every host for ever"),
-            optional("policy", "name", "least-loaded", "choice of target: " + String.join(", ", POLICIES)),
+            optional("policy", "name", "prefix-affinity", "choice of target: " + String.join(", ", POLICIES)),
             optional("max-body-bytes", "bytes", "4194304", "longest request body, but for file uploads"),
             optional("max-answer-bytes", "bytes", "8388608", "longest answer that is not streamed"),
             optional(
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
@@ -1,9 +1,13 @@
 package org.cornelcrank.server;
 
+import java.io.InputStream;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.cornelcrank.standin.EngineSettings;
+import org.cornelcrank.standin.Faults;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -41,6 +45,154 @@
         }
     }
 
+    @Test
+    void aResentJobIsTheFirstJobAndAnotherBodyIsAConflict() throws Exception {
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, EngineSettings.defaults(LoopbackFleet.MODEL))) {
+            String first = createJob(fleet, 0, items(3), "end-of-day");
+            String resent = createJob(fleet, 1, items(3), "end-of-day");
+            assertThat(resent).isEqualTo(first);
+
+            HttpResponse<String> other =
+                    fleet.upload(1, LoopbackFleet.CALLER_KEY, items(4), "Idempotency-Key", "end-of-day");
+            assertThat(other.statusCode()).as(other.body()).isEqualTo(409);
+            assertThat(other.headers().firstValue("Cornelcrank-Verdict")).contains("not-run");
+        }
+    }
+
+    @Test
+    void aCancelledJobStopsAndItsCountsStand() throws Exception {
+        EngineSettings slow = EngineSettings.defaults(LoopbackFleet.MODEL).withSlots(1);
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, slow)) {
+            String job = createJob(fleet, 0, items(200), "large");
+            fleet.await(
+                    "some items have ended",
+                    () -> counts(fleet, job).path("completed").asInt() > 0);
+            JsonNode cancelled =
+                    fleet.json(fleet.post(1, "/v1/batches/" + job + "/cancel", LoopbackFleet.CALLER_KEY, ""));
+            assertThat(cancelled.path("status").asText()).isEqualTo("cancelled");
+
+            fleet.await("the target is idle", () -> fleet.running(0) == 0);
+            assertThat(counts(fleet, job)).isEqualTo(cancelled.path("request_counts"));
+        }
+    }
+
+    @Test
+    void aPlannedStopOfADaemonCutsNoRequestAndItsJobsGoOnElsewhere() throws Exception {
+        EngineSettings slow = EngineSettings.defaults(LoopbackFleet.MODEL).withSlots(4);
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, slow)) {
+            String job = createJob(fleet, 0, items(40), "over-the-stop");
+            CompletableFuture<HttpResponse<String>> stream = fleet.http()
+                    .sendAsync(
+                            fleet.request(1, "/v1/chat/completions", LoopbackFleet.CALLER_KEY)
+                                    .POST(HttpRequest.BodyPublishers.ofString(LoopbackFleet.chat("long", true, 100)))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
+            fleet.await("the stream runs", () -> fleet.metric(1, "attempts_running") > 0);
+            fleet.daemons.get(1).stop();
+
+            assertThat(stream.get().body()).endsWith("data: [DONE]\n\n");
+            fleet.await("the job has ended", () -> status(fleet, job).equals("completed"));
+            assertThat(counts(fleet, job).path("completed").asInt()).isEqualTo(40);
+        }
+    }
+
+    @Test
+    void resultsStayReadableAndItemsEndOnceAfterTheLossOfADaemon() throws Exception {
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, EngineSettings.defaults(LoopbackFleet.MODEL))) {
+            String job = createJob(fleet, 1, items(60), "over-the-crash");
+            fleet.daemons.get(1).kill();
+            fleet.await("the job has ended", () -> status(fleet, job).equals("completed"));
+            String results = fleet.get(
+                            0,
+                            "/v1/files/" + job.replaceFirst("job-", "results-") + "/content",
+                            LoopbackFleet.CALLER_KEY)
+                    .body();
+            assertThat(results.lines().map(DaemonEndToEndTests::customId))
+                    .as(results)
+                    .hasSize(60)
+                    .doesNotHaveDuplicates();
+        }
+    }
+
+    @Test
+    void aCallersHangUpStopsTheTargetsStream() throws Exception {
+        try (LoopbackFleet fleet = LoopbackFleet.start(1, EngineSettings.defaults(LoopbackFleet.MODEL))) {
+            HttpResponse<InputStream> stream = fleet.http()
+                    .send(
+                            fleet.request(0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY)
+                                    .POST(HttpRequest.BodyPublishers.ofString(
+                                            LoopbackFleet.chat("long", true, 100_000)))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofInputStream());
+            assertThat(stream.body().read()).isEqualTo('d');
+            fleet.await("the target reports it", () -> fleet.running(0) == 1);
+            stream.body().close();
+            fleet.await("the target is idle", () -> fleet.running(0) == 0);
+            assertThat(fleet.metric(0, "exchanges_open")).isZero();
+        }
+    }
+
+    @Test
+    void aSlipIsIssuedOnceHoweverOftenAndWhereverItIsAskedFor() throws Exception {
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, EngineSettings.defaults(LoopbackFleet.MODEL))) {
+            HttpResponse<String> first = issueSlip(fleet, 0, "member-17", "loans");
+            HttpResponse<String> again = issueSlip(fleet, 1, "member-17", "loans");
+            HttpResponse<String> other = issueSlip(fleet, 1, "member-17", "deposits");
+
+            assertThat(first.statusCode()).as(first.body()).isLessThan(300);
+            assertThat(again.body()).isEqualTo(first.body());
+            assertThat(again.headers().firstValue("Cornelcrank-Replayed")).contains("true");
+            assertThat(other.statusCode()).isEqualTo(409);
+            assertThat(fleet.plainService.calls()).hasSize(1);
+        }
+    }
+
+    @Test
+    void aSlipIsRefusedNotRunWhileTheLogIsOut() throws Exception {
+        try (LoopbackFleet fleet = LoopbackFleet.start(1, EngineSettings.defaults(LoopbackFleet.MODEL))) {
+            fleet.log.setFaults(Faults.NONE.withOutage(true));
+            fleet.await(
+                    "the slip is refused",
+                    () -> issueSlip(fleet, 0, "member-18", "loans").statusCode() == 503);
+            HttpResponse<String> refused = issueSlip(fleet, 0, "member-19", "loans");
+            assertThat(refused.headers().firstValue("Cornelcrank-Verdict")).contains("not-run");
+            HttpResponse<String> online = fleet.post(
+                    0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, LoopbackFleet.chat("which papers?", false, 4));
+            assertThat(online.statusCode()).as(online.body()).isEqualTo(200);
+            assertThat(fleet.plainService.calls()).isEmpty();
+        }
+    }
+
+    private static HttpResponse<String> issueSlip(LoopbackFleet fleet, int daemon, String key, String counter)
+            throws Exception {
+        return fleet.post(
+                daemon,
+                "/s/slips/slips",
+                LoopbackFleet.CALLER_KEY,
+                "{\"counter\":\"" + counter + "\"}",
+                "Idempotency-Key",
+                key);
+    }
+
+    private static String createJob(LoopbackFleet fleet, int daemon, String lines, String key) throws Exception {
+        HttpResponse<String> file = fleet.upload(daemon, LoopbackFleet.CALLER_KEY, lines, "Idempotency-Key", key);
+        assertThat(file.statusCode()).as(file.body()).isEqualTo(200);
+        HttpResponse<String> job = fleet.post(
+                daemon,
+                "/v1/batches",
+                LoopbackFleet.CALLER_KEY,
+                batchOf(fleet.json(file).path("id").asText()),
+                "Idempotency-Key",
+                key);
+        assertThat(job.statusCode()).as(job.body()).isEqualTo(200);
+        return fleet.json(job).path("id").asText();
+    }
+
+    private static JsonNode counts(LoopbackFleet fleet, String job) throws Exception {
+        return fleet.json(fleet.get(0, "/v1/batches/" + job, LoopbackFleet.CALLER_KEY))
+                .path("request_counts");
+    }
+
     private static String status(LoopbackFleet fleet, String job) throws Exception {
         return fleet.json(fleet.get(0, "/v1/batches/" + job, LoopbackFleet.CALLER_KEY))
                 .path("status")
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
@@ -201,6 +201,25 @@
         return json.readTree(response.body());
     }
 
+    /** Returns a metric of a daemon by its scraped name. */
+    double metric(int daemon, String name) throws Exception {
+        return get(daemon, "/metrics", "")
+                .body()
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns how many requests an engine reports as running. */
+    int running(int engine) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + engines.get(engine).address() + "/load"))
+                .build();
+        return json(http.send(request, BodyHandlers.ofString())).path("running").asInt();
+    }
+
     /** Uploads a file of items and returns the answer. */
     HttpResponse<String> upload(int daemon, String key, String lines, String... headers) throws Exception {
         String body = "--" + BOUNDARY + "\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--"
