--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/BatchDuty.java
@@ -75,7 +75,8 @@
                 new DueTimer(new TimerKey(NAME, "results")),
                 new DueTimer(new TimerKey(NAME, "retries")),
                 metrics);
-        this.forwarded = new ForwardedCommands(forwardTimer, limits.forwarding(), writer::likelyOwner, writer::logAnswers, this::carry);
+        this.forwarded = new ForwardedCommands(
+                forwardTimer, limits.forwarding(), writer::likelyOwner, writer::logAnswers, this::carry);
         this.coordinator = new CommandCoordinator(writer, settings, limits, forwarded);
     }
 
--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDuty.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/CallDuty.java
@@ -70,7 +70,8 @@
         this.self = identity.host();
         this.settings = Objects.requireNonNull(settings, "settings must not be null");
         this.context = new CallContext(writer, router, limits, new Replies(), new RoutedCalls(), metrics);
-        this.forwarded = new ForwardedCommands(forwardTimer, limits.forwarding(), writer::likelyOwner, writer::logAnswers, this::carry);
+        this.forwarded = new ForwardedCommands(
+                forwardTimer, limits.forwarding(), writer::likelyOwner, writer::logAnswers, this::carry);
     }
 
     @Override
