--- a/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/VirtualDaemons.java
+++ b/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/VirtualDaemons.java
@@ -62,6 +62,7 @@
     private static final long RUN_MS = 50;
     private static final long HOST_LIST_MS = 500;
     private static final long REPORT_MS = 250;
+    private static final int SLOTS = 8;
 
     final VirtualLog log = new VirtualLog();
     final Map<HostId, DaemonCore> cores = new TreeMap<>();
@@ -74,6 +75,7 @@
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private final Map<HostId, Long> lives = new TreeMap<>();
     private final Map<HostId, Map<TimerKey, Long>> timers = new TreeMap<>();
+    private final Map<HostId, Set<TargetId>> watched = new TreeMap<>();
     private final Map<AttemptId, HostId> attempts = new LinkedHashMap<>();
     private final List<HostEntry> hostList = new ArrayList<>();
     private final long seed;
@@ -122,8 +124,9 @@
         timers.put(host, new LinkedHashMap<>());
         paused.remove(host);
         at(0, host, () -> new Event.Started());
+        watched.put(host, Set.of());
         listHosts(host);
-        hostList.stream().filter(entry -> entry.role() == HostRole.TARGET).forEach(entry -> report(host, entry));
+        report(host);
     }
 
     void kill(HostId host) {
@@ -233,6 +236,8 @@
             dispatch(host, dispatch);
         } else if (effect instanceof Effect.CancelAttempt cancel) {
             cancel(host, cancel.attempt());
+        } else if (effect instanceof Effect.WatchTargets watch) {
+            watched.put(host, new TreeSet<>(watch.addresses().keySet()));
         } else if (effect instanceof Effect.Reply reply) {
             replies.putIfAbsent(reply.request(), reply.reply());
         }
@@ -299,11 +304,18 @@
         });
     }
 
-    private void report(HostId host, HostEntry target) {
+    /** Lets the targets that a daemon watches report, again and again. */
+    private void report(HostId host) {
         at(REPORT_MS, host, () -> {
-            report(host, target);
-            return new Event.TargetReported(new TargetReport(
-                    new TargetId(target.name()), nowMs, 8, 0, 0, Set.of(SERVICE), target.leaving(), 0));
+            report(host);
+            for (TargetId target : watched.get(host)) {
+                at(
+                        1,
+                        host,
+                        () -> new Event.TargetReported(
+                                new TargetReport(target, nowMs, SLOTS, 0, 0, Set.of(SERVICE), false, 0)));
+            }
+            return null;
         });
     }
 
