--- a/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
+++ b/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
@@ -37,6 +37,9 @@
         for (int targets : new int[] {50, 400, 800, 1_600}) {
             measureIdle(20, targets);
         }
+        for (int daemons : new int[] {40, 80, 160}) {
+            measureIdle(daemons, 1_600);
+        }
         System.out.println();
         System.out.println("| requests | core microseconds each | messages each |");
         System.out.println("|---|---|---|");
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/QuarantineEndToEndTests.java
@@ -0,0 +1,43 @@
+package org.cornelcrank.server;
+
+import java.net.http.HttpResponse;
+import org.cornelcrank.standin.EngineSettings;
+import org.cornelcrank.standin.EngineStandIn;
+import org.junit.jupiter.api.Test;
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** A request that takes down each target that runs it, over real sockets. */
+class QuarantineEndToEndTests {
+
+    private static final String CRASHING = LoopbackFleet.chat(EngineStandIn.CRASH_MARK, false, 8);
+    private static final int QUARANTINED = 422;
+
+    @Test
+    void aRequestThatCrashesItsTargetsIsRefusedEverywhereAndLeavesTargetsStanding() throws Exception {
+        EngineSettings engine = EngineSettings.defaults(LoopbackFleet.MODEL);
+        try (LoopbackFleet fleet = LoopbackFleet.start(2, engine, engine, engine, engine)) {
+            fleet.await("the request is quarantined", () -> ask(fleet, 0).statusCode() == QUARANTINED);
+            fleet.await("the other daemon knows", () -> ask(fleet, 1).statusCode() == QUARANTINED);
+            long crashes = crashes(fleet);
+
+            HttpResponse<String> resent = ask(fleet, 1);
+
+            assertThat(resent.headers().firstValue("Cornelcrank-Verdict")).contains("not-run");
+            assertThat(crashes(fleet)).isEqualTo(crashes).isLessThanOrEqualTo(2);
+            HttpResponse<String> innocent = fleet.post(
+                    1, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, LoopbackFleet.chat("which counter?", false, 4));
+            assertThat(innocent.statusCode()).as(innocent.body()).isEqualTo(200);
+            assertThat(fleet.get(1, "/admin/quarantine", LoopbackFleet.OPERATOR_KEY).body()).contains("fingerprint");
+        }
+    }
+
+    private static HttpResponse<String> ask(LoopbackFleet fleet, int daemon) throws Exception {
+        return fleet.post(daemon, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, CRASHING);
+    }
+
+    private static long crashes(LoopbackFleet fleet) {
+        return fleet.engines.stream()
+                .mapToLong(engine -> engine.counters().crashes())
+                .sum();
+    }
+}
