Ask the platform's host list for changes only

Cause: at 1,600 targets and 390 daemons the list has some 300 KB, and each daemon read it whole every second, against a budget for control of 4 KB/s.

Change: the list carries an entity tag; an unchanged one is answered without a body and handed on again.

Conclusion: an unchanged list costs its headers only.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HostListPoller.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HostListPoller.java
@@ -13,6 +13,8 @@
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cornelcrank.core.DataCentreId;
 import org.cornelcrank.core.Event;
@@ -26,12 +28,15 @@
 import org.slf4j.LoggerFactory;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 
 /**
  * Reads the platform's host list again and again.
  *
- * <p>Rows that cannot be understood are passed over and counted. Thread-safe.
+ * <p>Asks only for changes, since the list is long and seldom changes; an unchanged list is handed on again all the same.
+ * Rows that cannot be understood are passed over and counted. Thread-safe.
  */
 public final class HostListPoller {
 
@@ -44,6 +49,7 @@
     private final ObjectMapper json;
     private final Counter failures;
     private final Counter badRows;
+    private volatile HostList latest = new HostList("", List.of());
 
     /**
      * Creates a poller that is not started.
@@ -75,19 +81,36 @@
     }
 
     private Mono<Void> readOnce() {
-        return http.get()
+        return http.headers(this::askOnlyForChanges)
+                .get()
                 .uri("/hosts")
-                .responseSingle((response, body) -> response.status().code() == HttpResponseStatus.OK.code()
-                        ? body.asByteArray()
-                        : Mono.error(new IOException("host list answered " + response.status())))
+                .responseSingle(this::answered)
                 .timeout(Duration.ofMillis(TIMEOUT_MS))
-                .map(this::parse)
-                .doOnNext(hosts -> loop.post(new Event.HostListRead(hosts)))
+                .doOnNext(list -> latest = list)
+                .doOnNext(list -> loop.post(new Event.HostListRead(list.hosts())))
                 .doOnError(error -> failures.inc())
                 .onErrorResume(error -> Mono.empty())
                 .then();
     }
 
+    private void askOnlyForChanges(HttpHeaders headers) {
+        if (!latest.entityTag().isEmpty()) {
+            headers.set(HttpHeaderNames.IF_NONE_MATCH, latest.entityTag());
+        }
+    }
+
+    private Mono<HostList> answered(HttpClientResponse response, ByteBufMono body) {
+        int status = response.status().code();
+        if (status == HttpResponseStatus.NOT_MODIFIED.code()) {
+            return Mono.just(latest);
+        }
+        if (status != HttpResponseStatus.OK.code()) {
+            return Mono.error(new IOException("host list answered " + response.status()));
+        }
+        String entityTag = response.responseHeaders().get(HttpHeaderNames.ETAG, "");
+        return body.asByteArray().map(bytes -> new HostList(entityTag, parse(bytes)));
+    }
+
     private List<HostEntry> parse(byte[] body) {
         try {
             List<HostEntry> hosts = new ArrayList<>();
@@ -118,4 +141,7 @@
             LOGGER.debug("Host list row passed over: {}", e.getMessage());
         }
     }
+
+    /** A list with the tag under which the platform knows it; an empty tag names no list. */
+    private record HostList(String entityTag, List<HostEntry> hosts) {}
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/QuarantineEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/QuarantineEndToEndTests.java
@@ -1,9 +1,11 @@
 package org.cornelcrank.server;
 
 import java.net.http.HttpResponse;
+
 import org.cornelcrank.standin.EngineSettings;
 import org.cornelcrank.standin.EngineStandIn;
 import org.junit.jupiter.api.Test;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** A request that takes down each target that runs it, over real sockets. */
@@ -25,9 +27,14 @@
             assertThat(resent.headers().firstValue("Cornelcrank-Verdict")).contains("not-run");
             assertThat(crashes(fleet)).isEqualTo(crashes).isLessThanOrEqualTo(2);
             HttpResponse<String> innocent = fleet.post(
-                    1, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, LoopbackFleet.chat("which counter?", false, 4));
+                    1,
+                    "/v1/chat/completions",
+                    LoopbackFleet.CALLER_KEY,
+                    LoopbackFleet.chat("which counter?", false, 4));
             assertThat(innocent.statusCode()).as(innocent.body()).isEqualTo(200);
-            assertThat(fleet.get(1, "/admin/quarantine", LoopbackFleet.OPERATOR_KEY).body()).contains("fingerprint");
+            assertThat(fleet.get(1, "/admin/quarantine", LoopbackFleet.OPERATOR_KEY)
+                            .body())
+                    .contains("fingerprint");
         }
     }
 
--- a/cornelcrank-standin/src/main/java/org/cornelcrank/standin/HostListStandIn.java
+++ b/cornelcrank-standin/src/main/java/org/cornelcrank/standin/HostListStandIn.java
@@ -51,7 +51,7 @@
     @Override
     Mono<Answer> answer(Call call) {
         if (call.is("GET", "/hosts")) {
-            return Mono.just(Answer.json(200, Map.of("hosts", visibleHosts())));
+            return Mono.just(list(call));
         }
         if (call.is("PUT", "/hosts")) {
             return Mono.just(replace(call));
@@ -59,6 +59,16 @@
         return Mono.just(Answer.error(404, "no such path: " + call.path()));
     }
 
+    private Answer list(Call call) {
+        List<ListedHost> hosts = visibleHosts();
+        String entityTag = '"' + Integer.toHexString(hosts.hashCode()) + '"';
+        Map<String, String> headers = Map.of("ETag", entityTag);
+        if (entityTag.equals(call.headers().get("If-None-Match"))) {
+            return new Answer.Whole(304, headers, new byte[0]);
+        }
+        return Answer.json(200, headers, Map.of("hosts", hosts));
+    }
+
     private Answer replace(Call call) {
         try {
             setHosts(Answer.JSON.readValue(call.body(), new TypeReference<List<ListedHost>>() {}));
