Look result records up once for each page

A page of results scanned the positions of all records for each of its items: 500 items times 6,800 records for a job of 870,000 items. It now takes the records that may hold the page's items once, and a page has at most 1,000 items.

--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/PageReader.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/PageReader.java
@@ -29,6 +29,7 @@
 final class PageReader {
 
     private static final int MAX_RECORDS_PER_PAGE = 8;
+    private static final int MAX_ITEMS_PER_PAGE = 1_000;
     private static final long RETRY_AFTER_MS = 1_000;
 
     private final BatchContext context;
@@ -56,24 +57,17 @@
     void readResults(
             HostId origin, ForwardedCommand command, StoredJob job, ReadResults read, long nowMs, Effects out) {
         int from = Math.max(0, read.fromItem());
-        List<Integer> items = new ArrayList<>();
-        SortedSet<RecordPosition> positions = new TreeSet<>();
-        int item = job.nextFinished(from);
-        while (item < job.terms().total() && items.size() < read.most()) {
-            List<RecordPosition> covering = job.results().covering(item, item);
-            if (!items.isEmpty() && countWith(positions, covering) > MAX_RECORDS_PER_PAGE) {
-                break;
-            }
-            positions.addAll(covering);
-            items.add(item);
-            item = job.nextFinished(item + 1);
-        }
-        if (items.isEmpty()) {
-            boolean complete = job.ended() && item >= job.terms().total();
-            replies.answer(origin, command, new ResultPage(List.of(), item, complete), nowMs, out);
+        List<Integer> finished = finishedItems(job, from, Math.min(read.most(), MAX_ITEMS_PER_PAGE));
+        if (finished.isEmpty()) {
+            int next = job.nextFinished(from);
+            boolean complete = job.ended() && next >= job.terms().total();
+            replies.answer(origin, command, new ResultPage(List.of(), next, complete), nowMs, out);
             return;
         }
-        List<RecordPosition> inOrder = job.results().covering(items.get(0), items.get(items.size() - 1)).stream()
+        RecordPages pages = job.results().within(finished.get(0), finished.get(finished.size() - 1));
+        SortedSet<RecordPosition> positions = new TreeSet<>();
+        List<Integer> items = readableItems(finished, pages, positions);
+        List<RecordPosition> inOrder = pages.covering(items.get(0), items.get(items.size() - 1)).stream()
                 .filter(positions::contains)
                 .toList();
         Function<SortedMap<RecordPosition, BatchRecord>, CallerReply> page =
@@ -81,6 +75,31 @@
         context.reads().read(partition, positions, new Listener(origin, command, page), nowMs, out);
     }
 
+    private static List<Integer> finishedItems(StoredJob job, int from, int most) {
+        List<Integer> items = new ArrayList<>();
+        int item = job.nextFinished(from);
+        while (item < job.terms().total() && items.size() < most) {
+            items.add(item);
+            item = job.nextFinished(item + 1);
+        }
+        return items;
+    }
+
+    /** Returns the first items whose results a few records hold, and adds the positions of these records. */
+    private static List<Integer> readableItems(
+            List<Integer> finished, RecordPages pages, SortedSet<RecordPosition> positions) {
+        List<Integer> items = new ArrayList<>();
+        for (int item : finished) {
+            List<RecordPosition> covering = pages.covering(item, item);
+            if (!items.isEmpty() && countWith(positions, covering) > MAX_RECORDS_PER_PAGE) {
+                return items;
+            }
+            positions.addAll(covering);
+            items.add(item);
+        }
+        return items;
+    }
+
     private CallerReply filePage(StoredFile file, int from, int most, SortedMap<RecordPosition, BatchRecord> records) {
         if (records.isEmpty()) {
             return expired();
--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/RecordPages.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/RecordPages.java
@@ -53,10 +53,20 @@
 
     /** Returns the records that may hold items from the first to the last given, in the order in which they came. */
     List<RecordPosition> covering(int firstItem, int lastItem) {
-        List<RecordPosition> found = new ArrayList<>();
+        RecordPages found = within(firstItem, lastItem);
+        List<RecordPosition> positions = new ArrayList<>(found.size);
+        for (int page = 0; page < found.size; page++) {
+            positions.add(found.position(page));
+        }
+        return positions;
+    }
+
+    /** Returns the pages that may hold items from the first to the last given, in their order. */
+    RecordPages within(int firstItem, int lastItem) {
+        RecordPages found = new RecordPages();
         for (int page = 0; page < size; page++) {
             if (firstItems[page] <= lastItem && lastItems[page] >= firstItem) {
-                found.add(position(page));
+                found.add(firstItems[page], lastItems[page], position(page));
             }
         }
         return found;
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchDutyTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchDutyTests.java
@@ -274,6 +274,25 @@
         assertThat(results).isNotEmpty().hasSize(fixture.info("e3", job).completed());
     }
 
+    @Test
+    void resultsInManySmallRecordsComeInSeveralPages() {
+        JobId job = fixture.create("e1", NILAVU, fixture.upload("e1", NILAVU, 30, "d1"))
+                .job();
+        String owner = fixture.ownerOf(job);
+        FakeCapacity capacity = fixture.capacity(owner);
+        for (int item = 0; item < 20; item++) {
+            cluster.inject(new HostId(owner), out -> capacity.grantWanted(1, cluster.nowMs(), out));
+            cluster.inject(new HostId(owner), out -> capacity.endAll(FakeCapacity::echo, cluster.nowMs(), out));
+            cluster.advance(5_000);
+        }
+
+        ResultPage first = cluster.ask("e2", NILAVU, new ReadResults(job, 0, 500), ResultPage.class);
+
+        assertThat(first.lines()).hasSizeBetween(1, 19);
+        assertThat(first.nextItem()).isEqualTo(first.lines().size());
+        BatchScenario.assertEachOnce(fixture.results("e3", NILAVU, job), 20);
+    }
+
     @Test
     void outageRefusesNewWorkNotRunAndBoundsTheResultsThatWait() {
         BatchSettings small = BatchScenario.withResultBuffer(8 * 1024);
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/fake/LogCluster.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/fake/LogCluster.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.fake;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
@@ -33,7 +32,6 @@
 import org.cornelcrank.core.MembershipView;
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.core.RequestId;
-import org.cornelcrank.core.StreamName;
 import org.cornelcrank.core.TimerKey;
 import org.cornelcrank.partition.PartitionClient;
 import org.cornelcrank.partition.PartitionDuty;
@@ -57,8 +55,7 @@
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
     private final Map<HostId, Node> nodes = new TreeMap<>();
-    private final Map<StreamName, List<LogRecord>> streams = new HashMap<>();
-    private final List<Runnable> heldReads = new ArrayList<>();
+    private final MemoryLog log = new MemoryLog();
     private AppendFaults faults = append -> AppendFault.NONE;
     private boolean outage;
     private int appends;
@@ -294,12 +291,7 @@
         }
 
         private void write(Effect.Append append, boolean answered) {
-            List<LogRecord> stream = streams.computeIfAbsent(append.stream(), key -> new ArrayList<>());
-            long offset = stream.size();
-            stream.add(new LogRecord(offset, nowMs, append.payload()));
-            List<Runnable> woken = List.copyOf(heldReads);
-            heldReads.clear();
-            woken.forEach(Runnable::run);
+            long offset = log.append(append.stream(), append.payload(), nowMs);
             if (answered) {
                 after(1, () -> offer(new Event.Appended(append.stream(), append.appendNumber(), offset)));
             }
@@ -314,14 +306,8 @@
                 offer(new Event.LogReadFailed(read.stream(), read.purpose(), read.fromOffset()));
                 return;
             }
-            List<LogRecord> stream = streams.getOrDefault(read.stream(), List.of());
-            long from = read.fromOffset() < 0 ? Math.max(0, stream.size() + read.fromOffset()) : read.fromOffset();
-            List<LogRecord> page = new ArrayList<>();
-            long bytes = 0;
-            for (long offset = from; offset < stream.size() && (page.isEmpty() || bytes < read.maxBytes()); offset++) {
-                page.add(stream.get((int) offset));
-                bytes += stream.get((int) offset).payload().size();
-            }
+            long from = log.start(read.stream(), read.fromOffset());
+            List<LogRecord> page = log.read(read.stream(), from, read.maxBytes());
             if (page.isEmpty() && nowMs < untilMs) {
                 hold(read, untilMs);
                 return;
@@ -337,7 +323,7 @@
                     read(read, untilMs);
                 }
             });
-            heldReads.add(answer);
+            log.await(answer);
             after(untilMs - nowMs, answer);
         }
     }
