Join what composed duties need to hear, and pass a target's own refusal on

Cause: the partition duty heard no owner hints in the composed daemon, so that moved partitions were sought by hash; roll-outs heard of no attempt; a target that loaded MODEL@VERSION counted as not having the model; a target's refusal of a request for its own fault ended in an error of the daemon.

Change: the assembly subscribes the hints and tells the fleet of dispatched attempts; targets are matched by model in any version; a target's status and body reach the caller (RefusalEndToEndTests).

--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonAssembly.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonAssembly.java
@@ -85,6 +85,7 @@
         CallDuty calls = new CallDuty(identity, partitions, routing, settings, CallSettings.defaults(), metrics);
         FleetDuty fleet = new FleetDuty(identity, settings, partitions, FleetSettings.defaults(), metrics);
         membership.subscribe(partitions);
+        membership.subscribe(PartitionDuty.SLICE, partitions);
         routing.subscribe(batch);
         partitions.register(batch);
         partitions.register(calls);
@@ -92,7 +93,9 @@
         DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
         List<Duty> duties = new ArrayList<>(List.of(membership, settings, partitions, routing, batch, calls, fleet));
         duties.add(new OperationsDuty(membership, journal, () -> duties));
-        return new DaemonAssembly(new DaemonCore(duties, journal), membership, settings);
+        DaemonCore core = new DaemonCore(
+                duties, journal, dispatch -> fleet.attemptDispatched(dispatch.attempt(), dispatch.target()));
+        return new DaemonAssembly(core, membership, settings);
     }
 
     /**
--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 import org.cornelcrank.core.Duty;
 import org.cornelcrank.core.Effect;
@@ -19,15 +20,18 @@
 
     private final List<Duty> duties;
     private final DecisionJournal journal;
+    private final Consumer<Effect.Dispatch> dispatchListener;
 
     /**
      * Creates a core.
      *
      * @param duties the duties, in the order in which each event is offered
      * @param journal keeps the decisions that the duties explain
+     * @param dispatchListener is told of each attempt that goes to a target
      */
-    public DaemonCore(List<Duty> duties, DecisionJournal journal) {
+    public DaemonCore(List<Duty> duties, DecisionJournal journal, Consumer<Effect.Dispatch> dispatchListener) {
         this.duties = List.copyOf(duties);
+        this.dispatchListener = Objects.requireNonNull(dispatchListener, "dispatchListener must not be null");
         this.journal = Objects.requireNonNull(journal, "journal must not be null");
     }
 
@@ -47,9 +51,12 @@
         for (Effect effect : out.list()) {
             if (effect instanceof Effect.Explain explain) {
                 journal.record(explain);
-            } else {
-                external.add(effect);
+                continue;
             }
+            if (effect instanceof Effect.Dispatch dispatch) {
+                dispatchListener.accept(dispatch);
+            }
+            external.add(effect);
         }
         return external;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 
 import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.LoadedModel;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.TargetId;
@@ -97,13 +98,13 @@
     }
 
     boolean offers(ServiceName service) {
-        return entry.services().contains(service) || loadedNames().contains(service.value());
+        return entry.services().contains(service) || LoadedModel.isAmong(loadedNames(), service);
     }
 
     /** Returns whether the target is ready for the service without loading anything, as far as is known. */
     boolean hasLoaded(ServiceName service) {
         Set<String> loaded = loadedNames();
-        return loaded.isEmpty() || loaded.contains(service.value());
+        return loaded.isEmpty() || LoadedModel.isAmong(loaded, service);
     }
 
     private Set<String> loadedNames() {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AnswerWriter.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AnswerWriter.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.Refusal;
+import org.cornelcrank.routing.OnlineRejected;
 import org.cornelcrank.server.exchange.Answer;
 import org.cornelcrank.server.exchange.Exchange;
 import org.cornelcrank.server.exchange.ExchangeRegistry;
@@ -77,6 +78,10 @@
         if (reply instanceof Refusal refusal) {
             return refuse(response, refusal);
         }
+        if (reply instanceof OnlineRejected rejected) {
+            response.header(VERDICT, rejected.verdict().headerValue());
+            return send(response, rejected.status(), JSON, rejected.body().toByteArray());
+        }
         return send(response, renderer.apply(reply));
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/RefusalEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/RefusalEndToEndTests.java
@@ -61,6 +61,15 @@
         assertRefused(fleet.post(0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, body), 413);
     }
 
+    @Test
+    void aTargetsOwnRefusalReachesTheCallerAsItIs() throws Exception {
+        HttpResponse<String> response =
+                fleet.post(0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, LoopbackFleet.chat("hello", false, 0));
+        assertThat(response.statusCode()).as(response.body()).isEqualTo(400);
+        assertThat(response.body()).contains("max_tokens must be");
+        assertThat(response.headers().firstValue("Cornelcrank-Verdict")).contains("completed");
+    }
+
     @Test
     void aDeadlineThatIsNoNumberIsRefused() throws Exception {
         HttpResponse<String> response = fleet.post(
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
@@ -90,7 +90,9 @@
         MetricRegistry metrics = new MetricRegistry();
         MonotonicClock clock = new MonotonicClock();
         CoreLoop loop = new CoreLoop(
-                new DaemonCore(List.of(new RecordingDuty(received)), new DecisionJournal(1, 1)), clock, metrics);
+                new DaemonCore(List.of(new RecordingDuty(received)), new DecisionJournal(1, 1), dispatch -> {}),
+                clock,
+                metrics);
         PeerSecurity security =
                 new PeerSecurity(new PeerIdentity("test", host, 1), new SharedKey(key), Optional.empty());
         PeerTransport transport = new PeerTransport(
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/platform/HostListPollerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/platform/HostListPollerTests.java
@@ -35,7 +35,9 @@
     private final BlockingQueue<Event.HostListRead> lists = new LinkedBlockingQueue<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final CoreLoop loop = new CoreLoop(
-            new DaemonCore(List.of(new ListKeeper(lists)), new DecisionJournal(1, 1)), new MonotonicClock(), metrics);
+            new DaemonCore(List.of(new ListKeeper(lists)), new DecisionJournal(1, 1), dispatch -> {}),
+            new MonotonicClock(),
+            metrics);
     private final HostListStandIn standIn =
             new HostListStandIn(HostListSettings.defaults().withLagMs(0));
     private Disposable polling;
