Answer callers without waiting for the core's thread twice

Cause: every request waited for the core's thread to look up its key and then its service before it could arrive there, and the target's connection was taken up in that thread.

Change: what is known of a key and the services' policies are read from copies that each change of the settings drops or renews in the core's thread; attempts begin in another thread.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
@@ -76,8 +76,8 @@
         return bodies.read(request).flatMap(body -> {
             JsonNode prompt = bodies.parseObject(body);
             ServiceName model = services.requireAllowed(admission, text(prompt, "model"));
-            return services.require(model, ServiceKind.MODEL)
-                    .flatMap(policy -> complete(admission, request, response, body, prompt, model));
+            services.require(model, ServiceKind.MODEL);
+            return complete(admission, request, response, body, prompt, model);
         });
     }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/Gatekeeper.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/Gatekeeper.java
@@ -2,7 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.cornelcrank.config.ApiKeyEntry;
@@ -19,15 +21,18 @@
 /**
  * Establishes who calls, from the API key.
  *
- * <p>Secrets are compared as salted hashes in constant time; an unknown key id costs the same hash. Thread-safe.
+ * <p>Invariant: what is remembered of a key is written and dropped in the core's thread alone, so that no change of the
+ * settings is missed. Secrets are compared as salted hashes in constant time; an unknown key id costs the same hash. Thread-safe.
  */
 public final class Gatekeeper {
 
+    private static final int MAX_KNOWN_KEYS = 10_000;
     private static final String BEARER = "Bearer ";
     private static final String WORKLOAD = "Cornelcrank-Workload";
     private static final ApiKeyEntry UNKNOWN =
             new ApiKeyEntry(new TeamPath("/unknown"), "unknown", "00", "00", Caller.Scope.CALLER, 0);
 
+    private final Map<String, Found> knownKeys = new ConcurrentHashMap<>();
     private final Settings settings;
     private final CoreLoop loop;
     private final MonotonicClock clock;
@@ -46,6 +51,7 @@
         this.loop = loop;
         this.clock = clock;
         this.bootstrapKey = bootstrapKey;
+        settings.subscribe((nowMs, out) -> knownKeys.clear());
     }
 
     /** Returns who calls, or fails with a refusal if the key is not valid or does not allow what is asked. */
@@ -58,13 +64,23 @@
             return Mono.just(operator());
         }
         String workload = request.requestHeaders().get(WORKLOAD, "");
-        return loop.ask(() -> lookUp(key[0], workload)).map(found -> check(found, key[1], scope));
+        Found known = knownKeys.get(cacheKey(key[0], workload));
+        Mono<Found> found = known == null ? loop.ask(() -> lookUp(key[0], workload)) : Mono.just(known);
+        return found.map(entry -> check(entry, key[1], scope));
     }
 
     private Found lookUp(String keyId, String workload) {
         ApiKeyEntry entry = settings.apiKey(keyId).orElse(UNKNOWN);
         TeamPath path = workloadPath(entry.team(), workload);
-        return new Found(entry, path, settings.team(path));
+        Found found = new Found(entry, path, settings.team(path));
+        if (!entry.equals(UNKNOWN) && knownKeys.size() < MAX_KNOWN_KEYS) {
+            knownKeys.put(cacheKey(keyId, workload), found);
+        }
+        return found;
+    }
+
+    private static String cacheKey(String keyId, String workload) {
+        return keyId + "/" + workload;
     }
 
     private Admission check(Found found, String secret, Caller.Scope scope) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/HttpFrontEnd.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/HttpFrontEnd.java
@@ -43,7 +43,7 @@
         this.probes = probes;
         this.writer = new AnswerWriter(parts.exchanges(), parts.errors());
         RequestBodies bodies = new RequestBodies(parts.json(), parts.maxBodyBytes());
-        ServiceDirectory services = new ServiceDirectory(parts.settings(), parts.loop());
+        ServiceDirectory services = new ServiceDirectory(parts.settings());
         CoreCommands commands = new CoreCommands(parts.exchanges());
         BatchViews batchViews = new BatchViews(parts.json());
         this.groups = List.of(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
@@ -61,8 +61,8 @@
 
     private Mono<Void> forward(Admission admission, HttpServerRequest request, HttpServerResponse response) {
         ServiceName service = services.requireAllowed(admission, serviceName(request));
-        return services.require(service, ServiceKind.PLAIN).flatMap(policy -> bodies.read(request)
-                .flatMap(body -> forward(admission, request, response, policy, body)));
+        ServicePolicy policy = services.require(service, ServiceKind.PLAIN);
+        return bodies.read(request).flatMap(body -> forward(admission, request, response, policy, body));
     }
 
     private static String serviceName(HttpServerRequest request) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/ServiceDirectory.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/ServiceDirectory.java
@@ -1,27 +1,29 @@
 package org.cornelcrank.server.http;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.cornelcrank.config.ServiceKind;
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.Settings;
 import org.cornelcrank.core.Names;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.ServiceName;
-import org.cornelcrank.server.loop.CoreLoop;
-import reactor.core.publisher.Mono;
 
 /**
  * Knows which services there are and who may use them.
  *
- * <p>Thread-safe.
+ * <p>Holds a copy of the services' policies, made anew in the core's thread with each change of the settings, so that a
+ * request need not wait for that thread. Thread-safe.
  */
 final class ServiceDirectory {
 
     private final Settings settings;
-    private final CoreLoop loop;
+    private volatile Map<ServiceName, ServicePolicy> policies = Map.of();
 
-    ServiceDirectory(Settings settings, CoreLoop loop) {
+    ServiceDirectory(Settings settings) {
         this.settings = settings;
-        this.loop = loop;
+        settings.subscribe((nowMs, out) -> refresh());
     }
 
     /** Returns a service by name, or fails with a refusal if the team may not use it. */
@@ -36,9 +38,20 @@
     }
 
     /** Returns what holds for a service, or fails with a refusal if it is not of the kind that is asked for. */
-    Mono<ServicePolicy> require(ServiceName service, ServiceKind kind) {
-        return loop.ask(() -> settings.service(service)).map(found -> found.filter(policy -> policy.kind() == kind)
-                .orElseThrow(() -> unknown(service.value())));
+    ServicePolicy require(ServiceName service, ServiceKind kind) {
+        ServicePolicy policy = policies.get(service);
+        if (policy == null || policy.kind() != kind) {
+            throw unknown(service.value());
+        }
+        return policy;
+    }
+
+    private void refresh() {
+        Map<ServiceName, ServicePolicy> copy = new HashMap<>();
+        for (ServiceName service : settings.services()) {
+            settings.service(service).ifPresent(policy -> copy.put(service, policy));
+        }
+        policies = Map.copyOf(copy);
     }
 
     private static RefusedException unknown(String name) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
@@ -29,6 +29,7 @@
 import org.cornelcrank.server.loop.EffectRunner;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
@@ -93,9 +94,14 @@
         return false;
     }
 
+    /** Sends away from the core's thread; a cancel that comes before the attempt has begun holds all the same. */
     private void dispatch(Effect.Dispatch dispatch) {
         Attempt attempt = new Attempt(dispatch.attempt(), loop, running::remove);
         running.put(dispatch.attempt(), attempt);
+        Schedulers.parallel().schedule(() -> start(dispatch, attempt));
+    }
+
+    private void start(Effect.Dispatch dispatch, Attempt attempt) {
         if (dispatch.source() instanceof DispatchSource.Inline inline) {
             OutgoingRequest request = new OutgoingRequest(
                     inline.method(),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/RefusalEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/RefusalEndToEndTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.cornelcrank.server.http.ApiKeys;
 import org.cornelcrank.standin.EngineSettings;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -122,6 +123,23 @@
         }
     }
 
+    @Test
+    void aKeyIsRefusedOnceItsDeletionIsInForceThoughItWasUsedBefore() throws Exception {
+        String path = "/nilavu/api-keys/brief";
+        fleet.set(
+                path,
+                "00112233445566778899aabbccddeeff:" + ApiKeys.hash("brief-secret", "00112233445566778899aabbccddeeff")
+                        + ":caller");
+        fleet.await(
+                "the key is in force",
+                () -> fleet.get(0, "/v1/models", "brief.brief-secret").statusCode() == 200);
+        fleet.send(fleet.request(0, "/admin/config/value?path=" + path, LoopbackFleet.OPERATOR_KEY)
+                .DELETE());
+        fleet.await(
+                "the key is refused",
+                () -> fleet.get(0, "/v1/models", "brief.brief-secret").statusCode() == 401);
+    }
+
     @Test
     void aCallerReachesNothingOfTheOperators() throws Exception {
         for (String path : ENDPOINTS) {
