Put the log format and the exit code in force

Both were found by running cornelcrankd as a process of its own.

Change: the text format is in force first and the chosen one is set up after the check (LogFormatTests); the stop ends the process with its own code.

Measured by hand: stand-ins of the log and the host list and one daemon in three processes; ready, a setting changed, SIGTERM, exit code 0, JSON lines.

Conclusion: the daemon starts, explains bad flags and stops as its help says.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
@@ -13,6 +13,7 @@
  */
 public final class CornelcrankDaemon {
 
+    private static final int STOPPED_AS_ASKED = 0;
     private static final int COULD_NOT_START = 1;
     private static final int BAD_SETTINGS = 2;
 
@@ -24,6 +25,7 @@
      * @param args the flags
      */
     public static void main(String[] args) {
+        LogFormat.useText();
         DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args, System.getenv());
         if (result instanceof DaemonSettingsParser.Result.HelpAsked help) {
             System.out.print(help.text());
@@ -37,14 +39,20 @@
     }
 
     private static void run(DaemonSettings settings) {
-        System.setProperty("logback.configurationFile", "logback-" + settings.logFormat() + ".xml");
+        LogFormat.use(settings.logFormat());
         try {
             DaemonProcess process = DaemonProcess.start(settings);
-            Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "cornelcrank-stop"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process), "cornelcrank-stop"));
             process.awaitEnd();
         } catch (IOException | ChannelBindException e) {
             System.err.println("cornelcrankd: could not start: " + e.getMessage());
             System.exit(COULD_NOT_START);
         }
     }
+
+    /** Stops the daemon, and ends the process with the code for that in place of the signal's. */
+    private static void stop(DaemonProcess process) {
+        process.stop();
+        Runtime.getRuntime().halt(STOPPED_AS_ASKED);
+    }
 }
