Judge failed HTTP requests in one place

Cause: whether a request can have reached the other side decides what may be called not run, and stood twice, for the log and for targets, as did the reading of Retry-After; two copies could come to differ.

Change: HttpOutcomes serves the log client, the attempts and the reports. Behaviour stays as it was.

--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/client/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * What the daemon's HTTP clients share.
+ *
+ * <p>Depends on the HTTP library only.
+ */
+package org.cornelcrank.server.client;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.server.platform;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,11 +11,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.LogRecord;
+import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 import reactor.core.publisher.Mono;
@@ -33,7 +32,6 @@
 
     private static final long APPEND_TIMEOUT_MS = 5_000;
     private static final long READ_MARGIN_MS = 5_000;
-    private static final long MS_PER_SECOND = 1_000;
     private static final int MAX_CONNECTIONS = 256;
 
     private final HttpClient http;
@@ -89,14 +87,14 @@
                         .defaultIfEmpty(new byte[0])
                         .map(bytes -> appendAnswered(append, response, bytes)))
                 .timeout(Duration.ofMillis(APPEND_TIMEOUT_MS))
-                .onErrorResume(error -> Mono.just(appendFailed(append, !isConnectFailure(error), 0)))
+                .onErrorResume(error -> Mono.just(appendFailed(append, !HttpOutcomes.isConnectFailure(error), 0)))
                 .subscribe(loop::post);
     }
 
     private Event appendAnswered(Effect.Append append, HttpClientResponse response, byte[] body) {
         int status = response.status().code();
         if (status != HttpResponseStatus.CREATED.code()) {
-            return appendFailed(append, false, retryAfterMs(response));
+            return appendFailed(append, false, HttpOutcomes.retryAfterMs(response));
         }
         try {
             long offset = json.readTree(body).required("offset").longValue();
@@ -154,17 +152,4 @@
         readFailures.inc();
         return new Event.LogReadFailed(read.stream(), read.purpose(), read.fromOffset());
     }
-
-    private static boolean isConnectFailure(Throwable error) {
-        return error instanceof ConnectException || error.getCause() instanceof ConnectException;
-    }
-
-    private static long retryAfterMs(HttpClientResponse response) {
-        String seconds = response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER, "0");
-        try {
-            return Long.parseLong(seconds) * MS_PER_SECOND;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/AttemptFailures.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/AttemptFailures.java
@@ -1,14 +1,13 @@
 package org.cornelcrank.server.target;
 
-import java.net.ConnectException;
 import java.util.concurrent.TimeoutException;
 
 import com.google.protobuf.ByteString;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.server.client.HttpOutcomes;
 import reactor.netty.http.client.HttpClientResponse;
 
 /**
@@ -19,14 +18,13 @@
 final class AttemptFailures {
 
     private static final String ENGINE_PATHS = "/v1/";
-    private static final long MS_PER_SECOND = 1_000;
     private static final int MAX_ERROR_BODY_BYTES = 16 * 1024;
 
     private AttemptFailures() {}
 
     /** Judges an attempt that broke off with an error. */
     static AttemptOutcome.Failed ofError(Throwable error, int tokens, boolean bytesReachedCaller) {
-        if (isConnectFailure(error)) {
+        if (HttpOutcomes.isConnectFailure(error)) {
             return failed(Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, 0, false, 0, error.getMessage());
         }
         if (error instanceof TimeoutException) {
@@ -88,11 +86,6 @@
                 "the stream ended before its end marker");
     }
 
-    /** Returns whether no byte of the request can have reached the target. */
-    static boolean isConnectFailure(Throwable error) {
-        return error instanceof ConnectException || error.getCause() instanceof ConnectException;
-    }
-
     private static AttemptOutcome.Failed answered(
             Verdict verdict, FailureKind kind, HttpClientResponse response, byte[] body) {
         ByteString kept = ByteString.copyFrom(body, 0, Math.min(body.length, MAX_ERROR_BODY_BYTES));
@@ -102,7 +95,7 @@
                 response.status().code(),
                 0,
                 false,
-                retryAfterMs(response),
+                HttpOutcomes.retryAfterMs(response),
                 kept,
                 "target answered " + response.status().code());
     }
@@ -119,14 +112,6 @@
                 verdict, kind, status, tokens, bytesReachedCaller, retryAfterMs, ByteString.EMPTY, detail);
     }
 
-    private static long retryAfterMs(HttpClientResponse response) {
-        try {
-            return Long.parseLong(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER, "0")) * MS_PER_SECOND;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
     /** Signals that a target answered with more than the daemon accepts. */
     static final class AnswerTooLargeException extends RuntimeException {
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetWatcher.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetWatcher.java
@@ -17,6 +17,7 @@
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.OrderOutcome;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 import reactor.core.Disposable;
@@ -98,7 +99,7 @@
                 .map(bytes -> (Event) new Event.TargetReported(reports.load(target, bytes)))
                 .onErrorResume(error -> {
                     failures.inc();
-                    return Mono.just(new Event.TargetUnreachable(target, AttemptFailures.isConnectFailure(error)));
+                    return Mono.just(new Event.TargetUnreachable(target, HttpOutcomes.isConnectFailure(error)));
                 })
                 .doOnNext(loop::post)
                 .then();
@@ -134,8 +135,8 @@
                 .responseSingle((response, body) ->
                         body.asByteArray().defaultIfEmpty(new byte[0]).thenReturn(outcome(response.status())))
                 .timeout(Duration.ofMillis(ORDER_TIMEOUT_MS))
-                .onErrorResume(error -> Mono.just(
-                        AttemptFailures.isConnectFailure(error) ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN))
+                .onErrorResume(error ->
+                        Mono.just(HttpOutcomes.isConnectFailure(error) ? OrderOutcome.REFUSED : OrderOutcome.UNKNOWN))
                 .subscribe(outcome -> loop.post(new Event.OrderEnded(order.target(), order.orderNumber(), outcome)));
     }
 
