--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
@@ -19,6 +19,7 @@
 import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.partition.DurableRecord;
+import org.cornelcrank.routing.Handling;
 import org.cornelcrank.routing.RequestRouter;
 import org.cornelcrank.routing.RouteOutcome;
 import org.cornelcrank.routing.RoutedRequest;
@@ -270,7 +271,8 @@
                 false,
                 List.of(),
                 StableHash.of(call.digest().toByteArray()),
-                new DispatchSource.Inline(asked.method(), asked.path(), asked.contentType(), asked.body()));
+                new DispatchSource.Inline(asked.method(), asked.path(), asked.contentType(), asked.body()),
+                Handling.USUAL);
     }
 
     private void answered(RunningCall call, ServiceAnswer answer, long nowMs, Effects out) {
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/fleet/LocalFleet.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/fleet/LocalFleet.java
@@ -18,6 +18,7 @@
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.cornelcrank.server.settings.DaemonSettings;
 import org.cornelcrank.server.settings.DaemonSettingsParser;
+import org.cornelcrank.server.settings.SettingsResult;
 import org.cornelcrank.standin.EngineStandIn;
 import org.cornelcrank.standin.HostListSettings;
 import org.cornelcrank.standin.HostListStandIn;
@@ -207,8 +208,8 @@
             options.addAll(List.of("--seeds", String.join(",", seeds)));
         }
         options.addAll(daemonOptions);
-        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(options.toArray(String[]::new), Map.of());
-        if (result instanceof DaemonSettingsParser.Result.Valid valid) {
+        SettingsResult<DaemonSettings> result = DaemonSettingsParser.parse(options.toArray(String[]::new), Map.of());
+        if (result instanceof SettingsResult.Valid<DaemonSettings> valid) {
             return valid.settings();
         }
         throw new CommandFailure(ExitCode.USAGE, "bad settings of a daemon: " + result);
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
@@ -71,6 +71,12 @@
         }
     }
 
+    /** Asks the store; answered by exactly one {@link Event.StoreAnswered} of the same number. */
+    record CallStore(long number, StoreRequest request) implements Effect {}
+
+    /** Offers an event to every duty once the present one has been handled. */
+    record Raise(Event event) implements Effect {}
+
     /** Ends the process; all work is done. */
     record Exit() implements Effect {}
 }
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -89,6 +89,9 @@
     /** A target answered an order. */
     record OrderEnded(TargetId target, long orderNumber, OrderOutcome outcome) implements Event {}
 
+    /** The store answered a request, or left it without an answer. */
+    record StoreAnswered(long number, StoreAnswer answer) implements Event {}
+
     /** The daemon is asked to stop. */
     record StopRequested() implements Event {}
 }
--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
@@ -1,6 +1,8 @@
 package org.cornelcrank.daemon;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -43,22 +45,33 @@
      * @return what has to be done, in order
      */
     public List<Effect> on(Event event, long nowMs) {
+        List<Effect> external = new ArrayList<>();
+        Deque<Event> raised = new ArrayDeque<>(List.of(event));
+        while (!raised.isEmpty()) {
+            handle(raised.remove(), nowMs, raised, external);
+        }
+        return external;
+    }
+
+    private void handle(Event event, long nowMs, Deque<Event> raised, List<Effect> external) {
         Effects out = new Effects();
         for (Duty duty : duties) {
             duty.on(event, nowMs, out);
         }
-        List<Effect> external = new ArrayList<>(out.list().size());
         for (Effect effect : out.list()) {
             if (effect instanceof Effect.Explain explain) {
                 journal.record(explain);
                 continue;
             }
+            if (effect instanceof Effect.Raise raise) {
+                raised.add(raise.event());
+                continue;
+            }
             if (effect instanceof Effect.Dispatch dispatch) {
                 dispatchListener.accept(dispatch);
             }
             external.add(effect);
         }
-        return external;
     }
 
     /** Returns the duties in their order. */
--- a/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
+++ b/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
@@ -9,6 +9,7 @@
 import org.cornelcrank.core.PeerMessageCodec;
 import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.Urgency;
+import org.cornelcrank.routing.Handling;
 import org.cornelcrank.routing.OnlineRequest;
 
 /**
@@ -108,7 +109,8 @@
                 List.of((long) (number % 50)),
                 number,
                 64,
-                true);
+                true,
+                Handling.USUAL);
     }
 
     private static long processorNanos() {
--- /dev/null
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTable.java
@@ -0,0 +1,72 @@
+package org.cornelcrank.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.cornelcrank.core.TeamPath;
+
+/**
+ * All routes of one version.
+ *
+ * <p>Immutable, thus thread-safe.
+ */
+public final class RouteTable {
+
+    private final long version;
+    private final List<GatewayRoute> routes;
+    private final RequestLimits limits;
+    private final Map<String, List<GatewayRoute>> byHost = new HashMap<>();
+    private final Map<TeamPath, GatewayRoute> byTeam = new HashMap<>();
+
+    /** Makes a table of the routes, in any order. */
+    public RouteTable(long version, List<GatewayRoute> routes, RequestLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.limits = Objects.requireNonNull(limits, "limits must not be null");
+        for (GatewayRoute route : routes) {
+            byHost.computeIfAbsent(lowerCase(route.host()), host -> new ArrayList<>())
+                    .add(route);
+            byTeam.put(route.team(), route);
+        }
+        Comparator<GatewayRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        byHost.values().forEach(ofHost -> ofHost.sort(longestFirst));
+    }
+
+    /** Returns the version, which grows with each change. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns all routes. */
+    public List<GatewayRoute> routes() {
+        return routes;
+    }
+
+    /** Returns what callers may send. */
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    /** Returns the route of the host with the longest prefix that begins the path, empty if there is none. */
+    public Optional<GatewayRoute> select(String host, String path) {
+        return byHost.getOrDefault(lowerCase(host), List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    /** Returns the route that the product's settings know by the path. */
+    public Optional<GatewayRoute> find(TeamPath team) {
+        return Optional.ofNullable(byTeam.get(team));
+    }
+
+    private static String lowerCase(String host) {
+        return host.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/TargetEntry.java
@@ -0,0 +1,33 @@
+package org.cornelcrank.gateway;
+
+import java.util.Objects;
+
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * What a target says of itself in the store.
+ *
+ * <p>{@code startedAtMs} is by the target's own clock, and only tells one start of it from another. Immutable, thus
+ * thread-safe.
+ */
+public record TargetEntry(
+        TargetId target,
+        ServiceName service,
+        String address,
+        DataCentreId dataCentre,
+        int slots,
+        boolean leaving,
+        long startedAtMs) {
+
+    public TargetEntry {
+        Objects.requireNonNull(target, "target must not be null");
+        Objects.requireNonNull(service, "service must not be null");
+        Objects.requireNonNull(address, "address must not be null");
+        Objects.requireNonNull(dataCentre, "dataCentre must not be null");
+        if (slots < 0) {
+            throw new IllegalArgumentException("slots must not be negative but was " + slots);
+        }
+    }
+}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineCallers.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineCallers.java
@@ -29,7 +29,8 @@
                 request.resumable() && request.streaming(),
                 request.prefixHashes(),
                 request.fingerprint(),
-                new DispatchSource.FromCaller(id));
+                new DispatchSource.FromCaller(id),
+                request.handling());
         router.route(routed, this, nowMs, out);
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
@@ -26,7 +26,8 @@
         List<Long> prefixHashes,
         long fingerprint,
         int expectedTokens,
-        boolean streaming)
+        boolean streaming,
+        Handling handling)
         implements CallerCommand {
 
     public OnlineRequest {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -401,6 +401,7 @@
             return;
         }
         route.verdict = route.verdict.and(failure.verdict());
+        route.runs += failure.verdict().equals(Verdict.NOT_RUN) ? 0 : 1;
         out.explain(
                 Subject.Kind.REQUEST,
                 route.request.id(),
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -15,6 +15,10 @@
 final class RetryPolicy {
 
     private static final int HTTP_GONE = 410;
+
+    /** How many attempts beyond its runs a request may make at targets that refuse to run it. */
+    private static final int MAX_UNRUN_ATTEMPTS = 3;
+
     private static final Set<FailureKind> FINAL =
             EnumSet.of(FailureKind.REJECTED, FailureKind.CANCELLED, FailureKind.ANSWER_TOO_LARGE);
     private static final Set<FailureKind> RESUMABLE = EnumSet.of(FailureKind.CONNECTION_LOST, FailureKind.TIMED_OUT);
@@ -28,20 +32,29 @@
     /** Says what to do after the failure; the caller of this method still holds it to the budget and the deadline. */
     Step after(Route route, AttemptOutcome.Failed failure) {
         boolean resumeRefused = route.resumedFrom > 0 && failure.status() == HTTP_GONE;
-        if (route.attempts >= maxAttempts || FINAL.contains(failure.kind()) && !resumeRefused) {
+        if (spent(route) || FINAL.contains(failure.kind()) && !resumeRefused) {
             return Step.GIVE_UP;
         }
         if (route.bytesReachedCaller || failure.bytesReachedCaller()) {
             boolean resumable = route.request.resumable() && RESUMABLE.contains(failure.kind()) && !resumeRefused;
-            return resumable ? Step.RESUME_SAME_TARGET : Step.GIVE_UP;
+            if (!resumable) {
+                return Step.GIVE_UP;
+            }
+            return route.request.handling().resumableAnywhere() ? Step.OTHER_TARGET : Step.RESUME_SAME_TARGET;
         }
         if (route.request.repeatable()) {
             return Step.OTHER_TARGET;
         }
-        boolean neverSent = failure.kind() == FailureKind.CONNECTION_REFUSED
-                && failure.verdict().equals(Verdict.NOT_RUN)
-                && route.verdict.equals(Verdict.NOT_RUN);
-        return neverSent ? Step.OTHER_TARGET : Step.GIVE_UP;
+        boolean neverRun = failure.verdict().equals(Verdict.NOT_RUN) && route.verdict.equals(Verdict.NOT_RUN);
+        return neverRun ? Step.OTHER_TARGET : Step.GIVE_UP;
+    }
+
+    /** Returns whether the request has gone to as many targets, or may have run on as many, as it may. */
+    private boolean spent(Route route) {
+        int maxRuns = route.request.handling().maxRuns();
+        return maxRuns > 0
+                ? route.runs >= maxRuns || route.attempts >= maxRuns + MAX_UNRUN_ATTEMPTS
+                : route.attempts >= maxAttempts;
     }
 
     /** Says how a request goes on after a failed attempt. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -31,6 +31,7 @@
     int moves;
     int redirects;
     int attempts;
+    int runs;
     int deliveredTokens;
     int resumedFrom;
     int generation;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutedRequest.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutedRequest.java
@@ -25,7 +25,8 @@
         boolean resumable,
         List<Long> prefixHashes,
         long fingerprint,
-        DispatchSource source) {
+        DispatchSource source,
+        Handling handling) {
 
     public RoutedRequest {
         prefixHashes = List.copyOf(prefixHashes);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -151,7 +151,8 @@
                 work.prefixes,
                 work.fingerprint,
                 work.tokens,
-                true);
+                true,
+                Handling.USUAL);
         Caller caller = new Caller(new TeamPath("/nilavu"), "k", Caller.Scope.CALLER);
         nodes.get(daemon).handle(new Event.CallerArrived(id, caller, command));
         return request;
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -0,0 +1,225 @@
+package org.cornelcrank.server;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.daemon.DaemonAssembly;
+import org.cornelcrank.daemon.DaemonCore;
+import org.cornelcrank.daemon.DecisionJournal;
+import org.cornelcrank.daemon.OperationsDuty;
+import org.cornelcrank.daemon.RoutingPolicies;
+import org.cornelcrank.gateway.DirectoryDuty;
+import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.membership.MembershipDuty;
+import org.cornelcrank.membership.MembershipSettings;
+import org.cornelcrank.platform.PlatformDialect;
+import org.cornelcrank.platform.PlatformDirectoryFormat;
+import org.cornelcrank.platform.PlatformStoreClient;
+import org.cornelcrank.routing.RoutingDuty;
+import org.cornelcrank.server.gateway.GatewayEdge;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.PeerCodecs;
+import org.cornelcrank.server.peer.PeerIdentity;
+import org.cornelcrank.server.peer.PeerSecurity;
+import org.cornelcrank.server.peer.PeerTransport;
+import org.cornelcrank.server.peer.SharedKey;
+import org.cornelcrank.server.peer.SocketAddresses;
+import org.cornelcrank.server.settings.GatewaySettings;
+import org.cornelcrank.store.StoreCalls;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * One running daemon that serves a platform's callers: its decision core, and all I/O around it on one thread.
+ *
+ * <p>The one place where the product meets the platform's formats. Invariant: a stop is graceful: readiness is refused
+ * and members are told at once, what arrives is served for the drain delay, and the process ends when nothing that it has
+ * begun would be cut, or when the time to drain is over. Thread-safe.
+ */
+public final class GatewayProcess {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(GatewayProcess.class);
+    private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
+    private static final int MAX_EXPLAINED_SUBJECTS = 1_024;
+    private static final int MAX_DECISIONS_PER_SUBJECT = 16;
+
+    /** The pause between two checks whether the drain is over, in ms. */
+    private static final long DRAIN_CHECK_INTERVAL_MS = 50;
+
+    private final GatewaySettings settings;
+    private final CoreLoop loop;
+    private final DaemonCore core;
+    private final GatewayEdge edge;
+    private final PeerTransport transport;
+    private final EventLoopGroup group;
+    private final AtomicBoolean stopping;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    private GatewayProcess(
+            GatewaySettings settings,
+            CoreLoop loop,
+            DaemonCore core,
+            GatewayEdge edge,
+            PeerTransport transport,
+            EventLoopGroup group,
+            AtomicBoolean stopping) {
+        this.settings = settings;
+        this.loop = loop;
+        this.core = core;
+        this.edge = edge;
+        this.transport = transport;
+        this.group = group;
+        this.stopping = stopping;
+    }
+
+    /**
+     * Starts a daemon.
+     *
+     * @param settings its settings
+     * @return the running daemon
+     * @throws IOException if no port is free
+     */
+    public static GatewayProcess start(GatewaySettings settings) throws IOException {
+        MonotonicClock clock = new MonotonicClock();
+        MetricRegistry metrics = new MetricRegistry();
+        ObjectMapper json = new ObjectMapper();
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("cornelcrank-io", true), NioIoHandler.newFactory());
+        LoopResources loops = useNative -> group;
+        Scheduler scheduler = Schedulers.fromExecutorService(group.next(), "cornelcrank-io");
+        DaemonIdentity identity = new DaemonIdentity(
+                settings.host(), clock.nowMs(), settings.location(), SocketAddresses.format(settings.peerAddress()));
+        long seed = settings.seed() == 0
+                ? identity.incarnation() ^ StableHash.of(settings.host().value())
+                : settings.seed();
+
+        StoreCalls store = new StoreCalls();
+        RouteTableSettings routes = new RouteTableSettings(settings.location().region());
+        PlatformDirectoryFormat directoryFormat = new PlatformDirectoryFormat(json);
+        DirectoryDuty directory = new DirectoryDuty(
+                identity, settings.dataCentres(), directoryFormat, routes, store, random(seed, "directory"));
+        MembershipDuty membership = new MembershipDuty(
+                identity, java.util.Map.of(), MembershipSettings.defaults(), random(seed, "membership"), metrics);
+        RoutingDuty routing = new RoutingDuty(
+                identity,
+                membership,
+                membership,
+                routes,
+                RoutingPolicies.named(settings.policy()),
+                random(seed, "routing"),
+                metrics);
+        DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
+        List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing));
+        duties.add(new OperationsDuty(membership, journal, () -> duties));
+        DaemonCore core = new DaemonCore(duties, journal, dispatch -> {});
+
+        CoreLoop loop = new CoreLoop(core, clock, scheduler, metrics);
+        AtomicBoolean stopping = new AtomicBoolean();
+        GatewayEdge edge = new GatewayEdge(
+                settings, identity, loop, clock, new PlatformDialect(), routes, loops, stopping, metrics);
+        PlatformStoreClient storeClient = new PlatformStoreClient(settings.storeAddress(), loops, json);
+        PeerTransport transport = new PeerTransport(
+                new PeerSecurity(
+                        new PeerIdentity(settings.deployment(), identity.host(), identity.incarnation()),
+                        new SharedKey(settings.sharedKey()),
+                        java.util.Optional.empty()),
+                new PeerCodecs(DaemonAssembly.codecs()),
+                membership::address,
+                loop,
+                clock,
+                metrics,
+                group);
+        edge.addRunners(loop);
+        loop.addRunner(transport);
+        loop.addRunner(effect -> callStore(effect, storeClient, loop));
+        loop.addRunner(GatewayProcess::isIgnored);
+        transport.bind(settings.peerAddress());
+        edge.bind();
+        loop.post(new Event.Started());
+        LOGGER.info("Daemon {} serves at {}", settings.host(), SocketAddresses.format(settings.frontAddress()));
+        return new GatewayProcess(settings, loop, core, edge, transport, group, stopping);
+    }
+
+    private static boolean callStore(Effect effect, PlatformStoreClient client, CoreLoop loop) {
+        if (!(effect instanceof Effect.CallStore call)) {
+            return false;
+        }
+        client.call(call.request(), answer -> loop.post(new Event.StoreAnswered(call.number(), answer)));
+        return true;
+    }
+
+    /** Targets tell their load with their answers here, so that nobody has to watch them. */
+    private static boolean isIgnored(Effect effect) {
+        return effect instanceof Effect.WatchTargets || effect instanceof Effect.Reply;
+    }
+
+    /** Stops the daemon without cutting a request, and returns once it has ended. */
+    public void stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        LOGGER.info("Daemon {} drains", settings.host());
+        loop.post(new Event.StopRequested());
+        boolean drained = awaitDrained();
+        LOGGER.info("Daemon {} ends, {}", settings.host(), drained ? "drained" : "time to drain is over");
+        edge.close();
+        transport.close();
+        loop.stop();
+        group.shutdownGracefully();
+        stopped.countDown();
+    }
+
+    /** Waits until the daemon has ended. */
+    public void awaitEnd() {
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean awaitDrained() {
+        long leftMs = settings.drainDelayMs() + settings.drainTimeoutMs();
+        for (long waitedMs = 0; waitedMs < leftMs; waitedMs += DRAIN_CHECK_INTERVAL_MS) {
+            if (waitedMs >= settings.drainDelayMs()
+                    && Boolean.TRUE.equals(loop.ask(this::quiescent).block())) {
+                return true;
+            }
+            try {
+                Thread.sleep(DRAIN_CHECK_INTERVAL_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return false;
+    }
+
+    private boolean quiescent() {
+        return edge.openCalls() == 0 && core.duties().stream().allMatch(Duty::quiescent);
+    }
+
+    private static RandomGenerator random(long seed, String duty) {
+        return RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(seed ^ StableHash.of(duty));
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -0,0 +1,102 @@
+package org.cornelcrank.server.gateway;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.routing.OnlineEnded;
+import org.cornelcrank.routing.OnlineRequest;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.EffectRunner;
+
+/**
+ * Knows the open calls, and brings the core's replies to them.
+ *
+ * <p>Invariant: a call is known from its opening to its reply or the caller's leaving. Not thread-safe: confined to the
+ * event loop.
+ */
+final class GatewayCalls implements EffectRunner {
+
+    private final Map<RequestId, GatewayCall> open = new LinkedHashMap<>();
+    private final DaemonIdentity identity;
+    private final CoreLoop loop;
+    private long lastNumber;
+
+    GatewayCalls(DaemonIdentity identity, CoreLoop loop, MetricRegistry metrics) {
+        this.identity = Objects.requireNonNull(identity, "identity must not be null");
+        this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        metrics.registerGauge("gateway.open-calls", open::size);
+    }
+
+    /** Opens a call and asks the core to have it run. */
+    GatewayCall open(RequestHead head, byte[] body, OnlineRequest request, long nowMs) {
+        GatewayCall call = new GatewayCall(nextId(), head, body, request.resumable(), nowMs);
+        open.put(call.id(), call);
+        Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
+        loop.post(new Event.CallerArrived(call.id(), caller, request));
+        return call;
+    }
+
+    /** Returns a new id for a caller's request. */
+    RequestId nextId() {
+        return new RequestId(identity.host(), identity.incarnation(), ++lastNumber);
+    }
+
+    Optional<GatewayCall> find(RequestId id) {
+        return Optional.ofNullable(open.get(id));
+    }
+
+    Collection<GatewayCall> all() {
+        return open.values();
+    }
+
+    /** Tells the core that a caller hung up; does nothing if the call has ended. */
+    void callerLeft(GatewayCall call) {
+        if (open.remove(call.id()) != null) {
+            loop.post(new Event.CallerLeft(call.id()));
+        }
+    }
+
+    @Override
+    public boolean run(Effect effect) {
+        if (!(effect instanceof Effect.Reply reply)) {
+            return false;
+        }
+        GatewayCall call = open.remove(reply.request());
+        if (call != null) {
+            end(call, reply.reply());
+        }
+        return call != null;
+    }
+
+    /** A target's own failure is handed on as it is, unless the request has not run. */
+    private static void end(GatewayCall call, CallerReply reply) {
+        CallAnswer.Whole held = call.held();
+        if (reply instanceof Refusal refusal) {
+            boolean mayHaveRun = !(refusal.verdict() instanceof Verdict.NotRun);
+            call.end(held != null && mayHaveRun ? held : new CallAnswer.Refused(refusal), false);
+        } else if (reply instanceof OnlineEnded && (held != null || call.streaming())) {
+            call.end(held, true);
+        } else if (held != null) {
+            call.end(held, false);
+        } else {
+            call.end(
+                    new CallAnswer.Refused(new Refusal(
+                            Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "the target gave no whole answer", 0)),
+                    false);
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
@@ -0,0 +1,216 @@
+package org.cornelcrank.server.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.gateway.GatewayRoute;
+import org.cornelcrank.gateway.RequestLimits;
+import org.cornelcrank.gateway.RouteKind;
+import org.cornelcrank.gateway.RouteTable;
+import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.gateway.http.GatewayDialect;
+import org.cornelcrank.gateway.http.HeadResult;
+import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.routing.Handling;
+import org.cornelcrank.routing.OnlineRequest;
+import org.cornelcrank.server.loop.MonotonicClock;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Listens for callers, and for the balancer's question whether to send them here.
+ *
+ * <p>Invariant: a request that has been read gets an answer, also while the daemon drains; answers then ask the caller to
+ * close its connection. Not thread-safe: confined to the event loop.
+ */
+final class GatewayFront {
+
+    /** The longest request line, in bytes. */
+    private static final int MAX_LINE_BYTES = 16 * 1024;
+
+    /** How long a caller may keep a connection idle, in ms: longer than any limit that callers are told. */
+    private static final long IDLE_TIMEOUT_MS = 75_000;
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /** When a caller may come back while no routes are known, in ms. */
+    private static final long NOT_READY_RETRY_MS = 500;
+
+    private final GatewayCalls calls;
+    private final GatewayDialect dialect;
+    private final RouteTableSettings settings;
+    private final MonotonicClock clock;
+    private final JobFront jobs;
+    private final AtomicBoolean stopping;
+    private final MetricRegistry metrics;
+
+    GatewayFront(
+            GatewayCalls calls,
+            GatewayDialect dialect,
+            RouteTableSettings settings,
+            MonotonicClock clock,
+            JobFront jobs,
+            AtomicBoolean stopping,
+            MetricRegistry metrics) {
+        this.calls = Objects.requireNonNull(calls, "calls must not be null");
+        this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
+        this.jobs = Objects.requireNonNull(jobs, "jobs must not be null");
+        this.stopping = Objects.requireNonNull(stopping, "stopping must not be null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics must not be null");
+    }
+
+    /** Starts to listen for callers. */
+    DisposableServer bind(InetSocketAddress address, LoopResources loops) {
+        return server(address, loops).handle(this::handle).bindNow();
+    }
+
+    /** Starts to listen for the balancer. */
+    DisposableServer bindReadiness(InetSocketAddress address, LoopResources loops) {
+        return server(address, loops).handle(this::answerReadiness).bindNow();
+    }
+
+    private static HttpServer server(InetSocketAddress address, LoopResources loops) {
+        return HttpServer.create()
+                .bindAddress(() -> address)
+                .runOn(loops, false)
+                .idleTimeout(Duration.ofMillis(IDLE_TIMEOUT_MS))
+                .httpRequestDecoder(spec -> spec.maxInitialLineLength(MAX_LINE_BYTES)
+                        .maxHeaderSize(2 * RequestLimits.DEFAULT.maxHeaderBytes()));
+    }
+
+    private Publisher<Void> answerReadiness(HttpServerRequest request, HttpServerResponse response) {
+        boolean known = request.uri().startsWith(dialect.readinessPath());
+        boolean ready = known && settings.ready() && !stopping.get();
+        return response.status(ready ? OK : UNAVAILABLE)
+                .header(HttpHeaderNames.CONTENT_LENGTH, "0")
+                .send();
+    }
+
+    private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        if (stopping.get()) {
+            response.keepAlive(false);
+        }
+        long arrivedAtMs = clock.nowMs();
+        HeadResult result = dialect.readRequest(request.method().name(), request.uri(), request.requestHeaders());
+        Optional<RouteTable> table = settings.table();
+        if (table.isEmpty()) {
+            return refuse(
+                    response,
+                    Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS),
+                    null);
+        }
+        Optional<JobFront.Read> jobRead = jobs.matches(request);
+        if (jobRead.isPresent()) {
+            return jobs.read(jobRead.get(), request, response);
+        }
+        if (result instanceof HeadResult.Invalid invalid) {
+            return refuse(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
+        }
+        RequestHead head = ((HeadResult.Valid) result).head();
+        Optional<GatewayRoute> route = table.get().select(head.host(), head.path());
+        if (route.isEmpty()) {
+            String message = "no route of version " + table.get().version() + " for " + head.host() + head.path();
+            return refuse(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
+        }
+        return readBody(request, table.get().limits().maxBodyBytes())
+                .flatMap(body -> body.length > table.get().limits().maxBodyBytes()
+                        ? refuse(
+                                response,
+                                Refusal.notRun(RefusalCode.TOO_LARGE, "the body is too long"),
+                                head.requestId())
+                        : accept(route.get(), head, body, arrivedAtMs, response));
+    }
+
+    /** Reads a body; of one that is too long, no more than shows that it is. */
+    private static Mono<byte[]> readBody(HttpServerRequest request, int maxBytes) {
+        ByteBufFlux content = request.receive();
+        return content.asByteArray()
+                .scanWith(ByteArrayOutputStream::new, (whole, part) -> {
+                    whole.writeBytes(part);
+                    return whole;
+                })
+                .takeUntil(whole -> whole.size() > maxBytes)
+                .last()
+                .map(ByteArrayOutputStream::toByteArray);
+    }
+
+    private Mono<Void> accept(
+            GatewayRoute route, RequestHead head, byte[] body, long arrivedAtMs, HttpServerResponse response) {
+        if (route.kind() == RouteKind.BATCH) {
+            return jobs.submit(route, head, body, response);
+        }
+        metrics.counter("gateway.requests." + route.kind()).inc();
+        GatewayCall call = calls.open(head, body, request(route, head, body, arrivedAtMs), arrivedAtMs);
+        return call.answer().flatMap(answer -> write(response, answer, head)).doOnCancel(() -> calls.callerLeft(call));
+    }
+
+    private static OnlineRequest request(GatewayRoute route, RequestHead head, byte[] body, long arrivedAtMs) {
+        boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
+        long waitMs = Math.min(head.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
+        return new OnlineRequest(
+                route.team(),
+                route.serviceFor(StableHash.of(head.requestId())),
+                route.urgency(),
+                arrivedAtMs + waitMs,
+                route.repeatable(),
+                resumable,
+                route.prefixAffinity() ? head.prefixHashes() : java.util.List.of(),
+                StableHash.of(head.uri(), Long.toHexString(StableHash.of(body))),
+                head.maxAnswerTokens(),
+                route.kind() == RouteKind.STREAM,
+                new Handling(route.maxAttempts(), resumable, route.latencyObjectiveMs()));
+    }
+
+    private Mono<Void> write(HttpServerResponse response, CallAnswer answer, RequestHead head) {
+        if (answer instanceof CallAnswer.Streamed streamed) {
+            response.status(streamed.status());
+            copy(streamed.headers(), response);
+            return response.send(streamed.events().map(Unpooled::wrappedBuffer), buffer -> true)
+                    .then();
+        }
+        if (answer instanceof CallAnswer.Whole whole) {
+            response.status(whole.status());
+            copy(whole.headers(), response);
+            return send(response, whole.body());
+        }
+        return refuse(response, ((CallAnswer.Refused) answer).refusal(), head.requestId());
+    }
+
+    /** Writes a refusal. */
+    Mono<Void> refuse(HttpServerResponse response, Refusal refusal, String requestId) {
+        response.status(dialect.status(refusal));
+        copy(dialect.refusalHeaders(refusal, requestId), response);
+        return send(response, (refusal.message() + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    static void copy(HttpHeaders headers, HttpServerResponse response) {
+        response.responseHeaders().add(headers);
+    }
+
+    static Mono<Void> send(HttpServerResponse response, byte[] body) {
+        return response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length))
+                .sendByteArray(Mono.just(body))
+                .then();
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
@@ -14,6 +14,7 @@
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.StableHash;
+import org.cornelcrank.routing.Handling;
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.server.exchange.Exchange;
 import org.cornelcrank.server.exchange.ExchangeRegistry;
@@ -102,7 +103,8 @@
                 prefixHashes,
                 StableHash.of(body),
                 Math.max(0, prompt.path("max_tokens").asInt(0)),
-                streaming);
+                streaming,
+                Handling.USUAL);
         OutgoingRequest outgoing =
                 new OutgoingRequest("POST", "/" + request.path(), "application/json", body, streaming, prefixHashes);
         Exchange exchange = exchanges.open(admission.caller(), command, Optional.of(outgoing));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
@@ -15,6 +15,7 @@
 import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.StableHash;
+import org.cornelcrank.routing.Handling;
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.server.exchange.Exchange;
 import org.cornelcrank.server.exchange.ExchangeRegistry;
@@ -102,7 +103,8 @@
                 List.of(),
                 StableHash.of(request.uri(), Long.toHexString(StableHash.of(body))),
                 0,
-                false);
+                false,
+                Handling.USUAL);
     }
 
     private CallRequest call(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/loop/CoreLoop.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/loop/CoreLoop.java
@@ -33,7 +33,7 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CoreLoop.class);
 
-    private final Scheduler scheduler = Schedulers.newSingle("cornelcrank-core");
+    private final Scheduler scheduler;
     private final Map<TimerKey, Disposable> timers = new HashMap<>();
     private final List<EffectRunner> runners = new CopyOnWriteArrayList<>();
     private final DaemonCore core;
@@ -49,8 +49,21 @@
      * @param metrics receives the loop's own meters
      */
     public CoreLoop(DaemonCore core, MonotonicClock clock, MetricRegistry metrics) {
+        this(core, clock, Schedulers.newSingle("cornelcrank-core"), metrics);
+    }
+
+    /**
+     * Creates a loop that shares its thread with others.
+     *
+     * @param core the decision core, touched by this loop alone from now on
+     * @param clock gives the present time
+     * @param scheduler runs all tasks on one thread, in their order
+     * @param metrics receives the loop's own meters
+     */
+    public CoreLoop(DaemonCore core, MonotonicClock clock, Scheduler scheduler, MetricRegistry metrics) {
         this.core = Objects.requireNonNull(core, "core must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
+        this.scheduler = Objects.requireNonNull(scheduler, "scheduler must not be null");
         this.events = metrics.meter("loop.events");
         this.eventDurations = metrics.timer("loop.event-durations");
     }
@@ -84,6 +97,11 @@
         return Mono.fromSupplier(question).subscribeOn(scheduler);
     }
 
+    /** Returns the scheduler whose one thread the core runs on. */
+    public Scheduler scheduler() {
+        return scheduler;
+    }
+
     /** Stops the loop; later events are dropped. */
     public void stop() {
         scheduler.dispose();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
@@ -47,8 +47,7 @@
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
     private final Map<HostId, Link> links = new ConcurrentHashMap<>();
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(
-            THREADS, new DefaultThreadFactory("cornelcrank-peer", true), NioIoHandler.newFactory());
+    private final EventLoopGroup group;
     private final Function<HostId, Optional<String>> addresses;
     private final MonotonicClock clock;
     private final PeerCodecs codecs;
@@ -79,6 +78,37 @@
             CoreLoop loop,
             MonotonicClock clock,
             MetricRegistry metrics) {
+        this(
+                security,
+                codecs,
+                addresses,
+                loop,
+                clock,
+                metrics,
+                new MultiThreadIoEventLoopGroup(
+                        THREADS, new DefaultThreadFactory("cornelcrank-peer", true), NioIoHandler.newFactory()));
+    }
+
+    /**
+     * Creates a transport that is not bound yet and shares its threads with others.
+     *
+     * @param security who this daemon is, the shared key, and TLS where it is configured
+     * @param codecs the slices' codecs
+     * @param addresses finds a host's address; called on the core's thread
+     * @param loop receives the messages
+     * @param clock gives the present time
+     * @param metrics receives the counters
+     * @param group runs the connections; shut down when the transport is closed
+     */
+    public PeerTransport(
+            PeerSecurity security,
+            PeerCodecs codecs,
+            Function<HostId, Optional<String>> addresses,
+            CoreLoop loop,
+            MonotonicClock clock,
+            MetricRegistry metrics,
+            EventLoopGroup group) {
+        this.group = group;
         this.addresses = addresses;
         this.clock = clock;
         this.codecs = codecs;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
@@ -1,21 +1,12 @@
 package org.cornelcrank.server.settings;
 
 import java.io.File;
-import java.io.PrintWriter;
-import java.io.StringWriter;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
-import org.apache.commons.cli.Option;
-import org.apache.commons.cli.Options;
-import org.apache.commons.cli.ParseException;
 import org.cornelcrank.core.DataCentreId;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
@@ -38,38 +29,49 @@
     private static final int MAX_PARTITIONS = 256;
     private static final int MAX_BYTES = 1 << 30;
     private static final long MAX_DURATION_MS = 3_600_000;
-    private static final int HELP_WIDTH = 110;
 
     private static final List<ProcessSetting> DECLARED = List.of(
-            required("deployment", "name", "name of the deployment; daemons of another one are refused"),
-            required("host", "name", "name of this entry host, unique in the deployment"),
-            required("region", "name", "region of this host"),
-            required("data-centre", "name", "data centre of this host"),
-            optional("http-address", "ip:port", "127.0.0.1:8080", "address for callers and operators"),
-            optional("peer-address", "ip:port", "127.0.0.1:7080", "address for other daemons, TCP and UDP"),
-            optional("seeds", "host=ip:port,...", "", "other daemons to ask at the start"),
-            required("log-url", "url", "the platform's log service"),
-            required("hosts-url", "url", "the platform's host list"),
-            required("shared-key", "text", "secret by which daemons accept each other; better in the environment"),
-            optional("operator-key", "id.secret", "", "operator's key that is valid besides those in the settings"),
-            required("regions", "name,...", "all regions of the deployment, the same on every host"),
-            optional("partitions", "count", "16", "partitions of each region, the same on every host for ever"),
-            optional("policy", "name", "prefix-affinity", "choice of target: " + String.join(", ", POLICIES)),
-            optional("max-body-bytes", "bytes", "4194304", "longest request body, but for file uploads"),
-            optional("max-answer-bytes", "bytes", "8388608", "longest answer that is not streamed"),
-            optional(
+            ProcessSetting.required("deployment", "name", "name of the deployment; daemons of another one are refused"),
+            ProcessSetting.required("host", "name", "name of this entry host, unique in the deployment"),
+            ProcessSetting.required("region", "name", "region of this host"),
+            ProcessSetting.required("data-centre", "name", "data centre of this host"),
+            ProcessSetting.optional("http-address", "ip:port", "127.0.0.1:8080", "address for callers and operators"),
+            ProcessSetting.optional(
+                    "peer-address", "ip:port", "127.0.0.1:7080", "address for other daemons, TCP and UDP"),
+            ProcessSetting.optional("seeds", "host=ip:port,...", "", "other daemons to ask at the start"),
+            ProcessSetting.required("log-url", "url", "the platform's log service"),
+            ProcessSetting.required("hosts-url", "url", "the platform's host list"),
+            ProcessSetting.required(
+                    "shared-key", "text", "secret by which daemons accept each other; better in the environment"),
+            ProcessSetting.optional(
+                    "operator-key", "id.secret", "", "operator's key that is valid besides those in the settings"),
+            ProcessSetting.required("regions", "name,...", "all regions of the deployment, the same on every host"),
+            ProcessSetting.optional(
+                    "partitions", "count", "16", "partitions of each region, the same on every host for ever"),
+            ProcessSetting.optional(
+                    "policy", "name", "prefix-affinity", "choice of target: " + String.join(", ", POLICIES)),
+            ProcessSetting.optional("max-body-bytes", "bytes", "4194304", "longest request body, but for file uploads"),
+            ProcessSetting.optional("max-answer-bytes", "bytes", "8388608", "longest answer that is not streamed"),
+            ProcessSetting.optional(
                     "drain-delay-ms",
                     "ms",
                     "1000",
                     "time from the announcement of a stop to the first check for its end"),
-            optional("drain-timeout-ms", "ms", "120000", "longest time that a stop waits for running requests"),
-            optional("report-interval-ms", "ms", "250", "time between two load reports of one target"),
-            optional("hosts-interval-ms", "ms", "1000", "time between two reads of the host list"),
-            optional("tls-certificates", "file", "", "certificate chain, PEM; with --tls-key and --tls-authority"),
-            optional("tls-key", "file", "", "private key, PKCS #8 PEM"),
-            optional("tls-authority", "file", "", "certificates by which other daemons are checked, PEM"),
-            optional("log-format", "name", "text", "format of log lines: " + String.join(", ", LOG_FORMATS)),
-            optional("seed", "number", "0", "seed of random choices; 0 takes the start time"));
+            ProcessSetting.optional(
+                    "drain-timeout-ms", "ms", "120000", "longest time that a stop waits for running requests"),
+            ProcessSetting.optional("report-interval-ms", "ms", "250", "time between two load reports of one target"),
+            ProcessSetting.optional("hosts-interval-ms", "ms", "1000", "time between two reads of the host list"),
+            ProcessSetting.optional(
+                    "tls-certificates", "file", "", "certificate chain, PEM; with --tls-key and --tls-authority"),
+            ProcessSetting.optional("tls-key", "file", "", "private key, PKCS #8 PEM"),
+            ProcessSetting.optional(
+                    "tls-authority", "file", "", "certificates by which other daemons are checked, PEM"),
+            ProcessSetting.optional(
+                    "log-format", "name", "text", "format of log lines: " + String.join(", ", LOG_FORMATS)),
+            ProcessSetting.optional("seed", "number", "0", "seed of random choices; 0 takes the start time"));
+
+    private static final CommandLineSettings COMMAND_LINE =
+            new CommandLineSettings("cornelcrankd", "Serves online and batch inference.", DECLARED);
 
     private DaemonSettingsParser() {}
 
@@ -85,23 +87,8 @@
      * @param environment the environment variables
      * @return the settings, or everything that is wrong with them
      */
-    public static Result parse(String[] args, Map<String, String> environment) {
-        List<String> errors = new ArrayList<>();
-        CommandLine line;
-        try {
-            line = DefaultParser.builder()
-                    .setAllowPartialMatching(false)
-                    .build()
-                    .parse(options(), args);
-        } catch (ParseException e) {
-            return new Result.Invalid(List.of(e.getMessage()));
-        }
-        if (line.hasOption("help")) {
-            return new Result.HelpAsked(help());
-        }
-        line.getArgList().forEach(argument -> errors.add("unexpected argument '" + argument + "'"));
-        DaemonSettings settings = read(new SettingReader(DECLARED, line::getOptionValue, environment, errors));
-        return errors.isEmpty() ? new Result.Valid(settings) : new Result.Invalid(errors);
+    public static SettingsResult<DaemonSettings> parse(String[] args, Map<String, String> environment) {
+        return COMMAND_LINE.parse(args, environment, DaemonSettingsParser::read);
     }
 
     private static DaemonSettings read(SettingReader reader) {
@@ -182,69 +169,4 @@
         }
         return file;
     }
-
-    private static Options options() {
-        Options options = new Options();
-        options.addOption(
-                Option.builder("h").longOpt("help").desc("show this help").build());
-        for (ProcessSetting setting : DECLARED) {
-            options.addOption(Option.builder()
-                    .longOpt(setting.flag())
-                    .hasArg()
-                    .argName(setting.argument())
-                    .desc(description(setting))
-                    .build());
-        }
-        return options;
-    }
-
-    private static String description(ProcessSetting setting) {
-        String fallback = setting.required() ? "; required" : "";
-        if (!setting.defaultValue().isEmpty()) {
-            fallback = "; default " + setting.defaultValue();
-        }
-        return setting.description() + fallback + " [" + setting.environmentVariable() + "]";
-    }
-
-    private static String help() {
-        StringWriter text = new StringWriter();
-        HelpFormatter formatter = new HelpFormatter();
-        formatter.setOptionComparator(null);
-        formatter.printHelp(
-                new PrintWriter(text, true),
-                HELP_WIDTH,
-                "cornelcrankd",
-                "Serves online and batch inference. Each flag can be given as the environment variable in brackets.",
-                options(),
-                2,
-                2,
-                "Exit codes: 0 stopped as asked, 1 could not start, 2 bad settings.",
-                true);
-        return text.toString();
-    }
-
-    private static ProcessSetting required(String flag, String argument, String description) {
-        return new ProcessSetting(flag, argument, "", true, description);
-    }
-
-    private static ProcessSetting optional(String flag, String argument, String defaultValue, String description) {
-        return new ProcessSetting(flag, argument, defaultValue, false, description);
-    }
-
-    /** What came of parsing. */
-    public sealed interface Result {
-
-        /** The settings are good. */
-        record Valid(DaemonSettings settings) implements Result {}
-
-        /** The help was asked for. */
-        record HelpAsked(String text) implements Result {}
-
-        /** The settings are bad; each error names the flag and what is allowed. */
-        record Invalid(List<String> errors) implements Result {
-            public Invalid {
-                errors = List.copyOf(errors);
-            }
-        }
-    }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/ProcessSetting.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/ProcessSetting.java
@@ -15,4 +15,14 @@
     public String environmentVariable() {
         return ENVIRONMENT_PREFIX + flag.toUpperCase(Locale.ROOT).replace('-', '_');
     }
+
+    /** Declares a setting that must be given. */
+    static ProcessSetting required(String flag, String argument, String description) {
+        return new ProcessSetting(flag, argument, "", true, description);
+    }
+
+    /** Declares a setting that need not be given. */
+    static ProcessSetting optional(String flag, String argument, String defaultValue, String description) {
+        return new ProcessSetting(flag, argument, defaultValue, false, description);
+    }
 }
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/SettingsResult.java
@@ -0,0 +1,26 @@
+package org.cornelcrank.server.settings;
+
+import java.util.List;
+
+/**
+ * What came of parsing settings.
+ *
+ * <p>Immutable, thus thread-safe.
+ *
+ * @param <S> the type of the settings
+ */
+public sealed interface SettingsResult<S> {
+
+    /** The settings are good. */
+    record Valid<S>(S settings) implements SettingsResult<S> {}
+
+    /** The help was asked for. */
+    record HelpAsked<S>(String text) implements SettingsResult<S> {}
+
+    /** The settings are bad; each error names the flag and what is allowed. */
+    record Invalid<S>(List<String> errors) implements SettingsResult<S> {
+        public Invalid {
+            errors = List.copyOf(errors);
+        }
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/SseEventSplitter.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/SseEventSplitter.java
@@ -10,13 +10,18 @@
  * <p>Invariant: holds at most {@code maxEventBytes} of an event that is not yet whole. Not thread-safe: one splitter for
  * each stream.
  */
-final class SseEventSplitter {
+public final class SseEventSplitter {
 
     private final int maxEventBytes;
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineEmpty;
 
-    SseEventSplitter(int maxEventBytes) {
+    /**
+     * Creates a splitter.
+     *
+     * @param maxEventBytes the longest event, in bytes
+     */
+    public SseEventSplitter(int maxEventBytes) {
         this.maxEventBytes = maxEventBytes;
     }
 
@@ -27,7 +32,7 @@
      * @return the events that they make whole, in order
      * @throws IllegalStateException if an event is longer than the bound
      */
-    List<byte[]> accept(byte[] bytes) {
+    public List<byte[]> accept(byte[] bytes) {
         List<byte[]> events = new ArrayList<>(1);
         for (byte next : bytes) {
             pending.write(next);
@@ -46,4 +51,9 @@
         }
         return events;
     }
+
+    /** Returns whether no part of an event is held. */
+    public boolean empty() {
+        return pending.size() == 0;
+    }
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
@@ -20,7 +20,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.cornelcrank.server.http.ApiKeys;
 import org.cornelcrank.server.peer.SocketAddresses;
+import org.cornelcrank.server.settings.DaemonSettings;
 import org.cornelcrank.server.settings.DaemonSettingsParser;
+import org.cornelcrank.server.settings.SettingsResult;
 import org.cornelcrank.standin.EngineSettings;
 import org.cornelcrank.standin.EngineStandIn;
 import org.cornelcrank.standin.HostListSettings;
@@ -124,8 +126,8 @@
         if (!seeds.isEmpty()) {
             args.addAll(List.of("--seeds", seeds));
         }
-        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args.toArray(String[]::new), Map.of());
-        daemons.add(DaemonProcess.start(((DaemonSettingsParser.Result.Valid) result).settings()));
+        SettingsResult<DaemonSettings> result = DaemonSettingsParser.parse(args.toArray(String[]::new), Map.of());
+        daemons.add(DaemonProcess.start(((SettingsResult.Valid<DaemonSettings>) result).settings()));
     }
 
     private String seedAddress;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/settings/DaemonSettingsParserTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/settings/DaemonSettingsParserTests.java
@@ -39,19 +39,19 @@
             "--partitions", "0", "--policy", "best", "--log-url", "ftp://x", "--tls-key", "/does/not/exist",
             "--max-body-bytes", "much", "surplus"
         };
-        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args, Map.of());
-        Approvals.verify(String.join("\n", ((DaemonSettingsParser.Result.Invalid) result).errors()));
+        SettingsResult<DaemonSettings> result = DaemonSettingsParser.parse(args, Map.of());
+        Approvals.verify(String.join("\n", ((SettingsResult.Invalid<DaemonSettings>) result).errors()));
     }
 
     @Test
     void helpListsEverySetting() {
-        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(new String[] {"--help"}, Map.of());
-        Approvals.verify(((DaemonSettingsParser.Result.HelpAsked) result).text());
+        SettingsResult<DaemonSettings> result = DaemonSettingsParser.parse(new String[] {"--help"}, Map.of());
+        Approvals.verify(((SettingsResult.HelpAsked<DaemonSettings>) result).text());
     }
 
     private static DaemonSettings valid(Map<String, String> environment, String... args) {
-        DaemonSettingsParser.Result result = DaemonSettingsParser.parse(args, environment);
-        assertThat(result).isInstanceOf(DaemonSettingsParser.Result.Valid.class);
-        return ((DaemonSettingsParser.Result.Valid) result).settings();
+        SettingsResult<DaemonSettings> result = DaemonSettingsParser.parse(args, environment);
+        assertThat(result).isInstanceOf(SettingsResult.Valid.class);
+        return ((SettingsResult.Valid<DaemonSettings>) result).settings();
     }
 }
