--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
@@ -11,6 +11,7 @@
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.DispatchSource;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.JobId;
@@ -99,7 +100,7 @@
 
     static AttemptOutcome echo(BatchWork work) {
         return new AttemptOutcome.Succeeded(
-                200, "application/json", work.source().body(), 1);
+                200, "application/json", ((DispatchSource.Inline) work.source()).body(), 1);
     }
 
     static AttemptOutcome failure(FailureKind kind, Verdict verdict) {
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.cornelcrank.core.DispatchSource;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.TargetId;
 
@@ -16,6 +17,9 @@
     /** Reads the head of a caller's request. */
     HeadResult readRequest(String method, String uri, HttpHeaders headers);
 
+    /** Returns the head of a request that the core has prepared. */
+    RequestHead prepare(DispatchSource.Prepared prepared);
+
     /**
      * Returns the headers of a request to a target.
      *
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -0,0 +1,391 @@
+package org.cornelcrank.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Names;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.routing.BatchCapacity;
+import org.cornelcrank.routing.BatchPermit;
+import org.cornelcrank.routing.BatchWork;
+import org.cornelcrank.store.KeyedTopicFollower;
+import org.cornelcrank.store.StoreCalls;
+
+/**
+ * Accepts, runs and reads jobs of many items.
+ *
+ * <p>Each partition is run by the daemon that the store's group of owners gives it to; the epoch of its results keeps a
+ * daemon that was its owner from writing. Invariant: what the store has acknowledged is neither lost nor changed by any
+ * daemon. Not thread-safe: confined to the daemon's event loop.
+ */
+public final class JobDuty implements Duty, BatchCapacity.BatchCapacityListener {
+
+    public static final String NAME = "job";
+
+    private static final TimerKey RENEW = new TimerKey(NAME, "renew");
+    private static final TimerKey TICK = new TimerKey(NAME, "tick");
+    private static final TimerKey READS = new TimerKey(NAME, "reads");
+    private static final TimerKey WRITES = new TimerKey(NAME, "writes");
+    private static final String LOG_TIMER = "log/";
+    private static final String FOLLOW_TIMER = "follow/";
+    private static final String OWNER_FACT = "owner/";
+
+    /** The pause between two checks of what time brings about, in ms; only while there are jobs. */
+    private static final long TICK_MS = 100;
+
+    /** How long the store keeps a read of new jobs waiting, in ms; bounds how long a silent connection goes unnoticed. */
+    private static final long FOLLOW_WAIT_MS = 2_500;
+
+    /** How long others believe who owns a partition, in ms; told anew after a third of it. */
+    private static final long OWNER_LIFETIME_MS = 60_000;
+
+    private final DaemonIdentity identity;
+    private final JobSettings settings;
+    private final StoreCalls store;
+    private final Dissemination dissemination;
+    private final RandomGenerator random;
+    private final PartitionLeases leases;
+    private final JobWrites writes;
+    private final JobReads reads;
+    private final JobContext context;
+    private final Map<Integer, OwnedPartition> owned = new TreeMap<>();
+    private final Map<Integer, Long> lostEpochs = new HashMap<>();
+    private final Map<Integer, Owner> owners = new HashMap<>();
+    private boolean ticking;
+    private boolean stopping;
+    private boolean left;
+
+    /** Creates the duty; it does nothing until it gets {@link Event.Started}. */
+    public JobDuty(
+            DaemonIdentity identity,
+            JobSettings settings,
+            RouteTableSettings routes,
+            StoreCalls store,
+            Dissemination dissemination,
+            BatchCapacity capacity,
+            RandomGenerator random) {
+        this.identity = Objects.requireNonNull(identity, "identity must not be null");
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.store = Objects.requireNonNull(store, "store must not be null");
+        this.dissemination = Objects.requireNonNull(dissemination, "dissemination must not be null");
+        this.random = Objects.requireNonNull(random, "random must not be null");
+        this.leases = new PartitionLeases(identity.writer(), RENEW, settings, store, this::leasesRenewed);
+        this.writes = new JobWrites(settings, store, WRITES);
+        this.reads = new JobReads(settings, store, READS, new PeerOwners());
+        this.context = new JobContext(settings, routes, capacity, writes, new OwnPartitions());
+        dissemination.subscribe(NAME, this::factReceived);
+        routes.subscribe((nowMs, out) -> owned.values().forEach(partition -> partition.tick(nowMs, out)));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void on(Event event, long nowMs, Effects out) {
+        if (event instanceof Event.Started) {
+            leases.renew(nowMs, out);
+        } else if (event instanceof Event.TimerDue due && due.key().duty().equals(NAME)) {
+            timerDue(due.key(), nowMs, out);
+        } else if (event instanceof Event.CallerArrived arrived) {
+            commandCame(arrived.request(), arrived.command(), nowMs, out);
+        } else if (event instanceof Event.PeerMessageReceived received) {
+            if (received.message() instanceof JobMessage.Ask ask) {
+                asked(received.from(), ask, nowMs, out);
+            } else if (received.message() instanceof JobMessage.Answer answer) {
+                reads.answered(answer, nowMs, out);
+            }
+        } else if (event instanceof Event.StopRequested) {
+            stopping = true;
+            leave(nowMs, out);
+        }
+    }
+
+    private void timerDue(TimerKey key, long nowMs, Effects out) {
+        if (key.equals(RENEW)) {
+            leases.renew(nowMs, out);
+            renewOwnerFacts(nowMs, out);
+        } else if (key.equals(TICK)) {
+            tick(nowMs, out);
+        } else if (key.equals(READS)) {
+            reads.timerDue(nowMs, out);
+        } else if (key.equals(WRITES)) {
+            writes.timerDue(out);
+        } else if (key.name().startsWith(LOG_TIMER)) {
+            partition(key, LOG_TIMER).ifPresent(partition -> partition.log().timerDue(out));
+        } else if (key.name().startsWith(FOLLOW_TIMER)) {
+            partition(key, FOLLOW_TIMER)
+                    .ifPresent(partition -> partition.follower().timerDue(nowMs, out));
+        }
+    }
+
+    private Optional<OwnedPartition> partition(TimerKey key, String prefix) {
+        return Optional.ofNullable(owned.get(Integer.parseInt(key.name().substring(prefix.length()))));
+    }
+
+    private void tick(long nowMs, Effects out) {
+        ticking = false;
+        owned.values().forEach(partition -> partition.tick(nowMs, out));
+        if (stopping) {
+            leave(nowMs, out);
+        }
+        keepTicking(nowMs, out);
+    }
+
+    private void keepTicking(long nowMs, Effects out) {
+        boolean needed = stopping && !left
+                || owned.values().stream()
+                        .anyMatch(partition -> !partition.jobs().isEmpty());
+        if (needed && !ticking) {
+            ticking = true;
+            out.schedule(TICK, nowMs + TICK_MS);
+        }
+    }
+
+    private void commandCame(RequestId request, CallerCommand command, long nowMs, Effects out) {
+        if (command instanceof SubmitJob submit) {
+            writes.submit(request, submit, nowMs, out);
+        } else if (command instanceof EndJob end) {
+            writes.end(request, end, nowMs, out);
+        } else if (command instanceof ReadJob read) {
+            reads.read(request, read, nowMs, out);
+        } else if (command instanceof ReadItemBody read) {
+            reads.readBody(request, read, nowMs, out);
+        }
+        keepTicking(nowMs, out);
+    }
+
+    private void asked(HostId from, JobMessage.Ask ask, long nowMs, Effects out) {
+        answer(ask, (answer, atMs, effects) -> effects.send(from, answer), nowMs, out);
+    }
+
+    private void answer(JobMessage.Ask ask, OwnedPartition.ReadReply reply, long nowMs, Effects out) {
+        OwnedPartition partition = owned.get(JobRecords.partitionOf(ask.job(), settings.partitions()));
+        if (partition == null) {
+            reply.answer(JobMessage.Answer.unknown(ask.number()), nowMs, out);
+        } else {
+            partition.read(ask, reply, nowMs, out);
+        }
+    }
+
+    private void leasesRenewed(Set<Integer> held, long nowMs, Effects out) {
+        for (OwnedPartition partition : List.copyOf(owned.values())) {
+            if (!held.contains(partition.number())) {
+                give(partition, "given to another daemon", nowMs, out);
+            }
+        }
+        for (int number : held) {
+            if (!owned.containsKey(number)) {
+                OwnedPartition partition = new OwnedPartition(number, context, new StoreParts());
+                owned.put(number, partition);
+                partition.open(lostEpochs.getOrDefault(number, 0L), out);
+            }
+        }
+    }
+
+    private void give(OwnedPartition partition, String reason, long nowMs, Effects out) {
+        owned.remove(partition.number());
+        lostEpochs.merge(partition.number(), partition.log().epoch(), Math::max);
+        partition.close(nowMs, out);
+        out.add(new Effect.StateChanged(NAME, "owns partition " + partition.number() + " no longer: " + reason));
+    }
+
+    /** Stops owning once what has been finished lies in the store. */
+    private void leave(long nowMs, Effects out) {
+        if (left) {
+            return;
+        }
+        boolean written =
+                owned.values().stream().allMatch(partition -> partition.log().idle());
+        if (written) {
+            left = true;
+            for (OwnedPartition partition : List.copyOf(owned.values())) {
+                give(partition, "the daemon stops", nowMs, out);
+            }
+            leases.leave(out);
+        }
+        keepTicking(nowMs, out);
+    }
+
+    @Override
+    public boolean quiescent() {
+        return left && writes.idle();
+    }
+
+    @Override
+    public void permitGranted(BatchPermit permit, long nowMs, Effects out) {
+        OwnedPartition partition = owned.get(JobRecords.partitionOf(permit.job(), settings.partitions()));
+        if (partition == null || stopping) {
+            context.capacity().giveBack(permit, nowMs, out);
+            return;
+        }
+        partition.permitGranted(permit, nowMs, out);
+    }
+
+    @Override
+    public void workEnded(
+            BatchPermit permit,
+            BatchWork work,
+            AttemptOutcome outcome,
+            boolean preempted,
+            Optional<ResumePoint> resume,
+            long nowMs,
+            Effects out) {
+        for (OwnedPartition partition : owned.values()) {
+            if (partition.workEnded(permit, outcome, nowMs, out)) {
+                return;
+            }
+        }
+    }
+
+    private void factReceived(Fact fact, long nowMs, Effects out) {
+        String host = fact.value().toStringUtf8();
+        if (!fact.key().startsWith(OWNER_FACT) || !Names.isName(host)) {
+            return;
+        }
+        int partition = Integer.parseInt(fact.key().substring(OWNER_FACT.length()));
+        owners.merge(
+                partition,
+                new Owner(new HostId(host), fact.version()),
+                (before, after) -> after.version >= before.version ? after : before);
+    }
+
+    private void tellOwner(OwnedPartition partition, long nowMs, Effects out) {
+        partition.toldOwnerAtMs(nowMs);
+        dissemination.publish(
+                new Fact(
+                        NAME,
+                        OWNER_FACT + partition.number(),
+                        partition.log().epoch() + partition.tellings(),
+                        ByteString.copyFromUtf8(identity.host().value()),
+                        OWNER_LIFETIME_MS,
+                        Fact.Scope.EVERYWHERE),
+                nowMs,
+                out);
+    }
+
+    private void renewOwnerFacts(long nowMs, Effects out) {
+        for (OwnedPartition partition : owned.values()) {
+            if (partition.ready() && nowMs - partition.toldOwnerAtMs() > OWNER_LIFETIME_MS / 3) {
+                tellOwner(partition, nowMs, out);
+            }
+        }
+    }
+
+    @Override
+    public void dump(StateWriter writer, long nowMs) {
+        writer.field("generation", leases.generation());
+        writer.table("partitions", "partition", "ready", "epoch", "jobs", "runningItems");
+        for (OwnedPartition partition : owned.values()) {
+            writer.row(
+                    partition.number(),
+                    partition.ready(),
+                    partition.log().epoch(),
+                    partition.jobs().size(),
+                    partition.runningItems());
+        }
+        writer.table("jobs", "job", "items", "listed", "remaining", "ended", "ageMs");
+        for (OwnedPartition partition : owned.values()) {
+            for (JobRun run : partition.jobs().values()) {
+                writer.row(
+                        run.id(),
+                        run.content().items().size(),
+                        run.listed().size(),
+                        run.remaining(),
+                        run.ended(),
+                        nowMs - run.knownAtMs());
+            }
+        }
+    }
+
+    /** Follows the partitions that this daemon owns. */
+    private final class OwnPartitions implements JobContext.PartitionListener {
+
+        @Override
+        public void partitionReady(int partition, long nowMs, Effects out) {
+            tellOwner(owned.get(partition), nowMs, out);
+            keepTicking(nowMs, out);
+        }
+
+        @Override
+        public void partitionLost(int partition, long higherEpoch, long nowMs, Effects out) {
+            lostEpochs.merge(partition, higherEpoch, Math::max);
+            OwnedPartition lost = owned.get(partition);
+            if (lost != null) {
+                give(lost, "the store has epoch " + higherEpoch, nowMs, out);
+            }
+        }
+    }
+
+    /** Reaches owners by the messages between daemons. */
+    private final class PeerOwners implements JobReads.Owners {
+
+        @Override
+        public Optional<HostId> likelyOwner(int partition) {
+            if (owned.containsKey(partition)) {
+                return Optional.of(identity.host());
+            }
+            return Optional.ofNullable(owners.get(partition))
+                    .map(Owner::host)
+                    .filter(host -> !host.equals(identity.host()));
+        }
+
+        @Override
+        public void ask(HostId owner, JobMessage.Ask ask, long nowMs, Effects out) {
+            if (owner.equals(identity.host())) {
+                answer(ask, (answer, atMs, effects) -> reads.answered(answer, atMs, effects), nowMs, out);
+            } else {
+                out.send(owner, ask);
+            }
+        }
+
+        @Override
+        public void failed(int partition, HostId owner) {
+            Owner known = owners.get(partition);
+            if (known != null && known.host.equals(owner)) {
+                owners.put(partition, new Owner(identity.host(), known.version));
+            }
+        }
+    }
+
+    /** Makes what a partition needs to talk to the store. */
+    private final class StoreParts implements OwnedPartition.PartFactory {
+
+        @Override
+        public ResultLog resultLog(int partition, ResultLog.Listener listener) {
+            TimerKey timer = new TimerKey(NAME, LOG_TIMER + partition);
+            return new ResultLog(
+                    JobRecords.results(partition), timer, store, settings.maxRequestBytes(), random, listener);
+        }
+
+        @Override
+        public KeyedTopicFollower follower(int partition, KeyedTopicFollower.Listener listener) {
+            TimerKey timer = new TimerKey(NAME, FOLLOW_TIMER + partition);
+            return new KeyedTopicFollower(JobRecords.jobs(partition), timer, FOLLOW_WAIT_MS, store, random, listener);
+        }
+    }
+
+    private record Owner(HostId host, long version) {}
+}
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessageCodec.java
@@ -0,0 +1,97 @@
+package org.cornelcrank.job;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.PeerMessage;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.job.wire.WireAnswer;
+import org.cornelcrank.job.wire.WireAsk;
+import org.cornelcrank.job.wire.WireJobMessage;
+import org.cornelcrank.job.wire.WireListed;
+
+/**
+ * Encodes the messages about jobs.
+ *
+ * <p>Stateless, thus thread-safe.
+ */
+public final class JobMessageCodec implements PeerMessageCodec {
+
+    @Override
+    public String slice() {
+        return JobDuty.NAME;
+    }
+
+    @Override
+    public boolean supports(PeerMessage message) {
+        return message instanceof JobMessage;
+    }
+
+    @Override
+    public ByteString encode(PeerMessage message) {
+        WireJobMessage.Builder wire = WireJobMessage.newBuilder();
+        if (message instanceof JobMessage.Ask ask) {
+            wire.setAsk(WireAsk.newBuilder()
+                    .setNumber(ask.number())
+                    .setJob(ask.job().value())
+                    .setAfter(ask.fromPosition())
+                    .setWaitMs(ask.waitMs())
+                    .setBodyOf(ask.bodyOf().orElse("")));
+        } else if (message instanceof JobMessage.Answer answer) {
+            wire.setAnswer(encode(answer));
+        }
+        return wire.build().toByteString();
+    }
+
+    private static WireAnswer encode(JobMessage.Answer answer) {
+        WireAnswer.Builder wire = WireAnswer.newBuilder()
+                .setNumber(answer.number())
+                .setKnown(answer.known())
+                .setTotal(answer.totalItems())
+                .setHasBody(answer.body().isPresent())
+                .setBody(answer.body().orElse(ByteString.EMPTY));
+        for (ListedResult result : answer.results()) {
+            wire.addResults(WireListed.newBuilder()
+                    .setItemId(result.itemId())
+                    .setCompleted(result.completed())
+                    .setText(result.text()));
+        }
+        return wire.build();
+    }
+
+    @Override
+    public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
+        WireJobMessage wire = WireJobMessage.parseFrom(payload);
+        return switch (wire.getKindCase()) {
+            case ASK -> decode(wire.getAsk());
+            case ANSWER -> decode(wire.getAnswer());
+            case KIND_NOT_SET -> throw new InvalidProtocolBufferException("a message about jobs must have a kind");
+        };
+    }
+
+    private static JobMessage decode(WireAsk ask) throws InvalidProtocolBufferException {
+        try {
+            return new JobMessage.Ask(
+                    ask.getNumber(),
+                    new JobId(ask.getJob()),
+                    ask.getAfter(),
+                    ask.getWaitMs(),
+                    Optional.of(ask.getBodyOf()).filter(id -> !id.isEmpty()));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException(e.getMessage());
+        }
+    }
+
+    private static JobMessage decode(WireAnswer answer) {
+        return new JobMessage.Answer(
+                answer.getNumber(),
+                answer.getKnown(),
+                answer.getTotal(),
+                answer.getResultsList().stream()
+                        .map(result -> new ListedResult(result.getItemId(), result.getCompleted(), result.getText()))
+                        .toList(),
+                answer.getHasBody() ? Optional.of(answer.getBody()) : Optional.empty());
+    }
+}
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobPage.java
@@ -0,0 +1,22 @@
+package org.cornelcrank.job;
+
+import java.util.List;
+
+import org.cornelcrank.core.CallerReply;
+
+/**
+ * Results of a job from the position that was asked for.
+ *
+ * <p>{@code totalItems} counts the job's items. Immutable, thus thread-safe.
+ */
+public record JobPage(int totalItems, int fromPosition, List<ListedResult> results) implements CallerReply {
+
+    public JobPage {
+        results = List.copyOf(results);
+    }
+
+    /** Returns the position after the last result of the page. */
+    public int nextPosition() {
+        return fromPosition + results.size();
+    }
+}
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -0,0 +1,246 @@
+package org.cornelcrank.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StoreAnswer;
+import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.TimerKey;
+import org.cornelcrank.job.wire.WireJobPart;
+import org.cornelcrank.store.StoreCalls;
+
+/**
+ * Reads jobs for callers: from the owner of the partition, or else from the store.
+ *
+ * <p>Invariant: a job is said not to exist only if the store has just said so. Not thread-safe: confined to the daemon's
+ * event loop.
+ */
+final class JobReads {
+
+    /** How long an owner's answer may take beyond the time that it was asked to wait, in ms: ways across regions. */
+    private static final long ANSWER_MARGIN_MS = 350;
+
+    /** When a caller may come back after the store has failed, in ms. */
+    private static final long RETRY_AFTER_MS = 300;
+
+    /** The most text in one page of results, in bytes: under 1 MB also where each byte is escaped. */
+    private static final int MAX_PAGE_BYTES = 400 * 1024;
+
+    private final JobSettings settings;
+    private final StoreCalls store;
+    private final TimerKey timer;
+    private final Owners owners;
+    private final Map<Long, Reading> asked = new HashMap<>();
+    private long lastNumber;
+
+    JobReads(JobSettings settings, StoreCalls store, TimerKey timer, Owners owners) {
+        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.store = Objects.requireNonNull(store, "store must not be null");
+        this.timer = Objects.requireNonNull(timer, "timer must not be null");
+        this.owners = Objects.requireNonNull(owners, "owners must not be null");
+    }
+
+    void read(RequestId request, ReadJob read, long nowMs, Effects out) {
+        ask(request, read.job(), read.fromPosition(), read.waitMs(), Optional.empty(), nowMs, out);
+    }
+
+    void readBody(RequestId request, ReadItemBody read, long nowMs, Effects out) {
+        ask(request, read.job(), 0, 0, Optional.of(read.itemId()), nowMs, out);
+    }
+
+    private void ask(
+            RequestId request,
+            JobId job,
+            int fromPosition,
+            long waitMs,
+            Optional<String> bodyOf,
+            long nowMs,
+            Effects out) {
+        long number = ++lastNumber;
+        JobMessage.Ask ask = new JobMessage.Ask(number, job, fromPosition, waitMs, bodyOf);
+        int partition = JobRecords.partitionOf(job, settings.partitions());
+        Optional<HostId> owner = owners.likelyOwner(partition);
+        Reading reading = new Reading(request, ask, partition, owner, nowMs + waitMs + ANSWER_MARGIN_MS);
+        if (owner.isEmpty()) {
+            readStore(reading, out);
+            return;
+        }
+        asked.put(number, reading);
+        out.schedule(timer, earliestMs());
+        owners.ask(owner.get(), ask, nowMs, out);
+    }
+
+    private long earliestMs() {
+        return asked.values().stream().mapToLong(Reading::untilMs).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** Takes the answer of an owner. */
+    void answered(JobMessage.Answer answer, long nowMs, Effects out) {
+        Reading reading = asked.remove(answer.number());
+        if (reading == null) {
+            return;
+        }
+        JobMessage.Ask ask = reading.ask();
+        if (!answer.known()) {
+            owners.failed(reading.partition(), reading.owner().orElseThrow());
+            readStore(reading, out);
+        } else if (ask.bodyOf().isEmpty()) {
+            out.reply(reading.request(), new JobPage(answer.totalItems(), ask.fromPosition(), answer.results()));
+        } else {
+            out.reply(reading.request(), body(answer.body()));
+        }
+    }
+
+    private static CallerReply body(Optional<ByteString> body) {
+        return body.<CallerReply>map(ItemBody::new)
+                .orElseGet(() -> Refusal.notRun(RefusalCode.NOT_FOUND, "the job has no such item any more"));
+    }
+
+    /** Turns to the store for what an owner has not answered in time; called when the timer is due. */
+    void timerDue(long nowMs, Effects out) {
+        for (Reading reading : List.copyOf(asked.values())) {
+            if (nowMs >= reading.untilMs()) {
+                asked.remove(reading.ask().number());
+                owners.failed(reading.partition(), reading.owner().orElseThrow());
+                readStore(reading, out);
+            }
+        }
+        if (!asked.isEmpty()) {
+            out.schedule(timer, Math.max(nowMs + 1, earliestMs()));
+        }
+    }
+
+    private void readStore(Reading reading, Effects out) {
+        JobMessage.Ask ask = reading.ask();
+        if (ask.bodyOf().isPresent()) {
+            readParts(reading, JobRecords.prefix(ask.job()), new TreeMap<>(), out);
+            return;
+        }
+        store.call(
+                new StoreRequest.ReadNewest(
+                        JobRecords.results(reading.partition()), JobRecords.keyBefore(ask.job(), ask.fromPosition())),
+                (answer, nowMs, effects) -> {
+                    if (answer instanceof StoreAnswer.Newest page) {
+                        readTotal(reading, results(ask, page), effects);
+                    } else {
+                        unsure(reading, answer, effects);
+                    }
+                },
+                out);
+    }
+
+    private static List<ListedResult> results(JobMessage.Ask ask, StoreAnswer.Newest page) {
+        List<ListedResult> results = new ArrayList<>();
+        int bytes = 0;
+        for (StoreAnswer.StoredRecord record : page.records()) {
+            boolean next = record.key().equals(JobRecords.resultKey(ask.job(), ask.fromPosition() + results.size()));
+            Optional<JobRecords.StoredResult> result = next ? JobRecords.result(record) : Optional.empty();
+            if (result.isEmpty()) {
+                break;
+            }
+            bytes += result.get().result().text().size();
+            if (!results.isEmpty() && bytes > MAX_PAGE_BYTES) {
+                break;
+            }
+            results.add(result.get().result());
+        }
+        return results;
+    }
+
+    private void readTotal(Reading reading, List<ListedResult> results, Effects out) {
+        JobMessage.Ask ask = reading.ask();
+        String prefix = JobRecords.prefix(ask.job());
+        store.call(
+                new StoreRequest.ReadNewest(JobRecords.jobs(reading.partition()), prefix),
+                (answer, nowMs, effects) -> {
+                    if (!(answer instanceof StoreAnswer.Newest page)) {
+                        unsure(reading, answer, effects);
+                        return;
+                    }
+                    Optional<WireJobPart> part = page.records().stream()
+                            .filter(record -> record.key().startsWith(prefix))
+                            .filter(record -> !record.key().equals(JobRecords.endKey(ask.job())))
+                            .findFirst()
+                            .flatMap(record -> JobRecords.part(record.value()));
+                    CallerReply reply = part.<CallerReply>map(
+                                    found -> new JobPage(found.getItems(), ask.fromPosition(), results))
+                            .orElseGet(() -> Refusal.notRun(RefusalCode.NOT_FOUND, "there is no job " + ask.job()));
+                    effects.reply(reading.request(), reply);
+                },
+                out);
+    }
+
+    private void readParts(Reading reading, String afterKey, Map<Integer, WireJobPart> parts, Effects out) {
+        JobMessage.Ask ask = reading.ask();
+        String prefix = JobRecords.prefix(ask.job());
+        store.call(
+                new StoreRequest.ReadNewest(JobRecords.jobs(reading.partition()), afterKey),
+                (answer, nowMs, effects) -> {
+                    if (!(answer instanceof StoreAnswer.Newest page)) {
+                        unsure(reading, answer, effects);
+                        return;
+                    }
+                    String last = afterKey;
+                    boolean further = page.more();
+                    boolean ended = false;
+                    for (StoreAnswer.StoredRecord record : page.records()) {
+                        last = record.key();
+                        if (!record.key().startsWith(prefix)) {
+                            further = false;
+                            break;
+                        }
+                        ended |= record.key().equals(JobRecords.endKey(ask.job()));
+                        JobRecords.part(record.value()).ifPresent(part -> parts.put(part.getIndex(), part));
+                    }
+                    if (further && !page.records().isEmpty()) {
+                        readParts(reading, last, parts, effects);
+                    } else {
+                        effects.reply(reading.request(), body(ended ? Optional.empty() : bodyOf(ask, parts)));
+                    }
+                },
+                out);
+    }
+
+    private static Optional<ByteString> bodyOf(JobMessage.Ask ask, Map<Integer, WireJobPart> parts) {
+        ByteString content = ByteString.EMPTY;
+        for (WireJobPart part : parts.values()) {
+            content = content.concat(part.getContent());
+        }
+        return JobRecords.content(content).flatMap(job -> job.items().stream()
+                .filter(item -> item.id().equals(ask.bodyOf().orElseThrow()))
+                .map(JobItem::body)
+                .findFirst());
+    }
+
+    private static void unsure(Reading reading, StoreAnswer answer, Effects out) {
+        String message = "neither the owner nor the store can tell: " + answer;
+        out.reply(reading.request(), Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS));
+    }
+
+    /** Knows the likely owners of partitions and reaches them. */
+    interface Owners {
+
+        Optional<HostId> likelyOwner(int partition);
+
+        void ask(HostId owner, JobMessage.Ask ask, long nowMs, Effects out);
+
+        /** The host did not answer, or not as an owner. */
+        void failed(int partition, HostId owner);
+    }
+
+    private record Reading(
+            RequestId request, JobMessage.Ask ask, int partition, Optional<HostId> owner, long untilMs) {}
+}
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -0,0 +1,218 @@
+package org.cornelcrank.job;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.KeyedRecord;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.core.StoreAnswer;
+import org.cornelcrank.core.TopicPartition;
+import org.cornelcrank.job.wire.WireItem;
+import org.cornelcrank.job.wire.WireJob;
+import org.cornelcrank.job.wire.WireJobPart;
+import org.cornelcrank.job.wire.WireResult;
+
+/**
+ * The keys and values under which jobs and their results lie in the store.
+ *
+ * <p>A job lies in the {@code jobs} topic in parts under {@code id/0}, {@code id/1} and so on, and its end under
+ * {@code id/end}; its results lie in the {@code results} topic under {@code id/position}. All of a job lies in the same
+ * partition of both. Stateless, thus thread-safe.
+ */
+final class JobRecords {
+
+    static final String JOBS = "jobs";
+    static final String RESULTS = "results";
+
+    private static final String SEPARATOR = "/";
+    private static final String END = "end";
+    private static final int POSITION_DIGITS = 6;
+
+    /** Room for the key and the fields of a part beside its content, in bytes. */
+    private static final int PART_OVERHEAD_BYTES = 1_024;
+
+    /** The longest job after inflation, in bytes: a bound against broken records. */
+    private static final int MAX_JOB_BYTES = 64 * 1024 * 1024;
+
+    private static final int BUFFER_BYTES = 16 * 1024;
+
+    private JobRecords() {}
+
+    static int partitionOf(JobId job, int partitions) {
+        return (int) Long.remainderUnsigned(StableHash.of(job.value()), partitions);
+    }
+
+    static TopicPartition jobs(int partition) {
+        return new TopicPartition(JOBS, partition);
+    }
+
+    static TopicPartition results(int partition) {
+        return new TopicPartition(RESULTS, partition);
+    }
+
+    static String partKey(JobId job, int index) {
+        return prefix(job) + index;
+    }
+
+    static String endKey(JobId job) {
+        return prefix(job) + END;
+    }
+
+    static String resultKey(JobId job, int position) {
+        return prefix(job) + ("%0" + POSITION_DIGITS + "d").formatted(position);
+    }
+
+    /** Returns a key after which the results of a job from the position on follow. */
+    static String keyBefore(JobId job, int position) {
+        return position == 0 ? prefix(job) : resultKey(job, position - 1);
+    }
+
+    static String prefix(JobId job) {
+        return job + SEPARATOR;
+    }
+
+    /** Reads a key of either topic, empty if it is none. */
+    static Optional<Key> key(String text) {
+        int slash = text.lastIndexOf('/');
+        if (slash <= 0 || slash == text.length() - 1) {
+            return Optional.empty();
+        }
+        String rest = text.substring(slash + 1);
+        try {
+            JobId job = new JobId(text.substring(0, slash));
+            return Optional.of(new Key(job, rest.equals(END), rest.equals(END) ? 0 : Integer.parseInt(rest)));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the records of a job, each no longer than a record of the store may be. */
+    static List<KeyedRecord> encode(JobId job, JobContent content, int maxRecordBytes) {
+        WireJob.Builder wire = WireJob.newBuilder().setHost(content.host());
+        for (JobItem item : content.items()) {
+            wire.addItems(WireItem.newBuilder()
+                    .setId(item.id())
+                    .setPath(item.path())
+                    .putAllHeaders(item.headers())
+                    .setBody(item.body())
+                    .setTokens(item.tokens()));
+        }
+        ByteString deflated = deflate(wire.build().toByteArray());
+        int partBytes = maxRecordBytes - PART_OVERHEAD_BYTES;
+        int parts = Math.max(1, (deflated.size() + partBytes - 1) / partBytes);
+        List<KeyedRecord> records = new ArrayList<>();
+        for (int i = 0; i < parts; i++) {
+            WireJobPart part = WireJobPart.newBuilder()
+                    .setIndex(i)
+                    .setParts(parts)
+                    .setItems(content.items().size())
+                    .setContent(deflated.substring(i * partBytes, Math.min(deflated.size(), (i + 1) * partBytes)))
+                    .build();
+            records.add(new KeyedRecord(partKey(job, i), part.toByteString()));
+        }
+        return records;
+    }
+
+    /** Decodes a part of a job, empty if it cannot be read. */
+    static Optional<WireJobPart> part(ByteString value) {
+        try {
+            return Optional.of(WireJobPart.parseFrom(value)).filter(part -> part.getParts() > 0);
+        } catch (InvalidProtocolBufferException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Decodes the joined contents of a job's parts, empty if they cannot be read. */
+    static Optional<JobContent> content(ByteString deflated) {
+        try {
+            WireJob wire = WireJob.parseFrom(inflate(deflated));
+            return Optional.of(new JobContent(
+                    wire.getHost(),
+                    wire.getItemsList().stream()
+                            .map(item -> new JobItem(
+                                    item.getId(),
+                                    item.getPath(),
+                                    item.getHeadersMap(),
+                                    item.getBody(),
+                                    item.getTokens()))
+                            .toList()));
+        } catch (IOException | DataFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    static KeyedRecord result(JobId job, int position, int item, ListedResult result) {
+        ByteString deflated = deflate(result.text().toByteArray());
+        boolean smaller = deflated.size() < result.text().size();
+        WireResult wire = WireResult.newBuilder()
+                .setItem(item)
+                .setItemId(result.itemId())
+                .setCompleted(result.completed())
+                .setText(smaller ? deflated : result.text())
+                .setDeflated(smaller)
+                .build();
+        return new KeyedRecord(resultKey(job, position), wire.toByteString());
+    }
+
+    /** Decodes a result, empty if it cannot be read. */
+    static Optional<StoredResult> result(StoreAnswer.StoredRecord record) {
+        try {
+            WireResult wire = WireResult.parseFrom(record.value());
+            ByteString text = wire.getDeflated() ? ByteString.copyFrom(inflate(wire.getText())) : wire.getText();
+            return Optional.of(
+                    new StoredResult(wire.getItem(), new ListedResult(wire.getItemId(), wire.getCompleted(), text)));
+        } catch (IOException | DataFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static ByteString deflate(byte[] bytes) {
+        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+        try {
+            deflater.setInput(bytes);
+            deflater.finish();
+            ByteString.Output deflated = ByteString.newOutput();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!deflater.finished()) {
+                deflated.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return deflated.toByteString();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] inflate(ByteString deflated) throws DataFormatException, IOException {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(deflated.asReadOnlyByteBuffer());
+            ByteArrayOutputStream inflated = new ByteArrayOutputStream();
+            byte[] buffer = new byte[BUFFER_BYTES];
+            while (!inflater.finished()) {
+                int length = inflater.inflate(buffer);
+                if (length == 0 || inflated.size() > MAX_JOB_BYTES) {
+                    throw new IOException("the content must be whole and have at most " + MAX_JOB_BYTES + " bytes");
+                }
+                inflated.write(buffer, 0, length);
+            }
+            return inflated.toByteArray();
+        } finally {
+            inflater.end();
+        }
+    }
+
+    /** A key taken apart; {@code number} is the part's index or the result's position. */
+    record Key(JobId job, boolean end, int number) {}
+
+    /** A result with the index of its item. */
+    record StoredResult(int item, ListedResult result) {}
+}
--- /dev/null
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/ListedResult.java
@@ -0,0 +1,11 @@
+package org.cornelcrank.job;
+
+import com.google.protobuf.ByteString;
+
+/**
+ * The result of one item at its position in the job's list.
+ *
+ * <p>{@code text} holds the data of all events, joined by line feeds, and is empty for an item that was given up.
+ * Immutable, thus thread-safe.
+ */
+public record ListedResult(String itemId, boolean completed, ByteString text) {}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchWork.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchWork.java
@@ -12,4 +12,4 @@
  * it begins anew. Immutable, thus thread-safe.
  */
 public record BatchWork(
-        String itemId, long fingerprint, DispatchSource.Inline source, Optional<ResumePoint> resume, long timeoutMs) {}
+        String itemId, long fingerprint, DispatchSource source, Optional<ResumePoint> resume, long timeoutMs) {}
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
@@ -104,7 +104,8 @@
             long nowMs,
             Effects out) {
         running--;
-        int tokens = Integer.parseInt(work.source().body().toStringUtf8());
+        int tokens =
+                Integer.parseInt(((DispatchSource.Inline) work.source()).body().toStringUtf8());
         int resumedFrom = work.resume().map(ResumePoint::fromToken).orElse(0);
         if (outcome instanceof AttemptOutcome.Succeeded) {
             finished++;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -18,20 +18,27 @@
 import org.cornelcrank.core.Duty;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
+import org.cornelcrank.core.PeerMessageCodec;
 import org.cornelcrank.core.StableHash;
-import org.cornelcrank.daemon.DaemonAssembly;
 import org.cornelcrank.daemon.DaemonCore;
 import org.cornelcrank.daemon.DecisionJournal;
 import org.cornelcrank.daemon.OperationsDuty;
+import org.cornelcrank.daemon.OperationsMessageCodec;
 import org.cornelcrank.daemon.RoutingPolicies;
 import org.cornelcrank.gateway.DirectoryDuty;
 import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.job.JobDuty;
+import org.cornelcrank.job.JobMessageCodec;
+import org.cornelcrank.job.JobSettings;
 import org.cornelcrank.membership.MembershipDuty;
+import org.cornelcrank.membership.MembershipMessageCodec;
 import org.cornelcrank.membership.MembershipSettings;
 import org.cornelcrank.platform.PlatformDialect;
 import org.cornelcrank.platform.PlatformDirectoryFormat;
+import org.cornelcrank.platform.PlatformJobDialect;
 import org.cornelcrank.platform.PlatformStoreClient;
 import org.cornelcrank.routing.RoutingDuty;
+import org.cornelcrank.routing.RoutingMessageCodec;
 import org.cornelcrank.server.gateway.GatewayEdge;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
@@ -63,6 +70,12 @@
     private static final int MAX_EXPLAINED_SUBJECTS = 1_024;
     private static final int MAX_DECISIONS_PER_SUBJECT = 16;
 
+    /** How long a partition of jobs stays with a daemon that has fallen silent, in ms: several renewals. */
+    private static final long LEASE_MS = 2_500;
+
+    /** The time between two renewals of partitions of jobs, in ms; each costs the store a tenth of a call. */
+    private static final long RENEW_INTERVAL_MS = 700;
+
     /** The pause between two checks whether the drain is over, in ms. */
     private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
@@ -128,22 +141,34 @@
                 RoutingPolicies.named(settings.policy()),
                 random(seed, "routing"),
                 metrics);
+        JobDuty jobs =
+                new JobDuty(identity, jobSettings(settings), routes, store, membership, routing, random(seed, "job"));
+        routing.subscribe(jobs);
         DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
-        List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing));
+        List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
         duties.add(new OperationsDuty(membership, journal, () -> duties));
         DaemonCore core = new DaemonCore(duties, journal, dispatch -> {});
 
         CoreLoop loop = new CoreLoop(core, clock, scheduler, metrics);
         AtomicBoolean stopping = new AtomicBoolean();
         GatewayEdge edge = new GatewayEdge(
-                settings, identity, loop, clock, new PlatformDialect(), routes, loops, stopping, metrics);
+                settings,
+                identity,
+                loop,
+                clock,
+                new PlatformDialect(),
+                new PlatformJobDialect(json),
+                routes,
+                loops,
+                stopping,
+                metrics);
         PlatformStoreClient storeClient = new PlatformStoreClient(settings.storeAddress(), loops, json);
         PeerTransport transport = new PeerTransport(
                 new PeerSecurity(
                         new PeerIdentity(settings.deployment(), identity.host(), identity.incarnation()),
                         new SharedKey(settings.sharedKey()),
                         java.util.Optional.empty()),
-                new PeerCodecs(DaemonAssembly.codecs()),
+                new PeerCodecs(codecs()),
                 membership::address,
                 loop,
                 clock,
@@ -160,6 +185,24 @@
         return new GatewayProcess(settings, loop, core, edge, transport, group, stopping);
     }
 
+    private static JobSettings jobSettings(GatewaySettings settings) {
+        return new JobSettings(
+                settings.storePartitions(),
+                settings.storeRecordBytes(),
+                settings.storeRequestBytes(),
+                LEASE_MS,
+                RENEW_INTERVAL_MS,
+                settings.jobRetentionMs());
+    }
+
+    private static List<PeerMessageCodec> codecs() {
+        return List.of(
+                new MembershipMessageCodec(),
+                new RoutingMessageCodec(),
+                new JobMessageCodec(),
+                new OperationsMessageCodec());
+    }
+
     private static boolean callStore(Effect effect, PlatformStoreClient client, CoreLoop loop) {
         if (!(effect instanceof Effect.CallStore call)) {
             return false;
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/AnswerReceiver.java
@@ -0,0 +1,48 @@
+package org.cornelcrank.server.gateway;
+
+import java.util.OptionalLong;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.gateway.http.TargetAnswerHead;
+
+/**
+ * Holds the request of one attempt and takes what the target answers.
+ *
+ * <p>Not thread-safe: confined to the event loop.
+ */
+interface AnswerReceiver {
+
+    RequestHead head();
+
+    byte[] body();
+
+    /** Returns the event after which the attempt goes on, empty for a request that starts. */
+    OptionalLong resumeAfter();
+
+    /** Takes a whole answer of success. */
+    void whole(TargetAnswerHead head, byte[] body);
+
+    /**
+     * Takes the next bytes of an answer in events; returns how many whole events came new.
+     *
+     * @throws IllegalStateException if an event is missing or too long
+     */
+    int events(TargetAnswerHead head, byte[] bytes);
+
+    /**
+     * Takes the end of an answer in events.
+     *
+     * @throws IllegalStateException if it ends in the middle of an event
+     */
+    void eventsEnded(TargetAnswerHead head);
+
+    /** Takes a target's own failure. */
+    void failed(TargetAnswerHead head, byte[] body);
+
+    /** Returns whether a caller has got any part of the answer. */
+    boolean reachedCaller();
+
+    /** Returns what the core gets of the answer itself; empty where a caller gets it. */
+    ByteString collected();
+}
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -0,0 +1,95 @@
+package org.cornelcrank.server.gateway;
+
+import java.util.Objects;
+import java.util.OptionalLong;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.gateway.http.TargetAnswerHead;
+import org.cornelcrank.server.target.SseEventSplitter;
+
+/**
+ * Passes what a target answers on to a caller: whole events, each once and in order.
+ *
+ * <p>Invariant: the ids that the caller sees have no gap and no repeat; half an event is never passed on. Not
+ * thread-safe: confined to the event loop.
+ */
+final class CallReceiver implements AnswerReceiver {
+
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
+    private final GatewayCall call;
+    private final SseEventSplitter splitter = new SseEventSplitter(MAX_EVENT_BYTES);
+
+    /** Creates a receiver for a new attempt, which forgets an answer that an earlier one has left. */
+    CallReceiver(GatewayCall call) {
+        this.call = Objects.requireNonNull(call, "call must not be null");
+        call.drop();
+    }
+
+    @Override
+    public RequestHead head() {
+        return call.head();
+    }
+
+    @Override
+    public byte[] body() {
+        return call.body();
+    }
+
+    @Override
+    public OptionalLong resumeAfter() {
+        return call.resumeAfter();
+    }
+
+    @Override
+    public void whole(TargetAnswerHead head, byte[] body) {
+        if (call.streaming()) {
+            throw new IllegalStateException("a stream must not go on with an answer that is none");
+        }
+        call.hold(new CallAnswer.Whole(head.status(), head.headers(), body));
+    }
+
+    @Override
+    public int events(TargetAnswerHead head, byte[] bytes) {
+        int passed = 0;
+        for (byte[] event : splitter.accept(bytes)) {
+            passed += pass(head, event) ? 1 : 0;
+        }
+        return passed;
+    }
+
+    private boolean pass(TargetAnswerHead head, byte[] event) {
+        long id = EventIds.of(event);
+        if (id != EventIds.NONE && call.streaming() && EventIds.isKnown(id, call.lastEventId())) {
+            return false;
+        }
+        call.event(head.status(), head.headers(), id, event);
+        return true;
+    }
+
+    @Override
+    public void eventsEnded(TargetAnswerHead head) {
+        EventIds.requireWhole(splitter);
+        if (!call.streaming()) {
+            call.hold(new CallAnswer.Whole(head.status(), head.headers(), new byte[0]));
+        }
+    }
+
+    @Override
+    public void failed(TargetAnswerHead head, byte[] body) {
+        if (!call.streaming()) {
+            call.hold(new CallAnswer.Whole(head.status(), head.headers(), body));
+        }
+    }
+
+    @Override
+    public boolean reachedCaller() {
+        return call.streaming();
+    }
+
+    @Override
+    public ByteString collected() {
+        return ByteString.EMPTY;
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 
+import org.cornelcrank.server.target.SseEventSplitter;
+
 /**
  * Reads the ids and the data of server-sent events.
  *
@@ -45,6 +47,29 @@
         return data.toString();
     }
 
+    /**
+     * Returns whether the event has come before.
+     *
+     * @throws IllegalStateException if an event between it and the last one is missing
+     */
+    static boolean isKnown(long id, long lastId) {
+        if (id > lastId + 1) {
+            throw new IllegalStateException("event " + (lastId + 1) + " must follow but " + id + " came");
+        }
+        return id <= lastId;
+    }
+
+    /**
+     * Checks that a stream has not ended in the middle of an event.
+     *
+     * @throws IllegalStateException if it has
+     */
+    static void requireWhole(SseEventSplitter splitter) {
+        if (!splitter.empty()) {
+            throw new IllegalStateException("an answer must not end in the middle of an event");
+        }
+    }
+
     private static String[] lines(byte[] event) {
         return new String(event, StandardCharsets.UTF_8).split("\r?\n");
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -7,6 +7,7 @@
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.gateway.RouteTableSettings;
 import org.cornelcrank.gateway.http.GatewayDialect;
+import org.cornelcrank.job.JobDialect;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.settings.GatewaySettings;
@@ -24,6 +25,7 @@
     private final LoopResources loops;
     private final GatewayCalls calls;
     private final GatewayTargetClient targets;
+    private final JobFront jobs;
     private final GatewayFront front;
     private DisposableServer callers;
     private DisposableServer readiness;
@@ -35,6 +37,7 @@
             CoreLoop loop,
             MonotonicClock clock,
             GatewayDialect dialect,
+            JobDialect jobDialect,
             RouteTableSettings routes,
             LoopResources loops,
             AtomicBoolean stopping,
@@ -43,12 +46,14 @@
         this.loops = Objects.requireNonNull(loops, "loops must not be null");
         this.calls = new GatewayCalls(identity, loop, metrics);
         this.targets = new GatewayTargetClient(loop, calls, dialect, loops, metrics);
-        this.front = new GatewayFront(calls, dialect, routes, clock, new JobFront(), stopping, metrics);
+        this.jobs = new JobFront(calls, loop, clock, jobDialect, dialect);
+        this.front = new GatewayFront(calls, dialect, routes, clock, jobs, stopping, metrics);
     }
 
     /** Adds the runners of the effects that the edge carries out. */
     public void addRunners(CoreLoop loop) {
         loop.addRunner(calls);
+        loop.addRunner(jobs);
         loop.addRunner(targets);
     }
 
@@ -60,7 +65,7 @@
 
     /** Returns how many callers wait for their answers. */
     public int openCalls() {
-        return calls.all().size();
+        return calls.all().size() + jobs.size();
     }
 
     /** Closes the listeners and all connections. */
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -120,9 +121,9 @@
                     Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS),
                     null);
         }
-        Optional<JobFront.Read> jobRead = jobs.matches(request);
-        if (jobRead.isPresent()) {
-            return jobs.read(jobRead.get(), request, response);
+        Optional<Mono<Void>> aboutJob = jobs.answer(request, response);
+        if (aboutJob.isPresent()) {
+            return aboutJob.get();
         }
         if (result instanceof HeadResult.Invalid invalid) {
             return refuse(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
@@ -175,7 +176,7 @@
                 arrivedAtMs + waitMs,
                 route.repeatable(),
                 resumable,
-                route.prefixAffinity() ? head.prefixHashes() : java.util.List.of(),
+                route.prefixAffinity() ? head.prefixHashes() : List.of(),
                 StableHash.of(head.uri(), Long.toHexString(StableHash.of(body))),
                 head.maxAnswerTokens(),
                 route.kind() == RouteKind.STREAM,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -34,6 +34,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
+import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -60,7 +61,6 @@
     /** The part of the target's idle timeout after which a connection is no longer used. */
     private static final double IDLE_SHARE = 0.75;
 
-    private static final int MAX_EVENT_BYTES = 256 * 1024;
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
     private static final AttributeKey<Long> IDLE_LIMIT_MS = AttributeKey.valueOf("cornelcrank-idle-limit-ms");
 
@@ -95,46 +95,59 @@
 
     @Override
     public boolean run(Effect effect) {
-        if (effect instanceof Effect.Dispatch dispatch && dispatch.source() instanceof DispatchSource.FromCaller from) {
-            dispatch(dispatch, from);
+        if (effect instanceof Effect.Dispatch dispatch) {
+            dispatch(dispatch);
             return true;
         }
         if (effect instanceof Effect.CancelAttempt cancel) {
             Running attempt = running.get(cancel.attempt());
             if (attempt != null) {
-                attempt.end(failed(Verdict.MAY_HAVE_RUN, FailureKind.CANCELLED, 0, attempt, 0, "cancelled"));
+                attempt.end(attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.CANCELLED, 0, 0, "cancelled"));
             }
             return true;
         }
         return false;
     }
 
-    private void dispatch(Effect.Dispatch dispatch, DispatchSource.FromCaller from) {
-        GatewayCall call = calls.find(from.request()).orElse(null);
-        Running attempt = new Running(dispatch.attempt(), call);
+    private void dispatch(Effect.Dispatch dispatch) {
+        AnswerReceiver receiver = receiver(dispatch.source());
+        Running attempt = new Running(dispatch.attempt(), receiver);
         running.put(dispatch.attempt(), attempt);
-        if (call == null) {
-            attempt.end(failed(Verdict.NOT_RUN, FailureKind.CANCELLED, 0, attempt, 0, "the caller has left"));
+        if (receiver == null) {
+            attempt.end(new AttemptOutcome.Failed(
+                    Verdict.NOT_RUN, FailureKind.CANCELLED, 0, 0, false, 0, ByteString.EMPTY, "the caller has left"));
             return;
         }
-        call.drop();
-        RequestHead head = call.head();
-        HttpHeaders headers = dialect.targetHeaders(head, dispatch.target(), dispatch.timeoutMs(), call.resumeAfter());
+        RequestHead head = receiver.head();
+        HttpHeaders headers =
+                dialect.targetHeaders(head, dispatch.target(), dispatch.timeoutMs(), receiver.resumeAfter());
         InetSocketAddress address = SocketAddresses.parse(dispatch.address());
         attempt.transfer = http.remoteAddress(() -> address)
                 .headers(all -> all.set(headers))
                 .request(HttpMethod.valueOf(head.method()))
                 .uri(head.uri())
-                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(call.body())))
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(receiver.body())))
                 .response((response, content) -> answered(attempt, response, content))
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
                 .subscribe(attempt::end, error -> attempt.end(ofError(error, attempt)));
     }
 
+    /** Returns who takes the answer, null if the caller has left. */
+    private AnswerReceiver receiver(DispatchSource source) {
+        if (source instanceof DispatchSource.FromCaller from) {
+            return calls.find(from.request()).map(CallReceiver::new).orElse(null);
+        }
+        if (source instanceof DispatchSource.Prepared prepared) {
+            return new ItemReceiver(prepared, dialect.prepare(prepared));
+        }
+        throw new IllegalArgumentException("source must be a caller's or prepared but was " + source);
+    }
+
     private Flux<AttemptOutcome> answered(Running attempt, HttpClientResponse response, ByteBufFlux content) {
-        RequestHead request = attempt.call.head();
-        TargetAnswerHead head =
-                dialect.readAnswer(response.status().code(), response.responseHeaders(), request.requestId());
+        TargetAnswerHead head = dialect.readAnswer(
+                response.status().code(),
+                response.responseHeaders(),
+                attempt.receiver.head().requestId());
         rememberIdleTimeout(response, head);
         if (!head.ownRequest()) {
             return Flux.error(new ForeignAnswerException());
@@ -148,28 +161,26 @@
     }
 
     private static void rememberIdleTimeout(HttpClientResponse response, TargetAnswerHead head) {
-        if (head.idleTimeoutMs() > 0 && response instanceof reactor.netty.Connection connection) {
+        if (head.idleTimeoutMs() > 0 && response instanceof Connection connection) {
             connection.channel().attr(IDLE_LIMIT_MS).set((long) (head.idleTimeoutMs() * IDLE_SHARE));
         }
     }
 
-    private Flux<AttemptOutcome> whole(Running attempt, TargetAnswerHead head, ByteBufFlux content) {
+    private static Flux<AttemptOutcome> whole(Running attempt, TargetAnswerHead head, ByteBufFlux content) {
         return readWhole(content)
                 .map(body -> {
-                    attempt.call.hold(new CallAnswer.Whole(head.status(), head.headers(), body));
-                    return (AttemptOutcome) new AttemptOutcome.Succeeded(head.status(), "", ByteString.EMPTY, 0);
+                    attempt.receiver.whole(head, body);
+                    return attempt.succeeded(head);
                 })
                 .flux();
     }
 
-    private Flux<AttemptOutcome> streamed(Running attempt, TargetAnswerHead head, ByteBufFlux content) {
-        EventRelay relay = new EventRelay(attempt.call, head, MAX_EVENT_BYTES);
+    private static Flux<AttemptOutcome> streamed(Running attempt, TargetAnswerHead head, ByteBufFlux content) {
         return content.asByteArray()
-                .doOnNext(bytes -> attempt.events += relay.accept(bytes))
+                .doOnNext(bytes -> attempt.events += attempt.receiver.events(head, bytes))
                 .then(Mono.fromSupplier(() -> {
-                    relay.end();
-                    return (AttemptOutcome)
-                            new AttemptOutcome.Succeeded(head.status(), "", ByteString.EMPTY, attempt.events);
+                    attempt.receiver.eventsEnded(head);
+                    return attempt.succeeded(head);
                 }))
                 .flux();
     }
@@ -185,62 +196,58 @@
                 .map(ByteArrayOutputStream::toByteArray);
     }
 
-    /** Judges an answer that is no success; a target's own failure is held for the caller. */
+    /** Judges an answer that is no success. */
     private static AttemptOutcome refused(Running attempt, TargetAnswerHead head, byte[] body) {
         if (head.otherTarget()) {
-            return failed(
-                    Verdict.NOT_RUN,
-                    FailureKind.CONNECTION_REFUSED,
-                    head.status(),
-                    attempt,
-                    0,
-                    "another target answers");
+            return attempt.failed(
+                    Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, head.status(), 0, "another target answers");
         }
         if (head.notRun()) {
-            return failed(
-                    Verdict.NOT_RUN,
-                    FailureKind.OVERLOADED,
-                    head.status(),
-                    attempt,
-                    head.retryAfterMs(),
-                    "the target refuses");
-        }
-        if (!attempt.call.streaming()) {
-            attempt.call.hold(new CallAnswer.Whole(head.status(), head.headers(), body));
+            return attempt.failed(
+                    Verdict.NOT_RUN, FailureKind.OVERLOADED, head.status(), head.retryAfterMs(), "the target refuses");
         }
-        return failed(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, head.status(), attempt, 0, "the target failed");
+        attempt.receiver.failed(head, body);
+        return attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, head.status(), 0, "the target failed");
     }
 
     private static AttemptOutcome ofError(Throwable error, Running attempt) {
         if (!attempt.answered && HttpOutcomes.isConnectFailure(error)) {
-            return failed(
-                    Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, attempt, 0, String.valueOf(error.getMessage()));
+            return attempt.failed(
+                    Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, 0, String.valueOf(error.getMessage()));
         }
         FailureKind kind = error instanceof TimeoutException ? FailureKind.TIMED_OUT : FailureKind.CONNECTION_LOST;
-        return failed(
-                Verdict.MAY_HAVE_RUN, kind, 0, attempt, 0, error.getClass().getSimpleName());
-    }
-
-    private static AttemptOutcome.Failed failed(
-            Verdict verdict, FailureKind kind, int status, Running attempt, long retryAfterMs, String detail) {
-        boolean reached = attempt.call != null && attempt.call.streaming();
-        return new AttemptOutcome.Failed(
-                verdict, kind, status, attempt.events, reached, retryAfterMs, ByteString.EMPTY, detail);
+        return attempt.failed(Verdict.MAY_HAVE_RUN, kind, 0, 0, error.toString());
     }
 
     /** One attempt under way. */
     private final class Running {
 
         private final AttemptId id;
-        private final GatewayCall call;
+        private final AnswerReceiver receiver;
         private Disposable transfer;
         private boolean answered;
         private boolean ended;
         private int events;
 
-        Running(AttemptId id, GatewayCall call) {
+        Running(AttemptId id, AnswerReceiver receiver) {
             this.id = id;
-            this.call = call;
+            this.receiver = receiver;
+        }
+
+        AttemptOutcome succeeded(TargetAnswerHead head) {
+            return new AttemptOutcome.Succeeded(head.status(), "", receiver.collected(), events);
+        }
+
+        AttemptOutcome failed(Verdict verdict, FailureKind kind, int status, long retryAfterMs, String detail) {
+            return new AttemptOutcome.Failed(
+                    verdict,
+                    kind,
+                    status,
+                    events,
+                    receiver.reachedCaller(),
+                    retryAfterMs,
+                    receiver.collected(),
+                    detail);
         }
 
         void end(AttemptOutcome outcome) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
@@ -1,28 +1,150 @@
 package org.cornelcrank.server.gateway;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.Names;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.gateway.GatewayRoute;
+import org.cornelcrank.gateway.http.GatewayDialect;
 import org.cornelcrank.gateway.http.RequestHead;
-import org.reactivestreams.Publisher;
+import org.cornelcrank.job.ItemBody;
+import org.cornelcrank.job.JobAccepted;
+import org.cornelcrank.job.JobDialect;
+import org.cornelcrank.job.JobEnded;
+import org.cornelcrank.job.JobPage;
+import org.cornelcrank.job.SubmitJob;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.EffectRunner;
+import org.cornelcrank.server.loop.MonotonicClock;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
-/** Jobs are not served yet: every call is refused as not run. */
-final class JobFront {
+/**
+ * Brings callers' commands about jobs to the core, and its replies back.
+ *
+ * <p>Not thread-safe: confined to the event loop.
+ */
+final class JobFront implements EffectRunner {
 
-    Optional<Read> matches(HttpServerRequest request) {
-        return Optional.empty();
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final TeamPath JOBS = new TeamPath("/jobs");
+
+    /** How long a submission is tried where the caller does not say, in ms. */
+    private static final long SUBMISSION_TIMEOUT_MS = 3_000;
+
+    private final Map<RequestId, Sinks.One<CallerReply>> open = new HashMap<>();
+    private final GatewayCalls calls;
+    private final CoreLoop loop;
+    private final MonotonicClock clock;
+    private final JobDialect dialect;
+    private final GatewayDialect gatewayDialect;
+
+    JobFront(
+            GatewayCalls calls,
+            CoreLoop loop,
+            MonotonicClock clock,
+            JobDialect dialect,
+            GatewayDialect gatewayDialect) {
+        this.calls = Objects.requireNonNull(calls, "calls must not be null");
+        this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
+        this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
+        this.gatewayDialect = Objects.requireNonNull(gatewayDialect, "gatewayDialect must not be null");
     }
 
-    Publisher<Void> read(Read read, HttpServerRequest request, HttpServerResponse response) {
-        return response.status(503).send();
+    /** Answers a call about a job that was submitted before; empty if it is none. */
+    Optional<Mono<Void>> answer(HttpServerRequest request, HttpServerResponse response) {
+        JobDialect.CallResult result =
+                dialect.readCall(request.method().name(), request.uri(), request.requestHeaders(), clock.nowMs());
+        if (result instanceof JobDialect.CallResult.Other) {
+            return Optional.empty();
+        }
+        if (result instanceof JobDialect.CallResult.Invalid invalid) {
+            return Optional.of(refuse(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason())));
+        }
+        return Optional.of(ask(((JobDialect.CallResult.Valid) result).command(), response));
     }
 
+    /** Accepts a job. */
     Mono<Void> submit(GatewayRoute route, RequestHead head, byte[] body, HttpServerResponse response) {
-        return response.status(503).send();
+        if (!Names.isName(head.requestId())) {
+            return refuse(
+                    response, Refusal.notRun(RefusalCode.INVALID_REQUEST, "the id of a job must be a single name"));
+        }
+        JobDialect.SubmissionResult result = dialect.readSubmission(head.host(), body);
+        if (result instanceof JobDialect.SubmissionResult.Invalid invalid) {
+            return refuse(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()));
+        }
+        long timeoutMs = Math.min(head.deadlineMs().orElse(SUBMISSION_TIMEOUT_MS), route.timeoutMs());
+        return ask(
+                new SubmitJob(
+                        new JobId(head.requestId()),
+                        ((JobDialect.SubmissionResult.Valid) result).content(),
+                        clock.nowMs() + timeoutMs),
+                response);
+    }
+
+    private Mono<Void> ask(CallerCommand command, HttpServerResponse response) {
+        RequestId id = calls.nextId();
+        Sinks.One<CallerReply> reply = Sinks.one();
+        open.put(id, reply);
+        loop.post(new Event.CallerArrived(id, new Caller(JOBS, id.toString(), Caller.Scope.CALLER), command));
+        return reply.asMono().flatMap(told -> write(told, response)).doOnCancel(() -> open.remove(id));
+    }
+
+    @Override
+    public boolean run(Effect effect) {
+        if (!(effect instanceof Effect.Reply reply)) {
+            return false;
+        }
+        Sinks.One<CallerReply> waiting = open.remove(reply.request());
+        if (waiting != null) {
+            waiting.tryEmitValue(reply.reply());
+        }
+        return waiting != null;
+    }
+
+    int size() {
+        return open.size();
     }
 
-    record Read() {}
+    private Mono<Void> write(CallerReply reply, HttpServerResponse response) {
+        if (reply instanceof JobAccepted) {
+            return GatewayFront.send(response.status(ACCEPTED), new byte[0]);
+        }
+        if (reply instanceof JobEnded) {
+            return GatewayFront.send(response.status(OK), new byte[0]);
+        }
+        if (reply instanceof JobPage page) {
+            response.status(OK).header(HttpHeaderNames.CONTENT_TYPE, dialect.pageType());
+            return GatewayFront.send(response, dialect.write(page));
+        }
+        if (reply instanceof ItemBody body) {
+            return GatewayFront.send(response.status(OK), body.body().toByteArray());
+        }
+        return refuse(response, (Refusal) reply);
+    }
+
+    private Mono<Void> refuse(HttpServerResponse response, Refusal refusal) {
+        response.status(gatewayDialect.status(refusal));
+        GatewayFront.copy(gatewayDialect.refusalHeaders(refusal, null), response);
+        return GatewayFront.send(response, (refusal.message() + "\n").getBytes(StandardCharsets.UTF_8));
+    }
 }
