--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
@@ -49,7 +49,7 @@
     }
 
     /** Puts a table in force unless a newer one is; returns whether it did. */
-    boolean install(RouteTable newer, long nowMs, Effects out) {
+    public boolean install(RouteTable newer, long nowMs, Effects out) {
         RouteTable before = table;
         if (before != null && newer.version() <= before.version()) {
             return false;
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
@@ -17,7 +17,7 @@
         RouteTableSettings routes,
         BatchCapacity capacity,
         JobWrites writes,
-        PartitionListener lost) {
+        PartitionListener listener) {
 
     /** Returns the route of an item in the table in force. */
     Optional<GatewayRoute> route(String host, String path) {
@@ -31,6 +31,8 @@
     /** Is told how a partition fares. */
     interface PartitionListener {
 
+        void jobBegan(long nowMs, Effects out);
+
         void partitionReady(int partition, long nowMs, Effects out);
 
         void partitionLost(int partition, long higherEpoch, long nowMs, Effects out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -323,6 +323,11 @@
     /** Follows the partitions that this daemon owns. */
     private final class OwnPartitions implements JobContext.PartitionListener {
 
+        @Override
+        public void jobBegan(long nowMs, Effects out) {
+            keepTicking(nowMs, out);
+        }
+
         @Override
         public void partitionReady(int partition, long nowMs, Effects out) {
             tellOwner(owned.get(partition), nowMs, out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -131,7 +131,7 @@
 
     @Override
     public void lost(long higherEpoch, long nowMs, Effects out) {
-        context.lost().partitionLost(number, higherEpoch, nowMs, out);
+        context.listener().partitionLost(number, higherEpoch, nowMs, out);
     }
 
     @Override
@@ -185,6 +185,7 @@
                 "runs at this daemon",
                 run.remaining() + " of " + run.content().items().size() + " items remain, partition " + number
                         + ", epoch " + log.epoch());
+        context.listener().jobBegan(nowMs, out);
         demand(run, nowMs, out);
     }
 
@@ -205,7 +206,7 @@
             out.add(new Effect.StateChanged(
                     JobDuty.NAME,
                     "owns partition " + number + " under epoch " + log.epoch() + ", " + jobs.size() + " jobs"));
-            context.lost().partitionReady(number, nowMs, out);
+            context.listener().partitionReady(number, nowMs, out);
             jobs.values().forEach(run -> demand(run, nowMs, out));
         }
     }
--- /dev/null
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -0,0 +1,164 @@
+package org.cornelcrank.job;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiFunction;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.DispatchSource;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.routing.BatchCapacity;
+import org.cornelcrank.routing.BatchDemand;
+import org.cornelcrank.routing.BatchPermit;
+import org.cornelcrank.routing.BatchWork;
+import org.cornelcrank.store.fake.VirtualNodes;
+
+/**
+ * Grants permits as long as slots are free and runs each item for a fixed time.
+ *
+ * <p>Not thread-safe.
+ */
+final class FakeCapacity implements BatchCapacity {
+
+    static final long RUN_MS = 400;
+    private static final int SLOTS = 4;
+
+    private final HostId host;
+    private final VirtualNodes nodes;
+    private final Map<String, Integer> runsByItem;
+    private final Map<JobId, BatchDemand> demands = new LinkedHashMap<>();
+    private final Map<Long, BatchWork> running = new HashMap<>();
+    private BiFunction<String, Integer, AttemptOutcome> outcomes;
+    private BatchCapacityListener listener;
+    private boolean granting;
+    private long lastPermit;
+
+    FakeCapacity(
+            HostId host,
+            VirtualNodes nodes,
+            Map<String, Integer> runsByItem,
+            BiFunction<String, Integer, AttemptOutcome> outcomes) {
+        this.host = host;
+        this.nodes = nodes;
+        this.runsByItem = runsByItem;
+        this.outcomes = outcomes;
+    }
+
+    static AttemptOutcome done(String item) {
+        return new AttemptOutcome.Succeeded(200, "", ByteString.copyFromUtf8("text of " + item), 3);
+    }
+
+    static AttemptOutcome failed(FailureKind kind, int status) {
+        return new AttemptOutcome.Failed(
+                Verdict.MAY_HAVE_RUN, kind, status, 0, false, 0, ByteString.EMPTY, "made to fail");
+    }
+
+    @Override
+    public void setDemand(BatchDemand demand, long nowMs, Effects out) {
+        if (demand.wanted() == 0) {
+            demands.remove(demand.job());
+        } else {
+            demands.put(demand.job(), demand);
+        }
+        grantSoon();
+    }
+
+    private void grantSoon() {
+        if (!granting) {
+            granting = true;
+            nodes.later(1, () -> nodes.act(host, this::grant));
+        }
+    }
+
+    private void grant(long nowMs, Effects out) {
+        granting = false;
+        while (running.size() < SLOTS && !demands.isEmpty()) {
+            BatchDemand demand = demands.values().iterator().next();
+            BatchPermit permit = new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"));
+            int before = running.size();
+            listener.permitGranted(permit, nowMs, out);
+            if (running.size() == before) {
+                return;
+            }
+        }
+    }
+
+    @Override
+    public void run(BatchPermit permit, BatchWork work, long nowMs, Effects out) {
+        running.put(permit.number(), work);
+        int run = runsByItem.merge(work.itemId(), 1, Integer::sum);
+        nodes.later(
+                RUN_MS,
+                () -> nodes.act(host, (atMs, effects) -> {
+                    if (running.containsKey(permit.number())) {
+                        end(permit, outcomes.apply(work.itemId(), run), atMs, effects);
+                    }
+                }));
+    }
+
+    private void end(BatchPermit permit, AttemptOutcome outcome, long nowMs, Effects out) {
+        BatchWork work = running.remove(permit.number());
+        listener.workEnded(permit, work, outcome, false, Optional.empty(), nowMs, out);
+        grantSoon();
+    }
+
+    /** Takes all permits back, each after some events of its run. */
+    void revokeAll(int events, String text) {
+        nodes.act(host, (nowMs, out) -> {
+            for (Map.Entry<Long, BatchWork> run : Map.copyOf(running).entrySet()) {
+                BatchPermit permit = new BatchPermit(run.getKey(), new JobId("any"), new TargetId("t-1"));
+                end(
+                        permit,
+                        new AttemptOutcome.Failed(
+                                Verdict.MAY_HAVE_RUN,
+                                FailureKind.CANCELLED,
+                                0,
+                                events,
+                                false,
+                                0,
+                                ByteString.copyFromUtf8(text),
+                                "revoked"),
+                        nowMs,
+                        out);
+            }
+        });
+    }
+
+    /** Returns after which events the items that run now go on. */
+    Map<String, Long> resumePoints() {
+        Map<String, Long> points = new HashMap<>();
+        running.values()
+                .forEach(work ->
+                        points.put(work.itemId(), ((DispatchSource.Prepared) work.source()).resumeAfterEvent()));
+        return points;
+    }
+
+    @Override
+    public void giveBack(BatchPermit permit, long nowMs, Effects out) {
+        demands.remove(permit.job());
+    }
+
+    @Override
+    public void cancel(BatchPermit permit, long nowMs, Effects out) {
+        if (running.containsKey(permit.number())) {
+            end(permit, failed(FailureKind.CANCELLED, 0), nowMs, out);
+        }
+    }
+
+    @Override
+    public void subscribe(BatchCapacityListener newListener) {
+        listener = newListener;
+    }
+
+    int runningItems() {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -0,0 +1,336 @@
+package org.cornelcrank.job;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.assertj.core.api.InstanceOfAssertFactories;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.cornelcrank.job.VirtualJobs.A;
+import static org.cornelcrank.job.VirtualJobs.B;
+import static org.cornelcrank.job.VirtualJobs.C;
+
+/** Jobs over several daemons and one store, with its faults. */
+class JobDutyTests {
+
+    private static final String JOB = "job-1";
+    private static final int ITEMS = 10;
+
+    private final VirtualJobs jobs = new VirtualJobs(A, B, C);
+
+    @Test
+    void anyDaemonAcceptsAndEachItemRunsOnce() {
+        assertThat(jobs.submit(B, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(C, JOB, 0))).hasSize(ITEMS);
+        assertThat(jobs.runsByItem.values()).hasSize(ITEMS).containsOnly(1);
+    }
+
+    @Test
+    void everyDaemonTellsTheSameResultAtTheSamePosition() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        List<ListedResult> results = page(jobs.read(A, JOB, 0));
+        assertThat(page(jobs.read(B, JOB, 0))).isEqualTo(results);
+        assertThat(page(jobs.read(C, JOB, 0))).isEqualTo(results);
+        assertThat(page(jobs.read(C, JOB, 4))).isEqualTo(results.subList(4, ITEMS));
+    }
+
+    @Test
+    void aJobThatComesAgainAtAnotherDaemonRunsOnce() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(300);
+        assertThat(jobs.submit(B, JOB, ITEMS)).isInstanceOf(JobAccepted.class);
+        jobs.nodes.run(5_000);
+        assertThat(jobs.submit(C, JOB, ITEMS)).isInstanceOf(JobAccepted.class);
+        jobs.nodes.run(5_000);
+        assertThat(jobs.runsByItem.values()).hasSize(ITEMS).containsOnly(1);
+        assertThat(page(jobs.read(B, JOB, 0))).hasSize(ITEMS);
+    }
+
+    @Test
+    void anotherDaemonFinishesTheJobOfALostOwner() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(700);
+        HostId owner = jobs.owner();
+        HostId reader = others(owner).get(0);
+        List<ListedResult> before = page(jobs.read(reader, JOB, 0));
+        assertThat(before).isNotEmpty().hasSizeLessThan(ITEMS);
+        jobs.nodes.kill(owner);
+        jobs.nodes.run(15_000);
+        assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS).startsWith(before.toArray(ListedResult[]::new));
+    }
+
+    @Test
+    void anOwnerThatWakesFromAPauseWritesNothing() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(500);
+        HostId owner = jobs.owner();
+        jobs.nodes.freeze(owner);
+        jobs.nodes.run(15_000);
+        HostId reader = others(owner).get(0);
+        List<ListedResult> results = page(jobs.read(reader, JOB, 0));
+        assertThat(results).hasSize(ITEMS);
+        jobs.nodes.thaw(owner);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(owner, JOB, 0))).isEqualTo(results);
+        assertThat(page(jobs.read(reader, JOB, 0))).isEqualTo(results);
+    }
+
+    @Test
+    void lostAndLateAppendsDoubleNothing() {
+        int[] calls = new int[1];
+        jobs.nodes.setFaults((host, request) -> {
+            boolean writes = request instanceof StoreRequest.Append;
+            if (!writes || ++calls[0] % 2 == 0) {
+                return StoreFault.NONE;
+            }
+            return calls[0] % 4 == 1 ? StoreFault.ANSWER_LOST : StoreFault.DONE_LATE;
+        });
+        jobs.nodes.ask(A, VirtualJobs.job(JOB, ITEMS, jobs.nodes.nowMs()));
+        jobs.nodes.run(30_000);
+        List<ListedResult> results = page(jobs.read(B, JOB, 0));
+        assertThat(results).hasSize(ITEMS);
+        assertThat(new HashSet<>(results.stream().map(ListedResult::itemId).toList()))
+                .hasSize(ITEMS);
+        assertThat(jobs.runsByItem.values()).containsOnly(1);
+    }
+
+    @Test
+    void partitionsThatAreDealtAnewLoseNothing() {
+        for (int i = 0; i < 6; i++) {
+            jobs.submit(A, "job-" + i, ITEMS);
+        }
+        jobs.nodes.run(400);
+        jobs.nodes.store().rebalance();
+        jobs.nodes.run(30_000);
+        for (int i = 0; i < 6; i++) {
+            assertThat(itemIds(page(jobs.read(C, "job-" + i, 0)))).hasSize(ITEMS);
+        }
+    }
+
+    @Test
+    void recordsThatExpireLoseNothing() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.store().compact();
+        jobs.submit(B, "job-2", ITEMS);
+        jobs.nodes.store().compact();
+        jobs.nodes.run(10_000);
+        assertThat(page(jobs.read(C, JOB, 0))).hasSize(ITEMS);
+        assertThat(page(jobs.read(C, "job-2", 0))).hasSize(ITEMS);
+    }
+
+    @Test
+    void aStoreThatRefusesMakesTheJobNotRun() {
+        jobs.nodes.setFaults(
+                (host, request) -> request instanceof StoreRequest.Append ? StoreFault.REFUSED : StoreFault.NONE);
+        CallerReply reply = jobs.submit(A, JOB, ITEMS);
+        assertThat(reply)
+                .asInstanceOf(InstanceOfAssertFactories.type(Refusal.class))
+                .satisfies(refusal -> {
+                    assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+                    assertThat(refusal.retryAfterMs()).isPositive();
+                });
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(10_000);
+        assertThat(jobs.runsByItem).isEmpty();
+    }
+
+    @Test
+    void aSilentStoreMakesNoPromise() {
+        jobs.nodes.setFaults(
+                (host, request) -> request instanceof StoreRequest.Append ? StoreFault.REQUEST_LOST : StoreFault.NONE);
+        assertThat(jobs.submit(A, JOB, ITEMS))
+                .asInstanceOf(InstanceOfAssertFactories.type(Refusal.class))
+                .satisfies(refusal -> assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+    }
+
+    @Test
+    void anEndedJobBeginsNoFurtherItem() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(500);
+        assertThat(jobs.end(C, JOB)).isEqualTo(new JobEnded(new JobId(JOB)));
+        int before = jobs.runsByItem.size();
+        List<ListedResult> listed = page(jobs.read(B, JOB, 0));
+        jobs.nodes.run(10_000);
+        assertThat(jobs.runsByItem).hasSize(before);
+        assertThat(page(jobs.read(B, JOB, 0))).startsWith(listed.toArray(ListedResult[]::new));
+        assertThat(jobs.end(B, JOB)).isInstanceOf(JobEnded.class);
+    }
+
+    @Test
+    void anEndHoldsForTheNextOwnerToo() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(300);
+        HostId owner = jobs.owner();
+        jobs.nodes.kill(owner);
+        jobs.end(others(owner).get(0), JOB);
+        int before = jobs.runsByItem.size();
+        jobs.nodes.run(15_000);
+        assertThat(jobs.runsByItem).hasSize(before);
+    }
+
+    @Test
+    void anItemThatCanNeverBeDoneIsGivenUpAtOnce() {
+        jobs.setOutcomes((item, run) ->
+                item.endsWith("-3") ? FakeCapacity.failed(FailureKind.TARGET_ERROR, 422) : FakeCapacity.done(item));
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(A, JOB, 0)).stream().filter(result -> !result.completed()))
+                .extracting(ListedResult::itemId)
+                .containsExactly(JOB + "-item-3");
+        assertThat(jobs.runsByItem).containsEntry(JOB + "-item-3", 1);
+    }
+
+    @Test
+    void anItemThatFailsEachTimeIsGivenUpAfterItsAttempts() {
+        jobs.setOutcomes((item, run) ->
+                item.endsWith("-3") ? FakeCapacity.failed(FailureKind.TARGET_ERROR, 500) : FakeCapacity.done(item));
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(10_000);
+        assertThat(jobs.runsByItem).containsEntry(JOB + "-item-3", VirtualJobs.MAX_ATTEMPTS);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS);
+    }
+
+    @Test
+    void aLostConnectionCountsAsNoAttempt() {
+        jobs.setOutcomes((item, run) ->
+                run <= 5 ? FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0) : FakeCapacity.done(item));
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(20_000);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS).allMatch(ListedResult::completed);
+    }
+
+    @Test
+    void anItemThatHasToYieldGoesOnAfterItsLastEvent() {
+        jobs.submit(A, JOB, 1);
+        jobs.nodes.run(100);
+        FakeCapacity capacity = jobs.capacities.get(jobs.owner());
+        capacity.revokeAll(5, "first part");
+        jobs.nodes.run(100);
+        assertThat(capacity.resumePoints()).containsEntry(JOB + "-item-0", 5L);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(A, JOB, 0)).get(0).text().toStringUtf8())
+                .isEqualTo("first part\ntext of " + JOB + "-item-0");
+    }
+
+    @Test
+    void theBodyOfAnItemIsReadableUntilTheJobIsEnded() {
+        jobs.submit(A, JOB, ITEMS);
+        for (HostId host : List.of(A, B, C)) {
+            assertThat(jobs.readBody(host, JOB, JOB + "-item-7"))
+                    .asInstanceOf(InstanceOfAssertFactories.type(ItemBody.class))
+                    .satisfies(body -> assertThat(body.body().toStringUtf8()).isEqualTo("body 7 of " + JOB));
+        }
+        jobs.end(A, JOB);
+        jobs.nodes.run(100);
+        assertThat(jobs.readBody(B, JOB, JOB + "-item-7")).isInstanceOf(Refusal.class);
+    }
+
+    @Test
+    void aReaderTurnsToTheStoreWhenTheOwnerIsSilent() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        Set<HostId> silent = new HashSet<>(List.of(A, B, C));
+        silent.remove(A);
+        silent.forEach(jobs.nodes::freeze);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS);
+        assertThat(jobs.readBody(A, JOB, JOB + "-item-2")).isInstanceOf(ItemBody.class);
+    }
+
+    @Test
+    void onlyTheStoreSaysThatThereIsNoSuchJob() {
+        assertThat(code(jobs.read(A, "unknown", 0))).isEqualTo(RefusalCode.NOT_FOUND);
+        jobs.nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        assertThat(code(jobs.read(A, "unknown", 0))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        assertThat(code(jobs.readBody(B, "unknown", "item"))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+    }
+
+    @Test
+    void aReadWaitsForTheFirstResult() {
+        jobs.submit(A, JOB, ITEMS);
+        long askedAtMs = jobs.nodes.nowMs();
+        var request = jobs.nodes.ask(B, new ReadJob(new JobId(JOB), 0, 1_000));
+        jobs.nodes.run(200);
+        assertThat(jobs.nodes.reply(request)).isEmpty();
+        jobs.nodes.run(500);
+        assertThat(page(jobs.nodes.reply(request).orElseThrow())).isNotEmpty();
+        assertThat(jobs.nodes.nowMs() - askedAtMs).isLessThan(1_000);
+    }
+
+    @Test
+    void aDaemonThatStopsHandsItsPartitionsOver() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(300);
+        HostId owner = jobs.owner();
+        jobs.nodes.stop(owner);
+        jobs.nodes.run(200);
+        assertThat(jobs.nodes.quiescent(owner)).isTrue();
+        jobs.nodes.kill(owner);
+        jobs.nodes.run(6_000);
+        assertThat(page(jobs.read(others(owner).get(0), JOB, 0))).hasSize(ITEMS);
+    }
+
+    @Test
+    void everythingIsRememberedWhenAllDaemonsStartAnew() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(600);
+        List<ListedResult> before = page(jobs.read(A, JOB, 0));
+        List.of(A, B, C).forEach(jobs.nodes::kill);
+        jobs.nodes.run(1_000);
+        List.of(A, B, C).forEach(jobs::start);
+        jobs.nodes.run(15_000);
+        assertThat(page(jobs.read(C, JOB, 0))).hasSize(ITEMS).startsWith(before.toArray(ListedResult[]::new));
+    }
+
+    @Test
+    void anItemWithoutARouteIsGivenUp() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(300);
+        jobs.install(2, List.of());
+        jobs.nodes.run(3_000);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS).noneMatch(ListedResult::completed);
+    }
+
+    @Test
+    void anOldJobLeavesNothingInTheStore() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        jobs.nodes.run(VirtualJobs.RETENTION_MS + 5_000);
+        for (int partition = 0; partition < 3; partition++) {
+            assertThat(jobs.nodes.store().newest(JobRecords.jobs(partition))).isEmpty();
+            assertThat(jobs.nodes.store().newest(JobRecords.results(partition))).isEmpty();
+        }
+        assertThat(code(jobs.read(B, JOB, 0))).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
+    private static List<HostId> others(HostId host) {
+        return List.of(A, B, C).stream().filter(each -> !each.equals(host)).toList();
+    }
+
+    private static List<ListedResult> page(CallerReply reply) {
+        assertThat(reply).isInstanceOf(JobPage.class);
+        return ((JobPage) reply).results();
+    }
+
+    private static Set<String> itemIds(List<ListedResult> results) {
+        return new HashSet<>(results.stream().map(ListedResult::itemId).toList());
+    }
+
+    private static RefusalCode code(CallerReply reply) {
+        assertThat(reply).isInstanceOf(Refusal.class);
+        return ((Refusal) reply).code();
+    }
+}
--- /dev/null
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -0,0 +1,195 @@
+package org.cornelcrank.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.gateway.GatewayRoute;
+import org.cornelcrank.gateway.RequestLimits;
+import org.cornelcrank.gateway.RouteKind;
+import org.cornelcrank.gateway.RouteTable;
+import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.gateway.WeightedService;
+import org.cornelcrank.store.StoreCalls;
+import org.cornelcrank.store.fake.StoreModel;
+import org.cornelcrank.store.fake.VirtualNodes;
+
+/**
+ * Daemons that accept, run and read jobs against one store in virtual time.
+ *
+ * <p>Not thread-safe.
+ */
+final class VirtualJobs {
+
+    static final HostId A = new HostId("host-a");
+    static final HostId B = new HostId("host-b");
+    static final HostId C = new HostId("host-c");
+    static final long RETENTION_MS = 60_000;
+    static final int MAX_ATTEMPTS = 3;
+
+    private static final int PARTITIONS = 3;
+    private static final String HOST = "jobs.example";
+    private static final long DEADLINE_MS = 4_000;
+
+    final VirtualNodes nodes = new VirtualNodes(new StoreModel(PARTITIONS));
+    final Map<String, Integer> runsByItem = new TreeMap<>();
+    final Map<HostId, FakeCapacity> capacities = new HashMap<>();
+    final Map<HostId, RouteTableSettings> routes = new HashMap<>();
+    private final List<SharedFacts> facts = new ArrayList<>();
+    private BiFunction<String, Integer, AttemptOutcome> outcomes = (item, run) -> FakeCapacity.done(item);
+
+    VirtualJobs(HostId... hosts) {
+        for (HostId host : hosts) {
+            start(host);
+        }
+        nodes.run(3_000);
+    }
+
+    void setOutcomes(BiFunction<String, Integer, AttemptOutcome> newOutcomes) {
+        outcomes = newOutcomes;
+    }
+
+    void start(HostId host) {
+        nodes.start(host, startedAtMs -> duties(host, startedAtMs));
+    }
+
+    private List<Duty> duties(HostId host, long startedAtMs) {
+        Location location = new Location(new RegionId("region"), new DataCentreId("dc"));
+        DaemonIdentity identity = new DaemonIdentity(host, startedAtMs, location, "10.0.0.1:1");
+        StoreCalls store = new StoreCalls();
+        RouteTableSettings settings = new RouteTableSettings(location.region());
+        routes.put(host, settings);
+        FakeCapacity capacity = new FakeCapacity(host, nodes, runsByItem, (item, run) -> outcomes.apply(item, run));
+        capacities.put(host, capacity);
+        SharedFacts shared = new SharedFacts(host);
+        facts.add(shared);
+        JobDuty jobs = new JobDuty(
+                identity,
+                new JobSettings(PARTITIONS, 262_144, 2_097_152, 2_500, 700, RETENTION_MS),
+                settings,
+                store,
+                shared,
+                capacity,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(startedAtMs ^ host.hashCode()));
+        capacity.subscribe(jobs);
+        settings.install(new RouteTable(1, List.of(route("llm")), RequestLimits.DEFAULT), startedAtMs, new Effects());
+        return List.of(store, jobs);
+    }
+
+    static GatewayRoute route(String service) {
+        return new GatewayRoute(
+                "r-jobs",
+                HOST,
+                "/jobs/",
+                RouteKind.BATCH,
+                List.of(new WeightedService(new ServiceName(service), 100)),
+                2,
+                15_000,
+                500,
+                400,
+                MAX_ATTEMPTS,
+                true,
+                true,
+                18_000,
+                60_000);
+    }
+
+    /** Puts a table of routes in force at every daemon. */
+    void install(long version, List<GatewayRoute> table) {
+        RouteTable newer = new RouteTable(version, table, RequestLimits.DEFAULT);
+        routes.forEach((host, settings) -> nodes.act(host, (nowMs, out) -> settings.install(newer, nowMs, out)));
+    }
+
+    static SubmitJob job(String id, int items, long nowMs) {
+        List<JobItem> content = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            content.add(new JobItem(
+                    id + "-item-" + i,
+                    "/jobs/" + i,
+                    Map.of("Model", "m"),
+                    ByteString.copyFromUtf8("body " + i + " of " + id),
+                    100));
+        }
+        return new SubmitJob(new JobId(id), new JobContent(HOST, content), nowMs + DEADLINE_MS);
+    }
+
+    /** Submits a job and returns the reply once there is one. */
+    CallerReply submit(HostId host, String id, int items) {
+        return await(nodes.ask(host, job(id, items, nodes.nowMs())));
+    }
+
+    CallerReply end(HostId host, String id) {
+        return await(nodes.ask(host, new EndJob(new JobId(id), nodes.nowMs() + DEADLINE_MS)));
+    }
+
+    CallerReply read(HostId host, String id, int fromPosition) {
+        return await(nodes.ask(host, new ReadJob(new JobId(id), fromPosition, 0)));
+    }
+
+    CallerReply readBody(HostId host, String id, String item) {
+        return await(nodes.ask(host, new ReadItemBody(new JobId(id), item)));
+    }
+
+    private CallerReply await(RequestId request) {
+        for (int i = 0; i < 1_000 && nodes.reply(request).isEmpty(); i++) {
+            nodes.run(10);
+        }
+        return nodes.reply(request).orElseThrow(() -> new AssertionError("no reply to " + request));
+    }
+
+    /** Returns the host that runs a job's items, which must have begun. */
+    HostId owner() {
+        return capacities.entrySet().stream()
+                .filter(entry -> entry.getValue().runningItems() > 0)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no host runs an item"));
+    }
+
+    /** Facts that reach every daemon at once. */
+    private final class SharedFacts implements Dissemination {
+
+        private final HostId host;
+        private final List<FactListener> listeners = new ArrayList<>();
+
+        SharedFacts(HostId host) {
+            this.host = host;
+        }
+
+        @Override
+        public void publish(Fact fact, long nowMs, Effects out) {
+            for (SharedFacts each : facts) {
+                nodes.later(
+                        VirtualNodes.PEER_MS,
+                        () -> nodes.act(
+                                each.host,
+                                (atMs, effects) -> each.listeners.forEach(
+                                        listener -> listener.factReceived(fact, atMs, effects))));
+            }
+        }
+
+        @Override
+        public void subscribe(String slice, FactListener listener) {
+            listeners.add(listener);
+        }
+    }
+}
