--- /dev/null
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryDutyTests.java
@@ -0,0 +1,267 @@
+package org.cornelcrank.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGeneratorFactory;
+
+import com.google.protobuf.ByteString;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.DataCentreId;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostEntry;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.KeyedRecord;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.RegionId;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TopicPartition;
+import org.cornelcrank.store.StoreCalls;
+import org.cornelcrank.store.fake.StoreModel;
+import org.cornelcrank.store.fake.VirtualNodes;
+import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The directory over a store with its faults. */
+class DirectoryDutyTests {
+
+    private static final HostId A = new HostId("host-a");
+    private static final HostId B = new HostId("host-b");
+    private static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
+
+    private final VirtualNodes nodes = new VirtualNodes(new StoreModel(1));
+    private final Map<HostId, RouteTableSettings> settings = new HashMap<>();
+    private final Map<HostId, HostList> lists = new HashMap<>();
+
+    @Test
+    void routesAndTargetsAndHostsAreLearnedAndFollowed() {
+        putRoutes(3);
+        putTarget("t-1", "ready");
+        start(A);
+        start(B);
+        nodes.run(1_000);
+        assertThat(settings.get(A).version()).isEqualTo(3);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+        assertThat(hosts(A)).containsExactlyInAnyOrder("host-a", "host-b");
+        putRoutes(4);
+        putTarget("t-2", "ready");
+        putTarget("t-1", "leaving");
+        nodes.run(100);
+        assertThat(settings.get(B).version()).isEqualTo(4);
+        assertThat(targets(B)).containsExactly("t-1 leaving", "t-2 ready");
+    }
+
+    @Test
+    void aTargetWhoseEntryIsDroppedGetsNothingNew() {
+        putTarget("t-1", "ready");
+        start(A);
+        nodes.run(1_000);
+        dropTarget("t-1");
+        nodes.run(100);
+        assertThat(targets(A)).isEmpty();
+    }
+
+    @Test
+    void aTargetThatVanishedWhileTheStoreFailedMayRegisterAgain() {
+        putTarget("t-1", "ready");
+        putTarget("t-2", "ready");
+        start(A);
+        nodes.run(1_000);
+        nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        nodes.run(5_000);
+        dropTarget("t-1");
+        dropTarget("t-2");
+        nodes.setFaults((host, request) -> StoreFault.NONE);
+        nodes.run(1_200);
+        assertThat(targets(A)).containsExactly("t-1 ready", "t-2 ready");
+        putTarget("t-1", "ready");
+        nodes.run(5_000);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+    }
+
+    @Test
+    void routesNeverGoBackAndUnreadableOnesChangeNothing() {
+        putRoutes(7);
+        start(A);
+        nodes.run(1_000);
+        put("routes", "table", "broken");
+        putRoutes(5);
+        nodes.run(1_000);
+        assertThat(settings.get(A).version()).isEqualTo(7);
+        assertThat(nodes.stateChanges()).anyMatch(line -> line.contains("cannot be read"));
+    }
+
+    @Test
+    void anEntryThatCannotBeReadNamesNoTargetAndTheOthersHold() {
+        putTarget("t-1", "ready");
+        putTarget("t-2", "bewildered");
+        start(A);
+        nodes.run(1_000);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+    }
+
+    @Test
+    void expiredRecordsAreReadAnew() {
+        putRoutes(1);
+        putTarget("t-1", "ready");
+        start(A);
+        nodes.run(1_000);
+        nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        nodes.run(1_000);
+        putRoutes(2);
+        putTarget("t-2", "ready");
+        dropTarget("t-1");
+        nodes.store().compact();
+        nodes.setFaults((host, request) -> StoreFault.NONE);
+        nodes.run(5_000);
+        assertThat(settings.get(A).version()).isEqualTo(2);
+        assertThat(targets(A)).containsExactly("t-2 ready");
+    }
+
+    @Test
+    void theLastStateStandsWithoutTheStore() {
+        putRoutes(1);
+        putTarget("t-1", "ready");
+        start(A);
+        nodes.run(1_000);
+        nodes.setFaults((host, request) -> StoreFault.REQUEST_LOST);
+        nodes.run(60_000);
+        assertThat(settings.get(A).version()).isEqualTo(1);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+    }
+
+    @Test
+    void aHostWhoseOwnEntryVanishesEntersAnew() {
+        start(A);
+        nodes.run(1_000);
+        append("hosts", KeyedRecord.dropping("host-a"));
+        nodes.run(1_000);
+        assertThat(hosts(A)).containsExactly("host-a");
+    }
+
+    private void start(HostId host) {
+        nodes.start(host, startedAtMs -> {
+            RouteTableSettings routes = new RouteTableSettings(new RegionId("region"));
+            settings.put(host, routes);
+            HostList list = new HostList();
+            lists.put(host, list);
+            StoreCalls store = new StoreCalls();
+            Location location = new Location(new RegionId("region"), DATA_CENTRE);
+            return List.of(
+                    store,
+                    new DirectoryDuty(
+                            new DaemonIdentity(host, startedAtMs, location, "10.0.0.1:7"),
+                            Map.of(DATA_CENTRE, new RegionId("region")),
+                            new TextFormat(),
+                            routes,
+                            store,
+                            RandomGeneratorFactory.of("L64X128MixRandom").create(1)),
+                    list);
+        });
+    }
+
+    private void putRoutes(long version) {
+        put("routes", "table", Long.toString(version));
+    }
+
+    private void putTarget(String id, String state) {
+        put("targets", id, state);
+    }
+
+    private void dropTarget(String id) {
+        append("targets", KeyedRecord.dropping(id));
+    }
+
+    private void put(String topic, String key, String value) {
+        append(topic, new KeyedRecord(key, ByteString.copyFromUtf8(value)));
+    }
+
+    private void append(String topic, KeyedRecord record) {
+        nodes.append(new StoreRequest.Append(new TopicPartition(topic, 0), List.of(record), Optional.empty(), 1_000));
+    }
+
+    private List<String> targets(HostId host) {
+        return lists.get(host).entries.stream()
+                .filter(entry -> entry.role() == HostRole.TARGET)
+                .map(entry -> entry.name() + (entry.leaving() ? " leaving" : " ready"))
+                .toList();
+    }
+
+    private List<String> hosts(HostId host) {
+        return lists.get(host).entries.stream()
+                .filter(entry -> entry.role() == HostRole.ENTRY)
+                .map(HostEntry::name)
+                .toList();
+    }
+
+    /** Keeps the last list that was told. */
+    private static final class HostList implements Duty {
+
+        private List<HostEntry> entries = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "hosts";
+        }
+
+        @Override
+        public void on(Event event, long nowMs, Effects out) {
+            if (event instanceof Event.HostListRead read) {
+                entries = read.hosts();
+            }
+        }
+
+        @Override
+        public void dump(StateWriter writer, long nowMs) {
+            // Keeps nothing to show.
+        }
+    }
+
+    /** Routes are their version, and a target is its state. */
+    private static final class TextFormat implements DirectoryFormat {
+
+        @Override
+        public TopicPartition routes() {
+            return new TopicPartition("routes", 0);
+        }
+
+        @Override
+        public String routesKey() {
+            return "table";
+        }
+
+        @Override
+        public TopicPartition targets() {
+            return new TopicPartition("targets", 0);
+        }
+
+        @Override
+        public Optional<RouteTable> routeTable(ByteString value) {
+            try {
+                return Optional.of(RouteTableTests.table(Long.parseLong(value.toStringUtf8())));
+            } catch (NumberFormatException e) {
+                return Optional.empty();
+            }
+        }
+
+        @Override
+        public Optional<TargetEntry> target(String id, ByteString value) {
+            String state = value.toStringUtf8();
+            if (!List.of("ready", "leaving").contains(state)) {
+                return Optional.empty();
+            }
+            return Optional.of(new TargetEntry(
+                    new TargetId(id), new ServiceName("s"), "10.0.0.9:1", DATA_CENTRE, 8, state.equals("leaving"), 1));
+        }
+    }
+}
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -140,6 +140,11 @@
         }
     }
 
+    /** Appends to the store as somebody else would, and wakes who waits for it. */
+    public void append(StoreRequest.Append append) {
+        carryOut(append);
+    }
+
     /** Schedules something for later. */
     public void later(long delayMs, Runnable action) {
         tasks.add(new Task(nowMs + delayMs, ++lastTask, action));
