--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
@@ -99,8 +99,7 @@
     }
 
     static AttemptOutcome echo(BatchWork work) {
-        return new AttemptOutcome.Succeeded(
-                200, "application/json", ((DispatchSource.Inline) work.source()).body(), 1);
+        return new AttemptOutcome.Succeeded(200, "application/json", ((DispatchSource.Inline) work.source()).body(), 1);
     }
 
     static AttemptOutcome failure(FailureKind kind, Verdict verdict) {
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
@@ -0,0 +1,102 @@
+package org.cornelcrank.server;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Duty;
+import org.cornelcrank.core.MembershipView;
+import org.cornelcrank.core.PeerMessageCodec;
+import org.cornelcrank.core.StableHash;
+import org.cornelcrank.daemon.DaemonCore;
+import org.cornelcrank.daemon.DecisionJournal;
+import org.cornelcrank.daemon.OperationsDuty;
+import org.cornelcrank.daemon.OperationsMessageCodec;
+import org.cornelcrank.daemon.RoutingPolicies;
+import org.cornelcrank.gateway.DirectoryDuty;
+import org.cornelcrank.gateway.DirectoryFormat;
+import org.cornelcrank.gateway.RouteTableSettings;
+import org.cornelcrank.job.JobDuty;
+import org.cornelcrank.job.JobMessageCodec;
+import org.cornelcrank.job.JobSettings;
+import org.cornelcrank.membership.MembershipDuty;
+import org.cornelcrank.membership.MembershipMessageCodec;
+import org.cornelcrank.membership.MembershipSettings;
+import org.cornelcrank.routing.RoutingDuty;
+import org.cornelcrank.routing.RoutingMessageCodec;
+import org.cornelcrank.server.settings.GatewaySettings;
+import org.cornelcrank.store.StoreCalls;
+
+/**
+ * The duties of a daemon that serves a platform's callers, composed into its decision core.
+ *
+ * <p>Immutable; the duties are confined to the daemon's event loop.
+ */
+record GatewayAssembly(DaemonCore core, MembershipView membership, RouteTableSettings routes) {
+
+    private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
+    private static final int MAX_EXPLAINED_SUBJECTS = 1_024;
+    private static final int MAX_DECISIONS_PER_SUBJECT = 16;
+
+    /** How long a partition of jobs stays with a daemon that has fallen silent, in ms: several renewals. */
+    private static final long LEASE_MS = 2_500;
+
+    /** The time between two renewals of partitions of jobs, in ms; each costs the store a tenth of a call. */
+    private static final long RENEW_INTERVAL_MS = 700;
+
+    /** Builds the duties. */
+    static GatewayAssembly assemble(
+            GatewaySettings settings, DaemonIdentity identity, DirectoryFormat format, MetricRegistry metrics) {
+        long seed = settings.seed() == 0
+                ? identity.incarnation() ^ StableHash.of(identity.host().value())
+                : settings.seed();
+        StoreCalls store = new StoreCalls();
+        RouteTableSettings routes = new RouteTableSettings(settings.location().region());
+        DirectoryDuty directory = new DirectoryDuty(
+                identity, settings.dataCentres(), format, routes, store, random(seed, DirectoryDuty.NAME));
+        MembershipDuty membership = new MembershipDuty(
+                identity, Map.of(), MembershipSettings.defaults(), random(seed, "membership"), metrics);
+        RoutingDuty routing = new RoutingDuty(
+                identity,
+                membership,
+                membership,
+                routes,
+                RoutingPolicies.named(settings.policy()),
+                random(seed, RoutingDuty.NAME),
+                metrics);
+        JobDuty jobs = new JobDuty(
+                identity, jobSettings(settings), routes, store, membership, routing, random(seed, JobDuty.NAME));
+        routing.subscribe(jobs);
+        DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
+        List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
+        duties.add(new OperationsDuty(membership, journal, () -> duties));
+        return new GatewayAssembly(new DaemonCore(duties, journal, dispatch -> {}), membership, routes);
+    }
+
+    private static JobSettings jobSettings(GatewaySettings settings) {
+        return new JobSettings(
+                settings.storePartitions(),
+                settings.storeRecordBytes(),
+                settings.storeRequestBytes(),
+                LEASE_MS,
+                RENEW_INTERVAL_MS,
+                settings.jobRetentionMs());
+    }
+
+    private static RandomGenerator random(long seed, String duty) {
+        return RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(seed ^ StableHash.of(duty));
+    }
+
+    /** Returns the codecs of all messages between daemons. */
+    static List<PeerMessageCodec> codecs() {
+        return List.of(
+                new MembershipMessageCodec(),
+                new RoutingMessageCodec(),
+                new JobMessageCodec(),
+                new OperationsMessageCodec());
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -1,12 +1,9 @@
 package org.cornelcrank.server;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,27 +15,11 @@
 import org.cornelcrank.core.Duty;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
-import org.cornelcrank.core.PeerMessageCodec;
-import org.cornelcrank.core.StableHash;
 import org.cornelcrank.daemon.DaemonCore;
-import org.cornelcrank.daemon.DecisionJournal;
-import org.cornelcrank.daemon.OperationsDuty;
-import org.cornelcrank.daemon.OperationsMessageCodec;
-import org.cornelcrank.daemon.RoutingPolicies;
-import org.cornelcrank.gateway.DirectoryDuty;
-import org.cornelcrank.gateway.RouteTableSettings;
-import org.cornelcrank.job.JobDuty;
-import org.cornelcrank.job.JobMessageCodec;
-import org.cornelcrank.job.JobSettings;
-import org.cornelcrank.membership.MembershipDuty;
-import org.cornelcrank.membership.MembershipMessageCodec;
-import org.cornelcrank.membership.MembershipSettings;
 import org.cornelcrank.platform.PlatformDialect;
 import org.cornelcrank.platform.PlatformDirectoryFormat;
 import org.cornelcrank.platform.PlatformJobDialect;
 import org.cornelcrank.platform.PlatformStoreClient;
-import org.cornelcrank.routing.RoutingDuty;
-import org.cornelcrank.routing.RoutingMessageCodec;
 import org.cornelcrank.server.gateway.GatewayEdge;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
@@ -49,7 +30,6 @@
 import org.cornelcrank.server.peer.SharedKey;
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.cornelcrank.server.settings.GatewaySettings;
-import org.cornelcrank.store.StoreCalls;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.scheduler.Scheduler;
@@ -66,16 +46,6 @@
 public final class GatewayProcess {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(GatewayProcess.class);
-    private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
-    private static final int MAX_EXPLAINED_SUBJECTS = 1_024;
-    private static final int MAX_DECISIONS_PER_SUBJECT = 16;
-
-    /** How long a partition of jobs stays with a daemon that has fallen silent, in ms: several renewals. */
-    private static final long LEASE_MS = 2_500;
-
-    /** The time between two renewals of partitions of jobs, in ms; each costs the store a tenth of a call. */
-    private static final long RENEW_INTERVAL_MS = 700;
-
     /** The pause between two checks whether the drain is over, in ms. */
     private static final long DRAIN_CHECK_INTERVAL_MS = 50;
 
@@ -122,54 +92,29 @@
         Scheduler scheduler = Schedulers.fromExecutorService(group.next(), "cornelcrank-io");
         DaemonIdentity identity = new DaemonIdentity(
                 settings.host(), clock.nowMs(), settings.location(), SocketAddresses.format(settings.peerAddress()));
-        long seed = settings.seed() == 0
-                ? identity.incarnation() ^ StableHash.of(settings.host().value())
-                : settings.seed();
-
-        StoreCalls store = new StoreCalls();
-        RouteTableSettings routes = new RouteTableSettings(settings.location().region());
-        PlatformDirectoryFormat directoryFormat = new PlatformDirectoryFormat(json);
-        DirectoryDuty directory = new DirectoryDuty(
-                identity, settings.dataCentres(), directoryFormat, routes, store, random(seed, "directory"));
-        MembershipDuty membership = new MembershipDuty(
-                identity, java.util.Map.of(), MembershipSettings.defaults(), random(seed, "membership"), metrics);
-        RoutingDuty routing = new RoutingDuty(
-                identity,
-                membership,
-                membership,
-                routes,
-                RoutingPolicies.named(settings.policy()),
-                random(seed, "routing"),
-                metrics);
-        JobDuty jobs =
-                new JobDuty(identity, jobSettings(settings), routes, store, membership, routing, random(seed, "job"));
-        routing.subscribe(jobs);
-        DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
-        List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
-        duties.add(new OperationsDuty(membership, journal, () -> duties));
-        DaemonCore core = new DaemonCore(duties, journal, dispatch -> {});
-
-        CoreLoop loop = new CoreLoop(core, clock, scheduler, metrics);
+        GatewayAssembly assembly =
+                GatewayAssembly.assemble(settings, identity, new PlatformDirectoryFormat(json), metrics);
+        CoreLoop loop = new CoreLoop(assembly.core(), clock, scheduler, metrics);
         AtomicBoolean stopping = new AtomicBoolean();
-        GatewayEdge edge = new GatewayEdge(
+        GatewayEdge edge = new GatewayEdge(new GatewayEdge.Surroundings(
                 settings,
                 identity,
                 loop,
                 clock,
                 new PlatformDialect(),
                 new PlatformJobDialect(json),
-                routes,
+                assembly.routes(),
                 loops,
                 stopping,
-                metrics);
+                metrics));
         PlatformStoreClient storeClient = new PlatformStoreClient(settings.storeAddress(), loops, json);
         PeerTransport transport = new PeerTransport(
                 new PeerSecurity(
                         new PeerIdentity(settings.deployment(), identity.host(), identity.incarnation()),
                         new SharedKey(settings.sharedKey()),
-                        java.util.Optional.empty()),
-                new PeerCodecs(codecs()),
-                membership::address,
+                        Optional.empty()),
+                new PeerCodecs(GatewayAssembly.codecs()),
+                assembly.membership()::address,
                 loop,
                 clock,
                 metrics,
@@ -182,25 +127,7 @@
         edge.bind();
         loop.post(new Event.Started());
         LOGGER.info("Daemon {} serves at {}", settings.host(), SocketAddresses.format(settings.frontAddress()));
-        return new GatewayProcess(settings, loop, core, edge, transport, group, stopping);
-    }
-
-    private static JobSettings jobSettings(GatewaySettings settings) {
-        return new JobSettings(
-                settings.storePartitions(),
-                settings.storeRecordBytes(),
-                settings.storeRequestBytes(),
-                LEASE_MS,
-                RENEW_INTERVAL_MS,
-                settings.jobRetentionMs());
-    }
-
-    private static List<PeerMessageCodec> codecs() {
-        return List.of(
-                new MembershipMessageCodec(),
-                new RoutingMessageCodec(),
-                new JobMessageCodec(),
-                new OperationsMessageCodec());
+        return new GatewayProcess(settings, loop, assembly.core(), edge, transport, group, stopping);
     }
 
     private static boolean callStore(Effect effect, PlatformStoreClient client, CoreLoop loop) {
@@ -261,8 +188,4 @@
     private boolean quiescent() {
         return edge.openCalls() == 0 && core.duties().stream().allMatch(Duty::quiescent);
     }
-
-    private static RandomGenerator random(long seed, String duty) {
-        return RandomGeneratorFactory.of(RANDOM_ALGORITHM).create(seed ^ StableHash.of(duty));
-    }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -1,6 +1,5 @@
 package org.cornelcrank.server.gateway;
 
-import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
@@ -31,23 +30,14 @@
     private DisposableServer readiness;
 
     /** Builds the parts around the loop of the decision core. */
-    public GatewayEdge(
-            GatewaySettings settings,
-            DaemonIdentity identity,
-            CoreLoop loop,
-            MonotonicClock clock,
-            GatewayDialect dialect,
-            JobDialect jobDialect,
-            RouteTableSettings routes,
-            LoopResources loops,
-            AtomicBoolean stopping,
-            MetricRegistry metrics) {
-        this.settings = Objects.requireNonNull(settings, "settings must not be null");
-        this.loops = Objects.requireNonNull(loops, "loops must not be null");
-        this.calls = new GatewayCalls(identity, loop, metrics);
-        this.targets = new GatewayTargetClient(loop, calls, dialect, loops, metrics);
-        this.jobs = new JobFront(calls, loop, clock, jobDialect, dialect);
-        this.front = new GatewayFront(calls, dialect, routes, clock, jobs, stopping, metrics);
+    public GatewayEdge(Surroundings around) {
+        this.settings = around.settings();
+        this.loops = around.loops();
+        this.calls = new GatewayCalls(around.identity(), around.loop(), around.metrics());
+        this.targets = new GatewayTargetClient(around.loop(), calls, around.dialect(), loops, around.metrics());
+        this.jobs = new JobFront(calls, around.loop(), around.clock(), around.jobDialect(), around.dialect());
+        this.front = new GatewayFront(
+                calls, around.dialect(), around.routes(), around.clock(), jobs, around.stopping(), around.metrics());
     }
 
     /** Adds the runners of the effects that the edge carries out. */
@@ -73,4 +63,17 @@
         callers.disposeNow();
         readiness.disposeNow();
     }
+
+    /** What the edge is built around. */
+    public record Surroundings(
+            GatewaySettings settings,
+            DaemonIdentity identity,
+            CoreLoop loop,
+            MonotonicClock clock,
+            GatewayDialect dialect,
+            JobDialect jobDialect,
+            RouteTableSettings routes,
+            LoopResources loops,
+            AtomicBoolean stopping,
+            MetricRegistry metrics) {}
 }
