Queue at several targets at once, set late requests aside, and log each decision as a JSON line

Requests that can no longer meet their objective now go behind those that can, and a request that waits queues at up to two further targets. No place is kept free for online requests, as a batch permit comes back at once.

The new decision log shows why: items begin in gaps of some ms at a peak and are cut again, and start late in a trough.

--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DecisionJournal.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DecisionJournal.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.Consumer;
 
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Subject;
@@ -19,6 +21,7 @@
 
     private final int maxPerSubject;
     private final Map<Subject, Deque<Decision>> decisions;
+    private final Consumer<Effect.Explain> listener;
 
     /**
      * Creates an empty journal.
@@ -27,15 +30,28 @@
      * @param maxPerSubject how many decisions are kept of each, at least one
      */
     public DecisionJournal(int maxSubjects, int maxPerSubject) {
+        this(maxSubjects, maxPerSubject, explain -> {});
+    }
+
+    /**
+     * Creates an empty journal that tells of each decision.
+     *
+     * @param maxSubjects how many subjects are kept, at least one
+     * @param maxPerSubject how many decisions are kept of each, at least one
+     * @param listener is told of each decision as it is recorded
+     */
+    public DecisionJournal(int maxSubjects, int maxPerSubject, Consumer<Effect.Explain> listener) {
         if (maxSubjects < 1 || maxPerSubject < 1) {
             throw new IllegalArgumentException(
                     "bounds must be at least 1 but were " + maxSubjects + " and " + maxPerSubject);
         }
+        this.listener = Objects.requireNonNull(listener, "listener must not be null");
         this.maxPerSubject = maxPerSubject;
         this.decisions = new BoundedSubjects(maxSubjects);
     }
 
     void record(Effect.Explain explain) {
+        listener.accept(explain);
         Deque<Decision> kept = decisions.computeIfAbsent(explain.subject(), subject -> new ArrayDeque<>(2));
         if (kept.size() == maxPerSubject) {
             kept.removeFirst();
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -262,6 +262,13 @@
         JobItem content = run.content().items().get(item.get());
         running.put(permit.number(), new RunningItem(permit, run, item.get()));
         demand(run, nowMs, out);
+        out.explain(
+                Subject.Kind.ITEM,
+                content.id(),
+                nowMs,
+                "runs on " + permit.target(),
+                "job " + run.id() + ", after event " + run.progress(item.get()).events() + ", "
+                        + run.waitingCount(nowMs) + " of " + run.remaining() + " wait");
         DispatchSource source = new DispatchSource.Prepared(
                 content.id(),
                 run.content().host(),
@@ -287,6 +294,12 @@
             return false;
         }
         JobRun run = ran.run();
+        out.explain(
+                Subject.Kind.ITEM,
+                run.content().items().get(ran.item()).id(),
+                nowMs,
+                "run ended on " + permit.target(),
+                summary(outcome));
         if (closed || run.ended() || run.isFinished(ran.item())) {
             return true;
         }
@@ -300,6 +313,14 @@
         return true;
     }
 
+    private static String summary(AttemptOutcome outcome) {
+        if (outcome instanceof AttemptOutcome.Failed failed) {
+            return failed.kind() + ", status " + failed.status() + ", after " + failed.tokens() + " events, "
+                    + failed.detail();
+        }
+        return "whole, " + ((AttemptOutcome.Succeeded) outcome).tokens() + " events";
+    }
+
     private void runFailed(JobRun run, int item, AttemptOutcome.Failed failed, long nowMs, Effects out) {
         JobRun.ItemProgress progress = run.progress(item);
         progress.add(failed.tokens(), failed.body());
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -89,7 +89,13 @@
         } else if (context.suspects().suspected(work.fingerprint(), nowMs)) {
             run.markSuspect();
             RoutingMessage.AskPermit ask = new RoutingMessage.AskPermit(
-                    run.permitId(), permit.target(), run.service(), Urgency.BATCH, work.timeoutMs(), true);
+                    run.permitId(),
+                    permit.target(),
+                    run.service(),
+                    Urgency.BATCH,
+                    work.timeoutMs(),
+                    RoutingMessage.AskPermit.NO_OBJECTIVE,
+                    true);
             context.peers().send(run.controller(), ask, out);
         } else {
             dispatch(run, run.permitId(), out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -65,7 +66,7 @@
 
     @Override
     public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
-        Route route = new Route(request, listener);
+        Route route = new Route(request, listener, nowMs);
         context.count("requests");
         if (routes.containsKey(request.id())) {
             throw new IllegalArgumentException("request must be routed once but was again: " + request.id());
@@ -181,6 +182,9 @@
             permits.giveBack(from, granted.attempt(), granted.target(), out);
             return;
         }
+        if (route.seeksPermit() && !granted.attempt().equals(route.attempt)) {
+            turnToSpare(route, granted.attempt(), out);
+        }
         route.target.told(granted.occupancy(), nowMs);
         route.permitted = true;
         if (route.seeksPermit()) {
@@ -197,10 +201,12 @@
             }
             return;
         }
-        route.target.told(queued.occupancy(), nowMs);
-        if (route.phase == Route.Phase.ASKED && moveToTargetWithRoom(route, nowMs, out)) {
+        Optional<Bid> spare = spareBid(route, queued.attempt());
+        spare.map(Bid::target).orElse(route.target).told(queued.occupancy(), nowMs);
+        if (spare.isPresent() || route.phase == Route.Phase.ASKED && moveToTargetWithRoom(route, nowMs, out)) {
             return;
         }
+        bidElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
         wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + RECHECK_MS), out);
     }
@@ -225,11 +231,71 @@
         return true;
     }
 
+    private static Optional<Bid> spareBid(Route route, AttemptId attempt) {
+        return route.spareBids.stream()
+                .filter(bid -> bid.attempt().equals(attempt))
+                .findFirst();
+    }
+
+    /** Lets a request that waits queue at further targets; the first permit is used and the others given back. */
+    private void bidElsewhere(Route route, long nowMs, Effects out) {
+        while (!route.suspect
+                && route.spareBids.size() < context.routing().permits().maxSpareBids()) {
+            List<TargetId> excluded = new ArrayList<>(route.excluded);
+            excluded.add(route.target.id());
+            route.spareBids.forEach(bid -> excluded.add(bid.target().id()));
+            Optional<TargetState> target = context.settings()
+                    .team(route.request.team())
+                    .flatMap(team -> choice.chooseSpare(route.request, team, excluded, nowMs));
+            Optional<HostId> controller = target.flatMap(context.controllers()::controllerOf);
+            if (controller.isEmpty()) {
+                return;
+            }
+            Bid bid = new Bid(context.attempts().next(), target.get(), controller.get());
+            route.spareBids.add(bid);
+            byAttempt.put(bid.attempt(), route);
+            permits.ask(route, bid, nowMs, out);
+        }
+    }
+
+    /** Makes a spare bid the one that counts, and gives the one that counted up. */
+    private void turnToSpare(Route route, AttemptId attempt, Effects out) {
+        Bid bid = spareBid(route, attempt).orElseThrow();
+        route.spareBids.remove(bid);
+        byAttempt.remove(route.attempt);
+        permits.release(route, route.attempt, RoutingMessage.Use.UNUSED, out);
+        takeOver(route, bid);
+    }
+
+    private static void takeOver(Route route, Bid bid) {
+        route.attempt = bid.attempt();
+        route.target = bid.target();
+        route.controller = bid.controller();
+    }
+
+    private void withdrawSpares(Route route, Effects out) {
+        for (Bid bid : List.copyOf(route.spareBids)) {
+            dropSpare(route, bid, out);
+        }
+    }
+
+    private void dropSpare(Route route, Bid bid, Effects out) {
+        route.spareBids.remove(bid);
+        byAttempt.remove(bid.attempt());
+        permits.giveBack(bid.controller(), bid.attempt(), bid.target().id(), out);
+    }
+
     void refused(RoutingMessage.PermitRefused refused, long nowMs, Effects out) {
         Route route = byAttempt.get(refused.attempt());
         if (route == null || !route.seeksPermit()) {
             return;
         }
+        Optional<Bid> spare = spareBid(route, refused.attempt());
+        if (spare.isPresent()) {
+            route.spareBids.remove(spare.get());
+            byAttempt.remove(refused.attempt());
+            return;
+        }
         if (refused.reason() == RoutingMessage.Reason.NOT_CONTROLLER) {
             redirect(route, refused.controller(), nowMs, out);
             return;
@@ -248,6 +314,10 @@
                     ? refused.retryAfterMs()
                     : Math.min(route.retryAfterMs, refused.retryAfterMs());
         }
+        if (!route.spareBids.isEmpty()) {
+            takeOver(route, route.spareBids.remove(0));
+            return;
+        }
         boolean mayAskAgain = route.asks < context.routing().permits().maxAsks()
                 || refused.reason() == RoutingMessage.Reason.UNAVAILABLE;
         if (route.bytesReachedCaller || !mayAskAgain) {
@@ -311,6 +381,7 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
+        withdrawSpares(route, out);
         wakeups.remove(request.id());
         route.phase = Route.Phase.RUNNING;
         route.attempts++;
@@ -468,13 +539,15 @@
 
     /** Gives up the place in a controller's queue, or a permit that is on its way. */
     private void withdraw(Route route, Effects out) {
+        withdrawSpares(route, out);
         byAttempt.remove(route.attempt);
         permits.release(route, route.attempt, RoutingMessage.Use.UNUSED, out);
     }
 
     /** Turns to the controllers of a changed membership with what waits and what runs. */
     void controllersChanged(long nowMs, Effects out) {
-        for (Route route : List.copyOf(byAttempt.values())) {
+        for (Route route : new LinkedHashSet<>(byAttempt.values())) {
+            withdrawMovedSpares(route, out);
             Optional<HostId> controller = context.controllers().controllerOf(route.target);
             if (controller.isEmpty() || controller.get().equals(route.controller)) {
                 continue;
@@ -486,6 +559,14 @@
         }
     }
 
+    private void withdrawMovedSpares(Route route, Effects out) {
+        for (Bid bid : List.copyOf(route.spareBids)) {
+            if (!context.controllers().controllerOf(bid.target()).equals(Optional.of(bid.controller()))) {
+                dropSpare(route, bid, out);
+            }
+        }
+    }
+
     /** Returns what runs now, for the announcement to controllers. */
     Collection<Route> running() {
         return byAttempt.values().stream().filter(route -> !route.seeksPermit()).toList();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -95,6 +95,7 @@
         if (closed) {
             dropWaiters().forEach(waiter -> decisions.add(refuse(waiter, RoutingMessage.Reason.UNAVAILABLE, 0)));
         }
+        setLateAside(nowMs);
         refuseExcess(nowMs, decisions);
         for (PermitWaiter first = firstRunnable(); first != null; first = firstRunnable()) {
             if (tooLate(first, nowMs)) {
@@ -111,6 +112,16 @@
         return decisions;
     }
 
+    /** Puts requests that can no longer meet their objective behind those that can. */
+    private void setLateAside(long nowMs) {
+        for (PermitWaiter waiter : List.copyOf(waiters)) {
+            if (waiter.becameLate(nowMs)) {
+                remove(waiter);
+                add(waiter.asLate());
+            }
+        }
+    }
+
     /** Returns whether a request that has waited would most likely not end before its deadline. */
     private boolean tooLate(PermitWaiter waiter, long nowMs) {
         long neededMs = nowMs > waiter.askedAtMs() ? holdTimes.mostMs(waiter.service()) : 1;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
@@ -15,6 +15,9 @@
 
     private static final int OTHER_REGION_PATIENCE_FACTOR = 12;
 
+    /** How long a target takes to begin its answer while that is not known, in ms. */
+    private static final long FIRST_START_MS = 25;
+
     private final RoutingContext context;
 
     PermitRequests(RoutingContext context) {
@@ -23,14 +26,29 @@
 
     /** Asks the request's controller; asking again for the same attempt changes nothing. */
     void ask(Route route, long nowMs, Effects out) {
+        ask(route, new Bid(route.attempt, route.target, route.controller), nowMs, out);
+    }
+
+    /** Asks another controller for the same request. */
+    void ask(Route route, Bid bid, long nowMs, Effects out) {
         RoutingMessage.AskPermit message = new RoutingMessage.AskPermit(
-                route.attempt,
-                route.target.id(),
+                bid.attempt(),
+                bid.target().id(),
                 route.request.service(),
                 route.request.urgency(),
                 route.request.deadlineAtMs() - nowMs,
+                startWithinMs(route, bid.target(), nowMs),
                 route.suspect);
-        context.peers().send(route.controller, message, out);
+        context.peers().send(bid.controller(), message, out);
+    }
+
+    private static long startWithinMs(Route route, TargetState target, long nowMs) {
+        long objectiveMs = route.request.handling().objectiveMs();
+        if (objectiveMs == 0 || route.bytesReachedCaller) {
+            return RoutingMessage.AskPermit.NO_OBJECTIVE;
+        }
+        double startMs = target.health().startLatencyMs();
+        return route.arrivedAtMs + objectiveMs - (long) (startMs > 0 ? startMs : FIRST_START_MS) - nowMs;
     }
 
     /** Returns how long the request waits for any word of the controller. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitWaiter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitWaiter.java
@@ -10,7 +10,9 @@
 /**
  * A request that waits for a permit.
  *
- * <p>Ordered by urgency, then deadline. Immutable, thus thread-safe.
+ * <p>{@code startByMs} is when it must begin to meet its latency objective, {@link #NO_OBJECTIVE} where it has none.
+ * Ordered by urgency; among equals those that can still meet their objective go first, so that one that is late anyway
+ * makes no other late; then by the time to begin, and by deadline. Immutable, thus thread-safe.
  */
 record PermitWaiter(
         AttemptId attempt,
@@ -19,15 +21,31 @@
         Urgency urgency,
         long askedAtMs,
         long deadlineAtMs,
+        long startByMs,
+        boolean late,
         boolean suspect)
         implements Comparable<PermitWaiter> {
 
+    /** Stands for a request without a latency objective, which is never late before its deadline. */
+    static final long NO_OBJECTIVE = RoutingMessage.AskPermit.NO_OBJECTIVE;
+
     private static final Comparator<PermitWaiter> ORDER = Comparator.comparing(PermitWaiter::urgency)
+            .thenComparing(PermitWaiter::late)
+            .thenComparingLong(waiter -> waiter.late ? NO_OBJECTIVE : waiter.startByMs)
             .thenComparingLong(PermitWaiter::deadlineAtMs)
             .thenComparing(waiter -> waiter.attempt().host())
             .thenComparingLong(waiter -> waiter.attempt().incarnation())
             .thenComparingLong(waiter -> waiter.attempt().number());
 
+    /** Returns whether the request has become unable to meet its objective since it was last looked at. */
+    boolean becameLate(long nowMs) {
+        return !late && nowMs > startByMs;
+    }
+
+    PermitWaiter asLate() {
+        return new PermitWaiter(attempt, holder, service, urgency, askedAtMs, deadlineAtMs, startByMs, true, suspect);
+    }
+
     @Override
     public int compareTo(PermitWaiter other) {
         return ORDER.compare(this, other);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -1,5 +1,7 @@
 package org.cornelcrank.routing;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -18,6 +20,8 @@
 
     final RoutedRequest request;
     final RequestRouter.RouteListener listener;
+    final long arrivedAtMs;
+    final List<Bid> spareBids = new ArrayList<>();
     final Set<TargetId> excluded = new TreeSet<>();
     final String resumeKey;
     Phase phase = Phase.CHOOSING;
@@ -40,8 +44,9 @@
     long dispatchedAtMs;
     long retryAfterMs;
 
-    Route(RoutedRequest request, RequestRouter.RouteListener listener) {
+    Route(RoutedRequest request, RequestRouter.RouteListener listener, long arrivedAtMs) {
         this.request = request;
+        this.arrivedAtMs = arrivedAtMs;
         this.listener = listener;
         this.resumeKey = "online-" + Long.toHexString(StableHash.of(request.id().toString()));
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -20,10 +20,25 @@
  */
 sealed interface RoutingMessage extends PeerMessage {
 
-    /** Asks the target's controller for a permit; repeating it changes nothing. */
+    /**
+     * Asks the target's controller for a permit; repeating it changes nothing.
+     *
+     * <p>{@code startWithinMs} is the time within which the request must begin to meet its latency objective, below zero
+     * if it no longer can, {@link #NO_OBJECTIVE} where it has none.
+     */
     record AskPermit(
-            AttemptId attempt, TargetId target, ServiceName service, Urgency urgency, long remainingMs, boolean suspect)
-            implements RoutingMessage {}
+            AttemptId attempt,
+            TargetId target,
+            ServiceName service,
+            Urgency urgency,
+            long remainingMs,
+            long startWithinMs,
+            boolean suspect)
+            implements RoutingMessage {
+
+        /** Stands for a request without a latency objective. */
+        static final long NO_OBJECTIVE = Long.MAX_VALUE;
+    }
 
     /** Grants a permit. */
     record PermitGranted(AttemptId attempt, TargetId target, TargetOccupancy occupancy) implements RoutingMessage {}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -49,13 +49,7 @@
     public ByteString encode(PeerMessage message) {
         WireRoutingMessage.Builder wire = WireRoutingMessage.newBuilder();
         if (message instanceof RoutingMessage.AskPermit ask) {
-            wire.setAskPermit(WireAskPermit.newBuilder()
-                    .setAttempt(attempt(ask.attempt()))
-                    .setTarget(ask.target().value())
-                    .setService(ask.service().value())
-                    .setUrgency(ask.urgency().ordinal())
-                    .setRemainingMs(ask.remainingMs())
-                    .setSuspect(ask.suspect()));
+            wire.setAskPermit(encode(ask));
         } else if (message instanceof RoutingMessage.PermitGranted granted) {
             wire.setPermitGranted(WirePermitGranted.newBuilder()
                     .setAttempt(attempt(granted.attempt()))
@@ -128,6 +122,20 @@
                 .build();
     }
 
+    private static WireAskPermit encode(RoutingMessage.AskPermit ask) {
+        WireAskPermit.Builder wire = WireAskPermit.newBuilder()
+                .setAttempt(attempt(ask.attempt()))
+                .setTarget(ask.target().value())
+                .setService(ask.service().value())
+                .setUrgency(ask.urgency().ordinal())
+                .setRemainingMs(ask.remainingMs())
+                .setSuspect(ask.suspect());
+        if (ask.startWithinMs() != RoutingMessage.AskPermit.NO_OBJECTIVE) {
+            wire.setStartWithinMs(ask.startWithinMs());
+        }
+        return wire.build();
+    }
+
     @Override
     public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
         WireRoutingMessage wire = WireRoutingMessage.parseFrom(payload);
@@ -179,6 +187,7 @@
                 new ServiceName(wire.getService()),
                 Urgency.values()[wire.getUrgency()],
                 wire.getRemainingMs(),
+                wire.hasStartWithinMs() ? wire.getStartWithinMs() : RoutingMessage.AskPermit.NO_OBJECTIVE,
                 wire.getSuspect());
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -11,7 +11,7 @@
     /** Returns settings for a deployment of any size up to hundreds of daemons. */
     public static RoutingSettings defaults() {
         return new RoutingSettings(
-                new Permits(8, 3, 10, 1_000, 5_000, 1_000, 3_000, 100, 8),
+                new Permits(8, 3, 10, 0, 1_000, 5_000, 1_000, 3_000, 100, 8),
                 new Queues(20_000, 4, 5_000, 20_000, 0.01, 5),
                 new Retries(4, 0.2, 20),
                 new Ejection(3, 5_000, 10_000),
@@ -19,12 +19,31 @@
                 new Link(500_000, 2_048, 6));
     }
 
+    /**
+     * Returns settings for targets that admit a request as soon as another one has been cancelled, with callers that are
+     * worth most within a fraction of a second.
+     *
+     * <p>No slot is kept free for requests to come, as a batch permit comes back at once; what waits queues at several
+     * targets; a request is quarantined after its third death only, as it may be innocent of the first two, and not for
+     * long.
+     */
+    public static RoutingSettings forLatencyObjectives() {
+        return new RoutingSettings(
+                new Permits(15, 4, 10, 2, 1_000, 2_000, 500, 3_000, 100, 8),
+                new Queues(20_000, 8, 2_000, 8_000, 0.01, 200),
+                new Retries(4, 0.5, 50),
+                new Ejection(3, 1_000, 2_000),
+                new Quarantine(2_000, 20_000, 3),
+                new Link(500_000, 2_048, 60));
+    }
+
     /**
      * Settings of the permits.
      *
      * <p>{@code patienceMs} is how long an urgent request waits for any word of a controller before it goes ahead
      * without a permit. {@code maxAsks} bounds the targets that may refuse one attempt, {@code maxMoves} how often a request
-     * that waits turns to a target that seems to have room. {@code handoverMs} is how long a new
+     * that waits turns to a target that seems to have room. {@code maxSpareBids} bounds the further targets at which a
+     * request that waits queues at the same time. {@code handoverMs} is how long a new
      * controller learns of running permits before it serves batch work. {@code announceIntervalMs} is how often a holder
      * names its running permits. {@code occupancyIntervalMs} and {@code occupancyStaleMs} bound how often occupancy is
      * published and how long it is believed. {@code revokePatienceMs} is how long a revoked permit is expected back.
@@ -34,6 +53,7 @@
             long patienceMs,
             int maxAsks,
             int maxMoves,
+            int maxSpareBids,
             long handoverMs,
             long announceIntervalMs,
             long occupancyIntervalMs,
@@ -45,6 +65,9 @@
             requirePositive(patienceMs, "patienceMs");
             requirePositive(maxAsks, "maxAsks");
             requirePositive(maxMoves, "maxMoves");
+            if (maxSpareBids < 0) {
+                throw new IllegalArgumentException("maxSpareBids must not be negative but was " + maxSpareBids);
+            }
             requirePositive(handoverMs, "handoverMs");
             requirePositive(announceIntervalMs, "announceIntervalMs");
             requirePositive(occupancyIntervalMs, "occupancyIntervalMs");
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -25,6 +26,9 @@
     private static final double SLOW_MARGIN_MS = 100;
     private static final double SLOW_SHARE = 0.1;
 
+    /** What a target of the other region costs in ms: the ways of a permit and of an answer between regions. */
+    private static final long OTHER_REGION_COST_MS = 150;
+
     private final RoutingContext context;
     private final LinkBudget link;
 
@@ -50,6 +54,26 @@
                 .flatMap(candidate -> context.directory().find(candidate.target()));
     }
 
+    /**
+     * Returns a further target at which a request that waits may queue too: the one with the shortest expected wait and
+     * way.
+     */
+    Optional<TargetState> chooseSpare(
+            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
+        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+        Optional<TargetState> best =
+                eligible.stream().min(Comparator.comparingLong(target -> spareCostMs(target, nowMs)));
+        return best.filter(target -> !isFar(target) || link.tryTake(LinkBudget.Purpose.ONLINE, nowMs));
+    }
+
+    private long spareCostMs(TargetState target, long nowMs) {
+        return target.expectedWaitMs(nowMs, staleMs()) + (isFar(target) ? OTHER_REGION_COST_MS : 0);
+    }
+
+    private boolean isFar(TargetState target) {
+        return context.identity().location().distanceTo(target.location()) == Location.Distance.OTHER_REGION;
+    }
+
     private Optional<TargetCandidate> chooseByDistance(
             RoutedRequest request, List<TargetCandidate> candidates, long nowMs) {
         if (context.policy().admission() == AdmissionOrder.ARRIVAL) {
@@ -68,7 +92,7 @@
         if (inRegion.isPresent()) {
             return inRegion;
         }
-        boolean regionMeetsDeadline = region.stream().anyMatch(candidate -> meetsDeadline(candidate, request, nowMs));
+        boolean regionMeetsDeadline = region.stream().anyMatch(candidate -> meetsObjective(candidate, request, nowMs));
         if (!regionMeetsDeadline) {
             List<TargetCandidate> better = region.isEmpty() ? other : withRoom(other);
             if (!better.isEmpty() && link.tryTake(LinkBudget.Purpose.ONLINE, nowMs)) {
@@ -78,12 +102,13 @@
         return select(region, request);
     }
 
-    private boolean meetsDeadline(TargetCandidate candidate, RoutedRequest request, long nowMs) {
+    private boolean meetsObjective(TargetCandidate candidate, RoutedRequest request, long nowMs) {
         long waitMs = context.directory()
                 .find(candidate.target())
                 .map(target -> target.expectedWaitMs(nowMs, staleMs()))
                 .orElse(0L);
-        return nowMs + waitMs < request.deadlineAtMs();
+        long objectiveMs = request.handling().objectiveMs();
+        return objectiveMs > 0 ? waitMs < objectiveMs / 2 : nowMs + waitMs < request.deadlineAtMs();
     }
 
     private Optional<TargetCandidate> select(List<TargetCandidate> candidates, RoutedRequest request) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -139,7 +139,17 @@
         }
         ledger.configure(context.settings().target(ask.target()).slots(), open(ask.target(), nowMs));
         PermitWaiter waiter = new PermitWaiter(
-                ask.attempt(), from, ask.service(), ask.urgency(), nowMs, nowMs + ask.remainingMs(), ask.suspect());
+                ask.attempt(),
+                from,
+                ask.service(),
+                ask.urgency(),
+                nowMs,
+                nowMs + ask.remainingMs(),
+                ask.startWithinMs() == RoutingMessage.AskPermit.NO_OBJECTIVE
+                        ? PermitWaiter.NO_OBJECTIVE
+                        : nowMs + ask.startWithinMs(),
+                false,
+                ask.suspect());
         Optional<LedgerDecision> decision = ledger.ask(waiter, nowMs);
         decision.ifPresent(made -> carryOut(ask.target(), ledger, made, nowMs, out));
         boolean answered = admit(ask.target(), ledger, nowMs, out).contains(ask.attempt());
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
@@ -120,42 +120,43 @@
       "\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006nu" +
       "mber\030\003 \001(\003\"j\n\rWireOccupancy\022\r\n\005slots\030\001 \001" +
       "(\005\022\017\n\007running\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\030\n\020" +
-      "expected_wait_ms\030\004 \001(\003\022\016\n\006loaded\030\005 \003(\t\"\235" +
+      "expected_wait_ms\030\004 \001(\003\022\016\n\006loaded\030\005 \003(\t\"\317" +
       "\001\n\rWireAskPermit\0223\n\007attempt\030\001 \001(\0132\".corn" +
       "elcrank.routing.WireAttemptId\022\016\n\006target\030" +
       "\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007urgency\030\004 \001(\005\022" +
-      "\024\n\014remaining_ms\030\005 \001(\003\022\017\n\007suspect\030\006 \001(\010\"\217" +
-      "\001\n\021WirePermitGranted\0223\n\007attempt\030\001 \001(\0132\"." +
-      "cornelcrank.routing.WireAttemptId\022\016\n\006tar" +
-      "get\030\002 \001(\t\0225\n\toccupancy\030\003 \001(\0132\".cornelcra" +
-      "nk.routing.WireOccupancy\"\216\001\n\020WirePermitQ" +
-      "ueued\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.rou" +
-      "ting.WireAttemptId\022\016\n\006target\030\002 \001(\t\0225\n\toc" +
-      "cupancy\030\003 \001(\0132\".cornelcrank.routing.Wire" +
-      "Occupancy\"\224\001\n\021WirePermitRefused\0223\n\007attem" +
-      "pt\030\001 \001(\0132\".cornelcrank.routing.WireAttem" +
-      "ptId\022\016\n\006target\030\002 \001(\t\022\016\n\006reason\030\003 \001(\005\022\026\n\016" +
-      "retry_after_ms\030\004 \001(\003\022\022\n\ncontroller\030\005 \001(\t" +
-      "\"v\n\022WirePermitReleased\0223\n\007attempt\030\001 \001(\0132" +
-      "\".cornelcrank.routing.WireAttemptId\022\016\n\006t" +
-      "arget\030\002 \001(\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wanted\030\004 \001(\005" +
-      "\"X\n\021WirePermitRevoked\0223\n\007attempt\030\001 \001(\0132\"" +
-      ".cornelcrank.routing.WireAttemptId\022\016\n\006ta" +
-      "rget\030\002 \001(\t\"\235\001\n\025WireBatchDemandStated\022\013\n\003" +
-      "job\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\017\n\007service\030\003 \001(\t" +
-      "\022\021\n\tdue_in_ms\030\004 \001(\003\022\r\n\005share\030\005 \001(\005\022\016\n\006wa" +
-      "nted\030\006 \001(\005\022\021\n\tremaining\030\007 \001(\003\022\023\n\013control" +
-      "lers\030\010 \001(\005\"d\n\020WireBatchGranted\0223\n\007attemp" +
+      "\024\n\014remaining_ms\030\005 \001(\003\022\017\n\007suspect\030\006 \001(\010\022\034" +
+      "\n\017start_within_ms\030\007 \001(\022H\000\210\001\001B\022\n\020_start_w" +
+      "ithin_ms\"\217\001\n\021WirePermitGranted\0223\n\007attemp" +
       "t\030\001 \001(\0132\".cornelcrank.routing.WireAttemp" +
-      "tId\022\016\n\006target\030\002 \001(\t\022\013\n\003job\030\003 \001(\t\"\246\001\n\021Wir" +
-      "eRunningPermit\0223\n\007attempt\030\001 \001(\0132\".cornel" +
-      "crank.routing.WireAttemptId\022\017\n\007service\030\002" +
-      " \001(\t\022\017\n\007urgency\030\003 \001(\005\022\016\n\006age_ms\030\004 \001(\003\022\017\n" +
-      "\007suspect\030\005 \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n\004team\030\007 \001(" +
-      "\t\"]\n\022WireRunningPermits\022\016\n\006target\030\001 \001(\t\022" +
-      "7\n\007permits\030\002 \003(\0132&.cornelcrank.routing.W" +
-      "ireRunningPermitB \n\034org.cornelcrank.rout" +
-      "ing.wireP\001b\006proto3"
+      "tId\022\016\n\006target\030\002 \001(\t\0225\n\toccupancy\030\003 \001(\0132\"" +
+      ".cornelcrank.routing.WireOccupancy\"\216\001\n\020W" +
+      "irePermitQueued\0223\n\007attempt\030\001 \001(\0132\".corne" +
+      "lcrank.routing.WireAttemptId\022\016\n\006target\030\002" +
+      " \001(\t\0225\n\toccupancy\030\003 \001(\0132\".cornelcrank.ro" +
+      "uting.WireOccupancy\"\224\001\n\021WirePermitRefuse" +
+      "d\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing" +
+      ".WireAttemptId\022\016\n\006target\030\002 \001(\t\022\016\n\006reason" +
+      "\030\003 \001(\005\022\026\n\016retry_after_ms\030\004 \001(\003\022\022\n\ncontro" +
+      "ller\030\005 \001(\t\"v\n\022WirePermitReleased\0223\n\007atte" +
+      "mpt\030\001 \001(\0132\".cornelcrank.routing.WireAtte" +
+      "mptId\022\016\n\006target\030\002 \001(\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wa" +
+      "nted\030\004 \001(\005\"X\n\021WirePermitRevoked\0223\n\007attem" +
+      "pt\030\001 \001(\0132\".cornelcrank.routing.WireAttem" +
+      "ptId\022\016\n\006target\030\002 \001(\t\"\235\001\n\025WireBatchDemand" +
+      "Stated\022\013\n\003job\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\017\n\007ser" +
+      "vice\030\003 \001(\t\022\021\n\tdue_in_ms\030\004 \001(\003\022\r\n\005share\030\005" +
+      " \001(\005\022\016\n\006wanted\030\006 \001(\005\022\021\n\tremaining\030\007 \001(\003\022" +
+      "\023\n\013controllers\030\010 \001(\005\"d\n\020WireBatchGranted" +
+      "\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing." +
+      "WireAttemptId\022\016\n\006target\030\002 \001(\t\022\013\n\003job\030\003 \001" +
+      "(\t\"\246\001\n\021WireRunningPermit\0223\n\007attempt\030\001 \001(" +
+      "\0132\".cornelcrank.routing.WireAttemptId\022\017\n" +
+      "\007service\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\005\022\016\n\006age_m" +
+      "s\030\004 \001(\003\022\017\n\007suspect\030\005 \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n" +
+      "\004team\030\007 \001(\t\"]\n\022WireRunningPermits\022\016\n\006tar" +
+      "get\030\001 \001(\t\0227\n\007permits\030\002 \003(\0132&.cornelcrank" +
+      ".routing.WireRunningPermitB \n\034org.cornel" +
+      "crank.routing.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -184,7 +185,7 @@
     internal_static_cornelcrank_routing_WireAskPermit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireAskPermit_descriptor,
-        new java.lang.String[] { "Attempt", "Target", "Service", "Urgency", "RemainingMs", "Suspect", });
+        new java.lang.String[] { "Attempt", "Target", "Service", "Urgency", "RemainingMs", "Suspect", "StartWithinMs", });
     internal_static_cornelcrank_routing_WirePermitGranted_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_cornelcrank_routing_WirePermitGranted_fieldAccessorTable = new
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireAskPermit.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireAskPermit.java
@@ -188,6 +188,33 @@
     return suspect_;
   }
 
+  public static final int START_WITHIN_MS_FIELD_NUMBER = 7;
+  private long startWithinMs_ = 0L;
+  /**
+   * <pre>
+   * The time within which the request must begin to meet its objective.
+   * </pre>
+   *
+   * <code>optional sint64 start_within_ms = 7;</code>
+   * @return Whether the startWithinMs field is set.
+   */
+  @java.lang.Override
+  public boolean hasStartWithinMs() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The time within which the request must begin to meet its objective.
+   * </pre>
+   *
+   * <code>optional sint64 start_within_ms = 7;</code>
+   * @return The startWithinMs.
+   */
+  @java.lang.Override
+  public long getStartWithinMs() {
+    return startWithinMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -220,6 +247,9 @@
     if (suspect_ != false) {
       output.writeBool(6, suspect_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeSInt64(7, startWithinMs_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -246,6 +276,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, suspect_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSInt64Size(7, startWithinMs_);
+    }
     return size;
   }
   @java.lang.Override
@@ -285,6 +319,11 @@
         != other.getRemainingMs()) return false;
     if (getSuspect()
         != other.getSuspect()) return false;
+    if (hasStartWithinMs() != other.hasStartWithinMs()) return false;
+    if (hasStartWithinMs()) {
+      if (getStartWithinMs()
+          != other.getStartWithinMs()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -312,6 +351,11 @@
     hash = (37 * hash) + SUSPECT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getSuspect());
+    if (hasStartWithinMs()) {
+      hash = (37 * hash) + START_WITHIN_MS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStartWithinMs());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -459,6 +503,7 @@
       urgency_ = 0;
       remainingMs_ = 0L;
       suspect_ = false;
+      startWithinMs_ = 0L;
       return this;
     }
 
@@ -514,6 +559,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.suspect_ = suspect_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.startWithinMs_ = startWithinMs_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -551,6 +600,9 @@
       if (other.getSuspect() != false) {
         setSuspect(other.getSuspect());
       }
+      if (other.hasStartWithinMs()) {
+        setStartWithinMs(other.getStartWithinMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -607,6 +659,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              startWithinMs_ = input.readSInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -983,6 +1040,62 @@
       return this;
     }
 
+    private long startWithinMs_ ;
+    /**
+     * <pre>
+     * The time within which the request must begin to meet its objective.
+     * </pre>
+     *
+     * <code>optional sint64 start_within_ms = 7;</code>
+     * @return Whether the startWithinMs field is set.
+     */
+    @java.lang.Override
+    public boolean hasStartWithinMs() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * The time within which the request must begin to meet its objective.
+     * </pre>
+     *
+     * <code>optional sint64 start_within_ms = 7;</code>
+     * @return The startWithinMs.
+     */
+    @java.lang.Override
+    public long getStartWithinMs() {
+      return startWithinMs_;
+    }
+    /**
+     * <pre>
+     * The time within which the request must begin to meet its objective.
+     * </pre>
+     *
+     * <code>optional sint64 start_within_ms = 7;</code>
+     * @param value The startWithinMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartWithinMs(long value) {
+
+      startWithinMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The time within which the request must begin to meet its objective.
+     * </pre>
+     *
+     * <code>optional sint64 start_within_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartWithinMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      startWithinMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireAskPermit)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireAskPermitOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireAskPermitOrBuilder.java
@@ -66,4 +66,23 @@
    * @return The suspect.
    */
   boolean getSuspect();
+
+  /**
+   * <pre>
+   * The time within which the request must begin to meet its objective.
+   * </pre>
+   *
+   * <code>optional sint64 start_within_ms = 7;</code>
+   * @return Whether the startWithinMs field is set.
+   */
+  boolean hasStartWithinMs();
+  /**
+   * <pre>
+   * The time within which the request must begin to meet its objective.
+   * </pre>
+   *
+   * <code>optional sint64 start_within_ms = 7;</code>
+   * @return The startWithinMs.
+   */
+  long getStartWithinMs();
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -100,6 +100,7 @@
                             VirtualFleet.SERVICE,
                             Urgency.IMMEDIATE,
                             10_000,
+                            RoutingMessage.AskPermit.NO_OBJECTIVE,
                             false)));
         }
         fleet.run(2_000);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
@@ -40,7 +40,15 @@
                 true,
                 Optional.of(new RoutingMessage.BatchOwner(new JobId("j1"), new TeamPath("/nilavu/summaries"))));
         return Stream.of(
-                new RoutingMessage.AskPermit(ATTEMPT, TARGET, VirtualFleet.SERVICE, Urgency.INTERACTIVE, 900, true),
+                new RoutingMessage.AskPermit(
+                        ATTEMPT,
+                        TARGET,
+                        VirtualFleet.SERVICE,
+                        Urgency.INTERACTIVE,
+                        900,
+                        RoutingMessage.AskPermit.NO_OBJECTIVE,
+                        true),
+                new RoutingMessage.AskPermit(ATTEMPT, TARGET, VirtualFleet.SERVICE, Urgency.IMMEDIATE, 900, -20, false),
                 new RoutingMessage.PermitGranted(ATTEMPT, TARGET, OCCUPANCY),
                 new RoutingMessage.PermitQueued(ATTEMPT, TARGET, OCCUPANCY),
                 new RoutingMessage.PermitRefused(
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/CountingAsyncAppender.java
@@ -0,0 +1,30 @@
+package org.cornelcrank.server;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+
+/**
+ * Writes log lines on a thread of its own, and drops and counts them while that one cannot keep up.
+ *
+ * <p>Invariant: never blocks the thread that logs. Thread-safe.
+ */
+public final class CountingAsyncAppender extends AsyncAppender {
+
+    private static final AtomicLong DROPPED = new AtomicLong();
+
+    /** Returns how many lines this process has dropped. */
+    static long dropped() {
+        return DROPPED.get();
+    }
+
+    @Override
+    protected void append(ILoggingEvent event) {
+        if (getRemainingCapacity() == 0) {
+            DROPPED.incrementAndGet();
+            return;
+        }
+        super.append(event);
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
@@ -28,6 +28,8 @@
 import org.cornelcrank.membership.MembershipSettings;
 import org.cornelcrank.routing.RoutingDuty;
 import org.cornelcrank.routing.RoutingMessageCodec;
+import org.cornelcrank.routing.RoutingPolicy;
+import org.cornelcrank.routing.RoutingSettings;
 import org.cornelcrank.server.settings.GatewaySettings;
 import org.cornelcrank.store.StoreCalls;
 
@@ -65,18 +67,24 @@
                 membership,
                 membership,
                 routes,
-                RoutingPolicies.named(settings.policy()),
+                routingPolicy(settings.policy()),
                 random(seed, RoutingDuty.NAME),
                 metrics);
         JobDuty jobs = new JobDuty(
                 identity, jobSettings(settings), routes, store, membership, routing, random(seed, JobDuty.NAME));
         routing.subscribe(jobs);
-        DecisionJournal journal = new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT);
+        DecisionJournal journal =
+                new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT, new DecisionLog(metrics)::log);
         List<Duty> duties = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
         duties.add(new OperationsDuty(membership, journal, () -> duties));
         return new GatewayAssembly(new DaemonCore(duties, journal, dispatch -> {}), membership, routes);
     }
 
+    private static RoutingPolicy routingPolicy(String name) {
+        RoutingPolicy named = RoutingPolicies.named(name);
+        return new RoutingPolicy(RoutingSettings.forLatencyObjectives(), named.selector(), named.admission());
+    }
+
     private static JobSettings jobSettings(GatewaySettings settings) {
         return new JobSettings(
                 settings.storePartitions(),
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -21,6 +21,9 @@
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
+import org.cornelcrank.server.loop.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Knows the open calls, and brings the core's replies to them.
@@ -30,12 +33,16 @@
  */
 final class GatewayCalls implements EffectRunner {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.request");
+
     private final Map<RequestId, GatewayCall> open = new LinkedHashMap<>();
     private final DaemonIdentity identity;
     private final CoreLoop loop;
+    private final MonotonicClock clock;
     private long lastNumber;
 
-    GatewayCalls(DaemonIdentity identity, CoreLoop loop, MetricRegistry metrics) {
+    GatewayCalls(DaemonIdentity identity, CoreLoop loop, MonotonicClock clock, MetricRegistry metrics) {
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.identity = Objects.requireNonNull(identity, "identity must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
         metrics.registerGauge("gateway.open-calls", open::size);
@@ -46,6 +53,14 @@
         GatewayCall call = new GatewayCall(nextId(), head, body, request.resumable(), nowMs);
         open.put(call.id(), call);
         Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
+        LOGGER.atInfo()
+                .addKeyValue("request", head.requestId())
+                .addKeyValue("id", call.id())
+                .addKeyValue("route", request.workload())
+                .addKeyValue("service", request.service())
+                .addKeyValue("urgency", request.urgency())
+                .addKeyValue("leftMs", request.deadlineAtMs() - nowMs)
+                .log("request arrived");
         loop.post(new Event.CallerArrived(call.id(), caller, request));
         return call;
     }
@@ -66,6 +81,11 @@
     /** Tells the core that a caller hung up; does nothing if the call has ended. */
     void callerLeft(GatewayCall call) {
         if (open.remove(call.id()) != null) {
+            LOGGER.atInfo()
+                    .addKeyValue("request", call.head().requestId())
+                    .addKeyValue("id", call.id())
+                    .addKeyValue("tookMs", clock.nowMs() - call.arrivedAtMs())
+                    .log("caller left");
             loop.post(new Event.CallerLeft(call.id()));
         }
     }
@@ -77,11 +97,22 @@
         }
         GatewayCall call = open.remove(reply.request());
         if (call != null) {
+            logEnd(call, reply.reply());
             end(call, reply.reply());
         }
         return call != null;
     }
 
+    private void logEnd(GatewayCall call, CallerReply reply) {
+        LOGGER.atInfo()
+                .addKeyValue("request", call.head().requestId())
+                .addKeyValue("id", call.id())
+                .addKeyValue("tookMs", clock.nowMs() - call.arrivedAtMs())
+                .addKeyValue("lastEvent", call.lastEventId())
+                .addKeyValue("outcome", reply)
+                .log("request ended");
+    }
+
     /** A target's own failure is handed on as it is, unless the request has not run. */
     private static void end(GatewayCall call, CallerReply reply) {
         CallAnswer.Whole held = call.held();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -33,7 +33,7 @@
     public GatewayEdge(Surroundings around) {
         this.settings = around.settings();
         this.loops = around.loops();
-        this.calls = new GatewayCalls(around.identity(), around.loop(), around.metrics());
+        this.calls = new GatewayCalls(around.identity(), around.loop(), around.clock(), around.metrics());
         this.targets = new GatewayTargetClient(around.loop(), calls, around.dialect(), loops, around.metrics());
         this.jobs = new JobFront(calls, around.loop(), around.clock(), around.jobDialect(), around.dialect());
         this.front = new GatewayFront(
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LogFormatTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LogFormatTests.java
@@ -28,6 +28,7 @@
 
     private static OutputStreamAppender<ILoggingEvent> appender() {
         Logger root = (Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-        return (OutputStreamAppender<ILoggingEvent>) root.getAppender("STDERR");
+        CountingAsyncAppender async = (CountingAsyncAppender) root.getAppender("ASYNC");
+        return (OutputStreamAppender<ILoggingEvent>) (async == null ? root : async).getAppender("CONSOLE");
     }
 }
