Keep places in reserve, tell of dead targets, and give late jobs what is left

Now a refused connection is told to all and closes the target's queue, a late job goes behind the others, an item that has come furthest runs first, and the reserve is back.

Dropped: no reserve.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -63,15 +63,20 @@
         progress.remove(stored.item());
     }
 
-    /** Takes the next item that waits and may begin now, empty if there is none. */
+    /** Takes the item that has come furthest of those that wait and may begin now, empty if there is none. */
     Optional<Integer> takeWaiting(long nowMs) {
+        int best = -1;
         for (int item = waiting.nextSetBit(0); item >= 0; item = waiting.nextSetBit(item + 1)) {
-            if (progress(item).notBeforeMs <= nowMs) {
-                waiting.clear(item);
-                return Optional.of(item);
+            boolean further = best < 0 || progress(item).events > progress(best).events;
+            if (progress(item).notBeforeMs <= nowMs && further) {
+                best = item;
             }
         }
-        return Optional.empty();
+        if (best < 0) {
+            return Optional.empty();
+        }
+        waiting.clear(best);
+        return Optional.of(best);
     }
 
     /** Puts an item back that has not finished. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandBook.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandBook.java
@@ -20,6 +20,9 @@
 
     private static final double MAX_PRESSURE = 2;
 
+    /** The part of an item's usual time that must be left for the item to count as possible in time. */
+    private static final double LATE_SHARE = 0.5;
+
     private final long lifetimeMs;
     private final Map<JobId, StandingDemand> demands = new TreeMap<>();
     private final Map<String, Double> servedByTeam = new TreeMap<>();
@@ -64,6 +67,7 @@
             }
             demand.weight = Math.max(1, demand.stated.share()) * demand.pressure(itemMs, nowMs);
             demand.use = runningByTeam.getOrDefault(demand.team(), 0) / demand.weight;
+            demand.late = nowMs + LATE_SHARE * itemMs > demand.dueAtMs();
             if (best == null || goesBefore(demand, best)) {
                 best = demand;
             }
@@ -76,6 +80,9 @@
     }
 
     private boolean goesBefore(StandingDemand demand, StandingDemand other) {
+        if (demand.late != other.late) {
+            return other.late;
+        }
         if (demand.use != other.use) {
             return demand.use < other.use;
         }
@@ -121,6 +128,7 @@
         private int wanted;
         private double weight = 1;
         private double use;
+        private boolean late;
 
         StandingDemand(HostId holder, RoutingMessage.BatchDemandStated stated, long statedAtMs, long expiresAtMs) {
             this.holder = holder;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandTeller.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchDemandTeller.java
@@ -22,6 +22,9 @@
  */
 final class BatchDemandTeller {
 
+    /** How long a small change of a job's wish may stay untold, in ms: short against the length of an idle spell. */
+    private static final long RESTATE_MS = 100;
+
     private static final int MIN_CONTROLLERS = 4;
     private static final int SLOTS_FACTOR = 2;
 
@@ -38,7 +41,8 @@
         told.demand = demand;
         told.open = demand.wanted();
         boolean changedMuch = demand.wanted() >= 2 * before || 2 * demand.wanted() <= before;
-        if (demand.wanted() != before && changedMuch) {
+        boolean due = nowMs - told.statedAtMs >= RESTATE_MS;
+        if (demand.wanted() != before && (changedMuch || due)) {
             state(told, nowMs, out);
         }
         if (demand.wanted() == 0 && demand.remaining() == 0) {
@@ -61,6 +65,7 @@
         withdrawn.removeAll(receivers);
         withdrawn.forEach(host -> send(host, told.demand, 0, 0, nowMs, out));
         receivers.forEach(host -> send(host, told.demand, told.open, receivers.size(), nowMs, out));
+        told.statedAtMs = nowMs;
         told.receivers = receivers;
         told.statedWanted = told.open;
     }
@@ -141,6 +146,7 @@
         private BatchDemand demand;
         private Set<HostId> receivers = Set.of();
         private int statedWanted;
+        private long statedAtMs;
         private int open;
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -181,7 +181,8 @@
 
     /** Returns how many batch permits may be granted now; none while a request waits or others' permits are unknown. */
     int roomForBatch(long nowMs) {
-        if (closed || learning(nowMs) || !waiters.isEmpty()) {
+        boolean revokedNow = nowMs - exceededAtMs < settings.permits().revokePatienceMs();
+        if (closed || learning(nowMs) || !waiters.isEmpty() || revokedNow) {
             return 0;
         }
         int slots = capacity.slots(nowMs);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
@@ -20,6 +20,7 @@
         PeerLink peers,
         AttemptNumbers attempts,
         SuspectRegistry suspects,
+        TargetNotices notices,
         RandomGenerator random,
         MetricRegistry metrics) {
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDuty.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDuty.java
@@ -66,6 +66,7 @@
             MetricRegistry metrics) {
         this.membership = Objects.requireNonNull(membership, "membership must not be null");
         RoutingSettings routing = policy.settings();
+        notices = new TargetNotices(dissemination, routing.quarantine().deathWindowMs());
         context = new RoutingContext(
                 identity,
                 settings,
@@ -75,11 +76,11 @@
                 new PeerLink(identity.host()),
                 new AttemptNumbers(identity),
                 new SuspectRegistry(routing.quarantine(), dissemination),
+                notices,
                 random,
                 metrics);
         TeamLimiter limiter = new TeamLimiter(membership);
         LinkBudget link = new LinkBudget(routing.link());
-        notices = new TargetNotices(dissemination, routing.quarantine().deathWindowMs());
         controller = new TargetController(context, new OccupancyPublisher(routing.permits(), dissemination));
         online = new OnlineRouter(context, limiter, link);
         batch = new BatchRunner(context, new BatchDemandTeller(context));
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -23,16 +23,15 @@
      * Returns settings for targets that admit a request as soon as another one has been cancelled, with callers that are
      * worth most within a fraction of a second.
      *
-     * <p>No slot is kept free for requests to come, as a batch permit comes back at once; what waits queues at several
-     * targets; a request is quarantined after its third death only, as it may be innocent of the first two, and not for
-     * long.
+     * <p>What waits queues at several targets; a request is quarantined after its third death only, as it may be innocent
+     * of the first two, and not for long.
      */
     public static RoutingSettings forLatencyObjectives() {
         return new RoutingSettings(
                 new Permits(15, 4, 10, 2, 1_000, 2_000, 500, 3_000, 100, 8),
-                new Queues(20_000, 8, 2_000, 8_000, 0.01, 200),
+                new Queues(20_000, 8, 2_000, 8_000, 0.01, 5),
                 new Retries(4, 0.5, 50),
-                new Ejection(3, 1_000, 2_000),
+                new Ejection(3, 500, 1_000),
                 new Quarantine(2_000, 20_000, 3),
                 new Link(500_000, 2_048, 60));
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -107,6 +107,7 @@
         return context.directory()
                         .find(target)
                         .filter(state -> !context.directory().leaving(state, nowMs))
+                        .filter(state -> !state.health().ejected(nowMs))
                         .isPresent()
                 && !unreachable.contains(target);
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -43,7 +43,11 @@
         return switch (kind) {
             case CONNECTION_REFUSED -> {
                 context.suspects().targetDown(target.id(), nowMs, out);
-                yield target.health().eject(nowMs);
+                boolean news = target.health().eject(nowMs);
+                if (news) {
+                    context.notices().down(target.id(), nowMs, out);
+                }
+                yield news;
             }
             case CONNECTION_LOST -> {
                 context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -65,6 +65,7 @@
     long nowMs = 1_000_000;
     long peerBytes;
     boolean keepEffects;
+    Handling handling = Handling.USUAL;
 
     VirtualFleet(long seed) {
         random = new SplittableRandom(seed);
@@ -152,7 +153,7 @@
                 work.fingerprint,
                 work.tokens,
                 true,
-                Handling.USUAL);
+                handling);
         Caller caller = new Caller(new TeamPath("/nilavu"), "k", Caller.Scope.CALLER);
         nodes.get(daemon).handle(new Event.CallerArrived(id, caller, command));
         return request;
