--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -25,7 +25,7 @@
             boolean ranAsSuspect,
             long nowMs,
             Effects out) {
-        boolean ejected = draw(context, target, failure.kind(), fingerprint, ranAsSuspect, nowMs, out);
+        boolean ejected = draw(context, target, failure, fingerprint, ranAsSuspect, nowMs, out);
         context.count("attempts-failed-" + failure.kind().name().toLowerCase(Locale.ROOT));
         if (ejected) {
             noteEjection(target, failure.kind(), nowMs, out);
@@ -35,29 +35,40 @@
     private static boolean draw(
             RoutingContext context,
             TargetState target,
-            FailureKind kind,
+            AttemptOutcome.Failed failure,
             long fingerprint,
             boolean ranAsSuspect,
             long nowMs,
             Effects out) {
-        return switch (kind) {
+        return switch (failure.kind()) {
             case CONNECTION_REFUSED -> {
                 context.suspects().targetDown(target.id(), nowMs, out);
-                boolean news = target.health().eject(nowMs);
-                if (news) {
-                    context.notices().down(target.id(), nowMs, out);
-                }
-                yield news;
+                yield ejectEverywhere(context, target, nowMs, out);
             }
             case CONNECTION_LOST -> {
                 context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
-            case TIMED_OUT, TARGET_ERROR -> target.health().attemptFailed(nowMs);
+            case TIMED_OUT -> {
+                boolean silent = failure.tokens() == 0 && failure.status() == 0;
+                yield silent
+                        ? ejectEverywhere(context, target, nowMs, out)
+                        : target.health().attemptFailed(nowMs);
+            }
+            case TARGET_ERROR -> target.health().attemptFailed(nowMs);
             default -> false;
         };
     }
 
+    /** Ejects a target that answers nobody, and tells the other daemons. */
+    private static boolean ejectEverywhere(RoutingContext context, TargetState target, long nowMs, Effects out) {
+        boolean news = target.health().eject(nowMs);
+        if (news) {
+            context.notices().down(target.id(), nowMs, out);
+        }
+        return news;
+    }
+
     private static void noteEjection(TargetState target, FailureKind kind, long nowMs, Effects out) {
         out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", "last failure " + kind);
         out.add(new Effect.StateChanged(RoutingDuty.NAME, "target " + target.id() + " ejected after " + kind));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
@@ -9,6 +9,7 @@
 import org.cornelcrank.server.settings.GatewaySettingsParser;
 import org.cornelcrank.server.settings.SettingsResult;
 import reactor.netty.ChannelBindException;
+import sun.misc.Signal;
 
 /**
  * The program {@code cornelcrankd}.
@@ -67,6 +68,7 @@
     private static void runGateway(GatewaySettings settings) throws IOException {
         LogFormat.use(settings.logFormat());
         GatewayProcess process = GatewayProcess.start(settings);
+        Signal.handle(new Signal("HUP"), signal -> process.reload());
         stopAtShutdown(process::stop);
         process.awaitEnd();
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -143,6 +143,14 @@
         return effect instanceof Effect.WatchTargets || effect instanceof Effect.Reply;
     }
 
+    /**
+     * Notes that the settings file has changed. All settings that hold for a running process come through the store, so
+     * there is nothing to read again.
+     */
+    public void reload() {
+        LOGGER.info("Daemon {} was told of changed settings; they hold from its next start on", settings.host());
+    }
+
     /** Stops the daemon without cutting a request, and returns once it has ended. */
     public void stop() {
         if (!stopping.compareAndSet(false, true)) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/AnswerReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/AnswerReceiver.java
@@ -20,6 +20,9 @@
     /** Returns the event after which the attempt goes on, empty for a request that starts. */
     OptionalLong resumeAfter();
 
+    /** Returns how long the target may stay silent, in ms; zero where it may until the time is over. */
+    long silencePatienceMs();
+
     /** Takes a whole answer of success. */
     void whole(TargetAnswerHead head, byte[] body);
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -42,6 +42,11 @@
         return call.resumeAfter();
     }
 
+    @Override
+    public long silencePatienceMs() {
+        return call.silencePatienceMs();
+    }
+
     @Override
     public void whole(TargetAnswerHead head, byte[] body) {
         if (call.streaming()) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
@@ -20,7 +20,7 @@
     private final RequestId id;
     private final RequestHead head;
     private final byte[] body;
-    private final boolean resumable;
+    private final long silencePatienceMs;
     private final long arrivedAtMs;
     private final Sinks.One<CallAnswer> answer = Sinks.one();
     private final Sinks.Many<byte[]> events = Sinks.many().unicast().onBackpressureBuffer();
@@ -29,11 +29,11 @@
     private long lastEventId;
     private boolean ended;
 
-    GatewayCall(RequestId id, RequestHead head, byte[] body, boolean resumable, long arrivedAtMs) {
+    GatewayCall(RequestId id, RequestHead head, byte[] body, long silencePatienceMs, long arrivedAtMs) {
         this.id = Objects.requireNonNull(id, "id must not be null");
         this.head = Objects.requireNonNull(head, "head must not be null");
         this.body = Objects.requireNonNull(body, "body must not be null");
-        this.resumable = resumable;
+        this.silencePatienceMs = silencePatienceMs;
         this.arrivedAtMs = arrivedAtMs;
         this.lastEventId = head.lastEventId().orElse(0);
     }
@@ -50,8 +50,9 @@
         return body;
     }
 
-    boolean resumable() {
-        return resumable;
+    /** Returns how long a target may stay silent, in ms; zero where nobody else may run the request. */
+    long silencePatienceMs() {
+        return silencePatienceMs;
     }
 
     long arrivedAtMs() {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -35,6 +35,12 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.request");
 
+    /** How many latency objectives a target may stay silent before another one is tried. */
+    private static final long SILENCE_OBJECTIVES = 2;
+
+    /** The shortest time that a target may stay silent before another one is tried, in ms. */
+    private static final long MIN_SILENCE_PATIENCE_MS = 500;
+
     private final Map<RequestId, GatewayCall> open = new LinkedHashMap<>();
     private final DaemonIdentity identity;
     private final CoreLoop loop;
@@ -50,7 +56,12 @@
 
     /** Opens a call and asks the core to have it run. */
     GatewayCall open(RequestHead head, byte[] body, OnlineRequest request, long nowMs) {
-        GatewayCall call = new GatewayCall(nextId(), head, body, request.resumable(), nowMs);
+        long patienceMs = request.repeatable() && request.handling().maxRuns() > 1
+                ? Math.max(
+                        MIN_SILENCE_PATIENCE_MS,
+                        SILENCE_OBJECTIVES * request.handling().objectiveMs())
+                : 0;
+        GatewayCall call = new GatewayCall(nextId(), head, body, patienceMs, nowMs);
         open.put(call.id(), call);
         Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
         LOGGER.atInfo()
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -34,7 +34,8 @@
         this.settings = around.settings();
         this.loops = around.loops();
         this.calls = new GatewayCalls(around.identity(), around.loop(), around.clock(), around.metrics());
-        this.targets = new GatewayTargetClient(around.loop(), calls, around.dialect(), loops, around.metrics());
+        this.targets = new GatewayTargetClient(
+                around.loop(), calls, around.dialect(), around.clock(), loops, around.metrics());
         this.jobs = new JobFront(calls, around.loop(), around.clock(), around.jobDialect(), around.dialect());
         this.front = new GatewayFront(
                 calls, around.dialect(), around.routes(), around.clock(), jobs, around.stopping(), around.metrics());
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import com.codahale.metrics.MetricRegistry;
@@ -29,8 +30,10 @@
 import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
+import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.peer.SocketAddresses;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -69,9 +72,15 @@
     private final CoreLoop loop;
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
+    private final MonotonicClock clock;
 
     GatewayTargetClient(
-            CoreLoop loop, GatewayCalls calls, GatewayDialect dialect, LoopResources loops, MetricRegistry metrics) {
+            CoreLoop loop,
+            GatewayCalls calls,
+            GatewayDialect dialect,
+            MonotonicClock clock,
+            LoopResources loops,
+            MetricRegistry metrics) {
         ConnectionProvider connections = ConnectionProvider.builder("targets")
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
                 .pendingAcquireMaxCount(-1)
@@ -87,6 +96,7 @@
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
@@ -130,6 +140,7 @@
                 .response((response, content) -> answered(attempt, response, content))
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
                 .subscribe(attempt::end, error -> attempt.end(ofError(error, attempt)));
+        attempt.watchSilence();
     }
 
     /** Returns who takes the answer, null if the caller has left. */
@@ -153,6 +164,7 @@
             return Flux.error(new ForeignAnswerException());
         }
         attempt.answered = true;
+        attempt.heard();
         if (head.success() && head.signed()) {
             loop.post(new Event.AttemptStarted(attempt.id));
             return head.events() ? streamed(attempt, head, content) : whole(attempt, head, content);
@@ -177,7 +189,10 @@
 
     private static Flux<AttemptOutcome> streamed(Running attempt, TargetAnswerHead head, ByteBufFlux content) {
         return content.asByteArray()
-                .doOnNext(bytes -> attempt.events += attempt.receiver.events(head, bytes))
+                .doOnNext(bytes -> {
+                    attempt.heard();
+                    attempt.events += attempt.receiver.events(head, bytes);
+                })
                 .then(Mono.fromSupplier(() -> {
                     attempt.receiver.eventsEnded(head);
                     return attempt.succeeded(head);
@@ -225,6 +240,8 @@
         private final AttemptId id;
         private final AnswerReceiver receiver;
         private Disposable transfer;
+        private Disposable watch = Disposables.disposed();
+        private long heardAtMs = clock.nowMs();
         private boolean answered;
         private boolean ended;
         private int events;
@@ -234,6 +251,24 @@
             this.receiver = receiver;
         }
 
+        void heard() {
+            heardAtMs = clock.nowMs();
+        }
+
+        /** Ends the attempt once the target has been silent for too long. */
+        void watchSilence() {
+            long patienceMs = receiver.silencePatienceMs();
+            if (ended || patienceMs == 0) {
+                return;
+            }
+            long leftMs = heardAtMs + patienceMs - clock.nowMs();
+            if (leftMs <= 0) {
+                end(failed(Verdict.MAY_HAVE_RUN, FailureKind.TIMED_OUT, 0, 0, "silent for " + patienceMs + " ms"));
+                return;
+            }
+            watch = loop.scheduler().schedule(this::watchSilence, leftMs, TimeUnit.MILLISECONDS);
+        }
+
         AttemptOutcome succeeded(TargetAnswerHead head) {
             return new AttemptOutcome.Succeeded(head.status(), "", receiver.collected(), events);
         }
@@ -256,6 +291,7 @@
             }
             ended = true;
             running.remove(id);
+            watch.dispose();
             if (transfer != null && outcome instanceof AttemptOutcome.Failed) {
                 transfer.dispose();
             }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -21,6 +21,9 @@
 
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
+    /** How long a target may stay silent, in ms: many times the pause between two events of a slow one. */
+    private static final long SILENCE_PATIENCE_MS = 2_500;
+
     private final DispatchSource.Prepared item;
     private final RequestHead head;
     private final SseEventSplitter splitter = new SseEventSplitter(MAX_EVENT_BYTES);
@@ -49,6 +52,11 @@
         return item.resumeAfterEvent() == 0 ? OptionalLong.empty() : OptionalLong.of(item.resumeAfterEvent());
     }
 
+    @Override
+    public long silencePatienceMs() {
+        return SILENCE_PATIENCE_MS;
+    }
+
     @Override
     public void whole(TargetAnswerHead answer, byte[] body) {
         throw new IllegalStateException("an item must be answered by events");
