Hand partitions of jobs over with the progress of their items

Ruled out: late grants (the places were full) and lost results (none). A daemon that stops, or that learns that the group gives a partition to another one, now ends the runs, writes how far each item has come under its epoch, and only then leaves or acknowledges the new generation; the next owner goes on there. A partition that is dealt anew without asking is still lost at once.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -150,12 +150,15 @@
         owned.values().forEach(partition -> partition.tick(nowMs, out));
         if (stopping) {
             leave(nowMs, out);
+        } else {
+            handOver(nowMs, out);
         }
         keepTicking(nowMs, out);
     }
 
     private void keepTicking(long nowMs, Effects out) {
         boolean needed = stopping && !left
+                || !owned.keySet().stream().allMatch(leases::holds)
                 || owned.values().stream()
                         .anyMatch(partition -> !partition.jobs().isEmpty());
         if (needed && !ticking) {
@@ -191,11 +194,8 @@
     }
 
     private void leasesRenewed(Set<Integer> held, long nowMs, Effects out) {
-        for (OwnedPartition partition : List.copyOf(owned.values())) {
-            if (!held.contains(partition.number())) {
-                give(partition, "given to another daemon", nowMs, out);
-            }
-        }
+        handOver(nowMs, out);
+        keepTicking(nowMs, out);
         for (int number : held) {
             if (!owned.containsKey(number)) {
                 OwnedPartition partition = new OwnedPartition(number, context, new StoreParts());
@@ -205,6 +205,18 @@
         }
     }
 
+    /** Gives up the partitions that another daemon is to get, each once its progress lies in the store. */
+    private void handOver(long nowMs, Effects out) {
+        for (OwnedPartition partition : List.copyOf(owned.values())) {
+            if (!leases.holds(partition.number()) && partition.prepareHandover(nowMs, out)) {
+                give(partition, "given to another daemon", nowMs, out);
+            }
+        }
+        if (owned.keySet().stream().allMatch(leases::holds)) {
+            leases.acknowledge(out);
+        }
+    }
+
     private void give(OwnedPartition partition, String reason, long nowMs, Effects out) {
         owned.remove(partition.number());
         lostEpochs.merge(partition.number(), partition.log().epoch(), Math::max);
@@ -212,13 +224,15 @@
         out.add(new Effect.StateChanged(NAME, "owns partition " + partition.number() + " no longer: " + reason));
     }
 
-    /** Stops owning once what has been finished lies in the store. */
+    /** Ends all runs, and stops owning once what they have made lies in the store. */
     private void leave(long nowMs, Effects out) {
         if (left) {
             return;
         }
-        boolean written =
-                owned.values().stream().allMatch(partition -> partition.log().idle());
+        boolean written = true;
+        for (OwnedPartition partition : owned.values()) {
+            written &= partition.prepareHandover(nowMs, out);
+        }
         if (written) {
             left = true;
             for (OwnedPartition partition : List.copyOf(owned.values())) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -19,14 +19,16 @@
 import org.cornelcrank.job.wire.WireItem;
 import org.cornelcrank.job.wire.WireJob;
 import org.cornelcrank.job.wire.WireJobPart;
+import org.cornelcrank.job.wire.WireProgress;
 import org.cornelcrank.job.wire.WireResult;
 
 /**
  * The keys and values under which jobs and their results lie in the store.
  *
  * <p>A job lies in the {@code jobs} topic in parts under {@code id/0}, {@code id/1} and so on, and its end under
- * {@code id/end}; its results lie in the {@code results} topic under {@code id/position}. All of a job lies in the same
- * partition of both. Stateless, thus thread-safe.
+ * {@code id/end}; its results lie in the {@code results} topic under {@code id/position}, and the progress of items
+ * whose owner has stopped under {@code id/p} and the item's index. All of a job lies in the same partition of both.
+ * Stateless, thus thread-safe.
  */
 final class JobRecords {
 
@@ -35,6 +37,7 @@
 
     private static final String SEPARATOR = "/";
     private static final String END = "end";
+    private static final String PROGRESS = "p";
     private static final int POSITION_DIGITS = 6;
 
     /** Room for the key and the fields of a part beside its content, in bytes. */
@@ -71,6 +74,10 @@
         return prefix(job) + ("%0" + POSITION_DIGITS + "d").formatted(position);
     }
 
+    static String progressKey(JobId job, int item) {
+        return prefix(job) + PROGRESS + item;
+    }
+
     /** Returns a key after which the results of a job from the position on follow. */
     static String keyBefore(JobId job, int position) {
         return position == 0 ? prefix(job) : resultKey(job, position - 1);
@@ -89,7 +96,13 @@
         String rest = text.substring(slash + 1);
         try {
             JobId job = new JobId(text.substring(0, slash));
-            return Optional.of(new Key(job, rest.equals(END), rest.equals(END) ? 0 : Integer.parseInt(rest)));
+            if (rest.equals(END)) {
+                return Optional.of(new Key(job, Kind.END, 0));
+            }
+            if (rest.startsWith(PROGRESS)) {
+                return Optional.of(new Key(job, Kind.PROGRESS, Integer.parseInt(rest.substring(PROGRESS.length()))));
+            }
+            return Optional.of(new Key(job, Kind.NUMBERED, Integer.parseInt(rest)));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
@@ -175,6 +188,23 @@
         }
     }
 
+    static KeyedRecord progress(JobId job, int item, JobRun.ItemProgress progress) {
+        WireProgress wire = WireProgress.newBuilder()
+                .setEvents(progress.events())
+                .setText(progress.text())
+                .build();
+        return new KeyedRecord(progressKey(job, item), wire.toByteString());
+    }
+
+    /** Decodes the progress of an item, empty if it cannot be read. */
+    static Optional<WireProgress> progress(StoreAnswer.StoredRecord record) {
+        try {
+            return Optional.of(WireProgress.parseFrom(record.value()));
+        } catch (InvalidProtocolBufferException e) {
+            return Optional.empty();
+        }
+    }
+
     private static ByteString deflate(byte[] bytes) {
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
         try {
@@ -210,8 +240,16 @@
         }
     }
 
-    /** A key taken apart; {@code number} is the part's index or the result's position. */
-    record Key(JobId job, boolean end, int number) {}
+    /** A key taken apart; {@code number} is the part's index, the result's position or the item's index. */
+    record Key(JobId job, Kind kind, int number) {}
+
+    /** Says what a key stands for. */
+    enum Kind {
+        /** A part of a job, or a result. */
+        NUMBERED,
+        END,
+        PROGRESS
+    }
 
     /** A result with the index of its item. */
     record StoredResult(int item, ListedResult result) {}
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -155,6 +155,11 @@
         return ended || listed.size() == content.items().size();
     }
 
+    /** Returns the items that have come some way and are not finished. */
+    List<Integer> begun() {
+        return unfinished().stream().filter(item -> progress(item).events > 0).toList();
+    }
+
     ItemProgress progress(int item) {
         return progress.computeIfAbsent(item, index -> new ItemProgress());
     }
@@ -176,6 +181,16 @@
             return events;
         }
 
+        ByteString text() {
+            return text;
+        }
+
+        /** Takes over how far an earlier owner had come. */
+        void restore(long knownEvents, ByteString knownText) {
+            events = knownEvents;
+            text = knownText;
+        }
+
         /** Adds the events of a run that went on after those known. */
         ByteString add(int moreEvents, ByteString moreText) {
             if (moreEvents > 0) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -23,6 +23,7 @@
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.job.wire.WireJobPart;
+import org.cornelcrank.job.wire.WireProgress;
 import org.cornelcrank.routing.BatchDemand;
 import org.cornelcrank.routing.BatchPermit;
 import org.cornelcrank.routing.BatchWork;
@@ -58,11 +59,14 @@
     private final Map<JobId, JobRun> jobs = new TreeMap<>();
     private final Map<JobId, Map<Integer, WireJobPart>> incomplete = new HashMap<>();
     private final Map<JobId, TreeMap<Integer, JobRecords.StoredResult>> stored = new HashMap<>();
+    private final Map<JobId, Map<Integer, WireProgress>> storedProgress = new HashMap<>();
     private final Set<JobId> ended = new HashSet<>();
     private final Map<Long, RunningItem> running = new HashMap<>();
     private final List<WaitingRead> waitingReads = new ArrayList<>();
     private boolean ready;
     private boolean closed;
+    private boolean suspended;
+    private boolean progressWritten;
     private long toldOwnerAtMs;
     private int tellings;
 
@@ -119,9 +123,16 @@
 
     @Override
     public void loaded(StoreAnswer.StoredRecord record) {
-        JobRecords.key(record.key()).filter(key -> !key.end()).ifPresent(key -> JobRecords.result(record)
-                .ifPresent(result -> stored.computeIfAbsent(key.job(), job -> new TreeMap<>())
-                        .put(key.number(), result)));
+        JobRecords.key(record.key()).ifPresent(key -> {
+            if (key.kind() == JobRecords.Kind.PROGRESS) {
+                JobRecords.progress(record).ifPresent(progress -> storedProgress
+                        .computeIfAbsent(key.job(), job -> new TreeMap<>())
+                        .put(key.number(), progress));
+            } else {
+                JobRecords.result(record).ifPresent(result -> stored.computeIfAbsent(key.job(), job -> new TreeMap<>())
+                        .put(key.number(), result));
+            }
+        });
     }
 
     @Override
@@ -141,7 +152,7 @@
             return;
         }
         JobId job = key.get().job();
-        if (key.get().end()) {
+        if (key.get().kind() == JobRecords.Kind.END) {
             endJob(job, nowMs, out);
         } else if (!jobs.containsKey(job)) {
             JobRecords.part(record.value()).ifPresent(part -> partCame(job, part, nowMs, out));
@@ -174,6 +185,11 @@
                 run.restore(results.get(position));
             }
         }
+        storedProgress.getOrDefault(run.id(), Map.of()).forEach((item, progress) -> {
+            if (item < run.content().items().size() && !run.isFinished(item)) {
+                run.progress(item).restore(progress.getEvents(), progress.getText());
+            }
+        });
         jobs.put(run.id(), run);
         if (ended.contains(run.id())) {
             run.end();
@@ -191,12 +207,14 @@
 
     @Override
     public void dropped(String key, long nowMs, Effects out) {
-        JobRecords.key(key).filter(parsed -> !parsed.end()).ifPresent(parsed -> {
-            JobRun run = jobs.get(parsed.job());
-            if (run != null && run.done()) {
-                jobs.remove(parsed.job());
-            }
-        });
+        JobRecords.key(key)
+                .filter(parsed -> parsed.kind() == JobRecords.Kind.NUMBERED)
+                .ifPresent(parsed -> {
+                    JobRun run = jobs.get(parsed.job());
+                    if (run != null && run.done()) {
+                        jobs.remove(parsed.job());
+                    }
+                });
     }
 
     @Override
@@ -213,7 +231,7 @@
 
     /** States what a job could run now; called whenever that changes. */
     void demand(JobRun run, long nowMs, Effects out) {
-        if (!ready || closed) {
+        if (!ready || closed || suspended) {
             return;
         }
         Optional<GatewayRoute> route = route(run);
@@ -254,7 +272,7 @@
     /** Runs the next item of the permit's job, or gives the permit back. */
     void permitGranted(BatchPermit permit, long nowMs, Effects out) {
         JobRun run = jobs.get(permit.job());
-        Optional<Integer> item = run == null || closed ? Optional.empty() : run.takeWaiting(nowMs);
+        Optional<Integer> item = run == null || closed || suspended ? Optional.empty() : run.takeWaiting(nowMs);
         if (item.isEmpty()) {
             context.capacity().giveBack(permit, nowMs, out);
             return;
@@ -352,9 +370,13 @@
 
     private void finish(JobRun run, int item, boolean completed, ByteString text, long nowMs, Effects out) {
         ListedResult result = new ListedResult(run.content().items().get(item).id(), completed, text);
-        KeyedRecord record = JobRecords.result(run.id(), run.finish(item), item, result);
+        List<KeyedRecord> records = new ArrayList<>();
+        records.add(JobRecords.result(run.id(), run.finish(item), item, result));
+        if (progressStored(run.id(), item)) {
+            records.add(KeyedRecord.dropping(JobRecords.progressKey(run.id(), item)));
+        }
         log.write(
-                List.of(record),
+                records,
                 (acknowledgedAtMs, effects) -> {
                     run.list(result);
                     answerReads(run, acknowledgedAtMs, effects);
@@ -363,6 +385,43 @@
                 out);
     }
 
+    private boolean progressStored(JobId job, int item) {
+        return storedProgress.getOrDefault(job, Map.of()).containsKey(item);
+    }
+
+    /**
+     * Does the next step towards giving the partition up: ends all runs, then writes how far its items have come for the
+     * next owner.
+     *
+     * @return whether all of it lies in the store, so that the partition may go
+     */
+    boolean prepareHandover(long nowMs, Effects out) {
+        if (!suspended) {
+            suspended = true;
+            for (RunningItem each : List.copyOf(running.values())) {
+                context.capacity().cancel(each.permit(), nowMs, out);
+            }
+        }
+        if (running.isEmpty() && !progressWritten) {
+            progressWritten = true;
+            writeProgress(nowMs, out);
+        }
+        return progressWritten && (log.idle() || !log.isOpen());
+    }
+
+    private void writeProgress(long nowMs, Effects out) {
+        for (JobRun run : jobs.values()) {
+            if (log.isOpen() && !run.ended()) {
+                run.begun()
+                        .forEach(item -> log.write(
+                                List.of(JobRecords.progress(run.id(), item, run.progress(item))),
+                                (acknowledgedAtMs, effects) -> {},
+                                nowMs,
+                                out));
+            }
+        }
+    }
+
     private void endJob(JobId job, long nowMs, Effects out) {
         ended.add(job);
         JobRun run = jobs.get(job);
@@ -456,6 +515,11 @@
         for (int position = 0; position < run.listed().size(); position++) {
             results.add(KeyedRecord.dropping(JobRecords.resultKey(run.id(), position)));
         }
+        storedProgress
+                .getOrDefault(run.id(), Map.of())
+                .keySet()
+                .forEach(item -> results.add(KeyedRecord.dropping(JobRecords.progressKey(run.id(), item))));
+        storedProgress.remove(run.id());
         jobs.remove(run.id());
         ended.remove(run.id());
         if (!results.isEmpty()) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
@@ -28,6 +28,7 @@
     private final Listener listener;
     private Set<Integer> held = new TreeSet<>();
     private long generation;
+    private long seenGeneration;
     private boolean asking;
     private boolean left;
 
@@ -63,17 +64,21 @@
                 out);
     }
 
-    /** Takes over what is held, and tells the store at once that a new generation is known. */
+    /** Takes over what is held; others get what is not held any longer once {@link #acknowledge} has been called. */
     private void joined(StoreAnswer.Joined joined, long nowMs, Effects out) {
-        boolean news = joined.generation() != generation;
-        generation = joined.generation();
+        seenGeneration = joined.generation();
         Set<Integer> now = new TreeSet<>();
         joined.partitions().stream()
                 .filter(place -> place.topic().equals(JobRecords.JOBS))
                 .forEach(place -> now.add(place.partition()));
         held = now;
         listener.renewed(Set.copyOf(now), nowMs, out);
-        if (news) {
+    }
+
+    /** Tells the store that all partitions that are not held any longer have been given up. */
+    void acknowledge(Effects out) {
+        if (generation != seenGeneration && !asking && !left) {
+            generation = seenGeneration;
             join(out);
         }
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
@@ -51,6 +51,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelcrank_job_WireResult_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_job_WireProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_job_WireProgress_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cornelcrank_job_WireJobMessage_descriptor;
   static final 
@@ -91,18 +96,19 @@
       "y\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"^\n\nWireResult" +
       "\022\014\n\004item\030\001 \001(\005\022\017\n\007item_id\030\002 \001(\t\022\021\n\tcompl" +
       "eted\030\003 \001(\010\022\014\n\004text\030\004 \001(\014\022\020\n\010deflated\030\005 \001" +
-      "(\010\"p\n\016WireJobMessage\022\'\n\003ask\030\001 \001(\0132\030.corn" +
-      "elcrank.job.WireAskH\000\022-\n\006answer\030\002 \001(\0132\033." +
-      "cornelcrank.job.WireAnswerH\000B\006\n\004kind\"W\n\007" +
-      "WireAsk\022\016\n\006number\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\022\r\n\005" +
-      "after\030\003 \001(\005\022\017\n\007wait_ms\030\004 \001(\003\022\017\n\007body_of\030" +
-      "\005 \001(\t\"\210\001\n\nWireAnswer\022\016\n\006number\030\001 \001(\003\022\r\n\005" +
-      "known\030\002 \001(\010\022\r\n\005total\030\003 \001(\005\022,\n\007results\030\004 " +
-      "\003(\0132\033.cornelcrank.job.WireListed\022\020\n\010has_" +
-      "body\030\005 \001(\010\022\014\n\004body\030\006 \001(\014\">\n\nWireListed\022\017" +
-      "\n\007item_id\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010\022\014\n\004te" +
-      "xt\030\003 \001(\014B&\n\030org.cornelcrank.job.wireB\010Jo" +
-      "bProtoP\001b\006proto3"
+      "(\010\",\n\014WireProgress\022\016\n\006events\030\001 \001(\003\022\014\n\004te" +
+      "xt\030\002 \001(\014\"p\n\016WireJobMessage\022\'\n\003ask\030\001 \001(\0132" +
+      "\030.cornelcrank.job.WireAskH\000\022-\n\006answer\030\002 " +
+      "\001(\0132\033.cornelcrank.job.WireAnswerH\000B\006\n\004ki" +
+      "nd\"W\n\007WireAsk\022\016\n\006number\030\001 \001(\003\022\013\n\003job\030\002 \001" +
+      "(\t\022\r\n\005after\030\003 \001(\005\022\017\n\007wait_ms\030\004 \001(\003\022\017\n\007bo" +
+      "dy_of\030\005 \001(\t\"\210\001\n\nWireAnswer\022\016\n\006number\030\001 \001" +
+      "(\003\022\r\n\005known\030\002 \001(\010\022\r\n\005total\030\003 \001(\005\022,\n\007resu" +
+      "lts\030\004 \003(\0132\033.cornelcrank.job.WireListed\022\020" +
+      "\n\010has_body\030\005 \001(\010\022\014\n\004body\030\006 \001(\014\">\n\nWireLi" +
+      "sted\022\017\n\007item_id\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010" +
+      "\022\014\n\004text\030\003 \001(\014B&\n\030org.cornelcrank.job.wi" +
+      "reB\010JobProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -138,26 +144,32 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireResult_descriptor,
         new java.lang.String[] { "Item", "ItemId", "Completed", "Text", "Deflated", });
-    internal_static_cornelcrank_job_WireJobMessage_descriptor =
+    internal_static_cornelcrank_job_WireProgress_descriptor =
       getDescriptor().getMessageType(4);
+    internal_static_cornelcrank_job_WireProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_job_WireProgress_descriptor,
+        new java.lang.String[] { "Events", "Text", });
+    internal_static_cornelcrank_job_WireJobMessage_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_cornelcrank_job_WireJobMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireJobMessage_descriptor,
         new java.lang.String[] { "Ask", "Answer", "Kind", });
     internal_static_cornelcrank_job_WireAsk_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_cornelcrank_job_WireAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireAsk_descriptor,
         new java.lang.String[] { "Number", "Job", "After", "WaitMs", "BodyOf", });
     internal_static_cornelcrank_job_WireAnswer_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_cornelcrank_job_WireAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireAnswer_descriptor,
         new java.lang.String[] { "Number", "Known", "Total", "Results", "HasBody", "Body", });
     internal_static_cornelcrank_job_WireListed_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_cornelcrank_job_WireListed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireListed_descriptor,
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -39,6 +39,8 @@
     private BiFunction<String, Integer, AttemptOutcome> outcomes;
     private BatchCapacityListener listener;
     private boolean granting;
+    private int cutEvents;
+    private String cutText = "";
     private long lastPermit;
 
     FakeCapacity(
@@ -115,19 +117,7 @@
         nodes.act(host, (nowMs, out) -> {
             for (Map.Entry<Long, BatchWork> run : Map.copyOf(running).entrySet()) {
                 BatchPermit permit = new BatchPermit(run.getKey(), new JobId("any"), new TargetId("t-1"));
-                end(
-                        permit,
-                        new AttemptOutcome.Failed(
-                                Verdict.MAY_HAVE_RUN,
-                                FailureKind.CANCELLED,
-                                0,
-                                events,
-                                false,
-                                0,
-                                ByteString.copyFromUtf8(text),
-                                "revoked"),
-                        nowMs,
-                        out);
+                end(permit, cutShort(events, text), nowMs, out);
             }
         });
     }
@@ -149,10 +139,28 @@
     @Override
     public void cancel(BatchPermit permit, long nowMs, Effects out) {
         if (running.containsKey(permit.number())) {
-            end(permit, failed(FailureKind.CANCELLED, 0), nowMs, out);
+            end(permit, cutShort(cutEvents, cutText), nowMs, out);
         }
     }
 
+    /** Says what runs have made when they are cancelled. */
+    void setCutShort(int events, String text) {
+        cutEvents = events;
+        cutText = text;
+    }
+
+    private static AttemptOutcome cutShort(int events, String text) {
+        return new AttemptOutcome.Failed(
+                Verdict.MAY_HAVE_RUN,
+                FailureKind.CANCELLED,
+                0,
+                events,
+                false,
+                0,
+                ByteString.copyFromUtf8(text),
+                "cut short");
+    }
+
     @Override
     public void subscribe(BatchCapacityListener newListener) {
         listener = newListener;
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -282,6 +282,41 @@
         assertThat(page(jobs.read(others(owner).get(0), JOB, 0))).hasSize(ITEMS);
     }
 
+    @Test
+    void theNextOwnerGoesOnWhereAStoppedOneHadCome() {
+        jobs.submit(A, JOB, 2);
+        jobs.nodes.run(100);
+        HostId owner = jobs.owner();
+        jobs.capacities.get(owner).setCutShort(7, "begun");
+        jobs.nodes.stop(owner);
+        jobs.nodes.run(200);
+        assertThat(jobs.nodes.quiescent(owner)).isTrue();
+        jobs.nodes.kill(owner);
+        HostId next = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(next).resumePoints()).containsOnlyKeys(JOB + "-item-0", JOB + "-item-1");
+        assertThat(jobs.capacities.get(next).resumePoints().values()).containsOnly(7L);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(next, JOB, 0)).get(0).text().toStringUtf8()).startsWith("begun\ntext of ");
+    }
+
+    @Test
+    void aDaemonThatJoinsGoesOnWhereTheOwnerHadCome() {
+        VirtualJobs alone = new VirtualJobs(A);
+        alone.capacities.get(A).setCutShort(7, "begun");
+        for (int i = 0; i < 12; i++) {
+            alone.submit(A, "job-" + i, 4);
+        }
+        alone.start(B);
+        for (int i = 0; i < 300 && alone.capacities.get(B).runningItems() == 0; i++) {
+            alone.nodes.run(10);
+        }
+        assertThat(alone.capacities.get(B).resumePoints().values()).contains(7L);
+        alone.nodes.run(15_000);
+        for (int i = 0; i < 12; i++) {
+            assertThat(page(alone.read(A, "job-" + i, 0))).hasSize(4);
+        }
+    }
+
     @Test
     void everythingIsRememberedWhenAllDaemonsStartAnew() {
         jobs.submit(A, JOB, ITEMS);
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -156,6 +156,17 @@
         return nodes.reply(request).orElseThrow(() -> new AssertionError("no reply to " + request));
     }
 
+    /** Lets the time pass until a host runs items. */
+    HostId awaitOwner() {
+        for (int i = 0; i < 1_000; i++) {
+            nodes.run(10);
+            if (capacities.values().stream().anyMatch(capacity -> capacity.runningItems() > 0)) {
+                break;
+            }
+        }
+        return owner();
+    }
+
     /** Returns the host that runs a job's items, which must have begun. */
     HostId owner() {
         return capacities.entrySet().stream()
