--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -22,7 +22,7 @@
 import org.cornelcrank.store.fake.VirtualNodes;
 
 /**
- * Grants permits as long as slots are free and runs each item for a fixed time.
+ * Grants permits to the jobs in turn as long as slots are free, and runs each item for a fixed time.
  *
  * <p>Not thread-safe.
  */
@@ -84,6 +84,8 @@
         granting = false;
         while (running.size() < SLOTS && !demands.isEmpty()) {
             BatchDemand demand = demands.values().iterator().next();
+            demands.remove(demand.job());
+            demands.put(demand.job(), demand);
             BatchPermit permit = new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"));
             int before = running.size();
             listener.permitGranted(permit, nowMs, out);
