Show metrics and a dump of the state at the metrics address

`--metrics-address` was read and not used. Call durations are a histogram, refusals are counted by code.

--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CoreQuestions.java
@@ -0,0 +1,61 @@
+package org.cornelcrank.server.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.server.loop.CoreLoop;
+import org.cornelcrank.server.loop.EffectRunner;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Brings commands that the core answers itself to it, and its replies back.
+ *
+ * <p>Not thread-safe: confined to the event loop.
+ */
+final class CoreQuestions implements EffectRunner {
+
+    private final Map<RequestId, Sinks.One<CallerReply>> open = new HashMap<>();
+    private final GatewayCalls calls;
+    private final CoreLoop loop;
+
+    CoreQuestions(GatewayCalls calls, CoreLoop loop) {
+        this.calls = Objects.requireNonNull(calls, "calls must not be null");
+        this.loop = Objects.requireNonNull(loop, "loop must not be null");
+    }
+
+    /** Asks on behalf of a team; a reply that nobody waits for any longer is dropped. */
+    Mono<CallerReply> ask(TeamPath team, Caller.Scope scope, CallerCommand command) {
+        return Mono.defer(() -> {
+            RequestId id = calls.nextId();
+            Sinks.One<CallerReply> reply = Sinks.one();
+            open.put(id, reply);
+            loop.post(new Event.CallerArrived(id, new Caller(team, id.toString(), scope), command));
+            return reply.asMono().doOnCancel(() -> open.remove(id));
+        });
+    }
+
+    @Override
+    public boolean run(Effect effect) {
+        if (!(effect instanceof Effect.Reply reply)) {
+            return false;
+        }
+        Sinks.One<CallerReply> waiting = open.remove(reply.request());
+        if (waiting != null) {
+            waiting.tryEmitValue(reply.reply());
+        }
+        return waiting != null;
+    }
+
+    int size() {
+        return open.size();
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.DaemonIdentity;
@@ -45,12 +47,16 @@
     private final DaemonIdentity identity;
     private final CoreLoop loop;
     private final MonotonicClock clock;
+    private final MetricRegistry metrics;
+    private final Timer latency;
     private long lastNumber;
 
     GatewayCalls(DaemonIdentity identity, CoreLoop loop, MonotonicClock clock, MetricRegistry metrics) {
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.identity = Objects.requireNonNull(identity, "identity must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        this.metrics = metrics;
+        this.latency = metrics.timer("gateway.call-durations");
         metrics.registerGauge("gateway.open-calls", open::size);
     }
 
@@ -115,6 +121,10 @@
     }
 
     private void logEnd(GatewayCall call, CallerReply reply) {
+        latency.update(clock.nowMs() - call.arrivedAtMs(), TimeUnit.MILLISECONDS);
+        if (reply instanceof Refusal refusal) {
+            metrics.counter("gateway.refused." + refusal.code().errorCode()).inc();
+        }
         LOGGER.atInfo()
                 .addKeyValue("request", call.head().requestId())
                 .addKeyValue("id", call.id())
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -7,9 +7,11 @@
 import org.cornelcrank.gateway.RouteTableSettings;
 import org.cornelcrank.gateway.http.GatewayDialect;
 import org.cornelcrank.job.JobDialect;
+import org.cornelcrank.server.http.Probes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.settings.GatewaySettings;
+import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
 
@@ -24,10 +26,12 @@
     private final LoopResources loops;
     private final GatewayCalls calls;
     private final GatewayTargetClient targets;
-    private final JobFront jobs;
+    private final CoreQuestions questions;
+    private final GatewayMonitor monitor;
     private final GatewayFront front;
     private DisposableServer callers;
     private DisposableServer readiness;
+    private DisposableServer metrics;
 
     /** Builds the parts around the loop of the decision core. */
     public GatewayEdge(Surroundings around) {
@@ -36,15 +40,26 @@
         this.calls = new GatewayCalls(around.identity(), around.loop(), around.clock(), around.metrics());
         this.targets = new GatewayTargetClient(
                 around.loop(), calls, around.dialect(), around.clock(), loops, around.metrics());
-        this.jobs = new JobFront(calls, around.loop(), around.clock(), around.jobDialect(), around.dialect());
+        this.questions = new CoreQuestions(calls, around.loop());
+        JobFront jobs = new JobFront(questions, around.clock(), around.jobDialect(), around.dialect());
+        this.monitor = new GatewayMonitor(new Probes(() -> Mono.just(readiness(around)), around.metrics()), questions);
         this.front = new GatewayFront(
                 calls, around.dialect(), around.routes(), around.clock(), jobs, around.stopping(), around.metrics());
     }
 
+    private static Probes.Readiness readiness(Surroundings around) {
+        if (around.stopping().get()) {
+            return new Probes.Readiness(false, "leaving");
+        }
+        return around.routes().ready()
+                ? new Probes.Readiness(true, "ready")
+                : new Probes.Readiness(false, "no routes are known yet");
+    }
+
     /** Adds the runners of the effects that the edge carries out. */
     public void addRunners(CoreLoop loop) {
         loop.addRunner(calls);
-        loop.addRunner(jobs);
+        loop.addRunner(questions);
         loop.addRunner(targets);
     }
 
@@ -52,17 +67,21 @@
     public void bind() {
         callers = front.bind(settings.frontAddress(), loops);
         readiness = front.bindReadiness(settings.readinessAddress(), loops);
+        settings.metricsAddress().ifPresent(address -> metrics = monitor.bind(address, loops));
     }
 
     /** Returns how many callers wait for their answers. */
     public int openCalls() {
-        return calls.all().size() + jobs.size();
+        return calls.all().size() + questions.size();
     }
 
     /** Closes the listeners and all connections. */
     public void close() {
         callers.disposeNow();
         readiness.disposeNow();
+        if (metrics != null) {
+            metrics.disposeNow();
+        }
     }
 
     /** What the edge is built around. */
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayMonitor.java
@@ -0,0 +1,59 @@
+package org.cornelcrank.server.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.daemon.DumpState;
+import org.cornelcrank.daemon.DumpText;
+import org.cornelcrank.daemon.StateDump;
+import org.cornelcrank.server.http.Probes;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Shows operators the metrics and the state of this daemon, at an address that callers do not reach.
+ *
+ * <p>Not thread-safe: confined to the event loop.
+ */
+final class GatewayMonitor {
+
+    private static final TeamPath OPERATORS = new TeamPath("/operators");
+
+    private final Probes probes;
+    private final CoreQuestions questions;
+
+    GatewayMonitor(Probes probes, CoreQuestions questions) {
+        this.probes = Objects.requireNonNull(probes, "probes must not be null");
+        this.questions = Objects.requireNonNull(questions, "questions must not be null");
+    }
+
+    /** Starts to listen. */
+    DisposableServer bind(InetSocketAddress address, LoopResources loops) {
+        return HttpServer.create()
+                .bindAddress(() -> address)
+                .runOn(loops, false)
+                .route(routes -> {
+                    probes.addTo(routes);
+                    routes.get("/dump", this::dump);
+                })
+                .bindNow();
+    }
+
+    private Publisher<Void> dump(HttpServerRequest request, HttpServerResponse response) {
+        return questions
+                .ask(OPERATORS, Caller.Scope.OPERATOR, new DumpState(Optional.empty(), Optional.empty()))
+                .flatMap(reply -> response.header(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                        .sendString(
+                                Mono.just(reply instanceof StateDump dump ? DumpText.render(dump) : reply.toString()))
+                        .then());
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
@@ -1,8 +1,6 @@
 package org.cornelcrank.server.gateway;
 
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -10,13 +8,10 @@
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.CallerReply;
-import org.cornelcrank.core.Effect;
-import org.cornelcrank.core.Event;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.Names;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
-import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.gateway.http.GatewayDialect;
@@ -27,11 +22,8 @@
 import org.cornelcrank.job.JobEnded;
 import org.cornelcrank.job.JobPage;
 import org.cornelcrank.job.SubmitJob;
-import org.cornelcrank.server.loop.CoreLoop;
-import org.cornelcrank.server.loop.EffectRunner;
 import org.cornelcrank.server.loop.MonotonicClock;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -40,7 +32,7 @@
  *
  * <p>Not thread-safe: confined to the event loop.
  */
-final class JobFront implements EffectRunner {
+final class JobFront {
 
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
@@ -49,21 +41,13 @@
     /** How long a submission is tried where the caller does not say, in ms. */
     private static final long SUBMISSION_TIMEOUT_MS = 3_000;
 
-    private final Map<RequestId, Sinks.One<CallerReply>> open = new HashMap<>();
-    private final GatewayCalls calls;
-    private final CoreLoop loop;
+    private final CoreQuestions questions;
     private final MonotonicClock clock;
     private final JobDialect dialect;
     private final GatewayDialect gatewayDialect;
 
-    JobFront(
-            GatewayCalls calls,
-            CoreLoop loop,
-            MonotonicClock clock,
-            JobDialect dialect,
-            GatewayDialect gatewayDialect) {
-        this.calls = Objects.requireNonNull(calls, "calls must not be null");
-        this.loop = Objects.requireNonNull(loop, "loop must not be null");
+    JobFront(CoreQuestions questions, MonotonicClock clock, JobDialect dialect, GatewayDialect gatewayDialect) {
+        this.questions = Objects.requireNonNull(questions, "questions must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
         this.gatewayDialect = Objects.requireNonNull(gatewayDialect, "gatewayDialect must not be null");
@@ -102,27 +86,7 @@
     }
 
     private Mono<Void> ask(CallerCommand command, HttpServerResponse response) {
-        RequestId id = calls.nextId();
-        Sinks.One<CallerReply> reply = Sinks.one();
-        open.put(id, reply);
-        loop.post(new Event.CallerArrived(id, new Caller(JOBS, id.toString(), Caller.Scope.CALLER), command));
-        return reply.asMono().flatMap(told -> write(told, response)).doOnCancel(() -> open.remove(id));
-    }
-
-    @Override
-    public boolean run(Effect effect) {
-        if (!(effect instanceof Effect.Reply reply)) {
-            return false;
-        }
-        Sinks.One<CallerReply> waiting = open.remove(reply.request());
-        if (waiting != null) {
-            waiting.tryEmitValue(reply.reply());
-        }
-        return waiting != null;
-    }
-
-    int size() {
-        return open.size();
+        return questions.ask(JOBS, Caller.Scope.CALLER, command).flatMap(reply -> write(reply, response));
     }
 
     private Mono<Void> write(CallerReply reply, HttpServerResponse response) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/Probes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/Probes.java
@@ -37,7 +37,12 @@
         DropwizardExports.builder().dropwizardRegistry(metrics).register(registry);
     }
 
-    void addTo(HttpServerRoutes routes) {
+    /**
+     * Adds the routes of probes and scrapes.
+     *
+     * @param routes the server's routes
+     */
+    public void addTo(HttpServerRoutes routes) {
         routes.get("/healthz/live", (request, response) -> text(response, HttpResponseStatus.OK, "live"));
         routes.get("/healthz/ready", (request, response) -> readiness.get().flatMap(state -> ready(response, state)));
         routes.get("/metrics", (request, response) -> metrics(response));
