--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -0,0 +1,282 @@
+package org.cornelcrank.server;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Base64;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.cornelcrank.platform.fake.RunnerStandIn;
+import org.cornelcrank.platform.fake.RunnerStandIn.Behaviour;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Callers, two daemons, runners and the store over real sockets. */
+class GatewayEndToEndTests {
+
+    private static final String WHOLE_STREAM = IntStream.rangeClosed(1, RunnerStandIn.EVENTS)
+            .mapToObj(number -> "id: %d\ndata: piece %d\n\n".formatted(number, number))
+            .collect(Collectors.joining());
+
+    private GatewayFleet fleet;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new GatewayFleet(2, "i-1", "i-2");
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void aStreamComesWholeAndVouchedFor() throws IOException {
+        HttpResponse<String> answer = fleet.post(0, "stream", "s1", "prompt");
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo(WHOLE_STREAM);
+        assertThat(answer.headers().firstValue("Request-Id")).hasValue("s1");
+        assertThat(answer.headers().firstValue("Response-Signature"))
+                .hasValue("signed-by-" + fleet.runnerOf("s1").id());
+    }
+
+    @Test
+    void aPlainRequestReachesItsRunnerUnchanged() throws IOException {
+        assertThat(fleet.post(1, "idem", "p1", "a body").body()).isEqualTo("a body");
+        assertThat(fleet.runs("p1")).isEqualTo(1);
+    }
+
+    @Test
+    void anUnknownRouteOrHostIsNotFound() throws IOException {
+        assertThat(fleet.post(0, "nowhere", "n1", "x").statusCode()).isEqualTo(404);
+        HttpRequest otherHost = fleet.request(0, "/idem/1")
+                .setHeader("Host", "b.example")
+                .header("Request-Id", "n2")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        assertThat(fleet.send(otherHost).statusCode()).isEqualTo(404);
+    }
+
+    @Test
+    void aRequestWithoutIdOrWithATooLongBodyIsRefused() throws IOException {
+        HttpRequest noId = fleet.request(0, "/idem/1")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        assertThat(fleet.send(noId).statusCode()).isEqualTo(400);
+        assertThat(fleet.post(0, "idem", "b1", "x".repeat(100_001)).statusCode())
+                .isEqualTo(413);
+        assertThat(fleet.runs("b1")).isZero();
+    }
+
+    @Test
+    void aFullRunnerIsPassedOver() throws IOException {
+        fleet.runners.get("i-1").behave(Behaviour.FULL);
+        for (int i = 0; i < 6; i++) {
+            assertThat(fleet.post(0, "unsafe", "f" + i, "x").statusCode()).isEqualTo(200);
+            assertThat(fleet.runs("f" + i)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void anAddressThatAnotherRunnerHasIsPassedOver() throws IOException {
+        fleet.runners.get("i-1").behave(Behaviour.OTHER);
+        for (int i = 0; i < 6; i++) {
+            assertThat(fleet.post(0, "unsafe", "o" + i, "x").statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void allRunnersFullIsNotRunAndSaysWhenToComeBack() throws IOException {
+        fleet.behave(Behaviour.FULL);
+        HttpResponse<String> answer = fleet.post(0, "unsafe", "a1", "x");
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.headers().firstValue("Response-Signature")).isEmpty();
+        assertThat(fleet.runs("a1")).isZero();
+    }
+
+    @Test
+    void anIdempotentRequestGoesToAnotherRunnerWhenItsAnswerBreaksOff() throws IOException {
+        fleet.runners.get("i-1").behave(Behaviour.BREAKING);
+        for (int i = 0; i < 4; i++) {
+            HttpResponse<String> answer = fleet.post(0, "idem", "i" + i, "body");
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo("body");
+        }
+    }
+
+    @Test
+    void whatMayHaveRunIsNeitherRepeatedNorCalledNotRun() throws IOException {
+        fleet.behave(Behaviour.BREAKING);
+        assertThat(fleet.post(0, "unsafe", "u1", "x").statusCode()).isEqualTo(502);
+        assertThat(fleet.runs("u1")).isEqualTo(1);
+    }
+
+    @Test
+    void anAnswerToAnotherRequestIsNeverHandedOn() throws IOException {
+        fleet.behave(Behaviour.CROSSED);
+        assertThat(fleet.post(0, "unsafe", "x1", "x").statusCode()).isEqualTo(502);
+        assertThat(fleet.runs("x1")).isEqualTo(1);
+    }
+
+    @Test
+    void aRunnersOwnFailureIsHandedOnUnchanged() throws IOException {
+        fleet.behave(Behaviour.FAILING);
+        HttpResponse<String> answer = fleet.post(0, "unsafe", "w1", "x");
+        assertThat(answer.statusCode()).isEqualTo(500);
+        assertThat(answer.body()).isEqualTo("failed");
+        assertThat(answer.headers().firstValue("Response-Signature")).isPresent();
+        assertThat(fleet.runs("w1")).isEqualTo(1);
+    }
+
+    @Test
+    void aBrokenStreamGoesOnAtAnotherRunnerInTheSameAnswer() throws IOException {
+        RunnerStandIn breaking = fleet.runners.get("i-1");
+        breaking.behave(Behaviour.BREAKING);
+        for (int i = 0; i < 6; i++) {
+            assertThat(fleet.post(0, "stream", "r" + i, "x").body()).isEqualTo(WHOLE_STREAM);
+        }
+        assertThat(breaking.runs()).isPositive();
+    }
+
+    @Test
+    void aStreamThatCannotGoOnEndsVisiblyBroken() {
+        fleet.behave(Behaviour.BREAKING);
+        assertThatThrownBy(() -> fleet.post(0, "once", "v1", "x")).isInstanceOf(IOException.class);
+        assertThat(fleet.runs("v1")).isEqualTo(1);
+    }
+
+    @Test
+    void aSilentRunnerIsLeftForAnother() throws IOException {
+        fleet.runners.get("i-1").behave(Behaviour.SILENT);
+        for (int i = 0; i < 3; i++) {
+            assertThat(fleet.post(0, "idem", "q" + i, "body").body()).isEqualTo("body");
+        }
+    }
+
+    @Test
+    void aCallerWhoHangsUpStopsItsStream() throws Exception {
+        fleet.runners.values().forEach(runner -> runner.setEventMs(500));
+        CompletableFuture<HttpResponse<String>> call = fleet.http()
+                .sendAsync(
+                        fleet.request(0, "/stream/1")
+                                .header("Request-Id", "h1")
+                                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+        GatewayFleet.await(() -> fleet.runs("h1") == 1);
+        call.cancel(true);
+        GatewayFleet.await(() -> fleet.runnerOf("h1").cutShort().contains("h1"));
+    }
+
+    @Test
+    void aRunnerThatLeavesGetsNothingNew() throws IOException {
+        fleet.register(fleet.runners.get("i-1"), "draining");
+        GatewayFleet.await(() -> fleet.get(fleet.metricsUri(0, "/dump")).body().contains("i-1"));
+        GatewayFleet.await(() -> {
+            int before = fleet.runners.get("i-1").runs();
+            for (int i = 0; i < 4; i++) {
+                fleet.post(0, "idem", "l" + System.nanoTime(), "x");
+            }
+            return fleet.runners.get("i-1").runs() == before;
+        });
+    }
+
+    @Test
+    void aNewTableOfRoutesIsInForceAndAnUnreadableOneChangesNothing() throws IOException {
+        assertThat(fleet.post(0, "idem", "c1", "x").statusCode()).isEqualTo(200);
+        fleet.putRoutes(2, "stream");
+        GatewayFleet.await(() -> fleet.post(0, "idem", "c2", "x").statusCode() == 404);
+        fleet.store.put("op", "config", "{broken");
+        assertThat(fleet.post(0, "stream", "c3", "x").statusCode()).isEqualTo(200);
+    }
+
+    @Test
+    void onlineRequestsGoOnWithoutTheStore() throws IOException {
+        fleet.store.refuseWith(503);
+        assertThat(fleet.post(0, "stream", "o1", "x").body()).isEqualTo(WHOLE_STREAM);
+        HttpResponse<String> job = submit(0, "job-0");
+        assertThat(job.statusCode()).isEqualTo(503);
+        assertThat(job.headers().firstValue("Retry-After")).isPresent();
+    }
+
+    @Test
+    void aJobIsAcceptedAtOneDaemonAndReadAtTheOther() throws IOException {
+        assertThat(submit(0, "job-1").statusCode()).isEqualTo(202);
+        assertThat(submit(1, "job-1").statusCode()).isEqualTo(202);
+        GatewayFleet.await(() -> read(1, "job-1").body().contains("\"next\":2"));
+        String page = read(0, "job-1").body();
+        assertThat(page)
+                .contains("\"total\":2")
+                .contains("\"state\":\"completed\"")
+                .contains("piece 1\\npiece 2\\npiece 3\\npiece 4\\npiece 5");
+        assertThat(read(1, "job-1").body()).isEqualTo(page);
+        HttpRequest body = fleet.request(1, "/v1/items/job-1?id=job-1-a").build();
+        assertThat(fleet.send(body).body()).isEqualTo("body");
+        HttpRequest end = fleet.request(0, "/v1/lots/job-1")
+                .method("DELETE", HttpRequest.BodyPublishers.noBody())
+                .build();
+        assertThat(fleet.send(end).statusCode()).isEqualTo(200);
+        assertThat(fleet.send(end).statusCode()).isEqualTo(200);
+        assertThat(read(1, "job-none").statusCode()).isEqualTo(404);
+    }
+
+    @Test
+    void aBrokenSubmissionIsRefusedAndNothingRuns() throws IOException {
+        HttpRequest broken = fleet.request(0, "/batch/x")
+                .header("Request-Id", "job-2")
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"items\":[{\"id\":\"a\",\"path\":\"/batch/stream/1\"," + "\"body\":\"!\"}]}"))
+                .build();
+        assertThat(fleet.send(broken).statusCode()).isEqualTo(400);
+        assertThat(read(0, "job-2").statusCode()).isEqualTo(404);
+    }
+
+    @Test
+    void aStopCutsNoStream() throws Exception {
+        fleet.runners.values().forEach(runner -> runner.setEventMs(100));
+        CompletableFuture<HttpResponse<String>> call = fleet.http()
+                .sendAsync(
+                        fleet.request(0, "/stream/1")
+                                .header("Request-Id", "d1")
+                                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
+        GatewayFleet.await(() -> fleet.runs("d1") == 1);
+        CompletableFuture<Void> stop =
+                CompletableFuture.runAsync(() -> fleet.daemons.get(0).stop());
+        GatewayFleet.await(() -> !fleet.ready(0));
+        assertThat(call.get(30, TimeUnit.SECONDS).body()).isEqualTo(WHOLE_STREAM);
+        stop.get(30, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void metricsAndStateAreShown() throws IOException {
+        fleet.post(0, "idem", "m1", "x");
+        assertThat(fleet.get(fleet.metricsUri(0, "/metrics")).body()).contains("gateway_call_durations");
+        assertThat(fleet.get(fleet.metricsUri(0, "/dump")).body()).contains("directory", "routesVersion", "partitions");
+    }
+
+    private HttpResponse<String> submit(int daemon, String id) throws IOException {
+        String item =
+                "{\"id\":\"%s\",\"path\":\"/batch/stream/1\",\"headers\":{\"Model\":\"m\"},\"body\":\"%s\",\"tokens\":9}";
+        String body = Base64.getEncoder().encodeToString("body".getBytes());
+        return fleet.send(fleet.request(daemon, "/batch/" + id)
+                .header("Request-Id", id)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"items\":[" + item.formatted(id + "-a", body) + ","
+                        + item.formatted(id + "-b", body) + "]}"))
+                .build());
+    }
+
+    private HttpResponse<String> read(int daemon, String id) throws IOException {
+        return fleet.send(fleet.request(daemon, "/v1/lots/" + id + "?after=0")
+                .header("Wait-Ms", "200")
+                .build());
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -0,0 +1,252 @@
+package org.cornelcrank.server;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.cornelcrank.platform.fake.RunnerStandIn;
+import org.cornelcrank.platform.fake.StoreStandIn;
+import org.cornelcrank.server.settings.GatewaySettings;
+import org.cornelcrank.server.settings.GatewaySettingsParser;
+import org.cornelcrank.server.settings.SettingsResult;
+
+/**
+ * Daemons of a platform with a store and runners on loopback addresses.
+ *
+ * <p>Not thread-safe.
+ */
+final class GatewayFleet implements AutoCloseable {
+
+    static final String HOST = "a.example";
+
+    private static final String ZONE = "dc-a";
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final int PORTS = 4;
+
+    /** One route of each kind, all of the same service. */
+    private static final String ROUTES =
+            """
+            {"version":%d,"routes":[%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,
+            "headerTimeoutMs":3000,"idleTimeoutMs":15000}}""";
+
+    private static final String ROUTE =
+            """
+            {"name":"r-%s","host":"a.example","pathPrefix":"/%s/","kind":"%s","timeoutMs":8000,"targetLatencyMs":1000,
+            "priority":0,"service":"svc","maxAttempts":%d,"stickySessions":false,"resumable":%s,"gapAimMs":400,
+            "targetRunMs":18000,"retentionS":60}""";
+
+    final StoreStandIn store = new StoreStandIn(2);
+    final Map<String, RunnerStandIn> runners = new LinkedHashMap<>();
+    final List<GatewayProcess> daemons = new ArrayList<>();
+    private final List<GatewaySettings> settings = new ArrayList<>();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(PATIENCE)
+            .build();
+
+    GatewayFleet(int daemonCount, String... runnerIds) throws IOException {
+        putRoutes(1, "idem", "unsafe", "stream", "once", "batch");
+        for (String id : runnerIds) {
+            RunnerStandIn runner = new RunnerStandIn(id);
+            runners.put(id, runner);
+            register(runner, "ready");
+        }
+        for (int i = 0; i < daemonCount; i++) {
+            start("host-" + i);
+        }
+        for (int i = 0; i < daemonCount; i++) {
+            int daemon = i;
+            await(() -> ready(daemon));
+        }
+        await(() -> status(0, "idem", "warm-up", Map.of()) == 200);
+    }
+
+    /** Puts a table with the named routes in force. */
+    void putRoutes(int version, String... names) {
+        List<String> routes = new ArrayList<>();
+        for (String name : names) {
+            routes.add(
+                    switch (name) {
+                        case "idem" -> ROUTE.formatted(name, name, "idempotent", 2, false);
+                        case "unsafe" -> ROUTE.formatted(name, name, "non_idempotent", 2, false);
+                        case "stream" -> ROUTE.formatted(name, name, "stream", 3, true);
+                        case "once" -> ROUTE.formatted(name, name, "stream", 1, false);
+                        default -> ROUTE.formatted(name, name, "batch", 3, true);
+                    });
+        }
+        store.put("op", "config", ROUTES.formatted(version, String.join(",", routes)));
+    }
+
+    void register(RunnerStandIn runner, String state) {
+        store.put("servers", runner.id(), runner.entry("svc", ZONE, state));
+    }
+
+    void start(String host) throws IOException {
+        int[] ports = freePorts();
+        String[] flags = {
+            "--deployment",
+            "test",
+            "--host",
+            host,
+            "--data-centre",
+            ZONE,
+            "--data-centres",
+            "{\"dc-a\":\"region-1\"}",
+            "--front-address",
+            "127.0.0.1:" + ports[0],
+            "--readiness-address",
+            "127.0.0.1:" + ports[1],
+            "--peer-address",
+            "127.0.0.1:" + ports[2],
+            "--metrics-address",
+            "127.0.0.1:" + ports[3],
+            "--store-address",
+            store.address(),
+            "--store-partitions",
+            "2",
+            "--shared-key",
+            "test",
+            "--drain-delay-ms",
+            "100",
+            "--log-format",
+            "text"
+        };
+        GatewaySettings parsed =
+                ((SettingsResult.Valid<GatewaySettings>) GatewaySettingsParser.parse(flags, Map.of())).settings();
+        settings.add(parsed);
+        daemons.add(GatewayProcess.start(parsed));
+    }
+
+    private static int[] freePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        int[] ports = new int[PORTS];
+        try {
+            for (int i = 0; i < PORTS; i++) {
+                sockets.add(new ServerSocket(0));
+                ports[i] = sockets.get(i).getLocalPort();
+            }
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+        return ports;
+    }
+
+    /** Returns the runner that has run the request. */
+    RunnerStandIn runnerOf(String requestId) {
+        return runners.values().stream()
+                .filter(runner -> runner.runs(requestId) > 0)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    int runs(String requestId) {
+        return runners.values().stream()
+                .mapToInt(runner -> runner.runs(requestId))
+                .sum();
+    }
+
+    void behave(RunnerStandIn.Behaviour behaviour) {
+        runners.values().forEach(runner -> runner.behave(behaviour));
+    }
+
+    HttpRequest.Builder request(int daemon, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + address(daemon) + path))
+                .timeout(PATIENCE)
+                .setHeader("Host", HOST);
+    }
+
+    private String address(int daemon) {
+        var address = settings.get(daemon).frontAddress();
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    HttpResponse<String> get(String uri) throws IOException {
+        return send(HttpRequest.newBuilder(URI.create(uri)).timeout(PATIENCE).build());
+    }
+
+    String metricsUri(int daemon, String path) {
+        var address = settings.get(daemon).metricsAddress().orElseThrow();
+        return "http://" + address.getHostString() + ":" + address.getPort() + path;
+    }
+
+    boolean ready(int daemon) {
+        var address = settings.get(daemon).readinessAddress();
+        try {
+            return get("http://" + address.getHostString() + ":" + address.getPort() + "/v1/readiness")
+                            .statusCode()
+                    == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    HttpResponse<String> post(int daemon, String route, String requestId, String body) throws IOException {
+        return send(request(daemon, "/" + route + "/1")
+                .header("Request-Id", requestId)
+                .header("Deadline-Ms", "8000")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build());
+    }
+
+    int status(int daemon, String route, String requestId, Map<String, String> headers) {
+        HttpRequest.Builder builder = request(daemon, "/" + route + "/1").header("Request-Id", requestId);
+        headers.forEach(builder::header);
+        try {
+            return send(builder.POST(HttpRequest.BodyPublishers.ofString("x")).build())
+                    .statusCode();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws IOException {
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
+    HttpClient http() {
+        return http;
+    }
+
+    /** Waits until something holds. */
+    static void await(Condition condition) throws IOException {
+        long untilNanos = System.nanoTime() + PATIENCE.toNanos();
+        while (!condition.holds()) {
+            if (System.nanoTime() > untilNanos) {
+                throw new AssertionError("the condition must hold within " + PATIENCE);
+            }
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException(e);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        daemons.forEach(GatewayProcess::stop);
+        runners.values().forEach(RunnerStandIn::close);
+        store.close();
+    }
+
+    /** Something that holds sooner or later. */
+    interface Condition {
+        boolean holds() throws IOException;
+    }
+}
