--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
@@ -28,6 +28,8 @@
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.reactivestreams.Publisher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.DisposableServer;
@@ -50,6 +52,8 @@
     /** How long a caller may keep a connection idle, in ms: longer than any limit that callers are told. */
     private static final long IDLE_TIMEOUT_MS = 75_000;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.request");
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -116,27 +120,27 @@
         HeadResult result = dialect.readRequest(request.method().name(), request.uri(), request.requestHeaders());
         Optional<RouteTable> table = settings.table();
         if (table.isEmpty()) {
-            return refuse(
+            return turnAway(
                     response,
                     Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS),
-                    null);
+                    result instanceof HeadResult.Valid valid ? valid.head().requestId() : null);
         }
         Optional<Mono<Void>> aboutJob = jobs.answer(request, response);
         if (aboutJob.isPresent()) {
             return aboutJob.get();
         }
         if (result instanceof HeadResult.Invalid invalid) {
-            return refuse(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
+            return turnAway(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
         }
         RequestHead head = ((HeadResult.Valid) result).head();
         Optional<GatewayRoute> route = table.get().select(head.host(), head.path());
         if (route.isEmpty()) {
             String message = "no route of version " + table.get().version() + " for " + head.host() + head.path();
-            return refuse(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
+            return turnAway(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
         }
         return readBody(request, table.get().limits().maxBodyBytes())
                 .flatMap(body -> body.length > table.get().limits().maxBodyBytes()
-                        ? refuse(
+                        ? turnAway(
                                 response,
                                 Refusal.notRun(RefusalCode.TOO_LARGE, "the body is too long"),
                                 head.requestId())
@@ -198,8 +202,19 @@
         return refuse(response, ((CallAnswer.Refused) answer).refusal(), head.requestId());
     }
 
+    /** Refuses a request that does not reach the core. */
+    private Mono<Void> turnAway(HttpServerResponse response, Refusal refusal, String requestId) {
+        metrics.counter("gateway.refused." + refusal.code().errorCode()).inc();
+        LOGGER.atInfo()
+                .addKeyValue("request", requestId)
+                .addKeyValue("routesVersion", settings.version())
+                .addKeyValue("outcome", refusal)
+                .log("request turned away");
+        return refuse(response, refusal, requestId);
+    }
+
     /** Writes a refusal. */
-    Mono<Void> refuse(HttpServerResponse response, Refusal refusal, String requestId) {
+    private Mono<Void> refuse(HttpServerResponse response, Refusal refusal, String requestId) {
         response.status(dialect.status(refusal));
         copy(dialect.refusalHeaders(refusal, requestId), response);
         return send(response, (refusal.message() + "\n").getBytes(StandardCharsets.UTF_8));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
@@ -23,6 +23,8 @@
 import org.cornelcrank.job.JobPage;
 import org.cornelcrank.job.SubmitJob;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -34,6 +36,8 @@
  */
 final class JobFront {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.job");
+
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final TeamPath JOBS = new TeamPath("/jobs");
@@ -86,7 +90,28 @@
     }
 
     private Mono<Void> ask(CallerCommand command, HttpServerResponse response) {
-        return questions.ask(JOBS, Caller.Scope.CALLER, command).flatMap(reply -> write(reply, response));
+        long askedAtMs = clock.nowMs();
+        return questions.ask(JOBS, Caller.Scope.CALLER, command).flatMap(reply -> {
+            log(command, reply, clock.nowMs() - askedAtMs);
+            return write(reply, response);
+        });
+    }
+
+    /** Logs what changes a job, and each refusal; reads that succeed are too many. */
+    private static void log(CallerCommand command, CallerReply reply, long tookMs) {
+        if (reply instanceof JobAccepted || reply instanceof JobEnded || reply instanceof Refusal) {
+            LOGGER.atInfo()
+                    .addKeyValue("command", summary(command))
+                    .addKeyValue("tookMs", tookMs)
+                    .addKeyValue("outcome", reply)
+                    .log("job command");
+        }
+    }
+
+    private static String summary(CallerCommand command) {
+        return command instanceof SubmitJob submit
+                ? "submit " + submit.job() + ", " + submit.content().items().size() + " items"
+                : command.toString();
     }
 
     private Mono<Void> write(CallerReply reply, HttpServerResponse response) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/DocumentTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/DocumentTests.java
@@ -12,6 +12,7 @@
 
 import org.cornelcrank.config.SettingSchema;
 import org.cornelcrank.server.settings.DaemonSettingsParser;
+import org.cornelcrank.server.settings.GatewaySettingsParser;
 import org.cornelcrank.server.settings.ProcessSetting;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +30,8 @@
     @Test
     void theConfigurationPageListsEveryFlagAndEverySetting() throws IOException {
         assertThat(Files.readString(ROOT.resolve("docs/CONFIGURATION.md")))
-                .contains(flags())
+                .contains(flags(DaemonSettingsParser.declared()))
+                .contains(flags(GatewaySettingsParser.declared()))
                 .contains(settings(SettingSchema.Scope.TEAM))
                 .contains(settings(SettingSchema.Scope.API_KEY))
                 .contains(settings(SettingSchema.Scope.SERVICE))
@@ -46,9 +48,9 @@
         assertThat(documented).isEqualTo(metricsInSources());
     }
 
-    private static String flags() {
+    private static String flags(List<ProcessSetting> declared) {
         StringBuilder table = new StringBuilder("| flag | variable | default | meaning |\n|---|---|---|---|\n");
-        for (ProcessSetting setting : DaemonSettingsParser.declared()) {
+        for (ProcessSetting setting : declared) {
             String fallback = setting.required() ? "required" : setting.defaultValue();
             table.append("| `--%s <%s>` | `%s` | %s | %s |%n"
                     .formatted(
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/PlatformBoundaryTests.java
@@ -0,0 +1,184 @@
+package org.cornelcrank.server;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.conditions.ArchConditions;
+import org.junit.jupiter.api.Test;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Keeps the platform's names in its own module, and decisions out of it. */
+class PlatformBoundaryTests {
+
+    private static final Path ROOT = Path.of("..");
+    private static final String PLATFORM = "org.cornelcrank.platform..";
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("org.cornelcrank");
+
+    /** Header names and paths: words joined by hyphens, and what begins with the version of the interface. */
+    private static final Pattern WIRE_WORD = Pattern.compile("\"((?:[A-Z][A-Za-z]+-)+[A-Z][A-Za-z]+|/v1/[a-z/-]+)");
+
+    /** Headers of HTTP itself, which name nothing of the platform, and a path of the product's own interface. */
+    private static final Set<String> COMMON =
+            Set.of("Keep-Alive", "Proxy-Connection", "Retry-After", "Last-Event-Id", "Content-Type");
+
+    /** Fields of the platform's bodies that no reader would choose by chance. */
+    private static final List<String> WIRE_FIELDS = List.of(
+            "trafficSplit",
+            "targetLatencyMs",
+            "targetRunMs",
+            "stickySessions",
+            "gapAimMs",
+            "retentionS",
+            "maxHeaderBytes",
+            "dead_lettered",
+            "coldRemainingMs",
+            "hasMore",
+            "keyed.");
+
+    @Test
+    void onlyTheCompositionDependsOnThePlatform() {
+        noClasses()
+                .that()
+                .resideOutsideOfPackage(PLATFORM)
+                .and()
+                .doNotHaveFullyQualifiedName(GatewayProcess.class.getName())
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage(PLATFORM)
+                .check(CLASSES);
+    }
+
+    @Test
+    void theSlicesOfThePlatformsDeploymentKeepTheirDirections() {
+        reachOnly("store", "core");
+        reachOnly("gateway", "core", "config", "store");
+        reachOnly("job", "core", "store", "gateway", "routing");
+    }
+
+    private static void reachOnly(String slice, String... others) {
+        Set<String> allowed = new TreeSet<>(Set.of("org.cornelcrank." + slice + ".."));
+        for (String other : others) {
+            allowed.add("org.cornelcrank." + other + "..");
+        }
+        classes()
+                .that()
+                .resideInAPackage("org.cornelcrank." + slice + "..")
+                .should(ArchConditions.onlyDependOnClassesThat(
+                        JavaClass.Predicates.resideOutsideOfPackage("org.cornelcrank..")
+                                .or(JavaClass.Predicates.resideInAnyPackage(allowed.toArray(String[]::new)))))
+                .check(CLASSES);
+    }
+
+    @Test
+    void theDecisionsOfThePlatformsDeploymentDoNoInputOrOutput() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("org.cornelcrank.store..", "org.cornelcrank.gateway", "org.cornelcrank.job")
+                .and()
+                .doNotHaveSimpleName("JobDialect")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "io.netty..", "reactor..")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .check(CLASSES);
+    }
+
+    @Test
+    void thePlatformDependsOnTheProductsTypesOnly() {
+        classes()
+                .that()
+                .resideInAPackage(PLATFORM)
+                .should()
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage(
+                        PLATFORM,
+                        "org.cornelcrank.core..",
+                        "org.cornelcrank.gateway..",
+                        "org.cornelcrank.job..",
+                        "java..",
+                        "com.fasterxml..",
+                        "com.google.protobuf..",
+                        "io.netty..",
+                        "reactor..",
+                        "org.reactivestreams..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void thePlatformDecidesNothing() {
+        noClasses()
+                .that()
+                .resideInAPackage(PLATFORM)
+                .should()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("org.cornelcrank.core.Effects")
+                .orShould()
+                .dependOnClassesThat()
+                .haveFullyQualifiedName("org.cornelcrank.core.Duty")
+                .orShould()
+                .dependOnClassesThat()
+                .resideInAPackage("java.util.random..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void theWordsOfTheWireStandInThePlatformOnly() throws IOException {
+        Set<String> words = new TreeSet<>(WIRE_FIELDS);
+        for (Path source : sources(ROOT.resolve("platform"))) {
+            Matcher matcher = WIRE_WORD.matcher(Files.readString(source));
+            while (matcher.find()) {
+                words.add(matcher.group(1));
+            }
+        }
+        words.removeAll(COMMON);
+        assertThat(words).contains("Request-Id", "Target-Instance", "/v1/lots/");
+        Set<String> found = new TreeSet<>();
+        for (Path module : modules()) {
+            for (Path source : sources(module)) {
+                String text = Files.readString(source);
+                words.stream()
+                        .filter(word -> text.contains('"' + word))
+                        .forEach(word -> found.add(source.getFileName() + ": " + word));
+            }
+        }
+        assertThat(found).isEmpty();
+    }
+
+    private static List<Path> modules() throws IOException {
+        try (Stream<Path> entries = Files.list(ROOT)) {
+            return entries.filter(entry -> entry.getFileName().toString().startsWith("cornelcrank-"))
+                    .toList();
+        }
+    }
+
+    private static List<Path> sources(Path module) throws IOException {
+        Path main = module.resolve("src/main/java");
+        if (!Files.isDirectory(main)) {
+            return List.of();
+        }
+        try (Stream<Path> files = Files.walk(main)) {
+            return files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> !file.toString().contains("/wire/"))
+                    .toList();
+        }
+    }
+}
--- a/cornelcrank-spec/src/test/java/org/cornelcrank/spec/SpecificationTests.java
+++ b/cornelcrank-spec/src/test/java/org/cornelcrank/spec/SpecificationTests.java
@@ -15,7 +15,8 @@
         "PartitionOwnership, ItemWithRepeats, 18749",
         "PartitionOwnership, CallWithRestart, 65475",
         "PartitionOwnership, CallWithRepeats, 18749",
-        "Configuration, Configuration, 268491"
+        "Configuration, Configuration, 268491",
+        "JobResults, JobResults, 19109"
     })
     void everyInvariantHoldsInEveryReachableState(String module, String configuration, long distinctStates)
             throws Exception {
@@ -36,7 +37,10 @@
         "PartitionOwnership, WithoutEpochCheckCall, CallRunsAtMostOnce",
         "PartitionOwnership, WithoutEpochCheckOwner, OneEffectiveOwnerPerOffset",
         "PartitionOwnership, WithoutIntent, CallRunsAtMostOnce",
-        "Configuration, WithoutVersionCheck, ConfigurationNeverReverts"
+        "Configuration, WithoutVersionCheck, ConfigurationNeverReverts",
+        "JobResults, JobWithoutEpoch, ListedIsStored",
+        "JobResults, JobAckBeforeStore, ListedIsStored",
+        "JobResults, JobPositionReused, ListedIsStored"
     })
     void aProtocolWithoutOneOfItsRulesHasACounterexample(String module, String configuration, String invariant)
             throws Exception {
