--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -184,7 +184,7 @@
         answer(ask, (answer, atMs, effects) -> effects.send(from, answer), nowMs, out);
     }
 
-    private void answer(JobMessage.Ask ask, OwnedPartition.ReadReply reply, long nowMs, Effects out) {
+    private void answer(JobMessage.Ask ask, WaitingReads.ReadReply reply, long nowMs, Effects out) {
         OwnedPartition partition = owned.get(JobRecords.partitionOf(ask.job(), settings.partitions()));
         if (partition == null) {
             reply.answer(JobMessage.Answer.unknown(ask.number()), nowMs, out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -36,9 +36,6 @@
     /** When a caller may come back after the store has failed, in ms. */
     private static final long RETRY_AFTER_MS = 300;
 
-    /** The most text in one page of results, in bytes: under 1 MB also where each byte is escaped. */
-    private static final int MAX_PAGE_BYTES = 400 * 1024;
-
     private final JobSettings settings;
     private final StoreCalls store;
     private final TimerKey timer;
@@ -152,7 +149,7 @@
                 break;
             }
             bytes += result.get().result().text().size();
-            if (!results.isEmpty() && bytes > MAX_PAGE_BYTES) {
+            if (!results.isEmpty() && bytes > WaitingReads.MAX_PAGE_BYTES) {
                 break;
             }
             results.add(result.get().result());
@@ -215,11 +212,7 @@
     }
 
     private static Optional<ByteString> bodyOf(JobMessage.Ask ask, Map<Integer, WireJobPart> parts) {
-        ByteString content = ByteString.EMPTY;
-        for (WireJobPart part : parts.values()) {
-            content = content.concat(part.getContent());
-        }
-        return JobRecords.content(content).flatMap(job -> job.items().stream()
+        return StoredRecords.join(List.copyOf(parts.values())).flatMap(job -> job.items().stream()
                 .filter(item -> item.id().equals(ask.bodyOf().orElseThrow()))
                 .map(JobItem::body)
                 .findFirst());
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,7 +22,6 @@
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.job.wire.WireJobPart;
-import org.cornelcrank.job.wire.WireProgress;
 import org.cornelcrank.routing.BatchDemand;
 import org.cornelcrank.routing.BatchPermit;
 import org.cornelcrank.routing.BatchWork;
@@ -49,20 +47,15 @@
     /** The longest that one run of an item may take, in ms: many times what the longest answers take. */
     private static final long RUN_TIMEOUT_MS = 60_000;
 
-    /** The most text in one page of results, in bytes: under 1 MB also where each byte is escaped. */
-    private static final int MAX_PAGE_BYTES = 400 * 1024;
-
     private final int number;
     private final JobContext context;
     private final ResultLog log;
     private final KeyedTopicFollower jobsFollower;
     private final Map<JobId, JobRun> jobs = new TreeMap<>();
-    private final Map<JobId, Map<Integer, WireJobPart>> incomplete = new HashMap<>();
-    private final Map<JobId, TreeMap<Integer, JobRecords.StoredResult>> stored = new HashMap<>();
-    private final Map<JobId, Map<Integer, WireProgress>> storedProgress = new HashMap<>();
+    private final StoredRecords stored = new StoredRecords();
     private final Set<JobId> ended = new HashSet<>();
     private final Map<Long, RunningItem> running = new HashMap<>();
-    private final List<WaitingRead> waitingReads = new ArrayList<>();
+    private final WaitingReads reads = new WaitingReads();
     private boolean ready;
     private boolean closed;
     private boolean suspended;
@@ -123,16 +116,7 @@
 
     @Override
     public void loaded(StoreAnswer.StoredRecord record) {
-        JobRecords.key(record.key()).ifPresent(key -> {
-            if (key.kind() == JobRecords.Kind.PROGRESS) {
-                JobRecords.progress(record).ifPresent(progress -> storedProgress
-                        .computeIfAbsent(key.job(), job -> new TreeMap<>())
-                        .put(key.number(), progress));
-            } else {
-                JobRecords.result(record).ifPresent(result -> stored.computeIfAbsent(key.job(), job -> new TreeMap<>())
-                        .put(key.number(), result));
-            }
-        });
+        stored.loaded(record);
     }
 
     @Override
@@ -160,36 +144,20 @@
     }
 
     private void partCame(JobId job, WireJobPart part, long nowMs, Effects out) {
-        Map<Integer, WireJobPart> parts = incomplete.computeIfAbsent(job, id -> new TreeMap<>());
-        parts.put(part.getIndex(), part);
-        if (parts.size() < part.getParts()) {
+        Optional<List<WireJobPart>> parts = stored.partCame(job, part);
+        if (parts.isEmpty()) {
             return;
         }
-        incomplete.remove(job);
-        ByteString content = ByteString.EMPTY;
-        for (WireJobPart each : parts.values()) {
-            content = content.concat(each.getContent());
-        }
-        Optional<JobContent> decoded = JobRecords.content(content);
-        if (decoded.isEmpty()) {
+        Optional<JobContent> content = StoredRecords.join(parts.get());
+        if (content.isEmpty()) {
             out.add(new Effect.StateChanged(JobDuty.NAME, "job " + job + " cannot be read and is passed over"));
             return;
         }
-        begin(new JobRun(job, decoded.get(), parts.size(), nowMs), nowMs, out);
+        begin(new JobRun(job, content.get(), parts.get().size(), nowMs), nowMs, out);
     }
 
     private void begin(JobRun run, long nowMs, Effects out) {
-        TreeMap<Integer, JobRecords.StoredResult> results = stored.remove(run.id());
-        if (results != null) {
-            for (int position = 0; results.containsKey(position); position++) {
-                run.restore(results.get(position));
-            }
-        }
-        storedProgress.getOrDefault(run.id(), Map.of()).forEach((item, progress) -> {
-            if (item < run.content().items().size() && !run.isFinished(item)) {
-                run.progress(item).restore(progress.getEvents(), progress.getText());
-            }
-        });
+        stored.restore(run);
         jobs.put(run.id(), run);
         if (ended.contains(run.id())) {
             run.end();
@@ -372,23 +340,17 @@
         ListedResult result = new ListedResult(run.content().items().get(item).id(), completed, text);
         List<KeyedRecord> records = new ArrayList<>();
         records.add(JobRecords.result(run.id(), run.finish(item), item, result));
-        if (progressStored(run.id(), item)) {
-            records.add(KeyedRecord.dropping(JobRecords.progressKey(run.id(), item)));
-        }
+        stored.dropProgress(run.id(), item).ifPresent(records::add);
         log.write(
                 records,
                 (acknowledgedAtMs, effects) -> {
                     run.list(result);
-                    answerReads(run, acknowledgedAtMs, effects);
+                    reads.answer(run, acknowledgedAtMs, effects);
                 },
                 nowMs,
                 out);
     }
 
-    private boolean progressStored(JobId job, int item) {
-        return storedProgress.getOrDefault(job, Map.of()).containsKey(item);
-    }
-
     /**
      * Does the next step towards giving the partition up: ends all runs, then writes how far its items have come for the
      * next owner.
@@ -436,11 +398,11 @@
             }
         }
         demand(run, nowMs, out);
-        answerReads(run, nowMs, out);
+        reads.answer(run, nowMs, out);
     }
 
     /** Answers a read now if there is something to tell, or keeps it until its time is over. */
-    void read(JobMessage.Ask ask, ReadReply reply, long nowMs, Effects out) {
+    void read(JobMessage.Ask ask, WaitingReads.ReadReply reply, long nowMs, Effects out) {
         JobRun run = ready ? jobs.get(ask.job()) : null;
         if (run == null || ask.fromPosition() > run.listed().size()) {
             reply.answer(JobMessage.Answer.unknown(ask.number()), nowMs, out);
@@ -449,44 +411,15 @@
                     run.ended() ? Optional.empty() : run.body(ask.bodyOf().get());
             int total = run.content().items().size();
             reply.answer(new JobMessage.Answer(ask.number(), true, total, List.of(), body), nowMs, out);
-        } else if (ask.fromPosition() < run.listed().size() || run.done() || ask.waitMs() <= 0) {
-            reply.answer(page(run, ask), nowMs, out);
         } else {
-            waitingReads.add(new WaitingRead(ask, reply, nowMs + ask.waitMs()));
-        }
-    }
-
-    private static JobMessage.Answer page(JobRun run, JobMessage.Ask ask) {
-        List<ListedResult> results = new ArrayList<>();
-        int bytes = 0;
-        for (ListedResult result :
-                run.listed().subList(ask.fromPosition(), run.listed().size())) {
-            bytes += result.text().size();
-            if (!results.isEmpty() && bytes > MAX_PAGE_BYTES) {
-                break;
-            }
-            results.add(result);
-        }
-        int total = run.content().items().size();
-        return new JobMessage.Answer(ask.number(), true, total, results, Optional.empty());
-    }
-
-    private void answerReads(JobRun run, long nowMs, Effects out) {
-        for (Iterator<WaitingRead> reads = waitingReads.iterator(); reads.hasNext(); ) {
-            WaitingRead read = reads.next();
-            boolean due = nowMs >= read.untilMs();
-            if (read.ask().job().equals(run.id())
-                    && (due || read.ask().fromPosition() < run.listed().size() || run.done())) {
-                reads.remove();
-                read.reply().answer(page(run, read.ask()), nowMs, out);
-            }
+            reads.read(run, ask, reply, nowMs, out);
         }
     }
 
     /** Does what time brings about: reads that have waited enough, items to try again, jobs past their retention. */
     void tick(long nowMs, Effects out) {
         for (JobRun run : List.copyOf(jobs.values())) {
-            answerReads(run, nowMs, out);
+            reads.answer(run, nowMs, out);
             if (run.done()) {
                 forgetOld(run, nowMs, out);
             } else {
@@ -515,11 +448,7 @@
         for (int position = 0; position < run.listed().size(); position++) {
             results.add(KeyedRecord.dropping(JobRecords.resultKey(run.id(), position)));
         }
-        storedProgress
-                .getOrDefault(run.id(), Map.of())
-                .keySet()
-                .forEach(item -> results.add(KeyedRecord.dropping(JobRecords.progressKey(run.id(), item))));
-        storedProgress.remove(run.id());
+        results.addAll(stored.dropProgress(run.id()));
         jobs.remove(run.id());
         ended.remove(run.id());
         if (!results.isEmpty()) {
@@ -540,10 +469,7 @@
         for (JobRun run : jobs.values()) {
             withdraw(run, nowMs, out);
         }
-        for (WaitingRead read : List.copyOf(waitingReads)) {
-            read.reply().answer(JobMessage.Answer.unknown(read.ask().number()), nowMs, out);
-        }
-        waitingReads.clear();
+        reads.giveUpAll(nowMs, out);
     }
 
     private void withdraw(JobRun run, long nowMs, Effects out) {
@@ -561,11 +487,6 @@
                         out));
     }
 
-    /** Carries the answer to a read. */
-    interface ReadReply {
-        void answer(JobMessage.Answer answer, long nowMs, Effects out);
-    }
-
     /** Makes the parts of a partition that talk to the store. */
     interface PartFactory {
 
@@ -575,6 +496,4 @@
     }
 
     private record RunningItem(BatchPermit permit, JobRun run, int item) {}
-
-    private record WaitingRead(JobMessage.Ask ask, ReadReply reply, long untilMs) {}
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
@@ -94,10 +94,6 @@
         return held.contains(partition);
     }
 
-    Set<Integer> held() {
-        return held;
-    }
-
     long generation() {
         return generation;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -50,6 +50,7 @@
     private final PermitRequests permits;
     private final RetryPolicy retryPolicy;
     private final RetryBudget retryBudget;
+    private final SpareBids spares;
     private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
     private final Map<RequestId, Route> routes = new LinkedHashMap<>();
     private final Map<AttemptId, Route> byAttempt = new LinkedHashMap<>();
@@ -60,6 +61,7 @@
         this.link = link;
         this.choice = new TargetChoice(context, link);
         this.permits = new PermitRequests(context);
+        this.spares = new SpareBids(context, choice, permits, byAttempt);
         this.retryPolicy = new RetryPolicy(context.routing().retries().maxAttempts());
         this.retryBudget = new RetryBudget(context.routing().retries());
     }
@@ -201,12 +203,12 @@
             }
             return;
         }
-        Optional<Bid> spare = spareBid(route, queued.attempt());
+        Optional<Bid> spare = SpareBids.find(route, queued.attempt());
         spare.map(Bid::target).orElse(route.target).told(queued.occupancy(), nowMs);
         if (spare.isPresent() || route.phase == Route.Phase.ASKED && moveToTargetWithRoom(route, nowMs, out)) {
             return;
         }
-        bidElsewhere(route, nowMs, out);
+        spares.bidElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
         wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + RECHECK_MS), out);
     }
@@ -231,37 +233,9 @@
         return true;
     }
 
-    private static Optional<Bid> spareBid(Route route, AttemptId attempt) {
-        return route.spareBids.stream()
-                .filter(bid -> bid.attempt().equals(attempt))
-                .findFirst();
-    }
-
-    /** Lets a request that waits queue at further targets; the first permit is used and the others given back. */
-    private void bidElsewhere(Route route, long nowMs, Effects out) {
-        while (!route.suspect
-                && route.spareBids.size() < context.routing().permits().maxSpareBids()) {
-            List<TargetId> excluded = new ArrayList<>(route.excluded);
-            excluded.add(route.target.id());
-            route.spareBids.forEach(bid -> excluded.add(bid.target().id()));
-            Optional<TargetState> target = context.settings()
-                    .team(route.request.team())
-                    .flatMap(team -> choice.chooseSpare(route.request, team, excluded, nowMs));
-            Optional<HostId> controller = target.flatMap(context.controllers()::controllerOf);
-            if (controller.isEmpty()) {
-                return;
-            }
-            Bid bid = new Bid(context.attempts().next(), target.get(), controller.get());
-            route.spareBids.add(bid);
-            byAttempt.put(bid.attempt(), route);
-            permits.ask(route, bid, nowMs, out);
-        }
-    }
-
     /** Makes a spare bid the one that counts, and gives the one that counted up. */
     private void turnToSpare(Route route, AttemptId attempt, Effects out) {
-        Bid bid = spareBid(route, attempt).orElseThrow();
-        route.spareBids.remove(bid);
+        Bid bid = spares.take(route, attempt).orElseThrow();
         byAttempt.remove(route.attempt);
         permits.release(route, route.attempt, RoutingMessage.Use.UNUSED, out);
         takeOver(route, bid);
@@ -273,26 +247,12 @@
         route.controller = bid.controller();
     }
 
-    private void withdrawSpares(Route route, Effects out) {
-        for (Bid bid : List.copyOf(route.spareBids)) {
-            dropSpare(route, bid, out);
-        }
-    }
-
-    private void dropSpare(Route route, Bid bid, Effects out) {
-        route.spareBids.remove(bid);
-        byAttempt.remove(bid.attempt());
-        permits.giveBack(bid.controller(), bid.attempt(), bid.target().id(), out);
-    }
-
     void refused(RoutingMessage.PermitRefused refused, long nowMs, Effects out) {
         Route route = byAttempt.get(refused.attempt());
         if (route == null || !route.seeksPermit()) {
             return;
         }
-        Optional<Bid> spare = spareBid(route, refused.attempt());
-        if (spare.isPresent()) {
-            route.spareBids.remove(spare.get());
+        if (spares.take(route, refused.attempt()).isPresent()) {
             byAttempt.remove(refused.attempt());
             return;
         }
@@ -381,7 +341,7 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
-        withdrawSpares(route, out);
+        spares.withdraw(route, out);
         wakeups.remove(request.id());
         route.phase = Route.Phase.RUNNING;
         route.attempts++;
@@ -539,7 +499,7 @@
 
     /** Gives up the place in a controller's queue, or a permit that is on its way. */
     private void withdraw(Route route, Effects out) {
-        withdrawSpares(route, out);
+        spares.withdraw(route, out);
         byAttempt.remove(route.attempt);
         permits.release(route, route.attempt, RoutingMessage.Use.UNUSED, out);
     }
@@ -547,7 +507,7 @@
     /** Turns to the controllers of a changed membership with what waits and what runs. */
     void controllersChanged(long nowMs, Effects out) {
         for (Route route : new LinkedHashSet<>(byAttempt.values())) {
-            withdrawMovedSpares(route, out);
+            spares.withdrawMoved(route, out);
             Optional<HostId> controller = context.controllers().controllerOf(route.target);
             if (controller.isEmpty() || controller.get().equals(route.controller)) {
                 continue;
@@ -559,14 +519,6 @@
         }
     }
 
-    private void withdrawMovedSpares(Route route, Effects out) {
-        for (Bid bid : List.copyOf(route.spareBids)) {
-            if (!context.controllers().controllerOf(bid.target()).equals(Optional.of(bid.controller()))) {
-                dropSpare(route, bid, out);
-            }
-        }
-    }
-
     /** Returns what runs now, for the announcement to controllers. */
     Collection<Route> running() {
         return byAttempt.values().stream().filter(route -> !route.seeksPermit()).toList();
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
@@ -64,11 +64,6 @@
         }
     }
 
-    /** Returns the time in ms at which the store answered last. */
-    public long answeredAtMs() {
-        return answeredAtMs;
-    }
-
     /** Returns the time in ms at which a request failed last. */
     public long failedAtMs() {
         return failedAtMs;
