--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -138,7 +138,10 @@
         return true;
     }
 
-    /** Targets tell their load with their answers here, so that nobody has to watch them. */
+    /**
+     * Returns whether nothing is to be done: targets need not be watched, as permits count their load, and a reply without a
+     * call or a question is one that nobody waits for any longer.
+     */
     private static boolean isIgnored(Effect effect) {
         return effect instanceof Effect.WatchTargets || effect instanceof Effect.Reply;
     }
