Bound the pages that readers without an owner take from the store

Each read without an owner's answer fetched up to two pages of 1 MB over the 21 Mbit/s between the regions, one of them only to learn a job's number of items; pages that did not come within 1.5 s were asked for anew, from the first one. A reader who is turned away gets 503 and when to come back.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -33,6 +34,15 @@
     /** How long an owner's answer may take beyond the time that it was asked to wait, in ms: ways across regions. */
     private static final long ANSWER_MARGIN_MS = 350;
 
+    /**
+     * How many reads of this daemon may be under way at the store: a page has up to 1 MB, and more of them at once fill the
+     * link between regions, so that none ends in time.
+     */
+    private static final int MAX_STORE_READS = 2;
+
+    /** Jobs whose number of items is remembered, which saves reading their bodies from the store. */
+    private static final int MAX_TOTALS = 4_096;
+
     /** When a caller may come back after the store has failed, in ms. */
     private static final long RETRY_AFTER_MS = 300;
 
@@ -41,6 +51,16 @@
     private final TimerKey timer;
     private final Owners owners;
     private final Map<Long, Reading> asked = new HashMap<>();
+    private final Map<JobId, Integer> totals = new LinkedHashMap<>(16, 0.75f, true) {
+
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, Integer> eldest) {
+            return size() > MAX_TOTALS;
+        }
+    };
+    private int storeReads;
     private long lastNumber;
 
     JobReads(JobSettings settings, StoreCalls store, TimerKey timer, Owners owners) {
@@ -95,6 +115,7 @@
             owners.failed(reading.partition(), reading.owner().orElseThrow());
             readStore(reading, out);
         } else if (ask.bodyOf().isEmpty()) {
+            totals.put(ask.job(), answer.totalItems());
             out.reply(reading.request(), new JobPage(answer.totalItems(), ask.fromPosition(), answer.results()));
         } else {
             out.reply(reading.request(), body(answer.body()));
@@ -122,6 +143,11 @@
 
     private void readStore(Reading reading, Effects out) {
         JobMessage.Ask ask = reading.ask();
+        if (storeReads >= MAX_STORE_READS) {
+            refuse(reading, "the owner does not answer, and enough others read from the store", out);
+            return;
+        }
+        storeReads++;
         if (ask.bodyOf().isPresent()) {
             readParts(reading, JobRecords.prefix(ask.job()), new TreeMap<>(), out);
             return;
@@ -159,6 +185,11 @@
 
     private void readTotal(Reading reading, List<ListedResult> results, Effects out) {
         JobMessage.Ask ask = reading.ask();
+        Integer known = totals.get(ask.job());
+        if (known != null) {
+            end(reading, new JobPage(known, ask.fromPosition(), results), out);
+            return;
+        }
         String prefix = JobRecords.prefix(ask.job());
         store.call(
                 new StoreRequest.ReadNewest(JobRecords.jobs(reading.partition()), prefix),
@@ -172,10 +203,11 @@
                             .filter(record -> !record.key().equals(JobRecords.endKey(ask.job())))
                             .findFirst()
                             .flatMap(record -> JobRecords.part(record.value()));
+                    part.ifPresent(found -> totals.put(ask.job(), found.getItems()));
                     CallerReply reply = part.<CallerReply>map(
                                     found -> new JobPage(found.getItems(), ask.fromPosition(), results))
                             .orElseGet(() -> Refusal.notRun(RefusalCode.NOT_FOUND, "there is no job " + ask.job()));
-                    effects.reply(reading.request(), reply);
+                    end(reading, reply, effects);
                 },
                 out);
     }
@@ -205,7 +237,7 @@
                     if (further && !page.records().isEmpty()) {
                         readParts(reading, last, parts, effects);
                     } else {
-                        effects.reply(reading.request(), body(ended ? Optional.empty() : bodyOf(ask, parts)));
+                        end(reading, body(ended ? Optional.empty() : bodyOf(ask, parts)), effects);
                     }
                 },
                 out);
@@ -218,8 +250,17 @@
                 .findFirst());
     }
 
-    private static void unsure(Reading reading, StoreAnswer answer, Effects out) {
-        String message = "neither the owner nor the store can tell: " + answer;
+    private void unsure(Reading reading, StoreAnswer answer, Effects out) {
+        storeReads--;
+        refuse(reading, "neither the owner nor the store can tell: " + answer, out);
+    }
+
+    private void end(Reading reading, CallerReply reply, Effects out) {
+        storeReads--;
+        out.reply(reading.request(), reply);
+    }
+
+    private static void refuse(Reading reading, String message, Effects out) {
         out.reply(reading.request(), Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS));
     }
 
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.job;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,6 +12,7 @@
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.StoreRequest;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
@@ -249,6 +251,30 @@
         assertThat(jobs.readBody(A, JOB, JOB + "-item-2")).isInstanceOf(ItemBody.class);
     }
 
+    /** Pages of the store are long; many at once would fill the link between regions, so that none ends in time. */
+    @Test
+    void manyReadersWithoutAnOwnerDoNotFloodTheStore() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(100);
+        HostId reader = others(jobs.owner()).get(0);
+        jobs.nodes.run(5_000);
+        others(reader).forEach(jobs.nodes::freeze);
+        int[] pages = new int[1];
+        jobs.nodes.setFaults((host, request) -> {
+            pages[0] += request instanceof StoreRequest.ReadNewest ? 1 : 0;
+            return StoreFault.NONE;
+        });
+        List<RequestId> reads = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            reads.add(jobs.nodes.ask(reader, new ReadJob(new JobId(JOB), 0, 0)));
+        }
+        jobs.nodes.run(1_000);
+        List<CallerReply> replies =
+                reads.stream().map(read -> jobs.nodes.reply(read).orElseThrow()).toList();
+        assertThat(replies).allMatch(reply -> reply instanceof JobPage || code(reply) == RefusalCode.STORE_UNAVAILABLE);
+        assertThat(pages[0]).isLessThan(10);
+    }
+
     @Test
     void onlyTheStoreSaysThatThereIsNoSuchJob() {
         assertThat(code(jobs.read(A, "unknown", 0))).isEqualTo(RefusalCode.NOT_FOUND);
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -46,6 +46,7 @@
     private boolean stopped;
     private long currentAtMs = Long.MIN_VALUE / 2;
     private long reading;
+    private String lastKey = "";
 
     /**
      * Creates a follower that does nothing before {@link #start}.
@@ -97,7 +98,7 @@
             return;
         }
         if (loading) {
-            load(out);
+            readPage(lastKey, out);
         } else {
             read(out);
         }
@@ -105,6 +106,7 @@
 
     private void load(Effects out) {
         loading = true;
+        lastKey = "";
         followFrom = -1;
         found.clear();
         readPage("", out);
@@ -134,7 +136,8 @@
             take(record, nowMs, out);
         }
         if (page.more() && !page.records().isEmpty()) {
-            readPage(page.records().get(page.records().size() - 1).key(), out);
+            lastKey = page.records().get(page.records().size() - 1).key();
+            readPage(lastKey, out);
             return;
         }
         dropVanished(nowMs, out);
