Remove what nothing uses, and put the start of an objective where it belongs

KeyedTopicFollower.loaded() had no caller; GatewayRoute.eventGapObjectiveMs and TargetEntry.startedAtMs were decoded and not used, so their two assertions go with them. The time by which a request must begin is worked out by AskPermit, and TargetChoice's local is named after what it holds.

No change of behaviour. Tests of store, routing, gateway and platform green.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/GatewayRoute.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/GatewayRoute.java
@@ -11,10 +11,10 @@
 /**
  * Says where the requests of a host and path prefix go, and how they may be treated.
  *
- * <p>{@code priority} ranks routes, 0 first. {@code timeoutMs} is the longest that a request is kept waiting,
- * {@code latencyObjectiveMs} the time to the first event or the whole answer within which it is worth most, and
- * {@code eventGapObjectiveMs} the longest pause between events for that. For batch jobs {@code runObjectiveMs} is when all
- * results are due and {@code itemRetentionMs} when an item may be given up, both from the submission. Invariant: the prefix
+ * <p>{@code priority} ranks routes, 0 first. {@code timeoutMs} is the longest that a request is kept waiting, and
+ * {@code latencyObjectiveMs} the time to the first event or the whole answer within which it is worth most. For batch jobs
+ * {@code runObjectiveMs} is when all results are due and {@code itemRetentionMs} when an item may be given up, both from
+ * the submission. Invariant: the prefix
  * begins and ends with a slash, and there is at least one service. Immutable, thus thread-safe.
  */
 public record GatewayRoute(
@@ -26,7 +26,6 @@
         int priority,
         long timeoutMs,
         long latencyObjectiveMs,
-        long eventGapObjectiveMs,
         int maxAttempts,
         boolean resumable,
         boolean prefixAffinity,
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/TargetEntry.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/TargetEntry.java
@@ -9,17 +9,10 @@
 /**
  * What a target says of itself in the store.
  *
- * <p>{@code startedAtMs} is by the target's own clock, and only tells one start of it from another. Immutable, thus
- * thread-safe.
+ * <p>Immutable, thus thread-safe.
  */
 public record TargetEntry(
-        TargetId target,
-        ServiceName service,
-        String address,
-        DataCentreId dataCentre,
-        int slots,
-        boolean leaving,
-        long startedAtMs) {
+        TargetId target, ServiceName service, String address, DataCentreId dataCentre, int slots, boolean leaving) {
 
     public TargetEntry {
         Objects.requireNonNull(target, "target must not be null");
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryDutyTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryDutyTests.java
@@ -261,7 +261,7 @@
                 return Optional.empty();
             }
             return Optional.of(new TargetEntry(
-                    new TargetId(id), new ServiceName("s"), "10.0.0.9:1", DATA_CENTRE, 8, state.equals("leaving"), 1));
+                    new TargetId(id), new ServiceName("s"), "10.0.0.9:1", DATA_CENTRE, 8, state.equals("leaving")));
         }
     }
 }
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/RouteTableTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/RouteTableTests.java
@@ -14,7 +14,7 @@
 
     static GatewayRoute route(String name, String host, String prefix, WeightedService... services) {
         return new GatewayRoute(
-                name, host, prefix, RouteKind.IDEMPOTENT, List.of(services), 0, 2_000, 200, 0, 2, false, false, 0, 0);
+                name, host, prefix, RouteKind.IDEMPOTENT, List.of(services), 0, 2_000, 200, 2, false, false, 0, 0);
     }
 
     static WeightedService service(String name, int weight) {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -105,7 +105,6 @@
                 2,
                 15_000,
                 500,
-                400,
                 MAX_ATTEMPTS,
                 true,
                 true,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -38,6 +38,11 @@
 
         /** Stands for a request without a latency objective. */
         static final long NO_OBJECTIVE = Long.MAX_VALUE;
+
+        /** Returns by when the request must begin, in ms by the clock of {@code nowMs}. */
+        long startByMs(long nowMs) {
+            return startWithinMs == NO_OBJECTIVE ? NO_OBJECTIVE : nowMs + startWithinMs;
+        }
     }
 
     /** Grants a permit. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -92,8 +92,8 @@
         if (inRegion.isPresent()) {
             return inRegion;
         }
-        boolean regionMeetsDeadline = region.stream().anyMatch(candidate -> meetsObjective(candidate, request, nowMs));
-        if (!regionMeetsDeadline) {
+        boolean regionInTime = region.stream().anyMatch(candidate -> meetsObjective(candidate, request, nowMs));
+        if (!regionInTime) {
             List<TargetCandidate> better = region.isEmpty() ? other : withRoom(other);
             if (!better.isEmpty() && link.tryTake(LinkBudget.Purpose.ONLINE, nowMs)) {
                 return select(better, request);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -146,9 +146,7 @@
                 ask.urgency(),
                 nowMs,
                 nowMs + ask.remainingMs(),
-                ask.startWithinMs() == RoutingMessage.AskPermit.NO_OBJECTIVE
-                        ? PermitWaiter.NO_OBJECTIVE
-                        : nowMs + ask.startWithinMs(),
+                ask.startByMs(nowMs),
                 false,
                 ask.suspect());
         Optional<LedgerDecision> decision = ledger.ask(waiter, nowMs);
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -41,7 +41,6 @@
     private long nextOffset;
     private long followFrom;
     private long pauseMs = FIRST_PAUSE_MS;
-    private boolean loaded;
     private boolean loading;
     private boolean stopped;
     private long currentAtMs = Long.MIN_VALUE / 2;
@@ -82,11 +81,6 @@
         reading++;
     }
 
-    /** Returns whether every key that the store had at the start is known. */
-    public boolean loaded() {
-        return loaded;
-    }
-
     /** Returns the time in ms at which everything in the partition was known last. */
     public long currentAtMs() {
         return currentAtMs;
@@ -143,7 +137,6 @@
         dropVanished(nowMs, out);
         loading = false;
         nextOffset = followFrom;
-        loaded = true;
         currentAtMs = nowMs;
         listener.current(nowMs, out);
         read(out);
