Write jobs through another daemon while the store does not answer this one

Ruled out: the owners (each job that was accepted ran at once), and the peers' links (no daemon suspected another for the cut).

Now a write that the store fails here, or would, goes to the owner of the partition or to whoever became an owner last; a daemon that hears of an owner under a higher epoch gives its partition up and asks that owner; a submission whose caller left is logged.

Four tests in JobDutyTests, red before.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
-import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.DaemonIdentity;
@@ -18,9 +17,7 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
-import org.cornelcrank.core.Fact;
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.Names;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.StateWriter;
@@ -49,7 +46,6 @@
     private static final TimerKey WRITES = new TimerKey(NAME, "writes");
     private static final String LOG_TIMER = "log/";
     private static final String FOLLOW_TIMER = "follow/";
-    private static final String OWNER_FACT = "owner/";
 
     /** The pause between two checks of what time brings about, in ms; only while there are jobs. */
     private static final long TICK_MS = 100;
@@ -57,21 +53,17 @@
     /** How long the store keeps a read of new jobs waiting, in ms; bounds how long a silent connection goes unnoticed. */
     private static final long FOLLOW_WAIT_MS = 2_500;
 
-    /** How long others believe who owns a partition, in ms; told anew after a third of it. */
-    private static final long OWNER_LIFETIME_MS = 60_000;
-
     private final DaemonIdentity identity;
     private final JobSettings settings;
     private final StoreCalls store;
-    private final Dissemination dissemination;
     private final RandomGenerator random;
     private final PartitionLeases leases;
     private final JobWrites writes;
     private final JobReads reads;
     private final JobContext context;
+    private final PartitionOwners owners;
     private final Map<Integer, OwnedPartition> owned = new TreeMap<>();
     private final Map<Integer, Long> lostEpochs = new HashMap<>();
-    private final Map<Integer, Owner> owners = new HashMap<>();
     private boolean ticking;
     private boolean stopping;
     private boolean left;
@@ -88,13 +80,12 @@
         this.identity = Objects.requireNonNull(identity, "identity must not be null");
         this.settings = Objects.requireNonNull(settings, "settings must not be null");
         this.store = Objects.requireNonNull(store, "store must not be null");
-        this.dissemination = Objects.requireNonNull(dissemination, "dissemination must not be null");
         this.random = Objects.requireNonNull(random, "random must not be null");
         this.leases = new PartitionLeases(identity.writer(), RENEW, settings, store, this::leasesRenewed);
-        this.writes = new JobWrites(settings, store, WRITES);
+        this.owners = new PartitionOwners(identity.host(), dissemination, this::ownerTold);
+        this.writes = new JobWrites(settings, store, WRITES, owners);
         this.reads = new JobReads(settings, store, READS, new PeerOwners());
         this.context = new JobContext(settings, routes, capacity, writes, new OwnPartitions());
-        dissemination.subscribe(NAME, this::factReceived);
         routes.subscribe((nowMs, out) -> owned.values().forEach(partition -> partition.tick(nowMs, out)));
     }
 
@@ -116,6 +107,10 @@
                 asked(received.from(), ask, nowMs, out);
             } else if (received.message() instanceof JobMessage.Answer answer) {
                 reads.answered(answer, nowMs, out);
+            } else if (received.message() instanceof JobMessage.Write write) {
+                writes.relay(received.from(), write, out);
+            } else if (received.message() instanceof JobMessage.Written written) {
+                writes.relayed(written, nowMs, out);
             }
         } else if (event instanceof Event.StopRequested) {
             stopping = true;
@@ -126,13 +121,13 @@
     private void timerDue(TimerKey key, long nowMs, Effects out) {
         if (key.equals(RENEW)) {
             leases.renew(nowMs, out);
-            renewOwnerFacts(nowMs, out);
+            owners.tellAgain(owned.values(), nowMs, out);
         } else if (key.equals(TICK)) {
             tick(nowMs, out);
         } else if (key.equals(READS)) {
             reads.timerDue(nowMs, out);
         } else if (key.equals(WRITES)) {
-            writes.timerDue(out);
+            writes.timerDue(nowMs, out);
         } else if (key.name().startsWith(LOG_TIMER)) {
             partition(key, LOG_TIMER).ifPresent(partition -> partition.log().timerDue(out));
         } else if (key.name().startsWith(FOLLOW_TIMER)) {
@@ -274,37 +269,12 @@
         }
     }
 
-    private void factReceived(Fact fact, long nowMs, Effects out) {
-        String host = fact.value().toStringUtf8();
-        if (!fact.key().startsWith(OWNER_FACT) || !Names.isName(host)) {
-            return;
-        }
-        int partition = Integer.parseInt(fact.key().substring(OWNER_FACT.length()));
-        owners.merge(
-                partition,
-                new Owner(new HostId(host), fact.version()),
-                (before, after) -> after.version >= before.version ? after : before);
-    }
-
-    private void tellOwner(OwnedPartition partition, long nowMs, Effects out) {
-        partition.toldOwnerAtMs(nowMs);
-        dissemination.publish(
-                new Fact(
-                        NAME,
-                        OWNER_FACT + partition.number(),
-                        partition.log().epoch() + partition.tellings(),
-                        ByteString.copyFromUtf8(identity.host().value()),
-                        OWNER_LIFETIME_MS,
-                        Fact.Scope.EVERYWHERE),
-                nowMs,
-                out);
-    }
-
-    private void renewOwnerFacts(long nowMs, Effects out) {
-        for (OwnedPartition partition : owned.values()) {
-            if (partition.ready() && nowMs - partition.toldOwnerAtMs() > OWNER_LIFETIME_MS / 3) {
-                tellOwner(partition, nowMs, out);
-            }
+    /** Gives up a partition that another daemon owns under a higher epoch, also while the store cannot say so. */
+    private void ownerTold(int number, HostId owner, long version, long nowMs, Effects out) {
+        OwnedPartition partition = owned.get(number);
+        if (partition != null && version > partition.version()) {
+            lostEpochs.merge(number, version, Math::max);
+            give(partition, owner + " owns it under epoch " + version, nowMs, out);
         }
     }
 
@@ -344,7 +314,7 @@
 
         @Override
         public void partitionReady(int partition, long nowMs, Effects out) {
-            tellOwner(owned.get(partition), nowMs, out);
+            owners.tell(owned.get(partition), nowMs, out);
             keepTicking(nowMs, out);
         }
 
@@ -366,9 +336,7 @@
             if (owned.containsKey(partition)) {
                 return Optional.of(identity.host());
             }
-            return Optional.ofNullable(owners.get(partition))
-                    .map(Owner::host)
-                    .filter(host -> !host.equals(identity.host()));
+            return owners.ownerOf(partition);
         }
 
         @Override
@@ -382,10 +350,7 @@
 
         @Override
         public void failed(int partition, HostId owner) {
-            Owner known = owners.get(partition);
-            if (known != null && known.host.equals(owner)) {
-                owners.put(partition, new Owner(identity.host(), known.version));
-            }
+            owners.failed(partition, owner);
         }
     }
 
@@ -405,6 +370,4 @@
             return new KeyedTopicFollower(JobRecords.jobs(partition), timer, FOLLOW_WAIT_MS, store, random, listener);
         }
     }
-
-    private record Owner(HostId host, long version) {}
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.KeyedRecord;
 import org.cornelcrank.core.PeerMessage;
 
 /**
@@ -29,4 +30,15 @@
             return new Answer(number, false, 0, List.of(), Optional.empty());
         }
     }
+
+    /** Asks to write records of a job to the store, for a daemon that does not reach it; repeating it changes nothing. */
+    record Write(long number, JobId job, List<KeyedRecord> records) implements JobMessage {
+
+        public Write {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** Says what has become of a write. */
+    record Written(long number, WriteOutcome outcome) implements JobMessage {}
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessageCodec.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessageCodec.java
@@ -5,12 +5,17 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.KeyedRecord;
 import org.cornelcrank.core.PeerMessage;
 import org.cornelcrank.core.PeerMessageCodec;
 import org.cornelcrank.job.wire.WireAnswer;
 import org.cornelcrank.job.wire.WireAsk;
 import org.cornelcrank.job.wire.WireJobMessage;
+import org.cornelcrank.job.wire.WireKeyedRecord;
 import org.cornelcrank.job.wire.WireListed;
+import org.cornelcrank.job.wire.WireWrite;
+import org.cornelcrank.job.wire.WireWriteOutcome;
+import org.cornelcrank.job.wire.WireWritten;
 
 /**
  * Encodes the messages about jobs.
@@ -41,6 +46,10 @@
                     .setBodyOf(ask.bodyOf().orElse("")));
         } else if (message instanceof JobMessage.Answer answer) {
             wire.setAnswer(encode(answer));
+        } else if (message instanceof JobMessage.Write write) {
+            wire.setWrite(encode(write));
+        } else if (message instanceof JobMessage.Written written) {
+            wire.setWritten(WireWritten.newBuilder().setNumber(written.number()).setOutcome(encode(written.outcome())));
         }
         return wire.build().toByteString();
     }
@@ -61,12 +70,33 @@
         return wire.build();
     }
 
+    private static WireWrite encode(JobMessage.Write write) {
+        WireWrite.Builder wire = WireWrite.newBuilder()
+                .setNumber(write.number())
+                .setJob(write.job().value());
+        for (KeyedRecord record : write.records()) {
+            wire.addRecords(WireKeyedRecord.newBuilder().setKey(record.key()).setValue(record.value()));
+        }
+        return wire.build();
+    }
+
+    private static WireWriteOutcome encode(WriteOutcome outcome) {
+        return switch (outcome) {
+            case DONE -> WireWriteOutcome.WRITE_DONE;
+            case NOT_DONE -> WireWriteOutcome.WRITE_NOT_DONE;
+            case UNKNOWN -> WireWriteOutcome.WRITE_UNKNOWN;
+        };
+    }
+
     @Override
     public PeerMessage decode(ByteString payload) throws InvalidProtocolBufferException {
         WireJobMessage wire = WireJobMessage.parseFrom(payload);
         return switch (wire.getKindCase()) {
             case ASK -> decode(wire.getAsk());
             case ANSWER -> decode(wire.getAnswer());
+            case WRITE -> decode(wire.getWrite());
+            case WRITTEN -> new JobMessage.Written(
+                    wire.getWritten().getNumber(), decode(wire.getWritten().getOutcome()));
             case KIND_NOT_SET -> throw new InvalidProtocolBufferException("a message about jobs must have a kind");
         };
     }
@@ -84,6 +114,27 @@
         }
     }
 
+    private static JobMessage decode(WireWrite write) throws InvalidProtocolBufferException {
+        try {
+            return new JobMessage.Write(
+                    write.getNumber(),
+                    new JobId(write.getJob()),
+                    write.getRecordsList().stream()
+                            .map(record -> new KeyedRecord(record.getKey(), record.getValue()))
+                            .toList());
+        } catch (IllegalArgumentException e) {
+            throw new InvalidProtocolBufferException(e.getMessage());
+        }
+    }
+
+    private static WriteOutcome decode(WireWriteOutcome outcome) {
+        return switch (outcome) {
+            case WRITE_DONE -> WriteOutcome.DONE;
+            case WRITE_NOT_DONE -> WriteOutcome.NOT_DONE;
+            default -> WriteOutcome.UNKNOWN;
+        };
+    }
+
     private static JobMessage decode(WireAnswer answer) {
         return new JobMessage.Answer(
                 answer.getNumber(),
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -101,9 +101,9 @@
         tellings++;
     }
 
-    /** Returns how often the other daemons were told, so that each telling is newer than the one before. */
-    int tellings() {
-        return tellings;
+    /** Returns the version of what the other daemons are told: above that of any owner under a lower epoch. */
+    long version() {
+        return log.epoch() + tellings;
     }
 
     Map<JobId, JobRun> jobs() {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobMessage.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobMessage.java
@@ -56,6 +56,8 @@
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     ASK(1),
     ANSWER(2),
+    WRITE(3),
+    WRITTEN(4),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -75,6 +77,8 @@
       switch (value) {
         case 1: return ASK;
         case 2: return ANSWER;
+        case 3: return WRITE;
+        case 4: return WRITTEN;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -152,6 +156,68 @@
     return org.cornelcrank.job.wire.WireAnswer.getDefaultInstance();
   }
 
+  public static final int WRITE_FIELD_NUMBER = 3;
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   * @return Whether the write field is set.
+   */
+  @java.lang.Override
+  public boolean hasWrite() {
+    return kindCase_ == 3;
+  }
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   * @return The write.
+   */
+  @java.lang.Override
+  public org.cornelcrank.job.wire.WireWrite getWrite() {
+    if (kindCase_ == 3) {
+       return (org.cornelcrank.job.wire.WireWrite) kind_;
+    }
+    return org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.job.wire.WireWriteOrBuilder getWriteOrBuilder() {
+    if (kindCase_ == 3) {
+       return (org.cornelcrank.job.wire.WireWrite) kind_;
+    }
+    return org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+  }
+
+  public static final int WRITTEN_FIELD_NUMBER = 4;
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   * @return Whether the written field is set.
+   */
+  @java.lang.Override
+  public boolean hasWritten() {
+    return kindCase_ == 4;
+  }
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   * @return The written.
+   */
+  @java.lang.Override
+  public org.cornelcrank.job.wire.WireWritten getWritten() {
+    if (kindCase_ == 4) {
+       return (org.cornelcrank.job.wire.WireWritten) kind_;
+    }
+    return org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.job.wire.WireWrittenOrBuilder getWrittenOrBuilder() {
+    if (kindCase_ == 4) {
+       return (org.cornelcrank.job.wire.WireWritten) kind_;
+    }
+    return org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -172,6 +238,12 @@
     if (kindCase_ == 2) {
       output.writeMessage(2, (org.cornelcrank.job.wire.WireAnswer) kind_);
     }
+    if (kindCase_ == 3) {
+      output.writeMessage(3, (org.cornelcrank.job.wire.WireWrite) kind_);
+    }
+    if (kindCase_ == 4) {
+      output.writeMessage(4, (org.cornelcrank.job.wire.WireWritten) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -184,6 +256,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, (org.cornelcrank.job.wire.WireAnswer) kind_);
     }
+    if (kindCase_ == 3) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, (org.cornelcrank.job.wire.WireWrite) kind_);
+    }
+    if (kindCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, (org.cornelcrank.job.wire.WireWritten) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -218,6 +298,14 @@
         if (!getAnswer()
             .equals(other.getAnswer())) return false;
         break;
+      case 3:
+        if (!getWrite()
+            .equals(other.getWrite())) return false;
+        break;
+      case 4:
+        if (!getWritten()
+            .equals(other.getWritten())) return false;
+        break;
       case 0:
       default:
     }
@@ -241,6 +329,14 @@
         hash = (37 * hash) + ANSWER_FIELD_NUMBER;
         hash = (53 * hash) + getAnswer().hashCode();
         break;
+      case 3:
+        hash = (37 * hash) + WRITE_FIELD_NUMBER;
+        hash = (53 * hash) + getWrite().hashCode();
+        break;
+      case 4:
+        hash = (37 * hash) + WRITTEN_FIELD_NUMBER;
+        hash = (53 * hash) + getWritten().hashCode();
+        break;
       case 0:
       default:
     }
@@ -381,6 +477,12 @@
       if (answerBuilder_ != null) {
         answerBuilder_.clear();
       }
+      if (writeBuilder_ != null) {
+        writeBuilder_.clear();
+      }
+      if (writtenBuilder_ != null) {
+        writtenBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -430,6 +532,14 @@
           answerBuilder_ != null) {
         result.kind_ = answerBuilder_.build();
       }
+      if (kindCase_ == 3 &&
+          writeBuilder_ != null) {
+        result.kind_ = writeBuilder_.build();
+      }
+      if (kindCase_ == 4 &&
+          writtenBuilder_ != null) {
+        result.kind_ = writtenBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -453,6 +563,14 @@
           mergeAnswer(other.getAnswer());
           break;
         }
+        case WRITE: {
+          mergeWrite(other.getWrite());
+          break;
+        }
+        case WRITTEN: {
+          mergeWritten(other.getWritten());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -495,6 +613,20 @@
               kindCase_ = 2;
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetWriteFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 3;
+              break;
+            } // case 26
+            case 34: {
+              input.readMessage(
+                  internalGetWrittenFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 4;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -807,6 +939,286 @@
       return answerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.job.wire.WireWrite, org.cornelcrank.job.wire.WireWrite.Builder, org.cornelcrank.job.wire.WireWriteOrBuilder> writeBuilder_;
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     * @return Whether the write field is set.
+     */
+    @java.lang.Override
+    public boolean hasWrite() {
+      return kindCase_ == 3;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     * @return The write.
+     */
+    @java.lang.Override
+    public org.cornelcrank.job.wire.WireWrite getWrite() {
+      if (writeBuilder_ == null) {
+        if (kindCase_ == 3) {
+          return (org.cornelcrank.job.wire.WireWrite) kind_;
+        }
+        return org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+      } else {
+        if (kindCase_ == 3) {
+          return writeBuilder_.getMessage();
+        }
+        return org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    public Builder setWrite(org.cornelcrank.job.wire.WireWrite value) {
+      if (writeBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        writeBuilder_.setMessage(value);
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    public Builder setWrite(
+        org.cornelcrank.job.wire.WireWrite.Builder builderForValue) {
+      if (writeBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        writeBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    public Builder mergeWrite(org.cornelcrank.job.wire.WireWrite value) {
+      if (writeBuilder_ == null) {
+        if (kindCase_ == 3 &&
+            kind_ != org.cornelcrank.job.wire.WireWrite.getDefaultInstance()) {
+          kind_ = org.cornelcrank.job.wire.WireWrite.newBuilder((org.cornelcrank.job.wire.WireWrite) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 3) {
+          writeBuilder_.mergeFrom(value);
+        } else {
+          writeBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    public Builder clearWrite() {
+      if (writeBuilder_ == null) {
+        if (kindCase_ == 3) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 3) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        writeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    public org.cornelcrank.job.wire.WireWrite.Builder getWriteBuilder() {
+      return internalGetWriteFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.job.wire.WireWriteOrBuilder getWriteOrBuilder() {
+      if ((kindCase_ == 3) && (writeBuilder_ != null)) {
+        return writeBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 3) {
+          return (org.cornelcrank.job.wire.WireWrite) kind_;
+        }
+        return org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.job.WireWrite write = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.job.wire.WireWrite, org.cornelcrank.job.wire.WireWrite.Builder, org.cornelcrank.job.wire.WireWriteOrBuilder> 
+        internalGetWriteFieldBuilder() {
+      if (writeBuilder_ == null) {
+        if (!(kindCase_ == 3)) {
+          kind_ = org.cornelcrank.job.wire.WireWrite.getDefaultInstance();
+        }
+        writeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.job.wire.WireWrite, org.cornelcrank.job.wire.WireWrite.Builder, org.cornelcrank.job.wire.WireWriteOrBuilder>(
+                (org.cornelcrank.job.wire.WireWrite) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 3;
+      onChanged();
+      return writeBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.job.wire.WireWritten, org.cornelcrank.job.wire.WireWritten.Builder, org.cornelcrank.job.wire.WireWrittenOrBuilder> writtenBuilder_;
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     * @return Whether the written field is set.
+     */
+    @java.lang.Override
+    public boolean hasWritten() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     * @return The written.
+     */
+    @java.lang.Override
+    public org.cornelcrank.job.wire.WireWritten getWritten() {
+      if (writtenBuilder_ == null) {
+        if (kindCase_ == 4) {
+          return (org.cornelcrank.job.wire.WireWritten) kind_;
+        }
+        return org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+      } else {
+        if (kindCase_ == 4) {
+          return writtenBuilder_.getMessage();
+        }
+        return org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    public Builder setWritten(org.cornelcrank.job.wire.WireWritten value) {
+      if (writtenBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        writtenBuilder_.setMessage(value);
+      }
+      kindCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    public Builder setWritten(
+        org.cornelcrank.job.wire.WireWritten.Builder builderForValue) {
+      if (writtenBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        writtenBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    public Builder mergeWritten(org.cornelcrank.job.wire.WireWritten value) {
+      if (writtenBuilder_ == null) {
+        if (kindCase_ == 4 &&
+            kind_ != org.cornelcrank.job.wire.WireWritten.getDefaultInstance()) {
+          kind_ = org.cornelcrank.job.wire.WireWritten.newBuilder((org.cornelcrank.job.wire.WireWritten) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 4) {
+          writtenBuilder_.mergeFrom(value);
+        } else {
+          writtenBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 4;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    public Builder clearWritten() {
+      if (writtenBuilder_ == null) {
+        if (kindCase_ == 4) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 4) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        writtenBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    public org.cornelcrank.job.wire.WireWritten.Builder getWrittenBuilder() {
+      return internalGetWrittenFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.job.wire.WireWrittenOrBuilder getWrittenOrBuilder() {
+      if ((kindCase_ == 4) && (writtenBuilder_ != null)) {
+        return writtenBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 4) {
+          return (org.cornelcrank.job.wire.WireWritten) kind_;
+        }
+        return org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.job.WireWritten written = 4;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.job.wire.WireWritten, org.cornelcrank.job.wire.WireWritten.Builder, org.cornelcrank.job.wire.WireWrittenOrBuilder> 
+        internalGetWrittenFieldBuilder() {
+      if (writtenBuilder_ == null) {
+        if (!(kindCase_ == 4)) {
+          kind_ = org.cornelcrank.job.wire.WireWritten.getDefaultInstance();
+        }
+        writtenBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.job.wire.WireWritten, org.cornelcrank.job.wire.WireWritten.Builder, org.cornelcrank.job.wire.WireWrittenOrBuilder>(
+                (org.cornelcrank.job.wire.WireWritten) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 4;
+      onChanged();
+      return writtenBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireJobMessage)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobMessageOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobMessageOrBuilder.java
@@ -40,5 +40,35 @@
    */
   org.cornelcrank.job.wire.WireAnswerOrBuilder getAnswerOrBuilder();
 
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   * @return Whether the write field is set.
+   */
+  boolean hasWrite();
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   * @return The write.
+   */
+  org.cornelcrank.job.wire.WireWrite getWrite();
+  /**
+   * <code>.cornelcrank.job.WireWrite write = 3;</code>
+   */
+  org.cornelcrank.job.wire.WireWriteOrBuilder getWriteOrBuilder();
+
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   * @return Whether the written field is set.
+   */
+  boolean hasWritten();
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   * @return The written.
+   */
+  org.cornelcrank.job.wire.WireWritten getWritten();
+  /**
+   * <code>.cornelcrank.job.WireWritten written = 4;</code>
+   */
+  org.cornelcrank.job.wire.WireWrittenOrBuilder getWrittenOrBuilder();
+
   org.cornelcrank.job.wire.WireJobMessage.KindCase getKindCase();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -149,6 +149,57 @@
         assertThat(jobs.runsByItem).isEmpty();
     }
 
+    /** Load: callers on kept connections to a daemon that the store does not answer, while other daemons reach it. */
+    @Test
+    void aDaemonCutOffFromTheStoreWritesThroughAnother() {
+        cutOff(A, StoreFault.REQUEST_LOST);
+        long askedAtMs = jobs.nodes.nowMs();
+        assertThat(jobs.submit(A, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
+        assertThat(jobs.nodes.nowMs() - askedAtMs).isLessThan(500);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS);
+        assertThat(jobs.submit(A, "job-2", 40)).isInstanceOf(JobAccepted.class);
+        jobs.nodes.run(500);
+        assertThat(jobs.end(A, "job-2")).isInstanceOf(JobEnded.class);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(B, "job-2", 0))).hasSizeLessThan(40);
+    }
+
+    @Test
+    void aDaemonThatTheStoreRefusesWritesThroughAnother() {
+        cutOff(A, StoreFault.REFUSED);
+        assertThat(jobs.submit(A, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS);
+    }
+
+    @Test
+    void aWriteThroughASilentDaemonGoesOnThroughTheNext() {
+        cutOff(A, StoreFault.REQUEST_LOST);
+        jobs.nodes.freeze(B);
+        assertThat(jobs.submit(A, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
+    }
+
+    /** An owner cut off from the store knows by the others that it has been succeeded, and wastes no targets' time. */
+    @Test
+    void anOwnerCutOffFromTheStoreGivesUpOnceAnotherOwnsItsPartition() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, ITEMS);
+        HostId owner = jobs.awaitOwner();
+        cutOff(owner, StoreFault.REQUEST_LOST);
+        jobs.nodes.run(1_000);
+        assertThat(jobs.capacities.get(owner).runningItems()).isZero();
+        assertThat(others(owner)).anyMatch(host -> jobs.capacities.get(host).runningItems() > 0);
+        jobs.setOutcomes((item, run) -> FakeCapacity.done(item));
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(owner, JOB, 0))).hasSize(ITEMS);
+    }
+
+    private void cutOff(HostId cut, StoreFault how) {
+        jobs.nodes.setFaults((host, request) -> host.equals(cut) ? how : StoreFault.NONE);
+        jobs.nodes.run(5_000);
+    }
+
     @Test
     void aSilentStoreMakesNoPromise() {
         jobs.nodes.setFaults(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobFront.java
@@ -91,21 +91,24 @@
 
     private Mono<Void> ask(CallerCommand command, HttpServerResponse response) {
         long askedAtMs = clock.nowMs();
-        return questions.ask(JOBS, Caller.Scope.CALLER, command).flatMap(reply -> {
-            log(command, reply, clock.nowMs() - askedAtMs);
-            return write(reply, response);
-        });
+        return questions
+                .ask(JOBS, Caller.Scope.CALLER, command)
+                .doOnCancel(() -> log(command, "the caller left", clock.nowMs() - askedAtMs))
+                .flatMap(reply -> {
+                    if (reply instanceof JobAccepted || reply instanceof JobEnded || reply instanceof Refusal) {
+                        log(command, reply, clock.nowMs() - askedAtMs);
+                    }
+                    return write(reply, response);
+                });
     }
 
-    /** Logs what changes a job, and each refusal; reads that succeed are too many. */
-    private static void log(CallerCommand command, CallerReply reply, long tookMs) {
-        if (reply instanceof JobAccepted || reply instanceof JobEnded || reply instanceof Refusal) {
-            LOGGER.atInfo()
-                    .addKeyValue("command", summary(command))
-                    .addKeyValue("tookMs", tookMs)
-                    .addKeyValue("outcome", reply)
-                    .log("job command");
-        }
+    /** Logs how a command ended; reads that succeed are too many and are left out. */
+    private static void log(CallerCommand command, Object outcome, long tookMs) {
+        LOGGER.atInfo()
+                .addKeyValue("command", summary(command))
+                .addKeyValue("tookMs", tookMs)
+                .addKeyValue("outcome", outcome)
+                .log("job command");
     }
 
     private static String summary(CallerCommand command) {
