Bound how many daemons a write is sent to, and stop for a caller who has left

Submissions whose callers had left after 1 s were tried on until their deadline.

At most three other daemons are asked for one write. Both tests red before.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -102,6 +102,8 @@
             timerDue(due.key(), nowMs, out);
         } else if (event instanceof Event.CallerArrived arrived) {
             commandCame(arrived.request(), arrived.command(), nowMs, out);
+        } else if (event instanceof Event.CallerLeft gone) {
+            writes.callerLeft(gone.request());
         } else if (event instanceof Event.PeerMessageReceived received) {
             if (received.message() instanceof JobMessage.Ask ask) {
                 asked(received.from(), ask, nowMs, out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -41,6 +41,12 @@
     /** How long another daemon may take to write, in ms: a way between regions and back, and many usual answers. */
     private static final long RELAY_TIMEOUT_MS = 400;
 
+    /**
+     * How many other daemons a write is sent to: with a third of them cut off, one in thirty meets only such; more would
+     * flood the daemons while the store answers none.
+     */
+    private static final int MAX_RELAYS = 3;
+
     /** The pause before a write is tried again, in ms. */
     private static final long PAUSE_MS = 120;
 
@@ -116,18 +122,21 @@
 
     /** Takes the next step: through another daemon where the store has just failed this one, else directly. */
     private void next(Writing writing, long nowMs, Effects out) {
-        Optional<HostId> peer = writing.directlyFailed || !store.available()
-                ? owners.reachingStore(writing.partition, writing.failedPeers)
-                : Optional.empty();
+        Optional<HostId> peer = writing.directlyFailed || !store.available() ? relay(writing) : Optional.empty();
         if (peer.isPresent()) {
             appendThrough(peer.get(), writing, nowMs, out);
         } else {
-            writing.directlyFailed = false;
-            writing.failedPeers.clear();
             append(writing, out);
         }
     }
 
+    /** Returns the next daemon to write through, empty once enough have failed. */
+    private Optional<HostId> relay(Writing writing) {
+        return writing.failedPeers.size() < MAX_RELAYS
+                ? owners.reachingStore(writing.partition, writing.failedPeers)
+                : Optional.empty();
+    }
+
     private void append(Writing writing, Effects out) {
         StoreRequest.Append append = new StoreRequest.Append(
                 JobRecords.jobs(writing.partition), writing.records(), Optional.empty(), APPEND_TIMEOUT_MS);
@@ -189,7 +198,7 @@
                 : Math.min(writing.untilMs, writing.startedAtMs + REFUSED_PATIENCE_MS);
         if (nowMs + PAUSE_MS >= patienceEndsMs) {
             finish(writing, refusal(writing, detail), out);
-        } else if (owners.reachingStore(writing.partition, writing.failedPeers).isPresent()) {
+        } else if (relay(writing).isPresent()) {
             next(writing, nowMs, out);
         } else {
             wakeAt(writing, nowMs + PAUSE_MS, out);
@@ -220,6 +229,11 @@
         out.reply(writing.request, reply);
     }
 
+    /** Tries no further for a caller who has left; what was sent may still be written. */
+    void callerLeft(RequestId request) {
+        open.remove(request);
+    }
+
     /** Goes on with what has waited enough; called when the timer is due. */
     void timerDue(long nowMs, Effects out) {
         for (Writing writing : List.copyOf(open.values())) {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -180,6 +180,31 @@
         assertThat(jobs.submit(A, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
     }
 
+    /** Load: the store answers no daemon, and a job is megabytes long. */
+    @Test
+    void anOutageOfTheStoreFloodsNoDaemon() {
+        for (char name = 'd'; name <= 'm'; name++) {
+            jobs.start(new HostId("host-" + name));
+        }
+        jobs.nodes.run(5_000);
+        jobs.nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        jobs.nodes.run(5_000);
+        int before = jobs.nodes.peerMessages();
+        assertThat(code(jobs.submit(A, JOB, ITEMS))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        assertThat(jobs.nodes.peerMessages() - before).isLessThanOrEqualTo(2 * 3);
+    }
+
+    @Test
+    void nothingIsTriedForACallerWhoHasLeft() {
+        jobs.nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        RequestId request = jobs.nodes.ask(A, VirtualJobs.job(JOB, ITEMS, jobs.nodes.nowMs()));
+        jobs.nodes.leave(A, request);
+        jobs.nodes.run(50);
+        jobs.nodes.setFaults((host, asked) -> StoreFault.NONE);
+        jobs.nodes.run(3_000);
+        assertThat(code(jobs.read(A, JOB, 0))).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
     /** An owner cut off from the store knows by the others that it has been succeeded, and wastes no targets' time. */
     @Test
     void anOwnerCutOffFromTheStoreGivesUpOnceAnotherOwnsItsPartition() {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CoreQuestions.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CoreQuestions.java
@@ -32,17 +32,23 @@
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
     }
 
-    /** Asks on behalf of a team; a reply that nobody waits for any longer is dropped. */
+    /** Asks on behalf of a team; the core is told if the caller leaves before the reply. */
     Mono<CallerReply> ask(TeamPath team, Caller.Scope scope, CallerCommand command) {
         return Mono.defer(() -> {
             RequestId id = calls.nextId();
             Sinks.One<CallerReply> reply = Sinks.one();
             open.put(id, reply);
             loop.post(new Event.CallerArrived(id, new Caller(team, id.toString(), scope), command));
-            return reply.asMono().doOnCancel(() -> open.remove(id));
+            return reply.asMono().doOnCancel(() -> callerLeft(id));
         });
     }
 
+    private void callerLeft(RequestId id) {
+        if (open.remove(id) != null) {
+            loop.post(new Event.CallerLeft(id));
+        }
+    }
+
     @Override
     public boolean run(Effect effect) {
         if (!(effect instanceof Effect.Reply reply)) {
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -49,6 +49,7 @@
     private long nowMs = 1_000_000;
     private long lastTask;
     private long lastRequest;
+    private int peerMessages;
 
     public VirtualNodes(StoreModel store) {
         this.store = store;
@@ -120,6 +121,16 @@
         return id;
     }
 
+    /** Lets a caller hang up. */
+    public void leave(HostId host, RequestId request) {
+        handle(nodes.get(host), new Event.CallerLeft(request));
+    }
+
+    /** Returns how many messages the daemons have sent to one another. */
+    public int peerMessages() {
+        return peerMessages;
+    }
+
     public Optional<CallerReply> reply(RequestId request) {
         return Optional.ofNullable(replies.get(request));
     }
@@ -189,6 +200,7 @@
             } else if (effect instanceof Effect.Unschedule timer) {
                 node.timers.remove(timer.key());
             } else if (effect instanceof Effect.Send send) {
+                peerMessages++;
                 later(
                         PEER_MS,
                         () -> handle(nodes.get(send.to()), new Event.PeerMessageReceived(node.host, send.message())));
