Save the progress of items that yield once a second

Now an owner writes with its results, at most once a second and only where there is something new, how far the items have come that had to yield. Progress is deflated like results, and its text is no longer held twice.

Two tests, red before; the codec of the messages about jobs gets its own.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -27,7 +27,7 @@
  *
  * <p>A job lies in the {@code jobs} topic in parts under {@code id/0}, {@code id/1} and so on, and its end under
  * {@code id/end}; its results lie in the {@code results} topic under {@code id/position}, and the progress of items
- * whose owner has stopped under {@code id/p} and the item's index. All of a job lies in the same partition of both.
+ * that had to yield under {@code id/p} and the item's index. All of a job lies in the same partition of both.
  * Stateless, thus thread-safe.
  */
 final class JobRecords {
@@ -135,6 +135,22 @@
         return records;
     }
 
+    /** Splits records into requests that the store takes. */
+    static List<List<KeyedRecord>> batches(List<KeyedRecord> records, int maxRequestBytes) {
+        List<List<KeyedRecord>> batches = new ArrayList<>();
+        int bytes = 0;
+        for (KeyedRecord record : records) {
+            int size = record.value().size() + KeyedRecord.MAX_KEY_BYTES;
+            if (batches.isEmpty() || bytes + size > maxRequestBytes) {
+                batches.add(new ArrayList<>());
+                bytes = 0;
+            }
+            batches.get(batches.size() - 1).add(record);
+            bytes += size;
+        }
+        return batches;
+    }
+
     /** Decodes a part of a job, empty if it cannot be read. */
     static Optional<WireJobPart> part(ByteString value) {
         try {
@@ -188,19 +204,24 @@
         }
     }
 
-    static KeyedRecord progress(JobId job, int item, JobRun.ItemProgress progress) {
+    static KeyedRecord progress(JobId job, int item, StoredProgress progress) {
+        ByteString deflated = deflate(progress.text().toByteArray());
+        boolean smaller = deflated.size() < progress.text().size();
         WireProgress wire = WireProgress.newBuilder()
                 .setEvents(progress.events())
-                .setText(progress.text())
+                .setText(smaller ? deflated : progress.text())
+                .setDeflated(smaller)
                 .build();
         return new KeyedRecord(progressKey(job, item), wire.toByteString());
     }
 
     /** Decodes the progress of an item, empty if it cannot be read. */
-    static Optional<WireProgress> progress(StoreAnswer.StoredRecord record) {
+    static Optional<StoredProgress> progress(StoreAnswer.StoredRecord record) {
         try {
-            return Optional.of(WireProgress.parseFrom(record.value()));
-        } catch (InvalidProtocolBufferException e) {
+            WireProgress wire = WireProgress.parseFrom(record.value());
+            ByteString text = wire.getDeflated() ? ByteString.copyFrom(inflate(wire.getText())) : wire.getText();
+            return Optional.of(new StoredProgress(wire.getEvents(), text));
+        } catch (IOException | DataFormatException e) {
             return Optional.empty();
         }
     }
@@ -251,6 +272,9 @@
         PROGRESS
     }
 
+    /** How far an item had come: its events, and their text. */
+    record StoredProgress(long events, ByteString text) {}
+
     /** A result with the index of its item. */
     record StoredResult(int item, ListedResult result) {}
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -155,9 +155,16 @@
         return ended || listed.size() == content.items().size();
     }
 
-    /** Returns the items that have come some way and are not finished. */
-    List<Integer> begun() {
-        return unfinished().stream().filter(item -> progress(item).events > 0).toList();
+    /** Returns the unfinished items that have come further than was saved, and takes them as saved. */
+    List<Integer> takeUnsaved() {
+        List<Integer> unsaved = new ArrayList<>();
+        progress.forEach((item, come) -> {
+            if (come.events > come.savedEvents) {
+                come.savedEvents = come.events;
+                unsaved.add(item);
+            }
+        });
+        return unsaved;
     }
 
     ItemProgress progress(int item) {
@@ -169,6 +176,7 @@
 
         private int failures;
         private long events;
+        private long savedEvents;
         private ByteString text = ByteString.EMPTY;
         private long notBeforeMs;
 
@@ -188,6 +196,7 @@
         /** Takes over how far an earlier owner had come. */
         void restore(long knownEvents, ByteString knownText) {
             events = knownEvents;
+            savedEvents = knownEvents;
             text = knownText;
         }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -97,7 +97,7 @@
                 request,
                 job,
                 JobRecords.partitionOf(job, settings.partitions()),
-                batches(records),
+                JobRecords.batches(records, settings.maxRequestBytes()),
                 success,
                 nowMs,
                 deadlineAtMs - ANSWER_MARGIN_MS);
@@ -105,21 +105,6 @@
         next(writing, nowMs, out);
     }
 
-    private List<List<KeyedRecord>> batches(List<KeyedRecord> records) {
-        List<List<KeyedRecord>> batches = new ArrayList<>();
-        int bytes = 0;
-        for (KeyedRecord record : records) {
-            int size = record.value().size() + KeyedRecord.MAX_KEY_BYTES;
-            if (batches.isEmpty() || bytes + size > settings.maxRequestBytes()) {
-                batches.add(new ArrayList<>());
-                bytes = 0;
-            }
-            batches.get(batches.size() - 1).add(record);
-            bytes += size;
-        }
-        return batches;
-    }
-
     /** Takes the next step: through another daemon where the store has just failed this one, else directly. */
     private void next(Writing writing, long nowMs, Effects out) {
         Optional<HostId> peer = writing.directlyFailed || !store.available() ? relay(writing) : Optional.empty();
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -47,6 +47,12 @@
     /** The longest that one run of an item may take, in ms: many times what the longest answers take. */
     private static final long RUN_TIMEOUT_MS = 60_000;
 
+    /**
+     * How often the progress of items is saved, in ms: what a lost owner costs at most of items that wait, against one append
+     * per second and partition.
+     */
+    private static final long PROGRESS_INTERVAL_MS = 1_000;
+
     private final int number;
     private final JobContext context;
     private final ResultLog log;
@@ -59,7 +65,8 @@
     private boolean ready;
     private boolean closed;
     private boolean suspended;
-    private boolean progressWritten;
+    private boolean handoverWritten;
+    private long progressSavedAtMs;
     private long toldOwnerAtMs;
     private int tellings;
 
@@ -364,24 +371,27 @@
                 context.capacity().cancel(each.permit(), nowMs, out);
             }
         }
-        if (running.isEmpty() && !progressWritten) {
-            progressWritten = true;
-            writeProgress(nowMs, out);
+        if (running.isEmpty() && !handoverWritten) {
+            handoverWritten = true;
+            saveProgress(nowMs, out);
         }
-        return progressWritten && (log.idle() || !log.isOpen());
+        return handoverWritten && (log.idle() || !log.isOpen());
     }
 
-    private void writeProgress(long nowMs, Effects out) {
+    /** Writes how far the items have come that had to yield, so that a next owner goes on from there. */
+    private void saveProgress(long nowMs, Effects out) {
+        List<KeyedRecord> records = new ArrayList<>();
         for (JobRun run : jobs.values()) {
             if (log.isOpen() && !run.ended()) {
-                run.begun()
-                        .forEach(item -> log.write(
-                                List.of(JobRecords.progress(run.id(), item, run.progress(item))),
-                                (acknowledgedAtMs, effects) -> {},
-                                nowMs,
-                                out));
+                for (int item : run.takeUnsaved()) {
+                    records.add(stored.saveProgress(run.id(), item, run.progress(item)));
+                }
             }
         }
+        for (List<KeyedRecord> batch :
+                JobRecords.batches(records, context.settings().maxRequestBytes())) {
+            log.write(batch, (acknowledgedAtMs, effects) -> {}, nowMs, out);
+        }
     }
 
     private void endJob(JobId job, long nowMs, Effects out) {
@@ -418,6 +428,10 @@
 
     /** Does what time brings about: reads that have waited enough, items to try again, jobs past their retention. */
     void tick(long nowMs, Effects out) {
+        if (ready && log.idle() && nowMs - progressSavedAtMs >= PROGRESS_INTERVAL_MS) {
+            progressSavedAtMs = nowMs;
+            saveProgress(nowMs, out);
+        }
         for (JobRun run : List.copyOf(jobs.values())) {
             reads.answer(run, nowMs, out);
             if (run.done()) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
@@ -5,24 +5,27 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.KeyedRecord;
 import org.cornelcrank.core.StoreAnswer;
 import org.cornelcrank.job.wire.WireJobPart;
-import org.cornelcrank.job.wire.WireProgress;
 
 /**
- * What an owner has read of its partition from the store and not yet made a job of: results, progress and parts.
+ * What an owner has read of its partition from the store and not yet made a job of: results, progress and parts; and of
+ * which items the progress lies there.
  *
  * <p>Not thread-safe: confined to the daemon's event loop.
  */
 final class StoredRecords {
 
     private final Map<JobId, TreeMap<Integer, JobRecords.StoredResult>> results = new HashMap<>();
-    private final Map<JobId, Map<Integer, WireProgress>> progress = new HashMap<>();
+    private final Map<JobId, Map<Integer, JobRecords.StoredProgress>> progress = new HashMap<>();
+    private final Map<JobId, Set<Integer>> itemsWithProgress = new HashMap<>();
     private final Map<JobId, Map<Integer, WireJobPart>> incomplete = new HashMap<>();
 
     /** Takes a record of the results' topic. */
@@ -67,17 +70,27 @@
                 run.restore(stored.get(position));
             }
         }
-        progress.getOrDefault(run.id(), Map.of()).forEach((item, read) -> {
-            if (item < run.content().items().size() && !run.isFinished(item)) {
-                run.progress(item).restore(read.getEvents(), read.getText());
-            }
-        });
+        Map<Integer, JobRecords.StoredProgress> come = progress.remove(run.id());
+        if (come != null) {
+            itemsWithProgress.put(run.id(), new TreeSet<>(come.keySet()));
+            come.forEach((item, read) -> {
+                if (item < run.content().items().size() && !run.isFinished(item)) {
+                    run.progress(item).restore(read.events(), read.text());
+                }
+            });
+        }
+    }
+
+    /** Returns the record that saves an item's progress. */
+    KeyedRecord saveProgress(JobId job, int item, JobRun.ItemProgress come) {
+        itemsWithProgress.computeIfAbsent(job, id -> new TreeSet<>()).add(item);
+        return JobRecords.progress(job, item, new JobRecords.StoredProgress(come.events(), come.text()));
     }
 
     /** Returns the record that drops an item's progress from the store, empty if there is none. */
     Optional<KeyedRecord> dropProgress(JobId job, int item) {
-        Map<Integer, WireProgress> ofJob = progress.get(job);
-        return ofJob == null || ofJob.remove(item) == null
+        Set<Integer> ofJob = itemsWithProgress.get(job);
+        return ofJob == null || !ofJob.remove(item)
                 ? Optional.empty()
                 : Optional.of(KeyedRecord.dropping(JobRecords.progressKey(job, item)));
     }
@@ -85,10 +98,10 @@
     /** Returns the records that drop all progress of a job from the store. */
     List<KeyedRecord> dropProgress(JobId job) {
         List<KeyedRecord> dropped = new ArrayList<>();
-        for (int item : List.copyOf(progress.getOrDefault(job, Map.of()).keySet())) {
+        for (int item : List.copyOf(itemsWithProgress.getOrDefault(job, Set.of()))) {
             dropProgress(job, item).ifPresent(dropped::add);
         }
-        progress.remove(job);
+        itemsWithProgress.remove(job);
         return dropped;
     }
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * How far the run of an item had come when its owner stopped.
+ * How far an item had come when it had to yield.
  * </pre>
  *
  * Protobuf type {@code cornelcrank.job.WireProgress}
@@ -75,6 +75,17 @@
     return text_;
   }
 
+  public static final int DEFLATED_FIELD_NUMBER = 3;
+  private boolean deflated_ = false;
+  /**
+   * <code>bool deflated = 3;</code>
+   * @return The deflated.
+   */
+  @java.lang.Override
+  public boolean getDeflated() {
+    return deflated_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -95,6 +106,9 @@
     if (!text_.isEmpty()) {
       output.writeBytes(2, text_);
     }
+    if (deflated_ != false) {
+      output.writeBool(3, deflated_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -107,6 +121,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, text_);
     }
+    if (deflated_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, deflated_);
+    }
     return size;
   }
   @java.lang.Override
@@ -135,6 +153,8 @@
         != other.getEvents()) return false;
     if (!getText()
         .equals(other.getText())) return false;
+    if (getDeflated()
+        != other.getDeflated()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -151,6 +171,9 @@
         getEvents());
     hash = (37 * hash) + TEXT_FIELD_NUMBER;
     hash = (53 * hash) + getText().hashCode();
+    hash = (37 * hash) + DEFLATED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDeflated());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -250,7 +273,7 @@
   }
   /**
    * <pre>
-   * How far the run of an item had come when its owner stopped.
+   * How far an item had come when it had to yield.
    * </pre>
    *
    * Protobuf type {@code cornelcrank.job.WireProgress}
@@ -288,6 +311,7 @@
       bitField0_ = 0;
       events_ = 0L;
       text_ = com.google.protobuf.ByteString.EMPTY;
+      deflated_ = false;
       return this;
     }
 
@@ -327,6 +351,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.text_ = text_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.deflated_ = deflated_;
+      }
     }
 
     @java.lang.Override
@@ -347,6 +374,9 @@
       if (!other.getText().isEmpty()) {
         setText(other.getText());
       }
+      if (other.getDeflated() != false) {
+        setDeflated(other.getDeflated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -381,6 +411,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              deflated_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -462,6 +497,38 @@
       return this;
     }
 
+    private boolean deflated_ ;
+    /**
+     * <code>bool deflated = 3;</code>
+     * @return The deflated.
+     */
+    @java.lang.Override
+    public boolean getDeflated() {
+      return deflated_;
+    }
+    /**
+     * <code>bool deflated = 3;</code>
+     * @param value The deflated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeflated(boolean value) {
+
+      deflated_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool deflated = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeflated() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      deflated_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireProgress)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
@@ -21,4 +21,10 @@
    * @return The text.
    */
   com.google.protobuf.ByteString getText();
+
+  /**
+   * <code>bool deflated = 3;</code>
+   * @return The deflated.
+   */
+  boolean getDeflated();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -401,6 +401,50 @@
         assertThat(page(jobs.read(next, JOB, 0)).get(0).text().toStringUtf8()).startsWith("begun\ntext of ");
     }
 
+    /** Load: items that have to yield to peaks of online requests, and an owner lost between two of them. */
+    @Test
+    void theNextOwnerGoesOnWhereALostOneHadSaved() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 3);
+        HostId owner = jobs.awaitOwner();
+        jobs.capacities.get(owner).revokeAll(7, "begun");
+        jobs.nodes.run(1_500);
+        jobs.nodes.kill(owner);
+        jobs.capacities.remove(owner);
+        HostId next = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(next).resumePoints()).hasSize(3);
+        assertThat(jobs.capacities.get(next).resumePoints().values()).containsOnly(7L);
+        jobs.setOutcomes((item, run) -> FakeCapacity.done(item));
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(next, JOB, 0)))
+                .extracting(result -> result.text().toStringUtf8())
+                .containsOnly(
+                        "begun\ntext of job-1-item-0", "begun\ntext of job-1-item-1", "begun\ntext of job-1-item-2");
+    }
+
+    /** What is saved costs the store's writes, which all daemons share. */
+    @Test
+    void progressIsSavedOncePerSecondAndOnlyWhereThereIsSome() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 4);
+        HostId owner = jobs.awaitOwner();
+        int[] appends = new int[1];
+        jobs.nodes.setFaults((host, request) -> {
+            appends[0] += request instanceof StoreRequest.Append append
+                            && !append.records().isEmpty()
+                    ? 1
+                    : 0;
+            return StoreFault.NONE;
+        });
+        jobs.nodes.run(2_000);
+        assertThat(appends[0]).isZero();
+        for (int i = 0; i < 30; i++) {
+            jobs.capacities.get(owner).revokeAll(2, "x");
+            jobs.nodes.run(100);
+        }
+        assertThat(appends[0]).isBetween(2, 4);
+    }
+
     @Test
     void aDaemonThatJoinsGoesOnWhereTheOwnerHadCome() {
         VirtualJobs alone = new VirtualJobs(A);
--- /dev/null
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobMessageCodecTests.java
@@ -0,0 +1,57 @@
+package org.cornelcrank.job;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.KeyedRecord;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class JobMessageCodecTests {
+
+    private static final JobId JOB = new JobId("job-1");
+
+    private final JobMessageCodec codec = new JobMessageCodec();
+
+    @Test
+    void asksAndAnswersComeBackAsTheyWere() throws InvalidProtocolBufferException {
+        assertComesBack(new JobMessage.Ask(7, JOB, 3, 1_000, Optional.empty()));
+        assertComesBack(new JobMessage.Ask(8, JOB, 0, 0, Optional.of("item-2")));
+        assertComesBack(new JobMessage.Answer(
+                7, true, 12, List.of(new ListedResult("item-1", true, text("text"))), Optional.empty()));
+        assertComesBack(new JobMessage.Answer(8, true, 12, List.of(), Optional.of(ByteString.EMPTY)));
+        assertComesBack(JobMessage.Answer.unknown(9));
+    }
+
+    @Test
+    void writesComeBackAsTheyWere() throws InvalidProtocolBufferException {
+        KeyedRecord part = new KeyedRecord(JobRecords.partKey(JOB, 0), text("part"));
+        assertComesBack(new JobMessage.Write(10, JOB, List.of(part, KeyedRecord.dropping(JobRecords.endKey(JOB)))));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void outcomesComeBackAsTheyWere(WriteOutcome outcome) throws InvalidProtocolBufferException {
+        assertComesBack(new JobMessage.Written(11, outcome));
+    }
+
+    @Test
+    void bytesThatAreNoMessageAreRefused() {
+        assertThatThrownBy(() -> codec.decode(ByteString.EMPTY)).isInstanceOf(InvalidProtocolBufferException.class);
+    }
+
+    private void assertComesBack(JobMessage message) throws InvalidProtocolBufferException {
+        assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+    }
+
+    private static ByteString text(String text) {
+        return ByteString.copyFromUtf8(text);
+    }
+}
