Go on with a partition that comes back before it was given up

An owner that is to give a partition up ends its runs and waits for the store to have their progress. While the store lost answers the group changed again and the partition came back to it before that; it stayed suspended for ever, as it was neither given up nor opened anew.

Ruled out: the epoch (no other owner had taken it), and a stuck append (an append is repeated until it is answered).

The test plays a daemon that joins and vanishes while appends are lost; red before with the same symptom.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobDuty.java
@@ -194,10 +194,13 @@
         handOver(nowMs, out);
         keepTicking(nowMs, out);
         for (int number : held) {
-            if (!owned.containsKey(number)) {
-                OwnedPartition partition = new OwnedPartition(number, context, new StoreParts());
-                owned.put(number, partition);
-                partition.open(lostEpochs.getOrDefault(number, 0L), out);
+            OwnedPartition partition = owned.get(number);
+            if (partition == null) {
+                OwnedPartition added = new OwnedPartition(number, context, new StoreParts());
+                owned.put(number, added);
+                added.open(lostEpochs.getOrDefault(number, 0L), out);
+            } else if (!stopping) {
+                partition.keep(nowMs, out);
             }
         }
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -378,6 +378,16 @@
         return handoverWritten && (log.idle() || !log.isOpen());
     }
 
+    /** Goes on with a partition that was to be given up and has come back before it was. */
+    void keep(long nowMs, Effects out) {
+        if (suspended) {
+            suspended = false;
+            handoverWritten = false;
+            out.add(new Effect.StateChanged(JobDuty.NAME, "keeps partition " + number + " under epoch " + log.epoch()));
+            jobs.values().forEach(run -> demand(run, nowMs, out));
+        }
+    }
+
     /** Writes how far the items have come that had to yield, so that a next owner goes on from there. */
     private void saveProgress(long nowMs, Effects out) {
         List<KeyedRecord> records = new ArrayList<>();
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -464,6 +464,33 @@
         }
     }
 
+    /** Load: the store loses answers while daemons join and vanish, so that partitions come back that were to be given. */
+    @Test
+    void partitionsThatComeBackBeforeTheyWereGivenGoOn() {
+        VirtualJobs alone = new VirtualJobs(A);
+        alone.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        for (int i = 0; i < 12; i++) {
+            alone.submit(A, "job-" + i, 2);
+        }
+        alone.nodes.setFaults(
+                (host, request) -> request instanceof StoreRequest.Append ? StoreFault.REQUEST_LOST : StoreFault.NONE);
+        for (int i = 0; i < 100; i++) {
+            alone.capacities.get(A).revokeAll(7, "begun");
+            alone.nodes.run(10);
+        }
+        alone.start(B);
+        alone.nodes.run(2_000);
+        alone.nodes.kill(B);
+        alone.capacities.remove(B);
+        alone.nodes.run(5_000);
+        alone.nodes.setFaults((host, request) -> StoreFault.NONE);
+        alone.setOutcomes((item, run) -> FakeCapacity.done(item));
+        alone.nodes.run(20_000);
+        for (int i = 0; i < 12; i++) {
+            assertThat(page(alone.read(A, "job-" + i, 0))).hasSize(2);
+        }
+    }
+
     @Test
     void everythingIsRememberedWhenAllDaemonsStartAnew() {
         jobs.submit(A, JOB, ITEMS);
