Let requests wait a moment for the first routes of a starting daemon

Routes also were in force some 50 ms before the targets, when requests were refused for lack of targets with a hint of 1 s.

Requests now wait up to 200 ms for the first routes, which are in force once the targets are known too.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryDuty.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryDuty.java
@@ -35,7 +35,8 @@
 /**
  * Follows the routes, the targets and the entry hosts in the store, and tells the other duties of them.
  *
- * <p>This daemon's own host is entered at its start. Invariants: routes never go back to an older version; a target whose
+ * <p>This daemon's own host is entered at its start. Invariants: routes never go back to an older version; the first ones
+ * are in force only once the targets are known too; a target whose
  * entry vanished while the store was failing stays until it has had time to register again. Without the store the last
  * state known stands. Not thread-safe: confined to the daemon's event loop.
  */
@@ -79,6 +80,8 @@
     private final Map<TargetId, TargetEntry> targets = new TreeMap<>();
     private final Map<TargetId, Long> missingUntilMs = new HashMap<>();
     private final Map<String, HostEntry> hosts = new TreeMap<>();
+    private Optional<RouteTable> firstRoutes = Optional.empty();
+    private boolean targetsKnown;
     private boolean changed;
     private boolean stopping;
 
@@ -213,6 +216,20 @@
         writer.field("storeCalls", store.size());
     }
 
+    private void install(RouteTable table, long nowMs, Effects out) {
+        if (!targetsKnown) {
+            firstRoutes = Optional.of(table);
+            return;
+        }
+        long before = settings.version();
+        if (settings.install(table, nowMs, out)) {
+            stateChanged(
+                    "routes of version " + table.version() + " in force after " + before + ", "
+                            + table.routes().size() + " routes",
+                    out);
+        }
+    }
+
     private static void stateChanged(String text, Effects out) {
         out.add(new Effect.StateChanged(NAME, text));
     }
@@ -229,13 +246,7 @@
                 stateChanged("routes at offset " + record.offset() + " cannot be read; the last ones stay", out);
                 return;
             }
-            long before = settings.version();
-            if (settings.install(table.get(), nowMs, out)) {
-                stateChanged(
-                        "routes of version " + table.get().version() + " in force after " + before + ", "
-                                + table.get().routes().size() + " routes",
-                        out);
-            }
+            install(table.get(), nowMs, out);
         }
 
         @Override
@@ -289,6 +300,10 @@
         @Override
         public void current(long nowMs, Effects out) {
             tellChanges(nowMs, out);
+            if (!targetsKnown) {
+                targetsKnown = true;
+                firstRoutes.ifPresent(table -> install(table, nowMs, out));
+            }
         }
     }
 
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryDutyTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryDutyTests.java
@@ -149,6 +149,24 @@
         assertThat(hosts(A)).containsExactly("host-a");
     }
 
+    /** A daemon that is ready must not refuse requests for lack of targets that it has not read yet. */
+    @Test
+    void theFirstRoutesAreInForceOnlyOnceTheTargetsAreKnown() {
+        putRoutes(7);
+        putTarget("t-1", "ready");
+        nodes.setFaults((host, request) -> request instanceof StoreRequest.ReadNewest read
+                        && read.at().topic().equals("targets")
+                ? StoreFault.REFUSED
+                : StoreFault.NONE);
+        start(A);
+        nodes.run(1_000);
+        assertThat(settings.get(A).ready()).isFalse();
+        nodes.setFaults((host, request) -> StoreFault.NONE);
+        nodes.run(1_000);
+        assertThat(settings.get(A).version()).isEqualTo(7);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+    }
+
     private void start(HostId host) {
         nodes.start(host, startedAtMs -> {
             RouteTableSettings routes = new RouteTableSettings(new RegionId("region"));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayEdge.java
@@ -44,7 +44,13 @@
         JobFront jobs = new JobFront(questions, around.clock(), around.jobDialect(), around.dialect());
         this.monitor = new GatewayMonitor(new Probes(() -> Mono.just(readiness(around)), around.metrics()), questions);
         this.front = new GatewayFront(
-                calls, around.dialect(), around.routes(), around.clock(), jobs, around.stopping(), around.metrics());
+                calls,
+                around.dialect(),
+                new ReadinessGate(around.routes(), around.loop().scheduler()),
+                around.clock(),
+                jobs,
+                around.stopping(),
+                around.metrics());
     }
 
     private static Probes.Readiness readiness(Surroundings around) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
@@ -65,20 +65,22 @@
     private final RouteTableSettings settings;
     private final MonotonicClock clock;
     private final JobFront jobs;
+    private final ReadinessGate gate;
     private final AtomicBoolean stopping;
     private final MetricRegistry metrics;
 
     GatewayFront(
             GatewayCalls calls,
             GatewayDialect dialect,
-            RouteTableSettings settings,
+            ReadinessGate gate,
             MonotonicClock clock,
             JobFront jobs,
             AtomicBoolean stopping,
             MetricRegistry metrics) {
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
-        this.settings = Objects.requireNonNull(settings, "settings must not be null");
+        this.gate = Objects.requireNonNull(gate, "gate must not be null");
+        this.settings = gate.settings();
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.jobs = Objects.requireNonNull(jobs, "jobs must not be null");
         this.stopping = Objects.requireNonNull(stopping, "stopping must not be null");
@@ -117,6 +119,12 @@
             response.keepAlive(false);
         }
         long arrivedAtMs = clock.nowMs();
+        return settings.ready()
+                ? handle(request, response, arrivedAtMs)
+                : gate.pass().flatMap(passed -> Mono.from(handle(request, response, arrivedAtMs)));
+    }
+
+    private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response, long arrivedAtMs) {
         HeadResult result = dialect.readRequest(request.method().name(), request.uri(), request.requestHeaders());
         Optional<RouteTable> table = settings.table();
         if (table.isEmpty()) {
