Go on elsewhere once where a runner is gone, though the run was the last allowed

Cause: kiosk-ask and barrier-fault may go to one runner per attempt.

Whether it has is now asked with a connection to its address, by all its requests together: where nothing listens, the run is forgiven, once per request, as a request may itself bring runners down; where something listens, a request with runs left goes on elsewhere, and one without waits on.

Red before: aStreamWithOneAttemptGoesOnElsewhereOnlyIfItsRunnerIsGone.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/FailureKind.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/FailureKind.java
@@ -6,6 +6,8 @@
     CONNECTION_REFUSED,
     /** The connection broke after the request was sent. */
     CONNECTION_LOST,
+    /** The target has ended, or can no longer be reached, after the request was sent. */
+    TARGET_GONE,
     /** The target did not answer or did not go on in time. */
     TIMED_OUT,
     /** The target refused the request for its own fault (HTTP 4xx but 429). */
--- a/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/AttemptBook.java
+++ b/cornelcrank-fleet/src/main/java/org/cornelcrank/fleet/AttemptBook.java
@@ -57,7 +57,7 @@
             return false;
         }
         return switch (failed.kind()) {
-            case CONNECTION_REFUSED, CONNECTION_LOST, TIMED_OUT, TARGET_ERROR -> true;
+            case CONNECTION_REFUSED, CONNECTION_LOST, TARGET_GONE, TIMED_OUT, TARGET_ERROR -> true;
             default -> false;
         };
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -432,7 +432,7 @@
             return;
         }
         route.verdict = route.verdict.and(failure.verdict());
-        route.runs += failure.verdict().equals(Verdict.NOT_RUN) ? 0 : 1;
+        route.countRun(failure);
         out.explain(
                 Subject.Kind.REQUEST,
                 route.request.id(),
@@ -445,7 +445,7 @@
         }
         route.bytesReachedCaller |= failure.bytesReachedCaller();
         route.deliveredTokens = route.resumedFrom + failure.tokens();
-        route.suspect |= failure.kind() == FailureKind.CONNECTION_LOST;
+        route.suspect |= failure.kind() == FailureKind.CONNECTION_LOST || failure.kind() == FailureKind.TARGET_GONE;
         retry(route, failure, nowMs, out);
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -6,6 +6,8 @@
 import java.util.TreeSet;
 
 import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.StableHash;
 import org.cornelcrank.core.TargetId;
@@ -36,6 +38,7 @@
     int redirects;
     int attempts;
     int runs;
+    private boolean forgivenRun;
     int deliveredTokens;
     int resumedFrom;
     int generation;
@@ -51,6 +54,21 @@
         this.resumeKey = "online-" + Long.toHexString(StableHash.of(request.id().toString()));
     }
 
+    /**
+     * Counts a run that failed. One whose target is gone is forgiven, but only once, as the request itself may bring its
+     * targets down.
+     */
+    void countRun(AttemptOutcome.Failed failure) {
+        if (failure.verdict().equals(Verdict.NOT_RUN)) {
+            return;
+        }
+        if (failure.kind() == FailureKind.TARGET_GONE && !forgivenRun) {
+            forgivenRun = true;
+        } else {
+            runs++;
+        }
+    }
+
     /** Returns whether a permit was asked for and no attempt is under way. */
     boolean seeksPermit() {
         return phase == Phase.ASKED || phase == Phase.QUEUED;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -45,6 +45,11 @@
                 context.suspects().targetDown(target.id(), nowMs, out);
                 yield ejectEverywhere(context, target, nowMs, out);
             }
+            case TARGET_GONE -> {
+                context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
+                context.suspects().targetDown(target.id(), nowMs, out);
+                yield ejectEverywhere(context, target, nowMs, out);
+            }
             case CONNECTION_LOST -> {
                 context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/AnswerReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/AnswerReceiver.java
@@ -23,6 +23,12 @@
     /** Returns how long the target may stay silent, in ms; zero where it may until the time is over. */
     long silencePatienceMs();
 
+    /** Returns whether a target that is silent too long but still there is waited for, as nobody else may run the request. */
+    boolean waitsForTarget();
+
+    /** Returns whether the request may be run again, but only so often, so that it matters whether its target is gone. */
+    boolean runsAreLimited();
+
     /** Takes a whole answer of success. */
     void whole(TargetAnswerHead head, byte[] body);
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -47,6 +47,16 @@
         return call.silencePatienceMs();
     }
 
+    @Override
+    public boolean waitsForTarget() {
+        return call.maxRuns() <= 1;
+    }
+
+    @Override
+    public boolean runsAreLimited() {
+        return call.maxRuns() > 0;
+    }
+
     @Override
     public void whole(TargetAnswerHead head, byte[] body) {
         if (call.streaming()) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
@@ -20,6 +20,7 @@
     private final RequestId id;
     private final RequestHead head;
     private final byte[] body;
+    private final int maxRuns;
     private final long silencePatienceMs;
     private final long arrivedAtMs;
     private final Sinks.One<CallAnswer> answer = Sinks.one();
@@ -29,10 +30,11 @@
     private long lastEventId;
     private boolean ended;
 
-    GatewayCall(RequestId id, RequestHead head, byte[] body, long silencePatienceMs, long arrivedAtMs) {
+    GatewayCall(RequestId id, RequestHead head, byte[] body, int maxRuns, long silencePatienceMs, long arrivedAtMs) {
         this.id = Objects.requireNonNull(id, "id must not be null");
         this.head = Objects.requireNonNull(head, "head must not be null");
         this.body = Objects.requireNonNull(body, "body must not be null");
+        this.maxRuns = maxRuns;
         this.silencePatienceMs = silencePatienceMs;
         this.arrivedAtMs = arrivedAtMs;
         this.lastEventId = head.lastEventId().orElse(0);
@@ -50,7 +52,12 @@
         return body;
     }
 
-    /** Returns how long a target may stay silent, in ms; zero where nobody else may run the request. */
+    /** Returns how often the request may run; zero where it may not run again. */
+    int maxRuns() {
+        return maxRuns;
+    }
+
+    /** Returns how long a target may stay silent, in ms; zero where the request may not run again. */
     long silencePatienceMs() {
         return silencePatienceMs;
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -62,12 +62,13 @@
 
     /** Opens a call and asks the core to have it run. */
     GatewayCall open(RequestHead head, byte[] body, OnlineRequest request, long nowMs) {
-        long patienceMs = request.repeatable() && request.handling().maxRuns() > 1
+        int maxRuns = request.repeatable() ? request.handling().maxRuns() : 0;
+        long patienceMs = maxRuns > 0
                 ? Math.max(
                         MIN_SILENCE_PATIENCE_MS,
                         SILENCE_OBJECTIVES * request.handling().objectiveMs())
                 : 0;
-        GatewayCall call = new GatewayCall(nextId(), head, body, patienceMs, nowMs);
+        GatewayCall call = new GatewayCall(nextId(), head, body, maxRuns, patienceMs, nowMs);
         open.put(call.id(), call);
         Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
         LOGGER.atInfo()
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -69,6 +69,7 @@
 
     private final Map<AttemptId, Running> running = new HashMap<>();
     private final HttpClient http;
+    private final TargetProbe probe;
     private final CoreLoop loop;
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
@@ -96,6 +97,7 @@
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        this.probe = new TargetProbe(loops);
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
@@ -121,7 +123,8 @@
 
     private void dispatch(Effect.Dispatch dispatch) {
         AnswerReceiver receiver = receiver(dispatch.source());
-        Running attempt = new Running(dispatch.attempt(), receiver);
+        InetSocketAddress address = SocketAddresses.parse(dispatch.address());
+        Running attempt = new Running(dispatch.attempt(), address, receiver);
         running.put(dispatch.attempt(), attempt);
         if (receiver == null) {
             attempt.end(new AttemptOutcome.Failed(
@@ -131,7 +134,6 @@
         RequestHead head = receiver.head();
         HttpHeaders headers =
                 dialect.targetHeaders(head, dispatch.target(), dispatch.timeoutMs(), receiver.resumeAfter());
-        InetSocketAddress address = SocketAddresses.parse(dispatch.address());
         attempt.transfer = http.remoteAddress(() -> address)
                 .headers(all -> all.set(headers))
                 .request(HttpMethod.valueOf(head.method()))
@@ -139,7 +141,7 @@
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(receiver.body())))
                 .response((response, content) -> answered(attempt, response, content))
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
-                .subscribe(attempt::end, error -> attempt.end(ofError(error, attempt)));
+                .subscribe(attempt::end, error -> attempt.broke(ofError(error, attempt)));
         attempt.watchSilence();
     }
 
@@ -225,7 +227,7 @@
         return attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, head.status(), 0, "the target failed");
     }
 
-    private static AttemptOutcome ofError(Throwable error, Running attempt) {
+    private static AttemptOutcome.Failed ofError(Throwable error, Running attempt) {
         if (!attempt.answered && HttpOutcomes.isConnectFailure(error)) {
             return attempt.failed(
                     Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, 0, String.valueOf(error.getMessage()));
@@ -238,6 +240,7 @@
     private final class Running {
 
         private final AttemptId id;
+        private final InetSocketAddress address;
         private final AnswerReceiver receiver;
         private Disposable transfer;
         private Disposable watch = Disposables.disposed();
@@ -246,8 +249,9 @@
         private boolean ended;
         private int events;
 
-        Running(AttemptId id, AnswerReceiver receiver) {
+        Running(AttemptId id, InetSocketAddress address, AnswerReceiver receiver) {
             this.id = id;
+            this.address = address;
             this.receiver = receiver;
         }
 
@@ -263,17 +267,55 @@
             }
             long leftMs = heardAtMs + patienceMs - clock.nowMs();
             if (leftMs <= 0) {
-                end(failed(Verdict.MAY_HAVE_RUN, FailureKind.TIMED_OUT, 0, 0, "silent for " + patienceMs + " ms"));
+                silent(patienceMs);
                 return;
             }
             watch = loop.scheduler().schedule(this::watchSilence, leftMs, TimeUnit.MILLISECONDS);
         }
 
+        private void silent(long patienceMs) {
+            AttemptOutcome.Failed timedOut =
+                    failed(Verdict.MAY_HAVE_RUN, FailureKind.TIMED_OUT, 0, 0, "silent for " + patienceMs + " ms");
+            if (!receiver.runsAreLimited()) {
+                end(timedOut);
+                return;
+            }
+            watch = probe.listens(address).subscribe(listens -> {
+                if (!listens) {
+                    end(gone(timedOut));
+                } else if (receiver.waitsForTarget()) {
+                    heard();
+                    watchSilence();
+                } else {
+                    end(timedOut);
+                }
+            });
+        }
+
+        /** Ends the attempt; where a run counts, only once it is known whether the target is gone. */
+        void broke(AttemptOutcome.Failed failed) {
+            if (failed.kind() != FailureKind.CONNECTION_LOST || !receiver.runsAreLimited()) {
+                end(failed);
+                return;
+            }
+            watch.dispose();
+            watch = probe.listens(address).subscribe(listens -> end(listens ? failed : gone(failed)));
+        }
+
+        private AttemptOutcome.Failed gone(AttemptOutcome.Failed failed) {
+            return failed(
+                    Verdict.MAY_HAVE_RUN,
+                    FailureKind.TARGET_GONE,
+                    0,
+                    0,
+                    "nothing listens at " + address + " after: " + failed.detail());
+        }
+
         AttemptOutcome succeeded(TargetAnswerHead head) {
             return new AttemptOutcome.Succeeded(head.status(), "", receiver.collected(), events);
         }
 
-        AttemptOutcome failed(Verdict verdict, FailureKind kind, int status, long retryAfterMs, String detail) {
+        AttemptOutcome.Failed failed(Verdict verdict, FailureKind kind, int status, long retryAfterMs, String detail) {
             return new AttemptOutcome.Failed(
                     verdict,
                     kind,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -57,6 +57,16 @@
         return SILENCE_PATIENCE_MS;
     }
 
+    @Override
+    public boolean waitsForTarget() {
+        return false;
+    }
+
+    @Override
+    public boolean runsAreLimited() {
+        return false;
+    }
+
     @Override
     public void whole(TargetAnswerHead answer, byte[] body) {
         throw new IllegalStateException("an item must be answered by events");
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -152,6 +152,31 @@
         assertThat(fleet.runs("v1")).isEqualTo(1);
     }
 
+    /** A run counts where the target goes on running, not where it has crashed. */
+    @Test
+    void aStreamWithOneAttemptGoesOnElsewhereOnlyIfItsRunnerIsGone() throws IOException {
+        fleet.behave(Behaviour.BREAKING);
+        assertThatThrownBy(() -> fleet.post(0, "stream-once", "n1", "x")).isInstanceOf(IOException.class);
+        assertThat(fleet.runs("n1")).isEqualTo(1);
+        fleet.behave(Behaviour.GOOD);
+        fleet.runners.get("i-1").behave(Behaviour.CRASHING);
+        for (int i = 0; fleet.runners.get("i-1").runs() == 0 || i < 4; i++) {
+            assertThat(fleet.post(0, "stream-once", "g" + i, "x").body()).isEqualTo(WHOLE_STREAM);
+        }
+    }
+
+    @Test
+    void aSlowRunnerIsWaitedForWhereNobodyElseMayRunTheRequest() throws IOException {
+        fleet.runners.values().forEach(runner -> runner.setEventMs(2_500));
+        HttpRequest request = fleet.request(0, "/stream-once/1")
+                .header("Request-Id", "p1")
+                .header("Last-Event-Id", Integer.toString(RunnerStandIn.EVENTS - 2))
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        assertThat(fleet.send(request).body()).startsWith("id: 4\n").contains("id: 5\n");
+        assertThat(fleet.runs("p1")).isEqualTo(1);
+    }
+
     @Test
     void aSilentRunnerIsLeftForAnother() throws IOException {
         fleet.runners.get("i-1").behave(Behaviour.SILENT);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -53,7 +53,7 @@
             .build();
 
     GatewayFleet(int daemonCount, String... runnerIds) throws IOException {
-        putRoutes(1, "idem", "unsafe", "stream", "once", "batch");
+        putRoutes(1, "idem", "unsafe", "stream", "stream-once", "once", "batch");
         for (String id : runnerIds) {
             RunnerStandIn runner = new RunnerStandIn(id);
             runners.put(id, runner);
@@ -79,6 +79,7 @@
                         case "unsafe" -> ROUTE.formatted(name, name, "non_idempotent", 2, false);
                         case "stream" -> ROUTE.formatted(name, name, "stream", 3, true);
                         case "once" -> ROUTE.formatted(name, name, "stream", 1, false);
+                        case "stream-once" -> ROUTE.formatted(name, name, "stream", 1, true);
                         default -> ROUTE.formatted(name, name, "batch", 3, true);
                     });
         }
