Let suspect items that wait for one another pause

After a target crashed its items were suspects, of which a target runs one at a time; the next was refused, ended as if cancelled, was tried at once, and so on at the speed of the messages.

Ruled out: the runner (it saw none of these runs) and the controller's grants (the slots were free).

Such an item is now refused for lack of room, which owners answer with a pause. The test plays a crash under a batch; without the mend it does not end, as the refusals repeat within one instant.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -112,6 +112,19 @@
                 Verdict.NOT_RUN, FailureKind.CANCELLED, 0, 0, false, 0, ByteString.EMPTY, "the permit was revoked");
     }
 
+    /** Not a cancellation, after which the item would be tried at once, and refused at once, for as long as the other runs. */
+    private static AttemptOutcome.Failed suspectWaits() {
+        return new AttemptOutcome.Failed(
+                Verdict.NOT_RUN,
+                FailureKind.OVERLOADED,
+                0,
+                0,
+                false,
+                0,
+                ByteString.EMPTY,
+                "another request suspected of bringing targets down runs there");
+    }
+
     private static AttemptOutcome.Failed quarantined() {
         return new AttemptOutcome.Failed(
                 Verdict.NOT_RUN,
@@ -149,8 +162,7 @@
     boolean suspectRefused(AttemptId permitId, long nowMs, Effects out) {
         BatchRun run = byPermitId.get(permitId);
         if (run != null && run.work() != null && !run.dispatched()) {
-            run.revoke();
-            end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
+            end(run, suspectWaits(), RoutingMessage.Use.UNUSED, nowMs, out);
         }
         return run != null;
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
@@ -19,6 +19,9 @@
 
     private static final long ITEM_TIMEOUT_MS = 60_000;
 
+    /** The pause after a failure or a refusal, in ms: that of the duty of jobs. */
+    private static final long FAILURE_PAUSE_MS = 200;
+
     private final VirtualFleet.Node node;
     private final JobId job;
     private final TeamPath team;
@@ -120,9 +123,15 @@
             waiting.addFirst(new Item(work.itemId(), tokens, resume, resume.isPresent() ? permit.target() : null));
         } else {
             failed++;
+            node.afterPause(FAILURE_PAUSE_MS, () -> putBack(new Item(work.itemId(), tokens, resume, null)));
         }
         stateDemand(nowMs, out);
     }
 
+    private void putBack(Item item) {
+        waiting.add(item);
+        start(node.nowMs());
+    }
+
     private record Item(String id, int tokens, Optional<ResumePoint> resume, TargetId keptBy) {}
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -81,6 +81,26 @@
         assertThat(fleet.online.values()).allMatch(Online::answered);
     }
 
+    /** Load: a target crashes under a batch; the items that were on it may run only one at a time there. */
+    @Test
+    void suspectItemsThatWaitForOneAnotherDoNotKeepTheDaemonsBusy() {
+        VirtualFleet alone = new VirtualFleet(5);
+        alone.addEngine("r1", VirtualFleet.NORTH, 8, 100, 10);
+        alone.start(List.of(VirtualFleet.NORTH, VirtualFleet.NORTH), RoutingPolicy::defaults);
+        BatchOwnerModel owner =
+                new BatchOwnerModel(alone.nodes.get(1), "job", "/nilavu/summaries", 16, TOKENS, alone.nowMs + 60_000);
+        owner.start(alone.nowMs);
+        alone.run(400);
+        assertThat(owner.running).isGreaterThan(1);
+        alone.crashTarget(alone.engines.keySet().iterator().next(), 500);
+        alone.run(3_000);
+        long before = alone.count("batch-permits-granted");
+        alone.run(1_000);
+        assertThat(alone.count("batch-permits-granted") - before).isLessThan(16 * 10);
+        alone.run(60_000);
+        assertThat(owner.finished).isEqualTo(16);
+    }
+
     private long retriesOn(EngineModel engine) {
         return fleet.online.values().stream()
                 .filter(request -> request.dispatchedTo.size() > 1)
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -399,6 +399,19 @@
             this.duty = new RoutingDuty(identity, membership, dissemination, settings, policy, random.split(), metrics);
         }
 
+        long nowMs() {
+            return nowMs;
+        }
+
+        /** Does something after a pause unless the daemon is gone by then. */
+        void afterPause(long pauseMs, Runnable action) {
+            at(nowMs + pauseMs, () -> {
+                if (alive) {
+                    action.run();
+                }
+            });
+        }
+
         void handle(Event event) {
             if (alive) {
                 Effects out = new Effects();
