--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -255,7 +255,7 @@
                 out);
     }
 
-    /** Drops the records of a job without telling anybody; a failure leaves them for the next owner to drop. */
+    /** Drops the records of a job; a failure leaves them for the next owner to drop. */
     void drop(JobId job, int parts, Effects out) {
         int partition = JobRecords.partitionOf(job, settings.partitions());
         List<KeyedRecord> records = new ArrayList<>();
@@ -265,7 +265,11 @@
         records.add(KeyedRecord.dropping(JobRecords.endKey(job)));
         store.call(
                 new StoreRequest.Append(JobRecords.jobs(partition), records, Optional.empty(), APPEND_TIMEOUT_MS),
-                (answer, nowMs, effects) -> {},
+                (answer, nowMs, effects) -> {
+                    if (!(answer instanceof StoreAnswer.Appended)) {
+                        effects.explain(Subject.Kind.JOB, job, nowMs, "records not dropped", answer.toString());
+                    }
+                },
                 out);
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -140,13 +140,18 @@
     public void put(StoreAnswer.StoredRecord record, long nowMs, Effects out) {
         Optional<JobRecords.Key> key = JobRecords.key(record.key());
         if (key.isEmpty()) {
+            out.add(new Effect.StateChanged(JobDuty.NAME, "record " + record.key() + " is none of a job"));
             return;
         }
         JobId job = key.get().job();
         if (key.get().kind() == JobRecords.Kind.END) {
             endJob(job, nowMs, out);
         } else if (!jobs.containsKey(job)) {
-            JobRecords.part(record.value()).ifPresent(part -> partCame(job, part, nowMs, out));
+            JobRecords.part(record.value())
+                    .ifPresentOrElse(
+                            part -> partCame(job, part, nowMs, out),
+                            () -> out.add(new Effect.StateChanged(
+                                    JobDuty.NAME, "record " + record.key() + " cannot be read and is passed over")));
         }
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.StoreAnswer;
 import org.cornelcrank.core.StoreRequest;
@@ -87,7 +88,15 @@
     void leave(Effects out) {
         left = true;
         held = Set.of();
-        store.call(new StoreRequest.Leave(GROUP, member), (answer, nowMs, effects) -> {}, out);
+        store.call(
+                new StoreRequest.Leave(GROUP, member),
+                (answer, nowMs, effects) -> {
+                    if (!(answer instanceof StoreAnswer.Done)) {
+                        String text = "the group of owners learns of the leaving only by the lease's end: " + answer;
+                        effects.add(new Effect.StateChanged(JobDuty.NAME, text));
+                    }
+                },
+                out);
     }
 
     boolean holds(int partition) {
