--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/CornelcrankCli.java
@@ -30,6 +30,7 @@
         commands.addAll(JobCommands.all());
         commands.add(new DumpCommand());
         commands.add(new ExplainCommand());
+        commands.add(new TraceCommand());
         commands.addAll(QuarantineCommands.all());
         commands.add(new KeyCommand());
         commands.add(new DemoCommand());
