--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -97,9 +97,9 @@
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
-        this.probe = new TargetProbe(loops);
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        this.probe = new TargetProbe(loops, loop.scheduler());
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
         metrics.registerGauge("attempts.running", running::size);
