Wake a write only for the step that it waits for

Where the store was back meanwhile and slow, the next append was then sent twice, and its two answers counted as two appends, so that a job of several appends could be accepted with one of them missing.

Test red before (six appends for five). Besides, of the daemons to write through those that failed come last, and a silent runner that spoke while it was asked for is not given up; the last has no test of its own.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -107,6 +107,7 @@
 
     /** Takes the next step: through another daemon where the store has just failed this one, else directly. */
     private void next(Writing writing, long nowMs, Effects out) {
+        writing.wakeAtMs = Long.MAX_VALUE;
         Optional<HostId> peer = writing.directlyFailed || !store.available() ? relay(writing) : Optional.empty();
         if (peer.isPresent()) {
             appendThrough(peer.get(), writing, nowMs, out);
@@ -223,7 +224,6 @@
     void timerDue(long nowMs, Effects out) {
         for (Writing writing : List.copyOf(open.values())) {
             if (writing.wakeAtMs <= nowMs) {
-                writing.wakeAtMs = Long.MAX_VALUE;
                 if (writing.asked.isPresent()) {
                     peerAnswered(writing, WriteOutcome.UNKNOWN, nowMs, out);
                 } else {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -101,10 +100,10 @@
         if (owner.isPresent()) {
             return owner;
         }
-        List<Owner> others = owners.values().stream()
+        return owners.values().stream()
                 .filter(each -> !each.host.equals(self) && !excluded.contains(each.host))
-                .toList();
-        return others.stream().max(Comparator.comparingLong(Owner::learned)).map(Owner::host);
+                .max(Comparator.comparing((Owner each) -> !each.failed).thenComparingLong(Owner::learned))
+                .map(Owner::host);
     }
 
     /** Is told of other owners. */
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobDutyTests.java
@@ -180,6 +180,35 @@
         assertThat(jobs.submit(A, JOB, ITEMS)).isEqualTo(new JobAccepted(new JobId(JOB)));
     }
 
+    /** A job of several appends, of which some go through another daemon and some, as a slow store is back, directly. */
+    @Test
+    void aLongJobIsAcceptedOnlyOnceAllOfItIsWritten() {
+        for (int passedMs = 0; passedMs < 700; passedMs += 50) {
+            VirtualJobs fleet = new VirtualJobs(A, B, C);
+            boolean[] cut = {true};
+            int[] appends = new int[1];
+            fleet.nodes.setFaults((host, request) -> {
+                if (host.equals(A) && cut[0]) {
+                    return StoreFault.REQUEST_LOST;
+                }
+                boolean writes = request instanceof StoreRequest.Append append
+                        && append.at().topic().equals(JobRecords.JOBS);
+                appends[0] += writes ? 1 : 0;
+                return writes ? StoreFault.SLOW : StoreFault.NONE;
+            });
+            fleet.nodes.run(5_000 + passedMs);
+            SubmitJob submit = VirtualJobs.longJob(JOB, 5, 1_900_000, fleet.nodes.nowMs());
+            RequestId request = fleet.nodes.ask(A, submit);
+            cut[0] = false;
+            fleet.nodes.run(4_000);
+            assertThat(fleet.nodes.reply(request)).contains(new JobAccepted(new JobId(JOB)));
+            assertThat(appends[0]).as("after %s ms", passedMs).isEqualTo(5);
+            for (JobItem item : submit.content().items()) {
+                assertThat(fleet.readBody(B, JOB, item.id())).isEqualTo(new ItemBody(item.body()));
+            }
+        }
+    }
+
     /** Load: the store answers no daemon, and a job is megabytes long. */
     @Test
     void anOutageOfTheStoreFloodsNoDaemon() {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
 import com.google.protobuf.ByteString;
@@ -131,6 +132,18 @@
         return new SubmitJob(new JobId(id), new JobContent(HOST, content), nowMs + DEADLINE_MS);
     }
 
+    /** Returns a job whose items' bodies do not deflate. */
+    static SubmitJob longJob(String id, int items, int bytes, long nowMs) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(1);
+        List<JobItem> content = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            byte[] body = new byte[bytes];
+            random.nextBytes(body);
+            content.add(new JobItem(id + "-item-" + i, "/jobs/" + i, Map.of(), ByteString.copyFrom(body), 100));
+        }
+        return new SubmitJob(new JobId(id), new JobContent(HOST, content), nowMs + DEADLINE_MS);
+    }
+
     /** Submits a job and returns the reply once there is one. */
     CallerReply submit(HostId host, String id, int items) {
         return await(nodes.ask(host, job(id, items, nodes.nowMs())));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -281,7 +281,10 @@
                 return;
             }
             watch = probe.listens(address).subscribe(listens -> {
-                if (!listens) {
+                boolean heardMeanwhile = clock.nowMs() - heardAtMs < patienceMs;
+                if (heardMeanwhile) {
+                    watchSilence();
+                } else if (!listens) {
                     end(gone(timedOut));
                 } else if (receiver.waitsForTarget()) {
                     heard();
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -36,6 +36,9 @@
     /** How long the store takes to answer, in ms. */
     public static final long STORE_MS = 5;
 
+    /** How long a slow store takes to answer, in ms: under the time that its callers give it. */
+    public static final long SLOW_MS = 350;
+
     /** How long a message takes between two daemons, in ms. */
     public static final long PEER_MS = 1;
 
@@ -62,6 +65,8 @@
         REFUSED,
         /** It is done, but the answer is lost. */
         ANSWER_LOST,
+        /** It is done at once and answered late, but in time. */
+        SLOW,
         /** It is done three seconds later, and nobody hears of it. */
         DONE_LATE,
         /** Nothing is done, and nobody hears of it. */
@@ -232,6 +237,8 @@
                 later(STORE_MS, () -> carryOut(call.request()));
                 loseAnswer(node, call);
             }
+            case SLOW -> later(STORE_MS, () -> carryOut(call.request())
+                    .ifPresent(answer -> later(SLOW_MS, () -> answer(node, call, answer))));
             case DONE_LATE -> {
                 later(3_000, () -> carryOut(call.request()));
                 loseAnswer(node, call);
