Never hand on a success that no runner vouches for

Ruled out: the streams (no event had been passed on) and the new forgiveness of runs (one runner was reached, and nothing was sent again).

Such an answer now counts as a lost connection. Test red before.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -163,11 +163,14 @@
                 attempt.receiver.head().requestId());
         rememberIdleTimeout(response, head);
         if (!head.ownRequest()) {
-            return Flux.error(new ForeignAnswerException());
+            return Flux.error(new UnusableAnswerException("the answer names another request"));
+        }
+        if (head.success() && !head.signed()) {
+            return Flux.error(new UnusableAnswerException("nobody vouches for the success"));
         }
         attempt.answered = true;
         attempt.heard();
-        if (head.success() && head.signed()) {
+        if (head.success()) {
             loop.post(new Event.AttemptStarted(attempt.id));
             return head.events() ? streamed(attempt, head, content) : whole(attempt, head, content);
         }
@@ -344,13 +347,13 @@
         }
     }
 
-    /** An answer that names another request: the connection has lost its order and must go. */
-    private static final class ForeignAnswerException extends RuntimeException {
+    /** An answer that must not reach the caller; its connection must go, as what follows on it is not to be trusted. */
+    private static final class UnusableAnswerException extends RuntimeException {
 
         private static final long serialVersionUID = 1L;
 
-        ForeignAnswerException() {
-            super("the answer names another request", null, false, false);
+        UnusableAnswerException(String message) {
+            super(message, null, false, false);
         }
     }
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -125,6 +125,17 @@
         assertThat(fleet.runs("x1")).isEqualTo(1);
     }
 
+    @Test
+    void aSuccessThatNobodyVouchesForIsNeverHandedOn() throws IOException {
+        fleet.behave(Behaviour.UNSIGNED);
+        assertThat(fleet.post(0, "once", "y1", "x").statusCode()).isEqualTo(502);
+        assertThat(fleet.post(0, "unsafe", "y2", "x").statusCode()).isEqualTo(502);
+        fleet.runners.get("i-2").behave(Behaviour.GOOD);
+        for (int i = 0; i < 3; i++) {
+            assertThat(fleet.post(0, "idem", "z" + i, "body").body()).isEqualTo("body");
+        }
+    }
+
     @Test
     void aRunnersOwnFailureIsHandedOnUnchanged() throws IOException {
         fleet.behave(Behaviour.FAILING);
