--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryDuty.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryDuty.java
@@ -36,9 +36,9 @@
  * Follows the routes, the targets and the entry hosts in the store, and tells the other duties of them.
  *
  * <p>This daemon's own host is entered at its start. Invariants: routes never go back to an older version; the first ones
- * are in force only once the targets are known too; a target whose
- * entry vanished while the store was failing stays until it has had time to register again. Without the store the last
- * state known stands. Not thread-safe: confined to the daemon's event loop.
+ * are in force only once the targets are known too; a target whose entry vanished while the store was failing stays until
+ * it has had time to register again. Without the store the last state known stands. Not thread-safe: confined to the
+ * daemon's event loop.
  */
 public final class DirectoryDuty implements Duty {
 
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/GatewayRoute.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/GatewayRoute.java
@@ -14,8 +14,8 @@
  * <p>{@code priority} ranks routes, 0 first. {@code timeoutMs} is the longest that a request is kept waiting, and
  * {@code latencyObjectiveMs} the time to the first event or the whole answer within which it is worth most. For batch jobs
  * {@code runObjectiveMs} is when all results are due and {@code itemRetentionMs} when an item may be given up, both from
- * the submission. Invariant: the prefix
- * begins and ends with a slash, and there is at least one service. Immutable, thus thread-safe.
+ * the submission. Invariant: the prefix begins and ends with a slash, and there is at least one service. Immutable, thus
+ * thread-safe.
  */
 public record GatewayRoute(
         String name,
