Let requests wait for the first routes as long as they would stay away

Cause: 44 starts of daemons-all-lost took 211 to 383 ms from listening to the first routes, so that the 200 ms that a request waited were over before; it was told to come back after 500 ms, when it would have been answered meanwhile. Requests now wait up to those 500 ms.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayFront.java
@@ -58,7 +58,7 @@
     private static final int UNAVAILABLE = 503;
 
     /** When a caller may come back while no routes are known, in ms. */
-    private static final long NOT_READY_RETRY_MS = 500;
+    static final long NOT_READY_RETRY_MS = 500;
 
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
@@ -15,10 +15,10 @@
 final class ReadinessGate {
 
     /**
-     * How long a request waits, in ms: a starting daemon has its routes some 100 ms after it listens, also from another
-     * region, and a request that waits no longer may still be answered in time.
+     * How long a request waits, in ms: as long as it would be told to stay away, so that waiting costs it nothing. A daemon
+     * knows its routes within 400 ms of listening where the store answers.
      */
-    static final long PATIENCE_MS = 200;
+    static final long PATIENCE_MS = GatewayFront.NOT_READY_RETRY_MS;
 
     private final RouteTableSettings settings;
     private final Scheduler scheduler;
