Begin the measured run once the fleet answers

What it depended on is known: a daemon is ready before it knows its targets, and the run of fixed length began at once. The run now begins once each stream has got an answer, as a measurement should.

--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/load/ScenarioRun.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/load/ScenarioRun.java
@@ -32,6 +32,11 @@
 
     private static final long SAMPLE_INTERVAL_MS = 500;
     private static final int MAX_CONNECTIONS = 4_000;
+
+    /** How often and how long apart, in ms, a request is tried before the run: thirty seconds for a fleet to start. */
+    private static final int MAX_FIRST_TRIES = 300;
+
+    private static final long FIRST_TRY_PAUSE_MS = 100;
     private static final long NS_PER_MS = 1_000_000;
     private static final double US_PER_MS = 1_000;
     private static final String DIRECT = " direct";
@@ -55,6 +60,7 @@
     }
 
     RunResult run(String policy, String label) throws IOException {
+        awaitServed();
         if (withBatch) {
             String key = fleet.bearer(scenario.batch().key());
             batch = new BatchLoad(
@@ -77,6 +83,26 @@
         }
     }
 
+    /** Waits until each stream has got an answer: a daemon that is ready may not know its targets yet. */
+    private void awaitServed() {
+        BiFunction<Integer, Scenario.OnlineStream, StreamingClient> clients = routedClients();
+        for (Scenario.OnlineStream stream : scenario.online()) {
+            arrivals.arrivals().stream()
+                    .filter(arrival -> arrival.stream().equals(stream))
+                    .findFirst()
+                    .ifPresent(arrival -> awaitServed(clients.apply(0, stream), arrival.body()));
+        }
+    }
+
+    private static void awaitServed(StreamingClient client, byte[] body) {
+        for (int tries = 1; !client.send(body).block().complete(); tries++) {
+            if (tries == MAX_FIRST_TRIES) {
+                throw new IllegalStateException("the fleet must answer one of " + tries + " first requests");
+            }
+            sleepUntil(System.nanoTime(), FIRST_TRY_PAUSE_MS);
+        }
+    }
+
     /** What was counted over the measured part of the run. */
     private record Window(
             EngineCounters engines, BatchLoad.Progress before, BatchLoad.Progress after, Map<String, Long> linkBytes) {}
