Use one backoff and one stored text, and append for jobs in one place

KeyedTopicFollower and ResultLog each had the steps and the jitter of the partition module's Backoff written anew; it moves to the core and serves all. Results and progress deflated their texts in two copies; StoredText does it, and takes the codec out of JobRecords. JobWrites built the same append in three places. StoreCalls held each open request only to know whether it reads.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -1,13 +1,10 @@
 package org.cornelcrank.job;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.zip.DataFormatException;
-import java.util.zip.Deflater;
-import java.util.zip.Inflater;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -43,11 +40,6 @@
     /** Room for the key and the fields of a part beside its content, in bytes. */
     private static final int PART_OVERHEAD_BYTES = 1_024;
 
-    /** The longest job after inflation, in bytes: a bound against broken records. */
-    private static final int MAX_JOB_BYTES = 64 * 1024 * 1024;
-
-    private static final int BUFFER_BYTES = 16 * 1024;
-
     private JobRecords() {}
 
     static int partitionOf(JobId job, int partitions) {
@@ -119,7 +111,7 @@
                     .setBody(item.body())
                     .setTokens(item.tokens()));
         }
-        ByteString deflated = deflate(wire.build().toByteArray());
+        ByteString deflated = StoredText.deflate(wire.build().toByteString());
         int partBytes = maxRecordBytes - PART_OVERHEAD_BYTES;
         int parts = Math.max(1, (deflated.size() + partBytes - 1) / partBytes);
         List<KeyedRecord> records = new ArrayList<>();
@@ -163,7 +155,7 @@
     /** Decodes the joined contents of a job's parts, empty if they cannot be read. */
     static Optional<JobContent> content(ByteString deflated) {
         try {
-            WireJob wire = WireJob.parseFrom(inflate(deflated));
+            WireJob wire = WireJob.parseFrom(StoredText.inflate(deflated));
             return Optional.of(new JobContent(
                     wire.getHost(),
                     wire.getItemsList().stream()
@@ -180,14 +172,13 @@
     }
 
     static KeyedRecord result(JobId job, int position, int item, ListedResult result) {
-        ByteString deflated = deflate(result.text().toByteArray());
-        boolean smaller = deflated.size() < result.text().size();
+        StoredText text = StoredText.of(result.text());
         WireResult wire = WireResult.newBuilder()
                 .setItem(item)
                 .setItemId(result.itemId())
                 .setCompleted(result.completed())
-                .setText(smaller ? deflated : result.text())
-                .setDeflated(smaller)
+                .setText(text.bytes())
+                .setDeflated(text.deflated())
                 .build();
         return new KeyedRecord(resultKey(job, position), wire.toByteString());
     }
@@ -196,7 +187,7 @@
     static Optional<StoredResult> result(StoreAnswer.StoredRecord record) {
         try {
             WireResult wire = WireResult.parseFrom(record.value());
-            ByteString text = wire.getDeflated() ? ByteString.copyFrom(inflate(wire.getText())) : wire.getText();
+            ByteString text = new StoredText(wire.getText(), wire.getDeflated()).text();
             return Optional.of(
                     new StoredResult(wire.getItem(), new ListedResult(wire.getItemId(), wire.getCompleted(), text)));
         } catch (IOException | DataFormatException e) {
@@ -205,12 +196,11 @@
     }
 
     static KeyedRecord progress(JobId job, int item, StoredProgress progress) {
-        ByteString deflated = deflate(progress.text().toByteArray());
-        boolean smaller = deflated.size() < progress.text().size();
+        StoredText text = StoredText.of(progress.text());
         WireProgress wire = WireProgress.newBuilder()
                 .setEvents(progress.events())
-                .setText(smaller ? deflated : progress.text())
-                .setDeflated(smaller)
+                .setText(text.bytes())
+                .setDeflated(text.deflated())
                 .build();
         return new KeyedRecord(progressKey(job, item), wire.toByteString());
     }
@@ -219,48 +209,13 @@
     static Optional<StoredProgress> progress(StoreAnswer.StoredRecord record) {
         try {
             WireProgress wire = WireProgress.parseFrom(record.value());
-            ByteString text = wire.getDeflated() ? ByteString.copyFrom(inflate(wire.getText())) : wire.getText();
+            ByteString text = new StoredText(wire.getText(), wire.getDeflated()).text();
             return Optional.of(new StoredProgress(wire.getEvents(), text));
         } catch (IOException | DataFormatException e) {
             return Optional.empty();
         }
     }
 
-    private static ByteString deflate(byte[] bytes) {
-        Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try {
-            deflater.setInput(bytes);
-            deflater.finish();
-            ByteString.Output deflated = ByteString.newOutput();
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!deflater.finished()) {
-                deflated.write(buffer, 0, deflater.deflate(buffer));
-            }
-            return deflated.toByteString();
-        } finally {
-            deflater.end();
-        }
-    }
-
-    private static byte[] inflate(ByteString deflated) throws DataFormatException, IOException {
-        Inflater inflater = new Inflater();
-        try {
-            inflater.setInput(deflated.asReadOnlyByteBuffer());
-            ByteArrayOutputStream inflated = new ByteArrayOutputStream();
-            byte[] buffer = new byte[BUFFER_BYTES];
-            while (!inflater.finished()) {
-                int length = inflater.inflate(buffer);
-                if (length == 0 || inflated.size() > MAX_JOB_BYTES) {
-                    throw new IOException("the content must be whole and have at most " + MAX_JOB_BYTES + " bytes");
-                }
-                inflated.write(buffer, 0, length);
-            }
-            return inflated.toByteArray();
-        } finally {
-            inflater.end();
-        }
-    }
-
     /** A key taken apart; {@code number} is the part's index, the result's position or the item's index. */
     record Key(JobId job, Kind kind, int number) {}
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -124,10 +124,9 @@
     }
 
     private void append(Writing writing, Effects out) {
-        StoreRequest.Append append = new StoreRequest.Append(
-                JobRecords.jobs(writing.partition), writing.records(), Optional.empty(), APPEND_TIMEOUT_MS);
-        store.call(
-                append,
+        append(
+                writing.job,
+                writing.records(),
                 (answer, nowMs, effects) -> {
                     writing.directlyFailed = !(answer instanceof StoreAnswer.Appended);
                     written(writing, WriteOutcome.of(answer), "the store: " + answer, nowMs, effects);
@@ -135,6 +134,14 @@
                 out);
     }
 
+    private void append(JobId job, List<KeyedRecord> records, StoreCalls.Listener listener, Effects out) {
+        int partition = JobRecords.partitionOf(job, settings.partitions());
+        store.call(
+                new StoreRequest.Append(JobRecords.jobs(partition), records, Optional.empty(), APPEND_TIMEOUT_MS),
+                listener,
+                out);
+    }
+
     private void appendThrough(HostId peer, Writing writing, long nowMs, Effects out) {
         writing.asked = Optional.of(peer);
         writing.askedNumber = ++lastNumber;
@@ -244,10 +251,9 @@
             out.send(from, new JobMessage.Written(write.number(), WriteOutcome.NOT_DONE));
             return;
         }
-        int partition = JobRecords.partitionOf(write.job(), settings.partitions());
-        store.call(
-                new StoreRequest.Append(
-                        JobRecords.jobs(partition), write.records(), Optional.empty(), APPEND_TIMEOUT_MS),
+        append(
+                write.job(),
+                write.records(),
                 (answer, nowMs, effects) -> {
                     effects.explain(Subject.Kind.JOB, write.job(), nowMs, "written for " + from, answer.toString());
                     effects.send(from, new JobMessage.Written(write.number(), WriteOutcome.of(answer)));
@@ -257,14 +263,14 @@
 
     /** Drops the records of a job; a failure leaves them for the next owner to drop. */
     void drop(JobId job, int parts, Effects out) {
-        int partition = JobRecords.partitionOf(job, settings.partitions());
         List<KeyedRecord> records = new ArrayList<>();
         for (int part = 0; part < parts; part++) {
             records.add(KeyedRecord.dropping(JobRecords.partKey(job, part)));
         }
         records.add(KeyedRecord.dropping(JobRecords.endKey(job)));
-        store.call(
-                new StoreRequest.Append(JobRecords.jobs(partition), records, Optional.empty(), APPEND_TIMEOUT_MS),
+        append(
+                job,
+                records,
                 (answer, nowMs, effects) -> {
                     if (!(answer instanceof StoreAnswer.Appended)) {
                         effects.explain(Subject.Kind.JOB, job, nowMs, "records not dropped", answer.toString());
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -395,14 +395,12 @@
 
     /** Writes how far the items have come that had to yield, so that a next owner goes on from there. */
     private void saveProgress(long nowMs, Effects out) {
-        List<KeyedRecord> records = new ArrayList<>();
-        for (JobRun run : jobs.values()) {
-            if (log.isOpen() && !run.ended()) {
-                for (int item : run.takeUnsaved()) {
-                    records.add(stored.saveProgress(run.id(), item, run.progress(item)));
-                }
-            }
+        if (!log.isOpen()) {
+            return;
         }
+        List<KeyedRecord> records = new ArrayList<>();
+        jobs.values().stream().filter(run -> !run.ended()).forEach(run -> run.takeUnsaved()
+                .forEach(item -> records.add(stored.saveProgress(run.id(), item, run.progress(item)))));
         for (List<KeyedRecord> batch :
                 JobRecords.batches(records, context.settings().maxRequestBytes())) {
             log.write(batch, (acknowledgedAtMs, effects) -> {}, nowMs, out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Fence;
 import org.cornelcrank.core.KeyedRecord;
@@ -47,6 +48,7 @@
     private final StoreCalls store;
     private final int maxRequestBytes;
     private final RandomGenerator random;
+    private final Backoff backoff;
     private final Listener listener;
     private final Deque<Write> queue = new ArrayDeque<>();
     private final List<Write> inFlight = new ArrayList<>();
@@ -54,7 +56,6 @@
     private Consumer<Effects> repeat = out -> {};
     private long epoch;
     private long sequence;
-    private long pauseMs = FIRST_PAUSE_MS;
 
     ResultLog(
             TopicPartition at,
@@ -68,6 +69,7 @@
         this.store = Objects.requireNonNull(store, "store must not be null");
         this.maxRequestBytes = maxRequestBytes;
         this.random = Objects.requireNonNull(random, "random must not be null");
+        this.backoff = new Backoff(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, random);
         this.listener = Objects.requireNonNull(listener, "listener must not be null");
     }
 
@@ -88,7 +90,7 @@
                     }
                     if (answer instanceof StoreAnswer.Appended) {
                         state = State.LOADING;
-                        pauseMs = FIRST_PAUSE_MS;
+                        backoff.reset();
                         load("", effects);
                     } else if (answer instanceof StoreAnswer.Fenced fenced) {
                         lose(fenced.epoch(), nowMs, effects);
@@ -152,7 +154,7 @@
         }
         if (answer instanceof StoreAnswer.Appended) {
             sequence++;
-            pauseMs = FIRST_PAUSE_MS;
+            backoff.reset();
             List<Write> done = List.copyOf(inFlight);
             inFlight.clear();
             done.forEach(write -> write.callback().acknowledged(nowMs, out));
@@ -178,8 +180,7 @@
 
     private void pause(Consumer<Effects> next, long nowMs, Effects out) {
         repeat = next;
-        out.schedule(timer, nowMs + pauseMs / 2 + random.nextLong(pauseMs / 2 + 1));
-        pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+        out.schedule(timer, nowMs + backoff.nextDelayMs());
     }
 
     /** Repeats what failed; called when the timer is due. */
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/ClaimBrake.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/ClaimBrake.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.PartitionId;
 
 /**
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/GroupAppender.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/GroupAppender.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.PartitionId;
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionContext.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionContext.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.PartitionId;
 import org.cornelcrank.core.TimerKey;
--- a/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionReplica.java
+++ b/cornelcrank-partition/src/main/java/org/cornelcrank/partition/PartitionReplica.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
+import org.cornelcrank.core.Backoff;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.StoreAnswer;
 import org.cornelcrank.core.StoreRequest;
@@ -33,14 +34,13 @@
     private final TopicPartition at;
     private final TimerKey timer;
     private final StoreCalls store;
-    private final RandomGenerator random;
+    private final Backoff backoff;
     private final Listener listener;
     private final long waitMs;
     private final Set<String> known = new TreeSet<>();
     private final Set<String> found = new HashSet<>();
     private long nextOffset;
     private long followFrom;
-    private long pauseMs = FIRST_PAUSE_MS;
     private boolean loading;
     private boolean stopped;
     private long currentAtMs = Long.MIN_VALUE / 2;
@@ -65,7 +65,7 @@
         this.timer = Objects.requireNonNull(timer, "timer must not be null");
         this.waitMs = waitMs;
         this.store = Objects.requireNonNull(store, "store must not be null");
-        this.random = Objects.requireNonNull(random, "random must not be null");
+        this.backoff = new Backoff(FIRST_PAUSE_MS, LONGEST_PAUSE_MS, random);
         this.listener = Objects.requireNonNull(listener, "listener must not be null");
     }
 
@@ -123,7 +123,7 @@
             pause(nowMs, out);
             return;
         }
-        pauseMs = FIRST_PAUSE_MS;
+        backoff.reset();
         followFrom = followFrom < 0 ? page.end() : followFrom;
         for (StoreAnswer.StoredRecord record : page.records()) {
             found.add(record.key());
@@ -172,7 +172,7 @@
             pause(nowMs, out);
             return;
         }
-        pauseMs = FIRST_PAUSE_MS;
+        backoff.reset();
         if (read.end() < nextOffset) {
             load(out);
             return;
@@ -202,9 +202,7 @@
     }
 
     private void pause(long nowMs, Effects out) {
-        long jitteredMs = pauseMs / 2 + random.nextLong(pauseMs / 2 + 1);
-        pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
-        out.schedule(timer, nowMs + jitteredMs);
+        out.schedule(timer, nowMs + backoff.nextDelayMs());
     }
 
     /** Is told of the records in their order; a record may be told again. */
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
@@ -35,7 +35,8 @@
     /** Asks the store; the listener is told of the answer, {@link StoreAnswer.Unknown} at the worst. */
     public void call(StoreRequest request, Listener listener, Effects out) {
         long number = ++lastNumber;
-        open.put(number, new OpenCall(request, listener));
+        boolean reads = request instanceof StoreRequest.Read || request instanceof StoreRequest.ReadNewest;
+        open.put(number, new OpenCall(reads, listener));
         out.add(new Effect.CallStore(number, request));
     }
 
@@ -106,12 +107,7 @@
         writer.field("answeredMsAgo", nowMs - answeredAtMs);
     }
 
-    private record OpenCall(StoreRequest request, Listener listener) {
-
-        boolean reads() {
-            return request instanceof StoreRequest.Read || request instanceof StoreRequest.ReadNewest;
-        }
-    }
+    private record OpenCall(boolean reads, Listener listener) {}
 
     /** Is told of an answer. */
     public interface Listener {
