Work out a table's policies once, and say in one place what is far

RouteTableSettings built a policy for each question about a team, and the set of all services for each about one, several times a request; both are made as a table comes into force, and the table's own index by team goes. Three parts of routing asked in their own words whether a target lies in another region; three outcomes of work that never ran and two releases of permits were copies. The readiness gate asked what its only caller has just asked.

No change of behaviour.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTable.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTable.java
@@ -9,8 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.cornelcrank.core.TeamPath;
-
 /**
  * All routes of one version.
  *
@@ -22,7 +20,6 @@
     private final List<GatewayRoute> routes;
     private final RequestLimits limits;
     private final Map<String, List<GatewayRoute>> byHost = new HashMap<>();
-    private final Map<TeamPath, GatewayRoute> byTeam = new HashMap<>();
 
     /** Makes a table of the routes, in any order. */
     public RouteTable(long version, List<GatewayRoute> routes, RequestLimits limits) {
@@ -32,7 +29,6 @@
         for (GatewayRoute route : routes) {
             byHost.computeIfAbsent(lowerCase(route.host()), host -> new ArrayList<>())
                     .add(route);
-            byTeam.put(route.team(), route);
         }
         Comparator<GatewayRoute> longestFirst =
                 Comparator.comparingInt(route -> -route.pathPrefix().length());
@@ -61,11 +57,6 @@
                 .findFirst();
     }
 
-    /** Returns the route that the product's settings know by the path. */
-    public Optional<GatewayRoute> find(TeamPath team) {
-        return Optional.ofNullable(byTeam.get(team));
-    }
-
     private static String lowerCase(String host) {
         return host.toLowerCase(Locale.ROOT);
     }
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,8 @@
     private final RegionId region;
     private final List<SettingsListener> listeners = new ArrayList<>();
     private final Map<TargetId, Integer> slots = new HashMap<>();
+    private Map<TeamPath, TeamPolicy> policies = Map.of();
+    private Set<ServiceName> services = Set.of();
     private volatile RouteTable table;
 
     /** Creates settings without any route. */
@@ -54,6 +57,9 @@
         if (before != null && newer.version() <= before.version()) {
             return false;
         }
+        policies = new LinkedHashMap<>();
+        newer.routes().forEach(route -> policies.put(route.team(), policy(route)));
+        services = services(newer.routes());
         table = newer;
         listeners.forEach(listener -> listener.settingsChanged(nowMs, out));
         return true;
@@ -77,7 +83,7 @@
 
     @Override
     public Optional<TeamPolicy> team(TeamPath team) {
-        return table().flatMap(routes -> routes.find(team)).map(this::policy);
+        return Optional.ofNullable(policies.get(team));
     }
 
     private TeamPolicy policy(GatewayRoute route) {
@@ -100,21 +106,19 @@
 
     @Override
     public Collection<TeamPath> teams() {
-        return table().map(RouteTable::routes).orElse(List.of()).stream()
-                .map(GatewayRoute::team)
-                .toList();
+        return policies.keySet();
     }
 
     @Override
     public Optional<ServicePolicy> service(ServiceName service) {
-        return services().contains(service)
+        return services.contains(service)
                 ? Optional.of(new ServicePolicy(service, ServiceKind.PLAIN, List.of(), 0, "", Set.of(), 0))
                 : Optional.empty();
     }
 
     @Override
     public Collection<ServiceName> services() {
-        return services(table().map(RouteTable::routes).orElse(List.of()));
+        return services;
     }
 
     private static Set<ServiceName> services(List<GatewayRoute> routes) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -108,33 +108,21 @@
     }
 
     private static AttemptOutcome.Failed notStarted() {
-        return new AttemptOutcome.Failed(
-                Verdict.NOT_RUN, FailureKind.CANCELLED, 0, 0, false, 0, ByteString.EMPTY, "the permit was revoked");
+        return notRun(FailureKind.CANCELLED, 0, "the permit was revoked");
     }
 
     /** Not a cancellation, after which the item would be tried at once, and refused at once, for as long as the other runs. */
     private static AttemptOutcome.Failed suspectWaits() {
-        return new AttemptOutcome.Failed(
-                Verdict.NOT_RUN,
-                FailureKind.OVERLOADED,
-                0,
-                0,
-                false,
-                0,
-                ByteString.EMPTY,
-                "another request suspected of bringing targets down runs there");
+        return notRun(FailureKind.OVERLOADED, 0, "another request suspected of bringing targets down runs there");
     }
 
     private static AttemptOutcome.Failed quarantined() {
-        return new AttemptOutcome.Failed(
-                Verdict.NOT_RUN,
-                FailureKind.REJECTED,
-                RefusalCode.QUARANTINED.httpStatus(),
-                0,
-                false,
-                0,
-                ByteString.EMPTY,
-                "the request brought targets down before");
+        return notRun(
+                FailureKind.REJECTED, RefusalCode.QUARANTINED.httpStatus(), "the request brought targets down before");
+    }
+
+    private static AttemptOutcome.Failed notRun(FailureKind kind, int status, String detail) {
+        return new AttemptOutcome.Failed(Verdict.NOT_RUN, kind, status, 0, false, 0, ByteString.EMPTY, detail);
     }
 
     private void dispatch(BatchRun run, AttemptId attempt, Effects out) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -16,7 +16,6 @@
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.Location;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
@@ -407,7 +406,7 @@
                 ? succeeded.tokens()
                 : ((AttemptOutcome.Failed) outcome).tokens();
         limiter.answered(route.request.team(), tokens);
-        if (context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION) {
+        if (context.isFar(route.target)) {
             link.answered(LinkBudget.Purpose.ONLINE, tokens);
         }
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
@@ -3,7 +3,6 @@
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.Location;
 import org.cornelcrank.core.TargetId;
 
 /**
@@ -53,24 +52,23 @@
 
     /** Returns how long the request waits for any word of the controller. */
     long patienceMs(Route route) {
-        boolean far =
-                context.identity().location().distanceTo(route.target.location()) == Location.Distance.OTHER_REGION;
-        return context.routing().permits().patienceMs() * (far ? OTHER_REGION_PATIENCE_FACTOR : 1);
+        return context.routing().permits().patienceMs()
+                * (context.isFar(route.target) ? OTHER_REGION_PATIENCE_FACTOR : 1);
     }
 
     /** Gives a permit back, or withdraws the wish for it. */
     void release(Route route, AttemptId attempt, RoutingMessage.Use use, Effects out) {
         if (route.controller != null) {
-            RoutingMessage.PermitReleased released =
-                    new RoutingMessage.PermitReleased(attempt, route.target.id(), use, 0);
-            context.peers().send(route.controller, released, out);
+            send(route.controller, attempt, route.target.id(), use, out);
         }
     }
 
     /** Gives a permit back that no request needs any longer. */
     void giveBack(HostId controller, AttemptId attempt, TargetId target, Effects out) {
-        RoutingMessage.PermitReleased released =
-                new RoutingMessage.PermitReleased(attempt, target, RoutingMessage.Use.UNUSED, 0);
-        context.peers().send(controller, released, out);
+        send(controller, attempt, target, RoutingMessage.Use.UNUSED, out);
+    }
+
+    private void send(HostId controller, AttemptId attempt, TargetId target, RoutingMessage.Use use, Effects out) {
+        context.peers().send(controller, new RoutingMessage.PermitReleased(attempt, target, use, 0), out);
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.config.Settings;
 import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Location;
 
 /**
  * What the parts of the routing duty share.
@@ -28,6 +29,11 @@
         return policy.settings();
     }
 
+    /** Returns whether a target lies in another region than this daemon. */
+    boolean isFar(TargetState target) {
+        return identity.location().distanceTo(target.location()) == Location.Distance.OTHER_REGION;
+    }
+
     void count(String thing) {
         metrics.counter(RoutingDuty.NAME + "." + thing).inc();
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -63,15 +63,11 @@
         List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
         Optional<TargetState> best =
                 eligible.stream().min(Comparator.comparingLong(target -> spareCostMs(target, nowMs)));
-        return best.filter(target -> !isFar(target) || link.tryTake(LinkBudget.Purpose.ONLINE, nowMs));
+        return best.filter(target -> !context.isFar(target) || link.tryTake(LinkBudget.Purpose.ONLINE, nowMs));
     }
 
     private long spareCostMs(TargetState target, long nowMs) {
-        return target.expectedWaitMs(nowMs, staleMs()) + (isFar(target) ? OTHER_REGION_COST_MS : 0);
-    }
-
-    private boolean isFar(TargetState target) {
-        return context.identity().location().distanceTo(target.location()) == Location.Distance.OTHER_REGION;
+        return target.expectedWaitMs(nowMs, staleMs()) + (context.isFar(target) ? OTHER_REGION_COST_MS : 0);
     }
 
     private Optional<TargetCandidate> chooseByDistance(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
@@ -36,8 +36,6 @@
 
     /** Returns whether routes are known, now or within the patience. */
     Mono<Boolean> pass() {
-        return settings.ready()
-                ? Mono.just(true)
-                : known.asMono().timeout(Duration.ofMillis(PATIENCE_MS), Mono.just(false), scheduler);
+        return known.asMono().timeout(Duration.ofMillis(PATIENCE_MS), Mono.just(false), scheduler);
     }
 }
