Read a trace's marks once

Each step of the order searched all lines of all hosts again, with three patterns each. Only lines that say of an order are looked at now, read once.

--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/trace/RequestTrace.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/trace/RequestTrace.java
@@ -5,10 +5,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.regex.Matcher;
@@ -59,38 +61,54 @@
         lines.stream().sorted(Comparator.comparingInt(LogLine::number)).forEach(line -> byHost.computeIfAbsent(
                         line.host(), host -> new ArrayDeque<>())
                 .add(line));
+        Map<LogLine, Mark> marks = marks(lines);
         List<LogLine> ordered = new ArrayList<>();
         while (ordered.size() < lines.size()) {
             LogLine first = byHost.values().stream()
                     .map(Deque::peek)
-                    .filter(line -> line != null)
-                    .min(Comparator.comparing((LogLine line) -> waitsForOther(line, byHost))
+                    .filter(Objects::nonNull)
+                    .min(Comparator.comparing((LogLine line) -> waitsForOther(line, marks))
                             .thenComparingLong(LogLine::atMs))
                     .orElseThrow();
             byHost.get(first.host()).remove();
+            marks.remove(first);
             ordered.add(first);
         }
         return ordered;
     }
 
-    private static boolean waitsForOther(LogLine line, Map<String, Deque<LogLine>> byHost) {
-        return byHost.entrySet().stream()
-                .filter(entry -> !entry.getKey().equals(line.host()))
-                .flatMap(entry -> entry.getValue().stream())
-                .anyMatch(other -> precedes(other, line));
+    /** Returns the lines that say of an order between hosts, with what they say. */
+    private static Map<LogLine, Mark> marks(List<LogLine> lines) {
+        Map<LogLine, Mark> marks = new HashMap<>();
+        for (LogLine line : lines) {
+            Mark mark = new Mark(
+                    group(WRITTEN_THROUGH, line.field("decision")),
+                    group(WRITTEN_FOR, line.field("decision")),
+                    group(EPOCH, line.field("reason")));
+            if (!mark.equals(Mark.NONE)) {
+                marks.put(line, mark);
+            }
+        }
+        return marks;
+    }
+
+    /** Returns whether a line that has not come yet, of another host, precedes the line. */
+    private static boolean waitsForOther(LogLine line, Map<LogLine, Mark> marks) {
+        Mark mark = marks.get(line);
+        return mark != null
+                && marks.entrySet().stream().anyMatch(other -> precedes(other.getKey(), other.getValue(), line, mark));
     }
 
-    private static boolean precedes(LogLine other, LogLine line) {
-        if (!other.field("id").equals(line.field("id"))) {
+    private static boolean precedes(LogLine other, Mark otherMark, LogLine line, Mark mark) {
+        if (other.host().equals(line.host()) || !other.field("id").equals(line.field("id"))) {
             return false;
         }
-        String writtenFor = group(WRITTEN_FOR, line.field("decision"));
-        if (other.host().equals(writtenFor)) {
-            return line.host().equals(group(WRITTEN_THROUGH, other.field("decision")));
+        if (other.host().equals(mark.writtenFor)) {
+            return line.host().equals(otherMark.writtenThrough);
         }
-        String before = group(EPOCH, other.field("reason"));
-        String after = group(EPOCH, line.field("reason"));
-        return !before.isEmpty() && !after.isEmpty() && Long.parseLong(before) < Long.parseLong(after);
+        return !otherMark.epoch.isEmpty()
+                && !mark.epoch.isEmpty()
+                && Long.parseLong(otherMark.epoch) < Long.parseLong(mark.epoch);
     }
 
     private static String group(Pattern pattern, String text) {
@@ -131,4 +149,10 @@
                 (name, value) -> text.append(", ").append(name).append('=').append(value));
         return text.toString();
     }
+
+    /** What a line says of the order between hosts; empty where it says nothing. */
+    private record Mark(String writtenThrough, String writtenFor, String epoch) {
+
+        private static final Mark NONE = new Mark("", "", "");
+    }
 }
