--- a/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
+++ b/cornelcrank-call/src/main/java/org/cornelcrank/call/OwnedCalls.java
@@ -276,6 +276,7 @@
                 false,
                 false,
                 List.of(),
+                List.of(),
                 StableHash.of(call.digest().toByteArray()),
                 new DispatchSource.Inline(original.method(), original.path(), original.contentType(), original.body()),
                 RequestOptions.DEFAULTS);
--- a/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
+++ b/cornelcrank-daemon/src/test/java/org/cornelcrank/daemon/CapacityMeasurement.java
@@ -107,6 +107,7 @@
                 true,
                 false,
                 List.of((long) (number % 50)),
+                List.of(),
                 number,
                 64,
                 true,
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/RequestHead.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/RequestHead.java
@@ -10,7 +10,8 @@
  * The head of a caller's request.
  *
  * <p>{@code uri} is the path and query as sent by the caller. {@code deadlineMs} is how long the caller waits.
- * {@code prefixHashes} are the hashes of increasingly long prefixes of the prompt, shortest first.
+ * {@code prefixHashes} are the hashes of increasingly long prefixes of the prompt, shortest first. {@code sharedParts} are
+ * the hashes of the parts that it may have in common with other prompts, in order.
  * {@code maxResponseTokens} is the caller's limit of response tokens, zero if unspecified. {@code headers} are the
  * end-to-end headers, without those of the connection. Immutable by convention: the headers must not be changed.
  */
@@ -21,6 +22,7 @@
         String host,
         OptionalLong deadlineMs,
         List<Long> prefixHashes,
+        List<Long> sharedParts,
         int promptTokens,
         int maxResponseTokens,
         OptionalLong lastEventId,
@@ -29,6 +31,7 @@
     public RequestHead {
         Objects.requireNonNull(requestId, "requestId must not be null");
         prefixHashes = List.copyOf(prefixHashes);
+        sharedParts = List.copyOf(sharedParts);
     }
 
     /** Returns the path without its query. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
@@ -13,7 +13,8 @@
  *
  * <p>The reply is {@link OnlineEnded} after the complete response has been passed on, or a
  * {@link org.cornelcrank.core.Refusal}. {@code prefixHashes} holds the hashes of increasingly long prefixes of the
- * prompt, shortest first. {@code fingerprint} is the hash of the body. {@code expectedTokens} is the caller's limit for
+ * prompt, shortest first. {@code sharedParts} holds the hashes of the parts of the prompt that other requests may have in
+ * common with it, in order. {@code fingerprint} is the hash of the body. {@code expectedTokens} is the caller's limit for
  * the response, zero if it sets none. Immutable, thus thread-safe.
  */
 public record OnlineRequest(
@@ -24,6 +25,7 @@
         boolean repeatable,
         boolean resumable,
         List<Long> prefixHashes,
+        List<Long> sharedParts,
         long fingerprint,
         int expectedTokens,
         boolean streaming,
@@ -35,6 +37,7 @@
         Objects.requireNonNull(service, "service must not be null");
         Objects.requireNonNull(urgency, "urgency must not be null");
         prefixHashes = List.copyOf(prefixHashes);
+        sharedParts = List.copyOf(sharedParts);
         if (expectedTokens < 0) {
             throw new IllegalArgumentException("expectedTokens must not be negative but was " + expectedTokens);
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequestHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequestHandler.java
@@ -28,6 +28,7 @@
                 request.repeatable(),
                 request.resumable() && request.streaming(),
                 request.prefixHashes(),
+                request.sharedParts(),
                 request.fingerprint(),
                 new DispatchSource.FromCaller(id),
                 request.options());
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -150,6 +150,7 @@
                 work.repeatable,
                 true,
                 work.prefixes,
+                work.sharedParts,
                 work.fingerprint,
                 work.tokens,
                 true,
@@ -311,30 +312,38 @@
             long deadlineMs,
             boolean repeatable,
             long fingerprint,
-            long crashesAfterMs) {
+            long crashesAfterMs,
+            List<Long> sharedParts) {
 
         static Work online(int tokens, long fingerprint) {
-            return new Work(tokens, List.of(), Urgency.IMMEDIATE, 10_000, true, fingerprint, 0);
+            return new Work(tokens, List.of(), Urgency.IMMEDIATE, 10_000, true, fingerprint, 0, List.of());
         }
 
         static Work batch(int tokens) {
-            return new Work(tokens, List.of(), Urgency.BATCH, 60_000, true, 0, 0);
+            return new Work(tokens, List.of(), Urgency.BATCH, 60_000, true, 0, 0, List.of());
         }
 
         Work crashing(long afterMs) {
-            return new Work(tokens, prefixes, urgency, deadlineMs, repeatable, fingerprint, afterMs);
+            return new Work(tokens, prefixes, urgency, deadlineMs, repeatable, fingerprint, afterMs, sharedParts);
         }
 
         Work notRepeatable() {
-            return new Work(tokens, prefixes, urgency, deadlineMs, false, fingerprint, crashesAfterMs);
+            return new Work(tokens, prefixes, urgency, deadlineMs, false, fingerprint, crashesAfterMs, sharedParts);
         }
 
         Work withDeadline(long newDeadlineMs) {
-            return new Work(tokens, prefixes, urgency, newDeadlineMs, repeatable, fingerprint, crashesAfterMs);
+            return new Work(
+                    tokens, prefixes, urgency, newDeadlineMs, repeatable, fingerprint, crashesAfterMs, sharedParts);
         }
 
         Work withPrefixes(List<Long> newPrefixes) {
-            return new Work(tokens, newPrefixes, urgency, deadlineMs, repeatable, fingerprint, crashesAfterMs);
+            return new Work(
+                    tokens, newPrefixes, urgency, deadlineMs, repeatable, fingerprint, crashesAfterMs, sharedParts);
+        }
+
+        Work withSharedParts(Long... newParts) {
+            return new Work(
+                    tokens, prefixes, urgency, deadlineMs, repeatable, fingerprint, crashesAfterMs, List.of(newParts));
         }
     }
 
@@ -345,6 +354,7 @@
         final Work work;
         final long sentAtMs;
         final List<TargetId> dispatchedTo = new ArrayList<>();
+        final List<Long> dispatchedAtMs = new ArrayList<>();
         long firstTokenAtMs = -1;
         long endedAtMs = -1;
         Object reply;
@@ -458,6 +468,7 @@
                 if (dispatch.source() instanceof DispatchSource.FromCaller caller) {
                     requestsByAttempt.put(dispatch.attempt(), sentRequests.get(caller.request()));
                     sentRequests.get(caller.request()).dispatchedTo.add(dispatch.target());
+                    sentRequests.get(caller.request()).dispatchedAtMs.add(nowMs);
                 }
                 targetByAttempt.put(dispatch.attempt(), dispatch.target());
                 afterLatency(this, dispatch.target(), () -> dispatch(this, dispatch));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -77,12 +78,18 @@
                 .addKeyValue("route", request.workload())
                 .addKeyValue("service", request.service())
                 .addKeyValue("urgency", request.urgency())
+                .addKeyValue("fingerprint", Long.toHexString(request.fingerprint()))
+                .addKeyValue("parts", hex(request.sharedParts()))
                 .addKeyValue("leftMs", request.deadlineAtMs() - nowMs)
                 .log("request arrived");
         loop.post(new Event.CommandReceived(call.id(), caller, request));
         return call;
     }
 
+    private static List<String> hex(List<Long> hashes) {
+        return hashes.stream().map(Long::toHexString).toList();
+    }
+
     RequestId nextId() {
         return new RequestId(identity.host(), identity.incarnation(), ++lastNumber);
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -199,6 +199,7 @@
                 route.repeatable(),
                 resumable,
                 route.prefixAffinity() ? head.prefixHashes() : List.of(),
+                head.sharedParts(),
                 StableHash.of(head.uri(), Long.toHexString(StableHash.of(body))),
                 head.maxResponseTokens(),
                 route.kind() == RouteKind.STREAM,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
@@ -103,6 +103,7 @@
                 true,
                 streaming,
                 prefixHashes,
+                List.of(),
                 StableHash.of(body),
                 Math.max(0, parsedBody.path("max_tokens").asInt(0)),
                 streaming,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
@@ -105,6 +105,7 @@
                 true,
                 false,
                 List.of(),
+                List.of(),
                 StableHash.of(request.uri(), Long.toHexString(StableHash.of(body))),
                 0,
                 false,
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -36,6 +36,7 @@
                     "a.example",
                     OptionalLong.empty(),
                     List.of(),
+                    List.of(),
                     0,
                     0,
                     OptionalLong.empty(),
