Quarantine prompt parts that crash the targets of different requests

What callers saw: from 9 s on, requests of staff-ask and kiosk-ask were late, refused or failed for 35 s, while 43 targets crashed one after the other; the same once more with another part.

Cause: a request that crashes its targets is recognized by the hash of its path and body. Requests that share a crashing part of the prompt are all different, so each was unknown to every daemon and crashed one or two targets of its own. The class of fault: the key of a limit is narrower than the cause that it limits.

PromptPartQuarantineTests plays that load without a network and failed before.

Change: signs of crashes are counted by prompt part as well, at all daemons. A part is quarantined if different requests with it keep crashing targets while requests without it fare better. Single trials at growing intervals lift a quarantine that was wrong. Operators see and lift it like that of a request.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -227,7 +227,8 @@
                 dispatch(run, context.attempts().next(), out);
                 return true;
             }
-            TargetFailures.apply(context, run.target(), failure, run.work().fingerprint(), run.suspect(), nowMs, out);
+            SuspectRun suspectRun = new SuspectRun(run.work().fingerprint(), run.service(), List.of(), run.suspect());
+            TargetFailures.apply(context, run.target(), failure, suspectRun, nowMs, out);
         } else {
             run.target().health().attemptSucceeded();
             if (context.suspects().suspected(run.work().fingerprint(), nowMs)) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -74,13 +74,14 @@
             throw new IllegalArgumentException(
                     "request must be routed only once but was routed again: " + request.id());
         }
-        Optional<Refusal> refusal = refusalOnArrival(request, nowMs);
+        Optional<Refusal> refusal = refusalOnArrival(request, nowMs).or(() -> admitParts(route, nowMs, out));
         if (refusal.isPresent()) {
             end(route, new RouteOutcome.GivenUp(refusal.get()), nowMs, out);
             return;
         }
         retryBudget.requestArrived();
-        route.suspect = context.suspects().suspected(request.fingerprint(), nowMs);
+        context.promptParts().arrived(request.sharedParts());
+        route.suspect = route.trial || context.suspects().suspected(request.fingerprint(), nowMs);
         routes.put(request.id(), route);
         chooseTarget(route, nowMs, out);
     }
@@ -112,6 +113,21 @@
         return Optional.empty();
     }
 
+    /** Refuses a request with a quarantined prompt part, or admits it as a trial if one is due. */
+    private Optional<Refusal> admitParts(Route route, long nowMs, Effects out) {
+        List<Long> parts = route.request.sharedParts();
+        if (!context.promptParts().quarantined(parts)) {
+            return Optional.empty();
+        }
+        route.trial = context.promptParts().beginTrial(parts, nowMs, out);
+        return route.trial
+                ? Optional.empty()
+                : Optional.of(Refusal.notRun(
+                        RefusalCode.QUARANTINED,
+                        "a part of the prompt has crashed targets before",
+                        context.promptParts().retryAfterMs(parts, nowMs)));
+    }
+
     @Override
     public void cancel(RequestId request, long nowMs, Effects out) {
         Route route = routes.get(request);
@@ -354,6 +370,12 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
+        if (!route.trial && context.promptParts().quarantined(request.sharedParts())) {
+            withdraw(route, out);
+            route.retryAfterMs = context.promptParts().retryAfterMs(request.sharedParts(), nowMs);
+            giveUp(route, RefusalCode.QUARANTINED, "a part of the prompt crashed targets meanwhile", nowMs, out);
+            return;
+        }
         hedges.withdraw(route, out);
         wakeups.remove(request.id());
         route.phase = Route.Phase.RUNNING;
@@ -430,6 +452,7 @@
         if (context.suspects().suspected(route.request.fingerprint(), nowMs)) {
             context.suspects().clear(route.request.fingerprint(), nowMs, out);
         }
+        context.promptParts().succeeded(route.request.sharedParts(), route.request.service(), nowMs, out);
         if (route.phase != Route.Phase.ENDED) {
             route.verdict = Verdict.COMPLETED;
             end(route, new RouteOutcome.TargetResponded(route.target.id(), outcome, route.attempts), nowMs, out);
@@ -439,8 +462,7 @@
     private void attemptFailed(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
         if (!ownDeadline) {
-            TargetFailures.apply(
-                    context, route.target, failure, route.request.fingerprint(), route.suspect, nowMs, out);
+            TargetFailures.apply(context, route.target, failure, suspectRun(route, failure), nowMs, out);
         }
         if (route.phase == Route.Phase.ENDED) {
             return;
@@ -463,9 +485,19 @@
         retry(route, failure, nowMs, out);
     }
 
+    private static SuspectRun suspectRun(Route route, AttemptOutcome.Failed failure) {
+        boolean hadBegun = failure.tokens() > 1;
+        return new SuspectRun(
+                route.request.fingerprint(),
+                route.request.service(),
+                hadBegun ? List.of() : route.request.sharedParts(),
+                route.suspect);
+    }
+
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         RetryPolicy.Step step = retryPolicy.after(route, failure);
-        if (context.suspects().quarantined(route.request.fingerprint(), nowMs)) {
+        if (context.suspects().quarantined(route.request.fingerprint(), nowMs)
+                || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
         } else if (step == RetryPolicy.Step.GIVE_UP || !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -34,6 +34,7 @@
     HostId controller;
     boolean permitted;
     boolean suspect;
+    boolean trial;
     int permitRefusals;
     int moves;
     int redirects;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
@@ -21,6 +21,7 @@
         PeerLink peers,
         AttemptIdGenerator attempts,
         SuspectRegistry suspects,
+        PromptPartRegistry promptParts,
         TargetStatusPublisher statusPublisher,
         RandomGenerator random,
         MetricRegistry metrics) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
@@ -181,5 +181,16 @@
                         record.deathCount(),
                         context.suspects().quarantined(fingerprint, nowMs),
                         record.expiresAtMs() - nowMs));
+        writer.table("promptParts", "part", "targets", "signs", "quarantined", "trials", "trialInMs", "expiresInMs");
+        context.promptParts()
+                .records()
+                .forEach((part, record) -> writer.row(
+                        Long.toHexString(part),
+                        record.crashedTargets(),
+                        record.crashes().size(),
+                        record.quarantined(),
+                        Math.max(0, record.trials()),
+                        record.quarantined() ? record.trialAtMs() - nowMs : 0,
+                        record.expiresAtMs() - nowMs));
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -6,7 +6,13 @@
  * <p>Immutable, thus thread-safe.
  */
 public record RoutingSettings(
-        Permits permits, Queues queues, Retries retries, Ejection ejection, Quarantine quarantine, Link link) {
+        Permits permits,
+        Queues queues,
+        Retries retries,
+        Ejection ejection,
+        Quarantine quarantine,
+        PromptParts promptParts,
+        Link link) {
 
     /** Returns settings for a deployment of any size up to hundreds of daemons. */
     public static RoutingSettings defaults() {
@@ -16,6 +22,7 @@
                 new Retries(4, 0.2, 20),
                 new Ejection(3, 5_000, 10_000),
                 new Quarantine(2_000, 600_000, 2),
+                new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
                 new Link(500_000, 2_048, 6));
     }
 
@@ -33,6 +40,7 @@
                 new Retries(4, 0.5, 50),
                 new Ejection(3, 500, 1_000),
                 new Quarantine(2_000, 20_000, 3),
+                new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
                 new Link(500_000, 2_048, 60));
     }
 
@@ -148,6 +156,44 @@
         }
     }
 
+    /**
+     * Settings of the quarantine of prompt parts that crash their targets.
+     *
+     * <p>A part is quarantined after {@code crashesToQuarantine} crashes under at least {@code requestsToQuarantine}
+     * different requests, once {@code successesWithout} requests of one daemon without it have succeeded since the first,
+     * and {@code successesPerCrash} times as many as lost their target in other crashes; or once it was in flight at all
+     * of at least {@code explainedCrashes} crashes seen by one daemon, at least half of whose requests lack it. A part
+     * of a request that has succeeded within {@code recentSuccessMs} is not accused. A quarantine expires
+     * {@code lifetimeMs} after the last request with the part. The first trial begins after {@code firstTrialMs}, with
+     * the daemons' times for it spread over {@code trialSpreadMs}; for each further one, both are {@code trialFactor}
+     * times as long.
+     */
+    public record PromptParts(
+            int crashesToQuarantine,
+            int requestsToQuarantine,
+            int successesWithout,
+            int successesPerCrash,
+            int explainedCrashes,
+            long recentSuccessMs,
+            long lifetimeMs,
+            long firstTrialMs,
+            int trialFactor,
+            long trialSpreadMs) {
+
+        public PromptParts {
+            requirePositive(crashesToQuarantine, "crashesToQuarantine");
+            requirePositive(requestsToQuarantine, "requestsToQuarantine");
+            requirePositive(successesWithout, "successesWithout");
+            requirePositive(successesPerCrash, "successesPerCrash");
+            requirePositive(explainedCrashes, "explainedCrashes");
+            requirePositive(recentSuccessMs, "recentSuccessMs");
+            requirePositive(lifetimeMs, "lifetimeMs");
+            requirePositive(firstTrialMs, "firstTrialMs");
+            requirePositive(trialFactor, "trialFactor");
+            requirePositive(trialSpreadMs, "trialSpreadMs");
+        }
+    }
+
     /**
      * Limits the traffic of one daemon's requests over the paid link between regions, and estimates that of one
      * request.
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -69,6 +69,7 @@
         RoutingSettings routing = policy.settings();
         statusPublisher =
                 new TargetStatusPublisher(dissemination, routing.quarantine().deathWindowMs());
+        PromptPartRegistry promptParts = new PromptPartRegistry(routing, identity, membership, dissemination, metrics);
         context = new RoutingContext(
                 identity,
                 settings,
@@ -77,7 +78,8 @@
                 new ControllerMap(membership),
                 new PeerLink(identity.host()),
                 new AttemptIdGenerator(identity),
-                new SuspectRegistry(routing.quarantine(), dissemination),
+                new SuspectRegistry(routing.quarantine(), dissemination, promptParts),
+                promptParts,
                 statusPublisher,
                 random,
                 metrics);
@@ -133,6 +135,7 @@
 
     private void tick(long nowMs, Effects out) {
         context.suspects().expire(nowMs);
+        context.promptParts().expire(nowMs);
         controller.refresh(List.of(), nowMs, out);
         boolean readvertise =
                 nowMs - demandAdvertisedAtMs >= context.routing().queues().demandRefreshMs();
@@ -195,8 +198,13 @@
         }
         if (command instanceof LiftQuarantine lift) {
             context.suspects().clear(lift.fingerprint(), nowMs, out);
+            context.promptParts().lift(lift.fingerprint(), nowMs, out);
         }
-        out.reply(id, new QuarantineListed(context.suspects().quarantine(nowMs)));
+        out.reply(
+                id,
+                new QuarantineListed(
+                        context.suspects().quarantine(nowMs),
+                        context.promptParts().quarantine()));
     }
 
     private void receive(HostId from, RoutingMessage message, long nowMs, Effects out) {
@@ -232,6 +240,10 @@
             context.suspects().factReceived(fact, nowMs, out);
             return;
         }
+        if (key.startsWith(PromptPartRegistry.CRASH_PREFIX) || key.startsWith(PromptPartRegistry.STATE_PREFIX)) {
+            context.promptParts().factReceived(fact, nowMs, out);
+            return;
+        }
         Optional<TargetState> target =
                 Names.isName(name) ? context.directory().find(new TargetId(name)) : Optional.empty();
         if (target.isEmpty()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -30,12 +30,14 @@
 
     private final RoutingSettings.Quarantine settings;
     private final Dissemination dissemination;
+    private final PromptPartRegistry promptParts;
     private final Map<Long, SuspectRecord> records = new TreeMap<>();
     private final List<Loss> losses = new ArrayList<>();
 
-    SuspectRegistry(RoutingSettings.Quarantine settings, Dissemination dissemination) {
+    SuspectRegistry(RoutingSettings.Quarantine settings, Dissemination dissemination, PromptPartRegistry promptParts) {
         this.settings = settings;
         this.dissemination = dissemination;
+        this.promptParts = promptParts;
     }
 
     /**
@@ -44,10 +46,10 @@
      * <p>A request that ran as a suspect counts as the cause at once; any other one only after the target's death is
      * confirmed by {@link #targetDown} or by a further lost connection.
      */
-    void connectionLost(TargetId target, long fingerprint, boolean ranAsSuspect, long nowMs, Effects out) {
-        losses.add(new Loss(target, fingerprint, nowMs));
-        if (ranAsSuspect) {
-            confirm(loss -> loss.fingerprint == fingerprint, settings.quarantineMs(), nowMs, out);
+    void connectionLost(TargetId target, SuspectRun run, long nowMs, Effects out) {
+        losses.add(new Loss(target, run, nowMs));
+        if (run.suspected()) {
+            confirm(loss -> loss.fingerprint() == run.fingerprint(), settings.quarantineMs(), nowMs, out);
         }
         long onTarget = losses.stream()
                 .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
@@ -72,7 +74,7 @@
     }
 
     private void publishDeath(Loss loss, long nowMs, Effects out) {
-        SuspectRecord record = records.get(loss.fingerprint);
+        SuspectRecord record = records.get(loss.fingerprint());
         SuspectRecord.Death before = record == null ? null : record.deaths().get(loss.target);
         int count = 1;
         if (before != null) {
@@ -83,13 +85,14 @@
                 loss.target,
                 nowMs,
                 "request suspected",
-                Long.toHexString(loss.fingerprint) + " was in flight when the target went down");
-        publish(DEATH_PREFIX + Long.toHexString(loss.fingerprint) + "/" + loss.target, loss.atMs, count, nowMs, out);
+                Long.toHexString(loss.fingerprint()) + " was in flight when the target went down");
+        publish(DEATH_PREFIX + Long.toHexString(loss.fingerprint()) + "/" + loss.target, loss.atMs, count, nowMs, out);
+        promptParts.crashed(loss.run, loss.target, loss.atMs, nowMs, out);
     }
 
     /** Clears a request that completed, or that an operator allows to run again. */
     void clear(long fingerprint, long nowMs, Effects out) {
-        losses.removeIf(loss -> loss.fingerprint == fingerprint);
+        losses.removeIf(loss -> loss.fingerprint() == fingerprint);
         SuspectRecord record = records.get(fingerprint);
         if (record == null) {
             return;
@@ -150,7 +153,7 @@
 
     private boolean lostRecently(long fingerprint, long nowMs) {
         return losses.stream()
-                .anyMatch(loss -> loss.fingerprint == fingerprint && nowMs - loss.atMs <= settings.deathWindowMs());
+                .anyMatch(loss -> loss.fingerprint() == fingerprint && nowMs - loss.atMs <= settings.deathWindowMs());
     }
 
     boolean quarantined(long fingerprint, long nowMs) {
@@ -181,5 +184,10 @@
         return records;
     }
 
-    private record Loss(TargetId target, long fingerprint, long atMs) {}
+    private record Loss(TargetId target, SuspectRun run, long atMs) {
+
+        long fingerprint() {
+            return run.fingerprint();
+        }
+    }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -21,11 +21,10 @@
             RoutingContext context,
             TargetState target,
             AttemptOutcome.Failed failure,
-            long fingerprint,
-            boolean ranAsSuspect,
+            SuspectRun run,
             long nowMs,
             Effects out) {
-        boolean ejected = recordFailure(context, target, failure, fingerprint, ranAsSuspect, nowMs, out);
+        boolean ejected = recordFailure(context, target, failure, run, nowMs, out);
         context.count("attempts-failed-" + failure.kind().name().toLowerCase(Locale.ROOT));
         if (ejected) {
             explainEjection(target, failure.kind(), nowMs, out);
@@ -36,8 +35,7 @@
             RoutingContext context,
             TargetState target,
             AttemptOutcome.Failed failure,
-            long fingerprint,
-            boolean ranAsSuspect,
+            SuspectRun run,
             long nowMs,
             Effects out) {
         return switch (failure.kind()) {
@@ -46,12 +44,12 @@
                 yield ejectEverywhere(context, target, nowMs, out);
             }
             case TARGET_GONE -> {
-                context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
+                context.suspects().connectionLost(target.id(), run, nowMs, out);
                 context.suspects().targetDown(target.id(), nowMs, out);
                 yield ejectEverywhere(context, target, nowMs, out);
             }
             case CONNECTION_LOST -> {
-                context.suspects().connectionLost(target.id(), fingerprint, ranAsSuspect, nowMs, out);
+                context.suspects().connectionLost(target.id(), run, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
             case TIMED_OUT -> {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -39,7 +40,7 @@
     private static final int MAX_LATER_DISPATCHES = 3;
     private static final long DEADLINE_MS = 5_000;
 
-    private final SplittableRandom random = new SplittableRandom(3);
+    private SplittableRandom random;
     private final List<SentRequest> sound = new ArrayList<>();
     private final List<SentRequest> crashing = new ArrayList<>();
     private VirtualFleet fleet;
@@ -51,6 +52,7 @@
     }
 
     private void start(long seed) {
+        random = new SplittableRandom(seed);
         fleet = new VirtualFleet(seed);
         fleet.requestOptions = new RequestOptions(2, true, 300);
         for (int i = 0; i < TARGETS; i++) {
@@ -99,10 +101,24 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {300, 700, 1_000, 4_000})
-    void differentRequestsWithOneCrashingPartDoNotCrashTargetAfterTarget(long crashingEveryMs) {
+    @CsvSource({
+        "300, 3",
+        "700, 3",
+        "1000, 3",
+        "4000, 3",
+        "300, 6",
+        "700, 6",
+        "1000, 6",
+        "4000, 6",
+        "300, 10",
+        "700, 10",
+        "1000, 10",
+        "4000, 10"
+    })
+    void differentRequestsWithOneCrashingPartDoNotCrashTargetAfterTarget(long crashingEveryMs, long seed) {
+        start(seed);
         play(10_000, 0);
-        play(60_000, crashingEveryMs);
+        play(100_000, crashingEveryMs);
         long spreadAtMs = fleet.crashTimesMs.get(CRASHES - 1) + SPREAD_MS;
         assertThat(dispatchTimes())
                 .filteredOn(atMs -> atMs > spreadAtMs)
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AdminViews.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/AdminViews.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.server.http;
 
+import java.util.List;
 import java.util.Locale;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -72,16 +73,21 @@
 
     ResponseWriter.Rendered quarantine(CallerReply reply) {
         ObjectNode root = json.createObjectNode();
-        ArrayNode entries = root.putArray("entries");
-        for (QuarantineListed.Entry entry : ((QuarantineListed) reply).entries()) {
-            ObjectNode node = entries.addObject()
+        QuarantineListed listed = (QuarantineListed) reply;
+        quarantined(listed.entries(), root.putArray("entries"));
+        quarantined(listed.promptParts(), root.putArray("promptParts"));
+        return ResponseWriter.Rendered.json(root);
+    }
+
+    private static void quarantined(List<QuarantineListed.Entry> entries, ArrayNode array) {
+        for (QuarantineListed.Entry entry : entries) {
+            ObjectNode node = array.addObject()
                     .put("fingerprint", Long.toHexString(entry.fingerprint()))
                     .put("sinceMs", entry.sinceMs())
                     .put("expiresAtMs", entry.expiresAtMs());
             ArrayNode targets = node.putArray("targets");
             entry.targets().forEach(target -> targets.add(target.value()));
         }
-        return ResponseWriter.Rendered.json(root);
     }
 
     private ObjectNode entry(SettingEntry entry) {
