End open requests with their final response at the drain timeout

Cause: at the time limit of a stop a daemon closed its callers' connections without a response, also those of requests that waited for a slot and that no target had seen.

Change: at the time limit the core receives StopTimedOut. The router ends each open request with its verdict: one that was not dispatched is refused as not run with a retry delay, one that may have run fails or its stream is visibly broken. Requests that arrive later are refused. Drain decides when this happens, once, and that connections are closed when the responses are written, at most 200 ms later. One log line states how many requests were open.

Drain.ends takes the number of open requests apart from the other work, as only the latter is given up at the time limit. DrainTests.daemonThatIsNeverIdleEndsAtTheTimeLimit demanded that a daemon with open requests ends exactly there, which is the fault: it now demands that for other work, and three new tests demand the end of open requests and its bound.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -101,4 +101,11 @@
 
     /** The daemon has been requested to stop. */
     record StopRequested() implements Event {}
+
+    /**
+     * The time limit of the stop has passed: each open request gets its final reply now, and later ones are refused.
+     *
+     * <p>{@code notRun} is the refusal of requests that have not run.
+     */
+    record StopTimedOut(Refusal notRun) implements Event {}
 }
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/Drain.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/Drain.java
@@ -1,22 +1,27 @@
 package org.cornelcrank.gateway;
 
 /**
- * Decides which requests a stopping daemon still accepts, and when it may end.
+ * Decides which requests a stopping daemon still accepts, when it ends those that are open, and when it may end.
  *
- * <p>A stop has two phases: requests are accepted until load balancers have noticed that the daemon is not ready, and
+ * <p>A stop has three phases: requests are accepted until load balancers have noticed that the daemon is not ready, and
  * are refused as not run from then on. Without the second phase a daemon whose callers keep their connections would
- * never be idle, and its end would interrupt whatever runs at that moment.
+ * never be idle, and its end would interrupt whatever runs at that moment. The third begins at the time limit: open
+ * requests are ended, and their callers' connections stay open until the responses are written.
  *
- * <p>Invariants: a stop that was requested is never withdrawn; the daemon ends by the time limit at the latest.
- * Thread-safe: the only state is the time of the request.
+ * <p>Invariants: a stop that was requested is never withdrawn; open requests are ended before the daemon ends, which is
+ * {@link #RESPONSE_TIMEOUT_MS} later at the latest. Thread-safe.
  */
 public final class Drain {
 
-    private static final long NOT_REQUESTED = -1;
+    /** How long the responses of the requests that end at the time limit may take to be written, in ms. */
+    public static final long RESPONSE_TIMEOUT_MS = 200;
+
+    private static final long NEVER = -1;
 
     private final long acceptMs;
     private final long timeoutMs;
-    private volatile long requestedAtMs = NOT_REQUESTED;
+    private volatile long requestedAtMs = NEVER;
+    private volatile long requestsEndedAtMs = NEVER;
 
     /**
      * Creates the drain of a daemon that is not stopping yet.
@@ -49,7 +54,7 @@
 
     /** Returns whether a stop was requested, so that the daemon must not look ready. */
     public boolean requested() {
-        return requestedAtMs != NOT_REQUESTED;
+        return requestedAtMs != NEVER;
     }
 
     /** Returns whether a request that arrives at {@code nowMs} is accepted; all others are to be refused as not run. */
@@ -58,13 +63,33 @@
     }
 
     /**
-     * Returns whether the daemon ends at {@code nowMs}: once it accepts no more requests and is idle, or at the time
-     * limit.
+     * Ends the open requests if the time limit has passed.
+     *
+     * @return whether this call was the first to do so, so that each open request is to get its final response now
+     */
+    public synchronized boolean endRequests(long nowMs) {
+        if (!timedOut(nowMs) || requestsEndedAtMs != NEVER) {
+            return false;
+        }
+        requestsEndedAtMs = nowMs;
+        return true;
+    }
+
+    /**
+     * Returns whether the daemon ends at {@code nowMs}: once it accepts no more requests and is idle. After the time
+     * limit it no longer waits for other work, and only for a bounded time for responses.
      *
-     * @param idle whether no request and no other work is in progress
+     * @param idle whether no work other than that of requests is in progress
+     * @param openRequests the number of requests whose response has not been written
      */
-    public boolean ends(long nowMs, boolean idle) {
-        return !accepts(nowMs) && (idle || timedOut(nowMs));
+    public boolean ends(long nowMs, boolean idle, int openRequests) {
+        if (accepts(nowMs)) {
+            return false;
+        }
+        if (openRequests == 0) {
+            return idle || timedOut(nowMs);
+        }
+        return requestsEndedAtMs != NEVER && nowMs - requestsEndedAtMs >= RESPONSE_TIMEOUT_MS;
     }
 
     /** Returns whether the time limit of the stop has passed. */
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DrainTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DrainTests.java
@@ -15,6 +15,7 @@
 
     private static final long ACCEPT_MS = 3_000;
     private static final long TIMEOUT_MS = 4_000;
+    private static final long LIMIT_MS = ACCEPT_MS + TIMEOUT_MS;
     private static final long ARRIVAL_MS = 20;
     private static final long SHORTEST_MS = 100;
     private static final long LONGEST_MS = 2_000;
@@ -29,7 +30,7 @@
         long refused = 0;
         drain.request(0);
         long nowMs = 0;
-        while (!drain.ends(nowMs, endsAtMs.isEmpty())) {
+        while (!drain.ends(nowMs, true, endsAtMs.size())) {
             nowMs += STEP_MS;
             long atMs = nowMs;
             endsAtMs.removeIf(endAtMs -> endAtMs <= atMs);
@@ -54,17 +55,49 @@
         assertThat(drain.request(1_000)).isTrue();
         assertThat(drain.requested()).isTrue();
         assertThat(drain.accepts(1_000 + ACCEPT_MS - 1)).isTrue();
-        assertThat(drain.ends(1_000 + ACCEPT_MS - 1, true)).isFalse();
+        assertThat(drain.ends(1_000 + ACCEPT_MS - 1, true, 0)).isFalse();
         assertThat(drain.accepts(1_000 + ACCEPT_MS)).isFalse();
-        assertThat(drain.ends(1_000 + ACCEPT_MS, true)).isTrue();
+        assertThat(drain.ends(1_000 + ACCEPT_MS, true, 0)).isTrue();
     }
 
     @Test
     void daemonThatIsNeverIdleEndsAtTheTimeLimit() {
         drain.request(0);
-        assertThat(drain.ends(ACCEPT_MS + TIMEOUT_MS - 1, false)).isFalse();
-        assertThat(drain.ends(ACCEPT_MS + TIMEOUT_MS, false)).isTrue();
-        assertThat(drain.timedOut(ACCEPT_MS + TIMEOUT_MS)).isTrue();
+        assertThat(drain.ends(LIMIT_MS - 1, false, 0)).isFalse();
+        assertThat(drain.ends(LIMIT_MS, false, 0)).isTrue();
+        assertThat(drain.timedOut(LIMIT_MS)).isTrue();
+    }
+
+    @Test
+    void openRequestsAreEndedOnceAtTheTimeLimitAndTheirResponsesAwaited() {
+        assertThat(drain.endRequests(LIMIT_MS)).isFalse();
+        drain.request(0);
+        assertThat(drain.endRequests(LIMIT_MS - 1)).isFalse();
+        assertThat(drain.ends(LIMIT_MS - 1, true, 1)).isFalse();
+        assertThat(drain.endRequests(LIMIT_MS)).isTrue();
+        assertThat(drain.endRequests(LIMIT_MS)).isFalse();
+        assertThat(drain.ends(LIMIT_MS, true, 1)).isFalse();
+        assertThat(drain.ends(LIMIT_MS + 1, false, 0)).isTrue();
+    }
+
+    @Test
+    void responsesThatAreNeverWrittenDoNotKeepADaemonFromEnding() {
+        drain.request(0);
+        drain.endRequests(LIMIT_MS);
+        assertThat(drain.ends(LIMIT_MS + Drain.RESPONSE_TIMEOUT_MS - 1, true, 1))
+                .isFalse();
+        assertThat(drain.ends(LIMIT_MS + Drain.RESPONSE_TIMEOUT_MS, true, 1)).isTrue();
+    }
+
+    @Test
+    void daemonThatIsPausedBeyondTheTimeLimitStillAwaitsItsResponses() {
+        drain.request(0);
+        long resumedAtMs = LIMIT_MS + 10 * Drain.RESPONSE_TIMEOUT_MS;
+        assertThat(drain.ends(resumedAtMs, true, 1)).isFalse();
+        assertThat(drain.endRequests(resumedAtMs)).isTrue();
+        assertThat(drain.ends(resumedAtMs + Drain.RESPONSE_TIMEOUT_MS - 1, true, 1))
+                .isFalse();
+        assertThat(drain.ends(resumedAtMs + Drain.RESPONSE_TIMEOUT_MS, true, 1)).isTrue();
     }
 
     @Test
@@ -77,7 +110,8 @@
     @Test
     void daemonThatIsNotStoppingNeverEnds() {
         assertThat(drain.requested()).isFalse();
-        assertThat(drain.ends(Long.MAX_VALUE, true)).isFalse();
+        assertThat(drain.ends(Long.MAX_VALUE, true, 0)).isFalse();
+        assertThat(drain.endRequests(Long.MAX_VALUE)).isFalse();
         assertThatThrownBy(() -> new Drain(-1, 0)).isInstanceOf(IllegalArgumentException.class);
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -54,6 +54,7 @@
     private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
     private final Map<RequestId, Route> routes = new LinkedHashMap<>();
     private final Map<AttemptId, Route> byAttempt = new LinkedHashMap<>();
+    private Optional<Refusal> closedWith = Optional.empty();
 
     OnlineRouter(RoutingContext context, TeamLimiter limiter, LinkBudget link) {
         this.context = context;
@@ -86,6 +87,9 @@
     }
 
     private Optional<Refusal> refusalOnArrival(RoutedRequest request, long nowMs) {
+        if (closedWith.isPresent()) {
+            return closedWith;
+        }
         if (!context.settings().ready()) {
             return Optional.of(Refusal.notRun(
                     RefusalCode.NOT_READY, "the settings have not been loaded yet", DEFAULT_RETRY_AFTER_MS));
@@ -118,13 +122,29 @@
         if (route == null) {
             return;
         }
+        interrupt(route, out);
+        giveUp(route, RefusalCode.CANCELLED, "cancelled by the caller", nowMs, out);
+    }
+
+    private void interrupt(Route route, Effects out) {
         if (route.phase == Route.Phase.RUNNING) {
             route.verdict = route.verdict.and(Verdict.MAY_HAVE_RUN);
             out.add(new Effect.CancelAttempt(route.attempt));
         } else {
             withdraw(route, out);
         }
-        giveUp(route, RefusalCode.CANCELLED, "cancelled by the caller", nowMs, out);
+    }
+
+    /** Ends all requests because the daemon stops, each with its verdict, and refuses those that arrive later. */
+    void endAll(Refusal notRun, long nowMs, Effects out) {
+        closedWith = Optional.of(notRun);
+        for (Route route : List.copyOf(routes.values())) {
+            interrupt(route, out);
+            Refusal refusal = route.verdict instanceof Verdict.NotRun
+                    ? notRun
+                    : new Refusal(route.verdict, RefusalCode.TARGET_FAILED, notRun.message(), 0);
+            end(route, new RouteOutcome.GivenUp(refusal), nowMs, out);
+        }
     }
 
     private void chooseTarget(Route route, long nowMs, Effects out) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -112,6 +112,8 @@
             commandReceived(received.request(), received.caller(), received.command(), nowMs, out);
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             online.cancel(disconnected.request(), nowMs, out);
+        } else if (event instanceof Event.StopTimedOut timedOut) {
+            online.endAll(timedOut.notRun(), nowMs, out);
         } else if (event instanceof Event.AttemptStarted started) {
             online.attemptStarted(started.attempt(), nowMs);
         } else if (event instanceof Event.AttemptEnded ended) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
@@ -27,6 +27,7 @@
 
     private static final int TOKENS = 50;
     private static final int ITEMS = 12;
+    private static final Refusal STOPPING = Refusal.notRun(RefusalCode.NOT_READY, "the daemon is stopping", 10);
 
     private final VirtualFleet fleet = new VirtualFleet(1);
 
@@ -79,6 +80,39 @@
         });
     }
 
+    @Test
+    void requestsOpenAtTheTimeLimitOfAStopEndWithTheirVerdict() {
+        startWithTwoTargets();
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        for (int i = 0; i < 24; i++) {
+            fleet.send(0, Work.online(TOKENS, i).notRepeatable());
+        }
+        fleet.run(200);
+        List<SentRequest> open = List.copyOf(fleet.sentRequests.values());
+        node.handle(new Event.StopTimedOut(STOPPING));
+        List<SentRequest> running =
+                open.stream().filter(each -> !each.dispatchedTo.isEmpty()).toList();
+        List<SentRequest> waiting =
+                open.stream().filter(each -> each.dispatchedTo.isEmpty()).toList();
+        assertThat(running).isNotEmpty().allSatisfy(each -> assertThat(each.reply)
+                .isEqualTo(new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "the daemon is stopping", 0)));
+        assertThat(waiting).isNotEmpty().allSatisfy(each -> assertThat(each.reply)
+                .isEqualTo(STOPPING));
+        fleet.run(10_000);
+        assertThat(waiting).allMatch(each -> each.dispatchedTo.isEmpty());
+        assertThat(fleet.engines.values()).allMatch(engine -> engine.running.isEmpty() && engine.queue.isEmpty());
+    }
+
+    @Test
+    void requestThatArrivesAfterTheTimeLimitOfAStopIsRefusedAsNotRun() {
+        startWithTwoTargets();
+        fleet.nodes.get(0).handle(new Event.StopTimedOut(STOPPING));
+        SentRequest request = fleet.send(0, Work.online(TOKENS, 1));
+        fleet.run(2_000);
+        assertThat(request.reply).isEqualTo(STOPPING);
+        assertThat(request.dispatchedTo).isEmpty();
+    }
+
     @Test
     void leavingTargetGetsNoNewWorkFromAnyDaemonAfterThreeSeconds() {
         startWithTwoTargets();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
@@ -136,16 +136,18 @@
     }
 
     private Mono<Boolean> drained() {
-        return loop.query(() -> drain.ends(clock.nowMs(), idle()))
+        return loop.query(() -> drain.ends(clock.nowMs(), idle(), openRequests()))
                 .filter(Boolean::booleanValue)
                 .repeatWhenEmpty(checks -> checks.delayElements(Duration.ofMillis(DRAIN_CHECK_INTERVAL_MS)))
                 .map(ended -> !drain.timedOut(clock.nowMs()));
     }
 
     private boolean idle() {
-        return gate.openRequests() == 0
-                && exchanges.size() == 0
-                && assembly.core().stateMachines().stream().allMatch(StateMachine::quiescent);
+        return assembly.core().stateMachines().stream().allMatch(StateMachine::quiescent);
+    }
+
+    private int openRequests() {
+        return Math.max(gate.openRequests(), exchanges.size());
     }
 
     private void close() {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.core.DaemonIdentity;
+import org.cornelcrank.core.Event;
 import org.cornelcrank.gateway.Drain;
 import org.cornelcrank.gateway.RequestLimits;
 import org.cornelcrank.gateway.RouteTableSettings;
@@ -12,6 +13,8 @@
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.settings.GatewaySettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
@@ -23,8 +26,11 @@
  */
 public final class GatewayIo {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(GatewayIo.class);
+
     private final GatewaySettings settings;
     private final LoopResources loops;
+    private final CoreLoop loop;
     private final MonotonicClock clock;
     private final Drain drain;
     private final RequestGate requests;
@@ -41,6 +47,7 @@
     public GatewayIo(Dependencies dependencies) {
         this.settings = dependencies.settings();
         this.loops = dependencies.loops();
+        this.loop = dependencies.loop();
         this.clock = dependencies.clock();
         this.drain = dependencies.drain();
         this.requests = new RequestGate(drain, clock, RequestLimits.DEFAULT.maxBodyBytes());
@@ -96,14 +103,20 @@
     }
 
     /**
-     * Closes the callers' listener and connections if the daemon may end, before another request can be read from them;
-     * to be called on the event loop.
+     * Ends the open requests at the time limit, and closes the callers' listener and connections if the daemon may end,
+     * before another request can be read from them; to be called on the event loop.
      *
      * @param coreIdle whether the decision core has no work in progress
      * @return whether the daemon may end
      */
     public boolean closeIfDrained(boolean coreIdle) {
-        boolean ends = drain.ends(clock.nowMs(), coreIdle && requests.openRequests() == 0);
+        long nowMs = clock.nowMs();
+        int openRequests = requests.openRequests();
+        if (drain.endRequests(nowMs)) {
+            LOGGER.info("Daemon {} ends {} open requests at its drain timeout", settings.host(), openRequests);
+            loop.post(new Event.StopTimedOut(RequestGate.STOPPING));
+        }
+        boolean ends = drain.ends(nowMs, coreIdle, openRequests);
         if (ends) {
             callerListener.channel().close();
             server.closeConnections();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
@@ -24,6 +24,9 @@
     /** The retry delay for callers of a stopping daemon, in ms: other daemons accept requests already. */
     private static final long RETRY_MS = 10;
 
+    /** The refusal of requests that a stopping daemon does not run. */
+    public static final Refusal STOPPING = Refusal.notRun(RefusalCode.NOT_READY, "the daemon is stopping", RETRY_MS);
+
     private final Drain drain;
     private final MonotonicClock clock;
     private final int maxBodyBytes;
@@ -68,9 +71,7 @@
         }
         Mono<Void> result = drain.accepts(receivedAtMs)
                 ? Mono.defer(() -> handler.apply(receivedAtMs))
-                : discardBody(request)
-                        .then(Mono.defer(() -> refuser.apply(
-                                Refusal.notRun(RefusalCode.NOT_READY, "the daemon is stopping", RETRY_MS))));
+                : discardBody(request).then(Mono.defer(() -> refuser.apply(STOPPING)));
         return result.doFinally(signal -> openRequests.decrementAndGet());
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -33,6 +33,7 @@
     private static final String ZONE = "dc-a";
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int PORTS = 4;
+    private static final long DRAIN_TIMEOUT_MS = 4_400;
 
     final StoreStandIn store = new StoreStandIn(2);
     final Map<String, RunnerStandIn> runners = new LinkedHashMap<>();
@@ -57,7 +58,9 @@
             int daemon = i;
             await(() -> ready(daemon));
         }
-        await(() -> status(0, "idem", "warm-up", Map.of()) == 200);
+        if (daemonCount > 0) {
+            await(() -> status(0, "idem", "warm-up", Map.of()) == 200);
+        }
     }
 
     /** Stores a route table with the named routes. */
@@ -74,6 +77,11 @@
     }
 
     void start(String host) throws IOException {
+        start(host, DRAIN_TIMEOUT_MS);
+    }
+
+    /** Starts a daemon that waits at most that long for open requests after its drain delay. */
+    void start(String host, long drainTimeoutMs) throws IOException {
         int[] ports = freePorts();
         String[] flags = {
             "--deployment",
@@ -100,6 +108,8 @@
             "test",
             "--drain-delay-ms",
             "100",
+            "--drain-timeout-ms",
+            Long.toString(drainTimeoutMs),
             "--log-format",
             "text"
         };
