Reply to open job commands at the drain timeout

Cause: as with requests, reads, submissions and ends of jobs that were open at the time limit of a stop got no response.

Change: at StopTimedOut waiting reads get their current page, others are refused as not run with a retry delay. A write that may have reached the store may have run, any other is refused as not run. Commands that arrive later are refused.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
@@ -26,8 +28,8 @@
 /**
  * Reads jobs for callers: from the owner of the partition, or from the store if the owner is unknown or does not reply.
  *
- * <p>Invariant: a job is reported as missing only after a read from the store that did not find it. Not thread-safe:
- * confined to the daemon's event loop.
+ * <p>Invariants: each read gets exactly one reply; a job is reported as missing only after a read from the store that
+ * did not find it. Not thread-safe: confined to the daemon's event loop.
  */
 final class JobReads {
 
@@ -50,6 +52,7 @@
     private final StoreCalls store;
     private final TimerKey timer;
     private final OwnerClient owners;
+    private final Set<RequestId> open = new LinkedHashSet<>();
     private final Map<Long, PendingRead> awaitingOwner = new HashMap<>();
     private final Map<JobId, Integer> itemCounts = new LinkedHashMap<>(16, 0.75f, true) {
 
@@ -86,6 +89,7 @@
             Optional<String> bodyOfItem,
             long nowMs,
             Effects out) {
+        open.add(request);
         long number = ++lastNumber;
         JobMessage.ReadRequest readRequest = new JobMessage.ReadRequest(number, job, fromPosition, waitMs, bodyOfItem);
         int partition = JobRecords.partitionOf(job, settings.partitions());
@@ -119,9 +123,15 @@
             readStore(pending, out);
         } else if (readRequest.bodyOfItem().isEmpty()) {
             itemCounts.put(readRequest.job(), reply.totalItems());
-            out.reply(pending.request(), new JobPage(reply.totalItems(), readRequest.fromPosition(), reply.results()));
+            reply(pending, new JobPage(reply.totalItems(), readRequest.fromPosition(), reply.results()), out);
         } else {
-            out.reply(pending.request(), body(reply.body()));
+            reply(pending, body(reply.body()), out);
+        }
+    }
+
+    private void reply(PendingRead pending, CallerReply reply, Effects out) {
+        if (open.remove(pending.request())) {
+            out.reply(pending.request(), reply);
         }
     }
 
@@ -267,11 +277,18 @@
 
     private void finish(PendingRead pending, CallerReply reply, Effects out) {
         storeReads--;
-        out.reply(pending.request(), reply);
+        reply(pending, reply, out);
+    }
+
+    private void refuse(PendingRead pending, String message, Effects out) {
+        reply(pending, Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS), out);
     }
 
-    private static void refuse(PendingRead pending, String message, Effects out) {
-        out.reply(pending.request(), Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS));
+    /** Refuses all open reads; later replies of owners and of the store are ignored. */
+    void refuseAll(Refusal refusal, Effects out) {
+        open.forEach(request -> out.reply(request, refusal));
+        open.clear();
+        awaitingOwner.clear();
     }
 
     /** Tracks the likely owners of partitions and sends reads to them. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -17,6 +17,7 @@
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.StateMachine;
@@ -69,6 +70,7 @@
     private boolean ticking;
     private boolean stopping;
     private boolean leftGroup;
+    private Optional<Refusal> closedWith = Optional.empty();
 
     /** Creates the state machine, which stays idle until it receives {@link Event.Started}. */
     public JobStateMachine(
@@ -120,6 +122,8 @@
         } else if (event instanceof Event.StopRequested) {
             stopping = true;
             leave(nowMs, out);
+        } else if (event instanceof Event.StopTimedOut timedOut) {
+            endCommands(timedOut.notRun(), nowMs, out);
         }
     }
 
@@ -167,7 +171,19 @@
         }
     }
 
+    /** Replies to all open commands, and refuses those that arrive later. */
+    private void endCommands(Refusal notRun, long nowMs, Effects out) {
+        closedWith = Optional.of(notRun);
+        owned.values().forEach(partition -> partition.endReads(nowMs, out));
+        reads.refuseAll(notRun, out);
+        writes.endAll(notRun, out);
+    }
+
     private void commandReceived(RequestId request, CallerCommand command, long nowMs, Effects out) {
+        if (closedWith.isPresent() && isJobCommand(command)) {
+            out.reply(request, closedWith.get());
+            return;
+        }
         if (command instanceof SubmitJob submit) {
             writes.submit(request, submit, nowMs, out);
         } else if (command instanceof EndJob end) {
@@ -180,6 +196,13 @@
         scheduleTick(nowMs, out);
     }
 
+    private static boolean isJobCommand(CallerCommand command) {
+        return command instanceof SubmitJob
+                || command instanceof EndJob
+                || command instanceof ReadJob
+                || command instanceof ReadItemBody;
+    }
+
     private void readRequested(HostId from, JobMessage.ReadRequest readRequest, long nowMs, Effects out) {
         read(readRequest, (reply, atMs, effects) -> effects.send(from, reply), nowMs, out);
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -231,6 +231,15 @@
         pending.remove(request);
     }
 
+    /** Ends all writes for callers; one of which nothing may have been written is refused as given. */
+    void endAll(Refusal notRun, Effects out) {
+        for (PendingWrite write : List.copyOf(pending.values())) {
+            Refusal mayBeWritten =
+                    new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.STORE_UNAVAILABLE, notRun.message(), 0);
+            finish(write, write.mayBeWritten() ? mayBeWritten : notRun, out);
+        }
+    }
+
     /** Continues the writes whose pause or relay timeout is over; called when the timer is due. */
     void timerDue(long nowMs, Effects out) {
         for (PendingWrite write : List.copyOf(pending.values())) {
@@ -325,5 +334,10 @@
         List<KeyedRecord> records() {
             return batches.get(nextBatch);
         }
+
+        boolean mayBeWritten() {
+            boolean inFlight = relayPeer.isPresent() || wakeAtMs == Long.MAX_VALUE;
+            return mayBeWritten || inFlight || nextBatch > 0;
+        }
     }
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -444,6 +444,11 @@
         }
     }
 
+    /** Replies to all waiting reads with the results that there are. */
+    void endReads(long nowMs, Effects out) {
+        reads.replyAll(jobs, nowMs, out);
+    }
+
     /** Handles the work that is due: reads whose wait is over, items to retry, jobs past their retention. */
     void tick(long nowMs, Effects out) {
         if (ready && log.idle() && nowMs - progressSavedAtMs >= PROGRESS_INTERVAL_MS) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/WaitingReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/WaitingReads.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.JobId;
 
 /**
  * Replies to reads of the jobs of one partition, and holds the reads that wait for a first result.
@@ -41,6 +43,18 @@
         }
     }
 
+    /** Replies to all waiting reads with the results that there are. */
+    void replyAll(Map<JobId, JobRun> runs, long nowMs, Effects out) {
+        for (WaitingRead read : List.copyOf(waiting)) {
+            JobRun run = runs.get(read.readRequest().job());
+            JobMessage.ReadReply reply = run == null
+                    ? JobMessage.ReadReply.unknown(read.readRequest().number())
+                    : page(run, read.readRequest());
+            read.callback().replied(reply, nowMs, out);
+        }
+        waiting.clear();
+    }
+
     /** Replies to all waiting reads that this daemon does not own their jobs any more. */
     void abandonAll(long nowMs, Effects out) {
         for (WaitingRead read : List.copyOf(waiting)) {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -28,6 +28,7 @@
 
     private static final String JOB = "job-1";
     private static final int ITEMS = 10;
+    private static final Refusal STOPPING = Refusal.notRun(RefusalCode.NOT_READY, "the daemon is stopping", 10);
 
     private final VirtualJobs jobs = new VirtualJobs(A, B, C);
 
@@ -421,6 +422,55 @@
         assertThat(page(jobs.read(others(owner).get(0), JOB, 0))).hasSize(ITEMS);
     }
 
+    @Test
+    void readThatWaitsAtTheTimeLimitOfAStopGetsItsCurrentPage() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, ITEMS);
+        HostId owner = jobs.awaitOwner();
+        RequestId read = jobs.nodes.submit(owner, new ReadJob(new JobId(JOB), 0, 5_000));
+        RequestId peerRead = jobs.nodes.submit(others(owner).get(0), new ReadJob(new JobId(JOB), 0, 5_000));
+        jobs.nodes.run(100);
+        assertThat(jobs.nodes.reply(read)).isEmpty();
+        jobs.nodes.timeOutStop(owner, STOPPING);
+        assertThat(jobs.nodes.reply(read)).hasValue(new JobPage(ITEMS, 0, List.of()));
+        jobs.nodes.run(100);
+        assertThat(jobs.nodes.reply(peerRead)).hasValue(new JobPage(ITEMS, 0, List.of()));
+    }
+
+    @Test
+    void commandsOpenAtTheTimeLimitOfAStopAreNotLeftWithoutAReply() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        jobs.nodes.setFaults((host, request) -> StoreFault.REQUEST_LOST);
+        others(A).forEach(jobs.nodes::freeze);
+        RequestId read = jobs.nodes.submit(A, new ReadJob(new JobId("unknown"), 0, 0));
+        RequestId body = jobs.nodes.submit(A, new ReadItemBody(new JobId("unknown"), "item"));
+        RequestId submission = jobs.nodes.submit(A, VirtualJobs.job("job-2", ITEMS, jobs.nodes.nowMs()));
+        jobs.nodes.run(100);
+        jobs.nodes.timeOutStop(A, STOPPING);
+        assertThat(jobs.nodes.reply(read)).hasValue(STOPPING);
+        assertThat(jobs.nodes.reply(body)).hasValue(STOPPING);
+        assertThat(jobs.nodes.reply(submission).orElseThrow())
+                .asInstanceOf(InstanceOfAssertFactories.type(Refusal.class))
+                .satisfies(refusal -> assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+        RequestId late = jobs.nodes.submit(A, VirtualJobs.job("job-3", ITEMS, jobs.nodes.nowMs()));
+        assertThat(jobs.nodes.reply(late)).hasValue(STOPPING);
+    }
+
+    @Test
+    void submissionThatTheStoreHasRefusedUntilTheTimeLimitOfAStopIsReportedAsNotRun() {
+        VirtualJobs alone = new VirtualJobs(A);
+        alone.nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        RequestId submission = alone.nodes.submit(A, VirtualJobs.job(JOB, ITEMS, alone.nodes.nowMs()));
+        alone.nodes.run(60);
+        assertThat(alone.nodes.reply(submission)).isEmpty();
+        alone.nodes.timeOutStop(A, STOPPING);
+        assertThat(alone.nodes.reply(submission)).hasValue(STOPPING);
+        alone.nodes.setFaults((host, request) -> StoreFault.NONE);
+        alone.nodes.run(3_000);
+        assertThat(alone.runsByItem).isEmpty();
+    }
+
     @Test
     void nextOwnerResumesTheItemsOfAStoppedOwner() {
         jobs.submit(A, JOB, 2);
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -19,6 +19,7 @@
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.StateMachine;
 import org.cornelcrank.core.StoreRequest;
@@ -114,6 +115,11 @@
         handle(nodes.get(host), new Event.StopRequested());
     }
 
+    /** Lets the time limit of a daemon's stop pass. */
+    public void timeOutStop(HostId host, Refusal notRun) {
+        handle(nodes.get(host), new Event.StopTimedOut(notRun));
+    }
+
     public boolean quiescent(HostId host) {
         return nodes.get(host).stateMachines.stream().allMatch(StateMachine::quiescent);
     }
