Give the product's own interface the same end of open requests

Cause: DaemonProcess left its open requests without a response at its drain timeout, as the platform's daemon did.

Change: it sends StopTimedOut to its core, too, and then ends every exchange that the core has not replied to as one that may have run. One log line states how many requests were open.

Tests: DaemonEndToEndTests.requestOpenAtTheTimeLimitOfAStopIsNotClosedWithoutAVerdict fails on (no response in 30 s) and passes now, with the other nine of its class; ExchangeRegistryTests covers what the core does not reply to: mvn -o -pl cornelcrank-server -am test -Dtest='DaemonEndToEndTests,ExchangeRegistryTests' -Dsurefire.failIfNoSpecifiedTests=false

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
@@ -30,7 +30,8 @@
  * A running daemon: its decision core and its I/O layer.
  *
  * <p>Invariant: a stop is graceful: it is announced to the peers, the HTTP server continues to accept requests, and the
- * process ends when no started work would be interrupted, or when the drain timeout has elapsed. Thread-safe.
+ * process ends when no started work would be interrupted, or when the drain timeout has elapsed and the requests that
+ * were open have got their final responses. Thread-safe.
  */
 public final class DaemonProcess {
 
@@ -136,12 +137,27 @@
     }
 
     private Mono<Boolean> drained() {
-        return loop.query(() -> drain.ends(clock.nowMs(), idle(), openRequests()))
+        return loop.query(this::ends)
                 .filter(Boolean::booleanValue)
                 .repeatWhenEmpty(checks -> checks.delayElements(Duration.ofMillis(DRAIN_CHECK_INTERVAL_MS)))
                 .map(ended -> !drain.timedOut(clock.nowMs()));
     }
 
+    private boolean ends() {
+        long nowMs = clock.nowMs();
+        if (drain.endRequests(nowMs)) {
+            endRequests();
+        }
+        return drain.ends(nowMs, idle(), openRequests());
+    }
+
+    /** Ends the open requests: the core replies to what it routes, and the rest may have run. */
+    private void endRequests() {
+        LOGGER.info("Daemon {} ends {} open requests at its drain timeout", settings.host(), openRequests());
+        loop.post(new Event.StopTimedOut(RequestGate.STOPPING));
+        loop.scheduler().schedule(() -> exchanges.endAll(RequestGate.STOPPING.message()));
+    }
+
     private boolean idle() {
         return assembly.core().stateMachines().stream().allMatch(StateMachine::quiescent);
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/ExchangeRegistry.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/ExchangeRegistry.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.server.exchange;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -15,7 +16,9 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 
@@ -85,6 +88,17 @@
         }
     }
 
+    /** Ends all open exchanges with a reply that their requests may have run; later replies of the core are ignored. */
+    public void endAll(String message) {
+        Refusal refusal = new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.NOT_READY, message, 0);
+        for (RequestId id : List.copyOf(open.keySet())) {
+            Exchange exchange = open.remove(id);
+            if (exchange != null) {
+                end(exchange, refusal);
+            }
+        }
+    }
+
     /**
      * Returns how many callers are waiting for a response.
      *
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
@@ -105,6 +105,25 @@
         }
     }
 
+    @Test
+    void requestOpenAtTheTimeLimitOfAStopIsNotClosedWithoutAVerdict() throws Exception {
+        EngineSettings engine = EngineSettings.defaults(LoopbackFleet.MODEL).withSlots(1);
+        try (LoopbackFleet fleet = LoopbackFleet.startWithDrainTimeout(500, engine)) {
+            CompletableFuture<HttpResponse<String>> call = fleet.http()
+                    .sendAsync(
+                            fleet.request(0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY)
+                                    .POST(HttpRequest.BodyPublishers.ofString(
+                                            LoopbackFleet.chat("long", false, 100_000)))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString());
+            fleet.await("the request runs", () -> fleet.running(0) == 1);
+            fleet.daemons.get(0).stop();
+            HttpResponse<String> response = call.get(30, TimeUnit.SECONDS);
+            assertThat(response.statusCode()).isEqualTo(502);
+            assertThat(response.headers().firstValue("Cornelcrank-Verdict")).hasValue("may-have-run");
+        }
+    }
+
     /** Callers that send one request after the other must neither be cut off nor keep the daemon from ending. */
     @Test
     void stopUnderSteadyTrafficInterruptsNoRequest() throws Exception {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
@@ -62,9 +62,22 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final ObjectMapper json = new ObjectMapper();
 
+    private long drainTimeoutMs = 120_000;
+
     /** Starts stand-ins and daemons, and applies the settings. */
     static LoopbackFleet start(int daemonCount, EngineSettings... engineSettings) throws Exception {
+        return start(new LoopbackFleet(), daemonCount, engineSettings);
+    }
+
+    /** Starts stand-ins and one daemon that waits at most that long for open requests after its drain delay. */
+    static LoopbackFleet startWithDrainTimeout(long drainTimeoutMs, EngineSettings engineSettings) throws Exception {
         LoopbackFleet fleet = new LoopbackFleet();
+        fleet.drainTimeoutMs = drainTimeoutMs;
+        return start(fleet, 1, engineSettings);
+    }
+
+    private static LoopbackFleet start(LoopbackFleet fleet, int daemonCount, EngineSettings... engineSettings)
+            throws Exception {
         fleet.log.start();
         fleet.hostList.start();
         fleet.plainService.start();
@@ -116,6 +129,8 @@
                 "2",
                 "--drain-delay-ms",
                 "100",
+                "--drain-timeout-ms",
+                Long.toString(drainTimeoutMs),
                 "--report-interval-ms",
                 "50",
                 "--hosts-interval-ms",
