Test responses that end with their connection, and ones that are reset

A response may have neither a length nor chunks and end with its connection; a stream that ends inside an event has been broken off, and a connection that is reset is no complete response. Until now the tests covered only a stream that ends inside an event on a route that does not resume.

Eleven cases are new: whole bodies, streams and items of this kind are complete, the first two signed; a body that is reset fails as one that may have run; streams that end inside an event, or are reset inside or between events, are visibly broken, or go on at another target where the route resumes; items go on, too.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -1,10 +1,15 @@
 package org.cornelcrank.server;
 
 import java.io.IOException;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.cornelcrank.platform.fake.RawRunnerStandIn;
@@ -31,6 +36,14 @@
 
     private static final String FILLER = "x".repeat(8 * 1024);
     private static final String BODY = "body";
+    private static final String STREAM_UNTIL_CLOSE = "Content-Type: text/event-stream\r\nConnection: close\r\n";
+    private static final String WHOLE_STREAM = "id: 1\ndata: first\n\nid: 2\ndata: last\n\n";
+    private static final String SOUND_STREAM = IntStream.rangeClosed(1, RunnerStandIn.EVENTS)
+            .mapToObj("id: %1$d\ndata: piece %1$d\n\n"::formatted)
+            .collect(Collectors.joining());
+    private static final String SOUND_TEXT = IntStream.rangeClosed(1, RunnerStandIn.EVENTS)
+            .mapToObj("piece %d"::formatted)
+            .collect(Collectors.joining("\\n"));
 
     private GatewayFleet fleet;
     private RawRunnerStandIn runner;
@@ -227,6 +240,155 @@
         assertThat(runner.requests()).isEqualTo(1);
     }
 
+    @Test
+    void bodyThatIsResetBeforeItsConnectionEndsIsNeverComplete() throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, "Connection: close\r\n");
+            response.write("half");
+            response.reset();
+        });
+        fleet.register(runner);
+        List<Integer> failures = new ArrayList<>();
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            int status = fleet.status(0, "unsafe", "r" + i, Map.of());
+            if (status != 200) {
+                failures.add(status);
+            }
+        }
+        assertThat(failures).containsExactly(502);
+        assertThat(runner.requests()).isEqualTo(1);
+    }
+
+    /** The reset comes after whole events only, so that the bytes alone would look like the end of the stream. */
+    @Test
+    void streamThatIsResetBetweenTwoEventsIsVisiblyBroken() throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, STREAM_UNTIL_CLOSE);
+            response.write("id: 1\ndata: whole\n\n");
+            response.reset();
+        });
+        fleet.register(runner);
+        List<Integer> failures = new ArrayList<>();
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            int status = fleet.status(0, "once", "e" + i, Map.of());
+            if (status != 200) {
+                failures.add(status);
+            }
+        }
+        assertThat(failures).hasSize(1).isSubsetOf(502, -1);
+    }
+
+    @Test
+    void bodyThatEndsWithItsConnectionIsCompleteAndSigned() throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, "Connection: close\r\n");
+            response.write(request.body());
+            response.end();
+        });
+        fleet.register(runner);
+        HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(BODY);
+    }
+
+    @Test
+    void streamThatEndsWithItsConnectionIsCompleteAndSigned() throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, STREAM_UNTIL_CLOSE);
+            response.write(WHOLE_STREAM);
+            response.end();
+        });
+        fleet.register(runner);
+        HttpResponse<String> response = postUntilTheRunnerResponds("once");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(WHOLE_STREAM);
+    }
+
+    private HttpResponse<String> postUntilTheRunnerResponds(String route) throws IOException {
+        for (int i = 0; i < MAX_REQUESTS; i++) {
+            HttpResponse<String> response = fleet.post(0, route, "c" + i, BODY);
+            if (runner.requests() > 0) {
+                assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-raw");
+                return response;
+            }
+        }
+        throw new AssertionError("the runner must be chosen");
+    }
+
+    static Stream<Arguments> brokenStreams() {
+        return Stream.of(
+                Arguments.of("ended within an event", (Script) (request, response) -> {
+                    response.head(request, STREAM_UNTIL_CLOSE);
+                    response.write("id: 1\ndata: piece 1\n\nid: 2\ndata: pie");
+                    response.end();
+                }),
+                Arguments.of("reset within an event", (Script) (request, response) -> {
+                    response.head(request, STREAM_UNTIL_CLOSE);
+                    response.write("id: 1\ndata: piece 1\n\nid: 2\ndata: pie");
+                    response.reset();
+                }),
+                Arguments.of("reset between two events", (Script) (request, response) -> {
+                    response.head(request, STREAM_UNTIL_CLOSE);
+                    response.write("id: 1\ndata: piece 1\n\n");
+                    response.reset();
+                }));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("brokenStreams")
+    void streamThatBreaksOffGoesOnElsewhere(String name, Script script) throws IOException {
+        runner.setScript(script);
+        fleet.register(runner);
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            assertThat(fleet.post(0, "stream", "g" + i, "x").body()).isEqualTo(SOUND_STREAM);
+        }
+        assertThat(runner.requests()).isPositive();
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("brokenStreams")
+    void itemWhoseStreamBreaksOffGoesOnElsewhere(String name, Script script) throws IOException {
+        runner.setScript(script);
+        fleet.register(runner);
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            assertThat(textOfItem("job-" + i)).isEqualTo(SOUND_TEXT);
+        }
+        assertThat(runner.requests()).isPositive();
+    }
+
+    @Test
+    void itemWhoseStreamEndsWithItsConnectionIsComplete() throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, STREAM_UNTIL_CLOSE);
+            response.write(WHOLE_STREAM);
+            response.end();
+        });
+        fleet.register(runner);
+        String text = SOUND_TEXT;
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            text = textOfItem("job-" + i);
+        }
+        assertThat(runner.requests()).isPositive();
+        assertThat(text).isEqualTo("first\\nlast");
+    }
+
+    /** Submits a job of one item and returns the text of its result as it is written in JSON. */
+    private String textOfItem(String job) throws IOException {
+        String body = Base64.getEncoder().encodeToString(BODY.getBytes(StandardCharsets.UTF_8));
+        String items =
+                "{\"items\":[{\"id\":\"%s-a\",\"path\":\"/batch/stream/1\",\"headers\":{\"Model\":\"m\"},\"body\":\"%s\",\"tokens\":9}]}"
+                        .formatted(job, body);
+        assertThat(fleet.post(0, "batch", job, items).statusCode()).isEqualTo(202);
+        HttpRequest read = fleet.request(0, "/v1/lots/" + job + "?after=0")
+                .header("Wait-Ms", "200")
+                .build();
+        GatewayFleet.await(() -> fleet.send(read).body().contains("\"next\":1"));
+        String page = fleet.send(read).body();
+        assertThat(page).contains("\"state\":\"completed\"");
+        int start = page.indexOf("\"text\":\"") + "\"text\":\"".length();
+        return page.substring(start, page.indexOf('"', start));
+    }
+
     /** A byte now and then is no progress: the stream goes on at the sound runner. */
     @Test
     void streamThatOnlyTricklesGoesOnElsewhere() throws IOException {
