Make the test of the drain timeout wait for the target's controller

Cause: the test waited until the daemon had named its peer anywhere in its dump, which could have been before the peer controlled the target; waiting requests would then have been dispatched when control changed. Not seen to fail.

Change: it waits until the target's row names the controller. The assertions are unchanged.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/StopTimeLimitEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/StopTimeLimitEndToEndTests.java
@@ -36,13 +36,19 @@
         fleet.start(CONTROLLER);
         fleet.start("host-1", DRAIN_TIMEOUT_MS);
         GatewayFleet.await(() -> fleet.ready(DAEMON));
-        GatewayFleet.await(
-                () -> fleet.get(fleet.metricsUri(DAEMON, "/dump")).body().contains(CONTROLLER));
+        GatewayFleet.await(this::runnerHasItsController);
         GatewayFleet.await(() -> fleet.status(DAEMON, "idem", "warm-up", Map.of()) == 200);
         runner = fleet.runners.get("i-1");
         runner.setBehaviour(Behaviour.UNRESPONSIVE);
     }
 
+    private boolean runnerHasItsController() throws IOException {
+        return fleet.get(fleet.metricsUri(DAEMON, "/dump"))
+                .body()
+                .lines()
+                .anyMatch(line -> line.strip().startsWith("i-1 ") && line.contains(" " + CONTROLLER + " "));
+    }
+
     @AfterEach
     void stop() {
         fleet.close();
