Let an item that loses targets over and over wait a little longer each time

Cause: an item of a job whose target was lost was placed again at once, however often that had happened before; only the quarantine of routing ended that, which items are to leave. Change: the first lost target still costs no pause, the second 100 ms, each further one twice as long up to 1.6 s, which is far below the 18 s that jobs have after traffic has ended. The count belongs to the owner: the next one begins at zero. Result: in 15 s of virtual time, with runs of 400 ms that always lose their target, 11 runs instead of 38; the item is listed within 2.5 s once its runs succeed. The new test failed before: "Expecting actual: 38 to be between: [8, 14]". JobStateMachineTests, 38 tests, pass now: mvn -o -q -B -pl cornelcrank-job -am test -Dtest=JobStateMachineTests -Dsurefire.failIfNoSpecifiedTests=false

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -175,6 +175,7 @@
     static final class ItemProgress {
 
         private int failures;
+        private int losses;
         private long events;
         private long savedEvents;
         private ByteString text = ByteString.EMPTY;
@@ -185,6 +186,11 @@
             return ++failures;
         }
 
+        /** Counts a run that lost its target, and returns the number of such runs. */
+        int countLoss() {
+            return ++losses;
+        }
+
         long events() {
             return events;
         }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -41,6 +41,12 @@
     /** The pause before an item runs again after its target failed or refused it, in ms. */
     private static final long FAILURE_PAUSE_MS = 200;
 
+    /** The pause before an item runs again after its second lost target, in ms; it doubles with each further one. */
+    private static final long LOSS_PAUSE_MS = 100;
+
+    /** Limits that pause to 1.6 s, a small part of the time that jobs have after traffic has ended. */
+    private static final int MAX_LOSS_DOUBLINGS = 4;
+
     /** The pause before an item that is suspected of crashing targets runs again, in ms. */
     private static final long QUARANTINE_PAUSE_MS = 3_000;
 
@@ -335,17 +341,22 @@
             giveUp(run, item, "failed " + maxAttempts + " times", nowMs, out);
             return;
         }
-        run.requeue(item, nowMs + pauseMs(failed));
+        run.requeue(item, nowMs + pauseMs(failed, progress));
     }
 
-    private static long pauseMs(AttemptOutcome.Failed failed) {
+    private static long pauseMs(AttemptOutcome.Failed failed, JobRun.ItemProgress progress) {
         return switch (failed.kind()) {
-            case CANCELLED, CONNECTION_LOST -> 0;
+            case CANCELLED -> 0;
+            case CONNECTION_LOST, TARGET_GONE -> lossPauseMs(progress.countLoss());
             case REJECTED -> QUARANTINE_PAUSE_MS;
             default -> FAILURE_PAUSE_MS;
         };
     }
 
+    private static long lossPauseMs(int losses) {
+        return losses == 1 ? 0 : LOSS_PAUSE_MS << Math.min(losses - 2, MAX_LOSS_DOUBLINGS);
+    }
+
     private void giveUp(JobRun run, int item, String reason, long nowMs, Effects out) {
         out.explain(Subject.Kind.ITEM, run.content().items().get(item).id(), nowMs, "given up", reason);
         finish(run, item, false, ByteString.EMPTY, nowMs, out);
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -327,6 +327,18 @@
         assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS).allMatch(ListedResult::completed);
     }
 
+    /** Guards against an item that takes down one target after the other, as fast as permits are granted. */
+    @Test
+    void itemWhoseRunsAlwaysLoseTheirTargetIsPlacedAgainAfterAGrowingPause() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 1);
+        jobs.nodes.run(15_000);
+        assertThat(jobs.runsByItem.get(JOB + "-item-0")).isBetween(8, 14);
+        jobs.setOutcomes((item, run) -> FakeCapacity.succeeded(item));
+        jobs.nodes.run(2_500);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(1).allMatch(ListedResult::completed);
+    }
+
     @Test
     void preemptedItemResumesAfterItsLastEvent() {
         jobs.submit(A, JOB, 1);
