Place an item of a job again whatever has crashed its targets

Cause: an item ran under a fingerprint like any request, so that the targets which died under it accused it. While suspected it ran only beside no other suspect and could lose that race again and again; after the third death on the platform's settings (the second on the defaults) it was quarantined, for longer than jobs have after the end of traffic. Change: the fingerprint of batch work is optional, and items of cornelcrank-job have none. They are neither suspects nor quarantined, also not by facts of other or former owners. The connections that they lose still confirm the losses of other requests and count against the target's health. Items of cornelcrank-batch keep theirs and are treated as before. The pause for a quarantined item is gone with its only cause: the platform's client never reports REJECTED. Result: QuarantineTests 10, JobStateMachineTests 39, all tests of routing, job and batch pass: mvn -o -q -B -pl cornelcrank-job,cornelcrank-batch -am test -Dtest='org.cornelcrank.job.*Tests,org.cornelcrank.routing.*Tests,org.cornelcrank.batch.*Tests' -Dsurefire.failIfNoSpecifiedTests=false Failed before, with and the fingerprint 77 in the place of the empty one, as the record had no empty one: mvn -o -q -B -pl cornelcrank-routing -am test -Dtest=QuarantineTests -Dsurefire.failIfNoSpecifiedTests=false - itemThatCannotBeTheCauseOfCrashesIsPlacedAgainWhenAllIsCalm: "[target after 2 crashes] Expecting Optional to contain a value but it was empty", 5 s after the crash (default settings). - itemThatCannotBeTheCauseOfACrashDoesNotWaitForSuspects: "expected: 1 but was: 0" items finished after 8 s. - JobStateMachineTests.itemsAreNotAccusedOfTheCrashesOfTheirTargets: "element(s) not found: [OptionalLong.empty]". itemThatMayBeTheCauseOfCrashesIsQuarantined and lossOfAnItemThatCannotBeTheCauseConfirmsTheLossesOfOtherRequests guard what is to stay, and were not run before.

--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
@@ -132,7 +133,7 @@
     private BatchWork work(WaitingItem item) {
         ItemLine line = item.line();
         DispatchSource.Inline source = new DispatchSource.Inline(line.method(), line.url(), JSON, line.body());
-        long fingerprint = StableHash.of(line.body().toByteArray());
+        OptionalLong fingerprint = OptionalLong.of(StableHash.of(line.body().toByteArray()));
         String itemId = job.terms().job() + ":" + item.number();
         long timeoutMs = context.attemptTimeoutMs(job.terms().service());
         Optional<ResumePoint> generation =
--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchAppendCostTests.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/BatchAppendCostTests.java
@@ -65,7 +65,7 @@
 
     /** Returns a response of random hexadecimal digits, which hardly compresses. */
     private static AttemptOutcome longResponse(BatchWork work) {
-        SplittableRandom random = new SplittableRandom(work.fingerprint());
+        SplittableRandom random = new SplittableRandom(work.fingerprint().orElseThrow());
         StringBuilder body = new StringBuilder();
         while (body.length() < RESPONSE_BYTES) {
             body.append(Long.toHexString(random.nextLong()));
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -31,7 +32,8 @@
  * The owner's state of one partition: its jobs, the runs of their items, and the results that are being written.
  *
  * <p>Invariants: a result is listed only after the store has acknowledged it; no item of an ended job starts a run;
- * nothing is written after another daemon has raised the epoch. Not thread-safe: confined to the daemon's event loop.
+ * nothing is written after another daemon has raised the epoch. Items count as sound whatever happens to their targets:
+ * they run without a fingerprint, so that none waits as a suspect or is quarantined. Not thread-safe: confined to the daemon's event loop.
  */
 final class OwnedPartition implements ResultLog.Listener, KeyedTopicFollower.Listener {
 
@@ -47,9 +49,6 @@
     /** Limits that pause to 1.6 s, a small part of the time that jobs have after traffic has ended. */
     private static final int MAX_LOSS_DOUBLINGS = 4;
 
-    /** The pause before an item that is suspected of crashing targets runs again, in ms. */
-    private static final long QUARANTINE_PAUSE_MS = 3_000;
-
     /** The time limit of one run of an item, in ms: many times the duration of the longest responses. */
     private static final long RUN_TIMEOUT_MS = 60_000;
 
@@ -284,12 +283,10 @@
                 content.headers(),
                 content.body(),
                 run.progress(item.get()).events());
-        long fingerprint = StableHash.of(
-                content.path(), Long.toHexString(StableHash.of(content.body().toByteArray())));
         context.capacity()
                 .run(
                         permit,
-                        new BatchWork(content.id(), fingerprint, source, Optional.empty(), RUN_TIMEOUT_MS),
+                        new BatchWork(content.id(), OptionalLong.empty(), source, Optional.empty(), RUN_TIMEOUT_MS),
                         nowMs,
                         out);
     }
@@ -348,7 +345,6 @@
         return switch (failed.kind()) {
             case CANCELLED -> 0;
             case CONNECTION_LOST, TARGET_GONE -> lossPauseMs(progress.countLoss());
-            case REJECTED -> QUARANTINE_PAUSE_MS;
             default -> FAILURE_PAUSE_MS;
         };
     }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.job;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -168,6 +169,10 @@
         listener = newListener;
     }
 
+    Collection<BatchWork> runningWork() {
+        return running.values();
+    }
+
     int runningItems() {
         return running.size();
     }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.assertj.core.api.InstanceOfAssertFactories;
@@ -327,6 +328,17 @@
         assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS).allMatch(ListedResult::completed);
     }
 
+    /** Guards against items that are refused or wait because their targets crashed for another reason. */
+    @Test
+    void itemsAreNotAccusedOfTheCrashesOfTheirTargets() {
+        jobs.submit(A, JOB, ITEMS);
+        HostId owner = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(owner).runningWork())
+                .isNotEmpty()
+                .extracting(work -> (Object) work.fingerprint())
+                .containsOnly(OptionalLong.empty());
+    }
+
     /** Guards against an item that takes down one target after the other, as fast as permits are granted. */
     @Test
     void itemWhoseRunsAlwaysLoseTheirTargetIsPlacedAgainAfterAGrowingPause() {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -93,12 +93,12 @@
             return;
         }
         run.assign(work);
-        if (context.suspects().quarantined(work.fingerprint(), nowMs)) {
+        if (quarantined(work, nowMs)) {
             end(run, quarantined(), RoutingMessage.Use.UNUSED, nowMs, out);
         } else if (run.revoked() || context.directory().leaving(run.target(), nowMs)) {
             run.revoke();
             end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
-        } else if (context.suspects().suspected(work.fingerprint(), nowMs)) {
+        } else if (suspected(work, nowMs)) {
             run.markSuspect();
             RoutingMessage.PermitRequested request = new RoutingMessage.PermitRequested(
                     run.permitId(),
@@ -114,6 +114,16 @@
         }
     }
 
+    private boolean quarantined(BatchWork work, long nowMs) {
+        return work.fingerprint().isPresent()
+                && context.suspects().quarantined(work.fingerprint().getAsLong(), nowMs);
+    }
+
+    private boolean suspected(BatchWork work, long nowMs) {
+        return work.fingerprint().isPresent()
+                && context.suspects().suspected(work.fingerprint().getAsLong(), nowMs);
+    }
+
     /** Ends work whose permit is gone as if it had been preempted before it started. */
     private void endUnstarted(BatchPermit permit, BatchWork work, long nowMs, Effects out) {
         listener.workEnded(permit, work, notStarted(), true, work.resume(), nowMs, out);
@@ -230,8 +240,8 @@
             TargetFailures.apply(context, run.target(), failure, run.work().fingerprint(), run.suspect(), nowMs, out);
         } else {
             run.target().health().attemptSucceeded();
-            if (context.suspects().suspected(run.work().fingerprint(), nowMs)) {
-                context.suspects().clear(run.work().fingerprint(), nowMs, out);
+            if (suspected(run.work(), nowMs)) {
+                context.suspects().clear(run.work().fingerprint().getAsLong(), nowMs, out);
             }
         }
         end(run, outcome, FailureMapping.permitUse(outcome), nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.TeamPolicy;
@@ -440,7 +441,13 @@
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
         if (!ownDeadline) {
             TargetFailures.apply(
-                    context, route.target, failure, route.request.fingerprint(), route.suspect, nowMs, out);
+                    context,
+                    route.target,
+                    failure,
+                    OptionalLong.of(route.request.fingerprint()),
+                    route.suspect,
+                    nowMs,
+                    out);
         }
         if (route.phase == Route.Phase.ENDED) {
             return;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 
@@ -42,12 +43,13 @@
      * Records that a request lost its connection to a target.
      *
      * <p>A request that ran as a suspect counts as the cause at once; any other one only after the target's death is
-     * confirmed by {@link #targetDown} or by a further lost connection.
+     * confirmed by {@link #targetDown} or by a further lost connection. The loss of a request without a fingerprint,
+     * which cannot be the cause, confirms the deaths of others but never becomes one itself.
      */
-    void connectionLost(TargetId target, long fingerprint, boolean ranAsSuspect, long nowMs, Effects out) {
+    void connectionLost(TargetId target, OptionalLong fingerprint, boolean ranAsSuspect, long nowMs, Effects out) {
         losses.add(new Loss(target, fingerprint, nowMs));
         if (ranAsSuspect) {
-            confirm(loss -> loss.fingerprint == fingerprint, settings.quarantineMs(), nowMs, out);
+            confirm(loss -> loss.fingerprint.equals(fingerprint), settings.quarantineMs(), nowMs, out);
         }
         long onTarget = losses.stream()
                 .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
@@ -66,13 +68,13 @@
         for (Loss loss : List.copyOf(losses)) {
             if (condition.test(loss) && nowMs - loss.atMs <= windowMs) {
                 losses.remove(loss);
-                publishDeath(loss, nowMs, out);
+                loss.fingerprint.ifPresent(fingerprint -> publishDeath(loss, fingerprint, nowMs, out));
             }
         }
     }
 
-    private void publishDeath(Loss loss, long nowMs, Effects out) {
-        SuspectRecord record = records.get(loss.fingerprint);
+    private void publishDeath(Loss loss, long fingerprint, long nowMs, Effects out) {
+        SuspectRecord record = records.get(fingerprint);
         SuspectRecord.Death before = record == null ? null : record.deaths().get(loss.target);
         int count = 1;
         if (before != null) {
@@ -83,13 +85,13 @@
                 loss.target,
                 nowMs,
                 "request suspected",
-                Long.toHexString(loss.fingerprint) + " was in flight when the target went down");
-        publish(DEATH_PREFIX + Long.toHexString(loss.fingerprint) + "/" + loss.target, loss.atMs, count, nowMs, out);
+                Long.toHexString(fingerprint) + " was in flight when the target went down");
+        publish(DEATH_PREFIX + Long.toHexString(fingerprint) + "/" + loss.target, loss.atMs, count, nowMs, out);
     }
 
     /** Clears a request that completed, or that an operator allows to run again. */
     void clear(long fingerprint, long nowMs, Effects out) {
-        losses.removeIf(loss -> loss.fingerprint == fingerprint);
+        losses.removeIf(loss -> loss.isOf(fingerprint));
         SuspectRecord record = records.get(fingerprint);
         if (record == null) {
             return;
@@ -150,7 +152,7 @@
 
     private boolean lostRecently(long fingerprint, long nowMs) {
         return losses.stream()
-                .anyMatch(loss -> loss.fingerprint == fingerprint && nowMs - loss.atMs <= settings.deathWindowMs());
+                .anyMatch(loss -> loss.isOf(fingerprint) && nowMs - loss.atMs <= settings.deathWindowMs());
     }
 
     boolean quarantined(long fingerprint, long nowMs) {
@@ -181,5 +183,10 @@
         return records;
     }
 
-    private record Loss(TargetId target, long fingerprint, long atMs) {}
+    private record Loss(TargetId target, OptionalLong fingerprint, long atMs) {
+
+        boolean isOf(long other) {
+            return fingerprint.isPresent() && fingerprint.getAsLong() == other;
+        }
+    }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.routing;
 
 import java.util.Locale;
+import java.util.OptionalLong;
 
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.Effect;
@@ -21,7 +22,7 @@
             RoutingContext context,
             TargetState target,
             AttemptOutcome.Failed failure,
-            long fingerprint,
+            OptionalLong fingerprint,
             boolean ranAsSuspect,
             long nowMs,
             Effects out) {
@@ -36,7 +37,7 @@
             RoutingContext context,
             TargetState target,
             AttemptOutcome.Failed failure,
-            long fingerprint,
+            OptionalLong fingerprint,
             boolean ranAsSuspect,
             long nowMs,
             Effects out) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchOwnerModel.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
@@ -26,6 +27,7 @@
     private final JobId job;
     private final TeamPath team;
     private final long deadlineAtMs;
+    private final OptionalLong fingerprint;
     private final Deque<Item> waiting = new ArrayDeque<>();
     int finished;
     int failed;
@@ -35,10 +37,22 @@
     long keptTokens;
 
     BatchOwnerModel(VirtualFleet.Node node, String job, String team, int items, int tokens, long deadlineAtMs) {
+        this(node, job, team, items, tokens, deadlineAtMs, OptionalLong.of(0));
+    }
+
+    BatchOwnerModel(
+            VirtualFleet.Node node,
+            String job,
+            String team,
+            int items,
+            int tokens,
+            long deadlineAtMs,
+            OptionalLong fingerprint) {
         this.node = node;
         this.job = new JobId(job);
         this.team = new TeamPath(team);
         this.deadlineAtMs = deadlineAtMs;
+        this.fingerprint = fingerprint;
         for (int i = 0; i < items; i++) {
             waiting.add(new Item(job + ":" + i, tokens, Optional.empty(), null));
         }
@@ -73,7 +87,7 @@
                 .or(() -> Optional.of(new ResumePoint(item.id.replace(':', '-'), 0)));
         DispatchSource.Inline source = new DispatchSource.Inline(
                 "POST", "/v1/completions", "application/json", ByteString.copyFromUtf8(Integer.toString(item.tokens)));
-        node.stateMachine.run(permit, new BatchWork(item.id, 0, source, resume, ITEM_TIMEOUT_MS), nowMs, out);
+        node.stateMachine.run(permit, new BatchWork(item.id, fingerprint, source, resume, ITEM_TIMEOUT_MS), nowMs, out);
         updateDemand(nowMs, out);
     }
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -1,16 +1,21 @@
 package org.cornelcrank.routing;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -104,6 +109,87 @@
         assertThat(owner.finished).isEqualTo(16);
     }
 
+    @Test
+    void itemThatCannotBeTheCauseOfCrashesIsPlacedAgainWhenAllIsCalm() {
+        BatchOwnerModel owner = startItem(OptionalLong.empty());
+        crashTargetsOfTheItem(4);
+        fleet.run(10_000);
+        assertThat(owner.finished).isEqualTo(1);
+    }
+
+    @Test
+    void itemThatMayBeTheCauseOfCrashesIsQuarantined() {
+        BatchOwnerModel owner = startItem(OptionalLong.of(POISON));
+        crashTargetsOfTheItem(2);
+        fleet.run(10_000);
+        assertThat(engineThatRunsAnItem()).isEmpty();
+        assertThat(owner.finished).isZero();
+    }
+
+    private BatchOwnerModel startItem(OptionalLong fingerprint) {
+        BatchOwnerModel owner = new BatchOwnerModel(
+                fleet.nodes.get(1), "job", "/nilavu/summaries", 1, TOKENS, fleet.nowMs + 60_000, fingerprint);
+        owner.start(fleet.nowMs);
+        return owner;
+    }
+
+    private void crashTargetsOfTheItem(int crashes) {
+        for (int crash = 0; crash < crashes; crash++) {
+            for (int step = 0; step < 500 && engineThatRunsAnItem().isEmpty(); step++) {
+                fleet.run(10);
+            }
+            assertThat(engineThatRunsAnItem())
+                    .as("target after %s crashes", crash)
+                    .isPresent();
+            fleet.crashTarget(engineThatRunsAnItem().orElseThrow(), 500);
+            fleet.run(10);
+        }
+    }
+
+    private Optional<TargetId> engineThatRunsAnItem() {
+        return fleet.engines.values().stream()
+                .filter(engine -> engine.running.values().stream().anyMatch(job -> job.work.urgency() == Urgency.BATCH))
+                .map(engine -> engine.id)
+                .findFirst();
+    }
+
+    @Test
+    void itemThatCannotBeTheCauseOfACrashDoesNotWaitForSuspects() {
+        VirtualFleet singleTarget = new VirtualFleet(5);
+        singleTarget.addEngine("r1", VirtualFleet.NORTH, 8, 100, 10);
+        singleTarget.start(List.of(VirtualFleet.NORTH, VirtualFleet.SOUTH), RoutingPolicy::defaults);
+        long deadlineAtMs = singleTarget.nowMs + 60_000;
+        BatchOwnerModel suspects = new BatchOwnerModel(
+                singleTarget.nodes.get(0), "suspects", "/nilavu/summaries", 6, 1_000, deadlineAtMs, OptionalLong.of(1));
+        BatchOwnerModel sound = new BatchOwnerModel(
+                singleTarget.nodes.get(1), "sound", "/nilavu/summaries", 1, 50, deadlineAtMs, OptionalLong.empty());
+        suspects.start(singleTarget.nowMs);
+        singleTarget.run(300);
+        sound.start(singleTarget.nowMs);
+        singleTarget.run(300);
+        EngineModel engine = singleTarget.engines.values().iterator().next();
+        assertThat(engine.running).hasSize(7);
+        singleTarget.crashTarget(engine.id, 500);
+        singleTarget.run(8_000);
+        assertThat(suspects.running).isEqualTo(1);
+        assertThat(sound.finished).isEqualTo(1);
+    }
+
+    @Test
+    void lossOfAnItemThatCannotBeTheCauseConfirmsTheLossesOfOtherRequests() {
+        FakeDissemination dissemination = new FakeDissemination();
+        RoutingSettings.Quarantine settings = RoutingSettings.defaults().quarantine();
+        SuspectRegistry registry = new SuspectRegistry(settings, dissemination);
+        dissemination.subscribe(RoutingStateMachine.NAME, registry::factReceived);
+        TargetId target = new TargetId("r1");
+        Effects out = new Effects();
+        registry.connectionLost(target, OptionalLong.of(POISON), false, 1_000, out);
+        assertThat(registry.records()).isEmpty();
+        registry.connectionLost(target, OptionalLong.empty(), false, 1_010, out);
+        assertThat(registry.records()).containsOnlyKeys(POISON);
+        assertThat(registry.records().get(POISON).deaths()).containsOnlyKeys(target);
+    }
+
     private long retriesOn(EngineModel engine) {
         return fleet.sentRequests.values().stream()
                 .filter(request -> request.dispatchedTo.size() > 1)
