Crash the targets of an item under the platform's settings, too

Change: both tests run on both settings; the one for items with a fingerprint crashes as many targets as they allow.

--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -111,43 +111,60 @@
 
     @Test
     void itemThatCannotBeTheCauseOfCrashesIsPlacedAgainWhenAllIsCalm() {
-        BatchOwnerModel owner = startItem(OptionalLong.empty());
-        crashTargetsOfTheItem(4);
-        fleet.run(10_000);
-        assertThat(owner.finished).isEqualTo(1);
+        for (RoutingSettings settings : List.of(RoutingSettings.defaults(), RoutingSettings.forLatencyObjectives())) {
+            VirtualFleet calmFleet = fleetOfFourTargets(settings);
+            BatchOwnerModel owner = startItem(calmFleet, OptionalLong.empty());
+            crashTargetsOfTheItem(calmFleet, 4);
+            calmFleet.run(10_000);
+            assertThat(owner.finished).isEqualTo(1);
+        }
     }
 
     @Test
     void itemThatMayBeTheCauseOfCrashesIsQuarantined() {
-        BatchOwnerModel owner = startItem(OptionalLong.of(POISON));
-        crashTargetsOfTheItem(2);
-        fleet.run(10_000);
-        assertThat(engineThatRunsAnItem()).isEmpty();
-        assertThat(owner.finished).isZero();
+        for (RoutingSettings settings : List.of(RoutingSettings.defaults(), RoutingSettings.forLatencyObjectives())) {
+            VirtualFleet crashingFleet = fleetOfFourTargets(settings);
+            BatchOwnerModel owner = startItem(crashingFleet, OptionalLong.of(POISON));
+            crashTargetsOfTheItem(crashingFleet, settings.quarantine().deathsToQuarantine());
+            crashingFleet.run(10_000);
+            assertThat(engineThatRunsAnItem(crashingFleet)).isEmpty();
+            assertThat(owner.finished).isZero();
+        }
     }
 
-    private BatchOwnerModel startItem(OptionalLong fingerprint) {
+    private static VirtualFleet fleetOfFourTargets(RoutingSettings settings) {
+        VirtualFleet newFleet = new VirtualFleet(5);
+        for (int i = 1; i <= 4; i++) {
+            newFleet.addEngine("r" + i, VirtualFleet.NORTH, 4, 100, 10);
+        }
+        newFleet.start(
+                List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH),
+                () -> new RoutingPolicy(settings, new LeastLoadedTargetSelector(), AdmissionOrder.URGENCY_FIRST));
+        return newFleet;
+    }
+
+    private static BatchOwnerModel startItem(VirtualFleet onFleet, OptionalLong fingerprint) {
         BatchOwnerModel owner = new BatchOwnerModel(
-                fleet.nodes.get(1), "job", "/nilavu/summaries", 1, TOKENS, fleet.nowMs + 60_000, fingerprint);
-        owner.start(fleet.nowMs);
+                onFleet.nodes.get(1), "job", "/nilavu/summaries", 1, TOKENS, onFleet.nowMs + 60_000, fingerprint);
+        owner.start(onFleet.nowMs);
         return owner;
     }
 
-    private void crashTargetsOfTheItem(int crashes) {
+    private static void crashTargetsOfTheItem(VirtualFleet onFleet, int crashes) {
         for (int crash = 0; crash < crashes; crash++) {
-            for (int step = 0; step < 500 && engineThatRunsAnItem().isEmpty(); step++) {
-                fleet.run(10);
+            for (int step = 0; step < 500 && engineThatRunsAnItem(onFleet).isEmpty(); step++) {
+                onFleet.run(10);
             }
-            assertThat(engineThatRunsAnItem())
+            assertThat(engineThatRunsAnItem(onFleet))
                     .as("target after %s crashes", crash)
                     .isPresent();
-            fleet.crashTarget(engineThatRunsAnItem().orElseThrow(), 500);
-            fleet.run(10);
+            onFleet.crashTarget(engineThatRunsAnItem(onFleet).orElseThrow(), 500);
+            onFleet.run(10);
         }
     }
 
-    private Optional<TargetId> engineThatRunsAnItem() {
-        return fleet.engines.values().stream()
+    private static Optional<TargetId> engineThatRunsAnItem(VirtualFleet onFleet) {
+        return onFleet.engines.values().stream()
                 .filter(engine -> engine.running.values().stream().anyMatch(job -> job.work.urgency() == Urgency.BATCH))
                 .map(engine -> engine.id)
                 .findFirst();
