--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -33,7 +33,8 @@
  *
  * <p>Invariants: a result is listed only after the store has acknowledged it; no item of an ended job starts a run;
  * nothing is written after another daemon has raised the epoch. Items count as sound whatever happens to their targets:
- * they run without a fingerprint, so that none waits as a suspect or is quarantined. Not thread-safe: confined to the daemon's event loop.
+ * they run without a fingerprint, so that none waits as a suspect or is quarantined. Not thread-safe: confined to the
+ * daemon's event loop.
  */
 final class OwnedPartition implements ResultLog.Listener, KeyedTopicFollower.Listener {
 
