--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -31,7 +32,9 @@
  * The owner's state of one partition: its jobs, the runs of their items, and the results that are being written.
  *
  * <p>Invariants: a result is listed only after the store has acknowledged it; no item of an ended job starts a run;
- * nothing is written after another daemon has raised the epoch. Not thread-safe: confined to the daemon's event loop.
+ * nothing is written after another daemon has raised the epoch. Items count as sound whatever happens to their targets:
+ * they run without a fingerprint, so that none waits as a suspect or is quarantined. Not thread-safe: confined to the
+ * daemon's event loop.
  */
 final class OwnedPartition implements ResultLog.Listener, KeyedTopicFollower.Listener {
 
@@ -41,8 +44,11 @@
     /** The pause before an item runs again after its target failed or refused it, in ms. */
     private static final long FAILURE_PAUSE_MS = 200;
 
-    /** The pause before an item that is suspected of crashing targets runs again, in ms. */
-    private static final long QUARANTINE_PAUSE_MS = 3_000;
+    /** The pause before an item runs again after its second lost target, in ms; it doubles with each further one. */
+    private static final long LOSS_PAUSE_MS = 100;
+
+    /** Limits that pause to 1.6 s, a small part of the time that jobs have after traffic has ended. */
+    private static final int MAX_LOSS_DOUBLINGS = 4;
 
     /** The time limit of one run of an item, in ms: many times the duration of the longest responses. */
     private static final long RUN_TIMEOUT_MS = 60_000;
@@ -278,12 +284,10 @@
                 content.headers(),
                 content.body(),
                 run.progress(item.get()).events());
-        long fingerprint = StableHash.of(
-                content.path(), Long.toHexString(StableHash.of(content.body().toByteArray())));
         context.capacity()
                 .run(
                         permit,
-                        new BatchWork(content.id(), fingerprint, source, Optional.empty(), RUN_TIMEOUT_MS),
+                        new BatchWork(content.id(), OptionalLong.empty(), source, Optional.empty(), RUN_TIMEOUT_MS),
                         nowMs,
                         out);
     }
@@ -335,17 +339,21 @@
             giveUp(run, item, "failed " + maxAttempts + " times", nowMs, out);
             return;
         }
-        run.requeue(item, nowMs + pauseMs(failed));
+        run.requeue(item, nowMs + pauseMs(failed, progress));
     }
 
-    private static long pauseMs(AttemptOutcome.Failed failed) {
+    private static long pauseMs(AttemptOutcome.Failed failed, JobRun.ItemProgress progress) {
         return switch (failed.kind()) {
-            case CANCELLED, CONNECTION_LOST -> 0;
-            case REJECTED -> QUARANTINE_PAUSE_MS;
+            case CANCELLED -> 0;
+            case CONNECTION_LOST, TARGET_GONE -> lossPauseMs(progress.countLoss());
             default -> FAILURE_PAUSE_MS;
         };
     }
 
+    private static long lossPauseMs(int losses) {
+        return losses == 1 ? 0 : LOSS_PAUSE_MS << Math.min(losses - 2, MAX_LOSS_DOUBLINGS);
+    }
+
     private void giveUp(JobRun run, int item, String reason, long nowMs, Effects out) {
         out.explain(Subject.Kind.ITEM, run.content().items().get(item).id(), nowMs, "given up", reason);
         finish(run, item, false, ByteString.EMPTY, nowMs, out);
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.assertj.core.api.InstanceOfAssertFactories;
@@ -328,6 +329,29 @@
         assertThat(page(jobs.read(A, JOB, 0))).hasSize(ITEMS).allMatch(ListedResult::completed);
     }
 
+    /** Guards against items that are refused or wait because their targets crashed for another reason. */
+    @Test
+    void itemsAreNotAccusedOfTheCrashesOfTheirTargets() {
+        jobs.submit(A, JOB, ITEMS);
+        HostId owner = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(owner).runningWork())
+                .isNotEmpty()
+                .extracting(work -> (Object) work.fingerprint())
+                .containsOnly(OptionalLong.empty());
+    }
+
+    /** Guards against an item that takes down one target after the other, as fast as permits are granted. */
+    @Test
+    void itemWhoseRunsAlwaysLoseTheirTargetIsPlacedAgainAfterAGrowingPause() {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 1);
+        jobs.nodes.run(15_000);
+        assertThat(jobs.runsByItem.get(JOB + "-item-0")).isBetween(8, 14);
+        jobs.setOutcomes((item, run) -> FakeCapacity.succeeded(item));
+        jobs.nodes.run(2_500);
+        assertThat(page(jobs.read(A, JOB, 0))).hasSize(1).allMatch(ListedResult::completed);
+    }
+
     @Test
     void preemptedItemResumesAfterItsLastEvent() {
         jobs.submit(A, JOB, 1);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.TeamPolicy;
@@ -508,7 +509,7 @@
     private static SuspectRun suspectRun(Route route, AttemptOutcome.Failed failure) {
         boolean hadBegun = failure.tokens() > 1;
         return new SuspectRun(
-                route.request.fingerprint(),
+                OptionalLong.of(route.request.fingerprint()),
                 route.request.service(),
                 hadBegun ? List.of() : route.request.sharedParts(),
                 route.suspect);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRegistry.java
@@ -80,8 +80,8 @@
      * Records that a target crashed while it ran a request with these parts; a part of a request that succeeded recently
      * is not accused.
      */
-    void crashed(SuspectRun run, TargetId target, long atMs, long nowMs, Effects out) {
-        ownCrashes.add(new PartCrash(run.service(), run.fingerprint(), target, atMs));
+    void crashed(SuspectRun run, long fingerprint, TargetId target, long atMs, long nowMs, Effects out) {
+        ownCrashes.add(new PartCrash(run.service(), fingerprint, target, atMs));
         if (ownCrashes.size() > MAX_OWN_CRASHES) {
             ownCrashes.remove();
         }
@@ -90,7 +90,7 @@
             if (succeeded != null && nowMs - succeeded < settings.recentSuccessMs()) {
                 continue;
             }
-            String key = CRASH_PREFIX + hex(part) + "/" + hex(run.fingerprint()) + "/" + target;
+            String key = CRASH_PREFIX + hex(part) + "/" + hex(fingerprint) + "/" + target;
             publish(key, atMs, run.service().value(), nowMs, out);
         }
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -1,16 +1,23 @@
 package org.cornelcrank.routing;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
+import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.core.Caller;
 import org.cornelcrank.core.CallerCommand;
+import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TeamPath;
+import org.cornelcrank.core.Urgency;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -104,6 +111,118 @@
         assertThat(owner.finished).isEqualTo(16);
     }
 
+    @Test
+    void itemThatCannotBeTheCauseOfCrashesIsPlacedAgainWhenAllIsCalm() {
+        for (RoutingSettings settings : List.of(RoutingSettings.defaults(), RoutingSettings.forLatencyObjectives())) {
+            VirtualFleet calmFleet = fleetOfFourTargets(settings);
+            BatchOwnerModel owner = startItem(calmFleet, OptionalLong.empty());
+            crashTargetsOfTheItem(calmFleet, 4);
+            calmFleet.run(10_000);
+            assertThat(owner.finished).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void itemThatMayBeTheCauseOfCrashesIsQuarantined() {
+        for (RoutingSettings settings : List.of(RoutingSettings.defaults(), RoutingSettings.forLatencyObjectives())) {
+            VirtualFleet crashingFleet = fleetOfFourTargets(settings);
+            BatchOwnerModel owner = startItem(crashingFleet, OptionalLong.of(POISON));
+            crashTargetsOfTheItem(crashingFleet, settings.quarantine().deathsToQuarantine());
+            crashingFleet.run(10_000);
+            assertThat(engineThatRunsAnItem(crashingFleet)).isEmpty();
+            assertThat(owner.finished).isZero();
+        }
+    }
+
+    private static VirtualFleet fleetOfFourTargets(RoutingSettings settings) {
+        VirtualFleet newFleet = new VirtualFleet(5);
+        for (int i = 1; i <= 4; i++) {
+            newFleet.addEngine("r" + i, VirtualFleet.NORTH, 4, 100, 10);
+        }
+        newFleet.start(
+                List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH),
+                () -> new RoutingPolicy(settings, new LeastLoadedTargetSelector(), AdmissionOrder.URGENCY_FIRST));
+        return newFleet;
+    }
+
+    private static BatchOwnerModel startItem(VirtualFleet onFleet, OptionalLong fingerprint) {
+        BatchOwnerModel owner = new BatchOwnerModel(
+                onFleet.nodes.get(1), "job", "/nilavu/summaries", 1, TOKENS, onFleet.nowMs + 60_000, fingerprint);
+        owner.start(onFleet.nowMs);
+        return owner;
+    }
+
+    private static void crashTargetsOfTheItem(VirtualFleet onFleet, int crashes) {
+        for (int crash = 0; crash < crashes; crash++) {
+            for (int step = 0; step < 500 && engineThatRunsAnItem(onFleet).isEmpty(); step++) {
+                onFleet.run(10);
+            }
+            assertThat(engineThatRunsAnItem(onFleet))
+                    .as("target after %s crashes", crash)
+                    .isPresent();
+            onFleet.crashTarget(engineThatRunsAnItem(onFleet).orElseThrow(), 500);
+            onFleet.run(10);
+        }
+    }
+
+    private static Optional<TargetId> engineThatRunsAnItem(VirtualFleet onFleet) {
+        return onFleet.engines.values().stream()
+                .filter(engine -> engine.running.values().stream().anyMatch(job -> job.work.urgency() == Urgency.BATCH))
+                .map(engine -> engine.id)
+                .findFirst();
+    }
+
+    @Test
+    void itemThatCannotBeTheCauseOfACrashDoesNotWaitForSuspects() {
+        VirtualFleet singleTarget = new VirtualFleet(5);
+        singleTarget.addEngine("r1", VirtualFleet.NORTH, 8, 100, 10);
+        singleTarget.start(List.of(VirtualFleet.NORTH, VirtualFleet.SOUTH), RoutingPolicy::defaults);
+        long deadlineAtMs = singleTarget.nowMs + 60_000;
+        BatchOwnerModel suspects = new BatchOwnerModel(
+                singleTarget.nodes.get(0), "suspects", "/nilavu/summaries", 6, 1_000, deadlineAtMs, OptionalLong.of(1));
+        BatchOwnerModel sound = new BatchOwnerModel(
+                singleTarget.nodes.get(1), "sound", "/nilavu/summaries", 1, 50, deadlineAtMs, OptionalLong.empty());
+        suspects.start(singleTarget.nowMs);
+        singleTarget.run(300);
+        sound.start(singleTarget.nowMs);
+        singleTarget.run(300);
+        EngineModel engine = singleTarget.engines.values().iterator().next();
+        assertThat(engine.running).hasSize(7);
+        singleTarget.crashTarget(engine.id, 500);
+        singleTarget.run(8_000);
+        assertThat(suspects.running).isEqualTo(1);
+        assertThat(sound.finished).isEqualTo(1);
+    }
+
+    @Test
+    void lossOfAnItemThatCannotBeTheCauseConfirmsTheLossesOfOtherRequests() {
+        FakeDissemination dissemination = new FakeDissemination();
+        RoutingSettings.Quarantine settings = RoutingSettings.defaults().quarantine();
+        SuspectRegistry registry = new SuspectRegistry(settings, dissemination, noPromptParts(dissemination));
+        dissemination.subscribe(RoutingStateMachine.NAME, registry::factReceived);
+        TargetId target = new TargetId("r1");
+        Effects out = new Effects();
+        registry.connectionLost(target, run(OptionalLong.of(POISON)), 1_000, out);
+        assertThat(registry.records()).isEmpty();
+        registry.connectionLost(target, run(OptionalLong.empty()), 1_010, out);
+        assertThat(registry.records()).containsOnlyKeys(POISON);
+        assertThat(registry.records().get(POISON).deaths()).containsOnlyKeys(target);
+    }
+
+    private static SuspectRun run(OptionalLong fingerprint) {
+        return new SuspectRun(fingerprint, VirtualFleet.SERVICE, List.of(), false);
+    }
+
+    private static PromptPartRegistry noPromptParts(FakeDissemination dissemination) {
+        DaemonIdentity identity = new DaemonIdentity(new HostId("d0"), 1, VirtualFleet.NORTH, "127.0.0.1:8000");
+        return new PromptPartRegistry(
+                RoutingSettings.defaults(),
+                identity,
+                new FakeMembership(identity.host(), List.of(identity)),
+                dissemination,
+                new MetricRegistry());
+    }
+
     private long retriesOn(EngineModel engine) {
         return fleet.sentRequests.values().stream()
                 .filter(request -> request.dispatchedTo.size() > 1)
