Notice the crash of a target under a request that may not be repeated

What callers saw: nothing yet.

Change: the caller gets its response at once as before; the check whether the target listens, which requests with a limited number of runs had already, follows. If nothing listens, the target is ejected everywhere and the recent losses on it are confirmed.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -86,6 +86,9 @@
     /** A target's load could not be queried; {@code refused} indicates that the target refused the connection. */
     record TargetUnreachable(TargetId target, boolean refused) implements Event {}
 
+    /** Nothing listens at a target's address after it has lost a connection. */
+    record TargetGone(TargetId target) implements Event {}
+
     /** A target has reported changes of its prefix cache; {@code gap} indicates that some were missed. */
     record CacheChanged(TargetId target, List<CacheEvent> changes, boolean gap) implements Event {
         public CacheChanged {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -167,6 +167,10 @@
         } else if (event instanceof Event.TargetUnreachable unreachable && unreachable.refused()) {
             statusPublisher.down(unreachable.target(), nowMs, out);
             controller.unreachable(unreachable.target(), nowMs, out);
+        } else if (event instanceof Event.TargetGone gone) {
+            context.directory()
+                    .find(gone.target())
+                    .ifPresent(target -> TargetFailures.targetGone(context, target, nowMs, out));
         } else if (event instanceof Event.CacheChanged changed) {
             context.directory().find(changed.target()).ifPresent(target -> target.cache()
                     .changed(changed.changes(), changed.gap()));
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -31,6 +31,15 @@
         }
     }
 
+    /** Records that a target was found to be gone after the attempts on it had ended. */
+    static void targetGone(RoutingContext context, TargetState target, long nowMs, Effects out) {
+        context.count("targets-gone");
+        context.suspects().targetDown(target.id(), nowMs, out);
+        if (ejectEverywhere(context, target, nowMs, out)) {
+            explainEjection(target, FailureKind.TARGET_GONE, nowMs, out);
+        }
+    }
+
     private static boolean recordFailure(
             RoutingContext context,
             TargetState target,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -360,12 +360,22 @@
             });
         }
 
-        /** Ends the attempt; if the number of runs is limited, only after checking whether the target is gone. */
+        /**
+         * Ends the attempt. If its connection was lost, checks whether the target is gone; what the request may do next
+         * depends on that if the number of its runs is limited.
+         */
         void onTransferError(AttemptOutcome.Failed failed) {
-            if (failed.kind() != FailureKind.CONNECTION_LOST || !receiver.hasRunLimit()) {
+            if (failed.kind() != FailureKind.CONNECTION_LOST) {
                 end(failed);
                 return;
             }
+            if (!receiver.hasRunLimit()) {
+                end(failed);
+                probe.isListening(address)
+                        .filter(listening -> !listening)
+                        .subscribe(gone -> loop.post(new Event.TargetGone(target)));
+                return;
+            }
             pendingCheck.dispose();
             pendingCheck =
                     probe.isListening(address).subscribe(listening -> end(listening ? failed : targetGone(failed)));
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -191,6 +191,16 @@
         }
     }
 
+    /** No other request contacts the runner afterwards, which would show that it is gone. */
+    @Test
+    void crashUnderARequestThatMayNotBeRepeatedIsNoticed() throws IOException {
+        fleet.setBehaviour(Behaviour.CRASHING);
+        assertThatThrownBy(() -> fleet.post(0, "once", "c1", "x")).isInstanceOf(IOException.class);
+        assertThat(fleet.runs("c1")).isEqualTo(1);
+        GatewayFleet.await(
+                () -> fleet.get(fleet.metricsUri(0, "/metrics")).body().contains("routing_targets_gone"));
+    }
+
     @Test
     void slowRunnerIsAwaitedIfNoOtherMayRunTheRequest() throws IOException {
         fleet.runners.values().forEach(runner -> runner.setEventMs(2_500));
