Remember the deaths under a request for longer than its quarantine

What callers saw: nothing yet.

Change: the deaths are remembered for ten minutes. The first request after a quarantine runs as a suspect; if its target dies, the quarantine returns at once and lasts three times as long. A success still clears the request everywhere.

Test: QuarantineTests.requestThatKeepsCrashingTargetsIsRarelyTriedAfterItsQuarantine, one such request every 2 s for 100 s: 12 dispatches later than 4 s after the third death before the change, where 3 are allowed; passes now.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -21,7 +21,7 @@
                 new Queues(20_000, 4, 5_000, 20_000, 0.01, 5),
                 new Retries(4, 0.2, 20),
                 new Ejection(3, 5_000, 10_000),
-                new Quarantine(2_000, 600_000, 2),
+                new Quarantine(2_000, 600_000, 2, 3_600_000),
                 new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
                 new Link(500_000, 2_048, 6));
     }
@@ -39,7 +39,7 @@
                 new Queues(20_000, 8, 2_000, 8_000, 0.01, 5),
                 new Retries(4, 0.5, 50),
                 new Ejection(3, 500, 1_000),
-                new Quarantine(2_000, 20_000, 3),
+                new Quarantine(2_000, 20_000, 3, 600_000),
                 new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
                 new Link(500_000, 2_048, 60));
     }
@@ -145,14 +145,16 @@
      * Settings of the quarantine of requests that crash their targets.
      *
      * <p>{@code deathWindowMs} is the time within which signs of a target's death count as the same death. After
-     * {@code deathsToQuarantine} deaths, a request is refused for {@code quarantineMs}.
+     * {@code deathsToQuarantine} deaths, a request is refused for {@code quarantineMs}, and
+     * for three times as long after each further one. Its deaths are forgotten {@code memoryMs} after the last.
      */
-    public record Quarantine(long deathWindowMs, long quarantineMs, int deathsToQuarantine) {
+    public record Quarantine(long deathWindowMs, long quarantineMs, int deathsToQuarantine, long memoryMs) {
 
         public Quarantine {
             requirePositive(deathWindowMs, "deathWindowMs");
             requirePositive(quarantineMs, "quarantineMs");
             requirePositive(deathsToQuarantine, "deathsToQuarantine");
+            requirePositive(memoryMs, "memoryMs");
         }
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRecord.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRecord.java
@@ -14,17 +14,28 @@
 
     private final Map<TargetId, Death> deaths = new TreeMap<>();
     private long clearedAtMs = Long.MIN_VALUE;
+    private long quarantinedUntilMs;
     private long expiresAtMs;
 
-    void targetDied(TargetId target, long atMs, int count, long newExpiresAtMs) {
+    /** Adds a death; returns whether the request has not been cleared since. */
+    boolean targetDied(TargetId target, long atMs, int count, long newExpiresAtMs) {
         if (atMs <= clearedAtMs) {
-            return;
+            return false;
         }
         deaths.merge(
                 target,
                 new Death(atMs, count),
                 (earlier, latest) -> latest.count() >= earlier.count() ? latest : earlier);
         expiresAtMs = newExpiresAtMs;
+        return true;
+    }
+
+    void quarantineUntil(long newQuarantinedUntilMs) {
+        quarantinedUntilMs = newQuarantinedUntilMs;
+    }
+
+    long quarantinedUntilMs() {
+        return quarantinedUntilMs;
     }
 
     void clear(long atMs, long newExpiresAtMs) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -28,6 +28,7 @@
     static final String CLEARED_PREFIX = "cleared/";
 
     private static final int MAX_FINGERPRINTS = 10_000;
+    private static final int QUARANTINE_GROWTH = 3;
 
     private final RoutingSettings.Quarantine settings;
     private final Dissemination dissemination;
@@ -105,8 +106,7 @@
 
     private void publish(String key, long version, int count, long nowMs, Effects out) {
         ByteString value = ByteString.copyFromUtf8(Integer.toString(count));
-        Fact fact =
-                new Fact(RoutingStateMachine.NAME, key, version, value, settings.quarantineMs(), Fact.Scope.EVERYWHERE);
+        Fact fact = new Fact(RoutingStateMachine.NAME, key, version, value, settings.memoryMs(), Fact.Scope.EVERYWHERE);
         dissemination.publish(fact, nowMs, out);
     }
 
@@ -117,10 +117,12 @@
         SuspectRecord record = records.computeIfAbsent(fingerprint, key -> new SuspectRecord());
         boolean before = quarantined(fingerprint, nowMs);
         if (fact.key().startsWith(CLEARED_PREFIX)) {
-            record.clear(fact.version(), nowMs + settings.quarantineMs());
+            record.clear(fact.version(), nowMs + settings.memoryMs());
         } else {
             int count = Integer.parseInt(fact.value().toStringUtf8());
-            record.targetDied(new TargetId(parts[2]), fact.version(), count, nowMs + settings.quarantineMs());
+            if (record.targetDied(new TargetId(parts[2]), fact.version(), count, nowMs + settings.memoryMs())) {
+                record.quarantineUntil(nowMs + quarantineMs(record.deathCount()));
+            }
         }
         boolean after = quarantined(fingerprint, nowMs);
         if (before != after) {
@@ -159,7 +161,14 @@
     }
 
     boolean quarantined(long fingerprint, long nowMs) {
-        return deaths(fingerprint, nowMs) >= settings.deathsToQuarantine();
+        return deaths(fingerprint, nowMs) >= settings.deathsToQuarantine()
+                && nowMs < records.get(fingerprint).quarantinedUntilMs();
+    }
+
+    /** Returns for how long the latest death quarantines a request; longer for one that crashed targets after that. */
+    private long quarantineMs(int deaths) {
+        double growth = Math.pow(QUARANTINE_GROWTH, Math.max(0, deaths - settings.deathsToQuarantine()));
+        return (long) Math.min(settings.memoryMs(), growth * settings.quarantineMs());
     }
 
     private int deaths(long fingerprint, long nowMs) {
@@ -176,7 +185,7 @@
                         fingerprint,
                         List.copyOf(record.deaths().keySet()),
                         record.latestDeathMs(),
-                        record.expiresAtMs()));
+                        record.quarantinedUntilMs()));
             }
         });
         return entries;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -231,6 +232,24 @@
                 .count();
     }
 
+    /** Its caller sends it again every two seconds, to any daemon. */
+    @Test
+    void requestThatKeepsCrashingTargetsIsRarelyTriedAfterItsQuarantine() {
+        VirtualFleet latencyFleet = fleetOfFourTargets(RoutingSettings.forLatencyObjectives());
+        latencyFleet.requestOptions = new RequestOptions(2, true, 300);
+        List<SentRequest> sent = new ArrayList<>();
+        for (int second = 0; second < 100; second += 2) {
+            sent.add(latencyFleet.send(
+                    latencyFleet.random.nextInt(3),
+                    Work.online(TOKENS, POISON).crashing(100).withDeadline(5_000)));
+            latencyFleet.run(2_000);
+        }
+        long spreadAtMs = latencyFleet.crashTimesMs.get(2) + 4_000;
+        assertThat(sent.stream().flatMap(request -> request.dispatchedAtMs.stream()))
+                .filteredOn(atMs -> atMs > spreadAtMs)
+                .hasSizeBetween(1, 3);
+    }
+
     @Test
     void operatorListsAndLiftsAQuarantineOnAllDaemons() {
         sendPoison(0);
