Accuse prompt parts whose targets crash after the first events, too

Found by review: a run that had generated two events or more did not accuse the parts of its prompt, so that a part that crashes its targets 45 ms after the first event was never found. The limit is eight tokens or events now.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -44,6 +44,9 @@
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
+    /** The number of tokens, or events, up to which a response counts as just begun. */
+    private static final int MAX_FIRST_TOKENS = 8;
+
     private final RoutingContext context;
     private final TeamLimiter limiter;
     private final LinkBudget link;
@@ -507,11 +510,11 @@
     }
 
     private static SuspectRun suspectRun(Route route, AttemptOutcome.Failed failure) {
-        boolean hadBegun = failure.tokens() > 1;
+        boolean longBegun = failure.tokens() > MAX_FIRST_TOKENS;
         return new SuspectRun(
                 OptionalLong.of(route.request.fingerprint()),
                 route.request.service(),
-                hadBegun ? List.of() : route.request.sharedParts(),
+                longBegun ? List.of() : route.request.sharedParts(),
                 route.suspect);
     }
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
@@ -34,7 +34,6 @@
     private static final int TOKENS = 35;
     private static final long MEAN_ARRIVAL_MS = 36;
     private static final long STEP_MS = 6;
-    private static final long CRASH_AFTER_MS = 40;
     private static final int CRASHES = 5;
     private static final long SPREAD_MS = 4_000;
     private static final int MAX_LATER_DISPATCHES = 3;
@@ -44,6 +43,7 @@
     private final List<SentRequest> sound = new ArrayList<>();
     private final List<SentRequest> crashing = new ArrayList<>();
     private VirtualFleet fleet;
+    private long crashAfterMs = 40;
     private long lastFingerprint;
 
     @BeforeEach
@@ -80,7 +80,7 @@
                 sound.add(send(FIRST_SESSION + random.nextInt(SESSIONS), 0));
             }
             if (crashingEveryMs > 0 && random.nextLong(crashingEveryMs) < STEP_MS) {
-                crashing.add(send(CRASHING, CRASH_AFTER_MS));
+                crashing.add(send(CRASHING, crashAfterMs));
             }
         }
     }
@@ -119,12 +119,28 @@
         start(seed);
         play(10_000, 0);
         play(100_000, crashingEveryMs);
+        assertFewLaterDispatches();
+    }
+
+    private void assertFewLaterDispatches() {
         long spreadAtMs = fleet.crashTimesMs.get(CRASHES - 1) + SPREAD_MS;
         assertThat(dispatchTimes())
                 .filteredOn(atMs -> atMs > spreadAtMs)
                 .hasSizeLessThanOrEqualTo(MAX_LATER_DISPATCHES);
     }
 
+    /** The engine generates three tokens before it crashes. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void partThatCrashesTargetsAfterTheFirstEventsIsFound(long seed) {
+        start(seed);
+        fleet.reportsTokensOfCrashes = true;
+        crashAfterMs = 85;
+        play(10_000, 0);
+        play(100_000, 700);
+        assertFewLaterDispatches();
+    }
+
     @Test
     void soundRequestsThatShareTheOtherPartsAreServed() {
         play(10_000, 0);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -66,6 +66,7 @@
     long nowMs = 1_000_000;
     long peerBytes;
     boolean keepEffects;
+    boolean reportsTokensOfCrashes;
     RequestOptions requestOptions = RequestOptions.DEFAULTS;
 
     VirtualFleet(long seed) {
@@ -167,9 +168,12 @@
         engine.up = false;
         List<EngineModel.Job> lost = new ArrayList<>(engine.running.values());
         lost.addAll(engine.queue);
-        engine.running.clear();
-        engine.queue.clear();
-        lost.forEach(job -> ended(engine, job, failed(FailureKind.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, 0)));
+        for (EngineModel.Job job : lost) {
+            int tokens = engine.stop(job, nowMs);
+            int reported = reportsTokensOfCrashes ? tokens : 0;
+            ended(engine, job, failed(FailureKind.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, reported));
+        }
+        engine.keptTokens.clear();
         at(nowMs + downMs, () -> engine.up = true);
     }
 
