Never quarantine the prompt part of all requests in an outage, and find one with little traffic

Found by review: while all targets are down, no request succeeds, and a daemon that had seen no request without a part took the part that all requests share for the cause. Trials were used up by requests that no target could run, so that the part stayed quarantined long after the targets were back. Daemons with little traffic waited for three successes of their own before they blamed a part.

Change: at least three requests without the part must have arrived; a trial counts from its dispatch, and is taken back if its request has not run; one success is enough, next to three for each other crash; the daemons' times for a trial are twice as far apart, as facts may take a second. States of a part apply in the order of their versions.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -121,19 +121,20 @@
         return Optional.empty();
     }
 
-    /** Refuses a request with a quarantined prompt part, or admits it as a trial if one is due. */
+    /** Refuses a request with a quarantined prompt part, unless a trial is due, for which it is admitted. */
     private Optional<Refusal> admitParts(Route route, long nowMs, Effects out) {
         List<Long> parts = route.request.sharedParts();
         if (!context.promptParts().quarantined(parts)) {
             return Optional.empty();
         }
-        route.trial = context.promptParts().beginTrial(parts, nowMs, out);
-        return route.trial
-                ? Optional.empty()
-                : Optional.of(Refusal.notRun(
-                        RefusalCode.QUARANTINED,
-                        "a part of the prompt has crashed targets before",
-                        context.promptParts().retryAfterMs(parts, nowMs)));
+        long retryAfterMs = context.promptParts().retryAfterMs(parts, nowMs);
+        route.trial = retryAfterMs == 0;
+        if (route.trial) {
+            return Optional.empty();
+        }
+        context.promptParts().refused(parts, nowMs, out);
+        return Optional.of(Refusal.notRun(
+                RefusalCode.QUARANTINED, "a part of the prompt has crashed targets before", retryAfterMs));
     }
 
     @Override
@@ -394,11 +395,14 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
-        if (!route.trial && context.promptParts().quarantined(request.sharedParts())) {
-            withdraw(route, out);
+        if (context.promptParts().quarantined(request.sharedParts())) {
             route.retryAfterMs = context.promptParts().retryAfterMs(request.sharedParts(), nowMs);
-            giveUp(route, RefusalCode.QUARANTINED, "a part of the prompt crashed targets meanwhile", nowMs, out);
-            return;
+            if (!route.trial || route.retryAfterMs > 0) {
+                withdraw(route, out);
+                giveUp(route, RefusalCode.QUARANTINED, "a part of the prompt crashed targets meanwhile", nowMs, out);
+                return;
+            }
+            context.promptParts().beginTrial(request.sharedParts(), nowMs, out);
         }
         hedges.withdraw(route, out);
         wakeups.remove(request.id());
@@ -520,6 +524,9 @@
 
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         RetryPolicy.Step step = retryPolicy.after(route, failure);
+        if (route.trial && failure.verdict().equals(Verdict.NOT_RUN)) {
+            context.promptParts().trialNotRun(route.request.sharedParts(), nowMs, out);
+        }
         if (context.suspects().quarantined(route.request.fingerprint(), nowMs)
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRecord.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRecord.java
@@ -46,7 +46,7 @@
         trials = newTrials;
     }
 
-    /** Lifts a quarantine and forgets the crashes before {@code version}, in ms. */
+    /** Lifts a quarantine and forgets the crashes before; the version is the time in ms. */
     void clear(long version) {
         stateVersion = version;
         clearedAtMs = version;
@@ -57,7 +57,13 @@
         crashes.removeIf(crash -> crash.atMs() <= clearedAtMs);
     }
 
-    void lives(long newRenewAtMs, long newExpiresAtMs) {
+    /** Returns whether a state is newer than the one that applies. */
+    boolean isNewer(long version) {
+        return version > stateVersion;
+    }
+
+    /** Sets when a quarantine is published again while it is needed, and when the record expires. */
+    void keepUntil(long newRenewAtMs, long newExpiresAtMs) {
         renewAtMs = newRenewAtMs;
         expiresAtMs = newExpiresAtMs;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PromptPartRegistry.java
@@ -29,8 +29,8 @@
  *
  * <p>Requests that share a part differ in everything else, so that {@link SuspectRegistry} does not recognize them. A
  * part is quarantined after several crashes under different requests with it, if none of them has succeeded since the
- * first, requests without it fare better, and no other part explains the same crashes better. The daemon that finds this
- * publishes it. One request at a time is then let through as a trial, at growing intervals; its success lifts the
+ * first, requests without it fare better, and no other part explains the same crashes better. The daemon that finds
+ * this publishes it. One request at a time is then let through as a trial, at growing intervals; its success lifts the
  * quarantine. Answers the load of a few such requests a second among many sound ones that share their other parts.
  *
  * <p>Invariant: holds at most {@link #MAX_PARTS} parts. Not thread-safe: confined to the daemon's event loop.
@@ -77,8 +77,8 @@
     }
 
     /**
-     * Records that a target crashed while it ran a request with these parts; a part of a request that succeeded recently
-     * is not accused.
+     * Records that a target crashed while it ran a request with these parts; a part of a request that succeeded
+     * recently is not accused.
      */
     void crashed(SuspectRun run, long fingerprint, TargetId target, long atMs, long nowMs, Effects out) {
         ownCrashes.add(new PartCrash(run.service(), fingerprint, target, atMs));
@@ -100,7 +100,7 @@
         records.forEach((part, record) -> record.arrived(parts.contains(part)));
     }
 
-    /** Records that a request succeeded: its parts are cleared, and others that are accused get less likely innocent. */
+    /** Records that a request succeeded, which clears its parts and makes a crash by chance less likely for others. */
     void succeeded(List<Long> parts, ServiceName service, long nowMs, Effects out) {
         for (long part : parts) {
             succeededAtMs.put(part, nowMs);
@@ -142,8 +142,11 @@
     }
 
     private boolean isCulprit(PromptPartRecord record) {
-        if (record.crashes().size() < settings.crashesToQuarantine()
-                || !othersSucceed(record) && !explainsOwnCrashes(record)) {
+        if (record.crashes().size() < settings.crashesToQuarantine()) {
+            return false;
+        }
+        boolean othersFareBetter = othersSucceed(record) || explainsOwnCrashes(record);
+        if (!othersFareBetter) {
             return false;
         }
         List<PartCrash> unexplained = record.crashes().stream()
@@ -168,7 +171,7 @@
      */
     private boolean explainsOwnCrashes(PromptPartRecord record) {
         List<PartCrash> own = ownCrashesSince(record);
-        return record.arrivedWithout() >= record.arrivedWith()
+        return record.arrivedWithout() >= Math.max(settings.arrivalsWithout(), record.arrivedWith())
                 && PromptPartRecord.countCrashes(own, crashWindowMs) >= settings.explainedCrashes()
                 && own.stream().allMatch(crash -> record.includes(crash, crashWindowMs));
     }
@@ -188,47 +191,47 @@
 
     /** Returns whether one of the parts is quarantined. */
     boolean quarantined(Collection<Long> parts) {
-        return parts.stream().map(records::get).anyMatch(record -> record != null && record.quarantined());
+        return !quarantinedAmong(parts).isEmpty();
     }
 
     /** Returns when a request with these parts may be tried again, in ms from now; zero if that is now. */
     long retryAfterMs(Collection<Long> parts, long nowMs) {
-        return parts.stream()
-                .map(records::get)
-                .filter(record -> record != null && record.quarantined())
+        return quarantinedAmong(parts).values().stream()
                 .mapToLong(record -> Math.max(0, record.trialAtMs() - nowMs))
                 .max()
                 .orElse(0);
     }
 
-    /**
-     * Begins a trial of the quarantined parts if one is due.
-     *
-     * @return whether the request may run, as a trial
-     */
-    boolean beginTrial(Collection<Long> parts, long nowMs, Effects out) {
-        if (retryAfterMs(parts, nowMs) > 0) {
-            renew(parts, nowMs, out);
-            return false;
-        }
-        for (long part : parts) {
-            PromptPartRecord record = records.get(part);
-            if (record != null && record.quarantined()) {
-                metrics.counter("routing.parts-tried").inc();
-                publishQuarantine(part, record.trials() + 1, nowMs, out);
+    /** Begins a trial of the quarantined parts, with a request that is dispatched now. */
+    void beginTrial(Collection<Long> parts, long nowMs, Effects out) {
+        metrics.counter("routing.parts-tried").inc();
+        quarantinedAmong(parts).forEach((part, record) -> publishQuarantine(part, record.trials() + 1, nowMs, out));
+    }
+
+    /** Takes a trial back whose request has not run. */
+    void trialNotRun(Collection<Long> parts, long nowMs, Effects out) {
+        quarantinedAmong(parts)
+                .forEach((part, record) -> publishQuarantine(part, Math.max(0, record.trials() - 1), nowMs, out));
+    }
+
+    /** Keeps quarantines from expiring while requests with their parts are refused. */
+    void refused(Collection<Long> parts, long nowMs, Effects out) {
+        quarantinedAmong(parts).forEach((part, record) -> {
+            if (nowMs >= record.renewAtMs()) {
+                publishQuarantine(part, record.trials(), nowMs, out);
             }
-        }
-        return true;
+        });
     }
 
-    /** Keeps quarantines from expiring while requests with their parts arrive. */
-    private void renew(Collection<Long> parts, long nowMs, Effects out) {
+    private Map<Long, PromptPartRecord> quarantinedAmong(Collection<Long> parts) {
+        Map<Long, PromptPartRecord> quarantined = new LinkedHashMap<>();
         for (long part : parts) {
             PromptPartRecord record = records.get(part);
-            if (record != null && record.quarantined() && nowMs >= record.renewAtMs()) {
-                publishQuarantine(part, record.trials(), nowMs, out);
+            if (record != null && record.quarantined()) {
+                quarantined.put(part, record);
             }
         }
+        return quarantined;
     }
 
     private void publishQuarantine(long part, int trials, long nowMs, Effects out) {
@@ -266,6 +269,9 @@
 
     private void stateReceived(
             long part, PromptPartRecord record, long version, String value, long nowMs, Effects out) {
+        if (!record.isNewer(version)) {
+            return;
+        }
         boolean before = record.quarantined();
         if (value.equals(CLEARED)) {
             record.clear(version);
@@ -273,7 +279,7 @@
             int trials = Integer.parseInt(value);
             record.quarantine(version, trials, nowMs + trialDelayMs(part, trials));
         }
-        record.lives(nowMs + settings.lifetimeMs() / 2, nowMs + settings.lifetimeMs());
+        record.keepUntil(nowMs + settings.lifetimeMs() / 2, nowMs + settings.lifetimeMs());
         if (before != record.quarantined()) {
             String text = "prompt part " + hex(part)
                     + (before
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -22,7 +22,7 @@
                 new Retries(4, 0.2, 20),
                 new Ejection(3, 5_000, 10_000),
                 new Quarantine(2_000, 600_000, 2, 3_600_000),
-                new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
+                PromptParts.DEFAULTS,
                 new Link(500_000, 2_048, 6));
     }
 
@@ -40,7 +40,7 @@
                 new Retries(4, 0.5, 50),
                 new Ejection(3, 500, 1_000),
                 new Quarantine(2_000, 20_000, 3, 600_000),
-                new PromptParts(4, 3, 3, 3, 3, 10_000, 600_000, 3_000, 10, 6_000),
+                PromptParts.DEFAULTS,
                 new Link(500_000, 2_048, 60));
     }
 
@@ -162,13 +162,13 @@
      * Settings of the quarantine of prompt parts that crash their targets.
      *
      * <p>A part is quarantined after {@code crashesToQuarantine} crashes under at least {@code requestsToQuarantine}
-     * different requests, once {@code successesWithout} requests of one daemon without it have succeeded since the first,
-     * and {@code successesPerCrash} times as many as lost their target in other crashes; or once it was in flight at all
-     * of at least {@code explainedCrashes} crashes seen by one daemon, at least half of whose requests lack it. A part
-     * of a request that has succeeded within {@code recentSuccessMs} is not accused. A quarantine expires
-     * {@code lifetimeMs} after the last request with the part. The first trial begins after {@code firstTrialMs}, with
-     * the daemons' times for it spread over {@code trialSpreadMs}; for each further one, both are {@code trialFactor}
-     * times as long.
+     * different requests. Since the first, {@code successesWithout} requests of one daemon without it must have
+     * succeeded, and {@code successesPerCrash} times as many as lost their target in other crashes; or the part was in
+     * flight at all of at least {@code explainedCrashes} crashes that one daemon has seen, while at least half of its
+     * requests, and {@code arrivalsWithout} of them, lacked it. A part of a request that has succeeded within
+     * {@code recentSuccessMs} is not accused. A quarantine expires {@code lifetimeMs} after the last request with the
+     * part. The first trial begins after {@code firstTrialMs}, with the daemons' times for it spread over
+     * {@code trialSpreadMs}; for each further one, both are {@code trialFactor} times as long.
      */
     public record PromptParts(
             int crashesToQuarantine,
@@ -176,18 +176,23 @@
             int successesWithout,
             int successesPerCrash,
             int explainedCrashes,
+            int arrivalsWithout,
             long recentSuccessMs,
             long lifetimeMs,
             long firstTrialMs,
             int trialFactor,
             long trialSpreadMs) {
 
+        /** The settings for a deployment of any size up to hundreds of daemons. */
+        static final PromptParts DEFAULTS = new PromptParts(4, 3, 1, 3, 3, 3, 10_000, 600_000, 3_000, 10, 12_000);
+
         public PromptParts {
             requirePositive(crashesToQuarantine, "crashesToQuarantine");
             requirePositive(requestsToQuarantine, "requestsToQuarantine");
             requirePositive(successesWithout, "successesWithout");
             requirePositive(successesPerCrash, "successesPerCrash");
             requirePositive(explainedCrashes, "explainedCrashes");
+            requirePositive(arrivalsWithout, "arrivalsWithout");
             requirePositive(recentSuccessMs, "recentSuccessMs");
             requirePositive(lifetimeMs, "lifetimeMs");
             requirePositive(firstTrialMs, "firstTrialMs");
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
@@ -32,17 +32,18 @@
     private static final int DAEMONS = 12;
     private static final int TARGETS = 6;
     private static final int TOKENS = 35;
-    private static final long MEAN_ARRIVAL_MS = 36;
     private static final long STEP_MS = 6;
     private static final int CRASHES = 5;
     private static final long SPREAD_MS = 4_000;
     private static final int MAX_LATER_DISPATCHES = 3;
     private static final long DEADLINE_MS = 5_000;
+    private static final long RECOVERY_MS = 12_000;
 
     private SplittableRandom random;
     private final List<SentRequest> sound = new ArrayList<>();
     private final List<SentRequest> crashing = new ArrayList<>();
     private VirtualFleet fleet;
+    private long meanArrivalMs = 36;
     private long crashAfterMs = 40;
     private long lastFingerprint;
 
@@ -76,7 +77,7 @@
         long endMs = fleet.nowMs + spanMs;
         while (fleet.nowMs < endMs) {
             fleet.run(STEP_MS);
-            if (random.nextLong(MEAN_ARRIVAL_MS) < STEP_MS) {
+            if (random.nextLong(meanArrivalMs) < STEP_MS) {
                 sound.add(send(FIRST_SESSION + random.nextInt(SESSIONS), 0));
             }
             if (crashingEveryMs > 0 && random.nextLong(crashingEveryMs) < STEP_MS) {
@@ -141,6 +142,31 @@
         assertFewLaterDispatches();
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void partIsFoundWithLittleTraffic(long seed) {
+        start(seed);
+        meanArrivalMs = 300;
+        play(20_000, 0);
+        play(100_000, 1_200);
+        assertFewLaterDispatches();
+    }
+
+    /** The outage begins before any daemon has served requests for long, and ends all runs at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void partOfAllRequestsIsNotQuarantinedInAnOutage(long seed) {
+        start(seed);
+        play(600, 0);
+        fleet.engines.keySet().forEach(target -> fleet.crashTarget(target, 10_000));
+        play(10_000 + RECOVERY_MS, 0);
+        long recoveredAtMs = fleet.nowMs;
+        play(10_000, 0);
+        fleet.run(DEADLINE_MS);
+        assertThat(servedShare(recoveredAtMs, Long.MAX_VALUE)).isEqualTo(1);
+        assertThat(refusedForAPart()).isEmpty();
+    }
+
     @Test
     void soundRequestsThatShareTheOtherPartsAreServed() {
         play(10_000, 0);
@@ -197,11 +223,15 @@
         }
         play(5_000, 0);
         fleet.run(DEADLINE_MS);
-        assertThat(sound)
-                .filteredOn(request -> request.reply instanceof Refusal refusal
+        assertThat(refusedForAPart()).isEmpty();
+    }
+
+    private List<SentRequest> refusedForAPart() {
+        return sound.stream()
+                .filter(request -> request.reply instanceof Refusal refusal
                         && refusal.code() == RefusalCode.QUARANTINED
                         && refusal.verdict().equals(Verdict.NOT_RUN))
-                .isEmpty();
+                .toList();
     }
 
     @Test
