--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/RequestHead.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/RequestHead.java
@@ -10,8 +10,8 @@
  * The head of a caller's request.
  *
  * <p>{@code uri} is the path and query as sent by the caller. {@code deadlineMs} is how long the caller waits.
- * {@code prefixHashes} are the hashes of increasingly long prefixes of the prompt, shortest first. {@code sharedParts} are
- * the hashes of the parts that it may have in common with other prompts, in order.
+ * {@code prefixHashes} are the hashes of increasingly long prefixes of the prompt, shortest first.
+ * {@code sharedParts} are the hashes of the parts that it may have in common with other prompts, in order.
  * {@code maxResponseTokens} is the caller's limit of response tokens, zero if unspecified. {@code headers} are the
  * end-to-end headers, without those of the connection. Immutable by convention: the headers must not be changed.
  */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRequest.java
@@ -13,9 +13,9 @@
  *
  * <p>The reply is {@link OnlineEnded} after the complete response has been passed on, or a
  * {@link org.cornelcrank.core.Refusal}. {@code prefixHashes} holds the hashes of increasingly long prefixes of the
- * prompt, shortest first. {@code sharedParts} holds the hashes of the parts of the prompt that other requests may have in
- * common with it, in order. {@code fingerprint} is the hash of the body. {@code expectedTokens} is the caller's limit for
- * the response, zero if it sets none. Immutable, thus thread-safe.
+ * prompt, shortest first. {@code sharedParts} holds the hashes of the parts of the prompt that other requests may have
+ * in common with it, in order. {@code fingerprint} is the hash of the body. {@code expectedTokens} is the caller's
+ * limit for the response, zero if it sets none. Immutable, thus thread-safe.
  */
 public record OnlineRequest(
         TeamPath workload,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingSettings.java
@@ -183,8 +183,14 @@
             int trialFactor,
             long trialSpreadMs) {
 
+        private static final long RECENT_SUCCESS_MS = 10_000;
+        private static final long LIFETIME_MS = 600_000;
+        private static final long FIRST_TRIAL_MS = 3_000;
+        private static final long TRIAL_SPREAD_MS = 12_000;
+
         /** The settings for a deployment of any size up to hundreds of daemons. */
-        static final PromptParts DEFAULTS = new PromptParts(4, 3, 1, 3, 3, 3, 10_000, 600_000, 3_000, 10, 12_000);
+        static final PromptParts DEFAULTS =
+                new PromptParts(4, 3, 1, 3, 3, 3, RECENT_SUCCESS_MS, LIFETIME_MS, FIRST_TRIAL_MS, 10, TRIAL_SPREAD_MS);
 
         public PromptParts {
             requirePositive(crashesToQuarantine, "crashesToQuarantine");
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PromptPartQuarantineTests.java
@@ -20,8 +20,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Plays some 28 requests a second in {@link #SESSIONS} sessions at 12 daemons and 6 targets, and among them one to three
- * requests a second with a prompt part that crashes each target that generates a response to it.
+ * Plays some 28 requests a second in {@link #SESSIONS} sessions at 12 daemons and 6 targets, and among them requests
+ * with a prompt part that crashes each target that generates a response to it.
  */
 class PromptPartQuarantineTests {
 
@@ -72,7 +72,7 @@
                         defaults.admission()));
     }
 
-    /** Plays traffic for a time, with a request with the crashing part about every {@code crashingEveryMs}; 0 for none. */
+    /** Plays traffic, and a request with the crashing part about every {@code crashingEveryMs}; 0 for none. */
     private void play(long spanMs, long crashingEveryMs) {
         long endMs = fleet.nowMs + spanMs;
         while (fleet.nowMs < endMs) {
