Read and log the rate of requests that a target accepts

No log or metric told which targets were limited, since when, or whether a daemon knew: the header was forwarded to callers and not read. Each response of a target now states its limit, or none, to the core, which logs a change with the age of the request that brought it and shows it in the dump. A statement counts only if its request was sent after the known one became known; one that cannot be read is a warning and says nothing. Routing does not use the limit yet.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.core;
 
 import java.util.List;
+import java.util.OptionalDouble;
 
 /**
  * An input to the decision core, delivered by the I/O layer.
@@ -83,6 +84,12 @@
      */
     record TargetLeaving(TargetId target, long sentAtMs) implements Event {}
 
+    /**
+     * A target has responded to a request that was sent at {@code sentAtMs}, and states the rate of requests per second
+     * that it accepts from all daemons together; empty if it states no limit.
+     */
+    record TargetResponded(TargetId target, long sentAtMs, OptionalDouble requestsPerSecond) implements Event {}
+
     /** A target's load could not be queried; {@code refused} indicates that the target refused the connection. */
     record TargetUnreachable(TargetId target, boolean refused) implements Event {}
 
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/TargetResponseHead.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/TargetResponseHead.java
@@ -8,6 +8,7 @@
  * <p>{@code notRun} is set if the target states that it has not run the request, {@code misdirected} if another
  * target now has the address. {@code matchesRequest} is set if the response belongs to the request that was sent, and
  * {@code signed} if the target has signed the response. {@code leaving} is set if the target states that it leaves.
+ * {@code rateLimit} is the rate of requests that the target states it accepts.
  * {@code idleTimeoutMs} is how long the target keeps the connection open, zero if unspecified. {@code headers} are
  * those to forward to the caller. Immutable by convention: the headers must not be changed.
  */
@@ -19,6 +20,7 @@
         boolean signed,
         boolean events,
         boolean leaving,
+        RateLimit rateLimit,
         long retryAfterMs,
         long idleTimeoutMs,
         HttpHeaders headers) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
@@ -59,6 +59,7 @@
                 "waiting",
                 "own",
                 "leaving",
+                "maxRequestsPerSecond",
                 "admittedShare",
                 "startLatencyMs",
                 "cachedPrefixes");
@@ -75,6 +76,9 @@
                     target.waiting(nowMs, staleMs),
                     target.ownAttempts(),
                     context.directory().leaving(target, nowMs),
+                    target.maxRequestsPerSecond().isPresent()
+                            ? target.maxRequestsPerSecond().getAsDouble()
+                            : "",
                     target.health().admittedShare(nowMs),
                     target.health().startLatencyMs(),
                     target.cache().size());
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -11,6 +12,7 @@
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.Fact;
@@ -171,12 +173,34 @@
             context.directory()
                     .find(gone.target())
                     .ifPresent(target -> TargetFailures.targetGone(context, target, nowMs, out));
+        } else if (event instanceof Event.TargetResponded responded) {
+            context.directory()
+                    .find(responded.target())
+                    .ifPresent(target -> targetResponded(target, responded, nowMs, out));
         } else if (event instanceof Event.CacheChanged changed) {
             context.directory().find(changed.target()).ifPresent(target -> target.cache()
                     .changed(changed.changes(), changed.gap()));
         }
     }
 
+    /** A statement replaces what is known only if its request was sent after that became known. */
+    private static void targetResponded(TargetState target, Event.TargetResponded responded, long nowMs, Effects out) {
+        OptionalDouble before = target.maxRequestsPerSecond();
+        if (before.equals(responded.requestsPerSecond()) || responded.sentAtMs() < target.rateLimitKnownAtMs()) {
+            return;
+        }
+        target.limitRate(responded.requestsPerSecond(), nowMs);
+        out.add(new Effect.StateChanged(
+                NAME,
+                "target " + target.id() + " states a limit of " + text(responded.requestsPerSecond())
+                        + " requests/s after " + text(before) + " in the response to a request sent "
+                        + (nowMs - responded.sentAtMs()) + " ms ago"));
+    }
+
+    private static String text(OptionalDouble requestsPerSecond) {
+        return requestsPerSecond.isEmpty() ? "no" : Double.toString(requestsPerSecond.getAsDouble());
+    }
+
     private void reported(TargetReport report, long nowMs, Effects out) {
         Optional<TargetState> target = context.directory().find(report.target());
         if (target.isEmpty()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.routing;
 
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.cornelcrank.core.HostEntry;
@@ -27,6 +28,8 @@
     private int ownChangeSinceOccupancy;
     private int ownAttempts;
     private long leavingUntilMs;
+    private OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
+    private long rateLimitKnownAtMs;
 
     TargetState(HostEntry entry, TargetHealth health) {
         this.id = new TargetId(entry.name());
@@ -102,6 +105,21 @@
         return listedOrReportedLeaving() || nowMs < leavingUntilMs;
     }
 
+    /** Returns the rate of requests that the target accepts from all daemons together, empty if it has no limit. */
+    OptionalDouble maxRequestsPerSecond() {
+        return maxRequestsPerSecond;
+    }
+
+    /** Returns when the current rate limit, or its absence, became known. */
+    long rateLimitKnownAtMs() {
+        return rateLimitKnownAtMs;
+    }
+
+    void limitRate(OptionalDouble newMaxRequestsPerSecond, long nowMs) {
+        maxRequestsPerSecond = newMaxRequestsPerSecond;
+        rateLimitKnownAtMs = nowMs;
+    }
+
     boolean offers(ServiceName service) {
         return entry.services().contains(service) || LoadedModel.isAmong(loadedNames(), service);
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -27,6 +27,7 @@
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.gateway.http.GatewayDialect;
+import org.cornelcrank.gateway.http.RateLimit;
 import org.cornelcrank.gateway.http.RequestHead;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.cornelcrank.server.client.HttpOutcomes;
@@ -34,6 +35,8 @@
 import org.cornelcrank.server.loop.EffectRunner;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.peer.SocketAddresses;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
@@ -72,6 +75,8 @@
     /** How many bytes of a body count as progress: one now and then must not keep an attempt open. */
     private static final int MIN_PROGRESS_BYTES = 1024;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.target");
+
     private static final AttributeKey<Long> IDLE_LIMIT_MS = AttributeKey.valueOf("cornelcrank-idle-limit-ms");
 
     private final Map<AttemptId, RunningAttempt> running = new HashMap<>();
@@ -188,6 +193,7 @@
         if (head.leaving()) {
             loop.post(new Event.TargetLeaving(attempt.target, attempt.sentAtMs));
         }
+        reportRateLimit(attempt, head);
         attempt.responded = true;
         attempt.recordActivity();
         if (head.success()) {
@@ -199,6 +205,19 @@
                 .flux();
     }
 
+    /** Reports what a target's own response says about its rate limit; a malformed limit says nothing. */
+    private void reportRateLimit(RunningAttempt attempt, TargetResponseHead head) {
+        if (head.rateLimit() instanceof RateLimit.Malformed malformed) {
+            LOGGER.atWarn()
+                    .addKeyValue("target", attempt.target)
+                    .addKeyValue("value", malformed.text())
+                    .log("rate limit ignored: expected a finite number of requests per second");
+        } else if (!head.misdirected()) {
+            loop.post(new Event.TargetResponded(
+                    attempt.target, attempt.sentAtMs, head.rateLimit().maxRequestsPerSecond()));
+        }
+    }
+
     private static void rememberIdleTimeout(HttpClientResponse response, TargetResponseHead head) {
         if (head.idleTimeoutMs() > 0 && response instanceof Connection connection) {
             connection.channel().attr(IDLE_LIMIT_MS).set((long) (head.idleTimeoutMs() * IDLE_FRACTION));
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -11,6 +11,7 @@
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.gateway.http.RateLimit;
 import org.cornelcrank.gateway.http.RequestHead;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.junit.jupiter.api.Test;
@@ -24,8 +25,8 @@
 class CallReceiverTests {
 
     private static final int MAX_RUNS = 2;
-    private static final TargetResponseHead STREAM =
-            new TargetResponseHead(200, false, false, true, true, true, false, 0, 0, new DefaultHttpHeaders());
+    private static final TargetResponseHead STREAM = new TargetResponseHead(
+            200, false, false, true, true, true, false, new RateLimit.None(), 0, 0, new DefaultHttpHeaders());
 
     private final GatewayCall call = new GatewayCall(
             new RequestId(new HostId("host"), 1, 1),
