--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.routing;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import org.cornelcrank.core.AttemptId;
@@ -31,6 +33,8 @@
     final long tokenMs;
     final Map<AttemptId, Job> running = new LinkedHashMap<>();
     final Deque<Job> queue = new ArrayDeque<>();
+    final List<Long> arrivalsAtMs = new ArrayList<>();
+    OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
     final Map<String, Integer> keptTokens = new HashMap<>();
     private final Set<Long> cache = new LinkedHashSet<>();
     long onlineMs;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -215,6 +215,7 @@
             afterLatency(node, dispatch.target(), () -> node.attemptEnded(dispatch.attempt(), gone));
             return;
         }
+        engine.arrivalsAtMs.add(nowMs);
         node.jobs.put(dispatch.attempt(), job);
         at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
         if (engine.hasFreeSlot()) {
@@ -238,7 +239,9 @@
         Node node = nodes.get(job.daemon);
         at(nowMs + job.promptMs, () -> {
             if (engine.running.get(job.attempt) == job) {
-                at(nowMs + LATENCY_MS, () -> node.attemptStarted(job.attempt));
+                Event.TargetResponded response =
+                        new Event.TargetResponded(engine.id, job.startedAtMs, engine.maxRequestsPerSecond);
+                at(nowMs + LATENCY_MS, () -> node.attemptStarted(job.attempt, response));
             }
         });
         long durationMs = job.promptMs + engine.tokenMs * (job.work.tokens - job.resumedFrom);
@@ -445,11 +448,12 @@
             }
         }
 
-        void attemptStarted(AttemptId attempt) {
+        void attemptStarted(AttemptId attempt, Event.TargetResponded response) {
             SentRequest request = requestsByAttempt.get(attempt);
             if (request != null && request.firstTokenAtMs < 0) {
                 request.firstTokenAtMs = nowMs;
             }
+            handle(response);
             handle(new Event.AttemptStarted(attempt));
         }
 
