Pace requests to the rate that a target accepts from all daemons together

Cause: permits count the requests that run on a target at the same time, and nothing counts how many begin in a second, so that a target with short requests and free slots gets any number of them. The class of fault: a limit with another dimension than the one that is controlled.

The controller of a target, which already decides on the requests of all daemons to it, now paces its grants, for requests, retries, resumes and items alike. The limit is a fact, known to each daemon, so that a new controller knows it too; it has no end of its own, as silence says nothing. A new controller starts without a burst. No daemon sends a request to such a target without a permit. Items get turns that online requests leave unused; what fits nowhere is refused at once.

GatewayEndToEndTests checks over sockets that successes and refusals state the limit and that both daemons keep it.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 
 import org.cornelcrank.core.AttemptId;
@@ -31,6 +33,7 @@
     private final TreeSet<PermitWaiter> waiters = new TreeSet<>();
     private final Map<AttemptId, PermitWaiter> waitersByAttempt = new LinkedHashMap<>();
     private final HoldingTimes holdingTimes = new HoldingTimes();
+    private final RequestPacer pacer = new RequestPacer();
     private boolean closed;
     private int unaccountedRunning;
     private long lastRevokedAtMs = Long.MIN_VALUE / 2;
@@ -49,6 +52,11 @@
         closed = !open;
     }
 
+    /** Applies the rate of requests that the target accepts from all daemons together, empty for no limit. */
+    void limitRate(OptionalDouble maxRequestsPerSecond, long nowMs) {
+        pacer.limit(maxRequestsPerSecond, nowMs);
+    }
+
     void reported(TargetReport report, long nowMs) {
         boolean settled =
                 report.measuredAtMs() > lastRevokedAtMs + settings.permits().revokePatienceMs();
@@ -78,6 +86,9 @@
         if (waitMs > 0 && nowMs + waitMs + holdingTimes.upperBoundMs(waiter.service()) > waiter.deadlineAtMs()) {
             return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
         }
+        if (nowMs + waitMs > waiter.startByMs() && hasNoTurn(waiter, waiters.size() + 1, nowMs)) {
+            return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
+        }
         add(waiter);
         return Optional.empty();
     }
@@ -99,13 +110,13 @@
         if (closed) {
             dropWaiters().forEach(waiter -> decisions.add(refuse(waiter, RoutingMessage.Reason.UNAVAILABLE, 0)));
         }
-        demoteLate(nowMs);
+        demoteLate(nowMs, decisions);
         refuseExcess(nowMs, decisions);
         for (PermitWaiter first = firstEligible(); first != null; first = firstEligible()) {
             if (wouldMissDeadline(first, nowMs)) {
                 remove(first);
                 decisions.add(refuse(first, RoutingMessage.Reason.OVERLOADED, expectedWaitMs(nowMs)));
-            } else if (hasCapacity(nowMs) || revokeOne(first, nowMs, decisions)) {
+            } else if (pacer.allows(nowMs) && (hasCapacity(nowMs) || revokeOne(first, nowMs, decisions))) {
                 remove(first);
                 grant(first, nowMs);
                 decisions.add(new LedgerDecision.Grant(first.attempt(), first.holder()));
@@ -116,16 +127,34 @@
         return decisions;
     }
 
-    /** Moves requests that can no longer meet their latency objective behind those that can. */
-    private void demoteLate(long nowMs) {
+    /**
+     * Moves requests that can no longer meet their latency objective behind those that can; refuses those that these
+     * leave no turn before their deadline.
+     */
+    private void demoteLate(long nowMs, List<LedgerDecision> decisions) {
+        int position = 0;
         for (PermitWaiter waiter : List.copyOf(waiters)) {
-            if (waiter.becameLate(nowMs)) {
+            position++;
+            boolean becameLate = waiter.becameLate(nowMs);
+            if (!waiter.late() && !becameLate) {
+                continue;
+            }
+            if (hasNoTurn(waiter, position, nowMs)) {
+                remove(waiter);
+                decisions.add(refuse(waiter, RoutingMessage.Reason.OVERLOADED, expectedWaitMs(nowMs)));
+            } else if (becameLate) {
                 remove(waiter);
                 add(waiter.asLate());
             }
         }
     }
 
+    /** Returns whether the timely requests under the target's rate limit leave a late one no turn in time. */
+    private boolean hasNoTurn(PermitWaiter waiter, int position, long nowMs) {
+        long waitMs = pacer.lateWaitMs(position, nowMs);
+        return waitMs > waiter.deadlineAtMs() - nowMs - holdingTimes.upperBoundMs(waiter.service());
+    }
+
     /**
      * Returns whether the request would probably miss its deadline; for one that has waited, the holding time that it
      * needs counts as well.
@@ -184,6 +213,7 @@
         RoutingMessage.RunningPermit permit = new RoutingMessage.RunningPermit(
                 waiter.attempt(), waiter.service(), waiter.urgency(), 0, waiter.suspect(), Optional.empty());
         permits.put(waiter.attempt(), new HeldPermit(permit, waiter.holder(), nowMs));
+        pacer.take(!waiter.late() && nowMs <= waiter.startByMs(), nowMs);
     }
 
     /**
@@ -196,10 +226,20 @@
             return 0;
         }
         int slots = capacity.slots(nowMs);
-        return Math.max(0, slots - usedSlots() - reserve.slots(slots, nowMs));
+        int spare = Math.max(0, slots - usedSlots() - reserve.slots(slots, nowMs));
+        if (pacer.limited()) {
+            return pacer.allowsBatch(nowMs) ? Math.min(1, spare) : 0;
+        }
+        return spare;
+    }
+
+    /** Grants a permit to a job. */
+    void grantBatch(RoutingMessage.RunningPermit permit, HostId holder, long nowMs) {
+        add(permit, holder, nowMs);
+        pacer.take(false, nowMs);
     }
 
-    /** Records a permit that is granted to a job, or that a holder reports as running. */
+    /** Records a permit that a holder reports as running. */
     HeldPermit add(RoutingMessage.RunningPermit permit, HostId holder, long nowMs) {
         PermitWaiter waiter = waitersByAttempt.get(permit.attempt());
         if (waiter != null) {
@@ -221,6 +261,9 @@
         if (permit == null) {
             return Optional.empty();
         }
+        if (use == RoutingMessage.Use.UNUSED) {
+            pacer.giveBack();
+        }
         if (permit.revoked()) {
             reserve.revocationTook(
                     Math.min(nowMs - permit.revokedAtMs(), settings.permits().revokePatienceMs()));
@@ -289,6 +332,18 @@
         return capacity.slots(nowMs);
     }
 
+    /** Returns the slots that are in use or cannot be used now because of the target's rate limit. */
+    int unavailableSlots(long nowMs) {
+        return pacer.allows(nowMs) ? onlineRunning() : Math.max(onlineRunning(), capacity.slots(nowMs));
+    }
+
+    /** Returns when the first waiter may run as far as the target's rate limit is concerned, empty if now or never. */
+    OptionalLong nextTurnAtMs(long nowMs) {
+        return waiters.isEmpty() || pacer.allows(nowMs)
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowMs + pacer.waitMs(1, nowMs));
+    }
+
     int reservedSlots(long nowMs) {
         return reserve.slots(capacity.slots(nowMs), nowMs);
     }
@@ -319,6 +374,10 @@
     }
 
     private long queueWaitMs(int waitersAhead, PermitWaiter waiter, long nowMs) {
+        return Math.max(slotWaitMs(waitersAhead, waiter, nowMs), pacer.waitMs(waitersAhead + 1, nowMs));
+    }
+
+    private long slotWaitMs(int waitersAhead, PermitWaiter waiter, long nowMs) {
         int slots = capacity.slots(nowMs);
         int batchPermits = permits.size() - onlineRunning();
         int freeSlots = slots - usedSlots() + batchPermits;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -12,7 +11,6 @@
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.Dissemination;
-import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.Fact;
@@ -47,6 +45,7 @@
     private final RoutingContext context;
     private final MembershipView membership;
     private final TargetStatusPublisher statusPublisher;
+    private final RateLimitPublisher rateLimitPublisher;
     private final TargetController controller;
     private final OnlineRouter online;
     private final BatchRunner batch;
@@ -71,6 +70,7 @@
         RoutingSettings routing = policy.settings();
         statusPublisher =
                 new TargetStatusPublisher(dissemination, routing.quarantine().deathWindowMs());
+        rateLimitPublisher = new RateLimitPublisher(dissemination);
         PromptPartRegistry promptParts = new PromptPartRegistry(routing, identity, membership, dissemination, metrics);
         context = new RoutingContext(
                 identity,
@@ -131,6 +131,8 @@
     private void timerDue(TimerKey key, long nowMs, Effects out) {
         if (key.equals(OnlineRouter.TIMER)) {
             online.timerDue(nowMs, out);
+        } else if (key.equals(TargetController.TIMER)) {
+            controller.timerDue(nowMs, out);
         } else if (key.equals(TICK)) {
             out.schedule(TICK, nowMs + TICK_INTERVAL_MS);
             tick(nowMs, out);
@@ -176,31 +178,13 @@
         } else if (event instanceof Event.TargetResponded responded) {
             context.directory()
                     .find(responded.target())
-                    .ifPresent(target -> targetResponded(target, responded, nowMs, out));
+                    .ifPresent(target -> rateLimitPublisher.responded(target, responded, nowMs, out));
         } else if (event instanceof Event.CacheChanged changed) {
             context.directory().find(changed.target()).ifPresent(target -> target.cache()
                     .changed(changed.changes(), changed.gap()));
         }
     }
 
-    /** A statement replaces what is known only if its request was sent after that became known. */
-    private static void targetResponded(TargetState target, Event.TargetResponded responded, long nowMs, Effects out) {
-        OptionalDouble before = target.maxRequestsPerSecond();
-        if (before.equals(responded.requestsPerSecond()) || responded.sentAtMs() < target.rateLimitKnownAtMs()) {
-            return;
-        }
-        target.limitRate(responded.requestsPerSecond(), nowMs);
-        out.add(new Effect.StateChanged(
-                NAME,
-                "target " + target.id() + " states a limit of " + text(responded.requestsPerSecond())
-                        + " requests/s after " + text(before) + " in the response to a request sent "
-                        + (nowMs - responded.sentAtMs()) + " ms ago"));
-    }
-
-    private static String text(OptionalDouble requestsPerSecond) {
-        return requestsPerSecond.isEmpty() ? "no" : Double.toString(requestsPerSecond.getAsDouble());
-    }
-
     private void reported(TargetReport report, long nowMs, Effects out) {
         Optional<TargetState> target = context.directory().find(report.target());
         if (target.isEmpty()) {
@@ -284,6 +268,10 @@
                     .ifPresent(occupancy -> target.get().occupancyReceived(occupancy, nowMs));
         } else if (key.startsWith(TargetStatusPublisher.LEAVING_PREFIX)) {
             TargetStatusPublisher.leavingReceived(target.get(), fact, nowMs, out);
+        } else if (key.startsWith(RateLimitPublisher.KEY_PREFIX)) {
+            if (RateLimitPublisher.factReceived(target.get(), fact, nowMs, out)) {
+                controller.rateLimitChanged(target.get().id(), nowMs, out);
+            }
         } else if (key.startsWith(TargetStatusPublisher.DOWN_PREFIX)) {
             target.get().health().eject(nowMs);
             context.suspects().targetDown(target.get().id(), nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -18,6 +18,7 @@
 import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TargetReport;
+import org.cornelcrank.core.TimerKey;
 import org.cornelcrank.core.Urgency;
 
 /**
@@ -27,6 +28,8 @@
  */
 final class TargetController {
 
+    static final TimerKey TIMER = new TimerKey(RoutingStateMachine.NAME, "turns");
+
     private static final double ITEM_SMOOTHING_FACTOR = 0.1;
 
     private final RoutingContext context;
@@ -34,6 +37,7 @@
     private final BatchDemandQueue demands;
     private final Map<TargetId, PermitLedger> ledgers = new TreeMap<>();
     private final Set<TargetId> unreachable = new TreeSet<>();
+    private final DueQueue<TargetId> turns = new DueQueue<>(TIMER);
     private double meanItemMs;
 
     TargetController(RoutingContext context, OccupancyPublisher publisher) {
@@ -101,12 +105,17 @@
         }
         demands.expire(nowMs);
         for (Map.Entry<TargetId, PermitLedger> entry : ledgers.entrySet()) {
-            TargetPolicy policy = context.settings().target(entry.getKey());
-            entry.getValue().configure(policy.slots(), acceptsWork(entry.getKey(), nowMs));
+            configure(entry.getKey(), entry.getValue(), nowMs);
             admit(entry.getKey(), entry.getValue(), nowMs, out);
         }
     }
 
+    private void configure(TargetId target, PermitLedger ledger, long nowMs) {
+        TargetPolicy policy = context.settings().target(target);
+        ledger.configure(policy.slots(), acceptsWork(target, nowMs));
+        context.directory().find(target).ifPresent(state -> ledger.limitRate(state.maxRequestsPerSecond(), nowMs));
+    }
+
     private boolean acceptsWork(TargetId target, long nowMs) {
         return context.directory()
                         .find(target)
@@ -120,11 +129,30 @@
     void unreachable(TargetId target, long nowMs, Effects out) {
         PermitLedger ledger = ledgers.get(target);
         if (ledger != null && unreachable.add(target)) {
-            ledger.configure(context.settings().target(target).slots(), false);
+            configure(target, ledger, nowMs);
+            admit(target, ledger, nowMs, out);
+        }
+    }
+
+    /** Applies a change of the rate of requests that a target accepts. */
+    void rateLimitChanged(TargetId target, long nowMs, Effects out) {
+        PermitLedger ledger = ledgers.get(target);
+        if (ledger != null) {
+            configure(target, ledger, nowMs);
             admit(target, ledger, nowMs, out);
         }
     }
 
+    /** Admits the requests whose turn under the rate limit of their target has come. */
+    void timerDue(long nowMs, Effects out) {
+        for (TargetId target : turns.takeDue(nowMs, out)) {
+            PermitLedger ledger = ledgers.get(target);
+            if (ledger != null) {
+                admit(target, ledger, nowMs, out);
+            }
+        }
+    }
+
     void reported(TargetReport report, long nowMs, Effects out) {
         unreachable.remove(report.target());
         PermitLedger ledger = ledgers.get(report.target());
@@ -132,7 +160,7 @@
             return;
         }
         ledger.reported(report, nowMs);
-        ledger.configure(context.settings().target(report.target()).slots(), acceptsWork(report.target(), nowMs));
+        configure(report.target(), ledger, nowMs);
         admit(report.target(), ledger, nowMs, out);
     }
 
@@ -142,7 +170,7 @@
             refuseUncontrolled(from, request, out);
             return;
         }
-        ledger.configure(context.settings().target(request.target()).slots(), acceptsWork(request.target(), nowMs));
+        configure(request.target(), ledger, nowMs);
         PermitWaiter waiter = new PermitWaiter(
                 request.attempt(),
                 from,
@@ -223,6 +251,7 @@
             decided.add(decision.attempt());
         }
         grantIdleSlots(target, ledger, nowMs, out);
+        ledger.nextTurnAtMs(nowMs).ifPresent(atMs -> turns.put(target, atMs, out));
         publisher.publish(target, occupancy(target, ledger, nowMs), nowMs, out);
         return decided;
     }
@@ -273,7 +302,7 @@
         AttemptId attempt = context.attempts().next();
         Optional<RoutingMessage.BatchOwner> owner =
                 Optional.of(new RoutingMessage.BatchOwner(advertised.job(), advertised.team()));
-        ledger.add(
+        ledger.grantBatch(
                 new RoutingMessage.RunningPermit(attempt, advertised.service(), Urgency.BATCH, 0, false, owner),
                 demand.holder(),
                 nowMs);
@@ -294,7 +323,11 @@
                 .filter(state -> state.report() != null)
                 .ifPresent(state -> loaded.addAll(state.report().loaded()));
         return new TargetOccupancy(
-                ledger.slots(nowMs), ledger.onlineRunning(), ledger.waiting(), ledger.expectedWaitMs(nowMs), loaded);
+                ledger.slots(nowMs),
+                ledger.unavailableSlots(nowMs),
+                ledger.waiting(),
+                ledger.expectedWaitMs(nowMs),
+                loaded);
     }
 
     /** Returns the holders of permits that this daemon has granted, and of batch demand. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -28,8 +28,7 @@
     private int ownChangeSinceOccupancy;
     private int ownAttempts;
     private long leavingUntilMs;
-    private OptionalDouble maxRequestsPerSecond = OptionalDouble.empty();
-    private long rateLimitKnownAtMs;
+    private RateLimitRecord rateLimit = RateLimitRecord.NONE;
 
     TargetState(HostEntry entry, TargetHealth health) {
         this.id = new TargetId(entry.name());
@@ -107,17 +106,15 @@
 
     /** Returns the rate of requests that the target accepts from all daemons together, empty if it has no limit. */
     OptionalDouble maxRequestsPerSecond() {
-        return maxRequestsPerSecond;
+        return rateLimit.maxRequestsPerSecond();
     }
 
-    /** Returns when the current rate limit, or its absence, became known. */
-    long rateLimitKnownAtMs() {
-        return rateLimitKnownAtMs;
+    RateLimitRecord rateLimit() {
+        return rateLimit;
     }
 
-    void limitRate(OptionalDouble newMaxRequestsPerSecond, long nowMs) {
-        maxRequestsPerSecond = newMaxRequestsPerSecond;
-        rateLimitKnownAtMs = nowMs;
+    void limitRate(RateLimitRecord newRateLimit) {
+        rateLimit = newRateLimit;
     }
 
     boolean offers(ServiceName service) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -22,6 +23,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -325,6 +328,36 @@
         return runner;
     }
 
+    /** A limit this low allows one request in five seconds, as only a response can end it. */
+    @ParameterizedTest
+    @EnumSource(
+            value = Behaviour.class,
+            names = {"NORMAL", "FULL"})
+    void runnerThatStatesALimitGetsNoMoreRequestsFromAnyDaemon(Behaviour behaviour) throws IOException {
+        RunnerStandIn runner = fleet.runners.get("i-1");
+        runner.setBehaviour(behaviour);
+        runner.setRateLimit("0.125");
+        int before = runner.requests();
+        for (int i = 0; runner.requests() == before && i < MAX_REQUESTS; i++) {
+            fleet.post(0, "idem", "first-" + i, "x");
+        }
+        for (int daemon = 0; daemon < 2; daemon++) {
+            String dump = fleet.metricsUri(daemon, "/dump");
+            GatewayFleet.await(() -> fleet.get(dump)
+                    .body()
+                    .lines()
+                    .anyMatch(line -> line.strip().startsWith("i-1 ") && line.contains(" 0.125 ")));
+        }
+        int limitedAfter = runner.requests();
+        long limitedAtNanos = System.nanoTime();
+        for (int i = 0; i < MAX_REQUESTS; i++) {
+            assertThat(fleet.post(i % 2, "idem", "later-" + i, "x").statusCode())
+                    .isEqualTo(200);
+        }
+        long elapsedS = Duration.ofNanos(System.nanoTime() - limitedAtNanos).toSeconds();
+        assertThat(runner.requests() - limitedAfter).isLessThanOrEqualTo((int) (elapsedS / 5) + 1);
+    }
+
     @Test
     void newRouteTableTakesEffectAndUnreadableOneIsIgnored() throws IOException {
         assertThat(fleet.post(0, "idem", "c1", "x").statusCode()).isEqualTo(200);
