--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -219,7 +219,8 @@
                         target.address(),
                         Set.of(target.service()),
                         target.leaving() || leavingTargets.contains(target.target()),
-                        target.incarnation()));
+                        target.incarnation(),
+                        target.softwareVersion()));
             }
         }
         out.add(new Effect.Raise(new Event.HostListRead(listed)));
@@ -295,7 +296,8 @@
                 changed = true;
                 stateChanged(
                         "target " + target.target() + " of " + target.service() + " at " + target.address()
-                                + (target.leaving() ? " is leaving" : " is ready"),
+                                + (target.leaving() ? " is leaving" : " is ready") + ", software version "
+                                + target.softwareVersion(),
                         out);
             }
         }
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/TargetEntry.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/TargetEntry.java
@@ -4,6 +4,7 @@
 
 import org.cornelcrank.core.DataCentreId;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 
 /**
@@ -19,13 +20,15 @@
         DataCentreId dataCentre,
         int slots,
         boolean leaving,
-        long incarnation) {
+        long incarnation,
+        SoftwareVersion softwareVersion) {
 
     public TargetEntry {
         Objects.requireNonNull(target, "target must not be null");
         Objects.requireNonNull(service, "service must not be null");
         Objects.requireNonNull(address, "address must not be null");
         Objects.requireNonNull(dataCentre, "dataCentre must not be null");
+        Objects.requireNonNull(softwareVersion, "softwareVersion must not be null");
         if (slots < 0) {
             throw new IllegalArgumentException("slots must not be negative but was " + slots);
         }
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
@@ -20,6 +20,7 @@
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.StateMachine;
 import org.cornelcrank.core.StateWriter;
 import org.cornelcrank.core.StoreRequest;
@@ -365,7 +366,8 @@
                     DATA_CENTRE,
                     8,
                     state.equals("leaving"),
-                    incarnation));
+                    incarnation,
+                    SoftwareVersion.UNSTATED));
         }
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingDump.java
@@ -53,6 +53,7 @@
                 "targets",
                 "target",
                 "dataCentre",
+                "version",
                 "controller",
                 "slots",
                 "inUse",
@@ -67,6 +68,7 @@
             writer.row(
                     target.id(),
                     target.location().dataCentre(),
+                    target.softwareVersion(),
                     context.controllers()
                             .controllerOf(target)
                             .map(Object::toString)
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -182,7 +182,12 @@
                 .append(target.inUse(nowMs, staleMs()))
                 .append('/')
                 .append(target.slots(context.routing().permits().unreportedSlots())));
-        String reason = context.policy().selector().name() + ", " + chosen.distance() + ", cached prefixes "
+        String version = context.directory()
+                .find(chosen.target())
+                .map(target -> target.softwareVersion().toString())
+                .orElse("");
+        String reason = context.policy().selector().name() + ", " + chosen.distance() + ", version " + version
+                + ", cached prefixes "
                 + chosen.cachedPrefixes() + "; of " + eligible.size() + ": " + considered;
         out.explain(Subject.Kind.REQUEST, request.id(), nowMs, "target " + chosen.target() + " chosen", reason);
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -7,6 +7,7 @@
 import org.cornelcrank.core.LoadedModel;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TargetReport;
 
@@ -45,6 +46,10 @@
         return entry.incarnation();
     }
 
+    SoftwareVersion softwareVersion() {
+        return entry.softwareVersion();
+    }
+
     String address() {
         return entry.address();
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ControllerMapTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ControllerMapTests.java
@@ -15,6 +15,7 @@
 import org.cornelcrank.core.MemberState;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -110,7 +111,8 @@
                     "10.0.1." + i + ":1",
                     Set.of(new ServiceName("model")),
                     false,
-                    1);
+                    1,
+                    SoftwareVersion.UNSTATED);
             targets.add(new TargetState(
                     entry, new TargetHealth(RoutingSettings.defaults().ejection())));
         }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlineRoutingTests.java
@@ -14,6 +14,7 @@
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TargetReport;
 import org.cornelcrank.core.Verdict;
@@ -169,7 +170,14 @@
         fleet.run(1_000);
         HostEntry former = fleet.hosts.get(target);
         HostEntry next = new HostEntry(
-                former.name(), former.role(), former.location(), former.address(), former.services(), false, 2);
+                former.name(),
+                former.role(),
+                former.location(),
+                former.address(),
+                former.services(),
+                false,
+                2,
+                SoftwareVersion.UNSTATED);
         fleet.nodes.forEach(node -> node.handle(new Event.HostListRead(List.of(next))));
         for (int i = 0; i < 3; i++) {
             fleet.send(i, Work.online(TOKENS, i));
@@ -181,7 +189,14 @@
     private HostEntry leaving(TargetId target, long incarnation) {
         HostEntry entry = fleet.hosts.get(target);
         return new HostEntry(
-                entry.name(), entry.role(), entry.location(), entry.address(), entry.services(), true, incarnation);
+                entry.name(),
+                entry.role(),
+                entry.location(),
+                entry.address(),
+                entry.services(),
+                true,
+                incarnation,
+                SoftwareVersion.UNSTATED);
     }
 
     @Test
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -81,6 +81,8 @@
                 .addKeyValue("fingerprint", Long.toHexString(request.fingerprint()))
                 .addKeyValue("parts", hex(request.sharedParts()))
                 .addKeyValue("leftMs", request.deadlineAtMs() - nowMs)
+                .addKeyValue("resumes", head.resumesStream() ? head.streamId() : "")
+                .addKeyValue("lastEvent", head.lastEventId().orElse(0))
                 .log("request arrived");
         loop.post(new Event.CommandReceived(call.id(), caller, request));
         return call;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import com.google.protobuf.ByteString;
@@ -41,6 +42,7 @@
                     0,
                     0,
                     OptionalLong.empty(),
+                    Optional.empty(),
                     new DefaultHttpHeaders()),
             new byte[0],
             MAX_RUNS,
