Add failing tests of streams beside two versions of the targets' software

The bound is that of the users' rule, at most two streams. Requests now carry the identity of their stream to routing, which does not use it yet.

--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
@@ -0,0 +1,219 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.SoftwareVersion;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.routing.VirtualFleet.SentRequest;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Plays streams at 12 daemons in three data centres and at targets of two versions, whose callers take interrupted ones
+ * up at other daemons.
+ */
+class StreamVersionTests {
+
+    private static final SoftwareVersion OLD = new SoftwareVersion("v1");
+    private static final SoftwareVersion NEW = new SoftwareVersion("v1.2");
+    private static final List<Location> DATA_CENTRES = List.of(
+            VirtualFleet.location("south", "south-a"),
+            VirtualFleet.location("south", "south-b"),
+            VirtualFleet.location("north", "north-a"));
+    private static final int DAEMONS = 12;
+    private static final int TOKENS = 35;
+    private static final long STEP_MS = 5;
+    private static final long DEADLINE_MS = 5_000;
+    private static final double REQUESTS_PER_SECOND = 28;
+
+    /** The number of streams of a day that may change their version. */
+    private static final int TOLERATED = 2;
+
+    private final List<SentRequest> begun = new ArrayList<>();
+    private final List<SentRequest> takenUp = new ArrayList<>();
+    private final Map<SentRequest, Long> streams = new HashMap<>();
+    private final Map<Long, Set<SoftwareVersion>> versions = new LinkedHashMap<>();
+    private SplittableRandom random;
+    private VirtualFleet fleet;
+    private long lastStream;
+
+    private void start(long seed, SoftwareVersion... engineVersions) {
+        random = new SplittableRandom(seed);
+        fleet = new VirtualFleet(seed);
+        fleet.reportsTokensOfCrashes = true;
+        fleet.resumesAnywhere = true;
+        for (int i = 0; i < engineVersions.length; i++) {
+            fleet.addEngine("r" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()), engineVersions[i]);
+        }
+        List<Location> locations = new ArrayList<>();
+        for (int i = 0; i < DAEMONS; i++) {
+            locations.add(DATA_CENTRES.get(i % DATA_CENTRES.size()));
+        }
+        fleet.start(
+                locations,
+                () -> new RoutingPolicy(
+                        RoutingSettings.forLatencyObjectives(),
+                        RoutingPolicy.defaults().selector(),
+                        RoutingPolicy.defaults().admission()));
+    }
+
+    private void startWithTwoVersions(long seed) {
+        start(seed, OLD, NEW, OLD, NEW, OLD, NEW);
+    }
+
+    private void play(long spanMs) {
+        long endMs = fleet.nowMs + spanMs;
+        while (fleet.nowMs < endMs) {
+            if (random.nextDouble() < REQUESTS_PER_SECOND * STEP_MS / 1_000) {
+                begun.add(begin(liveDaemon()));
+            }
+            fleet.run(STEP_MS);
+        }
+    }
+
+    private int liveDaemon() {
+        int daemon = random.nextInt(DAEMONS);
+        while (!fleet.nodes.get(daemon).alive) {
+            daemon = random.nextInt(DAEMONS);
+        }
+        return daemon;
+    }
+
+    private SentRequest begin(int daemon) {
+        return send(daemon, TOKENS, new StreamIdentity(++lastStream, false));
+    }
+
+    private SentRequest takeUp(int daemon, long stream, int tokens) {
+        return send(daemon, tokens, new StreamIdentity(stream, true));
+    }
+
+    private SentRequest send(int daemon, int tokens, StreamIdentity identity) {
+        Work work = Work.online(tokens, identity.key()).withDeadline(DEADLINE_MS);
+        SentRequest request = fleet.send(daemon, work, new RequestOptions(2, true, 300, Optional.of(identity)));
+        streams.put(request, identity.key());
+        return request;
+    }
+
+    /** Kills daemons at the same moment; their callers take up what has begun at others. */
+    private void kill(int... daemons) {
+        Set<Integer> killed = new LinkedHashSet<>();
+        for (int daemon : daemons) {
+            killed.add(daemon);
+            fleet.killDaemon(daemon, 1_500);
+        }
+        for (SentRequest request : List.copyOf(streams.keySet())) {
+            if (killed.contains(request.daemon) && request.endedAtMs < 0 && request.firstTokenAtMs >= 0) {
+                long pauseMs = random.nextInt(20, 200);
+                fleet.at(fleet.nowMs + pauseMs, () -> {
+                    SentRequest next = takeUp(liveDaemon(), streams.get(request), TOKENS / 2);
+                    takenUp.add(next);
+                });
+            }
+        }
+    }
+
+    private void assertFewStreamsOfTwoVersions() {
+        streams.forEach((request, stream) ->
+                versions.computeIfAbsent(stream, key -> new LinkedHashSet<>()).addAll(request.versions));
+        assertThat(versions.values()).filteredOn(each -> each.size() > 1).hasSizeLessThanOrEqualTo(TOLERATED);
+    }
+
+    private static double completedShare(List<SentRequest> requests) {
+        return (double) requests.stream().filter(SentRequest::completed).count() / requests.size();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void streamWhoseTargetCrashesGoesOnOnlyAtTargetsOfItsVersion(long seed) {
+        startWithTwoVersions(seed);
+        play(4_000);
+        for (int i = 0; i < 6; i++) {
+            fleet.crashTarget(new TargetId("r" + i), 2_000);
+            play(3_000);
+        }
+        fleet.run(DEADLINE_MS);
+        assertFewStreamsOfTwoVersions();
+        assertThat(completedShare(begun)).isGreaterThan(0.98);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void streamTakenUpAfterDaemonsWereKilledTogetherGoesOnOnlyAtTargetsOfItsVersion(long seed) {
+        startWithTwoVersions(seed);
+        play(6_000);
+        kill(0, 1, 5, 9);
+        play(5_000);
+        kill(2, 3, 7, 11);
+        play(5_000);
+        fleet.run(DEADLINE_MS);
+        assertThat(takenUp).hasSizeGreaterThan(TOLERATED);
+        assertFewStreamsOfTwoVersions();
+        assertThat(completedShare(takenUp)).isGreaterThan(0.9);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void streamThatBeganBeforeAnotherVersionJoinedGoesOnAtItsVersion(long seed) {
+        start(seed, OLD, OLD, OLD, OLD);
+        play(35_000);
+        for (int i = 4; i < 8; i++) {
+            fleet.addEngine("r" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()), NEW);
+        }
+        fleet.list();
+        fleet.run(300);
+        kill(0, 1, 5, 9);
+        play(5_000);
+        fleet.run(DEADLINE_MS);
+        assertThat(takenUp).isNotEmpty();
+        assertFewStreamsOfTwoVersions();
+        assertThat(completedShare(takenUp)).isGreaterThan(0.9);
+    }
+
+    @Test
+    void streamWhoseVersionHasNoTargetLeftIsRefusedAtOnceAsNotRun() {
+        startWithTwoVersions(1);
+        play(2_000);
+        SentRequest first = begin(0);
+        fleet.run(200);
+        SoftwareVersion version = first.versions.iterator().next();
+        fleet.hosts.values().removeIf(host -> host.softwareVersion().equals(version));
+        fleet.list();
+        SentRequest next = takeUp(3, streams.get(first), TOKENS);
+        fleet.run(500);
+        assertThat(next.dispatchedTo).isEmpty();
+        assertThat(next.reply).isInstanceOf(Refusal.class);
+        assertThat(((Refusal) next.reply).verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
+    @Test
+    void unknownStreamIsRefusedAtOnceBesideTwoVersionsAndGoesOnBesideOne() {
+        startWithTwoVersions(1);
+        play(2_000);
+        SentRequest unknown = takeUp(0, -1, TOKENS);
+        fleet.run(500);
+        assertThat(unknown.dispatchedTo).isEmpty();
+        assertThat(unknown.reply).isInstanceOf(Refusal.class);
+        assertThat(((Refusal) unknown.reply).verdict()).isEqualTo(Verdict.NOT_RUN);
+        fleet.hosts.values().removeIf(host -> host.softwareVersion().equals(OLD));
+        fleet.list();
+        play(60_000);
+        SentRequest later = takeUp(0, -2, TOKENS);
+        fleet.run(2_000);
+        assertThat(later.completed()).isTrue();
+    }
+}
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,7 @@
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TargetReport;
 import org.cornelcrank.core.TeamPath;
@@ -67,6 +69,7 @@
     long peerBytes;
     boolean keepEffects;
     boolean reportsTokensOfCrashes;
+    boolean resumesAnywhere;
     RequestOptions requestOptions = RequestOptions.DEFAULTS;
 
     VirtualFleet(long seed) {
@@ -84,6 +87,34 @@
         return engine;
     }
 
+    EngineModel addEngine(String name, Location location, SoftwareVersion version) {
+        EngineModel engine = addEngine(name, location, 8, 20, 20);
+        setVersion(engine.id, version);
+        return engine;
+    }
+
+    /** Lists an engine with a version of its software. */
+    void setVersion(TargetId target, SoftwareVersion version) {
+        HostEntry entry = hosts.get(target);
+        hosts.put(
+                target,
+                new HostEntry(
+                        entry.name(),
+                        entry.role(),
+                        entry.location(),
+                        entry.address(),
+                        entry.services(),
+                        entry.leaving(),
+                        entry.incarnation(),
+                        version));
+    }
+
+    /** Tells all daemons the current list of hosts. */
+    void list() {
+        List<HostEntry> list = List.copyOf(hosts.values());
+        nodes.forEach(node -> node.handle(new Event.HostListRead(list)));
+    }
+
     /** Starts one daemon at each location. */
     void start(List<Location> locations, Supplier<RoutingPolicy> policy) {
         List<DaemonIdentity> identities = new ArrayList<>();
@@ -141,8 +172,13 @@
 
     /** Sends a caller's request to a daemon. */
     SentRequest send(int daemon, Work work) {
+        return send(daemon, work, requestOptions);
+    }
+
+    /** Sends a caller's request with its own options to a daemon. */
+    SentRequest send(int daemon, Work work, RequestOptions options) {
         RequestId id = new RequestId(nodes.get(daemon).identity.host(), 1, ++requests);
-        SentRequest request = new SentRequest(id, work, nowMs);
+        SentRequest request = new SentRequest(id, daemon, work, nowMs);
         sentRequests.put(id, request);
         OnlineRequest command = new OnlineRequest(
                 new TeamPath("/nilavu/kiosk"),
@@ -156,7 +192,7 @@
                 work.fingerprint,
                 work.tokens,
                 true,
-                requestOptions);
+                options);
         Caller caller = new Caller(new TeamPath("/nilavu"), "k", Caller.Scope.CALLER);
         nodes.get(daemon).handle(new Event.CommandReceived(id, caller, command));
         return request;
@@ -208,7 +244,8 @@
             return;
         }
         EngineModel.Job job = new EngineModel.Job(dispatch.attempt(), work, dispatch.resume(), node.index);
-        if (job.resumedFrom > 0
+        if (!resumesAnywhere
+                && job.resumedFrom > 0
                 && engine.keptTokens.getOrDefault(dispatch.resume().get().key(), -1) < job.resumedFrom) {
             AttemptOutcome.Failed gone = new AttemptOutcome.Failed(
                     Verdict.NOT_RUN, FailureKind.REJECTED, 410, 0, false, 0, ByteString.EMPTY, "gone");
@@ -360,7 +397,9 @@
     static final class SentRequest {
 
         final RequestId id;
+        final int daemon;
         final Work work;
+        final Set<SoftwareVersion> versions = new LinkedHashSet<>();
         final long sentAtMs;
         final List<TargetId> dispatchedTo = new ArrayList<>();
         final List<Long> dispatchedAtMs = new ArrayList<>();
@@ -368,8 +407,9 @@
         long endedAtMs = -1;
         Object reply;
 
-        SentRequest(RequestId id, Work work, long sentAtMs) {
+        SentRequest(RequestId id, int daemon, Work work, long sentAtMs) {
             this.id = id;
+            this.daemon = daemon;
             this.work = work;
             this.sentAtMs = sentAtMs;
         }
@@ -453,6 +493,9 @@
             if (request != null && request.firstTokenAtMs < 0) {
                 request.firstTokenAtMs = nowMs;
             }
+            if (request != null) {
+                request.versions.add(hosts.get(targetByAttempt.get(attempt)).softwareVersion());
+            }
             handle(response);
             handle(new Event.AttemptStarted(attempt));
         }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -28,6 +28,7 @@
 import org.cornelcrank.gateway.http.RequestHead;
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.routing.RequestOptions;
+import org.cornelcrank.routing.StreamIdentity;
 import org.cornelcrank.server.http.RequestGate;
 import org.reactivestreams.Publisher;
 import org.slf4j.Logger;
@@ -190,6 +191,9 @@
 
     private static OnlineRequest request(GatewayRoute route, RequestHead head, byte[] body, long receivedAtMs) {
         boolean resumable = route.kind() == RouteKind.STREAM && route.resumable();
+        Optional<StreamIdentity> stream = resumable
+                ? Optional.of(new StreamIdentity(StableHash.of(head.streamId()), head.resumesStream()))
+                : Optional.empty();
         long waitMs = Math.min(head.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
         return new OnlineRequest(
                 route.team(),
@@ -203,7 +207,7 @@
                 StableHash.of(head.uri(), Long.toHexString(StableHash.of(body))),
                 head.maxResponseTokens(),
                 route.kind() == RouteKind.STREAM,
-                new RequestOptions(route.maxAttempts(), resumable, route.latencyObjectiveMs()));
+                new RequestOptions(route.maxAttempts(), resumable, route.latencyObjectiveMs(), stream));
     }
 
     private Mono<Void> write(HttpServerResponse response, CallResponse callResponse, RequestHead head) {
