--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/HedgedPermitRequests.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/HedgedPermitRequests.java
@@ -1,6 +1,5 @@
 package org.cornelcrank.routing;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -8,7 +7,6 @@
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.TargetId;
 
 /**
  * Hedges a waiting request: queues it at further targets, so that it runs in the first slot that becomes free at any of
@@ -53,12 +51,14 @@
     void requestElsewhere(Route route, long nowMs, Effects out) {
         while (!route.suspect
                 && route.hedgedRequests.size() < context.routing().permits().maxHedgedRequests()) {
-            List<TargetId> excluded = new ArrayList<>(route.excluded);
-            excluded.add(route.target.id());
-            route.hedgedRequests.forEach(hedge -> excluded.add(hedge.target().id()));
+            TargetFilter filter = route.filter().without(route.target.id());
+            for (HedgedPermitRequest hedge : route.hedgedRequests) {
+                filter = filter.without(hedge.target().id());
+            }
+            TargetFilter others = filter;
             Optional<TargetState> target = context.settings()
                     .team(route.request.team())
-                    .flatMap(team -> choice.chooseForHedge(route.request, team, excluded, nowMs));
+                    .flatMap(team -> choice.chooseForHedge(route.request, team, others, nowMs));
             Optional<HostId> controller = target.flatMap(context.controllers()::controllerOf);
             if (controller.isEmpty()) {
                 return;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeSet;
 
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.TeamPolicy;
@@ -21,8 +23,9 @@
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.Subject;
-import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TimerKey;
 import org.cornelcrank.core.Urgency;
 import org.cornelcrank.core.Verdict;
@@ -44,12 +47,16 @@
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
+    /** How long other daemons have to state the version that began a stream, in ms: two round trips between regions. */
+    private static final long STREAM_VERSION_TIMEOUT_MS = 150;
+
     /** The number of tokens, or events, up to which a response counts as just begun. */
     private static final int MAX_FIRST_TOKENS = 8;
 
     private final RoutingContext context;
     private final TeamLimiter limiter;
     private final LinkBudget link;
+    private final StreamVersions streams;
     private final TargetChoice choice;
     private final PermitRequests permits;
     private final RetryPolicy retryPolicy;
@@ -58,12 +65,14 @@
     private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
     private final Map<RequestId, Route> routes = new LinkedHashMap<>();
     private final Map<AttemptId, Route> byAttempt = new LinkedHashMap<>();
+    private final Map<Long, List<Route>> resolving = new HashMap<>();
     private Optional<Refusal> closedWith = Optional.empty();
 
-    OnlineRouter(RoutingContext context, TeamLimiter limiter, LinkBudget link) {
+    OnlineRouter(RoutingContext context, TeamLimiter limiter, LinkBudget link, StreamVersions streams) {
         this.context = context;
         this.limiter = limiter;
         this.link = link;
+        this.streams = streams;
         this.choice = new TargetChoice(context, link);
         this.permits = new PermitRequests(context);
         this.hedges = new HedgedPermitRequests(context, choice, permits, byAttempt);
@@ -88,6 +97,76 @@
         context.promptParts().arrived(request.sharedParts());
         route.suspect = route.trial || context.suspects().suspected(request.fingerprint(), nowMs);
         routes.put(request.id(), route);
+        if (request.options().stream().filter(StreamIdentity::resumed).isPresent()) {
+            resolveVersion(route, nowMs, out);
+        } else {
+            chooseTarget(route, nowMs, out);
+        }
+    }
+
+    /** Finds the version that began a stream which its caller takes up, since only its targets can continue it. */
+    private void resolveVersion(Route route, long nowMs, Effects out) {
+        context.count("streams-taken-up");
+        long key = route.request.options().stream().orElseThrow().key();
+        Optional<SoftwareVersion> version = streams.find(key, route.request.service(), nowMs);
+        if (version.isPresent()) {
+            continueAt(route, version.get(), "known here", nowMs, out);
+            return;
+        }
+        route.phase = Route.Phase.RESOLVING;
+        route.awaitedReplies = new TreeSet<>(streams.ask(key, route.request.service(), out));
+        resolving.computeIfAbsent(key, unused -> new ArrayList<>()).add(route);
+        if (route.awaitedReplies.isEmpty()) {
+            concludeVersion(route, nowMs, out);
+            return;
+        }
+        long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
+        wakeups.put(route.request.id(), untilMs, out);
+    }
+
+    void streamVersionReplied(HostId from, RoutingMessage.StreamVersionReply reply, long nowMs, Effects out) {
+        for (Route route : List.copyOf(resolving.getOrDefault(reply.key(), List.of()))) {
+            route.mixedElsewhere |= reply.mixed();
+            route.awaitedReplies.remove(from);
+            if (reply.version().isPresent()) {
+                endResolving(route);
+                continueAt(route, reply.version().get(), "recorded by " + from, nowMs, out);
+            } else if (route.awaitedReplies.isEmpty()) {
+                concludeVersion(route, nowMs, out);
+            }
+        }
+    }
+
+    /** Decides on a stream of which no daemon has stated the version. */
+    private void concludeVersion(Route route, long nowMs, Effects out) {
+        endResolving(route);
+        ServiceName service = route.request.service();
+        Optional<SoftwareVersion> version = streams.infer(service, route.mixedElsewhere, nowMs);
+        if (version.isPresent()) {
+            continueAt(route, version.get(), "no record; the only version of " + service, nowMs, out);
+            return;
+        }
+        context.count("streams-of-unknown-version");
+        giveUp(
+                route,
+                RefusalCode.NO_TARGET,
+                "the version of " + service + " that began the stream is unknown",
+                nowMs,
+                out);
+    }
+
+    private void endResolving(Route route) {
+        long key = route.request.options().stream().orElseThrow().key();
+        List<Route> others = resolving.get(key);
+        if (others != null && others.remove(route) && others.isEmpty()) {
+            resolving.remove(key);
+        }
+        wakeups.remove(route.request.id());
+    }
+
+    private void continueAt(Route route, SoftwareVersion version, String reason, long nowMs, Effects out) {
+        out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "stream continues at version " + version, reason);
+        route.version = Optional.of(version);
         chooseTarget(route, nowMs, out);
     }
 
@@ -151,6 +230,8 @@
         if (route.phase == Route.Phase.RUNNING) {
             route.verdict = route.verdict.and(Verdict.MAY_HAVE_RUN);
             out.add(new Effect.CancelAttempt(route.attempt));
+        } else if (route.phase == Route.Phase.RESOLVING) {
+            endResolving(route);
         } else {
             withdraw(route, out);
         }
@@ -177,7 +258,7 @@
         }
         Optional<TargetState> chosen = context.settings()
                 .team(request.team())
-                .flatMap(team -> choice.choose(request, team, route.excluded, nowMs, out));
+                .flatMap(team -> choice.choose(request, team, route.filter(), nowMs, out));
         if (chosen.isEmpty()) {
             giveUpWithoutTarget(route, nowMs, out);
             return;
@@ -191,8 +272,11 @@
             giveUp(route, RefusalCode.OVERLOADED, "no target can meet the deadline", nowMs, out);
             return;
         }
-        route.retryAfterMs = DEFAULT_RETRY_AFTER_MS;
-        giveUp(route, RefusalCode.NO_TARGET, "no target serves " + route.request.service(), nowMs, out);
+        String version = route.version.map(text -> " of version " + text).orElse("");
+        if (route.version.isEmpty() || context.directory().lists(route.request.service(), route.version.get())) {
+            route.retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+        }
+        giveUp(route, RefusalCode.NO_TARGET, "no target" + version + " serves " + route.request.service(), nowMs, out);
     }
 
     private void obtainPermit(Route route, long nowMs, Effects out) {
@@ -261,11 +345,10 @@
                 || route.permitRefusals + 1 >= context.routing().permits().maxAsks()) {
             return false;
         }
-        List<TargetId> excluded = new ArrayList<>(route.excluded);
-        excluded.add(route.target.id());
+        TargetFilter others = route.filter().without(route.target.id());
         Optional<TargetState> other = context.settings()
                 .team(route.request.team())
-                .flatMap(team -> choice.chooseWithCapacity(route.request, team, excluded, nowMs));
+                .flatMap(team -> choice.chooseWithCapacity(route.request, team, others, nowMs));
         if (other.isEmpty()) {
             return false;
         }
@@ -348,6 +431,10 @@
     void timerDue(long nowMs, Effects out) {
         for (RequestId id : wakeups.takeDue(nowMs, out)) {
             Route route = routes.get(id);
+            if (route != null && route.phase == Route.Phase.RESOLVING) {
+                concludeVersion(route, nowMs, out);
+                continue;
+            }
             if (route == null || !route.awaitsPermit()) {
                 continue;
             }
@@ -413,6 +500,7 @@
         route.attempts++;
         route.dispatchedAtMs = nowMs;
         route.target.attemptDispatched();
+        recordStream(route, nowMs, out);
         route.target.cache().sent(request.prefixHashes());
         long timeoutMs = Math.max(1, Math.min(request.deadlineAtMs() - nowMs, attemptTimeoutMs(request)));
         out.add(new Effect.Dispatch(
@@ -425,6 +513,26 @@
         route.listener.routeDispatched(request, route.target.id(), nowMs, out);
     }
 
+    private void recordStream(Route route, long nowMs, Effects out) {
+        route.request.options().stream()
+                .ifPresent(stream -> streams.begun(
+                        stream.key(),
+                        route.request.service(),
+                        route.target.softwareVersion(),
+                        route.request.deadlineAtMs() - nowMs,
+                        nowMs,
+                        out));
+    }
+
+    /** Records the streams that run when a service gets targets of a second version. */
+    void recordStreams(ServiceName service, long nowMs, Effects out) {
+        for (Route route : routes.values()) {
+            if (route.phase == Route.Phase.RUNNING && route.request.service().equals(service)) {
+                recordStream(route, nowMs, out);
+            }
+        }
+    }
+
     private Optional<ResumePoint> resumePoint(Route route) {
         if (!route.request.resumable()) {
             return Optional.empty();
@@ -511,6 +619,9 @@
             return;
         }
         route.bytesReachedCaller |= failure.bytesReachedCaller();
+        if (route.bytesReachedCaller && route.version.isEmpty()) {
+            route.version = Optional.of(route.target.softwareVersion());
+        }
         route.deliveredTokens = route.resumedFrom + failure.tokens();
         route.suspect |= failure.kind() == FailureKind.CONNECTION_LOST || failure.kind() == FailureKind.TARGET_GONE;
         retry(route, failure, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -9,6 +10,7 @@
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.StableHash;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
@@ -48,6 +50,9 @@
     long permitRequestedAtMs;
     long dispatchedAtMs;
     long retryAfterMs;
+    Optional<SoftwareVersion> version = Optional.empty();
+    Set<HostId> awaitedReplies = Set.of();
+    boolean mixedElsewhere;
 
     Route(RoutedRequest request, RequestRouter.RouteListener listener, long arrivedAtMs) {
         this.request = request;
@@ -71,6 +76,11 @@
         }
     }
 
+    /** Returns the targets that the request may still use. */
+    TargetFilter filter() {
+        return new TargetFilter(excluded, version);
+    }
+
     /** Returns whether the request has requested a permit and no attempt is running. */
     boolean awaitsPermit() {
         return phase == Phase.ASKED || phase == Phase.QUEUED;
@@ -78,6 +88,8 @@
 
     enum Phase {
         CHOOSING,
+        /** Other daemons are asked for the version that began the stream. */
+        RESOLVING,
         /** A permit is requested and the controller has not replied yet. */
         ASKED,
         /** The request waits in the controller's queue. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -8,6 +8,7 @@
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.PeerMessage;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.core.Urgency;
@@ -125,6 +126,18 @@
             boolean suspect,
             Optional<BatchOwner> owner) {}
 
+    /** States the version of the software of the target that a stream's next events come from. */
+    record StreamBegun(long key, SoftwareVersion version, long lifetimeMs) implements RoutingMessage {}
+
+    /** Requests the version that began a stream of a service. */
+    record StreamVersionRequested(long key, ServiceName service) implements RoutingMessage {}
+
+    /**
+     * States the version that began a stream, empty if the sender has no record of it; {@code mixed} indicates that it
+     * has listed several versions of the service within the lifetime of a stream.
+     */
+    record StreamVersionReply(long key, Optional<SoftwareVersion> version, boolean mixed) implements RoutingMessage {}
+
     /** The job and team that hold a batch permit. */
     record BatchOwner(JobId job, TeamPath team) {}
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -11,6 +11,7 @@
 import org.cornelcrank.core.PeerMessage;
 import org.cornelcrank.core.PeerMessageCodec;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.core.Urgency;
@@ -27,6 +28,9 @@
 import org.cornelcrank.routing.wire.WireRoutingMessage;
 import org.cornelcrank.routing.wire.WireRunningPermit;
 import org.cornelcrank.routing.wire.WireRunningPermits;
+import org.cornelcrank.routing.wire.WireStreamBegun;
+import org.cornelcrank.routing.wire.WireStreamVersionReply;
+import org.cornelcrank.routing.wire.WireStreamVersionRequested;
 
 /**
  * Encodes and decodes the messages about permits.
@@ -104,6 +108,26 @@
                     WireRunningPermits.newBuilder().setTarget(running.target().value());
             running.permits().forEach(permit -> permits.addPermits(runningPermit(permit)));
             wire.setRunningPermits(permits);
+        } else {
+            encodeStream(message, wire);
+        }
+    }
+
+    private static void encodeStream(PeerMessage message, WireRoutingMessage.Builder wire) {
+        if (message instanceof RoutingMessage.StreamBegun begun) {
+            wire.setStreamBegun(WireStreamBegun.newBuilder()
+                    .setKey(begun.key())
+                    .setVersion(begun.version().text())
+                    .setLifetimeMs((int) begun.lifetimeMs()));
+        } else if (message instanceof RoutingMessage.StreamVersionRequested request) {
+            wire.setStreamVersionRequested(WireStreamVersionRequested.newBuilder()
+                    .setKey(request.key())
+                    .setService(request.service().value()));
+        } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
+            WireStreamVersionReply.Builder wireReply =
+                    WireStreamVersionReply.newBuilder().setKey(reply.key()).setMixed(reply.mixed());
+            reply.version().ifPresent(version -> wireReply.setVersion(version.text()));
+            wire.setStreamVersionReply(wireReply);
         } else {
             throw new IllegalArgumentException("message must belong to the slice " + RoutingStateMachine.NAME
                     + " but was " + message.getClass().getName());
@@ -176,10 +200,24 @@
                     wire.getRunningPermits().getPermitsList().stream()
                             .map(RoutingMessageCodec::runningPermit)
                             .toList());
+            case STREAM_BEGUN -> new RoutingMessage.StreamBegun(
+                    wire.getStreamBegun().getKey(),
+                    new SoftwareVersion(wire.getStreamBegun().getVersion()),
+                    wire.getStreamBegun().getLifetimeMs());
+            case STREAM_VERSION_REQUESTED -> new RoutingMessage.StreamVersionRequested(
+                    wire.getStreamVersionRequested().getKey(),
+                    new ServiceName(wire.getStreamVersionRequested().getService()));
+            case STREAM_VERSION_REPLY -> streamVersionReply(wire.getStreamVersionReply());
             case KIND_NOT_SET -> throw new InvalidProtocolBufferException("unknown kind of message about permits");
         };
     }
 
+    private static RoutingMessage.StreamVersionReply streamVersionReply(WireStreamVersionReply wire) {
+        Optional<SoftwareVersion> version =
+                wire.hasVersion() ? Optional.of(new SoftwareVersion(wire.getVersion())) : Optional.empty();
+        return new RoutingMessage.StreamVersionReply(wire.getKey(), version, wire.getMixed());
+    }
+
     private static RoutingMessage.PermitRequested permitRequested(WireAskPermit wire) {
         return new RoutingMessage.PermitRequested(
                 attempt(wire.getAttempt()),
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -47,6 +47,7 @@
     private final TargetStatusPublisher statusPublisher;
     private final RateLimitPublisher rateLimitPublisher;
     private final TargetController controller;
+    private final StreamVersions streams;
     private final OnlineRouter online;
     private final BatchRunner batch;
     private final PermitAdvertiser permitAdvertiser;
@@ -88,7 +89,8 @@
         TeamLimiter limiter = new TeamLimiter(membership);
         LinkBudget link = new LinkBudget(routing.link());
         controller = new TargetController(context, new OccupancyPublisher(routing.permits(), dissemination));
-        online = new OnlineRouter(context, limiter, link);
+        streams = new StreamVersions(context, membership);
+        online = new OnlineRouter(context, limiter, link, streams);
         batch = new BatchRunner(context, new BatchDemandAdvertiser(context));
         permitAdvertiser = new PermitAdvertiser(context, online, batch);
         onlineRequests = new OnlineRequestHandler(online);
@@ -142,6 +144,7 @@
     private void tick(long nowMs, Effects out) {
         context.suspects().expire(nowMs);
         context.promptParts().expire(nowMs);
+        streams.expire(nowMs);
         controller.refresh(List.of(), nowMs, out);
         boolean readvertise =
                 nowMs - demandAdvertisedAtMs >= context.routing().queues().demandRefreshMs();
@@ -164,6 +167,9 @@
     private void targetEvent(Event event, long nowMs, Effects out) {
         if (event instanceof Event.HostListRead read) {
             context.directory().listRead(read.hosts()).forEach(target -> statusPublisher.leaving(target, nowMs, out));
+            streams.services()
+                    .listed(context.directory().all(), nowMs)
+                    .forEach(service -> online.recordStreams(service, nowMs, out));
             applyMembershipChange(nowMs, out);
             controller.refresh(List.of(), nowMs, out);
         } else if (event instanceof Event.TargetReported reported) {
@@ -244,6 +250,12 @@
             batch.granted(from, granted, nowMs, out);
         } else if (message instanceof RoutingMessage.RunningPermits running) {
             controller.runningPermitsReceived(from, running, nowMs, out);
+        } else if (message instanceof RoutingMessage.StreamBegun begun) {
+            streams.received(begun, nowMs);
+        } else if (message instanceof RoutingMessage.StreamVersionRequested request) {
+            streams.requested(from, request, nowMs, out);
+        } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
+            online.streamVersionReplied(from, reply, nowMs, out);
         }
     }
 
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
@@ -0,0 +1,102 @@
+package org.cornelcrank.routing;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
+
+/**
+ * Tracks which versions of the software the targets of each service have had of late.
+ *
+ * <p>A service without any listed target keeps the versions that it had last. Not thread-safe: confined to the daemon's
+ * event loop.
+ */
+final class ServiceVersions {
+
+    /** The longest time in ms from the beginning of a stream until its caller takes it up. */
+    static final long STREAM_LIFETIME_MS = 30_000;
+
+    /** How long after a second version appeared an unknown stream is attributed to the first, in ms. */
+    private static final long JOIN_GRACE_MS = 5_000;
+
+    private final Map<ServiceName, Versions> services = new HashMap<>();
+
+    /**
+     * Records the versions of the targets that are listed now; returns the services that had a single one until now.
+     */
+    Set<ServiceName> listed(Collection<TargetState> targets, long nowMs) {
+        Map<ServiceName, Set<SoftwareVersion>> current = new HashMap<>();
+        for (TargetState target : targets) {
+            for (ServiceName service : target.services()) {
+                current.computeIfAbsent(service, name -> new HashSet<>()).add(target.softwareVersion());
+            }
+        }
+        Set<ServiceName> noLongerSole = new HashSet<>();
+        current.forEach((service, versions) -> {
+            boolean wasSole = sole(service, nowMs).isPresent();
+            services.computeIfAbsent(service, name -> new Versions(versions, nowMs))
+                    .update(versions, nowMs);
+            if (wasSole && sole(service, nowMs).isEmpty()) {
+                noLongerSole.add(service);
+            }
+        });
+        return noLongerSole;
+    }
+
+    /** Returns the only version that streams of the service can have begun with, empty if there may be several. */
+    Optional<SoftwareVersion> sole(ServiceName service, long nowMs) {
+        return current(service).filter(version -> nowMs - services.get(service).changedAtMs >= STREAM_LIFETIME_MS);
+    }
+
+    /** Returns the only version that is listed now, empty if there are several or none. */
+    Optional<SoftwareVersion> current(ServiceName service) {
+        Versions versions = services.get(service);
+        return versions == null || versions.listed.size() != 1
+                ? Optional.empty()
+                : Optional.of(versions.listed.iterator().next());
+    }
+
+    /** Returns whether this daemon has listed several versions within the lifetime of a stream. */
+    boolean mixed(ServiceName service, long nowMs) {
+        Versions versions = services.get(service);
+        return versions != null
+                && (versions.listed.size() > 1
+                        || versions.changed && nowMs - versions.changedAtMs < STREAM_LIFETIME_MS);
+    }
+
+    /** Returns the only version until others were listed just now, empty if there were several for longer. */
+    Optional<SoftwareVersion> soleUntilRecently(ServiceName service, long nowMs) {
+        Versions versions = services.get(service);
+        return versions != null && nowMs - versions.changedAtMs < JOIN_GRACE_MS
+                ? versions.soleBefore
+                : Optional.empty();
+    }
+
+    private static final class Versions {
+
+        private Set<SoftwareVersion> listed;
+        private Optional<SoftwareVersion> soleBefore = Optional.empty();
+        private long changedAtMs;
+        private boolean changed;
+
+        Versions(Set<SoftwareVersion> listed, long nowMs) {
+            this.listed = listed;
+            this.changedAtMs = nowMs;
+        }
+
+        void update(Set<SoftwareVersion> now, long nowMs) {
+            if (now.equals(listed)) {
+                return;
+            }
+            soleBefore = listed.size() == 1 ? Optional.of(listed.iterator().next()) : Optional.empty();
+            listed = now;
+            changedAtMs = nowMs;
+            changed = true;
+        }
+    }
+}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.routing;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -10,7 +9,6 @@
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.Subject;
-import org.cornelcrank.core.TargetId;
 
 /**
  * Chooses the target of a request: near targets before far ones, and among equally near ones by the selector.
@@ -38,18 +36,16 @@
         this.link = link;
     }
 
-    Optional<TargetState> choose(
-            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs, Effects out) {
-        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+    Optional<TargetState> choose(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs, Effects out) {
+        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
         Optional<TargetCandidate> chosen = chooseByDistance(request, candidates(eligible, request, nowMs), nowMs);
         chosen.ifPresent(candidate -> explain(request, candidate, eligible, nowMs, out));
         return chosen.flatMap(candidate -> context.directory().find(candidate.target()));
     }
 
     /** Returns another target that seems to have a free slot, for a request that would have to wait. */
-    Optional<TargetState> chooseWithCapacity(
-            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
-        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+    Optional<TargetState> chooseWithCapacity(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
+        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
         List<TargetCandidate> candidates = withCapacity(inOwnRegion(candidates(eligible, request, nowMs)));
         return select(candidates, request)
                 .flatMap(candidate -> context.directory().find(candidate.target()));
@@ -59,9 +55,8 @@
      * Returns a further target at which a waiting request may queue as well: the one with the lowest expected wait plus
      * network latency.
      */
-    Optional<TargetState> chooseForHedge(
-            RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
-        List<TargetState> eligible = context.directory().eligible(request, team, excluded, nowMs);
+    Optional<TargetState> chooseForHedge(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
+        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
         Optional<TargetState> best =
                 eligible.stream().min(Comparator.comparingLong(target -> hedgeCostMs(target, nowMs)));
         return best.filter(
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -12,6 +12,8 @@
 import org.cornelcrank.config.TeamPolicy;
 import org.cornelcrank.core.HostEntry;
 import org.cornelcrank.core.HostRole;
+import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 
 /**
@@ -75,6 +77,13 @@
         return targets.values();
     }
 
+    /** Returns whether any target of the service has the version, whatever its state. */
+    boolean lists(ServiceName service, SoftwareVersion version) {
+        return targets.values().stream()
+                .anyMatch(target ->
+                        target.offers(service) && target.softwareVersion().equals(version));
+    }
+
     boolean leaving(TargetState target, long nowMs) {
         return target.leaving(nowMs) || settings.target(target.id()).draining();
     }
@@ -83,12 +92,12 @@
      * Returns the targets that may run the request now, ordered by id; only those with the model loaded if there are
      * any.
      */
-    List<TargetState> eligible(RoutedRequest request, TeamPolicy team, Collection<TargetId> excluded, long nowMs) {
+    List<TargetState> eligible(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
         List<TargetState> offering = new ArrayList<>();
         List<TargetState> loaded = new ArrayList<>();
         for (TargetState target : targets.values()) {
             if (!target.offers(request.service())
-                    || excluded.contains(target.id())
+                    || !filter.admits(target)
                     || target.health().ejected(nowMs)
                     || leaving(target, nowMs)
                     || !allowed(team, target.id())) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -46,6 +46,10 @@
         return entry.incarnation();
     }
 
+    Set<ServiceName> services() {
+        return entry.services();
+    }
+
     SoftwareVersion softwareVersion() {
         return entry.softwareVersion();
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
@@ -91,6 +91,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelcrank_routing_WireRunningPermits_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_routing_WireStreamBegun_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_routing_WireStreamBegun_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_routing_WireStreamVersionRequested_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_routing_WireStreamVersionRequested_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_routing_WireStreamVersionReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_routing_WireStreamVersionReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -100,7 +115,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rrouting.proto\022\023cornelcrank.routing\"\357\004\n" +
+      "\n\rrouting.proto\022\023cornelcrank.routing\"\317\006\n" +
       "\022WireRoutingMessage\0228\n\nask_permit\030\001 \001(\0132" +
       "\".cornelcrank.routing.WireAskPermitH\000\022@\n" +
       "\016permit_granted\030\002 \001(\0132&.cornelcrank.rout" +
@@ -116,47 +131,58 @@
       "H\000\022>\n\rbatch_granted\030\010 \001(\0132%.cornelcrank." +
       "routing.WireBatchGrantedH\000\022B\n\017running_pe" +
       "rmits\030\t \001(\0132\'.cornelcrank.routing.WireRu" +
-      "nningPermitsH\000B\006\n\004kind\"B\n\rWireAttemptId\022" +
-      "\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006nu" +
-      "mber\030\003 \001(\003\"j\n\rWireOccupancy\022\r\n\005slots\030\001 \001" +
-      "(\005\022\017\n\007running\030\002 \001(\005\022\017\n\007waiting\030\003 \001(\005\022\030\n\020" +
-      "expected_wait_ms\030\004 \001(\003\022\016\n\006loaded\030\005 \003(\t\"\317" +
-      "\001\n\rWireAskPermit\0223\n\007attempt\030\001 \001(\0132\".corn" +
+      "nningPermitsH\000\022<\n\014stream_begun\030\n \001(\0132$.c" +
+      "ornelcrank.routing.WireStreamBegunH\000\022S\n\030" +
+      "stream_version_requested\030\013 \001(\0132/.cornelc" +
+      "rank.routing.WireStreamVersionRequestedH" +
+      "\000\022K\n\024stream_version_reply\030\014 \001(\0132+.cornel" +
+      "crank.routing.WireStreamVersionReplyH\000B\006" +
+      "\n\004kind\"B\n\rWireAttemptId\022\014\n\004host\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\"j\n\rWi" +
+      "reOccupancy\022\r\n\005slots\030\001 \001(\005\022\017\n\007running\030\002 " +
+      "\001(\005\022\017\n\007waiting\030\003 \001(\005\022\030\n\020expected_wait_ms" +
+      "\030\004 \001(\003\022\016\n\006loaded\030\005 \003(\t\"\317\001\n\rWireAskPermit" +
+      "\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing." +
+      "WireAttemptId\022\016\n\006target\030\002 \001(\t\022\017\n\007service" +
+      "\030\003 \001(\t\022\017\n\007urgency\030\004 \001(\005\022\024\n\014remaining_ms\030" +
+      "\005 \001(\003\022\017\n\007suspect\030\006 \001(\010\022\034\n\017start_within_m" +
+      "s\030\007 \001(\022H\000\210\001\001B\022\n\020_start_within_ms\"\217\001\n\021Wir" +
+      "ePermitGranted\0223\n\007attempt\030\001 \001(\0132\".cornel" +
+      "crank.routing.WireAttemptId\022\016\n\006target\030\002 " +
+      "\001(\t\0225\n\toccupancy\030\003 \001(\0132\".cornelcrank.rou" +
+      "ting.WireOccupancy\"\216\001\n\020WirePermitQueued\022" +
+      "3\n\007attempt\030\001 \001(\0132\".cornelcrank.routing.W" +
+      "ireAttemptId\022\016\n\006target\030\002 \001(\t\0225\n\toccupanc" +
+      "y\030\003 \001(\0132\".cornelcrank.routing.WireOccupa" +
+      "ncy\"\224\001\n\021WirePermitRefused\0223\n\007attempt\030\001 \001" +
+      "(\0132\".cornelcrank.routing.WireAttemptId\022\016" +
+      "\n\006target\030\002 \001(\t\022\016\n\006reason\030\003 \001(\005\022\026\n\016retry_" +
+      "after_ms\030\004 \001(\003\022\022\n\ncontroller\030\005 \001(\t\"v\n\022Wi" +
+      "rePermitReleased\0223\n\007attempt\030\001 \001(\0132\".corn" +
       "elcrank.routing.WireAttemptId\022\016\n\006target\030" +
-      "\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007urgency\030\004 \001(\005\022" +
-      "\024\n\014remaining_ms\030\005 \001(\003\022\017\n\007suspect\030\006 \001(\010\022\034" +
-      "\n\017start_within_ms\030\007 \001(\022H\000\210\001\001B\022\n\020_start_w" +
-      "ithin_ms\"\217\001\n\021WirePermitGranted\0223\n\007attemp" +
-      "t\030\001 \001(\0132\".cornelcrank.routing.WireAttemp" +
-      "tId\022\016\n\006target\030\002 \001(\t\0225\n\toccupancy\030\003 \001(\0132\"" +
-      ".cornelcrank.routing.WireOccupancy\"\216\001\n\020W" +
-      "irePermitQueued\0223\n\007attempt\030\001 \001(\0132\".corne" +
+      "\002 \001(\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wanted\030\004 \001(\005\"X\n\021Wi" +
+      "rePermitRevoked\0223\n\007attempt\030\001 \001(\0132\".corne" +
       "lcrank.routing.WireAttemptId\022\016\n\006target\030\002" +
-      " \001(\t\0225\n\toccupancy\030\003 \001(\0132\".cornelcrank.ro" +
-      "uting.WireOccupancy\"\224\001\n\021WirePermitRefuse" +
-      "d\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing" +
-      ".WireAttemptId\022\016\n\006target\030\002 \001(\t\022\016\n\006reason" +
-      "\030\003 \001(\005\022\026\n\016retry_after_ms\030\004 \001(\003\022\022\n\ncontro" +
-      "ller\030\005 \001(\t\"v\n\022WirePermitReleased\0223\n\007atte" +
-      "mpt\030\001 \001(\0132\".cornelcrank.routing.WireAtte" +
-      "mptId\022\016\n\006target\030\002 \001(\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wa" +
-      "nted\030\004 \001(\005\"X\n\021WirePermitRevoked\0223\n\007attem" +
-      "pt\030\001 \001(\0132\".cornelcrank.routing.WireAttem" +
-      "ptId\022\016\n\006target\030\002 \001(\t\"\235\001\n\025WireBatchDemand" +
-      "Stated\022\013\n\003job\030\001 \001(\t\022\014\n\004team\030\002 \001(\t\022\017\n\007ser" +
-      "vice\030\003 \001(\t\022\021\n\tdue_in_ms\030\004 \001(\003\022\r\n\005share\030\005" +
-      " \001(\005\022\016\n\006wanted\030\006 \001(\005\022\021\n\tremaining\030\007 \001(\003\022" +
-      "\023\n\013controllers\030\010 \001(\005\"d\n\020WireBatchGranted" +
-      "\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing." +
-      "WireAttemptId\022\016\n\006target\030\002 \001(\t\022\013\n\003job\030\003 \001" +
-      "(\t\"\246\001\n\021WireRunningPermit\0223\n\007attempt\030\001 \001(" +
-      "\0132\".cornelcrank.routing.WireAttemptId\022\017\n" +
-      "\007service\030\002 \001(\t\022\017\n\007urgency\030\003 \001(\005\022\016\n\006age_m" +
-      "s\030\004 \001(\003\022\017\n\007suspect\030\005 \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n" +
-      "\004team\030\007 \001(\t\"]\n\022WireRunningPermits\022\016\n\006tar" +
-      "get\030\001 \001(\t\0227\n\007permits\030\002 \003(\0132&.cornelcrank" +
-      ".routing.WireRunningPermitB \n\034org.cornel" +
-      "crank.routing.wireP\001b\006proto3"
+      " \001(\t\"\235\001\n\025WireBatchDemandStated\022\013\n\003job\030\001 " +
+      "\001(\t\022\014\n\004team\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021\n\tdu" +
+      "e_in_ms\030\004 \001(\003\022\r\n\005share\030\005 \001(\005\022\016\n\006wanted\030\006" +
+      " \001(\005\022\021\n\tremaining\030\007 \001(\003\022\023\n\013controllers\030\010" +
+      " \001(\005\"d\n\020WireBatchGranted\0223\n\007attempt\030\001 \001(" +
+      "\0132\".cornelcrank.routing.WireAttemptId\022\016\n" +
+      "\006target\030\002 \001(\t\022\013\n\003job\030\003 \001(\t\"\246\001\n\021WireRunni" +
+      "ngPermit\0223\n\007attempt\030\001 \001(\0132\".cornelcrank." +
+      "routing.WireAttemptId\022\017\n\007service\030\002 \001(\t\022\017" +
+      "\n\007urgency\030\003 \001(\005\022\016\n\006age_ms\030\004 \001(\003\022\017\n\007suspe" +
+      "ct\030\005 \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n\004team\030\007 \001(\t\"]\n\022W" +
+      "ireRunningPermits\022\016\n\006target\030\001 \001(\t\0227\n\007per" +
+      "mits\030\002 \003(\0132&.cornelcrank.routing.WireRun" +
+      "ningPermit\"D\n\017WireStreamBegun\022\013\n\003key\030\001 \001" +
+      "(\006\022\017\n\007version\030\002 \001(\t\022\023\n\013lifetime_ms\030\003 \001(\005" +
+      "\":\n\032WireStreamVersionRequested\022\013\n\003key\030\001 " +
+      "\001(\006\022\017\n\007service\030\002 \001(\t\"V\n\026WireStreamVersio" +
+      "nReply\022\013\n\003key\030\001 \001(\006\022\024\n\007version\030\002 \001(\tH\000\210\001" +
+      "\001\022\r\n\005mixed\030\003 \001(\010B\n\n\010_versionB \n\034org.corn" +
+      "elcrank.routing.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -167,7 +193,7 @@
     internal_static_cornelcrank_routing_WireRoutingMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireRoutingMessage_descriptor,
-        new java.lang.String[] { "AskPermit", "PermitGranted", "PermitQueued", "PermitRefused", "PermitReleased", "PermitRevoked", "BatchDemandStated", "BatchGranted", "RunningPermits", "Kind", });
+        new java.lang.String[] { "AskPermit", "PermitGranted", "PermitQueued", "PermitRefused", "PermitReleased", "PermitRevoked", "BatchDemandStated", "BatchGranted", "RunningPermits", "StreamBegun", "StreamVersionRequested", "StreamVersionReply", "Kind", });
     internal_static_cornelcrank_routing_WireAttemptId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cornelcrank_routing_WireAttemptId_fieldAccessorTable = new
@@ -240,6 +266,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireRunningPermits_descriptor,
         new java.lang.String[] { "Target", "Permits", });
+    internal_static_cornelcrank_routing_WireStreamBegun_descriptor =
+      getDescriptor().getMessageType(13);
+    internal_static_cornelcrank_routing_WireStreamBegun_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_routing_WireStreamBegun_descriptor,
+        new java.lang.String[] { "Key", "Version", "LifetimeMs", });
+    internal_static_cornelcrank_routing_WireStreamVersionRequested_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_cornelcrank_routing_WireStreamVersionRequested_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_routing_WireStreamVersionRequested_descriptor,
+        new java.lang.String[] { "Key", "Service", });
+    internal_static_cornelcrank_routing_WireStreamVersionReply_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_cornelcrank_routing_WireStreamVersionReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_routing_WireStreamVersionReply_descriptor,
+        new java.lang.String[] { "Key", "Version", "Mixed", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessage.java
@@ -63,6 +63,9 @@
     BATCH_DEMAND_STATED(7),
     BATCH_GRANTED(8),
     RUNNING_PERMITS(9),
+    STREAM_BEGUN(10),
+    STREAM_VERSION_REQUESTED(11),
+    STREAM_VERSION_REPLY(12),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -89,6 +92,9 @@
         case 7: return BATCH_DEMAND_STATED;
         case 8: return BATCH_GRANTED;
         case 9: return RUNNING_PERMITS;
+        case 10: return STREAM_BEGUN;
+        case 11: return STREAM_VERSION_REQUESTED;
+        case 12: return STREAM_VERSION_REPLY;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -383,6 +389,99 @@
     return org.cornelcrank.routing.wire.WireRunningPermits.getDefaultInstance();
   }
 
+  public static final int STREAM_BEGUN_FIELD_NUMBER = 10;
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   * @return Whether the streamBegun field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamBegun() {
+    return kindCase_ == 10;
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   * @return The streamBegun.
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamBegun getStreamBegun() {
+    if (kindCase_ == 10) {
+       return (org.cornelcrank.routing.wire.WireStreamBegun) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamBegunOrBuilder getStreamBegunOrBuilder() {
+    if (kindCase_ == 10) {
+       return (org.cornelcrank.routing.wire.WireStreamBegun) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+  }
+
+  public static final int STREAM_VERSION_REQUESTED_FIELD_NUMBER = 11;
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   * @return Whether the streamVersionRequested field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamVersionRequested() {
+    return kindCase_ == 11;
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   * @return The streamVersionRequested.
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamVersionRequested getStreamVersionRequested() {
+    if (kindCase_ == 11) {
+       return (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder getStreamVersionRequestedOrBuilder() {
+    if (kindCase_ == 11) {
+       return (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+  }
+
+  public static final int STREAM_VERSION_REPLY_FIELD_NUMBER = 12;
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   * @return Whether the streamVersionReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasStreamVersionReply() {
+    return kindCase_ == 12;
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   * @return The streamVersionReply.
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamVersionReply getStreamVersionReply() {
+    if (kindCase_ == 12) {
+       return (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder getStreamVersionReplyOrBuilder() {
+    if (kindCase_ == 12) {
+       return (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -424,6 +523,15 @@
     if (kindCase_ == 9) {
       output.writeMessage(9, (org.cornelcrank.routing.wire.WireRunningPermits) kind_);
     }
+    if (kindCase_ == 10) {
+      output.writeMessage(10, (org.cornelcrank.routing.wire.WireStreamBegun) kind_);
+    }
+    if (kindCase_ == 11) {
+      output.writeMessage(11, (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_);
+    }
+    if (kindCase_ == 12) {
+      output.writeMessage(12, (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -464,6 +572,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, (org.cornelcrank.routing.wire.WireRunningPermits) kind_);
     }
+    if (kindCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (org.cornelcrank.routing.wire.WireStreamBegun) kind_);
+    }
+    if (kindCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_);
+    }
+    if (kindCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -526,6 +646,18 @@
         if (!getRunningPermits()
             .equals(other.getRunningPermits())) return false;
         break;
+      case 10:
+        if (!getStreamBegun()
+            .equals(other.getStreamBegun())) return false;
+        break;
+      case 11:
+        if (!getStreamVersionRequested()
+            .equals(other.getStreamVersionRequested())) return false;
+        break;
+      case 12:
+        if (!getStreamVersionReply()
+            .equals(other.getStreamVersionReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -577,6 +709,18 @@
         hash = (37 * hash) + RUNNING_PERMITS_FIELD_NUMBER;
         hash = (53 * hash) + getRunningPermits().hashCode();
         break;
+      case 10:
+        hash = (37 * hash) + STREAM_BEGUN_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamBegun().hashCode();
+        break;
+      case 11:
+        hash = (37 * hash) + STREAM_VERSION_REQUESTED_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamVersionRequested().hashCode();
+        break;
+      case 12:
+        hash = (37 * hash) + STREAM_VERSION_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamVersionReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -738,6 +882,15 @@
       if (runningPermitsBuilder_ != null) {
         runningPermitsBuilder_.clear();
       }
+      if (streamBegunBuilder_ != null) {
+        streamBegunBuilder_.clear();
+      }
+      if (streamVersionRequestedBuilder_ != null) {
+        streamVersionRequestedBuilder_.clear();
+      }
+      if (streamVersionReplyBuilder_ != null) {
+        streamVersionReplyBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -815,6 +968,18 @@
           runningPermitsBuilder_ != null) {
         result.kind_ = runningPermitsBuilder_.build();
       }
+      if (kindCase_ == 10 &&
+          streamBegunBuilder_ != null) {
+        result.kind_ = streamBegunBuilder_.build();
+      }
+      if (kindCase_ == 11 &&
+          streamVersionRequestedBuilder_ != null) {
+        result.kind_ = streamVersionRequestedBuilder_.build();
+      }
+      if (kindCase_ == 12 &&
+          streamVersionReplyBuilder_ != null) {
+        result.kind_ = streamVersionReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -866,6 +1031,18 @@
           mergeRunningPermits(other.getRunningPermits());
           break;
         }
+        case STREAM_BEGUN: {
+          mergeStreamBegun(other.getStreamBegun());
+          break;
+        }
+        case STREAM_VERSION_REQUESTED: {
+          mergeStreamVersionRequested(other.getStreamVersionRequested());
+          break;
+        }
+        case STREAM_VERSION_REPLY: {
+          mergeStreamVersionReply(other.getStreamVersionReply());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -957,6 +1134,27 @@
               kindCase_ = 9;
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetStreamBegunFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 10;
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetStreamVersionRequestedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 11;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetStreamVersionReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 12;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2249,6 +2447,426 @@
       return runningPermitsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamBegun, org.cornelcrank.routing.wire.WireStreamBegun.Builder, org.cornelcrank.routing.wire.WireStreamBegunOrBuilder> streamBegunBuilder_;
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     * @return Whether the streamBegun field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamBegun() {
+      return kindCase_ == 10;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     * @return The streamBegun.
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamBegun getStreamBegun() {
+      if (streamBegunBuilder_ == null) {
+        if (kindCase_ == 10) {
+          return (org.cornelcrank.routing.wire.WireStreamBegun) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+      } else {
+        if (kindCase_ == 10) {
+          return streamBegunBuilder_.getMessage();
+        }
+        return org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    public Builder setStreamBegun(org.cornelcrank.routing.wire.WireStreamBegun value) {
+      if (streamBegunBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        streamBegunBuilder_.setMessage(value);
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    public Builder setStreamBegun(
+        org.cornelcrank.routing.wire.WireStreamBegun.Builder builderForValue) {
+      if (streamBegunBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamBegunBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    public Builder mergeStreamBegun(org.cornelcrank.routing.wire.WireStreamBegun value) {
+      if (streamBegunBuilder_ == null) {
+        if (kindCase_ == 10 &&
+            kind_ != org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance()) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamBegun.newBuilder((org.cornelcrank.routing.wire.WireStreamBegun) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 10) {
+          streamBegunBuilder_.mergeFrom(value);
+        } else {
+          streamBegunBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    public Builder clearStreamBegun() {
+      if (streamBegunBuilder_ == null) {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 10) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        streamBegunBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    public org.cornelcrank.routing.wire.WireStreamBegun.Builder getStreamBegunBuilder() {
+      return internalGetStreamBegunFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamBegunOrBuilder getStreamBegunOrBuilder() {
+      if ((kindCase_ == 10) && (streamBegunBuilder_ != null)) {
+        return streamBegunBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 10) {
+          return (org.cornelcrank.routing.wire.WireStreamBegun) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamBegun, org.cornelcrank.routing.wire.WireStreamBegun.Builder, org.cornelcrank.routing.wire.WireStreamBegunOrBuilder> 
+        internalGetStreamBegunFieldBuilder() {
+      if (streamBegunBuilder_ == null) {
+        if (!(kindCase_ == 10)) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamBegun.getDefaultInstance();
+        }
+        streamBegunBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.routing.wire.WireStreamBegun, org.cornelcrank.routing.wire.WireStreamBegun.Builder, org.cornelcrank.routing.wire.WireStreamBegunOrBuilder>(
+                (org.cornelcrank.routing.wire.WireStreamBegun) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 10;
+      onChanged();
+      return streamBegunBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamVersionRequested, org.cornelcrank.routing.wire.WireStreamVersionRequested.Builder, org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder> streamVersionRequestedBuilder_;
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     * @return Whether the streamVersionRequested field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamVersionRequested() {
+      return kindCase_ == 11;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     * @return The streamVersionRequested.
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamVersionRequested getStreamVersionRequested() {
+      if (streamVersionRequestedBuilder_ == null) {
+        if (kindCase_ == 11) {
+          return (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+      } else {
+        if (kindCase_ == 11) {
+          return streamVersionRequestedBuilder_.getMessage();
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    public Builder setStreamVersionRequested(org.cornelcrank.routing.wire.WireStreamVersionRequested value) {
+      if (streamVersionRequestedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        streamVersionRequestedBuilder_.setMessage(value);
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    public Builder setStreamVersionRequested(
+        org.cornelcrank.routing.wire.WireStreamVersionRequested.Builder builderForValue) {
+      if (streamVersionRequestedBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamVersionRequestedBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    public Builder mergeStreamVersionRequested(org.cornelcrank.routing.wire.WireStreamVersionRequested value) {
+      if (streamVersionRequestedBuilder_ == null) {
+        if (kindCase_ == 11 &&
+            kind_ != org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance()) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamVersionRequested.newBuilder((org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 11) {
+          streamVersionRequestedBuilder_.mergeFrom(value);
+        } else {
+          streamVersionRequestedBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    public Builder clearStreamVersionRequested() {
+      if (streamVersionRequestedBuilder_ == null) {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 11) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        streamVersionRequestedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    public org.cornelcrank.routing.wire.WireStreamVersionRequested.Builder getStreamVersionRequestedBuilder() {
+      return internalGetStreamVersionRequestedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder getStreamVersionRequestedOrBuilder() {
+      if ((kindCase_ == 11) && (streamVersionRequestedBuilder_ != null)) {
+        return streamVersionRequestedBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 11) {
+          return (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamVersionRequested, org.cornelcrank.routing.wire.WireStreamVersionRequested.Builder, org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder> 
+        internalGetStreamVersionRequestedFieldBuilder() {
+      if (streamVersionRequestedBuilder_ == null) {
+        if (!(kindCase_ == 11)) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamVersionRequested.getDefaultInstance();
+        }
+        streamVersionRequestedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.routing.wire.WireStreamVersionRequested, org.cornelcrank.routing.wire.WireStreamVersionRequested.Builder, org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder>(
+                (org.cornelcrank.routing.wire.WireStreamVersionRequested) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 11;
+      onChanged();
+      return streamVersionRequestedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamVersionReply, org.cornelcrank.routing.wire.WireStreamVersionReply.Builder, org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder> streamVersionReplyBuilder_;
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     * @return Whether the streamVersionReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasStreamVersionReply() {
+      return kindCase_ == 12;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     * @return The streamVersionReply.
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamVersionReply getStreamVersionReply() {
+      if (streamVersionReplyBuilder_ == null) {
+        if (kindCase_ == 12) {
+          return (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+      } else {
+        if (kindCase_ == 12) {
+          return streamVersionReplyBuilder_.getMessage();
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    public Builder setStreamVersionReply(org.cornelcrank.routing.wire.WireStreamVersionReply value) {
+      if (streamVersionReplyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        streamVersionReplyBuilder_.setMessage(value);
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    public Builder setStreamVersionReply(
+        org.cornelcrank.routing.wire.WireStreamVersionReply.Builder builderForValue) {
+      if (streamVersionReplyBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        streamVersionReplyBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    public Builder mergeStreamVersionReply(org.cornelcrank.routing.wire.WireStreamVersionReply value) {
+      if (streamVersionReplyBuilder_ == null) {
+        if (kindCase_ == 12 &&
+            kind_ != org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance()) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamVersionReply.newBuilder((org.cornelcrank.routing.wire.WireStreamVersionReply) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 12) {
+          streamVersionReplyBuilder_.mergeFrom(value);
+        } else {
+          streamVersionReplyBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    public Builder clearStreamVersionReply() {
+      if (streamVersionReplyBuilder_ == null) {
+        if (kindCase_ == 12) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 12) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        streamVersionReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    public org.cornelcrank.routing.wire.WireStreamVersionReply.Builder getStreamVersionReplyBuilder() {
+      return internalGetStreamVersionReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder getStreamVersionReplyOrBuilder() {
+      if ((kindCase_ == 12) && (streamVersionReplyBuilder_ != null)) {
+        return streamVersionReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 12) {
+          return (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireStreamVersionReply, org.cornelcrank.routing.wire.WireStreamVersionReply.Builder, org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder> 
+        internalGetStreamVersionReplyFieldBuilder() {
+      if (streamVersionReplyBuilder_ == null) {
+        if (!(kindCase_ == 12)) {
+          kind_ = org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
+        }
+        streamVersionReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.routing.wire.WireStreamVersionReply, org.cornelcrank.routing.wire.WireStreamVersionReply.Builder, org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder>(
+                (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 12;
+      onChanged();
+      return streamVersionReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireRoutingMessage)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessageOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessageOrBuilder.java
@@ -145,5 +145,50 @@
    */
   org.cornelcrank.routing.wire.WireRunningPermitsOrBuilder getRunningPermitsOrBuilder();
 
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   * @return Whether the streamBegun field is set.
+   */
+  boolean hasStreamBegun();
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   * @return The streamBegun.
+   */
+  org.cornelcrank.routing.wire.WireStreamBegun getStreamBegun();
+  /**
+   * <code>.cornelcrank.routing.WireStreamBegun stream_begun = 10;</code>
+   */
+  org.cornelcrank.routing.wire.WireStreamBegunOrBuilder getStreamBegunOrBuilder();
+
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   * @return Whether the streamVersionRequested field is set.
+   */
+  boolean hasStreamVersionRequested();
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   * @return The streamVersionRequested.
+   */
+  org.cornelcrank.routing.wire.WireStreamVersionRequested getStreamVersionRequested();
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionRequested stream_version_requested = 11;</code>
+   */
+  org.cornelcrank.routing.wire.WireStreamVersionRequestedOrBuilder getStreamVersionRequestedOrBuilder();
+
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   * @return Whether the streamVersionReply field is set.
+   */
+  boolean hasStreamVersionReply();
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   * @return The streamVersionReply.
+   */
+  org.cornelcrank.routing.wire.WireStreamVersionReply getStreamVersionReply();
+  /**
+   * <code>.cornelcrank.routing.WireStreamVersionReply stream_version_reply = 12;</code>
+   */
+  org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder getStreamVersionReplyOrBuilder();
+
   org.cornelcrank.routing.wire.WireRoutingMessage.KindCase getKindCase();
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
@@ -10,6 +10,7 @@
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.core.Urgency;
@@ -29,6 +30,8 @@
     private static final TargetOccupancy OCCUPANCY =
             new TargetOccupancy(8, 3, 2, 120, new TreeSet<>(List.of("saarthi-lm")));
 
+    private static final SoftwareVersion VERSION = new SoftwareVersion("v1.2");
+
     private final RoutingMessageCodec codec = new RoutingMessageCodec();
 
     static Stream<RoutingMessage> messages() {
@@ -59,7 +62,11 @@
                 new RoutingMessage.BatchDemandAdvertised(
                         new JobId("j1"), new TeamPath("/nilavu"), VirtualFleet.SERVICE, 1_000, 2, 30, 870_000, 4),
                 new RoutingMessage.BatchGranted(ATTEMPT, TARGET, new JobId("j1")),
-                new RoutingMessage.RunningPermits(TARGET, List.of(batch)));
+                new RoutingMessage.RunningPermits(TARGET, List.of(batch)),
+                new RoutingMessage.StreamBegun(-7, VERSION, 5_000),
+                new RoutingMessage.StreamVersionRequested(-7, VirtualFleet.SERVICE),
+                new RoutingMessage.StreamVersionReply(-7, Optional.of(VERSION), false),
+                new RoutingMessage.StreamVersionReply(-7, Optional.empty(), true));
     }
 
     @ParameterizedTest
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
@@ -174,7 +174,7 @@
         for (int i = 4; i < 8; i++) {
             fleet.addEngine("r" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()), NEW);
         }
-        fleet.list();
+        fleet.list(host -> true);
         fleet.run(300);
         kill(0, 1, 5, 9);
         play(5_000);
@@ -191,8 +191,7 @@
         SentRequest first = begin(0);
         fleet.run(200);
         SoftwareVersion version = first.versions.iterator().next();
-        fleet.hosts.values().removeIf(host -> host.softwareVersion().equals(version));
-        fleet.list();
+        fleet.list(host -> !host.softwareVersion().equals(version));
         SentRequest next = takeUp(3, streams.get(first), TOKENS);
         fleet.run(500);
         assertThat(next.dispatchedTo).isEmpty();
@@ -209,11 +208,19 @@
         assertThat(unknown.dispatchedTo).isEmpty();
         assertThat(unknown.reply).isInstanceOf(Refusal.class);
         assertThat(((Refusal) unknown.reply).verdict()).isEqualTo(Verdict.NOT_RUN);
-        fleet.hosts.values().removeIf(host -> host.softwareVersion().equals(OLD));
-        fleet.list();
+        fleet.list(host -> !host.softwareVersion().equals(OLD));
         play(60_000);
         SentRequest later = takeUp(0, -2, TOKENS);
         fleet.run(2_000);
         assertThat(later.completed()).isTrue();
     }
+
+    @Test
+    void streamsCostNoMessagesWhileTheirServiceHasASingleVersion() {
+        start(1, OLD, OLD, OLD, OLD);
+        play(40_000);
+        long before = fleet.count("stream-records-sent");
+        play(10_000);
+        assertThat(fleet.count("stream-records-sent")).isEqualTo(before);
+    }
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -109,9 +110,9 @@
                         version));
     }
 
-    /** Tells all daemons the current list of hosts. */
-    void list() {
-        List<HostEntry> list = List.copyOf(hosts.values());
+    /** Tells all daemons the current list of hosts, of which some may have left. */
+    void list(Predicate<HostEntry> present) {
+        List<HostEntry> list = hosts.values().stream().filter(present).toList();
         nodes.forEach(node -> node.handle(new Event.HostListRead(list)));
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -174,6 +174,41 @@
         assertThat(interrupting.runs()).isPositive();
     }
 
+    /** The first attempt breaks off, since no other runner has its version; its caller goes on at another daemon. */
+    @Test
+    void streamGoesOnOnlyAtARunnerOfTheVersionThatBeganIt() throws IOException {
+        RunnerStandIn interrupting = fleet.runners.get("i-1");
+        RunnerStandIn other = fleet.runners.get("i-2");
+        other.setVersion("v2");
+        fleet.register(other, "ready");
+        for (int daemon = 0; daemon < 2; daemon++) {
+            String dump = fleet.metricsUri(daemon, "/dump");
+            GatewayFleet.await(() -> fleet.get(dump)
+                    .body()
+                    .lines()
+                    .anyMatch(line -> line.strip().startsWith("i-2 ") && line.contains(" v2 ")));
+        }
+        interrupting.setBehaviour(Behaviour.INTERRUPTING);
+        String first = "";
+        for (int i = 0; interrupting.runs() == 0 && i < MAX_REQUESTS; i++) {
+            first = "begun-" + i;
+            fleet.status(0, "stream", first, Map.of("Deadline-Ms", "8000"));
+        }
+        assertThat(other.runs(first)).isZero();
+        interrupting.setBehaviour(Behaviour.NORMAL);
+        HttpResponse<String> rest = fleet.send(fleet.request(1, "/stream/1")
+                .header("Request-Id", "taken-up")
+                .header("Deadline-Ms", "8000")
+                .header("Resumes", first)
+                .header("Last-Event-Id", "2")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build());
+        assertThat(rest.statusCode()).isEqualTo(200);
+        assertThat(COMPLETE_STREAM).endsWith(rest.body());
+        assertThat(interrupting.runs("taken-up")).isEqualTo(1);
+        assertThat(other.runs("taken-up")).isZero();
+    }
+
     @Test
     void streamThatCannotResumeEndsWithAnError() {
         fleet.setBehaviour(Behaviour.INTERRUPTING);
