Continue items only at the version of the software that began them

An item of a job that was preempted, or whose owner was lost, went on at any target: its text could join what two versions had generated. Cause: as with streams, the progress was kept without the version it came from.

Progress, also as it is saved for the next owner, now has its version. A target first gets items that lose nothing there; one with progress of another version starts from its first event, when no other item waits.

--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
@@ -16,6 +16,7 @@
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.BatchCapacity;
@@ -68,7 +69,7 @@
     }
 
     BatchPermit grant(JobId job, long nowMs, Effects out) {
-        BatchPermit permit = new BatchPermit(++nextPermit, job, TARGET);
+        BatchPermit permit = new BatchPermit(++nextPermit, job, TARGET, SoftwareVersion.UNSTATED);
         listener.permitGranted(permit, nowMs, out);
         return permit;
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.KeyedRecord;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.StableHash;
 import org.cornelcrank.core.StoreResponse;
 import org.cornelcrank.core.TopicPartition;
@@ -201,6 +202,7 @@
                 .setEvents(progress.events())
                 .setText(text.bytes())
                 .setDeflated(text.deflated())
+                .setSoftwareVersion(progress.version().text())
                 .build();
         return new KeyedRecord(progressKey(job, item), wire.toByteString());
     }
@@ -210,8 +212,9 @@
         try {
             WireProgress wire = WireProgress.parseFrom(record.value());
             ByteString text = new StoredText(wire.getText(), wire.getDeflated()).text();
-            return Optional.of(new StoredProgress(wire.getEvents(), text));
-        } catch (IOException | DataFormatException e) {
+            return Optional.of(
+                    new StoredProgress(wire.getEvents(), text, new SoftwareVersion(wire.getSoftwareVersion())));
+        } catch (IOException | DataFormatException | IllegalArgumentException e) {
             return Optional.empty();
         }
     }
@@ -227,8 +230,8 @@
         PROGRESS
     }
 
-    /** The saved progress of an item: the number of its events, and their text. */
-    record StoredProgress(long events, ByteString text) {}
+    /** The saved progress of an item: the number of its events, their text and the version that generated them. */
+    record StoredProgress(long events, ByteString text, SoftwareVersion version) {}
 
     /** A result with the index of its item. */
     record StoredResult(int item, ListedResult result) {}
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -9,6 +9,7 @@
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.SoftwareVersion;
 
 /**
  * A job at the owner of its partition: its waiting, running and finished items, and the list of results.
@@ -63,12 +64,16 @@
         progress.remove(stored.item());
     }
 
-    /** Takes the waiting item with the most progress among those that may start now, empty if there is none. */
-    Optional<Integer> takeWaiting(long nowMs) {
+    /**
+     * Takes the waiting item that loses the least progress at a target of the version, and among these the one with the
+     * most, empty if no item may start now.
+     */
+    Optional<Integer> takeWaiting(SoftwareVersion version, long nowMs) {
         int best = -1;
         for (int item = waiting.nextSetBit(0); item >= 0; item = waiting.nextSetBit(item + 1)) {
-            boolean further = best < 0 || progress(item).events > progress(best).events;
-            if (progress(item).notBeforeMs <= nowMs && further) {
+            boolean better =
+                    best < 0 || progress(item).gain(version) > progress(best).gain(version);
+            if (progress(item).notBeforeMs <= nowMs && better) {
                 best = item;
             }
         }
@@ -76,6 +81,7 @@
             return Optional.empty();
         }
         waiting.clear(best);
+        progress(best).begin(version);
         return Optional.of(best);
     }
 
@@ -179,6 +185,7 @@
         private long events;
         private long savedEvents;
         private ByteString text = ByteString.EMPTY;
+        private SoftwareVersion version = SoftwareVersion.UNSTATED;
         private long notBeforeMs;
 
         /** Counts a run that failed at the target, and returns the number of such runs. */
@@ -199,8 +206,29 @@
             return text;
         }
 
+        /** Returns the version of the software of the target that generated the events. */
+        SoftwareVersion version() {
+            return version;
+        }
+
+        /** Returns the number of events that a target of the version need not generate, negative if they are lost. */
+        private long gain(SoftwareVersion target) {
+            return version.equals(target) ? events : -events;
+        }
+
+        /** Starts a run; drops the events that a target of the version cannot continue. */
+        private void begin(SoftwareVersion target) {
+            if (!version.equals(target)) {
+                events = 0;
+                savedEvents = 0;
+                text = ByteString.EMPTY;
+                version = target;
+            }
+        }
+
         /** Restores the progress that a former owner has saved. */
-        void restore(long restoredEvents, ByteString restoredText) {
+        void restore(long restoredEvents, ByteString restoredText, SoftwareVersion restoredVersion) {
+            version = restoredVersion;
             events = restoredEvents;
             savedEvents = restoredEvents;
             text = restoredText;
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -261,7 +261,9 @@
     /** Runs the next item of the permit's job, or releases the permit if no item can run. */
     void permitGranted(BatchPermit permit, long nowMs, Effects out) {
         JobRun run = jobs.get(permit.job());
-        Optional<Integer> item = run == null || closed || suspended ? Optional.empty() : run.takeWaiting(nowMs);
+        Optional<Integer> item = run == null || closed || suspended
+                ? Optional.empty()
+                : run.takeWaiting(permit.softwareVersion(), nowMs);
         if (item.isEmpty()) {
             context.capacity().releaseUnused(permit, nowMs, out);
             return;
@@ -274,7 +276,8 @@
                 content.id(),
                 nowMs,
                 "runs on " + permit.target(),
-                "job " + run.id() + ", after event " + run.progress(item.get()).events() + ", "
+                "job " + run.id() + ", version " + permit.softwareVersion() + ", after event "
+                        + run.progress(item.get()).events() + ", "
                         + run.waitingCount(nowMs) + " of " + run.remaining() + " wait");
         DispatchSource source = new DispatchSource.Prepared(
                 content.id(),
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
@@ -76,7 +76,7 @@
             itemsWithProgress.put(run.id(), new TreeSet<>(savedProgress.keySet()));
             savedProgress.forEach((item, saved) -> {
                 if (item < run.content().items().size() && !run.isFinished(item)) {
-                    run.progress(item).restore(saved.events(), saved.text());
+                    run.progress(item).restore(saved.events(), saved.text(), saved.version());
                 }
             });
         }
@@ -86,7 +86,9 @@
     KeyedRecord saveProgress(JobId job, int item, JobRun.ItemProgress itemProgress) {
         itemsWithProgress.computeIfAbsent(job, id -> new TreeSet<>()).add(item);
         return JobRecords.progress(
-                job, item, new JobRecords.StoredProgress(itemProgress.events(), itemProgress.text()));
+                job,
+                item,
+                new JobRecords.StoredProgress(itemProgress.events(), itemProgress.text(), itemProgress.version()));
     }
 
     /** Returns the record that drops an item's progress from the store, empty if none is stored. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
@@ -111,29 +111,30 @@
       "y\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001\"^\n\nWireResult" +
       "\022\014\n\004item\030\001 \001(\005\022\017\n\007item_id\030\002 \001(\t\022\021\n\tcompl" +
       "eted\030\003 \001(\010\022\014\n\004text\030\004 \001(\014\022\020\n\010deflated\030\005 \001" +
-      "(\010\">\n\014WireProgress\022\016\n\006events\030\001 \001(\003\022\014\n\004te" +
-      "xt\030\002 \001(\014\022\020\n\010deflated\030\003 \001(\010\"\316\001\n\016WireJobMe" +
-      "ssage\022\'\n\003ask\030\001 \001(\0132\030.cornelcrank.job.Wir" +
-      "eAskH\000\022-\n\006answer\030\002 \001(\0132\033.cornelcrank.job" +
-      ".WireAnswerH\000\022+\n\005write\030\003 \001(\0132\032.cornelcra" +
-      "nk.job.WireWriteH\000\022/\n\007written\030\004 \001(\0132\034.co" +
-      "rnelcrank.job.WireWrittenH\000B\006\n\004kind\"W\n\007W" +
-      "ireAsk\022\016\n\006number\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\022\r\n\005a" +
-      "fter\030\003 \001(\005\022\017\n\007wait_ms\030\004 \001(\003\022\017\n\007body_of\030\005" +
-      " \001(\t\"\210\001\n\nWireAnswer\022\016\n\006number\030\001 \001(\003\022\r\n\005k" +
-      "nown\030\002 \001(\010\022\r\n\005total\030\003 \001(\005\022,\n\007results\030\004 \003" +
-      "(\0132\033.cornelcrank.job.WireListed\022\020\n\010has_b" +
-      "ody\030\005 \001(\010\022\014\n\004body\030\006 \001(\014\"[\n\tWireWrite\022\016\n\006" +
-      "number\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\0221\n\007records\030\003 \003" +
-      "(\0132 .cornelcrank.job.WireKeyedRecord\"-\n\017" +
-      "WireKeyedRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
-      "\001(\014\"Q\n\013WireWritten\022\016\n\006number\030\001 \001(\003\0222\n\007ou" +
-      "tcome\030\002 \001(\0162!.cornelcrank.job.WireWriteO" +
-      "utcome\">\n\nWireListed\022\017\n\007item_id\030\001 \001(\t\022\021\n" +
-      "\tcompleted\030\002 \001(\010\022\014\n\004text\030\003 \001(\014*I\n\020WireWr" +
-      "iteOutcome\022\021\n\rWRITE_UNKNOWN\020\000\022\016\n\nWRITE_D" +
-      "ONE\020\001\022\022\n\016WRITE_NOT_DONE\020\002B&\n\030org.cornelc" +
-      "rank.job.wireB\010JobProtoP\001b\006proto3"
+      "(\010\"X\n\014WireProgress\022\016\n\006events\030\001 \001(\003\022\014\n\004te" +
+      "xt\030\002 \001(\014\022\020\n\010deflated\030\003 \001(\010\022\030\n\020software_v" +
+      "ersion\030\004 \001(\t\"\316\001\n\016WireJobMessage\022\'\n\003ask\030\001" +
+      " \001(\0132\030.cornelcrank.job.WireAskH\000\022-\n\006answ" +
+      "er\030\002 \001(\0132\033.cornelcrank.job.WireAnswerH\000\022" +
+      "+\n\005write\030\003 \001(\0132\032.cornelcrank.job.WireWri" +
+      "teH\000\022/\n\007written\030\004 \001(\0132\034.cornelcrank.job." +
+      "WireWrittenH\000B\006\n\004kind\"W\n\007WireAsk\022\016\n\006numb" +
+      "er\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\022\r\n\005after\030\003 \001(\005\022\017\n\007" +
+      "wait_ms\030\004 \001(\003\022\017\n\007body_of\030\005 \001(\t\"\210\001\n\nWireA" +
+      "nswer\022\016\n\006number\030\001 \001(\003\022\r\n\005known\030\002 \001(\010\022\r\n\005" +
+      "total\030\003 \001(\005\022,\n\007results\030\004 \003(\0132\033.cornelcra" +
+      "nk.job.WireListed\022\020\n\010has_body\030\005 \001(\010\022\014\n\004b" +
+      "ody\030\006 \001(\014\"[\n\tWireWrite\022\016\n\006number\030\001 \001(\003\022\013" +
+      "\n\003job\030\002 \001(\t\0221\n\007records\030\003 \003(\0132 .cornelcra" +
+      "nk.job.WireKeyedRecord\"-\n\017WireKeyedRecor" +
+      "d\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\"Q\n\013WireWri" +
+      "tten\022\016\n\006number\030\001 \001(\003\0222\n\007outcome\030\002 \001(\0162!." +
+      "cornelcrank.job.WireWriteOutcome\">\n\nWire" +
+      "Listed\022\017\n\007item_id\030\001 \001(\t\022\021\n\tcompleted\030\002 \001" +
+      "(\010\022\014\n\004text\030\003 \001(\014*I\n\020WireWriteOutcome\022\021\n\r" +
+      "WRITE_UNKNOWN\020\000\022\016\n\nWRITE_DONE\020\001\022\022\n\016WRITE" +
+      "_NOT_DONE\020\002B&\n\030org.cornelcrank.job.wireB" +
+      "\010JobProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -174,7 +175,7 @@
     internal_static_cornelcrank_job_WireProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireProgress_descriptor,
-        new java.lang.String[] { "Events", "Text", "Deflated", });
+        new java.lang.String[] { "Events", "Text", "Deflated", "SoftwareVersion", });
     internal_static_cornelcrank_job_WireJobMessage_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_cornelcrank_job_WireJobMessage_fieldAccessorTable = new
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
@@ -33,6 +33,7 @@
   }
   private WireProgress() {
     text_ = com.google.protobuf.ByteString.EMPTY;
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -86,6 +87,53 @@
     return deflated_;
   }
 
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <pre>
+   * Of the software of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string software_version = 4;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Of the software of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string software_version = 4;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -109,6 +157,9 @@
     if (deflated_ != false) {
       output.writeBool(3, deflated_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -125,6 +176,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, deflated_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, softwareVersion_);
+    }
     return size;
   }
   @java.lang.Override
@@ -155,6 +209,8 @@
         .equals(other.getText())) return false;
     if (getDeflated()
         != other.getDeflated()) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +230,8 @@
     hash = (37 * hash) + DEFLATED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDeflated());
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -312,6 +370,7 @@
       events_ = 0L;
       text_ = com.google.protobuf.ByteString.EMPTY;
       deflated_ = false;
+      softwareVersion_ = "";
       return this;
     }
 
@@ -354,6 +413,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.deflated_ = deflated_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -377,6 +439,11 @@
       if (other.getDeflated() != false) {
         setDeflated(other.getDeflated());
       }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -416,6 +483,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 34: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -529,6 +601,98 @@
       return this;
     }
 
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * Of the software of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string software_version = 4;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Of the software of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string software_version = 4;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Of the software of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string software_version = 4;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of the software of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string software_version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of the software of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string software_version = 4;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireProgress)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
@@ -27,4 +27,24 @@
    * @return The deflated.
    */
   boolean getDeflated();
+
+  /**
+   * <pre>
+   * Of the software of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string software_version = 4;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <pre>
+   * Of the software of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string software_version = 4;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -14,6 +14,7 @@
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.BatchCapacity;
@@ -43,6 +44,7 @@
     private int eventsOnCancel;
     private String textOnCancel = "";
     private long lastPermit;
+    private SoftwareVersion version = SoftwareVersion.UNSTATED;
 
     FakeCapacity(
             HostId host,
@@ -87,7 +89,7 @@
             BatchDemand demand = demands.values().iterator().next();
             demands.remove(demand.job());
             demands.put(demand.job(), demand);
-            BatchPermit permit = new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"));
+            BatchPermit permit = new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"), version);
             int before = running.size();
             listener.permitGranted(permit, nowMs, out);
             if (running.size() == before) {
@@ -115,11 +117,16 @@
         grantSoon();
     }
 
+    /** Sets the version of the software of the target that grants from now on. */
+    void setVersion(String newVersion) {
+        version = new SoftwareVersion(newVersion);
+    }
+
     /** Revokes all permits; each run ends with the given events and text. */
     void revokeAll(int events, String text) {
         nodes.act(host, (nowMs, out) -> {
             for (Map.Entry<Long, BatchWork> run : Map.copyOf(running).entrySet()) {
-                BatchPermit permit = new BatchPermit(run.getKey(), new JobId("any"), new TargetId("t-1"));
+                BatchPermit permit = new BatchPermit(run.getKey(), new JobId("any"), new TargetId("t-1"), version);
                 end(permit, cancelled(events, text), nowMs, out);
             }
         });
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -18,6 +18,8 @@
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.cornelcrank.job.VirtualJobs.A;
@@ -365,6 +367,59 @@
                 .isEqualTo("first part\ntext of " + JOB + "-item-0");
     }
 
+    @Test
+    void itemGoesOnOnlyAtATargetOfTheVersionThatBeganIt() {
+        jobs.submit(A, JOB, 1);
+        jobs.nodes.run(100);
+        FakeCapacity capacity = jobs.capacities.get(jobs.owner());
+        capacity.setVersion("v1");
+        capacity.revokeAll(0, "");
+        jobs.nodes.run(100);
+        capacity.revokeAll(5, "first part");
+        capacity.setVersion("v2");
+        jobs.nodes.run(100);
+        assertThat(capacity.resumePoints()).containsEntry(JOB + "-item-0", 0L);
+        jobs.nodes.run(5_000);
+        assertThat(page(jobs.read(A, JOB, 0)).get(0).text().toStringUtf8()).isEqualTo("text of " + JOB + "-item-0");
+    }
+
+    @Test
+    void itemsThatNeedNotStartAgainAtATargetGoFirst() {
+        jobs.submit(A, JOB, 6);
+        jobs.nodes.run(100);
+        FakeCapacity capacity = jobs.capacities.get(jobs.owner());
+        capacity.setVersion("v1");
+        capacity.revokeAll(0, "");
+        jobs.nodes.run(100);
+        Set<String> begun = capacity.resumePoints().keySet();
+        capacity.revokeAll(5, "first part");
+        capacity.setVersion("v2");
+        jobs.nodes.run(100);
+        assertThat(capacity.resumePoints().values()).containsOnly(0L);
+        assertThat(capacity.resumePoints().keySet())
+                .filteredOn(item -> !begun.contains(item))
+                .hasSize(2);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"v1, 7", "v2, 0"})
+    void nextOwnerResumesSavedProgressOnlyAtATargetOfItsVersion(String nextVersion, long resumePoint) {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 3);
+        HostId owner = jobs.awaitOwner();
+        jobs.capacities.get(owner).setVersion("v1");
+        jobs.capacities.get(owner).revokeAll(0, "");
+        jobs.nodes.run(100);
+        jobs.capacities.get(owner).revokeAll(7, "begun");
+        jobs.nodes.run(1_500);
+        jobs.nodes.kill(owner);
+        jobs.capacities.remove(owner);
+        jobs.capacities.values().forEach(capacity -> capacity.setVersion(nextVersion));
+        HostId next = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(next).resumePoints()).hasSize(3);
+        assertThat(jobs.capacities.get(next).resumePoints().values()).containsOnly(resumePoint);
+    }
+
     @Test
     void bodyOfAnItemIsReadableUntilTheJobIsEnded() {
         jobs.submit(A, JOB, ITEMS);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchPermit.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchPermit.java
@@ -1,11 +1,12 @@
 package org.cornelcrank.routing;
 
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 
 /**
  * The right to run one item of a job on one target, until it is used, released or revoked.
  *
- * <p>Immutable, thus thread-safe.
+ * <p>{@code softwareVersion} is that of the target. Immutable, thus thread-safe.
  */
-public record BatchPermit(long number, JobId job, TargetId target) {}
+public record BatchPermit(long number, JobId job, TargetId target, SoftwareVersion softwareVersion) {}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -76,7 +76,8 @@
             release(from, granted.attempt(), granted.target(), RoutingMessage.Use.UNUSED, 0, out);
             return;
         }
-        BatchPermit permit = new BatchPermit(++lastNumber, granted.job(), granted.target());
+        BatchPermit permit = new BatchPermit(
+                ++lastNumber, granted.job(), granted.target(), target.get().softwareVersion());
         BatchRun run = new BatchRun(permit, granted.attempt(), demand.get(), target.get(), from, nowMs);
         runs.put(permit.number(), run);
         byPermitId.put(granted.attempt(), run);
