Choose the service of a split route by the request that began the stream

A caller that took up a stream of a route that is split between services got the rest from either of them: each attempt has an id of its own, and the service was chosen by that. It is chosen by the id of the request that began the stream now, which the caller names.

GatewayEndToEndTests.streamOfASplitRouteGoesOnAtTheServiceThatBeganIt failed before.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -197,7 +197,7 @@
         long waitMs = Math.min(head.deadlineMs().orElse(route.timeoutMs()), route.timeoutMs());
         return new OnlineRequest(
                 route.team(),
-                route.serviceFor(StableHash.of(head.requestId())),
+                route.serviceFor(StableHash.of(head.streamId())),
                 route.urgency(),
                 receivedAtMs + waitMs,
                 route.repeatable(),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -209,6 +209,26 @@
         assertThat(other.runs("taken-up")).isZero();
     }
 
+    @Test
+    void streamOfASplitRouteGoesOnAtTheServiceThatBeganIt() throws IOException {
+        RunnerStandIn other = fleet.runners.get("i-2");
+        fleet.register(other, "other-svc", "ready");
+        fleet.putRoutes(2, "idem", "stream-split");
+        GatewayFleet.await(() -> fleet.post(0, "stream-split", "warm-up", "x").statusCode() == 200);
+        GatewayFleet.await(() -> {
+            fleet.post(0, "stream-split", "both-" + System.nanoTime(), "x");
+            return other.runs() > 0;
+        });
+        assertThat(fleet.post(0, "stream-split", "first", "x").statusCode()).isEqualTo(200);
+        RunnerStandIn began = fleet.runnerOf("first");
+        for (int i = 0; i < 16; i++) {
+            String next = "next-" + i;
+            Map<String, String> headers = Map.of("Deadline-Ms", "8000", "Resumes", "first", "Last-Event-Id", "2");
+            assertThat(fleet.status(0, "stream-split", next, headers)).isEqualTo(200);
+            assertThat(began.runs(next)).isEqualTo(1);
+        }
+    }
+
     @Test
     void streamThatCannotResumeEndsWithAnError() {
         fleet.setBehaviour(Behaviour.INTERRUPTING);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -72,6 +72,10 @@
         store.put("servers", runner.id(), runner.entry("svc", ZONE, state));
     }
 
+    void register(RunnerStandIn runner, String service, String state) {
+        store.put("servers", runner.id(), runner.entry(service, ZONE, state));
+    }
+
     void register(RawRunnerStandIn runner) {
         store.put("servers", runner.id(), runner.entry("svc", ZONE));
     }
