Give daemons 250 ms to state the version of a stream

A slowed daemon may need longer than the 150 ms before; the first record decides, so that only streams nobody knows wait for the time limit.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -47,8 +47,8 @@
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
-    /** How long other daemons have to state the version that began a stream, in ms: two round trips between regions. */
-    private static final long STREAM_VERSION_TIMEOUT_MS = 150;
+    /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
+    private static final long STREAM_VERSION_TIMEOUT_MS = 250;
 
     /** The number of tokens, or events, up to which a response counts as just begun. */
     private static final int MAX_FIRST_TOKENS = 8;
