Refuse late requests early only at targets with a rate limit

Found while reading: a late request whose remaining time is shorter than most requests take was refused at any target, even with a free slot: a retry after a crash would have got no second target. Cause: the wait under a rate limit is zero where there is none, and was compared with the remaining time, which may be negative. LatencyObjectiveTests .lateRetryIsNotRefusedWhileASlotIsFree failed before. A time to try again is stated after a missing reply of a controller only for limited targets.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -469,12 +469,13 @@
     }
 
     private void dispatchWithoutPermit(Route route, String reason, long nowMs, Effects out) {
-        if (route.request.urgency() == Urgency.BATCH
-                || route.suspect
-                || route.target.maxRequestsPerSecond().isPresent()) {
+        boolean limited = route.target.maxRequestsPerSecond().isPresent();
+        if (route.request.urgency() == Urgency.BATCH || route.suspect || limited) {
             withdraw(route, out);
             route.excluded.add(route.target.id());
-            route.retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+            if (limited) {
+                route.retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+            }
             chooseTarget(route, nowMs, out);
             return;
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -17,7 +17,8 @@
 import org.cornelcrank.core.Urgency;
 
 /**
- * Grants permits to run requests on one target, urgent requests first, and revokes batch permits for them.
+ * Grants permits to run requests on one target, urgent requests first and no faster than the target accepts them, and
+ * revokes batch permits for them.
  *
  * <p>Invariant: the granted permits exceed the target's slots only by batch permits that were revoked recently, whose
  * slots go to the online requests granted in their place, and by attempts that their holders dispatched without a
@@ -152,7 +153,7 @@
     /** Returns whether the timely requests under the target's rate limit leave a late one no turn in time. */
     private boolean hasNoTurn(PermitWaiter waiter, int position, long nowMs) {
         long waitMs = pacer.lateWaitMs(position, nowMs);
-        return waitMs > waiter.deadlineAtMs() - nowMs - holdingTimes.upperBoundMs(waiter.service());
+        return waitMs > 0 && waitMs > waiter.deadlineAtMs() - nowMs - holdingTimes.upperBoundMs(waiter.service());
     }
 
     /**
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/LatencyObjectiveTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/LatencyObjectiveTests.java
@@ -47,6 +47,28 @@
         assertThat(requests).allMatch(request -> request.dispatchedTo.size() == 1);
     }
 
+    /** A retry after a crash is late, and its time is shorter than most requests take, but a slot is free. */
+    @Test
+    void lateRetryIsNotRefusedWhileASlotIsFree() {
+        Location location = VirtualFleet.location("south", "a");
+        VirtualFleet fleet = new VirtualFleet(SEED);
+        fleet.requestOptions = new RequestOptions(2, true, OBJECTIVE_MS);
+        for (int i = 0; i < 2; i++) {
+            fleet.addEngine("e" + i, location, SLOTS, PROMPT_MS, TOKEN_MS);
+        }
+        fleet.start(List.of(location, location), () -> leastLoaded(RoutingSettings.forLatencyObjectives()));
+        for (int i = 0; i < 10; i++) {
+            fleet.send(0, Work.online(TOKENS, i));
+            fleet.run(300);
+        }
+        fleet.run(2_000);
+        SentRequest request = fleet.send(0, Work.online(TOKENS, 100).withDeadline(1_000));
+        fleet.run(400);
+        fleet.crashTarget(request.dispatchedTo.get(0), 5_000);
+        fleet.run(1_000);
+        assertThat(request.dispatchedTo).hasSize(2);
+    }
+
     private static RoutingPolicy leastLoaded(RoutingSettings settings) {
         return new RoutingPolicy(settings, new LeastLoadedTargetSelector(), AdmissionOrder.URGENCY_FIRST);
     }
