Forget old requests of a target with a rate limit

Found while reading: the times of timely requests were only dropped when a late one asked for its wait, so that a limit without late requests kept one entry for each request for as long as it lasted.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RequestPacer.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RequestPacer.java
@@ -62,6 +62,7 @@
     void take(boolean timely, long nowMs) {
         fill(nowMs);
         available -= 1;
+        dropOldTimely(nowMs);
         if (timely && limited) {
             timelyTakenAtMs.add(nowMs);
         }
@@ -82,11 +83,20 @@
      * them as before; {@link Long#MAX_VALUE} if these use the whole rate.
      */
     long lateWaitMs(int requests, long nowMs) {
+        dropOldTimely(nowMs);
+        double spareRate = ratePerSecond - timelyTakenAtMs.size() * MS_PER_SECOND / TIMELY_WINDOW_MS;
+        return waitMs(requests, spareRate, nowMs);
+    }
+
+    private void dropOldTimely(long nowMs) {
         while (!timelyTakenAtMs.isEmpty() && timelyTakenAtMs.peek() <= nowMs - TIMELY_WINDOW_MS) {
             timelyTakenAtMs.remove();
         }
-        double spareRate = ratePerSecond - timelyTakenAtMs.size() * MS_PER_SECOND / TIMELY_WINDOW_MS;
-        return waitMs(requests, spareRate, nowMs);
+    }
+
+    /** Returns how many recent timely requests are remembered. */
+    int remembered() {
+        return timelyTakenAtMs.size();
     }
 
     private long waitMs(int requests, double perSecond, long nowMs) {
