--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
@@ -215,6 +215,15 @@
         assertThat(later.completed()).isTrue();
     }
 
+    @Test
+    void eachAttemptOfAStreamCostsThreeMessagesWhileVersionsAreMixed() {
+        startWithTwoVersions(1);
+        play(10_000);
+        int attempts =
+                begun.stream().mapToInt(request -> request.dispatchedTo.size()).sum();
+        assertThat(fleet.count("stream-records-sent")).isEqualTo(3L * attempts);
+    }
+
     @Test
     void streamsCostNoMessagesWhileTheirServiceHasASingleVersion() {
         start(1, OLD, OLD, OLD, OLD);
