Pace requests with the token bucket that team limits use, and rename its users

RequestPacer filled a bucket of its own; TokenBucket does that already. The names of timers and methods say grant and rate instead of turn. No change of behaviour intended: RequestPacerTests, RateLimitTests, LatencyObjectiveTests and PermitFailureTests pass as before.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitLedger.java
@@ -87,7 +87,7 @@
         if (waitMs > 0 && nowMs + waitMs + holdingTimes.upperBoundMs(waiter.service()) > waiter.deadlineAtMs()) {
             return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
         }
-        if (nowMs + waitMs > waiter.startByMs() && hasNoTurn(waiter, waiters.size() + 1, nowMs)) {
+        if (nowMs + waitMs > waiter.startByMs() && starves(waiter, waiters.size() + 1, nowMs)) {
             return Optional.of(refuse(waiter, RoutingMessage.Reason.OVERLOADED, waitMs));
         }
         add(waiter);
@@ -129,8 +129,8 @@
     }
 
     /**
-     * Moves requests that can no longer meet their latency objective behind those that can; refuses those that these
-     * leave no turn before their deadline.
+     * Moves requests that can no longer meet their latency objective behind those that can; refuses those that would
+     * starve behind these.
      */
     private void demoteLate(long nowMs, List<LedgerDecision> decisions) {
         int position = 0;
@@ -140,7 +140,7 @@
             if (!waiter.late() && !becameLate) {
                 continue;
             }
-            if (hasNoTurn(waiter, position, nowMs)) {
+            if (starves(waiter, position, nowMs)) {
                 remove(waiter);
                 decisions.add(refuse(waiter, RoutingMessage.Reason.OVERLOADED, expectedWaitMs(nowMs)));
             } else if (becameLate) {
@@ -150,8 +150,8 @@
         }
     }
 
-    /** Returns whether the timely requests under the target's rate limit leave a late one no turn in time. */
-    private boolean hasNoTurn(PermitWaiter waiter, int position, long nowMs) {
+    /** Returns whether timely requests use so much of the target's rate that a late one would miss its deadline. */
+    private boolean starves(PermitWaiter waiter, int position, long nowMs) {
         long waitMs = pacer.lateWaitMs(position, nowMs);
         return waitMs > 0 && waitMs > waiter.deadlineAtMs() - nowMs - holdingTimes.upperBoundMs(waiter.service());
     }
@@ -214,7 +214,7 @@
         RoutingMessage.RunningPermit permit = new RoutingMessage.RunningPermit(
                 waiter.attempt(), waiter.service(), waiter.urgency(), 0, waiter.suspect(), Optional.empty());
         permits.put(waiter.attempt(), new HeldPermit(permit, waiter.holder(), nowMs));
-        pacer.take(!waiter.late() && nowMs <= waiter.startByMs(), nowMs);
+        pacer.acquire(!waiter.late() && nowMs <= waiter.startByMs(), nowMs);
     }
 
     /**
@@ -237,7 +237,7 @@
     /** Grants a permit to a job. */
     void grantBatch(RoutingMessage.RunningPermit permit, HostId holder, long nowMs) {
         add(permit, holder, nowMs);
-        pacer.take(false, nowMs);
+        pacer.acquire(false, nowMs);
     }
 
     /** Records a permit that a holder reports as running. */
@@ -263,7 +263,7 @@
             return Optional.empty();
         }
         if (use == RoutingMessage.Use.UNUSED) {
-            pacer.giveBack();
+            pacer.release();
         }
         if (permit.revoked()) {
             reserve.revocationTook(
@@ -339,7 +339,7 @@
     }
 
     /** Returns when the first waiter may run as far as the target's rate limit is concerned, empty if now or never. */
-    OptionalLong nextTurnAtMs(long nowMs) {
+    OptionalLong nextGrantAtMs(long nowMs) {
         return waiters.isEmpty() || pacer.allows(nowMs)
                 ? OptionalLong.empty()
                 : OptionalLong.of(nowMs + pacer.waitMs(1, nowMs));
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RequestPacer.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RequestPacer.java
@@ -7,10 +7,10 @@
 /**
  * Paces the requests to one target to the rate that it accepts from all daemons together.
  *
- * <p>Invariant: in any time span, at most the rate times the span and one second's worth of requests are taken, or one
- * more than the rate times the span if the rate is below one per second. A target with a limit of zero gets a request
- * now and then, since only a response can tell that its limit has ended. Not thread-safe: confined to the daemon's
- * event loop.
+ * <p>Invariant: in any time span, at most the rate times the span and one second's worth of requests are acquired, or
+ * one more than the rate times the span if the rate is below one per second. A target with a limit of zero gets a
+ * request now and then, since only a response can tell that its limit has ended. Not thread-safe: confined to the
+ * daemon's event loop.
  */
 final class RequestPacer {
 
@@ -19,100 +19,97 @@
     private static final long TIMELY_WINDOW_MS = 2_000;
     private static final double MS_PER_SECOND = 1_000;
 
-    private final Deque<Long> timelyTakenAtMs = new ArrayDeque<>();
+    private final Deque<Long> timelyAtMs = new ArrayDeque<>();
     private double ratePerSecond;
-    private double available;
-    private long filledAtMs;
-    private boolean limited;
+    private TokenBucket bucket;
 
-    /** Applies the target's limit; the first request under a new limit waits for its turn. */
+    /** Applies the target's limit; a new one starts with an empty bucket. */
     void limit(OptionalDouble maxRequestsPerSecond, long nowMs) {
         if (maxRequestsPerSecond.isEmpty()) {
-            limited = false;
+            bucket = null;
+            timelyAtMs.clear();
             return;
         }
-        if (limited) {
-            fill(nowMs);
+        if (bucket == null) {
+            bucket = new TokenBucket(0, nowMs);
         } else {
-            limited = true;
-            available = 0;
-            filledAtMs = nowMs;
+            // Fills the bucket at the former rate.
+            available(nowMs);
         }
         ratePerSecond = Math.max(MIN_RATE_PER_SECOND, maxRequestsPerSecond.getAsDouble());
-        available = Math.min(available, depth());
     }
 
     boolean limited() {
-        return limited;
+        return bucket != null;
     }
 
     /** Returns whether a request may be sent now. */
     boolean allows(long nowMs) {
-        fill(nowMs);
-        return !limited || available >= 1;
+        return bucket == null || available(nowMs) >= 1;
     }
 
     /** Returns whether an item may be sent now: only if requests have left a whole burst unused. */
     boolean allowsBatch(long nowMs) {
-        fill(nowMs);
-        return !limited || available >= depth();
+        return bucket == null || available(nowMs) >= depth();
     }
 
     /** Counts a request; {@code timely} indicates that it can still meet its latency objective. */
-    void take(boolean timely, long nowMs) {
-        fill(nowMs);
-        available -= 1;
+    void acquire(boolean timely, long nowMs) {
+        if (bucket == null) {
+            return;
+        }
+        bucket.take(1);
         dropOldTimely(nowMs);
-        if (timely && limited) {
-            timelyTakenAtMs.add(nowMs);
+        if (timely) {
+            timelyAtMs.add(nowMs);
         }
     }
 
-    /** Takes back a request that was counted but not sent. */
-    void giveBack() {
-        available = Math.min(depth(), available + 1);
+    /** Uncounts a request that was not sent. */
+    void release() {
+        if (bucket != null) {
+            bucket.giveBack(1);
+        }
     }
 
-    /** Returns how long the last of a number of requests waits for its turn, in ms. */
+    /** Returns how long the last of a number of requests waits, in ms. */
     long waitMs(int requests, long nowMs) {
         return waitMs(requests, ratePerSecond, nowMs);
     }
 
     /**
-     * Returns how long the last of a number of late requests waits for its turn, in ms, if timely ones keep preceding
-     * them as before; {@link Long#MAX_VALUE} if these use the whole rate.
+     * Returns how long the last of a number of late requests waits, in ms, if timely ones keep preceding them as before;
+     * {@link Long#MAX_VALUE} if these use the whole rate.
      */
     long lateWaitMs(int requests, long nowMs) {
         dropOldTimely(nowMs);
-        double spareRate = ratePerSecond - timelyTakenAtMs.size() * MS_PER_SECOND / TIMELY_WINDOW_MS;
-        return waitMs(requests, spareRate, nowMs);
+        return waitMs(requests, ratePerSecond - timelyAtMs.size() * MS_PER_SECOND / TIMELY_WINDOW_MS, nowMs);
+    }
+
+    private long waitMs(int requests, double perSecond, long nowMs) {
+        if (bucket == null) {
+            return 0;
+        }
+        double missing = requests - available(nowMs);
+        if (missing <= 0) {
+            return 0;
+        }
+        return perSecond <= 0 ? Long.MAX_VALUE : (long) Math.ceil(missing * MS_PER_SECOND / perSecond);
     }
 
     private void dropOldTimely(long nowMs) {
-        while (!timelyTakenAtMs.isEmpty() && timelyTakenAtMs.peek() <= nowMs - TIMELY_WINDOW_MS) {
-            timelyTakenAtMs.remove();
+        while (!timelyAtMs.isEmpty() && timelyAtMs.peek() <= nowMs - TIMELY_WINDOW_MS) {
+            timelyAtMs.remove();
         }
     }
 
     /** Returns how many recent timely requests are remembered. */
     int remembered() {
-        return timelyTakenAtMs.size();
-    }
-
-    private long waitMs(int requests, double perSecond, long nowMs) {
-        fill(nowMs);
-        if (!limited || available >= requests) {
-            return 0;
-        }
-        return perSecond <= 0 ? Long.MAX_VALUE : (long) Math.ceil((requests - available) * MS_PER_SECOND / perSecond);
+        return timelyAtMs.size();
     }
 
-    private void fill(long nowMs) {
-        if (limited) {
-            double added = Math.max(0, nowMs - filledAtMs) * ratePerSecond / MS_PER_SECOND;
-            available = Math.min(depth(), available + added);
-            filledAtMs = Math.max(filledAtMs, nowMs);
-        }
+    private double available(long nowMs) {
+        return bucket.level(ratePerSecond, depth(), nowMs);
     }
 
     private double depth() {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -28,7 +28,7 @@
  */
 final class TargetController {
 
-    static final TimerKey TIMER = new TimerKey(RoutingStateMachine.NAME, "turns");
+    static final TimerKey TIMER = new TimerKey(RoutingStateMachine.NAME, "paced-grants");
 
     private static final double ITEM_SMOOTHING_FACTOR = 0.1;
 
@@ -37,7 +37,7 @@
     private final BatchDemandQueue demands;
     private final Map<TargetId, PermitLedger> ledgers = new TreeMap<>();
     private final Set<TargetId> unreachable = new TreeSet<>();
-    private final DueQueue<TargetId> turns = new DueQueue<>(TIMER);
+    private final DueQueue<TargetId> pacedGrants = new DueQueue<>(TIMER);
     private double meanItemMs;
 
     TargetController(RoutingContext context, OccupancyPublisher publisher) {
@@ -143,9 +143,9 @@
         }
     }
 
-    /** Admits the requests whose turn under the rate limit of their target has come. */
+    /** Admits requests that the rate limits of their targets allow now. */
     void timerDue(long nowMs, Effects out) {
-        for (TargetId target : turns.takeDue(nowMs, out)) {
+        for (TargetId target : pacedGrants.takeDue(nowMs, out)) {
             PermitLedger ledger = ledgers.get(target);
             if (ledger != null) {
                 admit(target, ledger, nowMs, out);
@@ -251,7 +251,7 @@
             decided.add(decision.attempt());
         }
         grantIdleSlots(target, ledger, nowMs, out);
-        ledger.nextTurnAtMs(nowMs).ifPresent(atMs -> turns.put(target, atMs, out));
+        ledger.nextGrantAtMs(nowMs).ifPresent(atMs -> pacedGrants.put(target, atMs, out));
         publisher.publish(target, occupancy(target, ledger, nowMs), nowMs, out);
         return decided;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TokenBucket.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TokenBucket.java
@@ -26,6 +26,17 @@
         return (long) Math.ceil((needed - level) * 1_000 / ratePerSecond);
     }
 
+    /** Returns what the bucket holds now. */
+    double level(double ratePerSecond, double depth, long nowMs) {
+        fill(ratePerSecond, depth, nowMs);
+        return level;
+    }
+
+    /** Returns a cost that was taken but not incurred; what exceeds the depth is lost. */
+    void giveBack(double cost) {
+        level += cost;
+    }
+
     /** Takes a cost that has already been incurred. */
     void take(double cost) {
         level -= cost;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RequestPacerTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RequestPacerTests.java
@@ -21,17 +21,17 @@
         assertThat(pacer.allowsBatch(60_000)).isTrue();
         for (int i = 0; i < 4; i++) {
             assertThat(pacer.allows(60_000)).isTrue();
-            pacer.take(true, 60_000);
+            pacer.acquire(true, 60_000);
         }
         assertThat(pacer.allows(60_000)).isFalse();
     }
 
     @Test
-    void requestThatWasNotSentGivesItsTurnBack() {
+    void requestThatWasNotSentDoesNotCount() {
         pacer.limit(OptionalDouble.of(1), 0);
-        pacer.take(true, 1_000);
+        pacer.acquire(true, 1_000);
         assertThat(pacer.allows(1_000)).isFalse();
-        pacer.giveBack();
+        pacer.release();
         assertThat(pacer.allows(1_000)).isTrue();
     }
 
@@ -40,7 +40,7 @@
         pacer.limit(OptionalDouble.of(2), 0);
         assertThat(pacer.lateWaitMs(1, 0)).isEqualTo(500);
         for (long atMs = 500; atMs <= 4_000; atMs += 500) {
-            pacer.take(true, atMs);
+            pacer.acquire(true, atMs);
         }
         assertThat(pacer.lateWaitMs(1, 4_000)).isEqualTo(Long.MAX_VALUE);
         assertThat(pacer.lateWaitMs(2, 4_500)).isEqualTo(2_000);
@@ -51,7 +51,7 @@
     void memoryStaysBounded() {
         pacer.limit(OptionalDouble.of(100), 0);
         for (long atMs = 0; atMs < 100_000; atMs += 10) {
-            pacer.take(true, atMs);
+            pacer.acquire(true, atMs);
         }
         assertThat(pacer.remembered()).isLessThanOrEqualTo(200);
     }
