--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 CASE_FOLDER=$PWD/review/3
 CASE_TEMP=$(mktemp -d) || exit 2
 export CASE_FOLDER CASE_TEMP
-java -Xmx256m -cp target/review SpoiledStream > "$CASE_TEMP/console.txt" 2>&1
+java -Xmx256m -cp target/review RestartedReader > "$CASE_TEMP/console.txt" 2>&1
 status=$?
 rm -rf "$CASE_TEMP"
 case $status in 0 | 1 | 2) exit $status ;; *) exit 2 ;; esac
--- a/review/standin/RestartedReader.java
+++ b/review/standin/RestartedReader.java
@@ -6,7 +6,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Case 2: a daemon is killed and starts again while another one, which it has asked for results, is frozen. */
+/** Case 3: a daemon is killed and starts again while another one, which it has asked for results, is frozen. */
 final class RestartedReader extends Trial {
 
     private static final int JOBS = 24;
--- a/review/standin/SpoiledStream.java
+++ b/review/standin/SpoiledStream.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 3: a runner spoils a few of its answers in the middle of the stream. */
+/** Case 4: a runner spoils a few of its answers in the middle of the stream. */
 final class SpoiledStream extends Trial {
 
     private static final int JOBS = 20;
--- a/review/standin/UnreadableEntry.java
+++ b/review/standin/UnreadableEntry.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Set;
 
-/** Case 4: an entry in the list of runners, of another writer, has an address that is none. */
+/** Case 5: an entry in the list of runners, of another writer, has an address that is none. */
 final class UnreadableEntry extends Trial {
 
     private static final int JOBS = 6;
