--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -27,6 +27,10 @@
     static final String SERVICE = "huvo11a";
     static final String BATCH_PREFIX = "/pule252/";
     static final String STREAM_PREFIX = "/pufi791/";
+
+    /** How long a case may run, in ms. */
+    private static final long LIMIT_MS = 115_000;
+
     private static final String REGIONS = "{\"bratislava-a\":\"zapad\"}";
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -44,6 +48,9 @@
 
     final void run() {
         int status = 2;
+        Thread watchdog = new Thread(this::endInTime);
+        watchdog.setDaemon(true);
+        watchdog.start();
         Runtime.getRuntime().addShutdownHook(new Thread(this::endDaemons));
         try {
             record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
@@ -60,6 +67,17 @@
         Runtime.getRuntime().halt(status);
     }
 
+    /** Ends the case as not run once its time is over. */
+    private void endInTime() {
+        try {
+            Thread.sleep(LIMIT_MS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        endDaemons();
+        Runtime.getRuntime().halt(2);
+    }
+
     private void endDaemons() {
         daemons.forEach(daemon -> daemon.process.destroyForcibly());
     }
@@ -191,7 +209,7 @@
 
     /** Sends a signal to a process that this case has started. */
     static void signal(String name, Daemon daemon) throws Exception {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(daemon.process.pid())).start().waitFor();
+        new ProcessBuilder("bash", "-c", "kill -" + name + " " + daemon.process.pid()).start().waitFor();
     }
 
     private static int freePort(String ip) throws IOException {
--- a/review/standin/UnreadableEntry.java
+++ b/review/standin/UnreadableEntry.java
@@ -30,8 +30,8 @@
         startRunners(store, 3, this::answer);
         startDaemons(store, 2, 12);
         if (trouble) {
-            log("another writer adds an entry whose address is 10.128.0.9:80800");
-            store.put("keyed.servers", "i-02d9e6b4", ("{\"service\":\"%s\",\"address\":\"10.128.0.9:80800\",\"zone\":\"%s\","
+            log("another writer adds an entry whose address is 127.0.0.1:80800");
+            store.put("keyed.servers", "i-02d9e6b4", ("{\"service\":\"%s\",\"address\":\"127.0.0.1:80800\",\"zone\":\"%s\","
                             + "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}")
                     .formatted(SERVICE, ZONE));
         }
