Log each response head of a target with its id, framing and exchange

A response that was not believed said why, but not which status and id it had, nor on which exchange of which connection it came, so that the ways in which a copy of a former response can reach a caller could not be told apart. Bytes that came while no response was due left no trace unless the connection had never carried a request.

Each head now has one line: believed or rejected, with attempt, request, target, status, how its id compares, signed, framing, age, connection and exchange. Bytes without a request have a line with the connection and their number; bytes that arrive in one read with the end of a response are not seen yet. responses.rejected.<reason> counts both.

What is believed does not change. The cost of the additional line in processor time was not measured.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -29,6 +29,7 @@
 import org.cornelcrank.gateway.http.GatewayDialect;
 import org.cornelcrank.gateway.http.RateLimit;
 import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.gateway.http.ResponseId;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
@@ -37,6 +38,7 @@
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
@@ -86,6 +88,7 @@
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
     private final MonotonicClock clock;
+    private final MetricRegistry metrics;
 
     GatewayTargetClient(
             CoreLoop loop,
@@ -109,13 +112,16 @@
                 .disableRetry(true)
                 .followRedirect(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .doOnChannelInit((observer, channel, address) ->
-                        channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES)));
+                .doOnChannelInit((observer, channel, address) -> {
+                    channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES));
+                    TargetExchanges.follow(channel, metrics);
+                });
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
         this.probe = new TargetProbe(loops, loop.scheduler());
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics must not be null");
         metrics.registerGauge("attempts.running", running::size);
     }
 
@@ -199,11 +205,17 @@
                 attempt.receiver.head().requestId());
         rememberIdleTimeout(response, head);
         if (!head.matchesRequest()) {
-            return Flux.error(new InvalidResponseException("the response belongs to another request"));
+            return rejected(
+                    attempt,
+                    head,
+                    response,
+                    head.responseId() == ResponseId.ABSENT ? "no-id" : "other-id",
+                    "the response belongs to another request");
         }
         if (head.success() && !head.signed()) {
-            return Flux.error(new InvalidResponseException("the success response is not signed"));
+            return rejected(attempt, head, response, "no-signature", "the success response is not signed");
         }
+        report(attempt, head, response, LOGGER.atInfo(), "response received");
         if (head.leaving()) {
             loop.post(new Event.TargetLeaving(attempt.target, attempt.sentAtMs));
         }
@@ -219,6 +231,39 @@
                 .flux();
     }
 
+    private Flux<AttemptOutcome> rejected(
+            RunningAttempt attempt,
+            TargetResponseHead head,
+            HttpClientResponse response,
+            String reason,
+            String description) {
+        metrics.counter("responses.rejected." + reason).inc();
+        report(attempt, head, response, LOGGER.atWarn(), "response rejected: " + description);
+        return Flux.error(new InvalidResponseException(description));
+    }
+
+    private void report(
+            RunningAttempt attempt,
+            TargetResponseHead head,
+            HttpClientResponse response,
+            LoggingEventBuilder line,
+            String text) {
+        line.addKeyValue("attempt", attempt.id)
+                .addKeyValue("request", attempt.receiver.head().requestId())
+                .addKeyValue("target", attempt.target)
+                .addKeyValue("status", head.status())
+                .addKeyValue("id", head.responseId())
+                .addKeyValue("signed", head.signed())
+                .addKeyValue("ageMs", clock.nowMs() - attempt.sentAtMs);
+        if (response instanceof Connection connection) {
+            TargetExchanges exchanges = TargetExchanges.of(connection.channel());
+            line.addKeyValue("framing", exchanges.framing())
+                    .addKeyValue("connection", exchanges.localPort())
+                    .addKeyValue("exchange", exchanges.number());
+        }
+        line.log(text);
+    }
+
     /** Reports what a target's own response says about its rate limit; a malformed limit says nothing. */
     private void reportRateLimit(RunningAttempt attempt, TargetResponseHead head) {
         if (head.rateLimit() instanceof RateLimit.Malformed malformed) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -14,6 +14,7 @@
 import org.cornelcrank.core.Verdict;
 import org.cornelcrank.gateway.http.RateLimit;
 import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.gateway.http.ResponseId;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.junit.jupiter.api.Test;
 import org.reactivestreams.Subscription;
@@ -27,7 +28,17 @@
 
     private static final int MAX_RUNS = 2;
     private static final TargetResponseHead STREAM = new TargetResponseHead(
-            200, false, false, true, true, true, false, new RateLimit.None(), 0, 0, new DefaultHttpHeaders());
+            200,
+            false,
+            false,
+            ResponseId.EQUAL,
+            true,
+            true,
+            false,
+            new RateLimit.None(),
+            0,
+            0,
+            new DefaultHttpHeaders());
 
     private final GatewayCall call = new GatewayCall(
             new RequestId(new HostId("host"), 1, 1),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
@@ -18,6 +18,7 @@
 import org.cornelcrank.core.DispatchSource;
 import org.cornelcrank.gateway.http.RateLimit;
 import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.gateway.http.ResponseId;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,7 +31,17 @@
 class ItemReceiverTests {
 
     private static final TargetResponseHead STREAM = new TargetResponseHead(
-            200, false, false, true, true, true, false, new RateLimit.None(), 0, 0, new DefaultHttpHeaders());
+            200,
+            false,
+            false,
+            ResponseId.EQUAL,
+            true,
+            true,
+            false,
+            new RateLimit.None(),
+            0,
+            0,
+            new DefaultHttpHeaders());
 
     /** Guards against a text that holds events which do not count, and which the next run therefore repeats. */
     @ParameterizedTest
