Add tests for copies of refusals and failures without an id

Callers of non-repeatable requests that a target had run were answered by a second target, or got the status and signature of another request. The suite wrote only successes twice, and compared neither which target ran a request with whose signature came back, nor the number of runs. assertEachCallerGetsItsOwnResponse now compares status, signature, body and runs.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -193,22 +193,70 @@
         assertEachCallerGetsItsOwnResponse();
     }
 
+    static Stream<Arguments> copiesWithoutAnId() {
+        return Stream.of(
+                Arguments.of("refusal", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+                Arguments.of(
+                        "refusal with a delay",
+                        "HTTP/1.1 429 Many\r\nNot-Executed: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n"),
+                Arguments.of("misdirection", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"),
+                Arguments.of("unsigned failure", "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno"),
+                Arguments.of(
+                        "failure",
+                        "HTTP/1.1 500 Error\r\nResponse-Signature: signed-by-raw\r\nContent-Length: 2\r\n\r\nno"),
+                Arguments.of(
+                        "announcement to leave",
+                        "HTTP/1.1 500 Error\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\nContent-Length: 0\r\n\r\n"));
+    }
+
+    /** A copy that states no id must neither be taken for the due response nor count as proof that nothing ran. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("copiesWithoutAnId")
+    void copyWithoutAnIdOnAConnectionInUseAgainReachesNobody(String name, String copy) throws IOException {
+        runner.setScript((request, response) -> {
+            if (request.number() > 1) {
+                response.write(copy);
+            }
+            response.whole(request, new String(request.body()));
+        });
+        assertEachCallerGetsItsOwnResponse();
+        assertThat(runner.connections()).isGreaterThan(1);
+    }
+
     /** Sends requests that may be repeated and ones that may not; the latter may fail, but never as not run. */
     private void assertEachCallerGetsItsOwnResponse() throws IOException {
         fleet.register(runner);
         for (int i = 0; runner.requests() < 6 && i < MAX_REQUESTS; i++) {
             HttpResponse<String> repeatable = fleet.post(0, "idem", "i" + i, BODY + i);
-            assertThat(repeatable.body()).isEqualTo(BODY + i);
+            assertResponseIsOfTheRunnerThatRan("i" + i, BODY + i, repeatable);
+            assertThat(repeatable.statusCode()).isEqualTo(200);
             HttpResponse<String> single = fleet.post(0, "unsafe", "s" + i, BODY + i);
-            if (single.statusCode() == 200) {
-                assertThat(single.body()).isEqualTo(BODY + i);
-            } else {
-                assertThat(single.statusCode()).isEqualTo(502);
-            }
+            assertResponseIsOfTheRunnerThatRan("s" + i, BODY + i, single);
+            assertThat(fleet.runs("s" + i) + runner.runs("s" + i)).isLessThanOrEqualTo(1);
         }
         assertThat(runner.requests()).isPositive();
     }
 
+    /** Compares status, signature and body with what the runners wrote for the request: none wrote a failure. */
+    private void assertResponseIsOfTheRunnerThatRan(String id, String body, HttpResponse<String> response) {
+        String signature = response.headers().firstValue("Response-Signature").orElse("none");
+        switch (response.statusCode()) {
+            case 200 -> {
+                assertThat(signature).isIn("signed-by-sound", "signed-by-raw");
+                assertThat(signature.equals("signed-by-raw") ? runner.runs(id) : fleet.runs(id))
+                        .isPositive();
+                assertThat(response.body()).isEqualTo(body);
+            }
+            case 502 -> {
+                assertThat(signature).isEqualTo("none");
+                assertThat(runner.runs(id)).isPositive();
+            }
+            default -> throw new AssertionError(
+                    "status %d of %s, which ran %d times at one runner and %d times at the other"
+                            .formatted(response.statusCode(), id, runner.runs(id), fleet.runs(id)));
+        }
+    }
+
     static Stream<Arguments> brokenOff() {
         return Stream.of(
                 Arguments.of("within its length", "Content-Length: 100\r\n", "half"),
