--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -0,0 +1,170 @@
+package org.cornelcrank.server.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.HttpURLConnection;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.cornelcrank.server.CornelcrankDaemon;
+
+/**
+ * A gateway daemon in a process of its own, which keeps its addresses over restarts.
+ *
+ * <p>Thread-safe; stops and starts follow each other.
+ */
+final class DaemonProgram implements AutoCloseable {
+
+    private static final int PORTS = 4;
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
+    private static final int READ_TIMEOUT_MS = 2_000;
+    private static final int OK = 200;
+
+    private final String host;
+    private final int[] ports = new int[PORTS];
+    private final List<String> command;
+    private final File log;
+    private Process process;
+
+    /** How the process is ended. */
+    enum End {
+        TERMINATE,
+        KILL
+    }
+
+    DaemonProgram(String host, String storeAddress, Path logs) throws IOException {
+        this.host = host;
+        this.log = logs.resolve(host + ".log").toFile();
+        takeFreePorts();
+        command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                CornelcrankDaemon.class.getName(),
+                "gateway",
+                "--deployment",
+                "test",
+                "--host",
+                host,
+                "--data-centre",
+                "dc-a",
+                "--data-centres",
+                "{\"dc-a\":\"region-1\"}",
+                "--front-address",
+                "127.0.0.1:" + ports[0],
+                "--readiness-address",
+                "127.0.0.1:" + ports[1],
+                "--peer-address",
+                "127.0.0.1:" + ports[2],
+                "--metrics-address",
+                "127.0.0.1:" + ports[3],
+                "--store-address",
+                storeAddress,
+                "--store-partitions",
+                "2",
+                "--shared-key",
+                "test",
+                "--drain-delay-ms",
+                "100",
+                "--drain-timeout-ms",
+                "2000",
+                "--log-format",
+                "json");
+    }
+
+    private void takeFreePorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < PORTS; i++) {
+                sockets.add(new ServerSocket(0));
+                ports[i] = sockets.get(i).getLocalPort();
+            }
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    String host() {
+        return host;
+    }
+
+    /** Returns the port for callers. */
+    int port() {
+        return ports[0];
+    }
+
+    synchronized void start() throws IOException {
+        process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .start();
+    }
+
+    /** Ends the process, waits for its end and starts it again. */
+    synchronized void restart(End end, long pauseMs) throws IOException, InterruptedException {
+        if (end == End.KILL) {
+            process.destroyForcibly();
+        } else {
+            process.destroy();
+        }
+        if (!process.waitFor(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+            throw new IllegalStateException(host + " must end when it is told to");
+        }
+        Thread.sleep(pauseMs);
+        start();
+    }
+
+    void awaitReady() throws InterruptedException {
+        long untilNanos = System.nanoTime() + START_TIMEOUT.toNanos();
+        while (!ready()) {
+            if (System.nanoTime() > untilNanos) {
+                throw new IllegalStateException(host + " was not ready within " + START_TIMEOUT);
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    private boolean ready() {
+        return read(ports[1], "/v1/readiness").isPresent();
+    }
+
+    private static Optional<String> read(int port, String path) {
+        try {
+            HttpURLConnection connection = (HttpURLConnection)
+                    URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+            connection.setConnectTimeout(READ_TIMEOUT_MS);
+            connection.setReadTimeout(READ_TIMEOUT_MS);
+            try (InputStream in = connection.getResponseCode() == OK ? connection.getInputStream() : null) {
+                return in == null ? Optional.empty() : Optional.of(new String(in.readAllBytes()));
+            } finally {
+                connection.disconnect();
+            }
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    synchronized boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    @Override
+    public synchronized void close() {
+        if (process != null) {
+            process.destroyForcibly().onExit().join();
+        }
+    }
+}
