Believe a response only if it states the id of its request

A copy of a former refusal without an id, before the due response on a connection in use again, was taken for the response to the next request: callers got 200 for non-repeatable requests that ran at two targets. A copy of a failure gave the next caller that failure with its signature. The id was required of successes only, as a refusal or a failure was thought to reveal nothing; but a refusal proves that nothing has run, and a status belongs to one request.

A response belongs to a request only if it states the request's id, once or several times the same, whatever its status; the gateway sends no request without an id. Any other response ends the attempt as may-have-run and its connection, and nothing in its head counts: leaving, rate limit and delay did not count before either unless the id was absent; the idle timeout of the connection did.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/TargetResponseHead.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/TargetResponseHead.java
@@ -27,9 +27,9 @@
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
 
-    /** Returns whether the response belongs to the request that was sent. */
+    /** Returns whether the response belongs to the request that was sent; if not, nothing that it states holds. */
     public boolean matchesRequest() {
-        return responseId == ResponseId.EQUAL || responseId == ResponseId.ABSENT && !success();
+        return responseId == ResponseId.EQUAL;
     }
 
     /** Returns whether the status is a 2xx status. */
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -53,9 +53,9 @@
 /**
  * Runs requests on targets and passes their responses to the receivers.
  *
- * <p>Invariants: every dispatched attempt ends in exactly one {@link Event.AttemptEnded}; a response is accepted as a
- * success only if it states the request's id, is signed and is complete; an attempt that ends early closes its
- * connection. Not thread-safe: confined to the event loop.
+ * <p>Invariants: every dispatched attempt ends in exactly one {@link Event.AttemptEnded}; a response is believed only if
+ * it states the request's id, whatever its status, and accepted as a success only if it is also signed and complete; an
+ * attempt that ends early closes its connection. Not thread-safe: confined to the event loop.
  */
 final class GatewayTargetClient implements EffectRunner {
 
@@ -203,7 +203,6 @@
                 response.status().code(),
                 response.responseHeaders(),
                 attempt.receiver.head().requestId());
-        rememberIdleTimeout(response, head);
         if (!head.matchesRequest()) {
             return rejected(
                     attempt,
@@ -215,6 +214,7 @@
         if (head.success() && !head.signed()) {
             return rejected(attempt, head, response, "no-signature", "the success response is not signed");
         }
+        rememberIdleTimeout(response, head);
         report(attempt, head, response, LOGGER.atInfo(), "response received");
         if (head.leaving()) {
             loop.post(new Event.TargetLeaving(attempt.target, attempt.sentAtMs));
