Reject a head in which the status line of another response stands

Callers got a success, with their own request id and the target's signature for it, where the target had responded with a failure: the symptom of the incident. A target wrote the first bytes of an earlier response once more, just before the one that was due. Where these bytes end within the reason phrase or the value of a header, the decoder takes the status line that follows for the rest of that text: status and framing come from the earlier response, id, signature and body from the due one, so that each check passed.

A status line in the reason phrase or in a header now ends the attempt as may-have-run, and its connection. Wherever the first bytes end within the head, the due response's status line stands in the merged head, so that nothing else need be compared. Counted as responses.rejected.merged-head.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -203,6 +203,10 @@
                 response.status().code(),
                 response.responseHeaders(),
                 attempt.receiver.head().requestId());
+        if (StatusLines.standIn(response.status().reasonPhrase(), response.responseHeaders())) {
+            return rejected(
+                    attempt, head, response, "merged-head", "its head holds the status line of another response");
+        }
         if (!head.matchesRequest()) {
             return rejected(
                     attempt,
