Require an id of each event of a stream that may be resumed

A caller got the first piece twice, from two targets: the first target sent an event without an id and broke off, and the next one was asked to begin anew, as nothing told which event the caller had. The receiver accepted such an event in the place of the first one, whatever the kind of the route.

An event without an id now fails the attempt if the stream may be resumed, before it reaches the caller. Streams that are never resumed need no ids, as before.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -82,8 +82,8 @@
         if (id != EventIds.NONE && call.streaming() && EventIds.isDuplicate(id, call.lastEventId())) {
             return;
         }
-        if (id == EventIds.NONE && call.lastEventId() > 0 && !EventIds.isComment(event)) {
-            throw new IllegalStateException("an event without an id follows events with ids");
+        if (id == EventIds.NONE && !EventIds.isComment(event) && (call.resumable() || call.lastEventId() > 0)) {
+            throw new IllegalStateException("expected event " + (call.lastEventId() + 1) + " but it has no id");
         }
         call.sendEvent(head.status(), head.headers(), id, event);
         forwardedEvents++;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
@@ -30,6 +30,7 @@
     private final RequestHead head;
     private final byte[] body;
     private final int maxRuns;
+    private final boolean resumable;
     private final long readTimeoutMs;
     private final long receivedAtMs;
     private final Sinks.One<CallResponse> response = Sinks.one();
@@ -42,11 +43,19 @@
     private int unreadBytes;
     private Sinks.Empty<Void> callerAwaited = Sinks.empty();
 
-    GatewayCall(RequestId id, RequestHead head, byte[] body, int maxRuns, long readTimeoutMs, long receivedAtMs) {
+    GatewayCall(
+            RequestId id,
+            RequestHead head,
+            byte[] body,
+            int maxRuns,
+            boolean resumable,
+            long readTimeoutMs,
+            long receivedAtMs) {
         this.id = Objects.requireNonNull(id, "id must not be null");
         this.head = Objects.requireNonNull(head, "head must not be null");
         this.body = Objects.requireNonNull(body, "body must not be null");
         this.maxRuns = maxRuns;
+        this.resumable = resumable;
         this.readTimeoutMs = readTimeoutMs;
         this.receivedAtMs = receivedAtMs;
         this.lastEventId = head.lastEventId().orElse(0);
@@ -69,6 +78,11 @@
         return maxRuns;
     }
 
+    /** Returns whether another target may go on with the stream after the last event that was sent to the caller. */
+    boolean resumable() {
+        return resumable;
+    }
+
     /** Returns the read timeout of a target, in ms; zero (no limit) if the request must not be run again. */
     long readTimeoutMs() {
         return readTimeoutMs;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -69,7 +69,7 @@
                         MIN_READ_TIMEOUT_MS,
                         READ_TIMEOUT_OBJECTIVES * request.options().objectiveMs())
                 : 0;
-        GatewayCall call = new GatewayCall(nextId(), head, body, maxRuns, readTimeoutMs, nowMs);
+        GatewayCall call = new GatewayCall(nextId(), head, body, maxRuns, request.resumable(), readTimeoutMs, nowMs);
         open.put(call.id(), call);
         Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
         LOGGER.atInfo()
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -21,6 +21,7 @@
 import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Plays responses of targets to one call, without a network. */
 class CallReceiverTests {
@@ -29,25 +30,7 @@
     private static final TargetResponseHead STREAM = new TargetResponseHead(
             200, false, false, true, true, true, false, new RateLimit.None(), 0, 0, new DefaultHttpHeaders());
 
-    private final GatewayCall call = new GatewayCall(
-            new RequestId(new HostId("host"), 1, 1),
-            new RequestHead(
-                    "id",
-                    "POST",
-                    "/",
-                    "a.example",
-                    OptionalLong.empty(),
-                    List.of(),
-                    List.of(),
-                    0,
-                    0,
-                    OptionalLong.empty(),
-                    Optional.empty(),
-                    new DefaultHttpHeaders()),
-            new byte[0],
-            MAX_RUNS,
-            1_000,
-            0);
+    private final GatewayCall call = call(true, OptionalLong.empty());
 
     @Test
     void streamOnItsLastPermittedRunWaitsForItsTarget() {
@@ -95,6 +78,56 @@
         assertThat(receiver.pause()).isEmpty();
     }
 
+    /** Guards against a stream that is resumed from its beginning behind an event whose position nobody knows. */
+    @Test
+    void eventWithoutAnIdFailsTheAttemptIfTheStreamMayBeResumed() {
+        CallReceiver receiver = new CallReceiver(call);
+        assertThatThrownBy(() -> receiver.onEventBytes(STREAM, "data: 1\n\n".getBytes()))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(receiver.reachedCaller()).isFalse();
+    }
+
+    @Test
+    void eventsWithoutIdsReachTheCallerIfTheStreamIsNeverResumed() {
+        GatewayCall single = call(false, OptionalLong.empty());
+        List<String> received = read(single);
+        CallReceiver receiver = new CallReceiver(single);
+        receiver.onEventBytes(STREAM, "data: 1\n\ndata: 2\n\n".getBytes());
+        assertThat(received).containsExactly("data: 1\n\n", "data: 2\n\n");
+    }
+
+    private static GatewayCall call(boolean resumable, OptionalLong lastEvent) {
+        return new GatewayCall(
+                new RequestId(new HostId("host"), 1, 1),
+                new RequestHead(
+                        "id",
+                        "POST",
+                        "/",
+                        "a.example",
+                        OptionalLong.empty(),
+                        List.of(),
+                        List.of(),
+                        0,
+                        0,
+                        lastEvent,
+                        Optional.empty(),
+                        new DefaultHttpHeaders()),
+                new byte[0],
+                MAX_RUNS,
+                resumable,
+                1_000,
+                0);
+    }
+
+    /** Returns the events that the caller receives, as they arrive. */
+    private static List<String> read(GatewayCall call) {
+        List<String> received = new ArrayList<>();
+        call.response().subscribe(response -> ((CallResponse.Streamed) response)
+                .events()
+                .subscribe(event -> received.add(new String(event))));
+        return received;
+    }
+
     private static byte[] event(int id, int dataBytes) {
         return ("id: " + id + "\ndata: " + "x".repeat(dataBytes) + "\n\n").getBytes();
     }
