Fail an attempt whose events do not continue the stream

Callers got streams with a missing or repeated piece, as complete: the first event of a response was accepted with any id, so that a stream that a caller took up after event 2 began with event 1, 2 or 4, and a new one with event 2. Events that had been received before were dropped, and what followed them was accepted: a target that ignored Last-Event-Id, or whose ids went back, had its later events joined to those of another run. Items dropped repeated events in the same way.

Each event must now follow the last one, also the first event of a response; any other one fails the attempt. The target is asked for the events behind the last one, so that none that it sends rightly has been received before. What failed goes on elsewhere, or the stream is visibly broken.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -79,8 +79,8 @@
 
     private void forward(TargetResponseHead head, byte[] event) {
         long id = EventIds.of(event);
-        if (id != EventIds.NONE && call.streaming() && EventIds.isDuplicate(id, call.lastEventId())) {
-            return;
+        if (id != EventIds.NONE) {
+            EventIds.requireNext(id, call.lastEventId());
         }
         if (id == EventIds.NONE && !EventIds.isComment(event) && (call.resumable() || call.lastEventId() > 0)) {
             throw new IllegalStateException("expected event " + (call.lastEventId() + 1) + " but it has no id");
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
@@ -54,16 +54,15 @@
     }
 
     /**
-     * Returns whether the event was received before.
+     * Checks that an event follows the last one. An event that was received before may belong to another run, with
+     * other data, and so may all events behind it.
      *
-     * @throws IllegalStateException if an event between the last one and this one is missing
+     * @throws IllegalStateException if an event between the two is missing, or if the event was received before
      */
-    static boolean isDuplicate(long id, long lastId) {
-        if (id > lastId + 1) {
-            throw new IllegalStateException(
-                    "expected event " + (lastId + 1) + " but received event " + id + "; the attempt fails");
+    static void requireNext(long id, long lastId) {
+        if (id != lastId + 1) {
+            throw new IllegalStateException("expected event " + (lastId + 1) + " but received event " + id);
         }
-        return id <= lastId;
     }
 
     /**
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -88,9 +88,7 @@
         if (id == EventIds.NONE) {
             throw new IllegalStateException("an event of an item must have a numeric id");
         }
-        if (EventIds.isDuplicate(id, item.resumeAfterEvent() + events.size())) {
-            return;
-        }
+        EventIds.requireNext(id, item.resumeAfterEvent() + events.size());
         byte[] data = EventIds.data(event).getBytes(StandardCharsets.UTF_8);
         if (textBytes + data.length >= MAX_TEXT_BYTES) {
             throw new IllegalStateException("the data of an item must have less than " + MAX_TEXT_BYTES + " bytes");
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -16,6 +17,9 @@
 import org.cornelcrank.gateway.http.RequestHead;
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.reactivestreams.Subscription;
 import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Mono;
@@ -78,6 +82,52 @@
         assertThat(receiver.pause()).isEmpty();
     }
 
+    static Stream<Arguments> eventsThatDoNotContinueAStream() {
+        return Stream.of(
+                Arguments.of("first event missing", OptionalLong.empty(), "", "id: 2\ndata: 2\n\n"),
+                Arguments.of("ids from zero", OptionalLong.empty(), "", "id: 0\ndata: 1\n\n"),
+                Arguments.of("an event missing", OptionalLong.empty(), "id: 1\ndata: 1\n\n", "id: 3\ndata: 3\n\n"),
+                Arguments.of("an event twice", OptionalLong.empty(), "id: 1\ndata: 1\n\n", "id: 1\ndata: 1\n\n"),
+                Arguments.of(
+                        "ids that go back",
+                        OptionalLong.empty(),
+                        "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n",
+                        "id: 1\ndata: other\n\n"),
+                Arguments.of("taken up but begun anew", OptionalLong.of(2), "", "id: 1\ndata: 1\n\n"),
+                Arguments.of("taken up at the last event", OptionalLong.of(2), "", "id: 2\ndata: 2\n\n"),
+                Arguments.of("taken up behind a gap", OptionalLong.of(2), "", "id: 4\ndata: 4\n\n"));
+    }
+
+    /** Guards against events that are missing, come twice or belong to another run. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("eventsThatDoNotContinueAStream")
+    void eventThatDoesNotContinueTheStreamFailsTheAttempt(
+            String name, OptionalLong callersLastEvent, String sound, String rejected) {
+        GatewayCall taken = call(true, callersLastEvent);
+        List<String> received = read(taken);
+        CallReceiver receiver = new CallReceiver(taken);
+        assertThatThrownBy(() -> receiver.onEventBytes(STREAM, (sound + rejected).getBytes()))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(String.join("", received)).isEqualTo(sound);
+        assertThat(receiver.reachedCaller()).isEqualTo(!sound.isEmpty());
+    }
+
+    /** Guards against a target that ignores the event after which it is asked to go on. */
+    @Test
+    void resumedAttemptThatBeginsAnewFails() {
+        List<String> received = read(call);
+        new CallReceiver(call).onEventBytes(STREAM, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n".getBytes());
+        CallReceiver second = new CallReceiver(call);
+        assertThat(second.resumeAfterEvent()).hasValue(2);
+        assertThatThrownBy(() -> second.onEventBytes(
+                        STREAM, "id: 1\ndata: o\n\nid: 2\ndata: o\n\nid: 3\ndata: o\n\n".getBytes()))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(second.receivedEvents()).isZero();
+        CallReceiver third = new CallReceiver(call);
+        third.onEventBytes(STREAM, "id: 3\ndata: 3\n\n".getBytes());
+        assertThat(String.join("", received)).isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+    }
+
     /** Guards against a stream that is resumed from its beginning behind an event whose position nobody knows. */
     @Test
     void eventWithoutAnIdFailsTheAttemptIfTheStreamMayBeResumed() {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
@@ -21,6 +21,7 @@
 import org.cornelcrank.gateway.http.TargetResponseHead;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -51,6 +52,28 @@
         assertThat(receiver.collected().toStringUtf8()).isEqualTo("1\n2\n3");
     }
 
+    /** Guards against a text that joins two runs, or whose events the run was not asked for. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "0, 2", "2, 0", "2, 1", "2, 2", "2, 4"})
+    void runThatBeginsElsewhereThanItWasAskedAddsNothing(long resumeAfter, int first) {
+        ItemReceiver receiver = receiver(resumeAfter);
+        assertThatThrownBy(() -> receiver.onEventBytes(STREAM, events(first, 5)))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(receiver.receivedEvents()).isZero();
+        assertThat(receiver.collected().toStringUtf8()).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 2})
+    void eventThatComesTwiceEndsTheRunAndLeavesNoTrace(long resumeAfter) {
+        ItemReceiver receiver = receiver(resumeAfter);
+        int next = (int) resumeAfter + 1;
+        receiver.onEventBytes(STREAM, events(next, next + 1));
+        assertThatThrownBy(() -> receiver.onEventBytes(STREAM, events(next, next + 2)))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(receiver.collected().toStringUtf8()).isEqualTo(next + "\n" + (next + 1));
+    }
+
     @Test
     void eventThatWouldExceedTheLimitOfTheTextLeavesNoTrace() {
         ItemReceiver receiver = receiver(0);
