Fail a stream that ends without an event

Callers got a success without any event, and items were completed without text, if a target ended its response behind the head: an end without an event was taken for the end of the stream.

A stream must now have an event. A resumed one, or one that its caller takes up, may still end without a further event, as the connection may have been lost between the last event and the end.

Before the change, CallReceiverTests.streamThatEndsWithoutAnEventFailsTheAttempt and ItemReceiverTests.streamThatEndsWithoutAnEventIsNoResult failed, and the cases WITHOUT_EVENTS of AttemptOutcomesEndToEndTests on resumable streams and on others ("complete after piece 0").

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -110,6 +110,7 @@
     public void onEventsEnd(TargetResponseHead head) {
         EventIds.requireComplete(splitter);
         if (!call.streaming()) {
+            EventIds.requireAny(call.lastEventId());
             call.hold(new CallResponse.Complete(head.status(), head.headers(), new byte[0]));
         }
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/EventIds.java
@@ -65,6 +65,17 @@
         }
     }
 
+    /**
+     * Checks that a stream has an event, in this response or before the one at which it was resumed.
+     *
+     * @throws IllegalStateException if it has none
+     */
+    static void requireAny(long lastId) {
+        if (lastId <= 0) {
+            throw new IllegalStateException("the response ended without an event");
+        }
+    }
+
     /**
      * Checks that a stream did not end in the middle of an event.
      *
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -115,6 +115,7 @@
     @Override
     public void onEventsEnd(TargetResponseHead responseHead) {
         EventIds.requireComplete(splitter);
+        EventIds.requireAny(item.resumeAfterEvent() + events.size());
     }
 
     @Override
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -128,6 +128,22 @@
         assertThat(String.join("", received)).isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
     }
 
+    /** Guards against a success that holds none of the stream's events. */
+    @Test
+    void streamThatEndsWithoutAnEventFailsTheAttempt() {
+        CallReceiver receiver = new CallReceiver(call);
+        assertThatThrownBy(() -> receiver.onEventsEnd(STREAM)).isInstanceOf(IllegalStateException.class);
+        assertThat(call.held()).isNull();
+    }
+
+    /** Its caller may have lost the connection behind the last event. */
+    @Test
+    void streamThatIsTakenUpMayEndWithoutAFurtherEvent() {
+        GatewayCall taken = call(true, OptionalLong.of(2));
+        new CallReceiver(taken).onEventsEnd(STREAM);
+        assertThat(taken.held().body()).isEmpty();
+    }
+
     /** Guards against a stream that is resumed from its beginning behind an event whose position nobody knows. */
     @Test
     void eventWithoutAnIdFailsTheAttemptIfTheStreamMayBeResumed() {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ItemReceiverTests.java
@@ -74,6 +74,20 @@
         assertThat(receiver.collected().toStringUtf8()).isEqualTo(next + "\n" + (next + 1));
     }
 
+    /** Guards against an item that is completed without any text. */
+    @Test
+    void streamThatEndsWithoutAnEventIsNoResult() {
+        assertThatThrownBy(() -> receiver(0).onEventsEnd(STREAM)).isInstanceOf(IllegalStateException.class);
+    }
+
+    /** The connection of the run before may have been lost behind the last event. */
+    @Test
+    void resumedStreamMayEndWithoutAFurtherEvent() {
+        ItemReceiver receiver = receiver(2);
+        receiver.onEventsEnd(STREAM);
+        assertThat(receiver.receivedEvents()).isZero();
+    }
+
     @Test
     void eventThatWouldExceedTheLimitOfTheTextLeavesNoTrace() {
         ItemReceiver receiver = receiver(0);
