Begin the response to a caller with its first event

A comment in front of the first event began the response with the head and signature of its target. If that target then failed, another one sent all events under a signature that was not its own. Comments also counted as events, so that a target that sent nothing else kept its attempt open beyond the read timeout.

Comments wait for the first event, and do not count as events.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -1,5 +1,7 @@
 package org.cornelcrank.server.gateway;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -16,8 +18,8 @@
 /**
  * Forwards a target's response to the caller; a stream is forwarded event by event, each event once and in order.
  *
- * <p>Invariant: the event ids that the caller receives have no gap and no duplicate, and no partial event is forwarded.
- * Not thread-safe: confined to the event loop.
+ * <p>Invariants: the event ids that the caller receives have no gap and no duplicate, and no partial event is forwarded;
+ * the response begins with the first event, so that it states the target which sent that. Not thread-safe: confined to the event loop.
  */
 final class CallReceiver implements ResponseReceiver {
 
@@ -25,6 +27,7 @@
 
     private final GatewayCall call;
     private final SseEventSplitter splitter = new SseEventSplitter(MAX_EVENT_BYTES);
+    private final List<byte[]> leadingComments = new ArrayList<>();
     private int forwardedEvents;
 
     /** Creates a receiver for a new attempt and discards the response held from an earlier one. */
@@ -78,17 +81,31 @@
     }
 
     private void forward(TargetResponseHead head, byte[] event) {
+        if (EventIds.isComment(event)) {
+            forwardComment(head, event);
+            return;
+        }
         long id = EventIds.of(event);
         if (id != EventIds.NONE) {
             EventIds.requireNext(id, call.lastEventId());
-        }
-        if (id == EventIds.NONE && !EventIds.isComment(event) && (call.resumable() || call.lastEventId() > 0)) {
+        } else if (call.resumable() || call.lastEventId() > 0) {
             throw new IllegalStateException("expected event " + (call.lastEventId() + 1) + " but it has no id");
         }
+        leadingComments.forEach(comment -> call.sendEvent(head.status(), head.headers(), EventIds.NONE, comment));
+        leadingComments.clear();
         call.sendEvent(head.status(), head.headers(), id, event);
         forwardedEvents++;
     }
 
+    /** Forwards a comment; one before the first event waits for it, as another target may send that. */
+    private void forwardComment(TargetResponseHead head, byte[] comment) {
+        if (call.streaming()) {
+            call.sendEvent(head.status(), head.headers(), EventIds.NONE, comment);
+        } else {
+            leadingComments.add(comment);
+        }
+    }
+
     @Override
     public int receivedEvents() {
         return forwardedEvents;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -162,6 +162,21 @@
         assertThat(received).containsExactly("data: 1\n\n", "data: 2\n\n");
     }
 
+    /** Guards against a response with the signature of a target that has sent none of its events. */
+    @Test
+    void commentBeforeTheFirstEventDoesNotBeginTheResponse() {
+        List<String> received = read(call);
+        CallReceiver first = new CallReceiver(call);
+        first.onEventBytes(STREAM, ": first\n\n".getBytes());
+        assertThat(first.reachedCaller()).isFalse();
+        assertThat(first.receivedEvents()).isZero();
+        CallReceiver second = new CallReceiver(call);
+        assertThat(second.resumeAfterEvent()).isEmpty();
+        second.onEventBytes(STREAM, ": second\n\nid: 1\ndata: 1\n\n: later\n\n".getBytes());
+        assertThat(String.join("", received)).isEqualTo(": second\n\nid: 1\ndata: 1\n\n: later\n\n");
+        assertThat(second.receivedEvents()).isEqualTo(1);
+    }
+
     private static GatewayCall call(boolean resumable, OptionalLong lastEvent) {
         return new GatewayCall(
                 new RequestId(new HostId("host"), 1, 1),
