Add tests for copies in parts, inside a response, and under the same id

What callers would see: requests that ran and are refused as not run or run at a second target, where the first part of a copy came behind a complete response, and the next response on the connection completed it; bodies and events that hold a second response and look complete; a refused request that is sent again under its id on the same connection, and gets the copy of the former refusal.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -8,6 +8,10 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -223,6 +227,205 @@
         assertThat(runner.connections()).isGreaterThan(1);
     }
 
+    /** The copy bears the id of the request, as a refused one comes again with its id on the same connection. */
+    @Test
+    void copyOfARefusalIsNotTakenForTheResponseToTheNextRunOfItsRequest() throws IOException {
+        fleet.setBehaviour(RunnerStandIn.Behaviour.FULL);
+        AtomicInteger repeated = new AtomicInteger();
+        Set<String> refused = ConcurrentHashMap.newKeySet();
+        Map<RawRunnerStandIn.Response, Set<String>> seen = new ConcurrentHashMap<>();
+        runner.setScript((request, response) -> {
+            boolean again = !seen.computeIfAbsent(response, key -> ConcurrentHashMap.newKeySet())
+                    .add(request.id());
+            if (refused.add(request.id())) {
+                response.refusal(request, "");
+                return;
+            }
+            repeated.incrementAndGet();
+            if (again) {
+                response.write(RawRunnerStandIn.refusalText(request, ""));
+            }
+            response.whole(request, new String(request.body()));
+        });
+        fleet.register(runner);
+        for (int i = 0; repeated.get() < 4 && i < 2 * MAX_REQUESTS; i++) {
+            String id = "again-" + i / 2;
+            HttpResponse<String> response = fleet.post(0, "unsafe", id, BODY);
+            assertThat(runner.runs(id)).isEqualTo(response.statusCode() == 503 ? 0 : 1);
+            assertThat(response.statusCode()).isIn(200, 502, 503);
+        }
+        assertThat(repeated.get()).isPositive();
+    }
+
+    static Stream<Arguments> cutCopies() {
+        String refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX-Copy: ";
+        String failure = "HTTP/1.1 500 Error\r\nResponse-Signature: signed-by-raw\r\nContent-Length: 9\r\n\r\nno";
+        return Stream.of(
+                Arguments.of("refusal cut in a header, in one write", refusal, 0L),
+                Arguments.of("refusal cut in a header, while idle", refusal, 5L),
+                Arguments.of("refusal cut in its status line, in one write", refusal.substring(0, 13), 0L),
+                Arguments.of("refusal cut in its first header, in one write", refusal.substring(0, 22), 0L),
+                Arguments.of("refusal cut behind a header, in one write", refusal.substring(0, 36), 0L),
+                Arguments.of("failure cut in its body, in one write", failure, 0L),
+                Arguments.of("failure cut in its body, while idle", failure, 5L),
+                Arguments.of("one byte, in one write", "H", 0L),
+                Arguments.of("interim response, in one write", "HTTP/1.1 103 Early Hints\r\n\r\n", 0L));
+    }
+
+    /** The rest of the next response would complete the copy: no connection may carry a request after such bytes. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("cutCopies")
+    void partOfACopyBehindACompleteResponseEndsTheConnection(String name, String part, long delayMs)
+            throws IOException {
+        runner.setScript((request, response) -> {
+            String body = new String(request.body());
+            if (delayMs == 0) {
+                response.write(response.wholeText(request, body) + part);
+            } else {
+                response.whole(request, body);
+                Thread.sleep(delayMs);
+                response.write(part);
+            }
+        });
+        assertEachCallerGetsItsOwnResponse();
+        if (delayMs == 0) {
+            assertThat(runner.connections()).isEqualTo(runner.requests());
+        }
+    }
+
+    @Test
+    void partOfACopyBehindAResponseInChunksEndsTheConnection() throws IOException {
+        runner.setScript((request, response) -> response.write("HTTP/1.1 200 OK\r\nRequest-Id: " + request.id()
+                + "\r\nResponse-Signature: signed-by-raw\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(request.body().length) + "\r\n" + new String(request.body())
+                + "\r\n0\r\n\r\nHTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX-Copy: "));
+        assertEachCallerGetsItsOwnResponse();
+        assertThat(runner.connections()).isEqualTo(runner.requests());
+    }
+
+    /** The copy is written byte by byte, partly while no response is due and partly behind the next request. */
+    @Test
+    void copyThatIsSplitAnywhereReachesNobody() throws IOException {
+        AtomicInteger cut = new AtomicInteger();
+        AtomicReference<String> rest = new AtomicReference<>("");
+        runner.setScript((request, response) -> {
+            String body = new String(request.body());
+            response.write(request.number() > 1 ? rest.get() : "");
+            String copy = response.wholeText(request, "a former body");
+            int length = cut.addAndGet(3) % copy.length();
+            rest.set(copy.substring(length));
+            response.write(response.wholeText(request, body) + copy.substring(0, length));
+        });
+        fleet.register(runner);
+        for (int i = 0; runner.requests() < 30 && i < 3 * MAX_REQUESTS; i++) {
+            assertResponseIsOfTheRunnerThatRan("i" + i, BODY + i, fleet.post(0, "idem", "i" + i, BODY + i));
+        }
+        assertThat(runner.requests()).isPositive();
+    }
+
+    static Stream<Arguments> responsesWithAnotherInside() {
+        return Stream.of(
+                Arguments.of("body that ends with its connection", (Script) (request, response) -> {
+                    response.head(request, "Connection: close\r\n");
+                    response.write(request.body());
+                    response.whole(request, new String(request.body()));
+                    response.end();
+                }),
+                Arguments.of("body that ends with its connection, copy without an id", (Script) (request, response) -> {
+                    response.head(request, "Connection: close\r\n");
+                    response.write(request.body());
+                    response.write("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\n\r\nno");
+                    response.end();
+                }),
+                Arguments.of(
+                        "spoiled body of a length that the second response fills", (Script) (request, response) -> {
+                            String second = response.wholeText(request, new String(request.body()));
+                            response.head(request, "Content-Length: " + (4 + second.length()) + "\r\n");
+                            response.write("half" + second);
+                        }),
+                Arguments.of("spoiled chunk that the second response fills", (Script) (request, response) -> {
+                    String second = response.wholeText(request, new String(request.body()));
+                    response.head(request, "Transfer-Encoding: chunked\r\n");
+                    response.write(Integer.toHexString(4 + second.length()) + "\r\nhalf" + second + "\r\n0\r\n\r\n");
+                }),
+                Arguments.of("spoiled head that the second response completes", (Script)
+                        (request, response) -> response.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nX-Spoiled: "
+                                + response.wholeText(request, new String(request.body())))),
+                Arguments.of("spoiled head, cut behind a header", (Script)
+                        (request, response) -> response.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                                + response.wholeText(request, new String(request.body())))));
+    }
+
+    /** Guards against a body or a head that is made up of two responses and looks complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("responsesWithAnotherInside")
+    void responseInWhichAnotherOneBeginsIsNeverComplete(String name, Script script) throws IOException {
+        runner.setScript(script);
+        assertEachCallerGetsItsOwnResponse();
+    }
+
+    static Stream<Arguments> streamsWithAnotherInside() {
+        String first = "id: 1\ndata: piece 1\n\n";
+        String two = first + "id: 2\ndata: piece 2\n\n";
+        String spoiled = first + "id: 2\ndata: pie";
+        return Stream.of(
+                Arguments.of("behind an event", STREAM_UNTIL_CLOSE, two, two),
+                Arguments.of("within an event", STREAM_UNTIL_CLOSE, spoiled, two),
+                Arguments.of("within the id of an event", STREAM_UNTIL_CLOSE, first + "id: 2", two),
+                Arguments.of("before the first event", STREAM_UNTIL_CLOSE, "", two));
+    }
+
+    /** Guards against a second response that is delivered as events, or makes a partial event complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("streamsWithAnotherInside")
+    void streamInWhichAnotherResponseBeginsGoesOnElsewhere(String name, String headers, String events, String again)
+            throws IOException {
+        runner.setScript((request, response) -> {
+            response.head(request, headers);
+            response.write(events);
+            response.head(request, headers);
+            response.write(again);
+            response.end();
+        });
+        fleet.register(runner);
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            assertThat(fleet.post(0, "stream", "h" + i, "x").body()).isEqualTo(SOUND_STREAM);
+        }
+        for (int i = 0; runner.requests() == 1 && i < MAX_REQUESTS; i++) {
+            assertThat(textOfItem("job-h" + i)).isEqualTo(SOUND_TEXT);
+        }
+        assertThat(runner.requests()).isGreaterThan(1);
+    }
+
+    /** Events without an id cannot resume, so that the stream must be visibly broken. */
+    @Test
+    void streamWithoutIdsInWhichAnotherResponseBeginsIsVisiblyBroken() throws IOException {
+        runner.setScript((request, response) -> {
+            for (int i = 0; i < 2; i++) {
+                response.head(request, STREAM_UNTIL_CLOSE);
+                response.write("data: first\n\ndata: last\n\n");
+            }
+            response.end();
+        });
+        fleet.register(runner);
+        List<Integer> failures = new ArrayList<>();
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            int status = fleet.status(0, "once", "n" + i, Map.of());
+            if (status != 200) {
+                failures.add(status);
+            }
+        }
+        assertThat(failures).hasSize(1).isSubsetOf(502, -1);
+    }
+
+    @Test
+    void interimResponsesBeforeAResponseDoNotChangeIt() throws IOException {
+        runner.setScript((request, response) -> response.write("HTTP/1.1 100 Continue\r\n\r\n"
+                + "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                + response.wholeText(request, new String(request.body()))));
+        assertEachCallerGetsItsOwnResponse();
+    }
+
     /** Sends requests that may be repeated and ones that may not; the latter may fail, but never as not run. */
     private void assertEachCallerGetsItsOwnResponse() throws IOException {
         fleet.register(runner);
