Limit the memory that unfinished responses hold together

Callers of a daemon whose targets sent without end waited for seconds although their own target was sound, and connections ended with OutOfMemoryError: one response may have 4 MiB, but nothing limited what the responses of all targets held together. Bodies that stay just below the limit of one response are soon more than the heap of a deployed daemon, and the arrays that collected them grew by doubling.

ResponseMemory limits the sum to a part of the heap (--response-memory-percent, 25 by default). Above it, the largest response of the target whose responses hold most is closed, is logged and counted, and its request may have run. BodyBuffer collects bodies in segments, so that parts of one byte do not take many times their size.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -94,6 +94,11 @@
         return forwardedEvents;
     }
 
+    @Override
+    public long heldBytes() {
+        return splitter.heldBytes() + call.unreadBytes();
+    }
+
     @Override
     public Optional<Mono<Void>> pause() {
         return call.pause();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCall.java
@@ -122,6 +122,11 @@
         });
     }
 
+    /** Returns how many bytes of events the caller has not read yet. */
+    int unreadBytes() {
+        return unreadBytes;
+    }
+
     /** Returns the end of the pause until the caller has read more of the stream; empty if it reads fast enough. */
     Optional<Mono<Void>> pause() {
         if (unreadBytes <= MAX_UNREAD_BYTES) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -28,6 +28,8 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(GatewayIo.class);
 
+    private static final int PERCENT = 100;
+
     private final GatewaySettings settings;
     private final LoopResources loops;
     private final CoreLoop loop;
@@ -59,6 +61,7 @@
                 dependencies.dialect(),
                 dependencies.clock(),
                 loops,
+                new ResponseMemory(maxResponseMemoryBytes(), dependencies.metrics()),
                 dependencies.metrics());
         this.commands = new GatewayCommands(calls, dependencies.loop());
         JobHttpHandler jobs =
@@ -74,6 +77,11 @@
                 dependencies.metrics());
     }
 
+    private long maxResponseMemoryBytes() {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        return Math.max(GatewayTargetClient.MAX_RESPONSE_BYTES, heapBytes / PERCENT * settings.responseMemoryPercent());
+    }
+
     private static Probes.Readiness readiness(Dependencies dependencies) {
         if (dependencies.drain().requested()) {
             return new Probes.Readiness(false, "leaving");
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -1,6 +1,5 @@
 package org.cornelcrank.server.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -86,6 +85,7 @@
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
     private final MonotonicClock clock;
+    private final ResponseMemory memory;
 
     GatewayTargetClient(
             CoreLoop loop,
@@ -93,6 +93,7 @@
             GatewayDialect dialect,
             MonotonicClock clock,
             LoopResources loops,
+            ResponseMemory memory,
             MetricRegistry metrics) {
         ConnectionProvider connections = ConnectionProvider.builder("targets")
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
@@ -113,6 +114,7 @@
                         channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES)));
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
+        this.memory = Objects.requireNonNull(memory, "memory must not be null");
         this.probe = new TargetProbe(loops, loop.scheduler());
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
@@ -258,6 +260,7 @@
                             if (attempt.receiver.receivedEvents() > before) {
                                 attempt.recordActivity();
                             }
+                            attempt.response.update(attempt.receiver.heldBytes());
                             return attempt.awaitReceiver();
                         },
                         1)
@@ -269,12 +272,12 @@
     }
 
     private static Mono<byte[]> readBody(RunningAttempt attempt, ByteBufFlux content) {
-        return content.asByteArray()
-                .collect(ByteArrayOutputStream::new, (buffer, chunk) -> {
-                    buffer.writeBytes(chunk);
+        return content.collect(BodyBuffer::new, (buffer, part) -> {
+                    buffer.append(part);
                     attempt.recordBody(buffer.size());
+                    attempt.response.update(buffer.heldBytes());
                 })
-                .map(ByteArrayOutputStream::toByteArray);
+                .map(BodyBuffer::toByteArray);
     }
 
     /** Determines the outcome of a response that is not a success. */
@@ -311,6 +314,7 @@
         private final TargetId target;
         private final InetSocketAddress address;
         private final ResponseReceiver receiver;
+        private final ResponseMemory.Response response;
         private final long sentAtMs = clock.nowMs();
         private Disposable transfer;
         private Disposable pendingCheck = Disposables.disposed();
@@ -325,6 +329,7 @@
             this.target = target;
             this.address = address;
             this.receiver = receiver;
+            this.response = memory.open(target, this::onEvicted);
         }
 
         void recordActivity() {
@@ -348,10 +353,32 @@
             awaitsReceiver = true;
             return pause.get().doFinally(signal -> {
                 awaitsReceiver = false;
+                response.update(receiver.heldBytes());
                 recordActivity();
             });
         }
 
+        /** Closes the connection at once, as all unfinished responses together hold too much. */
+        private void onEvicted(ResponseMemory.Eviction eviction) {
+            LOGGER.atWarn()
+                    .addKeyValue("attempt", id)
+                    .addKeyValue("target", target)
+                    .addKeyValue("responseBytes", eviction.responseBytes())
+                    .addKeyValue("heldBytes", eviction.heldBytes())
+                    .addKeyValue("maxBytes", eviction.maxBytes())
+                    .log("connection closed, as unfinished responses hold too much memory");
+            if (transfer != null) {
+                transfer.dispose();
+            }
+            onTransferError(failed(
+                    Verdict.MAY_HAVE_RUN,
+                    FailureKind.CONNECTION_LOST,
+                    0,
+                    0,
+                    "evicted with " + eviction.responseBytes() + " bytes, as unfinished responses hold "
+                            + eviction.heldBytes() + " of " + eviction.maxBytes()));
+        }
+
         /** Ends the attempt once the target has made no progress for the read timeout. */
         void checkReadTimeout() {
             long readTimeoutMs = receiver.readTimeoutMs();
@@ -444,6 +471,7 @@
             }
             ended = true;
             running.remove(id);
+            response.close();
             pendingCheck.dispose();
             if (outcome instanceof AttemptOutcome.Failed failed) {
                 receiver.onAttemptFailed(failed);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -104,6 +104,11 @@
         return events.size();
     }
 
+    @Override
+    public long heldBytes() {
+        return splitter.heldBytes() + textBytes;
+    }
+
     @Override
     public Optional<Mono<Void>> pause() {
         return Optional.empty();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ResponseReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ResponseReceiver.java
@@ -51,6 +51,9 @@
     /** Returns how many new complete events have been received. */
     int receivedEvents();
 
+    /** Returns how many bytes of events that have been received are held, in memory, for the caller or the core. */
+    long heldBytes();
+
     /** Returns the end of the pause that a slow caller needs before more of a stream is received; empty if none. */
     Optional<Mono<Void>> pause();
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettings.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettings.java
@@ -32,6 +32,7 @@
         long drainDelayMs,
         long drainTimeoutMs,
         long jobRetentionMs,
+        int responseMemoryPercent,
         String logFormat,
         long seed) {
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettingsParser.java
@@ -24,6 +24,7 @@
 
     private static final int MAX_PARTITIONS = 256;
     private static final int MAX_BYTES = 1 << 30;
+    private static final int MAX_RESPONSE_MEMORY_PERCENT = 50;
     private static final long MAX_DURATION_MS = 3_600_000;
 
     private static final List<ProcessSetting> DECLARED = List.of(
@@ -52,6 +53,11 @@
             ProcessSetting.optional(
                     "drain-timeout-ms", "ms", "4400", "further time that a stop waits for open requests"),
             ProcessSetting.optional("job-retention-ms", "ms", "120000", "how long results stay readable"),
+            ProcessSetting.optional(
+                    "response-memory-percent",
+                    "percent",
+                    "25",
+                    "part of the maximum heap, 1 to 50, that unfinished responses of targets may hold"),
             ProcessSetting.optional(
                     "log-format",
                     "name",
@@ -109,6 +115,7 @@
                 reader.number("drain-delay-ms", 0, MAX_DURATION_MS),
                 reader.number("drain-timeout-ms", 0, MAX_DURATION_MS),
                 reader.number("job-retention-ms", 1, MAX_DURATION_MS),
+                (int) reader.number("response-memory-percent", 1, MAX_RESPONSE_MEMORY_PERCENT),
                 reader.oneOf("log-format", DaemonSettingsParser.LOG_FORMATS),
                 reader.number("seed", 0, Long.MAX_VALUE));
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/SseEventSplitter.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/SseEventSplitter.java
@@ -52,6 +52,11 @@
         return events;
     }
 
+    /** Returns how much memory an incomplete event takes at most, in bytes: its array grows by doubling. */
+    public long heldBytes() {
+        return 2L * pending.size();
+    }
+
     /** Returns whether no incomplete event is held. */
     public boolean isEmpty() {
         return pending.size() == 0;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -60,7 +60,13 @@
             Schedulers.fromExecutorService(thread, "shared"),
             metrics);
     private final GatewayTargetClient client = new GatewayTargetClient(
-            loop, new GatewayCalls(identity, loop, clock, metrics), new PlatformDialect(), clock, loops, metrics);
+            loop,
+            new GatewayCalls(identity, loop, clock, metrics),
+            new PlatformDialect(),
+            clock,
+            loops,
+            new ResponseMemory(GatewayTargetClient.MAX_RESPONSE_BYTES, metrics),
+            metrics);
 
     @AfterEach
     void end() {
