End the process if memory is exhausted in the middle of an event

An OutOfMemoryError in the core or in an effect left the thread running: the event's remaining effects (replies, timers, dispatches) were lost, as only runtime exceptions and stack overflows are handled, and the daemon went on with the rest of its state.

The loop now ends the process with exit code 3. Errors in the handlers of single connections still end only these connections.

CoreLoopTests.memoryExhaustedInTheMiddleOfAnEventEndsTheProcess fails in both cases if the loop passes the error on, as it did before, and passes now: mvn -o -pl cornelcrank-server -am test -Dtest=CoreLoopTests -Dsurefire.failIfNoSpecifiedTests=false

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
@@ -14,7 +14,7 @@
 /**
  * Main class of the program {@code cornelcrankd}.
  *
- * <p>Exit codes: 0 stopped on request, 1 could not start, 2 invalid settings.
+ * <p>Exit codes: 0 stopped on request, 1 could not start, 2 invalid settings, 3 out of memory.
  */
 public final class CornelcrankDaemon {
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/loop/CoreLoop.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/loop/CoreLoop.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -28,10 +29,14 @@
  * Event loop that passes events to the decision core one at a time and dispatches its effects to the runners.
  *
  * <p>Invariants: only this loop's single thread accesses the core, and the effects of an event are dispatched before
- * the next event is handled; an effect that fails does not take the others of its event with it. Thread-safe.
+ * the next event is handled; an effect that fails does not take the others of its event with it; the process ends if
+ * memory is exhausted in the middle of an event, as part of the event would be lost. Thread-safe.
  */
 public final class CoreLoop {
 
+    /** Exit code of a process whose memory was exhausted in the middle of an event. */
+    private static final int OUT_OF_MEMORY = 3;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(CoreLoop.class);
 
     private final Scheduler scheduler;
@@ -43,6 +48,7 @@
     private final Counter failures;
     private final Timer eventDurations;
     private final Runnable endThread;
+    private final Consumer<OutOfMemoryError> onOutOfMemory;
     private volatile boolean stopped;
 
     /**
@@ -53,7 +59,7 @@
      * @param metrics receives the loop's own meters
      */
     public CoreLoop(DaemonCore core, MonotonicClock clock, MetricRegistry metrics) {
-        this(core, clock, Schedulers.newSingle("cornelcrank-core"), metrics, true);
+        this(core, clock, Schedulers.newSingle("cornelcrank-core"), metrics, true, CoreLoop::endProcess);
     }
 
     /**
@@ -65,17 +71,23 @@
      * @param metrics receives the loop's own meters
      */
     public CoreLoop(DaemonCore core, MonotonicClock clock, Scheduler scheduler, MetricRegistry metrics) {
-        this(core, clock, scheduler, metrics, false);
+        this(core, clock, scheduler, metrics, false, CoreLoop::endProcess);
     }
 
-    private CoreLoop(
-            DaemonCore core, MonotonicClock clock, Scheduler scheduler, MetricRegistry metrics, boolean ownsThread) {
+    CoreLoop(
+            DaemonCore core,
+            MonotonicClock clock,
+            Scheduler scheduler,
+            MetricRegistry metrics,
+            boolean ownsThread,
+            Consumer<OutOfMemoryError> onOutOfMemory) {
         this.core = Objects.requireNonNull(core, "core must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler must not be null");
         this.events = metrics.meter("loop.events");
         this.failures = metrics.counter("loop.failures");
         this.eventDurations = metrics.timer("loop.event-durations");
+        this.onOutOfMemory = Objects.requireNonNull(onOutOfMemory, "onOutOfMemory must not be null");
         this.endThread = ownsThread ? scheduler::dispose : () -> {};
     }
 
@@ -135,6 +147,17 @@
         events.mark();
         try (Timer.Context ignored = eventDurations.time()) {
             core.on(event, clock.nowMs()).forEach(this::executeSafely);
+        } catch (OutOfMemoryError e) {
+            onOutOfMemory.accept(e);
+        }
+    }
+
+    /** Ends the process without its stop, which needs memory. */
+    private static void endProcess(OutOfMemoryError error) {
+        try {
+            System.err.println("cornelcrankd: ends, as memory was exhausted while an event was handled: " + error);
+        } finally {
+            Runtime.getRuntime().halt(OUT_OF_MEMORY);
         }
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/loop/CoreLoopTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/loop/CoreLoopTests.java
@@ -21,6 +21,8 @@
 import org.cornelcrank.daemon.DecisionJournal;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.scheduler.Schedulers;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -106,6 +108,28 @@
         assertThat(metrics.counter("loop.failures").getCount()).isEqualTo(1);
     }
 
+    /** Guards against a process that goes on although part of an event is lost. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void memoryExhaustedInTheMiddleOfAnEventEndsTheProcess(boolean whileHandling) throws Exception {
+        List<String> ends = new ArrayList<>();
+        StateMachine exhausting = whileHandling ? new Exhausting() : new Replier(2);
+        CoreLoop failing = new CoreLoop(
+                new DaemonCore(
+                        List.of(exhausting, new EventCounter(handled)), new DecisionJournal(1, 1), dispatch -> {}),
+                new MonotonicClock(),
+                Schedulers.fromExecutorService(thread, "shared"),
+                metrics,
+                false,
+                error -> ends.add(error.getMessage()));
+        failing.addRunner(effect -> {
+            throw new OutOfMemoryError("made to fail");
+        });
+        failing.post(new Event.Started());
+        thread.submit(() -> {}).get(HANG_LIMIT_S, TimeUnit.SECONDS);
+        assertThat(ends).containsExactly("made to fail");
+    }
+
     /** Replies to a number of requests at each event. */
     private record Replier(int replies) implements StateMachine {
 
@@ -125,6 +149,22 @@
         public void dump(StateWriter writer, long nowMs) {}
     }
 
+    private record Exhausting() implements StateMachine {
+
+        @Override
+        public String name() {
+            return "exhausting";
+        }
+
+        @Override
+        public void on(Event event, long nowMs, Effects out) {
+            throw new OutOfMemoryError("made to fail");
+        }
+
+        @Override
+        public void dump(StateWriter writer, long nowMs) {}
+    }
+
     private record Failing() implements StateMachine {
 
         @Override
