Fail a whole response in the place of the rest of a stream

A caller that took up a stream after event n got the target's response as it was if that had no events, as a success without the rest of the stream. Within one response this failed already. It fails the attempt now.

Before the change, CallReceiverTests.responseWithoutEventsDoesNotContinueAStreamThatItsCallerTakesUp failed.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -68,7 +68,7 @@
 
     @Override
     public void onCompleteResponse(TargetResponseHead head, byte[] body) {
-        if (call.streaming()) {
+        if (call.streaming() || call.lastEventId() > 0) {
             throw new IllegalStateException(
                     "a stream must be resumed by events but the target sent a response without events");
         }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -177,6 +177,16 @@
         assertThat(second.receivedEvents()).isEqualTo(1);
     }
 
+    /** Guards against a whole response in the place of the rest of a stream. */
+    @Test
+    void responseWithoutEventsDoesNotContinueAStreamThatItsCallerTakesUp() {
+        GatewayCall taken = call(true, OptionalLong.of(2));
+        CallReceiver receiver = new CallReceiver(taken);
+        assertThatThrownBy(() -> receiver.onCompleteResponse(STREAM, "whole".getBytes()))
+                .isInstanceOf(IllegalStateException.class);
+        assertThat(taken.held()).isNull();
+    }
+
     private static GatewayCall call(boolean resumable, OptionalLong lastEvent) {
         return new GatewayCall(
                 new RequestId(new HostId("host"), 1, 1),
