Play interrupted items over changes of their owners

Evidence for the texts of items, without a change of the product: the runs of 20 items break off after every third event, or earlier when they are cancelled, and number their events from the one after which they were asked to go on, while partitions are dealt anew and daemons are killed, started again, or stand still. Each text must hold each event once and in order.

JobStateMachineTests.textHoldsEachEventOnceWhateverHappensToTheOwners passes with its six seeds.

--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
@@ -45,6 +47,8 @@
     private String textOnCancel = "";
     private long lastPermit;
     private SoftwareVersion version = SoftwareVersion.UNSTATED;
+    private int eventsPerRun;
+    private int eventsPerItem;
 
     FakeCapacity(
             HostId host,
@@ -106,11 +110,43 @@
                 RUN_MS,
                 () -> nodes.act(host, (atMs, effects) -> {
                     if (running.containsKey(permit.number())) {
-                        end(permit, outcomes.apply(work.itemId(), run), atMs, effects);
+                        AttemptOutcome outcome =
+                                eventsPerRun > 0 ? interrupted(work) : outcomes.apply(work.itemId(), run);
+                        end(permit, outcome, atMs, effects);
                     }
                 }));
     }
 
+    /** Lets each run break off after some events, which are numbered from the one after which it was asked to go on. */
+    void setEvents(int perRun, int perItem) {
+        eventsPerRun = perRun;
+        eventsPerItem = perItem;
+    }
+
+    private AttemptOutcome interrupted(BatchWork work) {
+        int from = (int) ((DispatchSource.Prepared) work.source()).resumeAfterEvent();
+        int to = Math.min(eventsPerItem, from + eventsPerRun);
+        ByteString text = ByteString.copyFromUtf8(text(from + 1, to));
+        return to == eventsPerItem
+                ? new AttemptOutcome.Succeeded(200, "", text, to - from)
+                : new AttemptOutcome.Failed(
+                        Verdict.MAY_HAVE_RUN,
+                        FailureKind.CONNECTION_LOST,
+                        0,
+                        to - from,
+                        false,
+                        0,
+                        text,
+                        "made to break off");
+    }
+
+    /** Returns the text of consecutive events. */
+    static String text(int first, int last) {
+        return IntStream.rangeClosed(first, last)
+                .mapToObj(event -> "event " + event)
+                .collect(Collectors.joining("\n"));
+    }
+
     private void end(BatchPermit permit, AttemptOutcome outcome, long nowMs, Effects out) {
         BatchWork work = running.remove(permit.number());
         listener.workEnded(permit, work, outcome, false, Optional.empty(), nowMs, out);
@@ -149,7 +185,10 @@
     @Override
     public void cancel(BatchPermit permit, long nowMs, Effects out) {
         if (running.containsKey(permit.number())) {
-            end(permit, cancelled(eventsOnCancel, textOnCancel), nowMs, out);
+            AttemptOutcome outcome = eventsPerRun > 0
+                    ? interrupted(running.get(permit.number()))
+                    : cancelled(eventsOnCancel, textOnCancel);
+            end(permit, outcome, nowMs, out);
         }
     }
 
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -22,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.cornelcrank.job.VirtualJobs.A;
@@ -415,6 +417,42 @@
                 .isEqualTo("first part\ntext of " + JOB + "-item-0");
     }
 
+    /** Guards against a text that joins a run to events after which it was not asked to go on. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void textHoldsEachEventOnceWhateverHappensToTheOwners(long seed) {
+        Random random = new Random(seed);
+        jobs.capacities.values().forEach(capacity -> capacity.setEvents(3, 14));
+        for (int i = 0; i < 4; i++) {
+            jobs.submit(A, "job-" + i, 5);
+        }
+        for (int step = 0; step < 8; step++) {
+            jobs.nodes.run(200 + random.nextInt(900));
+            HostId host = List.of(A, B, C).get(random.nextInt(3));
+            switch (random.nextInt(3)) {
+                case 0 -> jobs.nodes.store().rebalance();
+                case 1 -> {
+                    jobs.nodes.kill(host);
+                    jobs.nodes.run(random.nextInt(4_000));
+                    jobs.start(host);
+                    jobs.capacities.get(host).setEvents(3, 14);
+                }
+                default -> {
+                    jobs.nodes.freeze(host);
+                    jobs.nodes.run(random.nextInt(5_000));
+                    jobs.nodes.thaw(host);
+                }
+            }
+        }
+        jobs.nodes.run(40_000);
+        assertThat(jobs.runsByItem.values()).hasSize(20).allMatch(runs -> runs >= 5);
+        for (int i = 0; i < 4; i++) {
+            assertThat(page(jobs.read(B, "job-" + i, 0)))
+                    .hasSize(5)
+                    .allMatch(result -> result.text().toStringUtf8().equals(FakeCapacity.text(1, 14)));
+        }
+    }
+
     @Test
     void itemGoesOnOnlyAtATargetOfTheVersionThatBeganIt() {
         jobs.submit(A, JOB, 1);
