--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonMemoryEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonMemoryEndToEndTests.java
@@ -46,7 +46,7 @@
     private static final String EVENTS_UNTIL_CLOSE = "Content-Type: text/event-stream\r\n" + UNTIL_CLOSE;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final long DEADLINE_MS = 8_000;
-    private static final long FAULTY_DEADLINE_MS = 7_000;
+    private static final long FAULTY_DEADLINE_MS = 5_000;
     private static final String SOUND = "200 sound";
 
     @TempDir
