Identify each exchange of a connection to a target, and close it with the first byte that is nobody's

Callers saw requests that had run refused as not run, run at a second target, or answered with the status of another request. A request that was refused and sent again on the same connection under its id got the copy of the former refusal, as an id identifies a request, not an exchange. The first part of a copy that came in one read with the end of a complete response, or while the connection was idle, stayed in the decoder, and the next response completed it with its own id and signature.

A request whose id it carried closes it before a byte is sent and goes over another one; only such a repeat costs a connection, not each refusal.

The price in connections and processor time was not measured.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -49,6 +49,7 @@
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
+import reactor.util.retry.Retry;
 
 /**
  * Runs requests on targets and passes their responses to the receivers.
@@ -77,6 +78,9 @@
     /** How many bytes of a body count as progress: one now and then must not keep an attempt open. */
     private static final int MIN_PROGRESS_BYTES = 1024;
 
+    private static final Retry OTHER_CONNECTION =
+            Retry.max(MAX_CONNECTIONS_PER_TARGET).filter(ConnectionNotUsableException::causes);
+
     private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.target");
 
     private static final AttributeKey<Long> IDLE_LIMIT_MS = AttributeKey.valueOf("cornelcrank-idle-limit-ms");
@@ -102,6 +106,9 @@
                 .pendingAcquireMaxCount(-1)
                 .lifo()
                 .evictionPredicate((connection, metadata) -> {
+                    if (TargetExchanges.of(connection.channel()).exhausted()) {
+                        return true;
+                    }
                     Long limitMs = connection.channel().attr(IDLE_LIMIT_MS).get();
                     return metadata.idleTime() > (limitMs == null ? DEFAULT_IDLE_MS : limitMs);
                 })
@@ -113,8 +120,8 @@
                 .followRedirect(false)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .doOnChannelInit((observer, channel, address) -> {
-                    channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES));
                     TargetExchanges.follow(channel, metrics);
+                    channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES));
                 });
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
@@ -177,15 +184,26 @@
                 head, dispatch.target(), dispatch.timeoutMs(), attempt.receiver.resumeAfterEvent());
         attempt.transfer = http.remoteAddress(() -> attempt.address)
                 .headers(all -> all.set(headers))
+                .doOnRequest((request, connection) -> begin(head.requestId(), connection))
                 .request(HttpMethod.valueOf(head.method()))
                 .uri(head.uri())
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(attempt.receiver.body())))
                 .response((response, content) -> onResponseHead(attempt, response, content))
+                .retryWhen(OTHER_CONNECTION)
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
                 .subscribe(attempt::end, error -> attempt.onTransferError(toFailure(error, attempt)));
         attempt.checkReadTimeout();
     }
 
+    /** Rejects a connection that must not carry the request before any byte of the request is sent. */
+    private static void begin(String requestId, Connection connection) {
+        if (!TargetExchanges.of(connection.channel()).begin(requestId)) {
+            // Closed first, as the next try would otherwise get the same connection.
+            connection.channel().close();
+            throw new ConnectionNotUsableException();
+        }
+    }
+
     /** Returns the receiver of the response, empty if the caller has disconnected. */
     private Optional<ResponseReceiver> receiver(DispatchSource source) {
         if (source instanceof DispatchSource.FromCaller from) {
@@ -500,6 +518,21 @@
         }
     }
 
+    /** Closes a connection that must not carry a request, so that another one is used. */
+    private static final class ConnectionNotUsableException extends RuntimeException {
+
+        private static final long serialVersionUID = 1L;
+
+        ConnectionNotUsableException() {
+            super("the connection has carried the request before, or too many requests", null, false, false);
+        }
+
+        static boolean causes(Throwable error) {
+            return error instanceof ConnectionNotUsableException
+                    || error.getCause() instanceof ConnectionNotUsableException;
+        }
+    }
+
     /**
      * Rejects a response that must not reach the caller, and closes its connection, as later data on it cannot be
      * trusted.
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.server;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -418,6 +419,48 @@
         assertThat(failures).hasSize(1).isSubsetOf(502, -1);
     }
 
+    /** The response to a HEAD request has no body, whatever its length says: a body is no part of it. */
+    @Test
+    void bodyOfAResponseToAHeadRequestEndsTheConnection() throws IOException {
+        runner.setScript(
+                (request, response) -> response.write(response.wholeText(request, "no".repeat(request.number()))));
+        fleet.register(runner);
+        for (int i = 0; runner.requests() < 6 && i < MAX_REQUESTS; i++) {
+            String id = "head-" + i;
+            HttpResponse<String> response = fleet.send(fleet.request(0, "/idem/1")
+                    .header("Request-Id", id)
+                    .method("HEAD", HttpRequest.BodyPublishers.noBody())
+                    .build());
+            assertResponseIsOfTheRunnerThatRan(id, "", response);
+        }
+        assertThat(runner.requests()).isPositive();
+        assertThat(runner.connections()).isEqualTo(runner.requests());
+    }
+
+    /** The attempt is cancelled while its response is due: its connection must not be used again. */
+    @Test
+    void responseThatArrivesAfterItsCallerHasGoneReachesNobody() throws IOException {
+        runner.setScript((request, response) -> {
+            if (request.id().startsWith("gone-")) {
+                Thread.sleep(300);
+            }
+            response.write(response.wholeText(request, new String(request.body())));
+        });
+        fleet.register(runner);
+        for (int i = 0; runner.requests() == 0 && i < MAX_REQUESTS; i++) {
+            int ran = fleet.runners.get("sound").requests();
+            try (Socket socket = fleet.connect(0)) {
+                socket.getOutputStream()
+                        .write(("POST /idem/1 HTTP/1.1\r\nHost: " + GatewayFleet.HOST + "\r\nRequest-Id: gone-" + i
+                                        + "\r\nContent-Length: 1\r\n\r\nx")
+                                .getBytes(StandardCharsets.ISO_8859_1));
+                GatewayFleet.await(() ->
+                        runner.requests() > 0 || fleet.runners.get("sound").requests() > ran);
+            }
+        }
+        assertEachCallerGetsItsOwnResponse();
+    }
+
     @Test
     void interimResponsesBeforeAResponseDoNotChangeIt() throws IOException {
         runner.setScript((request, response) -> response.write("HTTP/1.1 100 Continue\r\n\r\n"
