Reject a head, a body or an event in which another response begins

A target that broke off a response and then wrote a second one left bytes that looked complete: a body that ends with its connection, or whose length or chunk the second response filled, reached callers as 200 with the head and the body of the second response in it; lines of the second head reached callers as an event, or completed a partial one; a refusal that broke off in a header took the id and the signature of the success behind it, so that a request that had run was run again.

A status line that a header follows, each ended by CR LF, in a body or an event makes the attempt fail as may-have-run; so does a version of HTTP in the reason phrase or a header of a response. Text about HTTP in JSON, in data lines of events or with plain line feeds is no such head (SplicedResponsesTests). A copy that is itself cut before its first header is not recognized inside a body.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -78,6 +78,7 @@
     }
 
     private void forward(TargetResponseHead head, byte[] event) {
+        SplicedResponses.requireNone(event);
         long id = EventIds.of(event);
         if (id != EventIds.NONE && call.streaming() && EventIds.isDuplicate(id, call.lastEventId())) {
             return;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -229,6 +229,9 @@
                     head.responseId() == ResponseId.ABSENT ? "no-id" : "other-id",
                     "the response belongs to another request");
         }
+        if (SplicedResponses.inHead(response.status().reasonPhrase(), response.responseHeaders())) {
+            return rejected(attempt, head, response, "two-heads", "its head holds a part of another one");
+        }
         if (head.success() && !head.signed()) {
             return rejected(attempt, head, response, "no-signature", "the success response is not signed");
         }
@@ -337,7 +340,8 @@
                     buffer.writeBytes(chunk);
                     attempt.recordBody(buffer.size());
                 })
-                .map(ByteArrayOutputStream::toByteArray);
+                .map(ByteArrayOutputStream::toByteArray)
+                .doOnNext(SplicedResponses::requireNone);
     }
 
     /** Determines the outcome of a response that is not a success. */
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ItemReceiver.java
@@ -84,6 +84,7 @@
     }
 
     private void addEvent(byte[] event) {
+        SplicedResponses.requireNone(event);
         long id = EventIds.of(event);
         if (id == EventIds.NONE) {
             throw new IllegalStateException("an event of an item must have a numeric id");
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/SplicedResponses.java
@@ -0,0 +1,50 @@
+package org.cornelcrank.server.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Recognizes responses inside of which another response begins.
+ *
+ * <p>A target that breaks off a response and then writes another one leaves a head, a body or an event that looks
+ * complete, but holds parts of both. Stateless, thus thread-safe.
+ */
+final class SplicedResponses {
+
+    private static final String VERSION = "HTTP/1.";
+
+    /** A status line that a header follows, rather than a field of an event. */
+    private static final Pattern HEAD =
+            Pattern.compile("HTTP/1\\.[01] \\d{3}(?: [^\r\n]*)?\r\n(?!data:|id:|event:|retry:)[!-9;-~]+:");
+
+    private SplicedResponses() {}
+
+    /** Returns whether the head holds a part of another one. */
+    static boolean inHead(String reasonPhrase, HttpHeaders headers) {
+        if (reasonPhrase.contains(VERSION)) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : headers) {
+            if (header.getKey().contains(VERSION) || header.getValue().contains(VERSION)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Checks that no other response begins inside a body or an event.
+     *
+     * @throws IllegalStateException if one does
+     */
+    static void requireNone(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        int start = text.indexOf(VERSION);
+        if (start >= 0 && HEAD.matcher(text).region(start, text.length()).find()) {
+            throw new IllegalStateException("another response begins inside the response");
+        }
+    }
+}
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/SplicedResponsesTests.java
@@ -0,0 +1,56 @@
+package org.cornelcrank.server.gateway;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
+
+/** Reads bodies, events and heads that hold parts of a second response, and ones that only look so. */
+class SplicedResponsesTests {
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+                "halfHTTP/1.1 503 Full\r\nX-Id: 1\r\n",
+                "id: 2\ndata: pieHTTP/1.0 500\r\nContent-Length: 2\r\n\r\n"
+            })
+    void bytesInWhichAHeadBeginsAreRejected(String text) {
+        assertThatIllegalStateException().isThrownBy(() -> requireNone(text));
+    }
+
+    /** Guards against sound responses about HTTP that would fail whenever they are requested. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "the status line HTTP/1.1 200 OK",
+                "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n",
+                "HTTP/1.1 200 OK\nContent-Length: 2\n\n",
+                "{\"text\":\"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\"}",
+                "id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: Content-Length: 2\r\n"
+            })
+    void bytesThatOnlyMentionAHeadAreAccepted(String text) {
+        assertThatCode(() -> requireNone(text)).doesNotThrowAnyException();
+    }
+
+    @Test
+    void headThatHoldsAPartOfAnotherOneIsDetected() {
+        assertThat(SplicedResponses.inHead("OK", new DefaultHttpHeaders().set("Via", "1.1 proxy")))
+                .isFalse();
+        assertThat(SplicedResponses.inHead("FuHTTP/1.1 200 OK", new DefaultHttpHeaders()))
+                .isTrue();
+        assertThat(SplicedResponses.inHead("Full", new DefaultHttpHeaders().set("X-Spoiled", "HTTP/1.1 200 OK")))
+                .isTrue();
+    }
+
+    private static void requireNone(String text) {
+        SplicedResponses.requireNone(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+}
