--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -81,6 +81,7 @@
     }
 
     private void forward(TargetResponseHead head, byte[] event) {
+        SplicedResponses.requireNone(event);
         if (EventIds.isComment(event)) {
             forwardComment(head, event);
             return;
