Accept requests of a stop only if they can end before its time limit

Callers saw, in a planned stop of one daemon in calm: a request that came late within the drain delay was accepted and dispatched, and ended by the time limit of the stop, with 502 or a stream that broke off, also if it may not be repeated.

Cause: Drain accepted whatever arrived within the drain delay. A request that comes at its end has 4.4 s, less than a stream's 5 s and much less than the 8 and 15 s of other routes.

Now a request is accepted during a stop only if its latest end, the smaller of its deadline and its route's timeout, lies 200 ms before the time limit; all others are refused at once as not run. It is decided once the body has arrived. Submissions and ends of jobs are decided likewise; reads end with their page at any time. The same holds for the product's own interface. Found beside it: a response to a request that came before SIGTERM did not ask to close the connection; a request whose body did not arrive, or that waited for the first routes, got no response at the time limit.

DaemonEndToEndTests.requestThatCouldBeOpenAtTheTimeLimitOfAStopIsRefusedAsNotRun fails without the check (200 instead of 503) and passes with it.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/Drain.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/Drain.java
@@ -3,17 +3,19 @@
 /**
  * Decides which requests a stopping daemon still accepts, when it ends those that are open, and when it may end.
  *
- * <p>A stop has three phases: requests are accepted until load balancers have noticed that the daemon is not ready, and
- * are refused as not run from then on. Without the second phase a daemon whose callers keep their connections would
- * never be idle, and its end would interrupt whatever runs at that moment. The third begins at the time limit: open
- * requests are ended, and their callers' connections stay open until the responses are written.
+ * <p>A stop has three phases. Until load balancers have noticed that the daemon is not ready, requests are accepted if
+ * they end before the time limit of the stop however long they take. From then on all are refused as not run. Without
+ * the second phase a daemon whose callers keep their connections would never be idle, and its end would interrupt
+ * whatever runs at that moment. The third begins at the time limit: open requests are ended, and their callers'
+ * connections stay open until the responses are written.
  *
- * <p>Invariants: a stop that was requested is never withdrawn; open requests are ended before the daemon ends, which is
- * {@link #RESPONSE_TIMEOUT_MS} later at the latest. Thread-safe.
+ * <p>Invariants: a stop that was requested is never withdrawn; a request that is accepted during a stop ends before its
+ * time limit; open requests are ended before the daemon ends, which is {@link #RESPONSE_TIMEOUT_MS} later at the latest.
+ * Thread-safe.
  */
 public final class Drain {
 
-    /** How long the responses of the requests that end at the time limit may take to be written, in ms. */
+    /** How long the response of a request that has ended may take to be written, in ms. */
     public static final long RESPONSE_TIMEOUT_MS = 200;
 
     private static final long NEVER = -1;
@@ -57,11 +59,21 @@
         return requestedAtMs != NEVER;
     }
 
-    /** Returns whether a request that arrives at {@code nowMs} is accepted; all others are to be refused as not run. */
+    /** Returns whether any request that arrives at {@code nowMs} is accepted. */
     public boolean accepts(long nowMs) {
         return !requested() || nowMs - requestedAtMs < acceptMs;
     }
 
+    /**
+     * Returns whether a request that has arrived at {@code nowMs} is accepted; all others are to be refused as not run.
+     *
+     * @param endsAtMs the time at which the request ends at the latest, in ms
+     */
+    public boolean accepts(long nowMs, long endsAtMs) {
+        return accepts(nowMs)
+                && (!requested() || endsAtMs - requestedAtMs <= acceptMs + timeoutMs - RESPONSE_TIMEOUT_MS);
+    }
+
     /**
      * Ends the open requests if the time limit has passed.
      *
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DrainTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DrainTests.java
@@ -1,7 +1,9 @@
 package org.cornelcrank.gateway;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -49,6 +51,32 @@
         assertThat(nowMs).isLessThanOrEqualTo(ACCEPT_MS + LONGEST_MS + STEP_MS);
     }
 
+    /** Each request takes until its deadline, as a stream without end does. */
+    @Test
+    void requestThatTakesUntilItsDeadlineIsNotOpenAtTheTimeLimitIfItArrivedInTheStop() {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(5);
+        List<Long> acceptedUntilMs = new ArrayList<>();
+        drain.request(0);
+        for (long nowMs = 0; !drain.endRequests(nowMs); nowMs += STEP_MS) {
+            long deadlineAtMs = nowMs + random.nextLong(1, 2 * LIMIT_MS);
+            if (drain.accepts(nowMs, deadlineAtMs)) {
+                acceptedUntilMs.add(deadlineAtMs);
+            }
+        }
+        assertThat(acceptedUntilMs).hasSizeGreaterThan(10).allMatch(endMs -> endMs < LIMIT_MS);
+    }
+
+    @Test
+    void requestThatCouldBeOpenAtTheTimeLimitIsRefusedAsSoonAsTheStopBegins() {
+        long latestEndMs = LIMIT_MS - Drain.RESPONSE_TIMEOUT_MS;
+        assertThat(drain.accepts(0, Long.MAX_VALUE)).isTrue();
+        drain.request(0);
+        assertThat(drain.accepts(0, latestEndMs)).isTrue();
+        assertThat(drain.accepts(0, latestEndMs + 1)).isFalse();
+        assertThat(drain.accepts(ACCEPT_MS - 1, latestEndMs)).isTrue();
+        assertThat(drain.accepts(ACCEPT_MS, ACCEPT_MS + 1)).isFalse();
+    }
+
     @Test
     void requestsAreAcceptedUntilLoadBalancersHaveNoticedTheStop() {
         assertThat(drain.accepts(1_000)).isTrue();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonProcess.java
@@ -145,7 +145,7 @@
 
     private boolean ends() {
         long nowMs = clock.nowMs();
-        if (drain.endRequests(nowMs)) {
+        if (gate.endRequests(nowMs)) {
             endRequests();
         }
         return drain.ends(nowMs, idle(), openRequests());
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -29,6 +29,7 @@
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.routing.RequestOptions;
 import org.cornelcrank.routing.StreamIdentity;
+import org.cornelcrank.server.http.ConnectionCloseHandler;
 import org.cornelcrank.server.http.RequestGate;
 import org.reactivestreams.Publisher;
 import org.slf4j.Logger;
@@ -63,6 +64,9 @@
     /** The retry delay for callers while no routes are loaded yet, in ms. */
     static final long NOT_READY_RETRY_MS = 500;
 
+    private static final Refusal NO_ROUTES =
+            Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS);
+
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
     private final RouteTableSettings settings;
@@ -90,8 +94,12 @@
 
     /** Opens the listener for callers. */
     DisposableServer bind(InetSocketAddress address, LoopResources loops) {
+        ConnectionCloseHandler closeHandler = new ConnectionCloseHandler(requests);
         return server(address, loops)
-                .doOnChannelInit((observer, channel, remoteAddress) -> connections.add(channel))
+                .doOnChannelInit((observer, channel, remoteAddress) -> {
+                    connections.add(channel);
+                    closeHandler.addTo(channel);
+                })
                 .handle(this::handle)
                 .bindNow();
     }
@@ -126,20 +134,24 @@
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         return requests.admit(
                 request,
-                response,
-                receivedAtMs -> settings.ready()
-                        ? respond(request, response, receivedAtMs)
-                        : gate.awaitRoutes().flatMap(loaded -> respond(request, response, receivedAtMs)),
+                receivedAtMs -> awaitRoutes().then(Mono.defer(() -> respond(request, response, receivedAtMs))),
                 refusal -> reject(response, refusal, dialect.requestId(request.requestHeaders())));
     }
 
+    /** Waits for the first routes of a daemon that starts, unless it is stopping already. */
+    private Mono<Void> awaitRoutes() {
+        return settings.ready() || requests.stopping()
+                ? Mono.empty()
+                : gate.awaitRoutes().takeUntilOther(requests.requestsEnded()).then();
+    }
+
     private Mono<Void> respond(HttpServerRequest request, HttpServerResponse response, long receivedAtMs) {
         HeadResult result = dialect.readRequest(request.method().name(), request.uri(), request.requestHeaders());
         Optional<RouteTable> table = settings.table();
         if (table.isEmpty()) {
             return reject(
                     response,
-                    Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS),
+                    requests.stopping() ? RequestGate.STOPPING : NO_ROUTES,
                     result instanceof HeadResult.Valid valid ? valid.head().requestId() : null);
         }
         Optional<Mono<Void>> jobResponse = jobs.handle(request, response);
@@ -155,13 +167,23 @@
             String message = "no route of version " + table.get().version() + " for " + head.host() + head.path();
             return reject(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
         }
-        return readBody(request, table.get().limits().maxBodyBytes())
-                .flatMap(body -> body.length > table.get().limits().maxBodyBytes()
-                        ? reject(
+        int maxBodyBytes = table.get().limits().maxBodyBytes();
+        return readBody(request, maxBodyBytes)
+                .map(Optional::of)
+                .takeUntilOther(requests.requestsEnded())
+                .defaultIfEmpty(Optional.empty())
+                .flatMap(body -> {
+                    if (body.isEmpty()) {
+                        return reject(response, RequestGate.STOPPING, head.requestId());
+                    }
+                    if (body.get().length > maxBodyBytes) {
+                        return reject(
                                 response,
                                 Refusal.notRun(RefusalCode.TOO_LARGE, "the body exceeds the maximum length"),
-                                head.requestId())
-                        : accept(route.get(), head, body, receivedAtMs, response));
+                                head.requestId());
+                    }
+                    return accept(route.get(), head, body.get(), receivedAtMs, response);
+                });
     }
 
     /** Reads a body; stops as soon as the body exceeds the limit. */
@@ -182,8 +204,12 @@
         if (route.kind() == RouteKind.BATCH) {
             return jobs.submit(route, head, body, response);
         }
+        OnlineRequest command = request(route, head, body, receivedAtMs);
+        if (!requests.accepts(command.deadlineAtMs())) {
+            return reject(response, RequestGate.STOPPING, head.requestId());
+        }
         metrics.counter("gateway.requests." + route.kind()).inc();
-        GatewayCall call = calls.open(head, body, request(route, head, body, receivedAtMs), receivedAtMs);
+        GatewayCall call = calls.open(head, body, command, receivedAtMs);
         return call.response()
                 .flatMap(callResponse -> write(response, callResponse, head))
                 .doOnCancel(() -> calls.callerDisconnected(call));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -61,8 +61,8 @@
                 loops,
                 dependencies.metrics());
         this.commands = new GatewayCommands(calls, dependencies.loop());
-        JobHttpHandler jobs =
-                new JobHttpHandler(commands, dependencies.clock(), dependencies.jobDialect(), dependencies.dialect());
+        JobHttpHandler jobs = new JobHttpHandler(
+                commands, dependencies.clock(), dependencies.jobDialect(), dependencies.dialect(), requests);
         this.monitor = new GatewayMonitor(
                 new Probes(() -> Mono.just(readiness(dependencies)), dependencies.metrics()), commands);
         this.server = new GatewayHttpServer(
@@ -112,7 +112,7 @@
     public boolean closeIfDrained(boolean coreIdle) {
         long nowMs = clock.nowMs();
         int openRequests = requests.openRequests();
-        if (drain.endRequests(nowMs)) {
+        if (requests.endRequests(nowMs)) {
             LOGGER.info("Daemon {} ends {} open requests at its drain timeout", settings.host(), openRequests);
             loop.post(new Event.StopTimedOut(RequestGate.STOPPING));
         }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobHttpHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/JobHttpHandler.java
@@ -16,12 +16,14 @@
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.gateway.http.GatewayDialect;
 import org.cornelcrank.gateway.http.RequestHead;
+import org.cornelcrank.job.EndJob;
 import org.cornelcrank.job.ItemBody;
 import org.cornelcrank.job.JobAccepted;
 import org.cornelcrank.job.JobDialect;
 import org.cornelcrank.job.JobEnded;
 import org.cornelcrank.job.JobPage;
 import org.cornelcrank.job.SubmitJob;
+import org.cornelcrank.server.http.RequestGate;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,12 +51,19 @@
     private final MonotonicClock clock;
     private final JobDialect dialect;
     private final GatewayDialect gatewayDialect;
+    private final RequestGate requests;
 
-    JobHttpHandler(GatewayCommands commands, MonotonicClock clock, JobDialect dialect, GatewayDialect gatewayDialect) {
+    JobHttpHandler(
+            GatewayCommands commands,
+            MonotonicClock clock,
+            JobDialect dialect,
+            GatewayDialect gatewayDialect,
+            RequestGate requests) {
         this.commands = Objects.requireNonNull(commands, "commands must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
         this.gatewayDialect = Objects.requireNonNull(gatewayDialect, "gatewayDialect must not be null");
+        this.requests = Objects.requireNonNull(requests, "requests must not be null");
     }
 
     /** Handles a call about a job that was submitted before; returns empty if the request is not such a call. */
@@ -90,6 +99,10 @@
 
     private Mono<Void> execute(CallerCommand command, HttpServerResponse response) {
         long submittedAtMs = clock.nowMs();
+        if (!requests.accepts(endsAtMs(command, submittedAtMs))) {
+            log(command, RequestGate.STOPPING, 0);
+            return refuse(response, RequestGate.STOPPING);
+        }
         return commands.submit(JOBS, Caller.Scope.CALLER, command)
                 .doOnCancel(() -> log(command, "the caller left", clock.nowMs() - submittedAtMs))
                 .flatMap(reply -> {
@@ -100,6 +113,14 @@
                 });
     }
 
+    /** Returns when a command ends at the latest, in ms; reads end with what they have whenever a stop does. */
+    private static long endsAtMs(CallerCommand command, long nowMs) {
+        if (command instanceof SubmitJob submit) {
+            return submit.deadlineAtMs();
+        }
+        return command instanceof EndJob end ? end.deadlineAtMs() : nowMs;
+    }
+
     /** Logs the outcome of a command; successful reads are not logged, as there are too many. */
     private static void log(CallerCommand command, Object outcome, long tookMs) {
         LOGGER.atInfo()
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/ApiHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/ApiHttpServer.java
@@ -44,14 +44,20 @@
         this.gate = dependencies.gate();
         this.probes = probes;
         this.writer = new ResponseWriter(dependencies.exchanges(), dependencies.errors());
-        RequestBodies bodies = new RequestBodies(dependencies.json(), dependencies.maxBodyBytes());
+        RequestBodies bodies = new RequestBodies(dependencies.json(), gate, dependencies.maxBodyBytes());
         ServiceDirectory services = new ServiceDirectory(dependencies.settings());
         CoreCommands commands = new CoreCommands(dependencies.exchanges());
         BatchViews batchViews = new BatchViews(dependencies.json());
         this.groups = List.of(
                 new CompletionRoutes(
-                        dependencies.exchanges(), writer, bodies, services, dependencies.clock(), dependencies.json()),
-                new PlainServiceRoutes(dependencies.exchanges(), writer, bodies, services, dependencies.clock()),
+                        dependencies.exchanges(),
+                        writer,
+                        bodies,
+                        services,
+                        gate,
+                        dependencies.clock(),
+                        dependencies.json()),
+                new PlainServiceRoutes(dependencies.exchanges(), writer, bodies, services, gate, dependencies.clock()),
                 new FileRoutes(commands, writer, batchViews, dependencies.json()),
                 new BatchRoutes(commands, writer, bodies, batchViews),
                 new AdminRoutes(dependencies.exchanges(), writer, bodies, new AdminViews(dependencies.json())));
@@ -65,10 +71,12 @@
      * @return the listening server
      */
     public DisposableServer bind(InetSocketAddress address, Optional<SslContext> tls) {
+        ConnectionCloseHandler closeHandler = new ConnectionCloseHandler(gate);
         HttpServer server = HttpServer.create()
                 .bindAddress(() -> address)
                 .idleTimeout(IDLE_TIMEOUT)
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
+                .doOnChannelInit((observer, channel, remoteAddress) -> closeHandler.addTo(channel))
                 .route(this::addRoutes);
         if (tls.isPresent()) {
             server = server.secure(spec -> spec.sslContext(tls.get()));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/CompletionRoutes.java
@@ -37,6 +37,7 @@
     private final ResponseWriter writer;
     private final RequestBodies bodies;
     private final ServiceDirectory services;
+    private final RequestGate requests;
     private final MonotonicClock clock;
     private final ObjectMapper json;
 
@@ -45,12 +46,14 @@
             ResponseWriter writer,
             RequestBodies bodies,
             ServiceDirectory services,
+            RequestGate requests,
             MonotonicClock clock,
             ObjectMapper json) {
         this.exchanges = exchanges;
         this.writer = writer;
         this.bodies = bodies;
         this.services = services;
+        this.requests = requests;
         this.clock = clock;
         this.json = json;
     }
@@ -108,6 +111,7 @@
                 Math.max(0, parsedBody.path("max_tokens").asInt(0)),
                 streaming,
                 RequestOptions.DEFAULTS);
+        requests.requireAccepted(command.deadlineAtMs());
         OutgoingRequest outgoing =
                 new OutgoingRequest("POST", "/" + request.path(), "application/json", body, streaming, prefixHashes);
         Exchange exchange = exchanges.open(authenticated.caller(), command, Optional.of(outgoing));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/GuardedRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/GuardedRoutes.java
@@ -57,7 +57,6 @@
             HttpServerRequest request, HttpServerResponse response, Caller.Scope scope, Handler handler) {
         return gate.admit(
                 request,
-                response,
                 receivedAtMs -> authenticateAndHandle(request, response, scope, handler),
                 refusal -> turnAway(request, response, refusal));
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/PlainServiceRoutes.java
@@ -40,6 +40,7 @@
     private final ResponseWriter writer;
     private final RequestBodies bodies;
     private final ServiceDirectory services;
+    private final RequestGate requests;
     private final MonotonicClock clock;
 
     PlainServiceRoutes(
@@ -47,11 +48,13 @@
             ResponseWriter writer,
             RequestBodies bodies,
             ServiceDirectory services,
+            RequestGate requests,
             MonotonicClock clock) {
         this.exchanges = exchanges;
         this.writer = writer;
         this.bodies = bodies;
         this.services = services;
+        this.requests = requests;
         this.clock = clock;
     }
 
@@ -77,6 +80,7 @@
             HttpServerResponse response,
             ServicePolicy policy,
             byte[] body) {
+        requests.requireAccepted(Deadlines.deadlineAtMs(request, authenticated.requirePolicy(), clock.nowMs()));
         String uri = request.uri();
         String pathAndQuery =
                 uri.substring(PREFIX.length() + policy.service().value().length());
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestBodies.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestBodies.java
@@ -20,14 +20,16 @@
 final class RequestBodies {
 
     private final ObjectMapper json;
+    private final RequestGate requests;
     private final int maxBodyBytes;
 
-    RequestBodies(ObjectMapper json, int maxBodyBytes) {
+    RequestBodies(ObjectMapper json, RequestGate requests, int maxBodyBytes) {
         this.json = json;
+        this.requests = requests;
         this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Returns the complete body, or fails with a refusal if it is too large. */
+    /** Returns the complete body, or fails with a refusal if it is too large or has not arrived when a stop ends requests. */
     Mono<byte[]> read(HttpServerRequest request) {
         if (request.requestHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, 0) > maxBodyBytes) {
             return Mono.error(tooLarge());
@@ -35,7 +37,9 @@
         return request.receive()
                 .asByteArray()
                 .collect(ByteArrayOutputStream::new, this::append)
-                .map(ByteArrayOutputStream::toByteArray);
+                .map(ByteArrayOutputStream::toByteArray)
+                .takeUntilOther(requests.requestsEnded())
+                .switchIfEmpty(Mono.error(() -> new RefusedException(RequestGate.STOPPING)));
     }
 
     /** Parses a body as a JSON object, or fails with a refusal if it is not one. */
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
@@ -10,14 +10,14 @@
 import org.cornelcrank.gateway.Drain;
 import org.cornelcrank.server.loop.MonotonicClock;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.server.HttpServerRequest;
-import reactor.netty.http.server.HttpServerResponse;
 
 /**
  * Admits requests as the {@link Drain} of the daemon says, and counts those whose response has not been written.
  *
- * <p>Invariant: a request that has been read gets a response; while the daemon drains, responses ask the caller to
- * close its connection. Thread-safe.
+ * <p>Invariant: a request that has been read gets a response, at the time limit of a stop also if its body has not
+ * arrived. Thread-safe.
  */
 public final class RequestGate {
 
@@ -31,6 +31,7 @@
     private final MonotonicClock clock;
     private final int maxBodyBytes;
     private final AtomicInteger openRequests = new AtomicInteger();
+    private final Sinks.Empty<Void> requestsEnded = Sinks.empty();
 
     /**
      * Creates a gate without requests.
@@ -48,6 +49,45 @@
         return drain.requested();
     }
 
+    /**
+     * Returns whether a request that has been read is accepted; all others are to be refused as {@link #STOPPING}.
+     *
+     * @param endsAtMs the time at which the request ends at the latest, in ms
+     */
+    public boolean accepts(long endsAtMs) {
+        return drain.accepts(clock.nowMs(), endsAtMs);
+    }
+
+    /**
+     * Fails if a request that has been read is not accepted.
+     *
+     * @param endsAtMs the time at which the request ends at the latest, in ms
+     * @throws RefusedException with {@link #STOPPING} if the request could be open at the time limit of a stop
+     */
+    void requireAccepted(long endsAtMs) {
+        if (!accepts(endsAtMs)) {
+            throw new RefusedException(STOPPING);
+        }
+    }
+
+    /**
+     * Ends the open requests if the time limit of a stop has passed.
+     *
+     * @return whether this call was the first to do so
+     */
+    public boolean endRequests(long nowMs) {
+        boolean ends = drain.endRequests(nowMs);
+        if (ends) {
+            requestsEnded.tryEmitEmpty();
+        }
+        return ends;
+    }
+
+    /** Completes once the open requests are to be ended. */
+    public Mono<Void> requestsEnded() {
+        return requestsEnded.asMono();
+    }
+
     /** Returns how many requests have been read and not been responded to in full. */
     public int openRequests() {
         return openRequests.get();
@@ -60,15 +100,9 @@
      * @param refuser writes the refusal
      */
     public Mono<Void> admit(
-            HttpServerRequest request,
-            HttpServerResponse response,
-            LongFunction<Mono<Void>> handler,
-            Function<Refusal, Mono<Void>> refuser) {
+            HttpServerRequest request, LongFunction<Mono<Void>> handler, Function<Refusal, Mono<Void>> refuser) {
         long receivedAtMs = clock.nowMs();
         openRequests.incrementAndGet();
-        if (drain.requested()) {
-            response.keepAlive(false);
-        }
         Mono<Void> result = drain.accepts(receivedAtMs)
                 ? Mono.defer(() -> handler.apply(receivedAtMs))
                 : discardBody(request).then(Mono.defer(() -> refuser.apply(STOPPING)));
@@ -80,6 +114,7 @@
                 .asByteArray()
                 .scan(0L, (readBytes, chunk) -> readBytes + chunk.length)
                 .takeUntil(readBytes -> readBytes > maxBodyBytes)
+                .takeUntilOther(requestsEnded())
                 .then();
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/DaemonSettingsParser.java
@@ -61,7 +61,10 @@
             ProcessSetting.optional(
                     "max-answer-bytes", "bytes", "8388608", "maximum size of a response that is not streamed"),
             ProcessSetting.optional(
-                    "drain-delay-ms", "ms", "1000", "how long a stopping daemon still accepts requests"),
+                    "drain-delay-ms",
+                    "ms",
+                    "1000",
+                    "how long a stopping daemon still accepts requests that can end in time"),
             ProcessSetting.optional(
                     "drain-timeout-ms", "ms", "120000", "further time that a stop waits for open requests"),
             ProcessSetting.optional("report-interval-ms", "ms", "250", "time between two load reports of one target"),
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettingsParser.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/GatewaySettingsParser.java
@@ -48,7 +48,10 @@
                     "least-loaded",
                     "target selection policy: " + String.join(", ", DaemonSettingsParser.POLICIES)),
             ProcessSetting.optional(
-                    "drain-delay-ms", "ms", "3000", "how long a stopping daemon still accepts requests"),
+                    "drain-delay-ms",
+                    "ms",
+                    "3000",
+                    "how long a stopping daemon still accepts requests that can end in time"),
             ProcessSetting.optional(
                     "drain-timeout-ms", "ms", "4400", "further time that a stop waits for open requests"),
             ProcessSetting.optional("job-retention-ms", "ms", "120000", "how long results stay readable"),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/DaemonEndToEndTests.java
@@ -124,6 +124,27 @@
         }
     }
 
+    @Test
+    void requestThatCouldBeOpenAtTheTimeLimitOfAStopIsRefusedAsNotRun() throws Exception {
+        EngineSettings engine = EngineSettings.defaults(LoopbackFleet.MODEL).withSlots(8);
+        try (LoopbackFleet fleet = LoopbackFleet.startWithDrain(3_000, 500, engine)) {
+            AtomicInteger completed = new AtomicInteger();
+            fleet.await("requests are served", () -> callOnce(fleet, completed).isEmpty() && completed.get() > 0);
+            CompletableFuture<Void> stop =
+                    CompletableFuture.runAsync(() -> fleet.daemons.get(0).stop());
+            fleet.await(
+                    "the daemon is not ready",
+                    () -> fleet.get(0, "/healthz/ready", "").statusCode() != 200);
+            HttpResponse<String> response = fleet.post(
+                    0, "/v1/chat/completions", LoopbackFleet.CALLER_KEY, LoopbackFleet.chat("late", true, 3));
+            assertThat(response.statusCode()).isEqualTo(503);
+            assertThat(response.headers().firstValue("Cornelcrank-Verdict")).hasValue("not-run");
+            assertThat(response.headers().firstValue("Connection")).hasValue("close");
+            stop.get(30, TimeUnit.SECONDS);
+            assertThat(fleet.engines.get(0).counters().started()).isEqualTo(completed.get());
+        }
+    }
+
     /** Callers that send one request after the other must neither be cut off nor keep the daemon from ending. */
     @Test
     void stopUnderSteadyTrafficInterruptsNoRequest() throws Exception {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -33,6 +33,7 @@
     private static final String ZONE = "dc-a";
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int PORTS = 4;
+    private static final long DRAIN_DELAY_MS = 100;
     private static final long DRAIN_TIMEOUT_MS = 4_400;
 
     final StoreStandIn store = new StoreStandIn(2);
@@ -86,6 +87,10 @@
 
     /** Starts a daemon that waits at most that long for open requests after its drain delay. */
     void start(String host, long drainTimeoutMs) throws IOException {
+        start(host, DRAIN_DELAY_MS, drainTimeoutMs);
+    }
+
+    void start(String host, long drainDelayMs, long drainTimeoutMs) throws IOException {
         int[] ports = freePorts();
         String[] flags = {
             "--deployment",
@@ -111,7 +116,7 @@
             "--shared-key",
             "test",
             "--drain-delay-ms",
-            "100",
+            Long.toString(drainDelayMs),
             "--drain-timeout-ms",
             Long.toString(drainTimeoutMs),
             "--log-format",
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
@@ -62,6 +62,7 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final ObjectMapper json = new ObjectMapper();
 
+    private long drainDelayMs = 100;
     private long drainTimeoutMs = 120_000;
 
     /** Starts stand-ins and daemons, and applies the settings. */
@@ -72,6 +73,14 @@
     /** Starts stand-ins and one daemon that waits at most that long for open requests after its drain delay. */
     static LoopbackFleet startWithDrainTimeout(long drainTimeoutMs, EngineSettings engineSettings) throws Exception {
         LoopbackFleet fleet = new LoopbackFleet();
+        return startWithDrain(fleet.drainDelayMs, drainTimeoutMs, engineSettings);
+    }
+
+    /** Starts stand-ins and one daemon that stops with that drain delay and that drain timeout. */
+    static LoopbackFleet startWithDrain(long drainDelayMs, long drainTimeoutMs, EngineSettings engineSettings)
+            throws Exception {
+        LoopbackFleet fleet = new LoopbackFleet();
+        fleet.drainDelayMs = drainDelayMs;
         fleet.drainTimeoutMs = drainTimeoutMs;
         return start(fleet, 1, engineSettings);
     }
@@ -128,7 +137,7 @@
                 "--partitions",
                 "2",
                 "--drain-delay-ms",
-                "100",
+                Long.toString(drainDelayMs),
                 "--drain-timeout-ms",
                 Long.toString(drainTimeoutMs),
                 "--report-interval-ms",
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/http/RequestGateTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/http/RequestGateTests.java
@@ -34,8 +34,8 @@
     private final List<Refusal> refusals = new ArrayList<>();
     private final DisposableServer server = HttpServer.create()
             .bindAddress(() -> new InetSocketAddress("127.0.0.1", 0))
-            .handle((request, response) -> gate.admit(
-                    request, response, receivedAtMs -> response.status(200).send(), refusal -> {
+            .handle((request, response) ->
+                    gate.admit(request, receivedAtMs -> response.status(200).send(), refusal -> {
                         refusals.add(refusal);
                         return response.status(503).send();
                     }))
@@ -72,6 +72,14 @@
                 .contains(" 503 ");
     }
 
+    @Test
+    void refusedBodyThatNeverArrivesIsNotAwaitedBeyondTheTimeLimitOfTheStop() throws IOException {
+        drain.request(clock.nowMs());
+        assertThat(gate.endRequests(clock.nowMs())).isTrue();
+        assertThat(statusOf("POST / HTTP/1.1\r\nHost: any\r\nContent-Length: 4\r\n\r\n"))
+                .contains(" 503 ");
+    }
+
     /** Sends bytes, keeps the connection open, and returns the first line of the response. */
     private String statusOf(String bytes) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", server.port())) {
