Give daemons of the soak ports that no outgoing connection gets

While a daemon is down between its stop and its next start, one of the many connections on the same address could be given its port, so that the daemon could not start again.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.HttpURLConnection;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -11,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import org.cornelcrank.server.CornelcrankDaemon;
@@ -23,6 +25,8 @@
 final class DaemonProgram implements AutoCloseable {
 
     private static final int PORTS = 4;
+    private static final int LEAST_PORT = 10_000;
+    private static final int END_OF_PORTS = 30_000;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
     private static final int READ_TIMEOUT_MS = 2_000;
@@ -83,12 +87,18 @@
                 "json");
     }
 
+    /** Takes ports that no outgoing connection is given, as the daemon needs them again after each restart. */
     private void takeFreePorts() throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
-            for (int i = 0; i < PORTS; i++) {
-                sockets.add(new ServerSocket(0));
-                ports[i] = sockets.get(i).getLocalPort();
+            while (sockets.size() < PORTS) {
+                int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, END_OF_PORTS);
+                try {
+                    sockets.add(new ServerSocket(port));
+                    ports[sockets.size() - 1] = port;
+                } catch (BindException e) {
+                    // Another process has it.
+                }
             }
         } finally {
             for (ServerSocket socket : sockets) {
