--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/CommandLineSettings.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/settings/CommandLineSettings.java
@@ -87,7 +87,7 @@
                 options(),
                 2,
                 2,
-                "Exit codes: 0 stopped on request, 1 could not start, 2 invalid settings.",
+                "Exit codes: 0 stopped on request, 1 could not start, 2 invalid settings, 3 out of memory.",
                 true);
         return text.toString();
     }
