Test a refusal before the body was read, and a response after it

A target may refuse before it has read a long body, read on, and then write a response all the same. The test passes: callers get the response of the second target, and what follows the refusal reaches nobody.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -419,6 +419,22 @@
         assertThat(failures).hasSize(1).isSubsetOf(502, -1);
     }
 
+    /** The refusal ends the exchange; what the runner writes once it has read the body belongs to nobody. */
+    @Test
+    void responseAfterAnEarlyRefusalReachesNobody() throws IOException {
+        runner.setEarlyScript((request, response) -> response.refusal(request, ""));
+        runner.setScript((request, response) -> response.whole(request, "a refused body"));
+        fleet.register(runner);
+        String body = "b".repeat(90_000);
+        for (int i = 0; runner.requests() < 4 && i < MAX_REQUESTS; i++) {
+            HttpResponse<String> response = fleet.post(0, "unsafe", "early-" + i, body);
+            assertResponseIsOfTheRunnerThatRan("early-" + i, body, response);
+            assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-sound");
+            assertThat(fleet.runs("early-" + i)).isEqualTo(1);
+        }
+        assertThat(runner.requests()).isPositive();
+    }
+
     /** The response to a HEAD request has no body, whatever its length says: a body is no part of it. */
     @Test
     void bodyOfAResponseToAHeadRequestEndsTheConnection() throws IOException {
