--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -68,7 +68,7 @@
 
     @Override
     public void onCompleteResponse(TargetResponseHead head, byte[] body) {
-        if (call.streaming()) {
+        if (call.streaming() || call.lastEventId() > 0) {
             throw new IllegalStateException(
                     "a stream must be resumed by events but the target sent a response without events");
         }
@@ -81,6 +81,7 @@
     }
 
     private void forward(TargetResponseHead head, byte[] event) {
+        SplicedResponses.requireNone(event);
         if (EventIds.isComment(event)) {
             forwardComment(head, event);
             return;
