--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -46,12 +46,6 @@
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
-    /** The pause before the next permit request if the daemons disagree on the target's controller, in ms. */
-    private static final long DISPUTE_PAUSE_MS = 50;
-
-    /** How long a request waits for the daemons to agree on the target's controller, in ms. */
-    private static final long DISPUTE_TIMEOUT_MS = 500;
-
     /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
     private static final long STREAM_VERSION_TIMEOUT_MS = 250;
 
@@ -340,7 +334,6 @@
         }
         hedges.requestElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
-        route.redirects = 0;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
     }
@@ -420,22 +413,13 @@
     }
 
     private void redirect(Route route, Optional<HostId> controller, long nowMs, Effects out) {
-        if (route.redirects == 0) {
-            route.redirectedAtMs = nowMs;
-        }
         route.redirects++;
-        if (controller.isEmpty() || nowMs - route.redirectedAtMs >= DISPUTE_TIMEOUT_MS) {
+        if (controller.isEmpty() || route.redirects > MAX_REDIRECTS) {
             dispatchWithoutPermit(route, "the daemons disagree on the target's controller", nowMs, out);
             return;
         }
         route.controller = controller.get();
-        if (route.redirects <= MAX_REDIRECTS) {
-            requestPermit(route, nowMs, out);
-            return;
-        }
-        context.count("permits-disputed");
-        route.phase = Route.Phase.DISPUTED;
-        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + DISPUTE_PAUSE_MS), out);
+        requestPermit(route, nowMs, out);
     }
 
     /**
@@ -458,8 +442,6 @@
             } else if (route.phase == Route.Phase.ASKED) {
                 dispatchWithoutPermit(
                         route, "the controller " + route.controller + " did not reply in time", nowMs, out);
-            } else if (route.phase == Route.Phase.DISPUTED) {
-                requestPermit(route, nowMs, out);
             } else {
                 recheck(route, nowMs, out);
             }
