Limit and count the comments in front of a stream's first event

A daemon could run out of memory: a target that sends empty events without end, before its first event, had each of them held as an array of its own, as the response to the caller begins with the first event; 4 MiB on the wire are some two million arrays, which the limit of response memory did not see.

The comments are held as bytes, count as held by the response, and end the attempt at the length of the longest event.

CallReceiverTests.commentsBeforeTheFirstEventAreCountedAndLimited is new; it was not run on the code before, which by reading held zero bytes by its own count and had no limit. It passes with CallReceiverTests.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/CallReceiver.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.server.gateway;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -19,7 +18,8 @@
  * Forwards a target's response to the caller; a stream is forwarded event by event, each event once and in order.
  *
  * <p>Invariants: the event ids that the caller receives have no gap and no duplicate, and no partial event is forwarded;
- * the response begins with the first event, so that it states the target which sent that. Not thread-safe: confined to the event loop.
+ * the response begins with the first event, so that it states the target which sent that. Not thread-safe: confined to
+ * the event loop.
  */
 final class CallReceiver implements ResponseReceiver {
 
@@ -27,7 +27,7 @@
 
     private final GatewayCall call;
     private final SseEventSplitter splitter = new SseEventSplitter(MAX_EVENT_BYTES);
-    private final List<byte[]> leadingComments = new ArrayList<>();
+    private final ByteArrayOutputStream leadingComments = new ByteArrayOutputStream();
     private int forwardedEvents;
 
     /** Creates a receiver for a new attempt and discards the response held from an earlier one. */
@@ -92,8 +92,10 @@
         } else if (call.resumable() || call.lastEventId() > 0) {
             throw new IllegalStateException("expected event " + (call.lastEventId() + 1) + " but it has no id");
         }
-        leadingComments.forEach(comment -> call.sendEvent(head.status(), head.headers(), EventIds.NONE, comment));
-        leadingComments.clear();
+        if (leadingComments.size() > 0) {
+            call.sendEvent(head.status(), head.headers(), EventIds.NONE, leadingComments.toByteArray());
+            leadingComments.reset();
+        }
         call.sendEvent(head.status(), head.headers(), id, event);
         forwardedEvents++;
     }
@@ -102,9 +104,13 @@
     private void forwardComment(TargetResponseHead head, byte[] comment) {
         if (call.streaming()) {
             call.sendEvent(head.status(), head.headers(), EventIds.NONE, comment);
-        } else {
-            leadingComments.add(comment);
+            return;
+        }
+        if (leadingComments.size() + comment.length > MAX_EVENT_BYTES) {
+            throw new IllegalStateException(
+                    "comments before the first event must have at most " + MAX_EVENT_BYTES + " bytes");
         }
+        leadingComments.writeBytes(comment);
     }
 
     @Override
@@ -114,7 +120,7 @@
 
     @Override
     public long heldBytes() {
-        return splitter.heldBytes() + call.unreadBytes();
+        return splitter.heldBytes() + leadingComments.size() + call.unreadBytes();
     }
 
     @Override
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/CallReceiverTests.java
@@ -188,6 +188,22 @@
         assertThat(second.receivedEvents()).isEqualTo(1);
     }
 
+    /** Guards against comments without end that are held in front of the first event. */
+    @Test
+    void commentsBeforeTheFirstEventAreCountedAndLimited() {
+        CallReceiver receiver = new CallReceiver(call);
+        byte[] emptyEvents = "\n\n".repeat(1024).getBytes();
+        receiver.onEventBytes(STREAM, emptyEvents);
+        assertThat(receiver.heldBytes()).isEqualTo(emptyEvents.length);
+        assertThatThrownBy(() -> {
+                    for (int i = 0; i < 128; i++) {
+                        receiver.onEventBytes(STREAM, emptyEvents);
+                    }
+                })
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessageContaining("comments before the first event");
+    }
+
     /** Guards against a whole response in the place of the rest of a stream. */
     @Test
     void responseWithoutEventsDoesNotContinueAStreamThatItsCallerTakesUp() {
