--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/SplicedResponsesTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/SplicedResponsesTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -54,6 +55,12 @@
                 .isFalse();
     }
 
+    /** Guards against a search whose time grows with the square of a line's length. */
+    @Test
+    void longLineOfStatusLinesIsSearchedOnce() {
+        requireNone("HTTP/1.1 200 ".repeat(300_000));
+    }
+
     private static void requireNone(String text) {
         SplicedResponses.requireNone(text.getBytes(StandardCharsets.ISO_8859_1));
     }
