Drop interim responses before they are taken for the final one

By reading (review): callers got status 103 as their response, or 502, and the target's own response was lost, if the target sent an interim response other than 100 first: the client library skips 100 only. With the request's id it was believed as a failure, and with the header of a refusal as not run, while the target worked.

All interim responses are dropped behind the decoder, but for 101, which is never asked for and ends the connection's use of HTTP.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetExchanges.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetExchanges.java
@@ -14,10 +14,12 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
 import org.cornelcrank.core.StableHash;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -146,7 +148,8 @@
 
     private void onResponse(HttpResponse response) {
         headReceived = true;
-        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
         if (HttpUtil.isTransferEncodingChunked(response)) {
             framing = Framing.CHUNKS;
             return;
@@ -236,7 +239,7 @@
         }
     }
 
-    /** Follows the requests and the decoded parts of responses. */
+    /** Follows the requests and the decoded parts of responses, and drops interim responses. */
     private final class Messages extends ChannelDuplexHandler {
 
         @Override
@@ -255,7 +258,13 @@
             if (message instanceof HttpContent content) {
                 onContent(content);
             }
-            context.fireChannelRead(message);
+            if (!interim) {
+                context.fireChannelRead(message);
+                return;
+            }
+            ReferenceCountUtil.release(message);
+            // Nothing behind this handler asks for more, as it does not see the interim response.
+            context.read();
         }
     }
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -485,6 +485,20 @@
         assertEachCallerGetsItsOwnResponse();
     }
 
+    /** Guards against an interim response that is taken for the final one. */
+    @Test
+    void interimResponseWithTheIdOfItsRequestIsNotTheFinalOne() throws IOException {
+        runner.setScript((request, response) -> {
+            response.write("HTTP/1.1 103 Early Hints\r\nRequest-Id: " + request.id() + "\r\n\r\n");
+            Thread.sleep(5);
+            response.whole(request, new String(request.body()));
+        });
+        fleet.register(runner);
+        HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo(BODY);
+    }
+
     /** Sends requests that may be repeated and ones that may not; the latter may fail, but never as not run. */
     private void assertEachCallerGetsItsOwnResponse() throws IOException {
         fleet.register(runner);
