Never forward a status that means not run for a request that may have run

Callers of requests that may not be repeated were told 'not run, try again' (503, 429 or 408) though the target had run them: such a status with the request's id and a signature, without the header by which targets state that they have not run a request, was forwarded as the target's own failure. Callers take the status for that promise.

Such a failure is not forwarded; the caller gets 502, which promises nothing, and a request that may be repeated is tried elsewhere as before.

TargetBytesEndToEndTests.statusThatMeansNotRunIsNotForwardedIfTheRequestMayHaveRun failed in 3 of 3 cases before (408, 429, 503) and passes. Run: TargetBytesEndToEndTests, PlatformDialectTests, GatewayEndToEndTests, AttemptOutcomesEndToEndTests, PlatformBoundaryTests, all passed.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
@@ -40,6 +40,9 @@
      */
     int status(Refusal refusal);
 
+    /** Returns whether a caller takes the HTTP status to mean that its request has not run and never will. */
+    boolean meansNotRun(int status);
+
     /** Returns the response headers of a refusal. */
     HttpHeaders refusalHeaders(Refusal refusal, String requestId);
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -348,7 +348,7 @@
     }
 
     /** Determines the outcome of a response that is not a success. */
-    private static AttemptOutcome onErrorStatus(RunningAttempt attempt, TargetResponseHead head, byte[] body) {
+    private AttemptOutcome onErrorStatus(RunningAttempt attempt, TargetResponseHead head, byte[] body) {
         if (head.misdirected()) {
             return attempt.failed(
                     Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, head.status(), 0, "another target responded");
@@ -361,7 +361,9 @@
                     head.retryAfterMs(),
                     "the target refused the request");
         }
-        attempt.receiver.onFailure(head, body);
+        if (!dialect.meansNotRun(head.status())) {
+            attempt.receiver.onFailure(head, body);
+        }
         return attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, head.status(), 0, "the target failed");
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -495,10 +496,23 @@
         });
         fleet.register(runner);
         HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-raw");
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.body()).isEqualTo(BODY);
     }
 
+    /** Guards against a status that means "not run" for a request whose target has not stated that. */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void statusThatMeansNotRunIsNotForwardedIfTheRequestMayHaveRun(int status) throws IOException {
+        runner.setScript((request, response) -> response.write("HTTP/1.1 " + status + " Failed\r\nRequest-Id: "
+                + request.id() + "\r\nResponse-Signature: signed-by-raw\r\nContent-Length: 0\r\n\r\n"));
+        fleet.register(runner);
+        HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(runner.requests()).isEqualTo(1);
+    }
+
     /** Sends requests that may be repeated and ones that may not; the latter may fail, but never as not run. */
     private void assertEachCallerGetsItsOwnResponse() throws IOException {
         fleet.register(runner);
@@ -611,6 +625,7 @@
         });
         fleet.register(runner);
         HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-raw");
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.body()).isEqualTo(BODY);
     }
@@ -624,6 +639,7 @@
         });
         fleet.register(runner);
         HttpResponse<String> response = postUntilTheRunnerResponds("once");
+        assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-raw");
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.body()).isEqualTo(WHOLE_STREAM);
     }
@@ -632,7 +648,6 @@
         for (int i = 0; i < MAX_REQUESTS; i++) {
             HttpResponse<String> response = fleet.post(0, route, "c" + i, BODY);
             if (runner.requests() > 0) {
-                assertThat(response.headers().firstValue("Response-Signature")).hasValue("signed-by-raw");
                 return response;
             }
         }
