--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -20,8 +20,10 @@
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StateWriter;
 import org.cornelcrank.core.StoreRequest;
 import org.cornelcrank.core.StoreResponse;
+import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.TimerKey;
 import org.cornelcrank.job.wire.WireJobPart;
 import org.cornelcrank.store.StoreCalls;
@@ -66,6 +68,8 @@
         }
     };
     private int storeReads;
+    private long readsWithoutOwner;
+    private long lateReplies;
 
     JobReads(JobSettings settings, StoreCalls store, TimerKey timer, OwnerClient owners, CorrelationId.Sequence ids) {
         this.settings = Objects.requireNonNull(settings, "settings must not be null");
@@ -96,9 +100,10 @@
                 new JobMessage.ReadRequest(ids.next(), job, fromPosition, waitMs, bodyOfItem);
         int partition = JobRecords.partitionOf(job, settings.partitions());
         Optional<HostId> owner = owners.likelyOwner(partition);
-        PendingRead pending = new PendingRead(request, readRequest, partition, owner, nowMs + waitMs + REPLY_MARGIN_MS);
+        PendingRead pending =
+                new PendingRead(request, readRequest, partition, owner, nowMs, nowMs + waitMs + REPLY_MARGIN_MS);
         if (owner.isEmpty()) {
-            readStore(pending, out);
+            readStore(pending, "no owner is known, or it has failed", nowMs, out);
             return;
         }
         awaitingOwner.put(readRequest.id(), pending);
@@ -117,12 +122,13 @@
     void ownerReplied(JobMessage.ReadReply reply, long nowMs, Effects out) {
         PendingRead pending = awaitingOwner.remove(reply.id());
         if (pending == null) {
+            lateReplies++;
             return;
         }
         JobMessage.ReadRequest readRequest = pending.readRequest();
         if (!reply.known()) {
             owners.failed(pending.partition(), pending.owner().orElseThrow());
-            readStore(pending, out);
+            readStore(pending, pending.owner().orElseThrow() + " does not know the job", nowMs, out);
         } else if (readRequest.bodyOfItem().isEmpty()) {
             itemCounts.put(readRequest.job(), reply.totalItems());
             reply(pending, new JobPage(reply.totalItems(), readRequest.fromPosition(), reply.results()), out);
@@ -149,7 +155,7 @@
             if (nowMs >= pending.deadlineAtMs()) {
                 awaitingOwner.remove(pending.readRequest().id());
                 owners.failed(pending.partition(), pending.owner().orElseThrow());
-                readStore(pending, out);
+                readStore(pending, pending.owner().orElseThrow() + " did not reply in time", nowMs, out);
             }
         }
         if (!awaitingOwner.isEmpty()) {
@@ -157,8 +163,10 @@
         }
     }
 
-    private void readStore(PendingRead pending, Effects out) {
+    private void readStore(PendingRead pending, String reason, long nowMs, Effects out) {
         JobMessage.ReadRequest readRequest = pending.readRequest();
+        readsWithoutOwner++;
+        explain(pending, nowMs, "read without its owner", reason + ", " + storeReads + " reads from the store", out);
         if (storeReads >= MAX_STORE_READS) {
             refuse(
                     pending,
@@ -175,11 +183,11 @@
                 new StoreRequest.ReadNewest(
                         JobRecords.results(pending.partition()),
                         JobRecords.keyBefore(readRequest.job(), readRequest.fromPosition())),
-                (response, nowMs, effects) -> {
+                (response, atMs, effects) -> {
                     if (response instanceof StoreResponse.Newest page) {
-                        readItemCount(pending, results(readRequest, page), effects);
+                        readItemCount(pending, results(readRequest, page), atMs, effects);
                     } else {
-                        storeFailed(pending, response, effects);
+                        storeFailed(pending, response, atMs, effects);
                     }
                 },
                 out);
@@ -204,11 +212,11 @@
         return results;
     }
 
-    private void readItemCount(PendingRead pending, List<ListedResult> results, Effects out) {
+    private void readItemCount(PendingRead pending, List<ListedResult> results, long atMs, Effects out) {
         JobMessage.ReadRequest readRequest = pending.readRequest();
         Integer cached = itemCounts.get(readRequest.job());
         if (cached != null) {
-            finish(pending, new JobPage(cached, readRequest.fromPosition(), results), out);
+            finish(pending, new JobPage(cached, readRequest.fromPosition(), results), atMs, out);
             return;
         }
         String prefix = JobRecords.prefix(readRequest.job());
@@ -216,7 +224,7 @@
                 new StoreRequest.ReadNewest(JobRecords.jobs(pending.partition()), prefix),
                 (response, nowMs, effects) -> {
                     if (!(response instanceof StoreResponse.Newest page)) {
-                        storeFailed(pending, response, effects);
+                        storeFailed(pending, response, nowMs, effects);
                         return;
                     }
                     Optional<WireJobPart> part = page.records().stream()
@@ -229,7 +237,7 @@
                                     found -> new JobPage(found.getItems(), readRequest.fromPosition(), results))
                             .orElseGet(() ->
                                     Refusal.notRun(RefusalCode.NOT_FOUND, "there is no job " + readRequest.job()));
-                    finish(pending, reply, effects);
+                    finish(pending, reply, nowMs, effects);
                 },
                 out);
     }
@@ -241,7 +249,7 @@
                 new StoreRequest.ReadNewest(JobRecords.jobs(pending.partition()), afterKey),
                 (response, nowMs, effects) -> {
                     if (!(response instanceof StoreResponse.Newest page)) {
-                        storeFailed(pending, response, effects);
+                        storeFailed(pending, response, nowMs, effects);
                         return;
                     }
                     String last = afterKey;
@@ -259,7 +267,7 @@
                     if (moreParts && !page.records().isEmpty()) {
                         readParts(pending, last, parts, effects);
                     } else {
-                        finish(pending, body(ended ? Optional.empty() : bodyOf(readRequest, parts)), effects);
+                        finish(pending, body(ended ? Optional.empty() : bodyOf(readRequest, parts)), nowMs, effects);
                     }
                 },
                 out);
@@ -272,16 +280,45 @@
                 .findFirst());
     }
 
-    private void storeFailed(PendingRead pending, StoreResponse response, Effects out) {
+    private void storeFailed(PendingRead pending, StoreResponse response, long nowMs, Effects out) {
         storeReads--;
+        explainEnd(pending, nowMs, response.toString(), out);
         refuse(pending, "the job could be read neither from its owner nor from the store: " + response, out);
     }
 
-    private void finish(PendingRead pending, CallerReply reply, Effects out) {
+    private void finish(PendingRead pending, CallerReply reply, long nowMs, Effects out) {
         storeReads--;
+        String outcome = reply instanceof JobPage page
+                ? page.results().size() + " results of " + page.totalItems() + " items"
+                : reply instanceof Refusal refusal ? refusal.message() : "an item's body";
+        explainEnd(pending, nowMs, outcome, out);
         reply(pending, reply, out);
     }
 
+    private void explainEnd(PendingRead pending, long nowMs, String outcome, Effects out) {
+        String caller = open.contains(pending.request()) ? "" : ", the caller has left";
+        String reason = outcome + ", after " + (nowMs - pending.startedAtMs()) + " ms" + caller;
+        explain(pending, nowMs, "read from the store ended", reason, out);
+    }
+
+    private void explain(PendingRead pending, long nowMs, String decision, String reason, Effects out) {
+        String partition = "partition " + pending.partition() + ", from position "
+                + pending.readRequest().fromPosition() + ": ";
+        out.explain(Subject.Kind.JOB, pending.readRequest().job(), nowMs, decision, partition + reason);
+    }
+
+    /** Writes the counts of reads that did not get their reply from an owner. */
+    void dump(StateWriter writer) {
+        writer.field("storeReads", storeReads);
+        writer.field("readsWithoutOwner", readsWithoutOwner);
+        writer.field("lateReplies", lateReplies);
+    }
+
+    /** Forgets the reply of a read whose caller has disconnected. */
+    void callerDisconnected(RequestId request) {
+        open.remove(request);
+    }
+
     private void refuse(PendingRead pending, String message, Effects out) {
         reply(pending, Refusal.notRun(RefusalCode.STORE_UNAVAILABLE, message, RETRY_AFTER_MS), out);
     }
@@ -309,5 +346,6 @@
             JobMessage.ReadRequest readRequest,
             int partition,
             Optional<HostId> owner,
+            long startedAtMs,
             long deadlineAtMs) {}
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -112,6 +112,7 @@
             commandReceived(received.request(), received.command(), nowMs, out);
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             writes.callerDisconnected(disconnected.request());
+            reads.callerDisconnected(disconnected.request());
         } else if (event instanceof Event.PeerMessageReceived received
                 && received.message() instanceof JobMessage message) {
             messageReceived(received.from(), message, nowMs, out);
@@ -322,6 +323,7 @@
         writer.field("generation", leases.generation());
         writer.field("staleTimers", staleTimers);
         writer.field("staleReplies", staleReplies);
+        reads.dump(writer);
         writer.table("partitions", "partition", "ready", "epoch", "jobs", "runningItems");
         for (OwnedPartition partition : owned.values()) {
             writer.row(
