--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -129,6 +129,10 @@
                     ByteString.copyFromUtf8("body " + i + " of " + id),
                     100));
         }
+        return job(id, content, nowMs);
+    }
+
+    static SubmitJob job(String id, List<JobItem> content, long nowMs) {
         return new SubmitJob(new JobId(id), new JobContent(HOST, content), nowMs + DEADLINE_MS);
     }
 
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
@@ -26,12 +26,25 @@
     private static final int PAGE_BYTES = 1 << 20;
 
     private final int partitions;
+    private final int maxPageBytes;
+    private final boolean limitsReads;
     private final Map<TopicPartition, Log> logs = new HashMap<>();
     private final Map<String, Group> groups = new HashMap<>();
     private int appends;
 
     public StoreModel(int partitions) {
+        this(partitions, PAGE_BYTES, false);
+    }
+
+    private StoreModel(int partitions, int maxPageBytes, boolean limitsReads) {
         this.partitions = partitions;
+        this.maxPageBytes = maxPageBytes;
+        this.limitsReads = limitsReads;
+    }
+
+    /** Returns a store whose responses are limited as they are on the wire: in base64 for a page, in bytes for a read. */
+    public static StoreModel withWireLimits(int partitions) {
+        return new StoreModel(partitions, PAGE_BYTES / 4 * 3, true);
     }
 
     /** Returns the number of appends that took effect. */
@@ -131,7 +144,7 @@
         for (StoreResponse.StoredRecord record :
                 log.newest.tailMap(read.afterKey(), false).values()) {
             bytes += record.value().size();
-            if (page.size() == PAGE_RECORDS || !page.isEmpty() && bytes > PAGE_BYTES) {
+            if (page.size() == PAGE_RECORDS || !page.isEmpty() && bytes > maxPageBytes) {
                 return new StoreResponse.Newest(page, true, log.end());
             }
             page.add(record);
@@ -149,7 +162,22 @@
         }
         List<StoreResponse.StoredRecord> records =
                 List.copyOf(log.records.subList((int) (read.fromOffset() - log.first), log.records.size()));
-        return Optional.of(new StoreResponse.Records(records, log.end(), log.end()));
+        if (limitsReads) {
+            records = upTo(read.maxKilobytes() * 1_024L, records);
+        }
+        long next = records.get(records.size() - 1).offset() + 1;
+        return Optional.of(new StoreResponse.Records(records, next, log.end()));
+    }
+
+    private static List<StoreResponse.StoredRecord> upTo(long maxBytes, List<StoreResponse.StoredRecord> records) {
+        long bytes = 0;
+        for (int i = 0; i < records.size(); i++) {
+            bytes += records.get(i).value().size();
+            if (i > 0 && bytes > maxBytes) {
+                return records.subList(0, i);
+            }
+        }
+        return records;
     }
 
     private final class Log {
--- /dev/null
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
@@ -0,0 +1,195 @@
+package org.cornelcrank.store.fake;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.KeyedRecord;
+import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.StoreResponse;
+
+/**
+ * The links between daemons and the store, with the time limits of the store's clients.
+ *
+ * <p>A page is encoded in base64, a read is not. A response that exceeds its client's time limit is given up, and the
+ * rest of it is not transferred. Not thread-safe.
+ */
+public final class StoreNetwork {
+
+    private static final long RESPONSE_TIMEOUT_MS = 1_500;
+    private static final long PAGE_TIMEOUT_MS = 8_000;
+    private static final long PAGE_STALL_MS = 2_500;
+
+    private static final int MESSAGE_BYTES = 300;
+    private static final int RECORD_BYTES = 80;
+    private static final int SEGMENT_BYTES = 1_460;
+
+    private final VirtualNodes nodes;
+    private final Map<HostId, Route> routes = new HashMap<>();
+    private final Set<HostId> cut = new HashSet<>();
+    private final Map<HostId, Set<Exchange>> exchanges = new HashMap<>();
+    private long responseBytes;
+
+    public StoreNetwork(VirtualNodes nodes) {
+        this.nodes = nodes;
+    }
+
+    /** Sets the links of a daemon to and from the store; a link may be shared by daemons. */
+    public void connect(HostId host, Route route) {
+        routes.put(host, route);
+    }
+
+    /** Loses all messages between a daemon and the store until {@link #restore}. */
+    public void cut(HostId host) {
+        cut.add(host);
+    }
+
+    public void restore(HostId host) {
+        cut.remove(host);
+    }
+
+    /** Returns the bytes of responses that the store has sent, as far as they have been transferred. */
+    public long responseBytes() {
+        long open = exchanges.values().stream()
+                .flatMap(Set::stream)
+                .mapToLong(Exchange::passedBytes)
+                .sum();
+        return responseBytes + open;
+    }
+
+    /** Returns the size of a page of these records on the wire. */
+    public static long pageBytes(Iterable<StoreResponse.StoredRecord> records) {
+        long bytes = MESSAGE_BYTES;
+        for (StoreResponse.StoredRecord record : records) {
+            bytes += RECORD_BYTES + record.key().length() + (record.value().size() + 2L) / 3 * 4;
+        }
+        return bytes;
+    }
+
+    /** Closes all connections of a daemon. */
+    void disconnect(HostId host) {
+        Set.copyOf(exchanges.getOrDefault(host, Set.of())).forEach(Exchange::end);
+    }
+
+    /** Sends a request; the listener receives the store's response, or that there is none within the time limit. */
+    void call(HostId host, StoreRequest request, Handler handler, Consumer<StoreResponse> listener) {
+        Exchange exchange = new Exchange(host, listener);
+        exchanges.computeIfAbsent(host, key -> new HashSet<>()).add(exchange);
+        nodes.later(timeoutMs(request), exchange::timeOut);
+        if (request instanceof StoreRequest.ReadNewest) {
+            nodes.later(PAGE_STALL_MS, () -> {
+                if (exchange.passedBytes() < SEGMENT_BYTES) {
+                    exchange.timeOut();
+                }
+            });
+        }
+        Route route = routes.get(host);
+        route.up()
+                .send(
+                        requestBytes(request),
+                        () -> nodes.later(route.latencyMs() + VirtualNodes.STORE_MS, () -> {
+                            if (!cut.contains(host)) {
+                                handler.handle(request, response -> exchange.respond(route, response));
+                            }
+                        }));
+    }
+
+    private static long timeoutMs(StoreRequest request) {
+        if (request instanceof StoreRequest.ReadNewest) {
+            return PAGE_TIMEOUT_MS;
+        }
+        if (request instanceof StoreRequest.Append append) {
+            return append.timeoutMs();
+        }
+        return RESPONSE_TIMEOUT_MS + (request instanceof StoreRequest.Read read ? read.waitMs() : 0);
+    }
+
+    private static long requestBytes(StoreRequest request) {
+        long bytes = MESSAGE_BYTES;
+        if (request instanceof StoreRequest.Append append) {
+            for (KeyedRecord record : append.records()) {
+                bytes += RECORD_BYTES + record.key().length() + record.value().size();
+            }
+        }
+        return bytes;
+    }
+
+    private static long responseBytes(StoreResponse response) {
+        if (response instanceof StoreResponse.Newest page) {
+            return pageBytes(page.records());
+        }
+        long bytes = MESSAGE_BYTES;
+        List<StoreResponse.StoredRecord> records =
+                response instanceof StoreResponse.Records read ? read.records() : List.of();
+        for (StoreResponse.StoredRecord record : records) {
+            bytes += RECORD_BYTES + record.key().length() + record.value().size();
+        }
+        return bytes;
+    }
+
+    /** The links of a daemon to and from the store, and the latency of one way. */
+    public record Route(SharedLink up, SharedLink down, long latencyMs) {}
+
+    /** Handles a request at the store, and passes its response on once there is one. */
+    interface Handler {
+        void handle(StoreRequest request, Consumer<StoreResponse> response);
+    }
+
+    private final class Exchange {
+
+        private final HostId host;
+        private final Consumer<StoreResponse> listener;
+        private Optional<SharedLink> link = Optional.empty();
+        private SharedLink.Transfer transfer;
+        private long totalBytes;
+        private boolean ended;
+
+        Exchange(HostId host, Consumer<StoreResponse> listener) {
+            this.host = host;
+            this.listener = listener;
+        }
+
+        void respond(Route route, StoreResponse response) {
+            if (ended) {
+                return;
+            }
+            link = Optional.of(route.down());
+            transfer = route.down()
+                    .send(
+                            responseBytes(response),
+                            () -> nodes.later(route.latencyMs(), () -> {
+                                if (!ended && !cut.contains(host)) {
+                                    end();
+                                    listener.accept(response);
+                                }
+                            }));
+            totalBytes = responseBytes(response);
+        }
+
+        long passedBytes() {
+            return link.map(down -> Math.min(totalBytes, (long) down.passedBytes(transfer)))
+                    .orElse(0L);
+        }
+
+        void timeOut() {
+            if (!ended) {
+                end();
+                listener.accept(new StoreResponse.Unknown("no response within the time limit"));
+            }
+        }
+
+        void end() {
+            if (!ended) {
+                responseBytes += passedBytes();
+                ended = true;
+                link.ifPresent(down -> down.close(transfer));
+                exchanges.get(host).remove(this);
+            }
+        }
+    }
+}
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.cornelcrank.core.Caller;
@@ -49,7 +51,10 @@
     private final List<WaitingRead> waitingReads = new ArrayList<>();
     private final Map<RequestId, CallerReply> replies = new HashMap<>();
     private final List<String> stateChanges = new ArrayList<>();
+    private final Map<RequestId, Consumer<CallerReply>> replyListeners = new HashMap<>();
     private BiFunction<HostId, StoreRequest, StoreFault> faults = (host, request) -> StoreFault.NONE;
+    private BiFunction<HostId, HostId, OptionalLong> peerLatency = (from, to) -> OptionalLong.of(PEER_MS);
+    private Optional<StoreNetwork> network = Optional.empty();
     private long nowMs = 1_000_000;
     private long lastTask;
     private long lastRequest;
@@ -78,6 +83,16 @@
         faults = newFaults;
     }
 
+    /** Sets the latency in ms of a message between two daemons; empty if the message is lost. */
+    public void setPeerLatency(BiFunction<HostId, HostId, OptionalLong> newPeerLatency) {
+        peerLatency = newPeerLatency;
+    }
+
+    /** Lets all calls of the store that meet no other fault pass a network; without one they take {@link #STORE_MS}. */
+    public void setNetwork(StoreNetwork newNetwork) {
+        network = Optional.of(newNetwork);
+    }
+
     public long nowMs() {
         return nowMs;
     }
@@ -96,6 +111,11 @@
     /** Kills a daemon without notice. */
     public void kill(HostId host) {
         nodes.remove(host).dead = true;
+        network.ifPresent(links -> links.disconnect(host));
+    }
+
+    public boolean runs(HostId host) {
+        return nodes.containsKey(host);
     }
 
     /** Suspends a daemon; its events are held until {@link #thaw}. */
@@ -126,7 +146,17 @@
 
     /** Submits a caller's command to a daemon, and returns the id for {@link #reply}. */
     public RequestId submit(HostId host, CallerCommand command) {
+        return submit(host, command, Optional.empty());
+    }
+
+    /** Submits a caller's command to a daemon; the listener receives the reply. */
+    public RequestId submit(HostId host, CallerCommand command, Consumer<CallerReply> listener) {
+        return submit(host, command, Optional.of(listener));
+    }
+
+    private RequestId submit(HostId host, CallerCommand command, Optional<Consumer<CallerReply>> listener) {
         RequestId id = new RequestId(host, 1, ++lastRequest);
+        listener.ifPresent(present -> replyListeners.put(id, present));
         Caller caller = new Caller(new TeamPath("/callers"), "caller", Caller.Scope.CALLER);
         handle(nodes.get(host), new Event.CommandReceived(id, caller, command));
         return id;
@@ -211,11 +241,19 @@
                 node.timers.remove(timer.key());
             } else if (effect instanceof Effect.Send send) {
                 peerMessages++;
-                later(
-                        PEER_MS,
-                        () -> handle(nodes.get(send.to()), new Event.PeerMessageReceived(node.host, send.message())));
+                peerLatency
+                        .apply(node.host, send.to())
+                        .ifPresent(latencyMs -> later(
+                                latencyMs,
+                                () -> handle(
+                                        nodes.get(send.to()),
+                                        new Event.PeerMessageReceived(node.host, send.message()))));
             } else if (effect instanceof Effect.Reply reply) {
                 replies.put(reply.request(), reply.reply());
+                Consumer<CallerReply> listener = replyListeners.remove(reply.request());
+                if (listener != null) {
+                    later(0, () -> listener.accept(reply.reply()));
+                }
             } else if (effect instanceof Effect.HandlingFailed failed) {
                 throw new AssertionError(node.host + " failed to handle " + failed.part(), failed.cause());
             } else if (effect instanceof Effect.StateChanged change) {
@@ -250,7 +288,10 @@
                 later(3_000, () -> apply(call.request()));
                 loseResponse(node, call);
             }
-            default -> later(STORE_MS, () -> respondNow(node, call));
+            default -> network.ifPresentOrElse(
+                    links -> links.call(
+                            node.host, call.request(), this::respondNow, response -> respond(node, call, response)),
+                    () -> later(STORE_MS, () -> respondNow(call.request(), response -> respond(node, call, response))));
         }
     }
 
@@ -266,27 +307,27 @@
         return response;
     }
 
-    private void respondNow(Node node, Effect.CallStore call) {
-        Optional<StoreResponse> response = apply(call.request());
+    private void respondNow(StoreRequest request, Consumer<StoreResponse> listener) {
+        Optional<StoreResponse> response = apply(request);
         if (response.isPresent()) {
-            respond(node, call, response.get());
+            listener.accept(response.get());
             return;
         }
-        StoreRequest.Read read = (StoreRequest.Read) call.request();
-        WaitingRead waiting = new WaitingRead(node, call);
+        StoreRequest.Read read = (StoreRequest.Read) request;
+        WaitingRead waiting = new WaitingRead(read, listener);
         waitingReads.add(waiting);
         later(read.waitMs(), () -> {
             if (waitingReads.remove(waiting)) {
-                respond(node, call, store.emptyRead(read));
+                listener.accept(store.emptyRead(read));
             }
         });
     }
 
     private void wakeReads() {
-        for (WaitingRead read : List.copyOf(waitingReads)) {
-            store.handle(read.call.request(), nowMs).ifPresent(response -> {
-                waitingReads.remove(read);
-                respond(read.node, read.call, response);
+        for (WaitingRead waiting : List.copyOf(waitingReads)) {
+            store.handle(waiting.read, nowMs).ifPresent(response -> {
+                waitingReads.remove(waiting);
+                waiting.listener.accept(response);
             });
         }
     }
@@ -315,7 +356,7 @@
         }
     }
 
-    private record WaitingRead(Node node, Effect.CallStore call) {}
+    private record WaitingRead(StoreRequest.Read read, Consumer<StoreResponse> listener) {}
 
     private record Task(long atMs, long number, Runnable action) implements Comparable<Task> {
 
