Read only what a caller needs of a job that its owner does not serve

Cause: a read that missed its owner took one or two pages of up to 1 MB from the store, for 90 kB of results, over the link that all hosts of a region share, and went on after its caller had left. The full link delayed the replies of owners beyond their 350 ms, and one late reply, or one "unknown" for a job that had just been accepted, ended the use of an owner for all jobs of its partition for up to 20 s: more reads missed their owner. It also kept new owners from loading their partitions, so that the state did not end by itself.

A read from the store is now a range of keys, whose transfer ends with the range; the number of items has a small record of its own in front of the parts. An owner stays the owner until it says that it is not: one that is late is still asked, beside the store, and the first reply counts. That a job is not loaded yet is another reply than that the partition is not owned.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
@@ -76,6 +76,9 @@
     /** Sends a request to the store; results in exactly one {@link Event.StoreResponded} with the same number. */
     record CallStore(long number, StoreRequest request) implements Effect {}
 
+    /** Ends the transfer of a response that is no longer awaited; a write may take effect all the same. */
+    record CancelStoreCall(long number) implements Effect {}
+
     /** Delivers an event to all state machines of this daemon once the current event has been handled. */
     record Raise(Event event) implements Effect {}
 
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreRequest.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreRequest.java
@@ -36,8 +36,30 @@
         }
     }
 
-    /** Reads the newest record of each key after the given one, in key order; returns {@link StoreResponse.Newest}. */
-    record ReadNewest(TopicPartition partition, String afterKey) implements StoreRequest {}
+    /**
+     * Reads the newest record of each key after {@code afterKey} and before {@code beforeKey}, in key order; returns
+     * {@link StoreResponse.Newest}.
+     *
+     * <p>An empty {@code beforeKey} stands for the end of the partition. The transfer ends with the first key that is
+     * not before it, so that a short range costs a few records rather than a whole page.
+     */
+    record ReadNewest(TopicPartition partition, String afterKey, String beforeKey) implements StoreRequest {
+        public ReadNewest {
+            Objects.requireNonNull(partition, "partition must not be null");
+            Objects.requireNonNull(afterKey, "afterKey must not be null");
+            Objects.requireNonNull(beforeKey, "beforeKey must not be null");
+        }
+
+        /** Creates a request for all keys after the given one. */
+        public ReadNewest(TopicPartition partition, String afterKey) {
+            this(partition, afterKey, "");
+        }
+
+        /** Returns whether the range ends before the key. */
+        public boolean endsBefore(String key) {
+            return !beforeKey.isEmpty() && key.compareTo(beforeKey) >= 0;
+        }
+    }
 
     /**
      * Reads records from an offset; if there are none, waits up to {@code waitMs} for new ones.
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreResponse.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreResponse.java
@@ -20,7 +20,10 @@
     /** Refused, nothing was appended: the store expects another sequence number. */
     record OutOfSequence(long expectedSequence) implements StoreResponse {}
 
-    /** One page of the newest records by key; {@code more} indicates that further keys follow. */
+    /**
+     * One page of the newest records by key; {@code more} indicates that further keys of the range follow. {@code end}
+     * is the end offset of the partition, negative if the transfer ended with the range.
+     */
     record Newest(List<StoredRecord> records, boolean more, long end) implements StoreResponse {
         public Newest {
             records = List.copyOf(records);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
@@ -26,17 +26,29 @@
     record ReadRequest(CorrelationId id, JobId job, int fromPosition, long waitMs, Optional<String> bodyOfItem)
             implements JobMessage {}
 
-    /** Replies to a read; {@code known} is false if the host does not own the partition or has no such job. */
+    /**
+     * Replies to a read; {@code owner} is false if the host does not own the partition, {@code known} if it does not, or
+     * has not loaded the job as far as the read needs.
+     */
     record ReadReply(
-            CorrelationId id, boolean known, int totalItems, List<ListedResult> results, Optional<ByteString> body)
+            CorrelationId id,
+            boolean owner,
+            boolean known,
+            int totalItems,
+            List<ListedResult> results,
+            Optional<ByteString> body)
             implements Reply {
 
         public ReadReply {
             results = List.copyOf(results);
         }
 
-        static ReadReply unknown(CorrelationId id) {
-            return new ReadReply(id, false, 0, List.of(), Optional.empty());
+        static ReadReply notOwner(CorrelationId id) {
+            return new ReadReply(id, false, false, 0, List.of(), Optional.empty());
+        }
+
+        static ReadReply unknownJob(CorrelationId id) {
+            return new ReadReply(id, true, false, 0, List.of(), Optional.empty());
         }
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessageCodec.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessageCodec.java
@@ -63,6 +63,7 @@
         WireAnswer.Builder wire = WireAnswer.newBuilder()
                 .setNumber(reply.id().number())
                 .setIncarnation(reply.id().incarnation())
+                .setOwner(reply.owner())
                 .setKnown(reply.known())
                 .setTotal(reply.totalItems())
                 .setHasBody(reply.body().isPresent())
@@ -149,6 +150,7 @@
     private static JobMessage decode(WireAnswer reply) {
         return new JobMessage.ReadReply(
                 new CorrelationId(reply.getIncarnation(), reply.getNumber()),
+                reply.getOwner() || reply.getKnown(),
                 reply.getKnown(),
                 reply.getTotal(),
                 reply.getResultsList().stream()
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -23,8 +23,8 @@
 /**
  * Encodes and decodes the keys and values of jobs and their results in the store.
  *
- * <p>The {@code jobs} topic holds a job in parts under {@code id/0}, {@code id/1} and so on, and its end under
- * {@code id/end}. The {@code results} topic holds its results under {@code id/position}, and the progress of preempted
+ * <p>The {@code jobs} topic holds a job in parts under {@code id/0}, {@code id/1} and so on, its number of items under
+ * {@code id/#}, which comes before the parts so that it can be read without them, and its end under {@code id/end}. The {@code results} topic holds its results under {@code id/position}, and the progress of preempted
  * items under {@code id/p} followed by the item's index. All records of a job are in the same partition of both topics.
  * Stateless, thus thread-safe.
  */
@@ -34,6 +34,7 @@
     static final String RESULTS = "results";
 
     private static final String SEPARATOR = "/";
+    private static final String HEAD = "#";
     private static final String END = "end";
     private static final String PROGRESS = "p";
     private static final int POSITION_DIGITS = 6;
@@ -59,6 +60,11 @@
         return prefix(job) + index;
     }
 
+    /** Returns the key of the record that states the number of items. */
+    static String headKey(JobId job) {
+        return prefix(job) + HEAD;
+    }
+
     static String endKey(JobId job) {
         return prefix(job) + END;
     }
@@ -76,6 +82,16 @@
         return position == 0 ? prefix(job) : resultKey(job, position - 1);
     }
 
+    /** Returns the first key behind the results of a job; the progress of its items follows. */
+    static String keyAfterResults(JobId job) {
+        return prefix(job) + (char) ('9' + 1);
+    }
+
+    /** Returns the first key behind all records of a job. */
+    static String keyAfter(JobId job) {
+        return job.value() + (char) (SEPARATOR.charAt(0) + 1);
+    }
+
     static String prefix(JobId job) {
         return job + SEPARATOR;
     }
@@ -89,6 +105,9 @@
         String rest = text.substring(slash + 1);
         try {
             JobId job = new JobId(text.substring(0, slash));
+            if (rest.equals(HEAD)) {
+                return Optional.of(new Key(job, Kind.HEAD, 0));
+            }
             if (rest.equals(END)) {
                 return Optional.of(new Key(job, Kind.END, 0));
             }
@@ -116,6 +135,11 @@
         int partBytes = maxRecordBytes - PART_OVERHEAD_BYTES;
         int parts = Math.max(1, (deflated.size() + partBytes - 1) / partBytes);
         List<KeyedRecord> records = new ArrayList<>();
+        WireJobPart head = WireJobPart.newBuilder()
+                .setParts(parts)
+                .setItems(content.items().size())
+                .build();
+        records.add(new KeyedRecord(headKey(job), head.toByteString()));
         for (int i = 0; i < parts; i++) {
             WireJobPart part = WireJobPart.newBuilder()
                     .setIndex(i)
@@ -226,6 +250,8 @@
     enum Kind {
         /** A part of a job, or a result. */
         NUMBERED,
+        /** The number of items of a job. */
+        HEAD,
         END,
         PROGRESS
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -91,7 +91,7 @@
         this.owners = new PartitionOwners(identity.host(), dissemination, this::ownerPublished);
         CorrelationId.Sequence ids = new CorrelationId.Sequence(identity);
         this.writes = new JobWrites(settings, store, WRITES, owners, ids);
-        this.reads = new JobReads(settings, store, READS, new PeerOwnerClient(), ids);
+        this.reads = new JobReads(settings, READS, new PeerOwnerClient(), new StoreReads(store), ids);
         this.context = new JobContext(settings, routes, capacity, writes, new OwnedPartitionsListener());
         routes.subscribe((nowMs, out) -> owned.values().forEach(partition -> partition.tick(nowMs, out)));
     }
@@ -112,7 +112,7 @@
             commandReceived(received.request(), received.command(), nowMs, out);
         } else if (event instanceof Event.CallerDisconnected disconnected) {
             writes.callerDisconnected(disconnected.request());
-            reads.callerDisconnected(disconnected.request());
+            reads.callerDisconnected(disconnected.request(), nowMs, out);
         } else if (event instanceof Event.PeerMessageReceived received
                 && received.message() instanceof JobMessage message) {
             messageReceived(received.from(), message, nowMs, out);
@@ -132,7 +132,7 @@
         } else if (message instanceof JobMessage.ReadRequest request) {
             readRequested(from, request, nowMs, out);
         } else if (message instanceof JobMessage.ReadReply reply) {
-            reads.ownerReplied(reply, nowMs, out);
+            reads.ownerReplied(from, reply, nowMs, out);
         } else if (message instanceof JobMessage.WriteRequest request) {
             writes.relay(from, request, out);
         } else if (message instanceof JobMessage.WriteReply reply) {
@@ -183,7 +183,7 @@
     private void endCommands(Refusal notRun, long nowMs, Effects out) {
         closedWith = Optional.of(notRun);
         owned.values().forEach(partition -> partition.endReads(nowMs, out));
-        reads.refuseAll(notRun, out);
+        reads.refuseAll(notRun, nowMs, out);
         writes.endAll(notRun, out);
     }
 
@@ -218,7 +218,7 @@
     private void read(JobMessage.ReadRequest readRequest, WaitingReads.ReadCallback callback, long nowMs, Effects out) {
         OwnedPartition partition = owned.get(JobRecords.partitionOf(readRequest.job(), settings.partitions()));
         if (partition == null) {
-            callback.replied(JobMessage.ReadReply.unknown(readRequest.id()), nowMs, out);
+            callback.replied(JobMessage.ReadReply.notOwner(readRequest.id()), nowMs, out);
         } else {
             partition.read(readRequest, callback, nowMs, out);
         }
@@ -385,15 +385,34 @@
         @Override
         public void sendRead(HostId owner, JobMessage.ReadRequest readRequest, long nowMs, Effects out) {
             if (owner.equals(identity.host())) {
-                read(readRequest, (reply, atMs, effects) -> reads.ownerReplied(reply, atMs, effects), nowMs, out);
+                read(
+                        readRequest,
+                        (reply, atMs, effects) -> reads.ownerReplied(identity.host(), reply, atMs, effects),
+                        nowMs,
+                        out);
             } else {
                 out.send(owner, readRequest);
             }
         }
 
         @Override
-        public void failed(int partition, HostId owner) {
-            owners.failed(partition, owner);
+        public boolean isLate(int partition) {
+            return !owned.containsKey(partition) && owners.isLate(partition);
+        }
+
+        @Override
+        public void late(int partition, HostId owner) {
+            owners.late(partition, owner);
+        }
+
+        @Override
+        public void notOwner(int partition, HostId host) {
+            owners.notOwner(partition, host);
+        }
+
+        @Override
+        public void replied(HostId host) {
+            owners.replied(host);
         }
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -287,6 +287,7 @@
         for (int part = 0; part < parts; part++) {
             records.add(KeyedRecord.tombstone(JobRecords.partKey(job, part)));
         }
+        records.add(KeyedRecord.tombstone(JobRecords.headKey(job)));
         records.add(KeyedRecord.tombstone(JobRecords.endKey(job)));
         append(
                 job,
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -168,7 +168,7 @@
         JobId job = key.get().job();
         if (key.get().kind() == JobRecords.Kind.END) {
             endJob(job, nowMs, out);
-        } else if (!jobs.containsKey(job)) {
+        } else if (key.get().kind() == JobRecords.Kind.NUMBERED && !jobs.containsKey(job)) {
             JobRecords.part(record.value())
                     .ifPresentOrElse(
                             part -> partReceived(job, part, nowMs, out),
@@ -456,15 +456,18 @@
 
     /** Replies to a read at once if there are results, or holds it until there are some or its wait is over. */
     void read(JobMessage.ReadRequest readRequest, WaitingReads.ReadCallback callback, long nowMs, Effects out) {
-        JobRun run = ready ? jobs.get(readRequest.job()) : null;
-        if (run == null || readRequest.fromPosition() > run.listed().size()) {
-            callback.replied(JobMessage.ReadReply.unknown(readRequest.id()), nowMs, out);
+        JobRun run = jobs.get(readRequest.job());
+        if (!ready) {
+            callback.replied(JobMessage.ReadReply.notOwner(readRequest.id()), nowMs, out);
+        } else if (run == null || readRequest.fromPosition() > run.listed().size()) {
+            callback.replied(JobMessage.ReadReply.unknownJob(readRequest.id()), nowMs, out);
         } else if (readRequest.bodyOfItem().isPresent()) {
             Optional<ByteString> body = run.ended()
                     ? Optional.empty()
                     : run.body(readRequest.bodyOfItem().get());
             int total = run.content().items().size();
-            callback.replied(new JobMessage.ReadReply(readRequest.id(), true, total, List.of(), body), nowMs, out);
+            callback.replied(
+                    new JobMessage.ReadReply(readRequest.id(), true, true, total, List.of(), body), nowMs, out);
         } else {
             reads.read(run, readRequest, callback, nowMs, out);
         }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
@@ -18,7 +18,8 @@
  * Tracks the published owners of partitions, and publishes which partitions this daemon owns.
  *
  * <p>Ownership is published under the owner's epoch, so that a later owner wins. It is only a hint: the store decides
- * who owns a partition. Not thread-safe: confined to the daemon's event loop.
+ * who owns a partition. A host that has not replied in time stays the owner, as silence says nothing about ownership.
+ * Not thread-safe: confined to the daemon's event loop.
  */
 final class PartitionOwners {
 
@@ -51,7 +52,7 @@
             return;
         }
         HostId owner = new HostId(host);
-        owners.put(partition, new Owner(owner, fact.version(), ++lastOrder, false));
+        owners.put(partition, new Owner(owner, fact.version(), ++lastOrder, Reply.IN_TIME));
         if (!owner.equals(self)) {
             listener.ownerPublished(partition, owner, fact.version(), nowMs, out);
         }
@@ -79,32 +80,49 @@
         }
     }
 
-    /** Returns the peer that owns a partition, empty if there is none or it has failed. */
+    /** Returns the peer that owns a partition, empty if there is none or it has replied that it is not the owner. */
     Optional<HostId> ownerOf(int partition) {
         return Optional.ofNullable(owners.get(partition))
-                .filter(owner -> !owner.failed && !owner.host.equals(self))
+                .filter(owner -> owner.lastReply != Reply.NOT_OWNER && !owner.host.equals(self))
                 .map(Owner::host);
     }
 
-    /**
-     * Records that a daemon did not reply, or replied that it is not the owner; it counts as the owner again once it
-     * publishes its ownership again.
-     */
-    void failed(int partition, HostId host) {
+    /** Returns whether the owner of a partition has let a request wait too long and has not replied since. */
+    boolean isLate(int partition) {
+        Owner owner = owners.get(partition);
+        return owner != null && owner.lastReply == Reply.LATE;
+    }
+
+    /** Records that a daemon has replied that it is not the owner, which holds until it publishes its ownership again. */
+    void notOwner(int partition, HostId host) {
+        recordReply(partition, host, Reply.NOT_OWNER);
+    }
+
+    /** Records that a daemon did not reply in time, which holds until it replies. */
+    void late(int partition, HostId host) {
+        recordReply(partition, host, Reply.LATE);
+    }
+
+    private void recordReply(int partition, HostId host, Reply reply) {
         owners.computeIfPresent(
-                partition,
-                (number, owner) -> owner.host.equals(host) ? new Owner(host, owner.version, owner.order, true) : owner);
+                partition, (number, owner) -> owner.host.equals(host) ? owner.withLastReply(reply) : owner);
+    }
+
+    /** Records that a daemon has replied, late or not, so that it is waited for again. */
+    void replied(HostId host) {
+        owners.replaceAll((partition, owner) ->
+                owner.host.equals(host) && owner.lastReply == Reply.LATE ? owner.withLastReply(Reply.IN_TIME) : owner);
     }
 
     /** Returns a peer that probably reaches the store: the partition's owner, or else the most recent owner of any. */
     Optional<HostId> peerReachingStore(int partition, Set<HostId> excluded) {
-        Optional<HostId> owner = ownerOf(partition).filter(host -> !excluded.contains(host));
+        Optional<HostId> owner = ownerOf(partition).filter(host -> !excluded.contains(host) && !isLate(partition));
         if (owner.isPresent()) {
             return owner;
         }
         return owners.values().stream()
                 .filter(candidate -> !candidate.host.equals(self) && !excluded.contains(candidate.host))
-                .max(Comparator.comparing((Owner candidate) -> !candidate.failed)
+                .max(Comparator.comparing((Owner candidate) -> candidate.lastReply == Reply.IN_TIME)
                         .thenComparingLong(Owner::order))
                 .map(Owner::host);
     }
@@ -116,5 +134,17 @@
         void ownerPublished(int partition, HostId owner, long version, long nowMs, Effects out);
     }
 
-    private record Owner(HostId host, long version, long order, boolean failed) {}
+    /** The last reply of an owner. */
+    private enum Reply {
+        IN_TIME,
+        LATE,
+        NOT_OWNER
+    }
+
+    private record Owner(HostId host, long version, long order, Reply lastReply) {
+
+        Owner withLastReply(Reply reply) {
+            return new Owner(host, version, order, reply);
+        }
+    }
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/WaitingReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/WaitingReads.java
@@ -48,7 +48,7 @@
         for (WaitingRead read : List.copyOf(waiting)) {
             JobRun run = runs.get(read.readRequest().job());
             JobMessage.ReadReply reply = run == null
-                    ? JobMessage.ReadReply.unknown(read.readRequest().id())
+                    ? JobMessage.ReadReply.unknownJob(read.readRequest().id())
                     : page(run, read.readRequest());
             read.callback().replied(reply, nowMs, out);
         }
@@ -59,7 +59,7 @@
     void abandonAll(long nowMs, Effects out) {
         for (WaitingRead read : List.copyOf(waiting)) {
             read.callback()
-                    .replied(JobMessage.ReadReply.unknown(read.readRequest().id()), nowMs, out);
+                    .replied(JobMessage.ReadReply.notOwner(read.readRequest().id()), nowMs, out);
         }
         waiting.clear();
     }
@@ -76,7 +76,7 @@
             results.add(result);
         }
         int total = run.content().items().size();
-        return new JobMessage.ReadReply(readRequest.id(), true, total, results, Optional.empty());
+        return new JobMessage.ReadReply(readRequest.id(), true, true, total, results, Optional.empty());
     }
 
     /** Receives the reply to a read. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
@@ -121,22 +121,22 @@
       "WireWrittenH\000B\006\n\004kind\"l\n\007WireAsk\022\016\n\006numb" +
       "er\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\022\r\n\005after\030\003 \001(\005\022\017\n\007" +
       "wait_ms\030\004 \001(\003\022\017\n\007body_of\030\005 \001(\t\022\023\n\013incarn" +
-      "ation\030\006 \001(\003\"\235\001\n\nWireAnswer\022\016\n\006number\030\001 \001" +
+      "ation\030\006 \001(\003\"\254\001\n\nWireAnswer\022\016\n\006number\030\001 \001" +
       "(\003\022\r\n\005known\030\002 \001(\010\022\r\n\005total\030\003 \001(\005\022,\n\007resu" +
       "lts\030\004 \003(\0132\033.cornelcrank.job.WireListed\022\020" +
       "\n\010has_body\030\005 \001(\010\022\014\n\004body\030\006 \001(\014\022\023\n\013incarn" +
-      "ation\030\007 \001(\003\"p\n\tWireWrite\022\016\n\006number\030\001 \001(\003" +
-      "\022\013\n\003job\030\002 \001(\t\0221\n\007records\030\003 \003(\0132 .cornelc" +
-      "rank.job.WireKeyedRecord\022\023\n\013incarnation\030" +
-      "\004 \001(\003\"-\n\017WireKeyedRecord\022\013\n\003key\030\001 \001(\t\022\r\n" +
-      "\005value\030\002 \001(\014\"f\n\013WireWritten\022\016\n\006number\030\001 " +
-      "\001(\003\0222\n\007outcome\030\002 \001(\0162!.cornelcrank.job.W" +
-      "ireWriteOutcome\022\023\n\013incarnation\030\003 \001(\003\">\n\n" +
-      "WireListed\022\017\n\007item_id\030\001 \001(\t\022\021\n\tcompleted" +
-      "\030\002 \001(\010\022\014\n\004text\030\003 \001(\014*I\n\020WireWriteOutcome" +
-      "\022\021\n\rWRITE_UNKNOWN\020\000\022\016\n\nWRITE_DONE\020\001\022\022\n\016W" +
-      "RITE_NOT_DONE\020\002B&\n\030org.cornelcrank.job.w" +
-      "ireB\010JobProtoP\001b\006proto3"
+      "ation\030\007 \001(\003\022\r\n\005owner\030\010 \001(\010\"p\n\tWireWrite\022" +
+      "\016\n\006number\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\0221\n\007records\030" +
+      "\003 \003(\0132 .cornelcrank.job.WireKeyedRecord\022" +
+      "\023\n\013incarnation\030\004 \001(\003\"-\n\017WireKeyedRecord\022" +
+      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\"f\n\013WireWritt" +
+      "en\022\016\n\006number\030\001 \001(\003\0222\n\007outcome\030\002 \001(\0162!.co" +
+      "rnelcrank.job.WireWriteOutcome\022\023\n\013incarn" +
+      "ation\030\003 \001(\003\">\n\nWireListed\022\017\n\007item_id\030\001 \001" +
+      "(\t\022\021\n\tcompleted\030\002 \001(\010\022\014\n\004text\030\003 \001(\014*I\n\020W" +
+      "ireWriteOutcome\022\021\n\rWRITE_UNKNOWN\020\000\022\016\n\nWR" +
+      "ITE_DONE\020\001\022\022\n\016WRITE_NOT_DONE\020\002B&\n\030org.co" +
+      "rnelcrank.job.wireB\010JobProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -195,7 +195,7 @@
     internal_static_cornelcrank_job_WireAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireAnswer_descriptor,
-        new java.lang.String[] { "Number", "Known", "Total", "Results", "HasBody", "Body", "Incarnation", });
+        new java.lang.String[] { "Number", "Known", "Total", "Results", "HasBody", "Body", "Incarnation", "Owner", });
     internal_static_cornelcrank_job_WireWrite_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_cornelcrank_job_WireWrite_fieldAccessorTable = new
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireAnswer.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireAnswer.java
@@ -161,6 +161,21 @@
     return incarnation_;
   }
 
+  public static final int OWNER_FIELD_NUMBER = 8;
+  private boolean owner_ = false;
+  /**
+   * <pre>
+   * Whether the host owns the job's partition, even if it does not know the job yet; false from earlier releases.
+   * </pre>
+   *
+   * <code>bool owner = 8;</code>
+   * @return The owner.
+   */
+  @java.lang.Override
+  public boolean getOwner() {
+    return owner_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -196,6 +211,9 @@
     if (incarnation_ != 0L) {
       output.writeInt64(7, incarnation_);
     }
+    if (owner_ != false) {
+      output.writeBool(8, owner_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -233,6 +251,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, incarnation_);
     }
+    if (owner_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, owner_);
+    }
     return size;
   }
   @java.lang.Override
@@ -271,6 +293,8 @@
         .equals(other.getBody())) return false;
     if (getIncarnation()
         != other.getIncarnation()) return false;
+    if (getOwner()
+        != other.getOwner()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -302,6 +326,9 @@
     hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getIncarnation());
+    hash = (37 * hash) + OWNER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getOwner());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -446,6 +473,7 @@
       hasBody_ = false;
       body_ = com.google.protobuf.ByteString.EMPTY;
       incarnation_ = 0L;
+      owner_ = false;
       return this;
     }
 
@@ -510,6 +538,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.incarnation_ = incarnation_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.owner_ = owner_;
+      }
     }
 
     @java.lang.Override
@@ -568,6 +599,9 @@
       if (other.getIncarnation() != 0L) {
         setIncarnation(other.getIncarnation());
       }
+      if (other.getOwner() != false) {
+        setOwner(other.getOwner());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -635,6 +669,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              owner_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1090,6 +1129,50 @@
       return this;
     }
 
+    private boolean owner_ ;
+    /**
+     * <pre>
+     * Whether the host owns the job's partition, even if it does not know the job yet; false from earlier releases.
+     * </pre>
+     *
+     * <code>bool owner = 8;</code>
+     * @return The owner.
+     */
+    @java.lang.Override
+    public boolean getOwner() {
+      return owner_;
+    }
+    /**
+     * <pre>
+     * Whether the host owns the job's partition, even if it does not know the job yet; false from earlier releases.
+     * </pre>
+     *
+     * <code>bool owner = 8;</code>
+     * @param value The owner to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOwner(boolean value) {
+
+      owner_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the host owns the job's partition, even if it does not know the job yet; false from earlier releases.
+     * </pre>
+     *
+     * <code>bool owner = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOwner() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      owner_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireAnswer)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireAnswerOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireAnswerOrBuilder.java
@@ -73,4 +73,14 @@
    * @return The incarnation.
    */
   long getIncarnation();
+
+  /**
+   * <pre>
+   * Whether the host owns the job's partition, even if it does not know the job yet; false from earlier releases.
+   * </pre>
+   *
+   * <code>bool owner = 8;</code>
+   * @return The owner.
+   */
+  boolean getOwner();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobMessageCodecTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobMessageCodecTests.java
@@ -26,9 +26,10 @@
         assertRoundTrip(new JobMessage.ReadRequest(id(7), JOB, 3, 1_000, Optional.empty()));
         assertRoundTrip(new JobMessage.ReadRequest(id(8), JOB, 0, 0, Optional.of("item-2")));
         assertRoundTrip(new JobMessage.ReadReply(
-                id(7), true, 12, List.of(new ListedResult("item-1", true, text("text"))), Optional.empty()));
-        assertRoundTrip(new JobMessage.ReadReply(id(8), true, 12, List.of(), Optional.of(ByteString.EMPTY)));
-        assertRoundTrip(JobMessage.ReadReply.unknown(id(9)));
+                id(7), true, true, 12, List.of(new ListedResult("item-1", true, text("text"))), Optional.empty()));
+        assertRoundTrip(new JobMessage.ReadReply(id(8), true, true, 12, List.of(), Optional.of(ByteString.EMPTY)));
+        assertRoundTrip(JobMessage.ReadReply.notOwner(id(9)));
+        assertRoundTrip(JobMessage.ReadReply.unknownJob(id(10)));
     }
 
     @Test
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -118,7 +118,7 @@
                 group);
         io.addRunners(loop);
         loop.addRunner(transport);
-        loop.addRunner(effect -> callStore(effect, storeClient, loop));
+        loop.addRunner(new StoreCallRunner(storeClient, loop));
         loop.addRunner(GatewayProcess::isIgnored);
         transport.bind(settings.peerAddress());
         io.bind();
@@ -128,14 +128,6 @@
         return new GatewayProcess(settings, loop, assembly.core(), io, transport, group);
     }
 
-    private static boolean callStore(Effect effect, PlatformStoreClient client, CoreLoop loop) {
-        if (!(effect instanceof Effect.CallStore call)) {
-            return false;
-        }
-        client.call(call.request(), response -> loop.post(new Event.StoreResponded(call.number(), response)));
-        return true;
-    }
-
     /**
      * Returns whether the effect needs no action: targets are not watched, as permits count their load, and a reply
      * without an open call or command has no caller waiting for it.
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
@@ -17,7 +17,8 @@
  * request.
  *
  * <p>When the store becomes available again after an outage, all open reads are abandoned, because their connections
- * may stay unresponsive for several seconds. Invariant: each listener is notified exactly once. Not thread-safe:
+ * may stay unresponsive for several seconds. Invariant: each listener is notified exactly once, unless its call is
+ * cancelled. Not thread-safe:
  * confined to the daemon's event loop.
  */
 public final class StoreCalls implements StateMachine {
@@ -34,12 +35,24 @@
     private long unavailableSinceMs;
     private boolean available = true;
 
-    /** Sends a request; the listener receives the response, or {@link StoreResponse.Unknown} if there is none. */
-    public void call(StoreRequest request, Listener listener, Effects out) {
+    /**
+     * Sends a request; the listener receives the response, or {@link StoreResponse.Unknown} if there is none.
+     *
+     * @return the number under which the call can be cancelled
+     */
+    public long call(StoreRequest request, Listener listener, Effects out) {
         long number = ++lastNumber;
         boolean reads = request instanceof StoreRequest.Read || request instanceof StoreRequest.ReadNewest;
         openCalls.put(number, new OpenCall(reads, listener));
         out.add(new Effect.CallStore(number, request));
+        return number;
+    }
+
+    /** Ends a call whose response is no longer needed; its listener is not notified. */
+    public void cancel(long number, Effects out) {
+        if (openCalls.remove(number) != null) {
+            out.add(new Effect.CancelStoreCall(number));
+        }
     }
 
     @Override
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
@@ -143,6 +143,9 @@
         int bytes = 0;
         for (StoreResponse.StoredRecord record :
                 log.newest.tailMap(read.afterKey(), false).values()) {
+            if (read.endsBefore(record.key())) {
+                return new StoreResponse.Newest(page, false, -1);
+            }
             bytes += record.value().size();
             if (page.size() == PAGE_RECORDS || !page.isEmpty() && bytes > maxPageBytes) {
                 return new StoreResponse.Newest(page, true, log.end());
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
@@ -29,6 +29,9 @@
     private static final int RECORD_BYTES = 80;
     private static final int SEGMENT_BYTES = 1_460;
 
+    /** What arrives of a page after its client has ended the transfer. */
+    private static final int IN_FLIGHT_BYTES = 32 * 1_024;
+
     private final VirtualNodes nodes;
     private final Map<HostId, Route> routes = new HashMap<>();
     private final Set<HostId> cut = new HashSet<>();
@@ -76,8 +79,12 @@
         Set.copyOf(exchanges.getOrDefault(host, Set.of())).forEach(Exchange::end);
     }
 
-    /** Sends a request; the listener receives the store's response, or that there is none within the time limit. */
-    void call(HostId host, StoreRequest request, Handler handler, Consumer<StoreResponse> listener) {
+    /**
+     * Sends a request; the listener receives the store's response, or that there is none within the time limit.
+     *
+     * @return what ends the transfer of the response
+     */
+    Runnable call(HostId host, StoreRequest request, Handler handler, Consumer<StoreResponse> listener) {
         Exchange exchange = new Exchange(host, listener);
         exchanges.computeIfAbsent(host, key -> new HashSet<>()).add(exchange);
         nodes.later(timeoutMs(request), exchange::timeOut);
@@ -97,6 +104,7 @@
                                 handler.handle(request, response -> exchange.respond(route, response));
                             }
                         }));
+        return exchange::end;
     }
 
     private static long timeoutMs(StoreRequest request) {
@@ -121,7 +129,7 @@
 
     private static long responseBytes(StoreResponse response) {
         if (response instanceof StoreResponse.Newest page) {
-            return pageBytes(page.records());
+            return pageBytes(page.records()) + (page.end() < 0 ? IN_FLIGHT_BYTES : 0);
         }
         long bytes = MESSAGE_BYTES;
         List<StoreResponse.StoredRecord> records =
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -235,6 +237,9 @@
                 raised.add(raise.event());
             } else if (effect instanceof Effect.CallStore call) {
                 callStore(node, call);
+            } else if (effect instanceof Effect.CancelStoreCall cancel) {
+                node.cancelledCalls.add(cancel.number());
+                Optional.ofNullable(node.transfers.remove(cancel.number())).ifPresent(Runnable::run);
             } else if (effect instanceof Effect.Schedule timer) {
                 schedule(node, timer);
             } else if (effect instanceof Effect.Unschedule timer) {
@@ -289,8 +294,13 @@
                 loseResponse(node, call);
             }
             default -> network.ifPresentOrElse(
-                    links -> links.call(
-                            node.host, call.request(), this::respondNow, response -> respond(node, call, response)),
+                    links -> node.transfers.put(
+                            call.number(),
+                            links.call(
+                                    node.host,
+                                    call.request(),
+                                    this::respondNow,
+                                    response -> respond(node, call, response))),
                     () -> later(STORE_MS, () -> respondNow(call.request(), response -> respond(node, call, response))));
         }
     }
@@ -333,6 +343,10 @@
     }
 
     private void respond(Node node, Effect.CallStore call, StoreResponse response) {
+        node.transfers.remove(call.number());
+        if (node.cancelledCalls.remove(call.number())) {
+            return;
+        }
         handle(node, new Event.StoreResponded(call.number(), response));
     }
 
@@ -347,6 +361,8 @@
         private final List<StateMachine> stateMachines;
         private final Map<TimerKey, Long> timers = new HashMap<>();
         private final List<Runnable> heldEvents = new ArrayList<>();
+        private final Set<Long> cancelledCalls = new HashSet<>();
+        private final Map<Long, Runnable> transfers = new HashMap<>();
         private boolean dead;
         private boolean frozen;
 
