--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -118,7 +118,7 @@
                 group);
         io.addRunners(loop);
         loop.addRunner(transport);
-        loop.addRunner(new StoreCallRunner(storeClient, loop));
+        loop.addRunner(new StoreCallRunner(storeClient::call, loop));
         loop.addRunner(GatewayProcess::isIgnored);
         transport.bind(settings.peerAddress());
         io.bind();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/StoreCallRunner.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/StoreCallRunner.java
@@ -3,11 +3,12 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
+import org.cornelcrank.core.StoreRequest;
 import org.cornelcrank.core.StoreResponse;
-import org.cornelcrank.platform.PlatformStoreClient;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 import reactor.core.Disposable;
@@ -22,10 +23,10 @@
 final class StoreCallRunner implements EffectRunner {
 
     private final Map<Long, Disposable> open = new ConcurrentHashMap<>();
-    private final PlatformStoreClient client;
+    private final StoreClient client;
     private final CoreLoop loop;
 
-    StoreCallRunner(PlatformStoreClient client, CoreLoop loop) {
+    StoreCallRunner(StoreClient client, CoreLoop loop) {
         this.client = Objects.requireNonNull(client, "client must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
     }
@@ -52,4 +53,11 @@
         open.remove(number);
         loop.post(new Event.StoreResponded(number, response));
     }
+
+    /** Sends requests to the store. */
+    interface StoreClient {
+
+        /** Sends a request; returns what ends the call, after which the listener receives nothing. */
+        Disposable call(StoreRequest request, Consumer<StoreResponse> listener);
+    }
 }
