Let requests go on under the team that accepted them when it is removed

What callers saw: a stream under way ended in its middle, and a request that waited for a slot was refused with 503, when a version of the routes dropped their route and their target then crashed, refused, left or stopped responding.

Cause: the router looked the team up again for each choice of a target. A removed team gives no target, so the request was given up with "no target serves" although targets of its service were free. For a stream that had begun that means a closed connection without its end.

Change: a route keeps the policy of its team at its arrival, and uses it once the settings have none. A team that still exists is read anew, as before. Requests that arrive after the change are refused as before.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/HedgedPermitRequests.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/HedgedPermitRequests.java
@@ -56,8 +56,7 @@
                 filter = filter.without(hedge.target().id());
             }
             TargetFilter others = filter;
-            Optional<TargetState> target = context.settings()
-                    .team(route.request.team())
+            Optional<TargetState> target = route.team(context.settings())
                     .flatMap(team -> choice.chooseForHedge(route.request, team, others, nowMs));
             Optional<HostId> controller = target.flatMap(context.controllers()::controllerOf);
             if (controller.isEmpty()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -81,7 +81,7 @@
 
     @Override
     public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
-        Route route = new Route(request, listener, nowMs);
+        Route route = new Route(request, listener, context.settings().team(request.team()), nowMs);
         context.count("requests");
         if (routes.containsKey(request.id())) {
             throw new IllegalArgumentException(
@@ -254,8 +254,7 @@
             giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before a target was free", nowMs, out);
             return;
         }
-        Optional<TargetState> chosen = context.settings()
-                .team(request.team())
+        Optional<TargetState> chosen = route.team(context.settings())
                 .flatMap(team -> choice.choose(request, team, route.filter(), nowMs, out));
         if (chosen.isEmpty()) {
             giveUpWithoutTarget(route, nowMs, out);
@@ -344,8 +343,7 @@
             return false;
         }
         TargetFilter others = route.filter().without(route.target.id());
-        Optional<TargetState> other = context.settings()
-                .team(route.request.team())
+        Optional<TargetState> other = route.team(context.settings())
                 .flatMap(team -> choice.chooseWithCapacity(route.request, team, others, nowMs));
         if (other.isEmpty()) {
             return false;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.cornelcrank.config.Settings;
+import org.cornelcrank.config.TeamPolicy;
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.FailureKind;
@@ -26,6 +28,7 @@
     final RoutedRequest request;
     final RequestRouter.RouteListener listener;
     final long arrivedAtMs;
+    private final Optional<TeamPolicy> teamAtArrival;
     final List<HedgedPermitRequest> hedgedRequests = new ArrayList<>();
     final Set<TargetId> excluded = new TreeSet<>();
     final String resumeKey;
@@ -53,8 +56,13 @@
     Optional<SoftwareVersion> version = Optional.empty();
     VersionInquiry inquiry = new VersionInquiry(Set.of());
 
-    Route(RoutedRequest request, RequestRouter.RouteListener listener, long arrivedAtMs) {
+    Route(
+            RoutedRequest request,
+            RequestRouter.RouteListener listener,
+            Optional<TeamPolicy> teamAtArrival,
+            long arrivedAtMs) {
         this.request = request;
+        this.teamAtArrival = teamAtArrival;
         this.arrivedAtMs = arrivedAtMs;
         this.listener = listener;
         this.resumeKey = "online-" + Long.toHexString(StableHash.of(request.id().toString()));
@@ -75,6 +83,14 @@
         }
     }
 
+    /**
+     * Returns the policy of the request's team: the one in effect, or if the team has been removed since, the one under
+     * which the request was accepted.
+     */
+    Optional<TeamPolicy> team(Settings settings) {
+        return settings.team(request.team()).or(() -> teamAtArrival);
+    }
+
     /** Returns the targets that the request may still use. */
     TargetFilter filter() {
         return new TargetFilter(excluded, version);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
@@ -53,6 +53,11 @@
                         3));
     }
 
+    void dropTeam(String path, long nowMs, Effects out) {
+        teams.remove(new TeamPath(path));
+        listeners.forEach(listener -> listener.settingsChanged(nowMs, out));
+    }
+
     void drain(String target, long nowMs, Effects out) {
         TargetId id = new TargetId(target);
         targets.put(id, new TargetPolicy(id, 0, false, true, "mixed"));
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -0,0 +1,77 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.routing.VirtualFleet.SentRequest;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Plays requests whose team is removed from the settings while they are open. */
+class SettingsChangeTests {
+
+    private static final int TOKENS = 50;
+    private static final long OBJECTIVE_MS = 5_000;
+    private static final long DEADLINE_MS = 8_000;
+
+    private final VirtualFleet fleet = new VirtualFleet(1);
+
+    @BeforeEach
+    void start() {
+        fleet.resumesAnywhere = true;
+        fleet.reportsTokensOfCrashes = true;
+        fleet.requestOptions = new RequestOptions(3, true, OBJECTIVE_MS);
+        fleet.addEngine("r1", VirtualFleet.NORTH, 4, 100, 10);
+        fleet.addEngine("r2", VirtualFleet.NORTH, 4, 100, 10);
+        fleet.addEngine("r3", VirtualFleet.NORTH, 4, 100, 10);
+        fleet.start(
+                List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH),
+                () -> new RoutingPolicy(
+                        RoutingSettings.forLatencyObjectives(),
+                        RoutingPolicy.defaults().selector(),
+                        RoutingPolicy.defaults().admission()));
+    }
+
+    private SentRequest send(int daemon, long fingerprint) {
+        return fleet.send(daemon, Work.online(TOKENS, fingerprint).withDeadline(DEADLINE_MS));
+    }
+
+    private void dropTeam() {
+        fleet.nodes.forEach(node -> {
+            Effects out = new Effects();
+            node.settings.dropTeam("/nilavu", fleet.nowMs, out);
+            node.execute(out);
+        });
+    }
+
+    /** Guards against streams that are cut because their team was removed before they had to be resumed. */
+    @Test
+    void streamThatWasAcceptedBeforeItsTeamWasRemovedIsResumed() {
+        SentRequest stream = send(0, 1);
+        fleet.run(300);
+        assertThat(stream.firstTokenAtMs).isPositive();
+        dropTeam();
+        fleet.crashTarget(stream.dispatchedTo.get(0), 10_000);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.dispatchedTo).hasSize(2).doesNotHaveDuplicates();
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+    }
+
+    /** Guards against waiting requests that are refused because their team was removed meanwhile. */
+    @Test
+    void requestsThatWaitWhileTheirTeamIsRemovedRun() {
+        List<SentRequest> waiting = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            waiting.add(send(i % 3, i));
+        }
+        fleet.run(50);
+        dropTeam();
+        fleet.crashTarget(waiting.get(0).dispatchedTo.get(0), 10_000);
+        fleet.run(DEADLINE_MS);
+        assertThat(waiting).allMatch(SentRequest::completedInTime);
+    }
+}
