Count accepted and ended requests, and check that none stays open after each end-to-end test

A request that gets neither a response nor a refusal left no trace: gateway.open-calls covers online calls only, and no test read it.

The daemon counts the callers' requests, online and about jobs, that its decision core was given and those that were replied to or lost their caller. The difference, and the number of responses that have not been written in full, are gauges and a section of the state dump. GatewayFleet waits at the end of each test until both, the open calls, the running attempts and the router's own table are empty, and fails otherwise; the soak does so with each of its daemons.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCalls.java
@@ -49,10 +49,17 @@
     private final CoreLoop loop;
     private final MonotonicClock clock;
     private final MetricRegistry metrics;
+    private final OpenRequests openRequests;
     private final Timer latency;
     private long lastNumber;
 
-    GatewayCalls(DaemonIdentity identity, CoreLoop loop, MonotonicClock clock, MetricRegistry metrics) {
+    GatewayCalls(
+            DaemonIdentity identity,
+            CoreLoop loop,
+            MonotonicClock clock,
+            OpenRequests openRequests,
+            MetricRegistry metrics) {
+        this.openRequests = Objects.requireNonNull(openRequests, "openRequests must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.identity = Objects.requireNonNull(identity, "identity must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
@@ -71,6 +78,7 @@
                 : 0;
         GatewayCall call = new GatewayCall(nextId(), head, body, maxRuns, request.resumable(), readTimeoutMs, nowMs);
         open.put(call.id(), call);
+        openRequests.accept();
         Caller caller = new Caller(request.workload(), head.requestId(), Caller.Scope.CALLER);
         LOGGER.atInfo()
                 .addKeyValue("request", head.requestId())
@@ -107,6 +115,7 @@
     /** Notifies the core that the caller disconnected; does nothing if the call has ended. */
     void callerDisconnected(GatewayCall call) {
         if (open.remove(call.id()) != null) {
+            openRequests.end();
             LOGGER.atInfo()
                     .addKeyValue("request", call.head().requestId())
                     .addKeyValue("id", call.id())
@@ -123,6 +132,7 @@
         }
         GatewayCall call = open.remove(reply.request());
         if (call != null) {
+            openRequests.end();
             logEnd(call, reply.reply());
             end(call, reply.reply());
         }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCommands.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayCommands.java
@@ -23,11 +23,13 @@
  */
 final class GatewayCommands implements EffectRunner {
 
-    private final Map<RequestId, Sinks.One<CallerReply>> open = new HashMap<>();
+    private final Map<RequestId, Pending> open = new HashMap<>();
     private final GatewayCalls calls;
+    private final OpenRequests openRequests;
     private final CoreLoop loop;
 
-    GatewayCommands(GatewayCalls calls, CoreLoop loop) {
+    GatewayCommands(GatewayCalls calls, OpenRequests openRequests, CoreLoop loop) {
+        this.openRequests = Objects.requireNonNull(openRequests, "openRequests must not be null");
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
     }
@@ -37,14 +39,17 @@
         return Mono.defer(() -> {
             RequestId id = calls.nextId();
             Sinks.One<CallerReply> reply = Sinks.one();
-            open.put(id, reply);
+            open.put(id, new Pending(reply, scope));
+            if (scope == Caller.Scope.CALLER) {
+                openRequests.accept();
+            }
             loop.post(new Event.CommandReceived(id, new Caller(team, id.toString(), scope), command));
             return reply.asMono().doOnCancel(() -> callerDisconnected(id));
         });
     }
 
     private void callerDisconnected(RequestId id) {
-        if (open.remove(id) != null) {
+        if (remove(id) != null) {
             loop.post(new Event.CallerDisconnected(id));
         }
     }
@@ -54,14 +59,21 @@
         if (!(effect instanceof Effect.Reply reply)) {
             return false;
         }
-        Sinks.One<CallerReply> pending = open.remove(reply.request());
+        Pending pending = remove(reply.request());
         if (pending != null) {
-            pending.tryEmitValue(reply.reply());
+            pending.reply().tryEmitValue(reply.reply());
         }
         return pending != null;
     }
 
-    int size() {
-        return open.size();
+    private Pending remove(RequestId id) {
+        Pending pending = open.remove(id);
+        if (pending != null && pending.scope() == Caller.Scope.CALLER) {
+            openRequests.end();
+        }
+        return pending;
     }
+
+    /** A command without a reply; those of operators do not count as requests. */
+    private record Pending(Sinks.One<CallerReply> reply, Caller.Scope scope) {}
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -53,8 +53,14 @@
         this.clock = dependencies.clock();
         this.drain = dependencies.drain();
         this.requests = new RequestGate(drain, clock, RequestLimits.DEFAULT.maxBodyBytes());
+        OpenRequests openRequests = new OpenRequests(dependencies.metrics());
+        dependencies.metrics().registerGauge("gateway.unfinished-responses", requests::openRequests);
         this.calls = new GatewayCalls(
-                dependencies.identity(), dependencies.loop(), dependencies.clock(), dependencies.metrics());
+                dependencies.identity(),
+                dependencies.loop(),
+                dependencies.clock(),
+                openRequests,
+                dependencies.metrics());
         this.targets = new GatewayTargetClient(
                 dependencies.loop(),
                 calls,
@@ -63,11 +69,14 @@
                 loops,
                 new ResponseMemory(maxResponseMemoryBytes(), dependencies.metrics()),
                 dependencies.metrics());
-        this.commands = new GatewayCommands(calls, dependencies.loop());
+        this.commands = new GatewayCommands(calls, openRequests, dependencies.loop());
         JobHttpHandler jobs = new JobHttpHandler(
                 commands, dependencies.clock(), dependencies.jobDialect(), dependencies.dialect(), requests);
         this.monitor = new GatewayMonitor(
-                new Probes(() -> Mono.just(readiness(dependencies)), dependencies.metrics()), commands);
+                new Probes(() -> Mono.just(readiness(dependencies)), dependencies.metrics()),
+                commands,
+                openRequests,
+                requests);
         this.server = new GatewayHttpServer(
                 calls,
                 dependencies.dialect(),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 
 import org.cornelcrank.platform.fake.RawRunnerStandIn;
 import org.cornelcrank.platform.fake.RoutesStandIn;
@@ -32,6 +33,7 @@
 
     private static final String ZONE = "dc-a";
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final long POLL_NANOS = 10_000_000;
     private static final int PORTS = 4;
     private static final long DRAIN_DELAY_MS = 100;
     private static final long DRAIN_TIMEOUT_MS = 4_400;
@@ -69,6 +71,11 @@
         store.put("op", "config", RoutesStandIn.table(version, names));
     }
 
+    /** Stores a route table as the operator has written it. */
+    void putTable(String table) {
+        store.put("op", "config", table);
+    }
+
     void register(RunnerStandIn runner, String state) {
         store.put("servers", runner.id(), runner.entry("svc", ZONE, state));
     }
@@ -249,11 +256,43 @@
         }
     }
 
+    /** Ends the fleet, and fails if a request stays open at a daemon although no caller waits for it any more. */
     @Override
     public void close() {
-        daemons.forEach(GatewayProcess::stop);
-        runners.values().forEach(RunnerStandIn::close);
-        store.close();
+        try {
+            for (int i = 0; i < daemons.size(); i++) {
+                awaitNoOpenRequests(i);
+            }
+        } finally {
+            daemons.forEach(GatewayProcess::stop);
+            runners.values().forEach(RunnerStandIn::close);
+            store.close();
+        }
+    }
+
+    private void awaitNoOpenRequests(int daemon) {
+        long untilNanos = System.nanoTime() + TIMEOUT.toNanos();
+        List<String> open = openRequests(daemon);
+        while (!open.isEmpty() && System.nanoTime() < untilNanos) {
+            LockSupport.parkNanos(POLL_NANOS);
+            open = openRequests(daemon);
+        }
+        if (!open.isEmpty()) {
+            throw new AssertionError(
+                    "requests stay open at " + settings.get(daemon).host() + ": " + open);
+        }
+    }
+
+    /** Returns what a daemon states about requests that have not ended; empty if it has ended itself. */
+    private List<String> openRequests(int daemon) {
+        try {
+            List<String> open = new ArrayList<>(OpenRequestLines.ofMetrics(
+                    get(metricsUri(daemon, "/metrics")).body()));
+            open.addAll(OpenRequestLines.ofDump(get(metricsUri(daemon, "/dump")).body()));
+            return open;
+        } catch (IOException e) {
+            return List.of();
+        }
     }
 
     /** A condition that is expected to hold eventually. */
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -61,7 +61,7 @@
             metrics);
     private final GatewayTargetClient client = new GatewayTargetClient(
             loop,
-            new GatewayCalls(identity, loop, clock, metrics),
+            new GatewayCalls(identity, loop, clock, new OpenRequests(metrics), metrics),
             new PlatformDialect(),
             clock,
             loops,
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.cornelcrank.server.CornelcrankDaemon;
+import org.cornelcrank.server.OpenRequestLines;
 
 /**
  * A gateway daemon in a process of its own, which keeps its addresses over restarts.
@@ -151,6 +152,27 @@
         return read(ports[1], "/v1/readiness").isPresent();
     }
 
+    /**
+     * Returns what the daemon states about requests that have not ended, after waiting for them to end; empty if there are
+     * none.
+     */
+    List<String> awaitNoOpenRequests() throws InterruptedException {
+        long untilNanos = System.nanoTime() + START_TIMEOUT.toNanos();
+        List<String> open = openRequests();
+        while (!open.isEmpty() && System.nanoTime() < untilNanos) {
+            Thread.sleep(20);
+            open = openRequests();
+        }
+        return open;
+    }
+
+    private List<String> openRequests() {
+        List<String> open = new ArrayList<>(
+                OpenRequestLines.ofMetrics(read(ports[3], "/metrics").orElse("")));
+        open.addAll(OpenRequestLines.ofDump(read(ports[3], "/dump").orElse("")));
+        return open;
+    }
+
     private static Optional<String> read(int port, String path) {
         try {
             HttpURLConnection connection = (HttpURLConnection)
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -88,6 +88,10 @@
             if (!daemon.alive()) {
                 checker.report("ENDED", "a process has ended by itself", daemon.host());
             }
+            List<String> open = daemon.awaitNoOpenRequests();
+            if (!open.isEmpty()) {
+                checker.report("OPEN", "requests stay open without a caller", daemon.host() + ": " + open);
+            }
         }
         Files.write(directory.resolve("faults.txt"), checker.faults());
         Files.write(directory.resolve("disruptions.txt"), disruptions.log());
