Route a request by the routes in effect once its body has arrived

What callers saw: a request whose service changed while its body arrived was refused with 503, though the routes in force served it.

Cause: the route was selected from the head and kept while the body was read. The decision core checks the service against the newer settings and refused the request.

Change: the route is selected again when the request is complete. If there is none any more, the response is 404, as for a request that arrives then. The limit of the body remains that of its head.

Evidence: requestWhoseRouteMovesWhileItsBodyArrivesRunsAtTheNewService failed before for all four kinds of route, and passes now.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -162,10 +162,8 @@
             return reject(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
         }
         RequestHead head = ((HeadResult.Valid) result).head();
-        Optional<GatewayRoute> route = table.get().select(head.host(), head.path());
-        if (route.isEmpty()) {
-            String message = "no route of version " + table.get().version() + " for " + head.host() + head.path();
-            return reject(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
+        if (table.get().select(head.host(), head.path()).isEmpty()) {
+            return rejectWithoutRoute(table.get(), head, response);
         }
         int maxBodyBytes = table.get().limits().maxBodyBytes();
         return readBody(request, maxBodyBytes)
@@ -182,10 +180,15 @@
                                 Refusal.notRun(RefusalCode.TOO_LARGE, "the body exceeds the maximum length"),
                                 head.requestId());
                     }
-                    return accept(route.get(), head, body.get(), receivedAtMs, response);
+                    return accept(head, body.get(), receivedAtMs, response);
                 });
     }
 
+    private Mono<Void> rejectWithoutRoute(RouteTable table, RequestHead head, HttpServerResponse response) {
+        String message = "no route of version " + table.version() + " for " + head.host() + head.path();
+        return reject(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
+    }
+
     /** Reads a body; stops as soon as the body exceeds the limit. */
     private static Mono<byte[]> readBody(HttpServerRequest request, int maxBytes) {
         ByteBufFlux content = request.receive();
@@ -199,8 +202,14 @@
                 .map(ByteArrayOutputStream::toByteArray);
     }
 
-    private Mono<Void> accept(
-            GatewayRoute route, RequestHead head, byte[] body, long receivedAtMs, HttpServerResponse response) {
+    /** Accepts a request that has arrived in full, by the routes in effect now: they may have changed since its head. */
+    private Mono<Void> accept(RequestHead head, byte[] body, long receivedAtMs, HttpServerResponse response) {
+        RouteTable table = settings.table().orElseThrow();
+        Optional<GatewayRoute> selected = table.select(head.host(), head.path());
+        if (selected.isEmpty()) {
+            return rejectWithoutRoute(table, head, response);
+        }
+        GatewayRoute route = selected.get();
         if (route.kind() == RouteKind.BATCH) {
             return jobs.submit(route, head, body, response);
         }
