Reply to a command that a state machine fails to handle

What callers saw: nothing, until their own deadline: a command about a job or an online request whose handling threw got no reply, and what had been stored for it stayed.

Cause: the core reports an event that a state machine fails to handle, but only timers were tried again; nobody replied to a command.

Change: the core replies that the request may have run, and raises its end as if the caller had disconnected, so that all state machines forget it.

Evidence: DaemonCoreTests failed before: no reply. No such command is known; the test makes a state machine throw.

--- a/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
+++ b/cornelcrank-daemon/src/main/java/org/cornelcrank/daemon/DaemonCore.java
@@ -10,13 +10,17 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.StateMachine;
+import org.cornelcrank.core.Verdict;
 
 /**
  * The decision core of one daemon, which passes each event to all state machines and collects their effects.
  *
  * <p>Invariants: the effects depend only on the events, their times and the seed of the state machines; a state machine
- * that throws takes neither the effects nor the events of the others with it. Performs no I/O and starts no threads.
+ * that throws takes neither the effects nor the events of the others with it; a command that one of them fails to handle
+ * is replied to, and ends as if its caller had disconnected. Performs no I/O and starts no threads.
  * Not thread-safe: confined to the daemon's event loop.
  */
 public final class DaemonCore {
@@ -24,6 +28,10 @@
     /** The pause before a timer whose handling failed is due again, in ms, so that periodic work goes on. */
     private static final long FAILED_TIMER_PAUSE_MS = 1_000;
 
+    /** The reply to a command that could not be handled; parts of it may have been. */
+    private static final Refusal UNHANDLED =
+            new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "the daemon could not handle the request", 0);
+
     private final List<StateMachine> stateMachines;
     private final DecisionJournal journal;
     private final Consumer<Effect.Dispatch> dispatchListener;
@@ -86,6 +94,10 @@
             if (event instanceof Event.TimerDue due && due.key().stateMachine().equals(stateMachine.name())) {
                 out.schedule(due.key(), nowMs + FAILED_TIMER_PAUSE_MS);
             }
+            if (event instanceof Event.CommandReceived command) {
+                out.reply(command.request(), UNHANDLED);
+                out.add(new Effect.Raise(new Event.CallerDisconnected(command.request())));
+            }
             out.add(new Effect.HandlingFailed(
                     stateMachine.name(), event.getClass().getSimpleName(), e));
         }
