End requests that are still open a second after their deadline

What callers saw: no response at all to a request of which one event could not be handled: the end of an attempt, or a wake-up that came due together with one that threw.

Cause: the attempt and the wake-up are removed before they are handled, so that nothing was left to end the request after an exception.

Change: each tick ends the requests that are open a second after their deadline, with their verdict, and counts them (routing.requests-overdue, 0 unless something threw). Attempts end at the deadline by themselves.

No such exception is known; the test makes the settings throw.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -33,8 +33,8 @@
  * Routes each online request from its arrival to its end: chooses a target, obtains a permit, dispatches the attempt
  * and retries where that is allowed.
  *
- * <p>Invariant: a request's listener is notified of its end exactly once; later events for the request are ignored, and
- * permits that arrive too late are released. Not thread-safe: confined to the daemon's event loop.
+ * <p>Invariant: a request's listener is notified of its end exactly once, also if an event of the request could not be
+ * handled; later events for the request are ignored, and permits that arrive too late are released. Not thread-safe: confined to the daemon's event loop.
  */
 final class OnlineRouter implements RequestRouter {
 
@@ -49,6 +49,9 @@
     /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
     private static final long STREAM_VERSION_TIMEOUT_MS = 250;
 
+    /** How long after its deadline a request is ended that is still open, in ms: attempts end at the deadline. */
+    private static final long OVERDUE_MS = 1_000;
+
     /** The number of tokens, or events, up to which a response counts as just begun. */
     private static final int MAX_FIRST_TOKENS = 8;
 
@@ -247,6 +250,17 @@
         }
     }
 
+    /** Ends the requests that are open long after their deadline, as an event of theirs could not be handled. */
+    void endOverdue(long nowMs, Effects out) {
+        for (Route route : List.copyOf(routes.values())) {
+            if (nowMs >= route.request.deadlineAtMs() + OVERDUE_MS) {
+                context.count("requests-overdue");
+                interrupt(route, out);
+                giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "no outcome is known after the deadline", nowMs, out);
+            }
+        }
+    }
+
     private void chooseTarget(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
         route.phase = Route.Phase.CHOOSING;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -145,6 +145,7 @@
         context.suspects().expire(nowMs);
         context.promptParts().expire(nowMs);
         streams.expire(nowMs);
+        online.endOverdue(nowMs, out);
         controller.refresh(List.of(), nowMs, out);
         boolean readvertise =
                 nowMs - demandAdvertisedAtMs >= context.routing().queues().demandRefreshMs();
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
@@ -27,6 +27,9 @@
     private final Map<TargetId, TargetPolicy> targets = new TreeMap<>();
     private final List<SettingsListener> listeners = new ArrayList<>();
 
+    /** Whether reading a team fails. */
+    boolean failing;
+
     FakeSettings() {
         putTeam("/nilavu", List.of(), 0, 0);
         putTeam("/tatranske", List.of(), 0, 0);
@@ -76,6 +79,9 @@
 
     @Override
     public Optional<TeamPolicy> team(TeamPath team) {
+        if (failing) {
+            throw new IllegalStateException("made to fail");
+        }
         return Optional.ofNullable(teams.get(new TeamPath("/" + team.team())));
     }
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -4,12 +4,16 @@
 import java.util.List;
 
 import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /** Plays requests whose team is removed from the settings while they are open. */
 class SettingsChangeTests {
@@ -74,4 +78,21 @@
         fleet.run(DEADLINE_MS);
         assertThat(waiting).allMatch(SentRequest::completedInTime);
     }
+
+    /** Guards against requests that stay open for ever because the handling of an event of theirs failed. */
+    @Test
+    void requestWhoseEventCouldNotBeHandledEndsAfterItsDeadline() {
+        SentRequest stream = send(0, 1);
+        fleet.run(300);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        node.settings.failing = true;
+        fleet.crashTarget(stream.dispatchedTo.get(0), 10_000);
+        assertThatThrownBy(() -> fleet.run(300)).hasMessage("made to fail");
+        node.settings.failing = false;
+        fleet.run(2 * DEADLINE_MS);
+        assertThat(stream.reply).isInstanceOfSatisfying(Refusal.class, refusal -> {
+            assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(refusal.code()).isEqualTo(RefusalCode.DEADLINE_EXCEEDED);
+        });
+    }
 }
