--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
@@ -27,6 +27,9 @@
     private final Map<TargetId, TargetPolicy> targets = new TreeMap<>();
     private final List<SettingsListener> listeners = new ArrayList<>();
 
+    /** Whether reading a team fails. */
+    boolean failing;
+
     FakeSettings() {
         putTeam("/nilavu", List.of(), 0, 0);
         putTeam("/tatranske", List.of(), 0, 0);
@@ -53,6 +56,11 @@
                         3));
     }
 
+    void dropTeam(String path, long nowMs, Effects out) {
+        teams.remove(new TeamPath(path));
+        listeners.forEach(listener -> listener.settingsChanged(nowMs, out));
+    }
+
     void drain(String target, long nowMs, Effects out) {
         TargetId id = new TargetId(target);
         targets.put(id, new TargetPolicy(id, 0, false, true, "mixed"));
@@ -71,6 +79,9 @@
 
     @Override
     public Optional<TeamPolicy> team(TeamPath team) {
+        if (failing) {
+            throw new IllegalStateException("made to fail");
+        }
         return Optional.ofNullable(teams.get(new TeamPath("/" + team.team())));
     }
 
