Break a stream that has started unless an attempt succeeds

Callers of the OpenAI-compatible interface saw a 200 with an empty body or a part of a stream, followed by the last chunk, if the engine broke off and its next answer was a rejection or a failure.

Cause: each reply that was no refusal completed the stream, also a target's rejection of a later attempt; a refusal completed it behind its event, and an error behind the head of a response ended that as if it were complete.

Change: only the success of an attempt completes a stream; otherwise the connection is closed behind the error event, before the last chunk.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/Exchange.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/Exchange.java
@@ -71,21 +71,43 @@
      *
      * @param reply the core's reply
      * @param accepted whether the target's response was accepted
-     * @param errorEvent the event that reports a refusal to a caller whose stream has started
      */
-    void end(CallerReply reply, boolean accepted, byte[] errorEvent) {
-        if (streaming.get()) {
-            if (!accepted) {
-                emitPart(Flux.just(errorEvent));
-            }
-            parts.tryEmitComplete();
-            return;
-        }
+    void end(CallerReply reply, boolean accepted) {
         CallerResponse.Complete held = heldResponse.get();
         response.tryEmitValue(accepted && held != null ? held : new CallerResponse.FromCore(reply));
     }
 
+    /** Returns whether the response has started as a stream. */
+    boolean streaming() {
+        return streaming.get();
+    }
+
+    /** Completes a stream that has started. */
+    void completeStream() {
+        parts.tryEmitComplete();
+    }
+
+    /**
+     * Ends a stream that has started, so that it does not look complete: its connection is closed behind the event.
+     *
+     * @param errorEvent the event that reports the failure
+     */
+    void breakStream(byte[] errorEvent) {
+        emitPart(Flux.just(errorEvent).concatWith(Mono.error(new BrokenStreamException())));
+        parts.tryEmitComplete();
+    }
+
     private void emitPart(Flux<byte[]> part) {
         parts.emitNext(part, Sinks.EmitFailureHandler.busyLooping(Duration.ofSeconds(1)));
     }
+
+    /** Closes the caller's connection before the end of the response. */
+    private static final class BrokenStreamException extends RuntimeException {
+
+        private static final long serialVersionUID = 1L;
+
+        BrokenStreamException() {
+            super("the stream ended before it was complete", null, false, false);
+        }
+    }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/ExchangeRegistry.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/exchange/ExchangeRegistry.java
@@ -19,6 +19,7 @@
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.routing.OnlineEnded;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 
@@ -29,6 +30,10 @@
  */
 public final class ExchangeRegistry implements EffectRunner {
 
+    /** What a caller whose stream has started is told of a target's rejection, which answers another request. */
+    private static final Refusal REJECTED_WITHIN_STREAM = new Refusal(
+            Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "the target rejected the rest of the stream", 0);
+
     private final Map<RequestId, Exchange> open = new ConcurrentHashMap<>();
     private final AtomicLong lastNumber = new AtomicLong();
     private final DaemonIdentity identity;
@@ -121,10 +126,12 @@
     }
 
     private void end(Exchange exchange, CallerReply reply) {
-        if (reply instanceof Refusal refusal) {
-            exchange.end(reply, false, errorEvent.apply(refusal));
+        if (!exchange.streaming()) {
+            exchange.end(reply, !(reply instanceof Refusal));
+        } else if (reply instanceof OnlineEnded) {
+            exchange.completeStream();
         } else {
-            exchange.end(reply, true, new byte[0]);
+            exchange.breakStream(errorEvent.apply(reply instanceof Refusal refusal ? refusal : REJECTED_WITHIN_STREAM));
         }
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/GuardedRoutes.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/GuardedRoutes.java
@@ -86,7 +86,8 @@
         LOGGER.warn("Request {} {} failed", request.method(), request.path(), error);
         Refusal refusal =
                 new Refusal(Verdict.MAY_HAVE_RUN, RefusalCode.TARGET_FAILED, "internal error of the daemon", 0);
-        return response.hasSentHeaders() ? Mono.empty() : writer.refuse(response, refusal);
+        // The error closes the connection, so that a response which has begun does not look complete.
+        return response.hasSentHeaders() ? Mono.error(error) : writer.refuse(response, refusal);
     }
 
     /** Handles a request of an authenticated caller. */
