Forward only events of a stream of events

Callers saw the head of a failure or its text in the middle of their stream, which went on behind that and ended in [DONE]; a 200 of another type and a redirection were forwarded as text.

Cause: each status below 400 and each type was taken for a stream, and whatever stood before an empty line for an event.

Change: a stream is a 200 of type text/event-stream, and its events consist of fields and comments. What is not ends the attempt, so that the stream is resumed or breaks.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/AttemptFailures.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/AttemptFailures.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.TimeoutException;
 
 import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.FailureKind;
@@ -18,6 +20,7 @@
 final class AttemptFailures {
 
     private static final String ENGINE_PATHS = "/v1/";
+    private static final String EVENT_STREAM = HttpHeaderValues.TEXT_EVENT_STREAM.toString();
     private static final int MAX_ERROR_BODY_BYTES = 16 * 1024;
 
     private AttemptFailures() {}
@@ -75,6 +78,26 @@
         return ofResponse(Verdict.MAY_HAVE_RUN, FailureKind.TARGET_ERROR, response, body);
     }
 
+    /** Returns whether a response is a stream of events. */
+    static boolean isEventStream(HttpClientResponse response) {
+        return response.status().equals(HttpResponseStatus.OK)
+                && response.responseHeaders()
+                        .get(HttpHeaderNames.CONTENT_TYPE, "")
+                        .startsWith(EVENT_STREAM);
+    }
+
+    /** Returns the outcome of a response that is neither a failure nor the stream that was asked for. */
+    static AttemptOutcome.Failed otherThanStream(HttpClientResponse response) {
+        return failed(
+                Verdict.MAY_HAVE_RUN,
+                FailureKind.TARGET_ERROR,
+                response.status().code(),
+                0,
+                false,
+                0,
+                "target responded with status " + response.status().code() + " and no stream of events");
+    }
+
     /** Returns the outcome of an attempt that the daemon cancelled. */
     static AttemptOutcome.Failed cancelled(int tokens, boolean bytesReachedCaller) {
         return failed(Verdict.MAY_HAVE_RUN, FailureKind.CANCELLED, 0, tokens, bytesReachedCaller, 0, "cancelled");
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
@@ -215,6 +215,11 @@
                     .doFinally(signal -> connection.dispose())
                     .then();
         }
+        if (!AttemptFailures.isEventStream(response)) {
+            attempt.end(AttemptFailures.otherThanStream(response));
+            connection.dispose();
+            return Mono.empty();
+        }
         attempt.setTransfer(connection);
         attempt.started();
         int fromToken = dispatch.resume().map(ResumePoint::fromToken).orElse(0);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -19,6 +20,8 @@
     private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
     private static final int DATA_PREFIX_LENGTH = "data:".length();
 
+    private static final Pattern FIELD = Pattern.compile("(data|event|id|retry)?:|(data|event|id|retry)$");
+
     private final ObjectMapper json;
     private final boolean resumed;
     private int tokens;
@@ -30,8 +33,13 @@
         this.tokens = fromToken;
     }
 
-    /** Processes an event and returns whether it must be forwarded to the caller. */
+    /**
+     * Processes an event and returns whether it must be forwarded to the caller.
+     *
+     * @throws IllegalStateException if the bytes are no event, such as the head or the text of another response
+     */
     boolean accept(byte[] event) {
+        requireFields(event);
         if (startsWith(event, DONE)) {
             done = true;
             return true;
@@ -53,6 +61,13 @@
         return done;
     }
 
+    private static void requireFields(byte[] event) {
+        String text = new String(event, StandardCharsets.ISO_8859_1);
+        if (!text.lines().allMatch(line -> line.isEmpty() || FIELD.matcher(line).lookingAt())) {
+            throw new IllegalStateException("an event must consist of fields and comments");
+        }
+    }
+
     private boolean carriesToken(byte[] event) {
         JsonNode choice = choice(event);
         return !choice.at("/delta/content").asText("").isEmpty()
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
@@ -70,7 +70,11 @@
                 Arguments.of("rejection", failure(400, body)),
                 Arguments.of("rejection without a body", failure(404, "")),
                 Arguments.of("failure", failure(500, body)),
-                Arguments.of("generation that is no longer retained", failure(410, body)));
+                Arguments.of("generation that is no longer retained", failure(410, body)),
+                Arguments.of("other type", (Script) (request, response) -> response.write(
+                        "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n" + length("<p>of the engine</p>\n\n</p>\n\n"))),
+                Arguments.of("redirection", (Script) (request, response) ->
+                        response.write("HTTP/1.1 302 Found\r\nLocation: /\r\n" + length("of the engine\n\n"))));
     }
 
     private static Script failure(int status, String body) {
@@ -97,6 +101,24 @@
         }
     }
 
+    static Stream<Arguments> otherBytes() {
+        String head = "HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n";
+        return Stream.of(
+                Arguments.of("head of another response", head + "error"),
+                Arguments.of("text", "Internal Server Error\n\n"),
+                Arguments.of("head within an event", "data: {\"choi" + head + "error\n\n"));
+    }
+
+    /** Guards against the head or the text of an error in the middle of a stream. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("otherBytes")
+    void bytesThatAreNoEventNeverReachTheCaller(String name, String bytes) throws Exception {
+        scripts.add((request, response) -> breakOff(response, OPENING + tokens(1, 2) + bytes));
+        RawResponse received = complete("other bytes " + name);
+        assertThat(received.body()).isEqualTo(SOUND);
+        assertThat(received.complete()).isTrue();
+    }
+
     /** Guards against a success that is made of a head which breaks off; the call must not run twice either. */
     @Test
     void callWhoseResponseBreaksOffIsNeverASuccessAndRunsOnce() throws Exception {
