Resume a stream that breaks off twice where it broke off

Callers saw tokens left out of a stream that was complete otherwise.

Cause: an attempt reported all tokens of the caller, and the router added those before the attempt once more.

Change: an attempt reports its own tokens, as its outcome states.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/StreamTransfer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/StreamTransfer.java
@@ -50,8 +50,8 @@
                 .doOnNext(event -> onForwarded(progressIntervalTokens))
                 .takeUntilOther(readTimeouts(timeout))
                 .doOnComplete(this::onStreamEnd)
-                .doOnError(error -> attempt.end(AttemptFailures.ofError(error, tokens.tokens(), reachedCaller)))
-                .doOnCancel(() -> attempt.end(AttemptFailures.cancelled(tokens.tokens(), reachedCaller)))
+                .doOnError(error -> attempt.end(AttemptFailures.ofError(error, tokens.tokensOfAttempt(), reachedCaller)))
+                .doOnCancel(() -> attempt.end(AttemptFailures.cancelled(tokens.tokensOfAttempt(), reachedCaller)))
                 .doFinally(signal -> connection.dispose())
                 .onErrorResume(error -> Mono.empty());
     }
@@ -80,16 +80,16 @@
     }
 
     private void onReadTimeout() {
-        attempt.end(AttemptFailures.ofError(new TimeoutException(), tokens.tokens(), reachedCaller));
+        attempt.end(AttemptFailures.ofError(new TimeoutException(), tokens.tokensOfAttempt(), reachedCaller));
     }
 
     private void onStreamEnd() {
         if (!tokens.done()) {
-            attempt.end(AttemptFailures.truncatedStream(tokens.tokens(), reachedCaller));
+            attempt.end(AttemptFailures.truncatedStream(tokens.tokensOfAttempt(), reachedCaller));
             return;
         }
         String contentType = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
         attempt.end(
-                new AttemptOutcome.Succeeded(response.status().code(), contentType, ByteString.EMPTY, tokens.tokens()));
+                new AttemptOutcome.Succeeded(response.status().code(), contentType, ByteString.EMPTY, tokens.tokensOfAttempt()));
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
@@ -23,12 +23,14 @@
     private static final Pattern FIELD = Pattern.compile("(data|event|id|retry)?:|(data|event|id|retry)$");
 
     private final ObjectMapper json;
+    private final int fromToken;
     private final boolean resumed;
     private int tokens;
     private boolean done;
 
     TokenStream(ObjectMapper json, int fromToken) {
         this.json = json;
+        this.fromToken = fromToken;
         this.resumed = fromToken > 0;
         this.tokens = fromToken;
     }
@@ -56,6 +58,11 @@
         return tokens;
     }
 
+    /** Returns how many tokens the caller has received from this attempt. */
+    int tokensOfAttempt() {
+        return tokens - fromToken;
+    }
+
     /** Returns whether the engine has marked the stream as complete. */
     boolean done() {
         return done;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
@@ -119,6 +119,16 @@
         assertThat(received.complete()).isTrue();
     }
 
+    /** Guards against tokens that are left out when a stream is resumed for the second time. */
+    @Test
+    void streamThatBreaksOffTwiceGoesOnWhereItBrokeOff() throws Exception {
+        scripts.add((request, response) -> breakOff(response, OPENING + tokens(1, 2)));
+        scripts.add((request, response) -> breakOff(response, OPENING + tokens(3, 4)));
+        RawResponse received = complete("twice");
+        assertThat(received.body()).isEqualTo(SOUND);
+        assertThat(resumedFrom).containsExactly(0, 2, 4);
+    }
+
     /** Guards against a success that is made of a head which breaks off; the call must not run twice either. */
     @Test
     void callWhoseResponseBreaksOffIsNeverASuccessAndRunsOnce() throws Exception {
