End a stream with its end marker

Callers saw [DONE] twice, from two runs, if the engine closed or reset the connection behind it, and events behind [DONE] if the engine wrote any.

Cause: the end of the connection decided how an attempt ended, although the end marker had been forwarded.

Change: nothing behind the end marker is part of the stream, neither events nor an error.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/StreamTransfer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/StreamTransfer.java
@@ -50,7 +50,7 @@
                 .doOnNext(event -> onForwarded(progressIntervalTokens))
                 .takeUntilOther(readTimeouts(timeout))
                 .doOnComplete(this::onStreamEnd)
-                .doOnError(error -> attempt.end(AttemptFailures.ofError(error, tokens.tokensOfAttempt(), reachedCaller)))
+                .doOnError(this::onError)
                 .doOnCancel(() -> attempt.end(AttemptFailures.cancelled(tokens.tokensOfAttempt(), reachedCaller)))
                 .doFinally(signal -> connection.dispose())
                 .onErrorResume(error -> Mono.empty());
@@ -80,16 +80,29 @@
     }
 
     private void onReadTimeout() {
-        attempt.end(AttemptFailures.ofError(new TimeoutException(), tokens.tokensOfAttempt(), reachedCaller));
+        onError(new TimeoutException());
+    }
+
+    /** Ends the attempt; an error behind the end marker does not change a stream that the caller has received whole. */
+    private void onError(Throwable error) {
+        if (tokens.done()) {
+            succeeded();
+        } else {
+            attempt.end(AttemptFailures.ofError(error, tokens.tokensOfAttempt(), reachedCaller));
+        }
     }
 
     private void onStreamEnd() {
-        if (!tokens.done()) {
+        if (tokens.done()) {
+            succeeded();
+        } else {
             attempt.end(AttemptFailures.truncatedStream(tokens.tokensOfAttempt(), reachedCaller));
-            return;
         }
+    }
+
+    private void succeeded() {
         String contentType = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
-        attempt.end(
-                new AttemptOutcome.Succeeded(response.status().code(), contentType, ByteString.EMPTY, tokens.tokensOfAttempt()));
+        attempt.end(new AttemptOutcome.Succeeded(
+                response.status().code(), contentType, ByteString.EMPTY, tokens.tokensOfAttempt()));
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TokenStream.java
@@ -13,7 +13,8 @@
  * Counts the tokens of an engine's event stream and detects its end marker.
  *
  * <p>Invariant: the opening event of a resumed stream, which carries no token, is skipped, because the caller has
- * received it from the earlier attempt. Not thread-safe: one for each attempt.
+ * received it from the earlier attempt; nothing behind the end marker is part of the stream. Not thread-safe: one for
+ * each attempt.
  */
 final class TokenStream {
 
@@ -41,6 +42,9 @@
      * @throws IllegalStateException if the bytes are no event, such as the head or the text of another response
      */
     boolean accept(byte[] event) {
+        if (done) {
+            return false;
+        }
         requireFields(event);
         if (startsWith(event, DONE)) {
             done = true;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
@@ -129,6 +129,31 @@
         assertThat(resumedFrom).containsExactly(0, 2, 4);
     }
 
+    static Stream<Arguments> ends() {
+        return Stream.of(
+                Arguments.of("reset", (Script) (request, response) -> {
+                    response.write(STREAM + "Transfer-Encoding: chunked\r\n\r\n" + chunk(SOUND));
+                    response.reset();
+                }),
+                Arguments.of("closed", (Script) (request, response) -> {
+                    response.write(STREAM + "Transfer-Encoding: chunked\r\n\r\n" + chunk(SOUND));
+                    response.end();
+                }),
+                Arguments.of("further events", (Script) (request, response) -> response.write(
+                        STREAM + "Transfer-Encoding: chunked\r\n\r\n" + chunk(SOUND + tokens(1, 2)) + "0\r\n\r\n")));
+    }
+
+    /** Guards against a stream that goes on behind its end marker. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("ends")
+    void streamIsCompleteWithItsEndMarker(String name, Script script) throws Exception {
+        scripts.add(script);
+        RawResponse received = complete("marked " + name);
+        assertThat(received.body()).isEqualTo(SOUND);
+        assertThat(received.complete()).isTrue();
+        assertThat(resumedFrom).hasSize(1);
+    }
+
     /** Guards against a success that is made of a head which breaks off; the call must not run twice either. */
     @Test
     void callWhoseResponseBreaksOffIsNeverASuccessAndRunsOnce() throws Exception {
