Hand the control of a target over without granting its slots twice

Callers saw, as the daemon that controls a full target stops: requests that waited for a slot were dispatched without a permit, so that the target got more requests than it has slots.

Cause: a daemon that leaves knows its successor before the successor does. It redirected waiting requests to the successor, which redirected them back, and after the second redirect they were dispatched. Behind it a second fault: the permits that run were advertised to the successor before it knew that it controls the target, were dropped, and were not advertised again for up to the announce interval, so that it granted the same slots again.

New: a request counts its redirects anew for each target and attempt, so that the 500 ms are those of the present target.

All test classes of cornelcrank-routing pass, run once.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -46,6 +46,12 @@
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
+    /** The pause before the next permit request if the daemons disagree on the target's controller, in ms. */
+    private static final long DISPUTE_PAUSE_MS = 50;
+
+    /** How long a request waits for the daemons to agree on the target's controller, in ms. */
+    private static final long DISPUTE_TIMEOUT_MS = 500;
+
     /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
     private static final long STREAM_VERSION_TIMEOUT_MS = 250;
 
@@ -280,6 +286,7 @@
     private void obtainPermit(Route route, long nowMs, Effects out) {
         route.attempt = context.attempts().next();
         route.permitted = false;
+        route.redirects = 0;
         byAttempt.put(route.attempt, route);
         if (context.policy().admission() == AdmissionOrder.ARRIVAL) {
             dispatch(route, nowMs, out);
@@ -334,6 +341,7 @@
         }
         hedges.requestElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
+        route.redirects = 0;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
     }
@@ -413,13 +421,22 @@
     }
 
     private void redirect(Route route, Optional<HostId> controller, long nowMs, Effects out) {
+        if (route.redirects == 0) {
+            route.redirectedAtMs = nowMs;
+        }
         route.redirects++;
-        if (controller.isEmpty() || route.redirects > MAX_REDIRECTS) {
+        if (controller.isEmpty() || nowMs - route.redirectedAtMs >= DISPUTE_TIMEOUT_MS) {
             dispatchWithoutPermit(route, "the daemons disagree on the target's controller", nowMs, out);
             return;
         }
         route.controller = controller.get();
-        requestPermit(route, nowMs, out);
+        if (route.redirects <= MAX_REDIRECTS) {
+            requestPermit(route, nowMs, out);
+            return;
+        }
+        context.count("permits-disputed");
+        route.phase = Route.Phase.DISPUTED;
+        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + DISPUTE_PAUSE_MS), out);
     }
 
     /**
@@ -442,6 +459,8 @@
             } else if (route.phase == Route.Phase.ASKED) {
                 dispatchWithoutPermit(
                         route, "the controller " + route.controller + " did not reply in time", nowMs, out);
+            } else if (route.phase == Route.Phase.DISPUTED) {
+                requestPermit(route, nowMs, out);
             } else {
                 recheck(route, nowMs, out);
             }
@@ -655,7 +674,6 @@
             context.count("retries");
             route.permitRefusals = 0;
             route.moves = 0;
-            route.redirects = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 obtainPermit(route, nowMs, out);
             } else {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -40,6 +40,7 @@
     int permitRefusals;
     int moves;
     int redirects;
+    long redirectedAtMs;
     int attempts;
     int runs;
     private boolean goneTargetIgnored;
@@ -82,7 +83,7 @@
 
     /** Returns whether the request has requested a permit and no attempt is running. */
     boolean awaitsPermit() {
-        return phase == Phase.ASKED || phase == Phase.QUEUED;
+        return phase == Phase.ASKED || phase == Phase.QUEUED || phase == Phase.DISPUTED;
     }
 
     enum Phase {
@@ -93,6 +94,8 @@
         ASKED,
         /** The request waits in the controller's queue. */
         QUEUED,
+        /** The request waits until the daemons agree on the target's controller. */
+        DISPUTED,
         RUNNING,
         ENDED
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -38,12 +38,14 @@
     private final Map<TargetId, PermitLedger> ledgers = new TreeMap<>();
     private final Set<TargetId> unreachable = new TreeSet<>();
     private final DueQueue<TargetId> pacedGrants = new DueQueue<>(TIMER);
+    private final EarlyPermits earlyPermits;
     private double meanItemMs;
 
     TargetController(RoutingContext context, OccupancyPublisher publisher) {
         this.context = context;
         this.publisher = publisher;
         this.demands = new BatchDemandQueue(context.routing().queues().demandLifetimeMs());
+        this.earlyPermits = new EarlyPermits(context.routing().permits().announceIntervalMs());
     }
 
     /**
@@ -61,7 +63,7 @@
             }
             if (controlled) {
                 controlledNow.add(target.id());
-                ledgers.computeIfAbsent(target.id(), id -> new PermitLedger(context.routing(), nowMs));
+                ledgers.computeIfAbsent(target.id(), id -> newLedger(id, nowMs));
             }
         }
         for (TargetId lost : List.copyOf(ledgers.keySet())) {
@@ -76,6 +78,14 @@
         unreachable.retainAll(watched.keySet());
     }
 
+    private PermitLedger newLedger(TargetId target, long nowMs) {
+        PermitLedger ledger = new PermitLedger(context.routing(), nowMs);
+        earlyPermits
+                .take(target, nowMs)
+                .forEach((holder, permits) -> permits.forEach(permit -> ledger.add(permit, holder, nowMs)));
+        return ledger;
+    }
+
     private boolean controls(TargetState target) {
         return context.controllers()
                 .controllerOf(target)
@@ -207,6 +217,7 @@
     void released(RoutingMessage.PermitReleased released, long nowMs, Effects out) {
         PermitLedger ledger = ledgers.get(released.target());
         if (ledger == null) {
+            earlyPermits.released(released.target(), released.attempt());
             return;
         }
         Optional<HeldPermit> permit = ledger.release(released.attempt(), released.use(), nowMs);
@@ -233,6 +244,7 @@
     void runningPermitsReceived(HostId from, RoutingMessage.RunningPermits running, long nowMs, Effects out) {
         PermitLedger ledger = ledgers.get(running.target());
         if (ledger == null) {
+            earlyPermits.advertised(from, running, nowMs);
             return;
         }
         running.permits().forEach(permit -> ledger.add(permit, from, nowMs));
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
@@ -53,6 +53,10 @@
                         3));
     }
 
+    void setSlots(TargetId id, int slots) {
+        targets.put(id, new TargetPolicy(id, slots, false, false, "mixed"));
+    }
+
     void drain(String target, long nowMs, Effects out) {
         TargetId id = new TargetId(target);
         targets.put(id, new TargetPolicy(id, 0, false, true, "mixed"));
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 
@@ -23,6 +24,7 @@
     private static final int TOKENS = 100;
     private static final int SLOTS = 4;
     private static final TargetId TARGET = new TargetId("r1");
+    private static final long DISSEMINATION_MS = 200;
 
     private final VirtualFleet fleet = new VirtualFleet(9);
     private EngineModel engine;
@@ -76,6 +78,40 @@
         assertThat(engine.running).hasSize(SLOTS);
     }
 
+    /** The controller knows before its peers that it leaves, so that its successor still names it. */
+    @Test
+    void requestsThatWaitWhileTheirControllerHandsOverAreNotDispatchedWithoutAPermit() {
+        fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
+        List<SentRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 3 * SLOTS; i++) {
+            requests.add(fleet.send(i % fleet.nodes.size(), Work.online(TOKENS, i)));
+        }
+        fleet.run(500);
+        assertThat(engine.running).hasSize(SLOTS);
+        HostId leaving = fleet.nodes.get(controller).identity.host();
+        fleet.nodes.get(controller).membership.set(leaving, MemberState.LEAVING);
+        fleet.nodes.get(controller).handle(new Event.StopRequested());
+        fleet.at(
+                fleet.nowMs + DISSEMINATION_MS,
+                () -> fleet.nodes.forEach(node -> node.membership.set(leaving, MemberState.LEAVING)));
+        for (int step = 0; step < 500; step++) {
+            fleet.run(10);
+            assertThat(engine.running.size() + engine.queue.size()).isLessThanOrEqualTo(SLOTS);
+        }
+        assertThat(fleet.count("permits-skipped")).isZero();
+        assertThat(requests).allMatch(SentRequest::completed);
+    }
+
+    @Test
+    void requestIsDispatchedWithoutPermitIfTheDaemonsNeverAgreeOnTheController() {
+        HostId leaving = fleet.nodes.get(controller).identity.host();
+        fleet.nodes.get(controller).membership.set(leaving, MemberState.LEAVING);
+        SentRequest request = fleet.send(otherThanController(), Work.online(TOKENS, 1));
+        fleet.run(3_000);
+        assertThat(request.completed()).isTrue();
+        assertThat(request.waitMs()).isLessThan(1_000);
+    }
+
     @Test
     void permitsOfALostHolderAreFreed() {
         startBatch(otherThanController(), 100);
