Keep a stream open whose response begins before its request is set

Callers of the product's own interface saw, rarely and beside load, a stream that ends with an error event: "no target serves saarthi-lm", may-have-run. If the response had not reached the caller yet, the attempt was taken for a lost connection, the request was tried elsewhere, and the only target was excluded.

Cause: TargetClient.runStream subscribes to the request and then sets it as the attempt's transfer, on a thread of its own. If that thread is suspended in between, the response begins first and sets its connection; setting the request after that disposed of the connection (Disposable.Swap.update). The target was sound, and the daemon itself closed the connection.

Change: an attempt collects its transfers in whatever order they come, and closes them only when it is aborted.

GatewayTargetClient does not have the fault: an attempt's transfer is one field, set on the one thread that also handles the response.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/Attempt.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/Attempt.java
@@ -13,7 +13,7 @@
 /**
  * A running attempt, which ends exactly once.
  *
- * <p>Thread-safe.
+ * <p>Invariant: it closes its transfers only when it is aborted. Thread-safe.
  */
 final class Attempt {
 
@@ -21,7 +21,7 @@
     private final CoreLoop loop;
     private final Consumer<AttemptId> onEnd;
     private final AtomicBoolean ended = new AtomicBoolean();
-    private final Disposable.Swap transfer = Disposables.swap();
+    private final Disposable.Composite transfers = Disposables.composite();
 
     Attempt(AttemptId id, CoreLoop loop, Consumer<AttemptId> onEnd) {
         this.id = id;
@@ -29,9 +29,14 @@
         this.onEnd = onEnd;
     }
 
-    /** Sets the transfer that is disposed of when the attempt is aborted. */
-    void setTransfer(Disposable disposable) {
-        transfer.update(disposable);
+    /**
+     * Adds a transfer that is disposed of when the attempt is aborted, at once if it has been.
+     *
+     * <p>A response may begin on another thread before the sender of its request goes on, so that the connection may be
+     * added before the request.
+     */
+    void addTransfer(Disposable transfer) {
+        transfers.add(transfer);
     }
 
     void started() {
@@ -57,6 +62,6 @@
     /** Ends the attempt and then closes its connection. */
     void abort(AttemptOutcome outcome) {
         end(outcome);
-        transfer.dispose();
+        transfers.dispose();
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
@@ -163,7 +163,7 @@
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()))
                 .onErrorResume(error -> Mono.just(AttemptFailures.ofError(error, 0, false)))
                 .subscribe(attempt::end);
-        attempt.setTransfer(transfer);
+        attempt.addTransfer(transfer);
     }
 
     private Mono<byte[]> readBody(ByteBufFlux body) {
@@ -199,7 +199,7 @@
                         onStreamResponse(dispatch, request, attempt, exchange, response, connection))
                 .timeout(Mono.delay(Duration.ofMillis(dispatch.timeoutMs())))
                 .subscribe(unused -> {}, error -> attempt.abort(AttemptFailures.ofError(error, 0, false)));
-        attempt.setTransfer(transfer);
+        attempt.addTransfer(transfer);
     }
 
     private Mono<Void> onStreamResponse(
@@ -215,7 +215,7 @@
                     .doFinally(signal -> connection.dispose())
                     .then();
         }
-        attempt.setTransfer(connection);
+        attempt.addTransfer(connection);
         attempt.started();
         int fromToken = dispatch.resume().map(ResumePoint::fromToken).orElse(0);
         exchange.stream(new StreamTransfer(attempt, connection, new TokenStream(json, fromToken), response)
