Keep requests in the queue of a controller that pauses

Callers saw, as the controller of a full target pauses for a moment: the requests that waited in its queue were dispatched without a permit, all at once, so that the target got more requests than it has slots.

Cause: a waiting request repeats its permit request after a second, in case the controller has lost it. The repeated request was treated like a first one: without a reply within patienceMs (8 or 15 ms) the request was dispatched.

Change: a request that the controller has queued stays queued while it asks again, every 250 ms after a second of silence, and is dispatched without a permit once the controller has not replied for two seconds. A controller that is known to be lost is replaced at once, as before. A first request still waits for patienceMs only.

Evidence: PermitFailureTests.requestsThatWaitAreNotDispatchedWithoutAPermitIfTheirControllerPauses failed before, with 12 requests at a target with 4 slots, as the controller was silent for 700 ms; requestsThatWaitAreDispatchedIfTheirControllerNeverRepliesAgain states the limit.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -43,6 +43,10 @@
     private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
     private static final long CAPACITY_CHECK_INTERVAL_MS = 250;
     private static final long PERMIT_REQUEST_INTERVAL_MS = 1_000;
+
+    /** How long a request stays in the queue of a controller that has not replied to it again, in ms. */
+    private static final long QUEUE_SILENCE_MS = 2 * PERMIT_REQUEST_INTERVAL_MS;
+
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
@@ -303,7 +307,6 @@
 
     private void requestPermit(Route route, long nowMs, Effects out) {
         route.phase = Route.Phase.ASKED;
-        route.permitRequestedAtMs = nowMs;
         RoutedRequest request = route.request;
         permits.request(route, nowMs, out);
         wakeups.put(request.id(), Math.min(request.deadlineAtMs(), nowMs + permits.replyTimeoutMs(route)), out);
@@ -341,6 +344,7 @@
         }
         hedges.requestElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
+        route.queuedAtMs = nowMs;
         route.redirects = 0;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
@@ -475,14 +479,16 @@
         if (moveToTargetWithCapacity(route, nowMs, out)) {
             return;
         }
-        if (nowMs - route.permitRequestedAtMs >= PERMIT_REQUEST_INTERVAL_MS) {
-            requestPermit(route, nowMs, out);
-        } else {
-            wakeups.put(
-                    route.request.id(),
-                    Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS),
-                    out);
+        long silenceMs = nowMs - route.queuedAtMs;
+        if (silenceMs >= QUEUE_SILENCE_MS) {
+            dispatchWithoutPermit(route, "the controller " + route.controller + " no longer replies", nowMs, out);
+            return;
+        }
+        if (silenceMs >= PERMIT_REQUEST_INTERVAL_MS) {
+            permits.request(route, nowMs, out);
         }
+        wakeups.put(
+                route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
     }
 
     private void dispatchWithoutPermit(Route route, String reason, long nowMs, Effects out) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -41,6 +41,7 @@
     int moves;
     int redirects;
     long redirectedAtMs;
+    long queuedAtMs;
     int attempts;
     int runs;
     private boolean goneTargetIgnored;
@@ -48,7 +49,6 @@
     int resumedFrom;
     int generation;
     boolean bytesReachedCaller;
-    long permitRequestedAtMs;
     long dispatchedAtMs;
     long retryAfterMs;
     Optional<SoftwareVersion> version = Optional.empty();
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -25,6 +25,8 @@
     private static final int SLOTS = 4;
     private static final TargetId TARGET = new TargetId("r1");
     private static final long DISSEMINATION_MS = 200;
+    private static final int LONG_TOKENS = 600;
+    private static final long CONTROLLER_PAUSE_MS = 700;
 
     private final VirtualFleet fleet = new VirtualFleet(9);
     private EngineModel engine;
@@ -102,6 +104,39 @@
         assertThat(requests).allMatch(SentRequest::completed);
     }
 
+    /** Guards against a pause of a controller that sends all requests of its queue to the target at once. */
+    @Test
+    void requestsThatWaitAreNotDispatchedWithoutAPermitIfTheirControllerPauses() {
+        fillSlotsAndQueue();
+        fleet.run(800);
+        fleet.cutOff(controller);
+        fleet.at(fleet.nowMs + CONTROLLER_PAUSE_MS, () -> fleet.reconnect(controller));
+        for (int step = 0; step < 200; step++) {
+            fleet.run(10);
+            assertThat(engine.running.size() + engine.queue.size()).isEqualTo(SLOTS);
+        }
+        assertThat(fleet.count("permits-skipped")).isZero();
+    }
+
+    @Test
+    void requestsThatWaitAreDispatchedIfTheirControllerNeverRepliesAgain() {
+        List<SentRequest> requests = fillSlotsAndQueue();
+        fleet.run(800);
+        fleet.cutOff(controller);
+        fleet.run(2_500);
+        assertThat(requests).allMatch(request -> request.dispatchedTo.size() == 1);
+    }
+
+    /** Sends requests to a daemon that is not the controller: as many as there are slots, and twice as many more. */
+    private List<SentRequest> fillSlotsAndQueue() {
+        fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
+        List<SentRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 3 * SLOTS; i++) {
+            requests.add(fleet.send(otherThanController(), Work.online(LONG_TOKENS, i)));
+        }
+        return requests;
+    }
+
     @Test
     void requestIsDispatchedWithoutPermitIfTheDaemonsNeverAgreeOnTheController() {
         HostId leaving = fleet.nodes.get(controller).identity.host();
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -130,6 +130,11 @@
         cutOff.add(nodes.get(daemon).identity.host());
     }
 
+    /** Ends the cut of a daemon; what was sent meanwhile is lost. */
+    void reconnect(int daemon) {
+        cutOff.remove(nodes.get(daemon).identity.host());
+    }
+
     /** Kills all daemons at once; they start again after the given time, and know only the recorded versions. */
     void restartAll(long downMs, SoftwareVersion... recorded) {
         for (int i = 0; i < nodes.size(); i++) {
