--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -43,9 +43,19 @@
     private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
     private static final long CAPACITY_CHECK_INTERVAL_MS = 250;
     private static final long PERMIT_REQUEST_INTERVAL_MS = 1_000;
+
+    /** How long a request stays in the queue of a controller that has not replied to it again, in ms. */
+    private static final long QUEUE_SILENCE_MS = 2 * PERMIT_REQUEST_INTERVAL_MS;
+
     private static final long DEFAULT_ATTEMPT_TIMEOUT_MS = 120_000;
     private static final int MAX_REDIRECTS = 2;
 
+    /** The pause before the next permit request if the daemons disagree on the target's controller, in ms. */
+    private static final long DISPUTE_PAUSE_MS = 50;
+
+    /** How long a request waits for the daemons to agree on the target's controller, in ms. */
+    private static final long DISPUTE_TIMEOUT_MS = 500;
+
     /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
     private static final long STREAM_VERSION_TIMEOUT_MS = 250;
 
@@ -293,6 +303,7 @@
     private void obtainPermit(Route route, long nowMs, Effects out) {
         route.attempt = context.attempts().next();
         route.permitted = false;
+        route.redirects = 0;
         byAttempt.put(route.attempt, route);
         if (context.policy().admission() == AdmissionOrder.ARRIVAL) {
             dispatch(route, nowMs, out);
@@ -309,7 +320,6 @@
 
     private void requestPermit(Route route, long nowMs, Effects out) {
         route.phase = Route.Phase.ASKED;
-        route.permitRequestedAtMs = nowMs;
         RoutedRequest request = route.request;
         permits.request(route, nowMs, out);
         wakeups.put(request.id(), Math.min(request.deadlineAtMs(), nowMs + permits.replyTimeoutMs(route)), out);
@@ -347,6 +357,8 @@
         }
         hedges.requestElsewhere(route, nowMs, out);
         route.phase = Route.Phase.QUEUED;
+        route.queuedAtMs = nowMs;
+        route.redirects = 0;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
     }
@@ -425,13 +437,22 @@
     }
 
     private void redirect(Route route, Optional<HostId> controller, long nowMs, Effects out) {
+        if (route.redirects == 0) {
+            route.redirectedAtMs = nowMs;
+        }
         route.redirects++;
-        if (controller.isEmpty() || route.redirects > MAX_REDIRECTS) {
+        if (controller.isEmpty() || nowMs - route.redirectedAtMs >= DISPUTE_TIMEOUT_MS) {
             dispatchWithoutPermit(route, "the daemons disagree on the target's controller", nowMs, out);
             return;
         }
         route.controller = controller.get();
-        requestPermit(route, nowMs, out);
+        if (route.redirects <= MAX_REDIRECTS) {
+            requestPermit(route, nowMs, out);
+            return;
+        }
+        context.count("permits-disputed");
+        route.phase = Route.Phase.DISPUTED;
+        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + DISPUTE_PAUSE_MS), out);
     }
 
     /**
@@ -454,6 +475,8 @@
             } else if (route.phase == Route.Phase.ASKED) {
                 dispatchWithoutPermit(
                         route, "the controller " + route.controller + " did not reply in time", nowMs, out);
+            } else if (route.phase == Route.Phase.DISPUTED) {
+                requestPermit(route, nowMs, out);
             } else {
                 recheck(route, nowMs, out);
             }
@@ -468,14 +491,16 @@
         if (moveToTargetWithCapacity(route, nowMs, out)) {
             return;
         }
-        if (nowMs - route.permitRequestedAtMs >= PERMIT_REQUEST_INTERVAL_MS) {
-            requestPermit(route, nowMs, out);
-        } else {
-            wakeups.put(
-                    route.request.id(),
-                    Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS),
-                    out);
+        long silenceMs = nowMs - route.queuedAtMs;
+        if (silenceMs >= QUEUE_SILENCE_MS) {
+            dispatchWithoutPermit(route, "the controller " + route.controller + " no longer replies", nowMs, out);
+            return;
+        }
+        if (silenceMs >= PERMIT_REQUEST_INTERVAL_MS) {
+            permits.request(route, nowMs, out);
         }
+        wakeups.put(
+                route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
     }
 
     private void dispatchWithoutPermit(Route route, String reason, long nowMs, Effects out) {
@@ -667,7 +692,6 @@
             context.count("retries");
             route.permitRefusals = 0;
             route.moves = 0;
-            route.redirects = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 obtainPermit(route, nowMs, out);
             } else {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -43,6 +43,8 @@
     int permitRefusals;
     int moves;
     int redirects;
+    long redirectedAtMs;
+    long queuedAtMs;
     int attempts;
     int runs;
     private boolean goneTargetIgnored;
@@ -50,7 +52,6 @@
     int resumedFrom;
     int generation;
     boolean bytesReachedCaller;
-    long permitRequestedAtMs;
     long dispatchedAtMs;
     long retryAfterMs;
     Optional<SoftwareVersion> version = Optional.empty();
@@ -98,7 +99,7 @@
 
     /** Returns whether the request has requested a permit and no attempt is running. */
     boolean awaitsPermit() {
-        return phase == Phase.ASKED || phase == Phase.QUEUED;
+        return phase == Phase.ASKED || phase == Phase.QUEUED || phase == Phase.DISPUTED;
     }
 
     enum Phase {
@@ -109,6 +110,8 @@
         ASKED,
         /** The request waits in the controller's queue. */
         QUEUED,
+        /** The request waits until the daemons agree on the target's controller. */
+        DISPUTED,
         RUNNING,
         ENDED
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/FakeSettings.java
@@ -61,6 +61,10 @@
         listeners.forEach(listener -> listener.settingsChanged(nowMs, out));
     }
 
+    void setSlots(TargetId id, int slots) {
+        targets.put(id, new TargetPolicy(id, slots, false, false, "mixed"));
+    }
+
     void drain(String target, long nowMs, Effects out) {
         TargetId id = new TargetId(target);
         targets.put(id, new TargetPolicy(id, 0, false, true, "mixed"));
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.routing;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
 
@@ -23,6 +24,9 @@
     private static final int TOKENS = 100;
     private static final int SLOTS = 4;
     private static final TargetId TARGET = new TargetId("r1");
+    private static final long DISSEMINATION_MS = 200;
+    private static final int LONG_TOKENS = 600;
+    private static final long CONTROLLER_PAUSE_MS = 700;
 
     private final VirtualFleet fleet = new VirtualFleet(9);
     private EngineModel engine;
@@ -76,6 +80,73 @@
         assertThat(engine.running).hasSize(SLOTS);
     }
 
+    /** The controller knows before its peers that it leaves, so that its successor still names it. */
+    @Test
+    void requestsThatWaitWhileTheirControllerHandsOverAreNotDispatchedWithoutAPermit() {
+        fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
+        List<SentRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 3 * SLOTS; i++) {
+            requests.add(fleet.send(i % fleet.nodes.size(), Work.online(TOKENS, i)));
+        }
+        fleet.run(500);
+        assertThat(engine.running).hasSize(SLOTS);
+        HostId leaving = fleet.nodes.get(controller).identity.host();
+        fleet.nodes.get(controller).membership.set(leaving, MemberState.LEAVING);
+        fleet.nodes.get(controller).handle(new Event.StopRequested());
+        fleet.at(
+                fleet.nowMs + DISSEMINATION_MS,
+                () -> fleet.nodes.forEach(node -> node.membership.set(leaving, MemberState.LEAVING)));
+        for (int step = 0; step < 500; step++) {
+            fleet.run(10);
+            assertThat(engine.running.size() + engine.queue.size()).isLessThanOrEqualTo(SLOTS);
+        }
+        assertThat(fleet.count("permits-skipped")).isZero();
+        assertThat(requests).allMatch(SentRequest::completed);
+    }
+
+    /** Guards against a pause of a controller that sends all requests of its queue to the target at once. */
+    @Test
+    void requestsThatWaitAreNotDispatchedWithoutAPermitIfTheirControllerPauses() {
+        fillSlotsAndQueue();
+        fleet.run(800);
+        fleet.cutOff(controller);
+        fleet.at(fleet.nowMs + CONTROLLER_PAUSE_MS, () -> fleet.reconnect(controller));
+        for (int step = 0; step < 200; step++) {
+            fleet.run(10);
+            assertThat(engine.running.size() + engine.queue.size()).isEqualTo(SLOTS);
+        }
+        assertThat(fleet.count("permits-skipped")).isZero();
+    }
+
+    @Test
+    void requestsThatWaitAreDispatchedIfTheirControllerNeverRepliesAgain() {
+        List<SentRequest> requests = fillSlotsAndQueue();
+        fleet.run(800);
+        fleet.cutOff(controller);
+        fleet.run(2_500);
+        assertThat(requests).allMatch(request -> request.dispatchedTo.size() == 1);
+    }
+
+    /** Sends requests to a daemon that is not the controller: as many as there are slots, and twice as many more. */
+    private List<SentRequest> fillSlotsAndQueue() {
+        fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
+        List<SentRequest> requests = new ArrayList<>();
+        for (int i = 0; i < 3 * SLOTS; i++) {
+            requests.add(fleet.send(otherThanController(), Work.online(LONG_TOKENS, i)));
+        }
+        return requests;
+    }
+
+    @Test
+    void requestIsDispatchedWithoutPermitIfTheDaemonsNeverAgreeOnTheController() {
+        HostId leaving = fleet.nodes.get(controller).identity.host();
+        fleet.nodes.get(controller).membership.set(leaving, MemberState.LEAVING);
+        SentRequest request = fleet.send(otherThanController(), Work.online(TOKENS, 1));
+        fleet.run(3_000);
+        assertThat(request.completed()).isTrue();
+        assertThat(request.waitMs()).isLessThan(1_000);
+    }
+
     @Test
     void permitsOfALostHolderAreFreed() {
         startBatch(otherThanController(), 100);
