Add regression tests of reads of jobs from owners and from the store

They guard what the fix of the reads rests on: an owner that replied late once, or that had not loaded a job yet, is used again; callers of the same read share it, and it ends with the last of them, also between two of its calls; its slot is free at once; what would end too late is refused at once; a job of an earlier release is read with its number of items and its bodies.

--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -4,16 +4,19 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 import org.assertj.core.api.InstanceOfAssertFactories;
 import org.cornelcrank.core.CallerReply;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.KeyedRecord;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
@@ -566,6 +569,64 @@
         return jobs.nodes.submit(C, new ReadJob(new JobId(job), 0, 30_000));
     }
 
+    @Test
+    void ownerThatRepliedLateOnceIsUsedForLaterReads() {
+        HostId reader = readerOfAFinishedJob();
+        jobs.nodes.setPeerLatency((from, to) -> OptionalLong.of(250));
+        assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+        jobs.nodes.run(500);
+        jobs.nodes.setPeerLatency((from, to) -> OptionalLong.of(1));
+        int[] pages = countPages();
+        assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+        assertThat(pages[0]).isZero();
+    }
+
+    @Test
+    void readOfAJobThatItsOwnerHasNotLoadedYetDoesNotEndTheUseOfTheOwner() {
+        HostId reader = readerOfAFinishedJob();
+        String absent = IntStream.range(2, 100)
+                .mapToObj(number -> "job-" + number)
+                .filter(id -> JobRecords.partitionOf(new JobId(id), 3) == JobRecords.partitionOf(new JobId(JOB), 3))
+                .findFirst()
+                .orElseThrow();
+        assertThat(code(jobs.read(reader, absent, 0))).isEqualTo(RefusalCode.NOT_FOUND);
+        int[] pages = countPages();
+        assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+        assertThat(pages[0]).isZero();
+    }
+
+    @Test
+    void jobStoredByAnEarlierReleaseIsReadFromTheStore() {
+        HostId reader = readerOfAFinishedJob();
+        others(reader).forEach(jobs.nodes::kill);
+        JobId earlier = new JobId("earlier");
+        List<KeyedRecord> records = new ArrayList<>(
+                JobRecords.encode(earlier, VirtualJobs.job("earlier", 7, 0).content(), 262_144));
+        records.removeIf(record -> !record.key().equals(JobRecords.partKey(earlier, 0)));
+        jobs.nodes.append(new StoreRequest.Append(
+                JobRecords.jobs(JobRecords.partitionOf(earlier, 3)), records, Optional.empty(), 1_000));
+        assertThat(jobs.read(reader, "earlier", 0)).isEqualTo(new JobPage(7, 0, List.of()));
+        assertThat(jobs.readBody(reader, "earlier", "earlier-item-3")).isInstanceOf(ItemBody.class);
+    }
+
+    /** Returns a daemon that does not own the partition of a job whose items are done. */
+    private HostId readerOfAFinishedJob() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(100);
+        HostId reader = others(jobs.owner()).get(0);
+        jobs.nodes.run(5_000);
+        return reader;
+    }
+
+    private int[] countPages() {
+        int[] pages = new int[1];
+        jobs.nodes.setFaults((host, request) -> {
+            pages[0] += request instanceof StoreRequest.ReadNewest ? 1 : 0;
+            return StoreFault.NONE;
+        });
+        return pages;
+    }
+
     /** Pages are large: too many concurrent reads would saturate the link between regions, and none would complete. */
     @Test
     void concurrentReadsWithoutAnOwnerDoNotFloodTheStore() {
--- /dev/null
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
@@ -0,0 +1,132 @@
+package org.cornelcrank.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.cornelcrank.core.CallerReply;
+import org.cornelcrank.core.CorrelationId;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.StoreResponse;
+import org.cornelcrank.store.StoreCalls;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StoreReadsTests {
+
+    private static final long PATIENCE_MS = 1_500;
+    private static final StoreResponse EMPTY = new StoreResponse.Newest(List.of(), false, -1);
+    private static final StoreResponse NO_RESPONSE = new StoreResponse.Unknown("no response");
+
+    private final StoreCalls calls = new StoreCalls();
+    private final StoreReads reads = new StoreReads(calls);
+    private final Effects out = new Effects();
+    private final Map<RequestId, CallerReply> replies = new HashMap<>();
+    private long lastRequest;
+
+    @Test
+    void callersOfTheSameReadShareIt() {
+        RequestId first = read("job-1", PATIENCE_MS, 0);
+        RequestId second = read("job-1", PATIENCE_MS, 1);
+        assertThat(callNumbers()).hasSize(1);
+        respond(callNumbers().get(0), NO_RESPONSE, 100);
+        assertThat(replies).containsOnlyKeys(first, second);
+    }
+
+    @Test
+    void readGoesOnWhenOneOfItsCallersLeaves() {
+        RequestId first = read("job-1", PATIENCE_MS, 0);
+        RequestId second = read("job-1", PATIENCE_MS, 1);
+        reads.remove(first, 50, out);
+        assertThat(cancelledCalls()).isEmpty();
+        respond(callNumbers().get(0), NO_RESPONSE, 100);
+        assertThat(replies).containsOnlyKeys(second);
+    }
+
+    @Test
+    void readWhoseLastCallerLeavesIsCancelledAndFreesItsSlotAtOnce() {
+        RequestId first = read("job-1", PATIENCE_MS, 0);
+        read("job-2", PATIENCE_MS, 0);
+        read("job-3", PATIENCE_MS, 0);
+        assertThat(callNumbers()).hasSize(2);
+        reads.remove(first, 50, out);
+        assertThat(cancelledCalls()).containsExactly(callNumbers().get(0));
+        assertThat(callNumbers()).hasSize(3);
+        respond(callNumbers().get(0), NO_RESPONSE, 60);
+        assertThat(replies).isEmpty();
+    }
+
+    @Test
+    void callerThatLeavesBetweenTwoCallsOfAReadEndsTheSecondOne() {
+        RequestId first = read("job-1", PATIENCE_MS, 0);
+        respond(callNumbers().get(0), EMPTY, 10);
+        assertThat(callNumbers()).hasSize(2);
+        reads.remove(first, 20, out);
+        assertThat(cancelledCalls()).containsExactly(callNumbers().get(1));
+        assertThat(calls.openCallCount()).isZero();
+    }
+
+    @Test
+    void readThatWouldEndAfterItsDeadlineIsRefusedAtOnce() {
+        read("job-1", PATIENCE_MS, 0);
+        read("job-2", PATIENCE_MS, 0);
+        RequestId hurried = read("job-3", 150, 0);
+        assertThat(code(hurried)).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        assertThat(callNumbers()).hasSize(2);
+    }
+
+    private RequestId read(String job, long patienceMs, long nowMs) {
+        RequestId reader = new RequestId(new HostId("host"), 1, ++lastRequest);
+        JobMessage.ReadRequest request =
+                new JobMessage.ReadRequest(new CorrelationId(1, lastRequest), new JobId(job), 0, 0, Optional.empty());
+        reads.read(
+                reader,
+                request,
+                0,
+                nowMs + patienceMs,
+                (reply, atMs, effects) -> assertThat(replies.put(reader, reply))
+                        .as("earlier reply")
+                        .isNull(),
+                nowMs,
+                out);
+        return reader;
+    }
+
+    private List<Long> callNumbers() {
+        List<Long> numbers = new ArrayList<>();
+        for (Effect effect : out.list()) {
+            if (effect instanceof Effect.CallStore call) {
+                numbers.add(call.number());
+            }
+        }
+        return numbers;
+    }
+
+    private List<Long> cancelledCalls() {
+        List<Long> numbers = new ArrayList<>();
+        for (Effect effect : out.list()) {
+            if (effect instanceof Effect.CancelStoreCall cancel) {
+                numbers.add(cancel.number());
+            }
+        }
+        return numbers;
+    }
+
+    private void respond(long call, StoreResponse response, long atMs) {
+        calls.on(new Event.StoreResponded(call, response), atMs, out);
+    }
+
+    private RefusalCode code(RequestId reader) {
+        return replies.get(reader) instanceof Refusal refusal ? refusal.code() : null;
+    }
+}
