Wait for a late owner while the store fails

Callers were refused although the owner's reply was under way: a read that is sent to its owner and to the store was ended by the first reply, also if that was the store's failure or a refusal for want of a slot. With an owner that needs 500 ms for a reply and a store that refuses, no read was served; an owner marked as late was not waited for at all.

A failure of the store now ends a read only if its owner has replied as well, or shortly before the caller leaves.

readIsNotRefusedBecauseOfTheStoreBeforeItsLateOwnerHasReplied failed before with a refusal in place of the page of ten results.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -95,8 +95,7 @@
 
     private long earliestMs() {
         return awaitingOwner.values().stream()
-                .filter(read -> !read.readsStore)
-                .mapToLong(OpenRead::ownerDueAtMs)
+                .mapToLong(OpenRead::dueAtMs)
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
@@ -114,6 +113,10 @@
             if (!reply.owner()) {
                 owners.notOwner(read.partition, from);
             }
+            if (read.storeRefusal.isPresent()) {
+                reply(read, read.storeRefusal.get(), nowMs, out);
+                return;
+            }
             String reason = reply.owner() ? " does not know the job yet" : " is not the owner";
             readStore(read, from + reason, nowMs, out);
             return;
@@ -150,10 +153,18 @@
                         Refusal.notRun(RefusalCode.NOT_FOUND, "there is no such item, or its job has been ended"));
     }
 
-    /** Reads from the store as well what owners have not replied to in time; called when the timer is due. */
+    /**
+     * Reads from the store as well what owners have not replied to in time, and refuses what neither has served;
+     * called when the timer is due.
+     */
     void timerDue(long nowMs, Effects out) {
         for (OpenRead read : List.copyOf(awaitingOwner.values())) {
-            if (!read.readsStore && nowMs >= read.ownerDueAtMs()) {
+            if (nowMs < read.dueAtMs()) {
+                continue;
+            }
+            if (read.storeRefusal.isPresent()) {
+                reply(read, read.storeRefusal.get(), nowMs, out);
+            } else {
                 HostId owner = read.owner.orElseThrow();
                 owners.late(read.partition, owner);
                 readStore(read, owner + " has not replied in time", nowMs, out);
@@ -180,11 +191,22 @@
                 read.readRequest,
                 read.partition,
                 read.waitEndsAtMs + CALLER_MARGIN_MS,
-                (reply, atMs, effects) -> reply(read, reply, atMs, effects),
+                (reply, atMs, effects) -> storeReplied(read, reply, atMs, effects),
                 nowMs,
                 out);
     }
 
+    /** Passes the store's reply on, unless it is a failure and the owner may still reply in time. */
+    private void storeReplied(OpenRead read, CallerReply reply, long nowMs, Effects out) {
+        boolean failed = reply instanceof Refusal refusal && refusal.code() == RefusalCode.STORE_UNAVAILABLE;
+        if (failed && awaitingOwner.containsKey(read.readRequest.id()) && nowMs < read.refuseAtMs()) {
+            read.storeRefusal = Optional.of((Refusal) reply);
+            out.schedule(timer, earliestMs());
+        } else {
+            reply(read, reply, nowMs, out);
+        }
+    }
+
     /** Ends the read of a caller that has disconnected. */
     void callerDisconnected(RequestId request, long nowMs, Effects out) {
         remove(request, nowMs, out);
@@ -230,6 +252,7 @@
         private final Optional<HostId> owner;
         private final long waitEndsAtMs;
         private boolean readsStore;
+        private Optional<Refusal> storeRefusal = Optional.empty();
 
         OpenRead(
                 RequestId request,
@@ -244,8 +267,17 @@
             this.waitEndsAtMs = waitEndsAtMs;
         }
 
-        long ownerDueAtMs() {
-            return waitEndsAtMs + REPLY_MARGIN_MS;
+        /** Returns when something has to be done unless the owner replies before, in ms. */
+        long dueAtMs() {
+            if (!readsStore) {
+                return waitEndsAtMs + REPLY_MARGIN_MS;
+            }
+            return storeRefusal.isPresent() ? refuseAtMs() : Long.MAX_VALUE;
+        }
+
+        /** Returns when a read that nobody has served is refused, in ms: early enough for its caller to be told. */
+        long refuseAtMs() {
+            return waitEndsAtMs + CALLER_MARGIN_MS - REPLY_MARGIN_MS;
         }
     }
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -569,6 +569,16 @@
         return jobs.nodes.submit(C, new ReadJob(new JobId(job), 0, 30_000));
     }
 
+    @Test
+    void readIsNotRefusedBecauseOfTheStoreBeforeItsLateOwnerHasReplied() {
+        HostId reader = readerOfAFinishedJob();
+        jobs.nodes.setPeerLatency((from, to) -> OptionalLong.of(250));
+        jobs.nodes.setFaults((host, request) -> host.equals(reader) ? StoreFault.REFUSED : StoreFault.NONE);
+        for (int i = 0; i < 3; i++) {
+            assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+        }
+    }
+
     @Test
     void ownerThatRepliedLateOnceIsUsedForLaterReads() {
         HostId reader = readerOfAFinishedJob();
