--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
@@ -85,6 +85,17 @@
         assertThat(callNumbers()).hasSize(2);
     }
 
+    @Test
+    void readsWithoutResponsesDoNotEndTheUseOfAnIdleStore() {
+        for (int i = 0; i < 4; i++) {
+            read("job-" + i, 3_500, i * 10_000);
+            respond(callNumbers().get(i), NO_RESPONSE, i * 10_000 + 2_500);
+        }
+        RequestId later = read("later", PATIENCE_MS, 60_000);
+        assertThat(replies).doesNotContainKey(later);
+        assertThat(callNumbers()).hasSize(5);
+    }
+
     private RequestId read(String job, long patienceMs, long nowMs) {
         RequestId reader = new RequestId(new HostId("host"), 1, ++lastRequest);
         JobMessage.ReadRequest request =
