Count reads that outlast their callers as slow

While the store was too slow for any caller, the expected duration of a read stayed at its initial 100 ms, as only reads that ended were measured, not those that were cancelled with their last caller. Dozens of callers were queued for their whole patience in place of a refusal that would have sent them to another daemon.

A cancelled read now counts with the time that it ran, if that is longer than expected.

readsThatOutlastTheirCallersCountAsSlowForThoseBehindThem failed before: the caller behind them was queued.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -121,6 +121,7 @@
                 reads.remove(read.key);
                 if (read.running) {
                     cancelled++;
+                    tookAtLeast(nowMs - read.startedAtMs);
                     store.cancel(read.callNumber, out);
                 }
             }
@@ -128,6 +129,17 @@
         startNext(nowMs, out);
     }
 
+    /** Records how long a read has run that was cancelled; one that was served sooner says nothing. */
+    private void tookAtLeast(long durationMs) {
+        if (durationMs > expectedDurationMs) {
+            took(durationMs);
+        }
+    }
+
+    private void took(long durationMs) {
+        expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
+    }
+
     private void startNext(long nowMs, Effects out) {
         while (reads.values().stream().filter(read -> read.running).count() < MAX_RUNNING) {
             Optional<StoreRead> next = reads.values().stream()
@@ -284,7 +296,7 @@
     private void end(StoreRead read, CallerReply reply, String outcome, long nowMs, Effects out) {
         reads.remove(read.key);
         long durationMs = nowMs - read.startedAtMs;
-        expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
+        took(durationMs);
         out.explain(
                 Subject.Kind.JOB,
                 read.key.job(),
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
@@ -96,6 +96,17 @@
         assertThat(callNumbers()).hasSize(5);
     }
 
+    @Test
+    void readsThatOutlastTheirCallersCountAsSlowForThoseBehindThem() {
+        for (int i = 0; i < 8; i++) {
+            RequestId left = read("job-" + i, PATIENCE_MS, i * 2_000);
+            reads.remove(left, i * 2_000 + PATIENCE_MS, out);
+        }
+        read("running-1", PATIENCE_MS, 60_000);
+        read("running-2", PATIENCE_MS, 60_000);
+        assertThat(code(read("behind", PATIENCE_MS, 60_000))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+    }
+
     private RequestId read(String job, long patienceMs, long nowMs) {
         RequestId reader = new RequestId(new HostId("host"), 1, ++lastRequest);
         JobMessage.ReadRequest request =
