Start no read from the store that cannot meet its deadline before one that can

Under load the order of deadlines chose those reads that had the least time left: each was started shortly before its caller left, took a slot and a part of the link, and ended without a reply, while those behind it grew late in turn.

A read whose turn comes too late is refused then, if another one waits.

readThatCannotMeetItsDeadlineTakesNoSlotFromOneThatCan failed before: the late read was started.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -116,8 +116,10 @@
 
     /** Removes a caller that has left or was served otherwise; the read ends if it was the last one. */
     void remove(RequestId reader, long nowMs, Effects out) {
+        boolean removed = false;
         for (StoreRead read : List.copyOf(reads.values())) {
             if (read.readers.remove(reader) != null && read.readers.isEmpty()) {
+                removed = true;
                 reads.remove(read.key);
                 if (read.running) {
                     cancelled++;
@@ -126,7 +128,9 @@
                 }
             }
         }
-        startNext(nowMs, out);
+        if (removed) {
+            startNext(nowMs, out);
+        }
     }
 
     /** Records how long a read has run that was cancelled; one that was served sooner says nothing. */
@@ -148,8 +152,25 @@
             if (next.isEmpty()) {
                 return;
             }
-            start(next.get(), nowMs, out);
+            boolean othersWait = reads.values().stream().anyMatch(read -> !read.running && read != next.get());
+            if (!othersWait || nowMs + expectedDurationMs <= next.get().deadlineAtMs()) {
+                start(next.get(), nowMs, out);
+            } else {
+                refuseLate(next.get(), nowMs, out);
+            }
+        }
+    }
+
+    /** Refuses the callers of a waiting read that would end after their deadlines. */
+    private void refuseLate(StoreRead read, long nowMs, Effects out) {
+        Map<RequestId, Reader> late = new LinkedHashMap<>(read.readers);
+        late.values().removeIf(reader -> nowMs + expectedDurationMs <= reader.deadlineAtMs());
+        read.readers.keySet().removeAll(late.keySet());
+        if (read.readers.isEmpty()) {
+            reads.remove(read.key);
         }
+        refused += late.size();
+        late.values().forEach(reader -> reader.listener().ended(refusal("its turn came too late"), nowMs, out));
     }
 
     private void start(StoreRead read, long nowMs, Effects out) {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
@@ -107,6 +107,19 @@
         assertThat(code(read("behind", PATIENCE_MS, 60_000))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
     }
 
+    @Test
+    void readThatCannotMeetItsDeadlineTakesNoSlotFromOneThatCan() {
+        read("running-1", PATIENCE_MS, 0);
+        read("running-2", PATIENCE_MS, 0);
+        RequestId tooLate = read("too-late", 1_000, 0);
+        RequestId inTime = read("in-time", PATIENCE_MS, 0);
+        respond(callNumbers().get(0), NO_RESPONSE, 990);
+        assertThat(code(tooLate)).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        assertThat(callNumbers()).hasSize(3);
+        respond(callNumbers().get(2), NO_RESPONSE, 1_100);
+        assertThat(replies).containsKey(inTime);
+    }
+
     private RequestId read(String job, long patienceMs, long nowMs) {
         RequestId reader = new RequestId(new HostId("host"), 1, ++lastRequest);
         JobMessage.ReadRequest request =
