Report a job as missing only by a read that began after the question

A caller that joined a running read got its result, also that there is no such job, although the job may have been accepted after the store had been read and before the caller asked: a 404 for an accepted job.

Those who joined such a read are moved to a new one if it does not find the job or the item.

callerThatJoinsARunningReadIsNotToldThatAJobIsMissingWhichWasAcceptedMeanwhile failed before: it got NOT_FOUND.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -30,7 +30,7 @@
  * <p>All hosts of a region share a link to the store, so a read takes only the records of its job, serves all callers
  * that ask for the same, and ends with the last of them. Reads that cannot start yet wait in the order of their
  * deadlines; one that would have to wait and not be done by its deadline is refused at once. Invariants: each reader gets exactly one
- * reply unless it is removed; a job is reported as missing only after a read from the store that did not find it. Not
+ * reply unless it is removed; a job is reported as missing only after a read from the store that began later than the question and did not find it. Not
  * thread-safe: confined to the daemon's event loop.
  */
 final class StoreReads {
@@ -99,7 +99,7 @@
             read = new StoreRead(key, partition);
             reads.put(key, read);
         }
-        read.readers.put(reader, new Reader(deadlineAtMs, listener));
+        read.readers.put(reader, new Reader(deadlineAtMs, listener, read.running));
         startNext(nowMs, out);
     }
 
@@ -325,10 +325,28 @@
                 "read from the store ended",
                 "partition " + read.partition + ", from position " + read.key.fromPosition() + ": " + outcome
                         + ", after " + durationMs + " ms, for " + read.readers.size() + " callers");
-        read.readers.values().forEach(reader -> reader.listener().ended(reply, nowMs, out));
+        boolean missing = reply instanceof Refusal refusal && refusal.code() == RefusalCode.NOT_FOUND;
+        if (missing) {
+            readAgain(read);
+        }
+        List.copyOf(read.readers.values()).forEach(reader -> reader.listener().ended(reply, nowMs, out));
         startNext(nowMs, out);
     }
 
+    /** Moves those who have joined a running read to a new one, as the store may have got the job meanwhile. */
+    private void readAgain(StoreRead read) {
+        StoreRead again = new StoreRead(read.key, read.partition);
+        read.readers.forEach((request, reader) -> {
+            if (reader.joined()) {
+                again.readers.put(request, new Reader(reader.deadlineAtMs(), reader.listener(), false));
+            }
+        });
+        read.readers.keySet().removeAll(again.readers.keySet());
+        if (!again.readers.isEmpty()) {
+            reads.put(again.key, again);
+        }
+    }
+
     void dump(StateWriter writer) {
         writer.field("storeReads", started);
         writer.field("openStoreReads", reads.size());
@@ -348,7 +366,8 @@
 
     private record Key(JobId job, int fromPosition, Optional<String> bodyOfItem) {}
 
-    private record Reader(long deadlineAtMs, Listener listener) {}
+    /** A caller; {@code joined} is true if the read already ran when it asked. */
+    private record Reader(long deadlineAtMs, Listener listener, boolean joined) {}
 
     /** A read that waits or runs, with the callers that it serves. */
     private static final class StoreRead {
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/StoreReadsTests.java
@@ -120,6 +120,27 @@
         assertThat(replies).containsKey(inTime);
     }
 
+    @Test
+    void callerThatJoinsARunningReadIsNotToldThatAJobIsMissingWhichWasAcceptedMeanwhile() {
+        RequestId early = read("job-1", PATIENCE_MS, 0);
+        respond(callNumbers().get(0), EMPTY, 10);
+        respond(callNumbers().get(1), EMPTY, 20);
+        RequestId afterAcceptance = read("job-1", PATIENCE_MS, 25);
+        respond(callNumbers().get(2), EMPTY, 30);
+        assertThat(code(early)).isEqualTo(RefusalCode.NOT_FOUND);
+        assertThat(replies).doesNotContainKey(afterAcceptance);
+        respond(callNumbers().get(3), EMPTY, 40);
+        respond(callNumbers().get(4), head("job-1", 7), 50);
+        assertThat(replies.get(afterAcceptance)).isEqualTo(new JobPage(7, 0, List.of()));
+    }
+
+    private static StoreResponse head(String job, int items) {
+        JobContent content = VirtualJobs.job(job, items, 0).content();
+        var head = JobRecords.encode(new JobId(job), content, 262_144).get(0);
+        return new StoreResponse.Newest(
+                List.of(new StoreResponse.StoredRecord(head.key(), head.value(), 0)), false, -1);
+    }
+
     private RequestId read(String job, long patienceMs, long nowMs) {
         RequestId reader = new RequestId(new HostId("host"), 1, ++lastRequest);
         JobMessage.ReadRequest request =
