Let a listener cancel other store calls while reads are abandoned

Calls can be cancelled since reads of jobs end with their callers. When the store responds again after an outage, the open reads are abandoned one after another; a listener that cancelled one of the others ended that with a NullPointerException, and the rest stayed open. No listener does so yet.

listenerOfAnAbandonedReadMayCancelAnotherRead failed before with that exception.

--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
@@ -93,8 +93,9 @@
 
     private void abandonReads(long nowMs, Effects out) {
         for (long number : List.copyOf(openCalls.keySet())) {
-            if (openCalls.get(number).reads()) {
-                OpenCall call = openCalls.remove(number);
+            OpenCall call = openCalls.get(number);
+            if (call != null && call.reads()) {
+                openCalls.remove(number);
                 call.listener()
                         .responded(
                                 new StoreResponse.Unknown("the read was sent during a store outage that has ended"),
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
@@ -35,6 +35,21 @@
         assertThat(readResponses).hasSize(1);
     }
 
+    @Test
+    void listenerOfAnAbandonedReadMayCancelAnotherRead() {
+        long early = leave();
+        StoreRequest request = new StoreRequest.Read(PARTITION, 0, 1, 2_500);
+        calls.call(request, (response, nowMs, out) -> calls.cancel(3, out), new Effects());
+        lastNumber++;
+        long cancelled = read();
+        long last = leave();
+        respond(early, FAILED, 1_000);
+        respond(last, DONE, 3_000);
+        assertThat(cancelled).isEqualTo(3);
+        assertThat(readResponses).isEmpty();
+        assertThat(calls.openCallCount()).isZero();
+    }
+
     @Test
     void readKeepsWaitingAfterAShortFailure() {
         long early = leave();
