Read less at a time after a read of new records that has taken too long

A follower that had fallen behind on a slow link asked for up to 1 MB, gave the transfer up after its time limit of 1.5 s beyond its wait, and asked for the same bytes again, without an end: an owner learned of no further job, and each attempt took its part of the link that all hosts of a region share.

A read without a response is tried again with half of the bytes, down to the size of the largest record; each response doubles them again. A refusal changes nothing, as it says nothing about the link.

followerOnASlowLinkReadsLessAfterAReadThatHasTakenTooLong failed before: the second read asked for 1,024 kB as well.

--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -19,7 +19,8 @@
  *
  * <p>The pages of the initial load are not a consistent snapshot, so reading continues from the end offset of the first
  * page. If records expire before they are read, the follower loads the partition again and notifies the listener of
- * keys that have been dropped. Failed reads are retried after a pause with jitter. Reads start at least a minimum
+ * keys that have been dropped. Failed reads are retried after a pause with jitter, and those without a response with fewer bytes, as a slow link
+ * would never transfer the same bytes in time. Reads start at least a minimum
  * interval apart, so that many changes in a short time cost few reads; a change after a quiet period is read at once.
  * Invariant: a record that the listener fails to handle is skipped and reported, and neither the records behind it nor
  * later reads depend on it.
@@ -30,6 +31,9 @@
     /** The size limit of one response of the store, in KiB; same as the store's default. */
     private static final int MAX_KILOBYTES = 1_024;
 
+    /** The size limit after reads that have taken too long, in KiB; above the size of the largest record. */
+    private static final int MIN_KILOBYTES = 320;
+
     /** The pause after the first failed read, in ms; doubles up to {@link #LONGEST_PAUSE_MS}. */
     private static final long FIRST_PAUSE_MS = 100;
 
@@ -52,6 +56,7 @@
     private long caughtUpAtMs = Long.MIN_VALUE / 2;
     private long lastRead;
     private long readAtMs = Long.MIN_VALUE / 2;
+    private int maxKilobytes = MAX_KILOBYTES;
     private String lastKey = "";
 
     /**
@@ -172,7 +177,7 @@
         long number = ++lastRead;
         readAtMs = nowMs;
         store.call(
-                new StoreRequest.Read(partition, nextOffset, MAX_KILOBYTES, waitMs),
+                new StoreRequest.Read(partition, nextOffset, maxKilobytes, waitMs),
                 (response, respondedAtMs, effects) -> {
                     if (number == lastRead) {
                         recordsReceived(response, respondedAtMs, effects);
@@ -186,11 +191,15 @@
             load(out);
             return;
         }
+        if (response instanceof StoreResponse.Unknown) {
+            maxKilobytes = Math.max(MIN_KILOBYTES, maxKilobytes / 2);
+        }
         if (!(response instanceof StoreResponse.Records records)) {
             scheduleRetry(nowMs, out);
             return;
         }
         backoff.reset();
+        maxKilobytes = Math.min(MAX_KILOBYTES, maxKilobytes * 2);
         if (records.end() < nextOffset) {
             load(out);
             return;
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
@@ -58,6 +58,36 @@
         assertThat(out.list()).isEmpty();
     }
 
+    @Test
+    void followerOnASlowLinkReadsLessAfterAReadThatHasTakenTooLong() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        assertThat(readKilobytes()).isEqualTo(1_024);
+        fail(new StoreResponse.Unknown("no response"));
+        assertThat(readKilobytes()).isEqualTo(512);
+        fail(new StoreResponse.Unknown("no response"));
+        fail(new StoreResponse.Unknown("no response"));
+        assertThat(readKilobytes()).isEqualTo(320);
+        fail(new StoreResponse.NotDone("status 503"));
+        assertThat(readKilobytes()).isEqualTo(320);
+        respond(new StoreResponse.Records(List.of(record("b", 1)), 2, 4));
+        assertThat(readKilobytes()).isEqualTo(640);
+        respond(new StoreResponse.Records(List.of(record("c", 2), record("d", 3)), 4, 4));
+        assertThat(readKilobytes()).isEqualTo(1_024);
+    }
+
+    private int readKilobytes() {
+        return ((StoreRequest.Read) lastRequest()).maxKilobytes();
+    }
+
+    private void fail(StoreResponse response) {
+        respond(response);
+        Effects out = new Effects();
+        nowMs += 1_000;
+        follower.timerDue(nowMs, out);
+        effects.addAll(out.list());
+    }
+
     private void start() {
         Effects out = new Effects();
         follower.start(nowMs, out);
