End the transfers of reads that are abandoned after an outage of the store

On a saturated link calls time out for more than a second and succeed again, which counts as the end of an outage: all open reads are abandoned and sent again. Their transfers went on for up to 8 s beside the new ones, up to 1 MB each, for nobody, so that owners that load their partitions competed with their own former pages for the link.

An abandoned read is cancelled, which closes its connection.

transferOfAnAbandonedReadIsEnded failed before: no call was cancelled.

--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/StoreCalls.java
@@ -16,10 +16,9 @@
  * Numbers the store requests of this daemon's state machines, and dispatches each response to the listener of its
  * request.
  *
- * <p>When the store becomes available again after an outage, all open reads are abandoned, because their connections
- * may stay unresponsive for several seconds. Invariant: each listener is notified exactly once, unless its call is
- * cancelled. Not thread-safe:
- * confined to the daemon's event loop.
+ * <p>When the store becomes available again after an outage, all open reads are abandoned and their transfers end,
+ * because their connections may stay unresponsive for several seconds. Invariant: each listener is notified exactly
+ * once, unless its call is cancelled. Not thread-safe: confined to the daemon's event loop.
  */
 public final class StoreCalls implements StateMachine {
 
@@ -95,7 +94,7 @@
         for (long number : List.copyOf(openCalls.keySet())) {
             OpenCall call = openCalls.get(number);
             if (call != null && call.reads()) {
-                openCalls.remove(number);
+                cancel(number, out);
                 call.listener()
                         .responded(
                                 new StoreResponse.Unknown("the read was sent during a store outage that has ended"),
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.StoreRequest;
@@ -50,6 +51,16 @@
         assertThat(calls.openCallCount()).isZero();
     }
 
+    @Test
+    void transferOfAnAbandonedReadIsEnded() {
+        long early = leave();
+        long read = read();
+        respond(early, FAILED, 1_000);
+        Effects out = new Effects();
+        calls.on(new Event.StoreResponded(leave(), DONE), 3_000, out);
+        assertThat(out.list()).contains(new Effect.CancelStoreCall(read));
+    }
+
     @Test
     void readKeepsWaitingAfterAShortFailure() {
         long early = leave();
