--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -29,8 +29,8 @@
  *
  * <p>All hosts of a region share a link to the store, so a read takes only the records of its job, serves all callers
  * that ask for the same, and ends with the last of them. Reads that cannot start yet wait in the order of their
- * deadlines; one that would not be done by its deadline is refused at once. Invariants: each reader gets exactly one
- * reply unless it is removed; a job is reported as missing only after a read from the store that did not find it. Not
+ * deadlines; one that would have to wait and not be done by its deadline is refused at once. Invariants: each reader gets exactly one
+ * reply unless it is removed; a job is reported as missing only after a read from the store that began later than the question and did not find it. Not
  * thread-safe: confined to the daemon's event loop.
  */
 final class StoreReads {
@@ -91,7 +91,7 @@
         Key key = new Key(readRequest.job(), readRequest.fromPosition(), readRequest.bodyOfItem());
         StoreRead read = reads.get(key);
         if (read == null) {
-            if (expectedEndMs(nowMs) > deadlineAtMs) {
+            if (reads.size() >= MAX_RUNNING && expectedEndMs(nowMs) > deadlineAtMs) {
                 refused++;
                 listener.ended(refusal("the reads before it would not leave it enough time"), nowMs, out);
                 return;
@@ -99,7 +99,7 @@
             read = new StoreRead(key, partition);
             reads.put(key, read);
         }
-        read.readers.put(reader, new Reader(deadlineAtMs, listener));
+        read.readers.put(reader, new Reader(deadlineAtMs, listener, read.running));
         startNext(nowMs, out);
     }
 
@@ -116,16 +116,32 @@
 
     /** Removes a caller that has left or was served otherwise; the read ends if it was the last one. */
     void remove(RequestId reader, long nowMs, Effects out) {
+        boolean removed = false;
         for (StoreRead read : List.copyOf(reads.values())) {
             if (read.readers.remove(reader) != null && read.readers.isEmpty()) {
+                removed = true;
                 reads.remove(read.key);
                 if (read.running) {
                     cancelled++;
+                    tookAtLeast(nowMs - read.startedAtMs);
                     store.cancel(read.callNumber, out);
                 }
             }
         }
-        startNext(nowMs, out);
+        if (removed) {
+            startNext(nowMs, out);
+        }
+    }
+
+    /** Records how long a read has run that was cancelled; one that was served sooner says nothing. */
+    private void tookAtLeast(long durationMs) {
+        if (durationMs > expectedDurationMs) {
+            took(durationMs);
+        }
+    }
+
+    private void took(long durationMs) {
+        expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
     }
 
     private void startNext(long nowMs, Effects out) {
@@ -136,10 +152,27 @@
             if (next.isEmpty()) {
                 return;
             }
-            start(next.get(), nowMs, out);
+            boolean othersWait = reads.values().stream().anyMatch(read -> !read.running && read != next.get());
+            if (!othersWait || nowMs + expectedDurationMs <= next.get().deadlineAtMs()) {
+                start(next.get(), nowMs, out);
+            } else {
+                refuseLate(next.get(), nowMs, out);
+            }
         }
     }
 
+    /** Refuses the callers of a waiting read that would end after their deadlines. */
+    private void refuseLate(StoreRead read, long nowMs, Effects out) {
+        Map<RequestId, Reader> late = new LinkedHashMap<>(read.readers);
+        late.values().removeIf(reader -> nowMs + expectedDurationMs <= reader.deadlineAtMs());
+        read.readers.keySet().removeAll(late.keySet());
+        if (read.readers.isEmpty()) {
+            reads.remove(read.key);
+        }
+        refused += late.size();
+        late.values().forEach(reader -> reader.listener().ended(refusal("its turn came too late"), nowMs, out));
+    }
+
     private void start(StoreRead read, long nowMs, Effects out) {
         started++;
         read.running = true;
@@ -284,7 +317,7 @@
     private void end(StoreRead read, CallerReply reply, String outcome, long nowMs, Effects out) {
         reads.remove(read.key);
         long durationMs = nowMs - read.startedAtMs;
-        expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
+        took(durationMs);
         out.explain(
                 Subject.Kind.JOB,
                 read.key.job(),
@@ -292,10 +325,28 @@
                 "read from the store ended",
                 "partition " + read.partition + ", from position " + read.key.fromPosition() + ": " + outcome
                         + ", after " + durationMs + " ms, for " + read.readers.size() + " callers");
-        read.readers.values().forEach(reader -> reader.listener().ended(reply, nowMs, out));
+        boolean missing = reply instanceof Refusal refusal && refusal.code() == RefusalCode.NOT_FOUND;
+        if (missing) {
+            readAgain(read);
+        }
+        List.copyOf(read.readers.values()).forEach(reader -> reader.listener().ended(reply, nowMs, out));
         startNext(nowMs, out);
     }
 
+    /** Moves those who have joined a running read to a new one, as the store may have got the job meanwhile. */
+    private void readAgain(StoreRead read) {
+        StoreRead again = new StoreRead(read.key, read.partition);
+        read.readers.forEach((request, reader) -> {
+            if (reader.joined()) {
+                again.readers.put(request, new Reader(reader.deadlineAtMs(), reader.listener(), false));
+            }
+        });
+        read.readers.keySet().removeAll(again.readers.keySet());
+        if (!again.readers.isEmpty()) {
+            reads.put(again.key, again);
+        }
+    }
+
     void dump(StateWriter writer) {
         writer.field("storeReads", started);
         writer.field("openStoreReads", reads.size());
@@ -315,7 +366,8 @@
 
     private record Key(JobId job, int fromPosition, Optional<String> bodyOfItem) {}
 
-    private record Reader(long deadlineAtMs, Listener listener) {}
+    /** A caller; {@code joined} is true if the read already ran when it asked. */
+    private record Reader(long deadlineAtMs, Listener listener, boolean joined) {}
 
     /** A read that waits or runs, with the callers that it serves. */
     private static final class StoreRead {
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/StoreCallsTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.StoreRequest;
@@ -35,6 +36,31 @@
         assertThat(readResponses).hasSize(1);
     }
 
+    @Test
+    void listenerOfAnAbandonedReadMayCancelAnotherRead() {
+        long early = leave();
+        StoreRequest request = new StoreRequest.Read(PARTITION, 0, 1, 2_500);
+        calls.call(request, (response, nowMs, out) -> calls.cancel(3, out), new Effects());
+        lastNumber++;
+        long cancelled = read();
+        long last = leave();
+        respond(early, FAILED, 1_000);
+        respond(last, DONE, 3_000);
+        assertThat(cancelled).isEqualTo(3);
+        assertThat(readResponses).isEmpty();
+        assertThat(calls.openCallCount()).isZero();
+    }
+
+    @Test
+    void transferOfAnAbandonedReadIsEnded() {
+        long early = leave();
+        long read = read();
+        respond(early, FAILED, 1_000);
+        Effects out = new Effects();
+        calls.on(new Event.StoreResponded(leave(), DONE), 3_000, out);
+        assertThat(out.list()).contains(new Effect.CancelStoreCall(read));
+    }
+
     @Test
     void readKeepsWaitingAfterAShortFailure() {
         long early = leave();
