Keep what has arrived of a page whose transfer fails

On a link that something else fills, the pages of a partition do not arrive within their 8 s. A new owner then asked for the same page again, from its first byte, for as long as the link was full, and nobody read the jobs of the partition.

The records that have arrived are a shorter page now, and reading goes on behind them. A follower's first page has to arrive as a whole all the same, as it states where following begins.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreResponse.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/StoreResponse.java
@@ -22,7 +22,7 @@
 
     /**
      * One page of the newest records by key; {@code more} indicates that further keys of the range follow. {@code end}
-     * is the end offset of the partition, negative if the transfer ended with the range.
+     * is the end offset of the partition, negative if the transfer ended before it had arrived.
      */
     record Newest(List<StoredRecord> records, boolean more, long end) implements StoreResponse {
         public Newest {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -29,9 +29,9 @@
  *
  * <p>All hosts of a region share a link to the store, so a read takes only the records of its job, serves all callers
  * that ask for the same, and ends with the last of them. Reads that cannot start yet wait in the order of their
- * deadlines; one that would have to wait and not be done by its deadline is refused at once. Invariants: each reader gets exactly one
- * reply unless it is removed; a job is reported as missing only after a read from the store that began later than the question and did not find it. Not
- * thread-safe: confined to the daemon's event loop.
+ * deadlines; one that would have to wait and not be done by its deadline is refused at once. Invariants: each reader
+ * gets exactly one reply unless it is removed; a job is reported as missing only after a read from the store that began
+ * later than the question and did not find it. Not thread-safe: confined to the daemon's event loop.
  */
 final class StoreReads {
 
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -18,7 +18,7 @@
  * Follows one partition of a keyed topic: loads the newest record of each key, then reads each further record.
  *
  * <p>The pages of the initial load are not a consistent snapshot, so reading continues from the end offset of the first
- * page. If records expire before they are read, the follower loads the partition again and notifies the listener of
+ * page, which therefore has to arrive as a whole. If records expire before they are read, the follower loads the partition again and notifies the listener of
  * keys that have been dropped. Failed reads are retried after a pause with jitter, and those without a response with fewer bytes, as a slow link
  * would never transfer the same bytes in time. Reads start at least a minimum
  * interval apart, so that many changes in a short time cost few reads; a change after a quiet period is read at once.
@@ -132,7 +132,7 @@
     }
 
     private void pageReceived(StoreResponse response, long nowMs, Effects out) {
-        if (!(response instanceof StoreResponse.Newest page)) {
+        if (!(response instanceof StoreResponse.Newest page) || followFrom < 0 && page.end() < 0) {
             scheduleRetry(nowMs, out);
             return;
         }
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
@@ -76,6 +76,20 @@
         assertThat(readKilobytes()).isEqualTo(1_024);
     }
 
+    /** Guards against records that are appended while the partition is loaded and never read. */
+    @Test
+    void firstPageThatHasNotArrivedAsAWholeIsReadAgain() {
+        start();
+        fail(new StoreResponse.Newest(List.of(record("a", 0)), true, -1));
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.ReadNewest(PARTITION, ""));
+        respond(new StoreResponse.Newest(List.of(record("a", 0), record("b", 1)), true, 9));
+        respond(new StoreResponse.Newest(List.of(record("c", 2)), true, -1));
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.ReadNewest(PARTITION, "c"));
+        respond(new StoreResponse.Newest(List.of(record("d", 3)), false, 12));
+        assertThat(recorder.put).containsExactly("a", "b", "c", "d");
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 9, 1_024, 1_000));
+    }
+
     private int readKilobytes() {
         return ((StoreRequest.Read) lastRequest()).maxKilobytes();
     }
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.store.fake;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -154,6 +155,7 @@
         private final Consumer<StoreResponse> listener;
         private Optional<SharedLink> link = Optional.empty();
         private SharedLink.Transfer transfer;
+        private StoreResponse expected = new StoreResponse.Done();
         private long totalBytes;
         private boolean ended;
 
@@ -166,6 +168,7 @@
             if (ended) {
                 return;
             }
+            expected = response;
             link = Optional.of(route.down());
             transfer = route.down()
                     .send(
@@ -186,11 +189,29 @@
 
         void timeOut() {
             if (!ended) {
+                StoreResponse received = received();
                 end();
-                listener.accept(new StoreResponse.Unknown("no response within the time limit"));
+                listener.accept(received);
             }
         }
 
+        /** Returns the records of a page that have passed the link, as a shorter page. */
+        private StoreResponse received() {
+            List<StoreResponse.StoredRecord> records = new ArrayList<>();
+            if (expected instanceof StoreResponse.Newest page) {
+                for (StoreResponse.StoredRecord record : page.records()) {
+                    records.add(record);
+                    if (pageBytes(records) > passedBytes()) {
+                        records.remove(records.size() - 1);
+                        break;
+                    }
+                }
+            }
+            return records.isEmpty()
+                    ? new StoreResponse.Unknown("no response within the time limit")
+                    : new StoreResponse.Newest(records, true, -1);
+        }
+
         void end() {
             if (!ended) {
                 responseBytes += passedBytes();
