--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -24,9 +24,10 @@
  * Encodes and decodes the keys and values of jobs and their results in the store.
  *
  * <p>The {@code jobs} topic holds a job in parts under {@code id/0}, {@code id/1} and so on, its number of items under
- * {@code id/#}, which comes before the parts so that it can be read without them, and its end under {@code id/end}. The {@code results} topic holds its results under {@code id/position}, and the progress of preempted
- * items under {@code id/p} followed by the item's index. All records of a job are in the same partition of both topics.
- * Stateless, thus thread-safe.
+ * {@code id/#}, which comes before the parts so that it can be read without them, and its end under {@code id/end}. The
+ * {@code results} topic holds its results under {@code id/position}, and the progress of preempted items under {@code
+ * id/p} followed by the item's index. All records of a job are in the same partition of both topics. Stateless, thus
+ * thread-safe.
  */
 final class JobRecords {
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -34,7 +34,8 @@
  * and retries where that is allowed.
  *
  * <p>Invariant: a request's listener is notified of its end exactly once, also if an event of the request could not be
- * handled; later events for the request are ignored, and permits that arrive too late are released. Not thread-safe: confined to the daemon's event loop.
+ * handled; later events for the request are ignored, and permits that arrive too late are released. Not thread-safe:
+ * confined to the daemon's event loop.
  */
 final class OnlineRouter implements RequestRouter {
 
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -18,13 +18,12 @@
  * Follows one partition of a keyed topic: loads the newest record of each key, then reads each further record.
  *
  * <p>The pages of the initial load are not a consistent snapshot, so reading continues from the end offset of the first
- * page, which therefore has to arrive as a whole. If records expire before they are read, the follower loads the partition again and notifies the listener of
- * keys that have been dropped. Failed reads are retried after a pause with jitter, and those without a response with fewer bytes, as a slow link
- * would never transfer the same bytes in time. Reads start at least a minimum
- * interval apart, so that many changes in a short time cost few reads; a change after a quiet period is read at once.
- * Invariant: a record that the listener fails to handle is skipped and reported, and neither the records behind it nor
- * later reads depend on it.
- * Not thread-safe: confined to the daemon's event loop.
+ * page, which therefore has to arrive as a whole. If records expire before they are read, the follower loads the
+ * partition again and notifies the listener of keys that have been dropped. Failed reads are retried after a pause with
+ * jitter, and those without a response with fewer bytes, as a slow link would never transfer the same bytes in time.
+ * Reads start at least a minimum interval apart, so that many changes in a short time cost few reads; a change after a
+ * quiet period is read at once. Invariant: a record that the listener fails to handle is skipped and reported, and
+ * neither the records behind it nor later reads depend on it. Not thread-safe: confined to the daemon's event loop.
  */
 public final class KeyedTopicFollower {
 
