Load a partition although no first page arrives whole

What callers saw: nothing that can be told apart from other causes. An owner whose partition is not loaded serves no read and runs no item, so that jobs of the partition depend on the store alone.

A page that does not arrive within its 8 s is a shorter page without an end, and the follower asked for the same one again. A page of 1 MB needs a twentieth of the 21 Mbit/s between regions; with more transfers at once no first page ever arrives whole, and none of them leaves the link.

Change: after a first page that has arrived in part, the follower reads the end by itself, by a page behind the last key, and begins the load again. It then goes on behind whatever arrives of each page, as it did after a whole first page. Loads whose first page arrives whole make no further call. Reading on from the newest record of the partial page instead would need no call, but may read the whole log again, and reads have 2.5 s.

Evidence: KeyedTopicFollowerLinkTests, before: 12 partitions are loaded, of 24 none (59,345,964 bytes transferred of 33,746,640), of 48 none (92,160,993 of 67,493,280), and none on a link of 400 kbit/s while records are appended. After: all are, within the time of the link and 10 s, and hold the keys that the store holds. JobReadPropertyTests pass.

--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -18,11 +18,12 @@
 /**
  * Follows one partition of a keyed topic: loads the newest record of each key, then reads each further record.
  *
- * <p>The pages of a load are not a consistent snapshot, so reading continues from the lowest end offset of its pages, the
- * first of which therefore has to arrive as a whole. If records expire before they are read, or the end is behind those
- * that have been read, the follower loads the partition again after a pause, and notifies the listener of keys that have
- * been dropped; a key whose record is behind the end of the pages has not. Failed reads are retried after a pause with
- * jitter, and those without a response with fewer bytes, as a slow link would never transfer the same bytes in time.
+ * <p>The pages of a load are not a consistent snapshot, so reading continues from the lowest end offset of its pages. A
+ * page that arrives in part has no end offset; if it is the first one, the end is read by itself and the load begins
+ * again, and goes on behind what has arrived from then on. If records expire before they are read, or the end is behind
+ * those that have been read, the follower loads the partition again after a pause, and notifies the listener of keys that
+ * have been dropped; a key whose record is behind the end of the pages has not. Failed reads are retried after a pause
+ * with jitter, and those without a response with fewer bytes, as a slow link would never transfer the same bytes in time.
  * Reads start at least a minimum interval apart, so that many changes in a short time cost few reads; a change after a
  * quiet period is read at once. Invariant: a record that the listener fails to handle is skipped and reported, and
  * neither the records behind it nor later reads depend on it. Not thread-safe: confined to the daemon's event loop.
@@ -41,6 +42,9 @@
     /** The longest pause after a failed read, in ms; short, because changes must be observed within seconds. */
     private static final long LONGEST_PAUSE_MS = 800;
 
+    /** Sorts behind all usual keys; a page behind it is short, so that its end offset arrives soon. */
+    private static final String KEY_BEHIND_ALL = "~";
+
     private final TopicPartition partition;
     private final TimerKey timer;
     private final StoreCalls store;
@@ -53,6 +57,7 @@
     private final Set<String> loadedKeys = new HashSet<>();
     private long nextOffset;
     private long followFrom;
+    private boolean endNeeded;
     private boolean loading;
     private boolean started;
     private long caughtUpAtMs = Long.MIN_VALUE / 2;
@@ -107,7 +112,9 @@
         if (!started) {
             return;
         }
-        if (loading) {
+        if (loading && endNeeded && followFrom < 0) {
+            readEnd(out);
+        } else if (loading) {
             readPage(lastKey, out);
         } else {
             read(nowMs, out);
@@ -123,6 +130,7 @@
         loading = true;
         lastKey = "";
         followFrom = -1;
+        endNeeded = false;
         loadedKeys.clear();
     }
 
@@ -132,6 +140,29 @@
         out.schedule(timer, nowMs + loadBackoff.nextDelayMs());
     }
 
+    /** Reads the end of the partition before its pages, none of which then has to arrive as a whole. */
+    private void readEnd(Effects out) {
+        long number = ++lastRead;
+        store.call(
+                new StoreRequest.ReadNewest(partition, KEY_BEHIND_ALL),
+                (response, nowMs, effects) -> {
+                    if (number == lastRead) {
+                        endReceived(response, nowMs, effects);
+                    }
+                },
+                out);
+    }
+
+    private void endReceived(StoreResponse response, long nowMs, Effects out) {
+        if (!(response instanceof StoreResponse.Newest page) || page.end() < 0) {
+            scheduleRetry(nowMs, out);
+            return;
+        }
+        backoff.reset();
+        followFrom = page.end();
+        readPage(lastKey, out);
+    }
+
     private void readPage(String afterKey, Effects out) {
         long number = ++lastRead;
         store.call(
@@ -145,10 +176,15 @@
     }
 
     private void pageReceived(StoreResponse response, long nowMs, Effects out) {
-        if (!(response instanceof StoreResponse.Newest page) || followFrom < 0 && page.end() < 0) {
+        if (!(response instanceof StoreResponse.Newest page)) {
             scheduleRetry(nowMs, out);
             return;
         }
+        if (followFrom < 0 && page.end() < 0) {
+            endNeeded = true;
+            readEnd(out);
+            return;
+        }
         backoff.reset();
         if (followFrom < 0 || page.end() >= 0) {
             followFrom = followFrom < 0 ? page.end() : Math.min(followFrom, page.end());
