Test reads of jobs at the store's limits of calls and bytes

What callers saw: nothing shown. A review suspected that callers who are refused together come back together, 300 ms later, and keep the store at its limits of 2,000 reads and 80 MB a second, so that no partition is loaded.

Cause: it does not for calls. 10 hosts run two reads each and do not reach the limit. Beyond it the store still serves 2,000 calls in each second, and loads are retried with jitter.

Change: the model of the store refuses reads beyond a number of calls a second, and lets all responses pass a link of its own, in chunks, before that of the daemon. VirtualNodes keeps no reply that a listener receives.

--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobSites.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobSites.java
@@ -91,21 +91,28 @@
     private double messageLoss;
 
     VirtualJobSites(int hostCount, long seed) {
-        this(hostCount, seed, false);
+        this(hostCount, seed, false, false);
     }
 
     /** Returns sites whose daemons disseminate facts by their membership, over the same links as other messages. */
     static VirtualJobSites withMembership(int hostCount, long seed) {
-        return new VirtualJobSites(hostCount, seed, true);
+        return new VirtualJobSites(hostCount, seed, true, false);
     }
 
-    private VirtualJobSites(int hostCount, long seed, boolean hasMembership) {
+    /** Returns sites whose daemons are all in the region of the store. */
+    static VirtualJobSites inOneRegion(int hostCount, long seed) {
+        return new VirtualJobSites(hostCount, seed, false, true);
+    }
+
+    private VirtualJobSites(int hostCount, long seed, boolean hasMembership, boolean inOneRegion) {
         this.hasMembership = hasMembership;
         random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         hosts = IntStream.range(0, hostCount)
                 .mapToObj(number -> new HostId("host-%03d".formatted(number)))
                 .toList();
-        near = hosts.stream().filter(host -> hosts.indexOf(host) % 2 == 0).collect(Collectors.toSet());
+        near = hosts.stream()
+                .filter(host -> inOneRegion || hosts.indexOf(host) % 2 == 0)
+                .collect(Collectors.toSet());
         SharedLink farUp = new SharedLink(nodes, FAR_BITS_PER_SECOND);
         SharedLink farDown = new SharedLink(nodes, FAR_BITS_PER_SECOND);
         for (HostId host : hosts) {
@@ -194,11 +201,15 @@
 
     /** Returns the appends that store a job and the results of all its items, as daemons would. */
     static List<StoreRequest.Append> storedJob(String id, RandomGenerator random) {
+        return storedJob(id, random, RESULT_BYTES);
+    }
+
+    /** Returns the appends that store a job and the results of all its items, of the given size each. */
+    static List<StoreRequest.Append> storedJob(String id, RandomGenerator random, int resultBytes) {
         SubmitJob job = job(id, random, 0);
         List<KeyedRecord> results = new ArrayList<>();
         for (int i = 0; i < ITEMS; i++) {
-            ListedResult result =
-                    new ListedResult(job.content().items().get(i).id(), true, bytes(RESULT_BYTES, random));
+            ListedResult result = new ListedResult(job.content().items().get(i).id(), true, bytes(resultBytes, random));
             results.add(JobRecords.result(job.job(), i, i, result));
         }
         int partition = JobRecords.partitionOf(job.job(), PARTITIONS);
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreNetwork.java
@@ -33,10 +33,20 @@
     /** What arrives of a page after its client has ended the transfer. */
     private static final int IN_FLIGHT_BYTES = 32 * 1_024;
 
+    /** What of a response passes the store's own limit before the rest of it does. */
+    private static final long CHUNK_BYTES = 64 * 1_024;
+
+    private static final long WINDOW_MS = 1_000;
+
     private final VirtualNodes nodes;
     private final Map<HostId, Route> routes = new HashMap<>();
     private final Set<HostId> cut = new HashSet<>();
     private final Map<HostId, Set<Exchange>> exchanges = new HashMap<>();
+    private Optional<ReadLimits> readLimits = Optional.empty();
+    private long windowStartedAtMs;
+    private int callsInWindow;
+    private long readCalls;
+    private long refusedReads;
     private long responseBytes;
 
     public StoreNetwork(VirtualNodes nodes) {
@@ -62,6 +72,21 @@
         exchanges.values().stream().flatMap(Set::stream).forEach(exchange -> exchange.lost = true);
     }
 
+    /** Limits the reads of all daemons together, from now on. */
+    public void limitReads(ReadLimits limits) {
+        readLimits = Optional.of(limits);
+    }
+
+    /** Returns the number of calls that read, refused ones included. */
+    public long readCalls() {
+        return readCalls;
+    }
+
+    /** Returns the number of calls that were refused because of the limit of reads. */
+    public long refusedReads() {
+        return refusedReads;
+    }
+
     /** Returns the bytes of responses that the store has sent, as far as they have been transferred. */
     public long responseBytes() {
         long open = exchanges.values().stream()
@@ -107,12 +132,35 @@
                         requestBytes(request),
                         () -> nodes.later(route.latencyMs() + VirtualNodes.STORE_MS, () -> {
                             if (!cut.contains(host)) {
-                                handler.handle(request, response -> exchange.respond(route, response));
+                                arrive(request, handler, response -> exchange.respond(route, response));
                             }
                         }));
         return exchange::end;
     }
 
+    private void arrive(StoreRequest request, Handler handler, Consumer<StoreResponse> response) {
+        boolean reads = request instanceof StoreRequest.Read || request instanceof StoreRequest.ReadNewest;
+        if (reads && refusesRead()) {
+            refusedReads++;
+            response.accept(new StoreResponse.NotDone("status 429"));
+        } else {
+            handler.handle(request, response);
+        }
+    }
+
+    private boolean refusesRead() {
+        readCalls++;
+        if (readLimits.isEmpty()) {
+            return false;
+        }
+        ReadLimits limits = readLimits.get();
+        if (nodes.nowMs() - windowStartedAtMs >= WINDOW_MS) {
+            windowStartedAtMs = nodes.nowMs();
+            callsInWindow = 0;
+        }
+        return ++callsInWindow > limits.callsPerSecond();
+    }
+
     private static long timeoutMs(StoreRequest request) {
         if (request instanceof StoreRequest.ReadNewest) {
             return PAGE_TIMEOUT_MS;
@@ -146,6 +194,9 @@
         return bytes;
     }
 
+    /** What the store serves of reads: calls within a second, and a link that all responses share. */
+    public record ReadLimits(int callsPerSecond, SharedLink link) {}
+
     /** The links of a daemon to and from the store, and the latency of one way. */
     public record Route(SharedLink up, SharedLink down, long latencyMs) {}
 
@@ -158,8 +209,12 @@
 
         private final HostId host;
         private final Consumer<StoreResponse> listener;
-        private Optional<SharedLink> link = Optional.empty();
-        private SharedLink.Transfer transfer;
+        private Optional<Route> route = Optional.empty();
+        private Optional<SharedLink.Transfer> fromStore = Optional.empty();
+        private Optional<SharedLink.Transfer> toHost = Optional.empty();
+        private long unsentBytes;
+        private long waitingBytes;
+        private long arrivedBytes;
         private StoreResponse expected = new StoreResponse.Done();
         private long totalBytes;
         private boolean ended;
@@ -170,27 +225,67 @@
             this.listener = listener;
         }
 
-        void respond(Route route, StoreResponse response) {
+        void respond(Route way, StoreResponse response) {
             if (ended || lost) {
                 return;
             }
             expected = response;
-            link = Optional.of(route.down());
-            transfer = route.down()
-                    .send(
-                            responseBytes(response),
-                            () -> nodes.later(route.latencyMs(), () -> {
-                                if (!ended && !lost && !cut.contains(host)) {
-                                    end();
-                                    listener.accept(response);
-                                }
-                            }));
+            route = Optional.of(way);
             totalBytes = responseBytes(response);
+            unsentBytes = totalBytes;
+            sendChunk();
+        }
+
+        /** Lets the next bytes pass the store's limit while those before them pass the daemon's link. */
+        private void sendChunk() {
+            if (readLimits.isEmpty()) {
+                long bytes = unsentBytes;
+                unsentBytes = 0;
+                passStore(bytes);
+            } else if (unsentBytes > 0 && waitingBytes == 0 && fromStore.isEmpty()) {
+                long bytes = Math.min(CHUNK_BYTES, unsentBytes);
+                unsentBytes -= bytes;
+                fromStore = Optional.of(readLimits.get().link().send(bytes, () -> {
+                    fromStore = Optional.empty();
+                    passStore(bytes);
+                }));
+            }
+        }
+
+        private void passStore(long bytes) {
+            if (toHost.isPresent()) {
+                waitingBytes = bytes;
+                return;
+            }
+            toHost = Optional.of(route.orElseThrow().down().send(bytes, () -> passLink(bytes)));
+            if (readLimits.isPresent()) {
+                sendChunk();
+            }
+        }
+
+        private void passLink(long bytes) {
+            toHost = Optional.empty();
+            arrivedBytes += bytes;
+            if (arrivedBytes == totalBytes) {
+                nodes.later(route.orElseThrow().latencyMs(), this::arrived);
+            } else if (waitingBytes > 0) {
+                long next = waitingBytes;
+                waitingBytes = 0;
+                passStore(next);
+            }
+        }
+
+        private void arrived() {
+            if (!ended && !lost && !cut.contains(host)) {
+                end();
+                listener.accept(expected);
+            }
         }
 
         long passedBytes() {
-            return link.map(down -> Math.min(totalBytes, (long) down.passedBytes(transfer)))
-                    .orElse(0L);
+            return arrivedBytes
+                    + toHost.map(transfer -> (long) route.orElseThrow().down().passedBytes(transfer))
+                            .orElse(0L);
         }
 
         void timeOut() {
@@ -222,7 +317,8 @@
             if (!ended) {
                 responseBytes += passedBytes();
                 ended = true;
-                link.ifPresent(down -> down.close(transfer));
+                fromStore.ifPresent(transfer -> readLimits.orElseThrow().link().close(transfer));
+                toHost.ifPresent(transfer -> route.orElseThrow().down().close(transfer));
                 exchanges.get(host).remove(this);
             }
         }
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/VirtualNodes.java
@@ -291,9 +291,10 @@
                                         nodes.get(send.to()),
                                         new Event.PeerMessageReceived(node.host, send.message()))));
             } else if (effect instanceof Effect.Reply reply) {
-                replies.put(reply.request(), reply.reply());
                 Consumer<CallerReply> listener = replyListeners.remove(reply.request());
-                if (listener != null) {
+                if (listener == null) {
+                    replies.put(reply.request(), reply.reply());
+                } else {
                     later(0, () -> listener.accept(reply.reply()));
                 }
             } else if (effect instanceof Effect.HandlingFailed failed) {
