Raise another epoch if the store refuses the repeat of one

A daemon that lost the response to the empty append that raises its epoch repeated it with the same epoch and sequence number. A store that counts empty appends refuses that repeat as out of sequence, each time: the partition is never opened, and its owner serves no read as long as it has the lease. The protocol leaves open whether an empty append counts; no play has shown a store that does.

A refusal as out of sequence proves that the store has the epoch, and no higher one. A new epoch may start at any sequence number, so another one is raised after a pause.

StoreModel plays each way to count empty appends. Of the five cases of partitionIsOpenedAlthoughTheFirstResponseToItsEpochIsLost, USE_SEQUENCE_ONCE failed before: no partition was opened within 10 s.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
@@ -94,6 +94,10 @@
         epoch = ((lastEpoch >> RANDOM_EPOCH_BITS) + 1 << RANDOM_EPOCH_BITS) + random.nextInt(1 << RANDOM_EPOCH_BITS);
     }
 
+    /**
+     * Raises the epoch. A response that is out of sequence means that the store has the epoch already, from an attempt
+     * without a response; as it may refuse each repeat, another epoch is raised.
+     */
     private void raiseEpoch(Effects out) {
         append(
                 List.of(),
@@ -109,6 +113,9 @@
                     } else if (response instanceof StoreResponse.Fenced fenced) {
                         epochRefused(fenced.epoch(), nowMs, effects);
                     } else {
+                        if (response instanceof StoreResponse.OutOfSequence) {
+                            chooseEpoch(epoch);
+                        }
                         listener.openingDelayed(response, nowMs, effects);
                         scheduleRetry(this::raiseEpoch, nowMs, effects);
                     }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -22,11 +22,14 @@
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.TopicPartition;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.store.fake.EmptyAppends;
 import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -379,6 +382,31 @@
                 .hasSize(3);
     }
 
+    /** Guards against an epoch that is raised for ever, as the store has it already and refuses its repeats. */
+    @ParameterizedTest
+    @EnumSource(EmptyAppends.class)
+    void partitionIsOpenedAlthoughTheFirstResponseToItsEpochIsLost(EmptyAppends rule) {
+        VirtualJobs fleet = startWithLostResponsesToEpochs(rule);
+        assertThat(fleet.nodes.stateChanges())
+                .filteredOn(change -> change.contains("owns partition") && change.contains("under epoch"))
+                .hasSize(3);
+    }
+
+    /** Starts a daemon at a store that loses the first response to each epoch. */
+    private static VirtualJobs startWithLostResponsesToEpochs(EmptyAppends rule) {
+        VirtualJobs fleet = new VirtualJobs();
+        fleet.nodes.store().setEmptyAppends(rule);
+        Set<TopicPartition> lost = new HashSet<>();
+        fleet.nodes.setFaults((host, request) -> request instanceof StoreRequest.Append append
+                        && append.records().isEmpty()
+                        && lost.add(append.partition())
+                ? StoreFault.RESPONSE_LOST
+                : StoreFault.NONE);
+        fleet.start(A);
+        fleet.nodes.run(10_000);
+        return fleet;
+    }
+
     @Test
     void submissionWithoutAResponseOfTheStoreMayHaveRun() {
         jobs.nodes.setFaults(
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/fake/StoreModel.java
@@ -30,6 +30,7 @@
     private final boolean limitsReads;
     private final Map<TopicPartition, Log> logs = new HashMap<>();
     private final Map<String, Group> groups = new HashMap<>();
+    private EmptyAppends emptyAppends = EmptyAppends.KEEP_SEQUENCE;
     private int appends;
 
     public StoreModel(int partitions) {
@@ -47,6 +48,11 @@
         return new StoreModel(partitions, PAGE_BYTES / 4 * 3, true);
     }
 
+    /** Sets how appends without records are counted from now on. */
+    public void setEmptyAppends(EmptyAppends rule) {
+        emptyAppends = rule;
+    }
+
     /** Returns the number of appends that took effect. */
     public int appends() {
         return appends;
@@ -120,27 +126,40 @@
         if (fence.epoch() < producer.epoch) {
             return new StoreResponse.Fenced(producer.epoch);
         }
-        if (fence.epoch() > producer.epoch) {
-            producer.epoch = fence.epoch();
-            producer.nextSequence = fence.sequence();
-            producer.responses.clear();
-        }
-        if (append.records().isEmpty()) {
-            return new StoreResponse.Appended(log.end(), log.end());
+        boolean raised = fence.epoch() > producer.epoch;
+        if (raised) {
+            producer.raise(fence);
         }
         StoreResponse earlier = producer.responses.get(fence.sequence());
         if (earlier != null) {
             return earlier;
         }
-        if (fence.sequence() != producer.nextSequence) {
+        if (append.records().isEmpty()) {
+            return setEpoch(producer, fence, raised, log.end());
+        }
+        if (!producer.anySequence && fence.sequence() != producer.nextSequence) {
             return new StoreResponse.OutOfSequence(producer.nextSequence);
         }
         StoreResponse response = log.add(append.records());
-        producer.nextSequence++;
-        producer.responses.put(fence.sequence(), response);
-        if (producer.responses.size() > MAX_KEPT_RESPONSES) {
-            producer.responses.remove(producer.responses.firstKey());
+        producer.use(fence.sequence(), response);
+        return response;
+    }
+
+    private StoreResponse setEpoch(Producer producer, Fence fence, boolean raised, long end) {
+        if (emptyAppends == EmptyAppends.FENCE_REPEATS && !raised) {
+            return new StoreResponse.Fenced(producer.epoch);
+        }
+        if (emptyAppends == EmptyAppends.USE_SEQUENCE_ONCE) {
+            if (fence.sequence() != producer.nextSequence) {
+                return new StoreResponse.OutOfSequence(producer.nextSequence);
+            }
+            producer.nextSequence++;
         }
+        StoreResponse response = new StoreResponse.Appended(end, end);
+        if (emptyAppends == EmptyAppends.USE_SEQUENCE) {
+            producer.use(fence.sequence(), response);
+        }
+        producer.anySequence |= emptyAppends == EmptyAppends.IGNORE_SEQUENCE && raised;
         return response;
     }
 
@@ -222,6 +241,23 @@
         private final TreeMap<Long, StoreResponse> responses = new TreeMap<>();
         private long epoch = -1;
         private long nextSequence;
+        private boolean anySequence;
+
+        void raise(Fence fence) {
+            epoch = fence.epoch();
+            nextSequence = fence.sequence();
+            anySequence = false;
+            responses.clear();
+        }
+
+        void use(long sequence, StoreResponse response) {
+            nextSequence = sequence + 1;
+            anySequence = false;
+            responses.put(sequence, response);
+            if (responses.size() > MAX_KEPT_RESPONSES) {
+                responses.remove(responses.firstKey());
+            }
+        }
     }
 
     /** A group: its members by name with their last generation, and the assignment and holder of each partition. */
