Write results under an epoch of their own

The empty append that raises a partition's epoch and the first append of results had the same epoch and sequence number. A store that counts empty appends takes the second for a repeat of the first: it acknowledges the results without storing them, so that they are gone with their owner, or refuses them, so that no item of the partition is ever finished.

A higher epoch may start at any sequence number. The empty append now fences off former owners with an even epoch, and the results follow under the odd one above it, so no append can be a repeat of another. Epochs of two owners still differ but for equal random bits, of which 19 are left.

firstResultsOfAnEpochAreStoredHoweverTheStoreCountsEmptyAppends failed before for USE_SEQUENCE (results gone with their owner) and USE_SEQUENCE_ONCE (no results).

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
@@ -31,7 +31,10 @@
 
     private static final String PRODUCER = "owner";
 
-    /** The number of random low bits of an epoch, so that two daemons that raise it at once choose different ones. */
+    /**
+     * The number of low bits of an epoch, random so that two daemons that raise it at once choose different ones. The
+     * epochs of results are odd, those that fence off former owners even.
+     */
     private static final int RANDOM_EPOCH_BITS = 20;
 
     /** How long an append may take before it is retried, in ms: many times the store's usual response time. */
@@ -91,16 +94,19 @@
 
     private void chooseEpoch(long lastEpoch) {
         aboveEpoch = lastEpoch;
-        epoch = ((lastEpoch >> RANDOM_EPOCH_BITS) + 1 << RANDOM_EPOCH_BITS) + random.nextInt(1 << RANDOM_EPOCH_BITS);
+        long lowestEpoch = (lastEpoch >> RANDOM_EPOCH_BITS) + 1 << RANDOM_EPOCH_BITS;
+        epoch = lowestEpoch + (random.nextInt(1 << RANDOM_EPOCH_BITS) | 1);
     }
 
     /**
-     * Raises the epoch. A response that is out of sequence means that the store has the epoch already, from an attempt
-     * without a response; as it may refuse each repeat, another epoch is raised.
+     * Fences off former owners with the epoch below that of the results: under the same one, a store that counts this
+     * append could take the first results for a repeat of it. A response that is out of sequence means that the store
+     * has the epoch already, from an attempt without a response; as it may refuse each repeat, another epoch is raised.
      */
     private void raiseEpoch(Effects out) {
         append(
                 List.of(),
+                epoch - 1,
                 0,
                 (response, nowMs, effects) -> {
                     if (state != State.RAISING_EPOCH) {
@@ -178,7 +184,7 @@
     private void appendInFlight(Effects out) {
         List<KeyedRecord> records = new ArrayList<>();
         inFlight.forEach(write -> records.addAll(write.records()));
-        append(records, sequence, this::appended, out);
+        append(records, epoch, sequence, this::appended, out);
     }
 
     private void appended(StoreResponse response, long nowMs, Effects out) {
@@ -201,8 +207,13 @@
         }
     }
 
-    private void append(List<KeyedRecord> records, long appendSequence, StoreCalls.Listener callback, Effects out) {
-        Fence fence = new Fence(PRODUCER, epoch, appendSequence);
+    private void append(
+            List<KeyedRecord> records,
+            long appendEpoch,
+            long appendSequence,
+            StoreCalls.Listener callback,
+            Effects out) {
+        Fence fence = new Fence(PRODUCER, appendEpoch, appendSequence);
         store.call(new StoreRequest.Append(partition, records, Optional.of(fence), APPEND_TIMEOUT_MS), callback, out);
     }
 
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -392,6 +392,22 @@
                 .hasSize(3);
     }
 
+    /** Guards against results that the store takes for a repeat of the append that has raised the epoch. */
+    @ParameterizedTest
+    @EnumSource(EmptyAppends.class)
+    void firstResultsOfAnEpochAreStoredHoweverTheStoreCountsEmptyAppends(EmptyAppends rule) {
+        VirtualJobs fleet = startWithLostResponsesToEpochs(rule);
+        fleet.submit(A, JOB, ITEMS);
+        fleet.nodes.run(5_000);
+        List<ListedResult> results = page(fleet.read(A, JOB, 0));
+        assertThat(results).hasSize(ITEMS);
+        fleet.nodes.kill(A);
+        fleet.start(B);
+        fleet.nodes.run(10_000);
+        assertThat(page(fleet.read(B, JOB, 0))).isEqualTo(results);
+        assertThat(fleet.runsByItem.values()).hasSize(ITEMS).containsOnly(1);
+    }
+
     /** Starts a daemon at a store that loses the first response to each epoch. */
     private static VirtualJobs startWithLostResponsesToEpochs(EmptyAppends rule) {
         VirtualJobs fleet = new VirtualJobs();
