Ignore a lease that may have ended before its response is handled

A daemon that was suspended between a renewal and the handling of its response took the partitions of that response for its own, although their lease had ended and others owned them: it raised their epochs, and the new owner was fenced and dropped its items' results of that moment. Once, as the next renewal corrects it. The lease counted from the handling of the response.

A response that is handled later than the lease lasts, counted from the sending of the renewal, is now ignored like a failed call.

leaseThatHasEndedBeforeItsResponseIsHandledFencesNoOwner failed before at the renewal that hands partitions over (one case of six).

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -248,7 +248,7 @@
             }
         }
         if (owned.keySet().stream().allMatch(leases::holds)) {
-            leases.acknowledge(out);
+            leases.acknowledge(nowMs, out);
         }
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionLeases.java
@@ -50,17 +50,22 @@
         }
         out.schedule(timer, nowMs + settings.renewIntervalMs());
         if (!joining) {
-            join(out);
+            join(nowMs, out);
         }
     }
 
-    private void join(Effects out) {
+    /**
+     * Joins the group. A response that is handled after the lease it grants may have ended is ignored, as others may
+     * own the partitions by then: the daemon may have been suspended in between.
+     */
+    private void join(long sentAtMs, Effects out) {
         joining = true;
         store.call(
                 new StoreRequest.Join(GROUP, member, List.of(JobRecords.JOBS), settings.leaseMs(), generation),
                 (response, nowMs, effects) -> {
                     joining = false;
-                    if (response instanceof StoreResponse.Joined joined && !left) {
+                    boolean leased = nowMs < sentAtMs + settings.leaseMs();
+                    if (response instanceof StoreResponse.Joined joined && leased && !left) {
                         joined(joined, nowMs, effects);
                     }
                 },
@@ -79,10 +84,10 @@
     }
 
     /** Confirms to the store that all partitions that are no longer assigned to this daemon have been released. */
-    void acknowledge(Effects out) {
+    void acknowledge(long nowMs, Effects out) {
         if (generation != receivedGeneration && !joining && !left) {
             generation = receivedGeneration;
-            join(out);
+            join(nowMs, out);
         }
     }
 
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -423,6 +423,91 @@
         return fleet;
     }
 
+    /** Guards against an owner that is fenced by a daemon that was suspended until its lease had ended. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    void leaseThatHasEndedBeforeItsResponseIsHandledFencesNoOwner(int suspendedAtRenewal) {
+        for (int delayMs = 0; delayMs < 8; delayMs++) {
+            VirtualJobs fleet = new VirtualJobs(B);
+            fleet.nodes.run(5_000 + delayMs);
+            startWithoutLease(fleet);
+            fleet.submit(B, JOB, 150);
+            suspendAtRenewal(fleet, suspendedAtRenewal, 4_000);
+            fleet.nodes.run(25_000);
+            assertThat(fleet.nodes.stateChanges())
+                    .noneMatch(change -> change.startsWith(B.value())
+                            && (change.contains("the store has epoch") || change.contains("owns it under epoch")));
+            assertThat(page(fleet.read(B, JOB, 0))).hasSize(150);
+        }
+    }
+
+    /** Guards against daemons that fence each other again and again after they were suspended during renewals. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void daemonsSuspendedDuringRenewalsAgreeOnOwnersForGood(long seed) {
+        Random random = new Random(seed);
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        Set<HostId> suspended = new HashSet<>();
+        jobs.nodes.setFaults((host, request) -> {
+            boolean renews = request instanceof StoreRequest.Join || request instanceof StoreRequest.Append;
+            if (renews && random.nextInt(3) == 0 && suspended.add(host)) {
+                boolean missesFacts = random.nextBoolean();
+                jobs.nodes.later(random.nextInt(7), () -> {
+                    jobs.nodes.freeze(host);
+                    jobs.loseFacts(host, missesFacts);
+                });
+                jobs.nodes.later(1_000 + random.nextInt(6_000), () -> {
+                    suspended.remove(host);
+                    jobs.nodes.thaw(host);
+                });
+                jobs.nodes.later(8_000, () -> jobs.loseFacts(host, false));
+            }
+            return StoreFault.NONE;
+        });
+        jobs.nodes.run(20_000);
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(9_000);
+        submitJobs("first-");
+        int changes = jobs.nodes.stateChanges().size();
+        submitJobs("second-");
+        assertThat(jobs.nodes.stateChanges()).hasSize(changes);
+        for (HostId host : List.of(A, B, C)) {
+            assertThat(page(jobs.read(host, JOB, 0))).hasSize(ITEMS);
+        }
+        assertThat(jobs.nodes.stateChanges()).hasSize(changes);
+    }
+
+    /** Submits jobs to all partitions, and lets their items end. */
+    private void submitJobs(String prefix) {
+        for (int i = 0; i < 6; i++) {
+            jobs.submit(A, prefix + i, 3);
+        }
+        jobs.nodes.run(5_000);
+    }
+
+    /** Starts a daemon that gets no lease until it knows which epochs the owner has published. */
+    private static void startWithoutLease(VirtualJobs fleet) {
+        fleet.nodes.setFaults((host, request) ->
+                host.equals(A) && request instanceof StoreRequest.Join ? StoreFault.REFUSED : StoreFault.NONE);
+        fleet.start(A);
+        fleet.nodes.run(25_000);
+    }
+
+    /** Suspends a daemon after it has sent the given renewal and before it handles the response, and delays facts. */
+    private static void suspendAtRenewal(VirtualJobs fleet, int renewal, long durationMs) {
+        int[] renewals = new int[1];
+        fleet.nodes.setFaults((host, request) -> {
+            if (host.equals(A) && request instanceof StoreRequest.Join && ++renewals[0] == renewal) {
+                fleet.nodes.later(2, () -> fleet.nodes.freeze(A));
+                fleet.loseFacts(A, true);
+                fleet.nodes.later(durationMs, () -> fleet.nodes.thaw(A));
+                fleet.nodes.later(durationMs + 200, () -> fleet.loseFacts(A, false));
+            }
+            return StoreFault.NONE;
+        });
+    }
+
     @Test
     void submissionWithoutAResponseOfTheStoreMayHaveRun() {
         jobs.nodes.setFaults(
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.random.RandomGenerator;
@@ -56,6 +58,7 @@
     final Map<HostId, FakeCapacity> capacities = new HashMap<>();
     final Map<HostId, RouteTableSettings> routes = new HashMap<>();
     private final List<SharedFacts> facts = new ArrayList<>();
+    private final Set<HostId> withoutFacts = new HashSet<>();
     private BiFunction<String, Integer, AttemptOutcome> outcomes = (item, run) -> FakeCapacity.succeeded(item);
 
     VirtualJobs(HostId... hosts) {
@@ -69,6 +72,15 @@
         outcomes = newOutcomes;
     }
 
+    /** Loses all facts that are published for a daemon, or lets later ones pass again. */
+    void loseFacts(HostId receiver, boolean lost) {
+        if (lost) {
+            withoutFacts.add(receiver);
+        } else {
+            withoutFacts.remove(receiver);
+        }
+    }
+
     void start(HostId host) {
         nodes.start(host, startedAtMs -> stateMachines(host, startedAtMs));
     }
@@ -205,6 +217,9 @@
         @Override
         public void publish(Fact fact, long nowMs, Effects out) {
             for (SharedFacts receiver : facts) {
+                if (withoutFacts.contains(receiver.host)) {
+                    continue;
+                }
                 nodes.later(
                         VirtualNodes.PEER_MS,
                         () -> nodes.act(
