Ask an owner again whose refusal is older than its publication

A host that is asked for a job while it loads the partition replies that it is not the owner. If it published its ownership before that reply arrived, the reader took the later arrival for the newer fact and did not use the owner until it published again, up to 20 s later: each read of the partition at this daemon went to the store.

A read now remembers the version that was published when it asked. A reply from before a newer publication is not recorded, and the owner is asked again.

replyFromBeforeTheLastPublicationDoesNotEndTheUseOfTheOwner failed before: with the read 2,600 ms after the restart of the owner, a later read took a page from the store.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -97,6 +97,7 @@
 
     private void askOwner(OpenRead read, long nowMs, Effects out) {
         awaitingOwner.put(read.readRequest.id(), read);
+        read.askedAtVersion = owners.publishedVersion(read.partition);
         owners.sendRead(read.owner.orElseThrow(), read.readRequest, nowMs, out);
     }
 
@@ -133,8 +134,10 @@
         }
         JobMessage.ReadRequest readRequest = read.readRequest;
         if (!reply.known()) {
-            if (!reply.owner()) {
-                owners.notOwner(read.partition, from);
+            if (!reply.owner() && !owners.notOwner(read.partition, from, read.askedAtVersion)) {
+                read.moveTo(from, ids.next(), nowMs);
+                askOwner(read, nowMs, out);
+                return;
             }
             if (read.storeRefusal.isPresent()) {
                 reply(read, read.storeRefusal.get(), nowMs, out);
@@ -259,8 +262,14 @@
         /** Records that the host did not reply in time. */
         void late(int partition, HostId owner);
 
-        /** Records that the host replied that it is not the owner. */
-        void notOwner(int partition, HostId host);
+        /** Returns the highest version under which a daemon has published that it owns the partition. */
+        long publishedVersion(int partition);
+
+        /**
+         * Records that the host replied that it is not the owner; returns false if that no longer holds, as it has
+         * published its ownership after it was asked.
+         */
+        boolean notOwner(int partition, HostId host, long askedAtVersion);
 
         /** Records that the host replied to a read. */
         void replied(HostId host);
@@ -274,6 +283,7 @@
         private final long waitEndsAtMs;
         private JobMessage.ReadRequest readRequest;
         private Optional<HostId> owner;
+        private long askedAtVersion;
         private boolean readsStore;
         private Optional<Refusal> storeRefusal = Optional.empty();
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -409,8 +409,13 @@
         }
 
         @Override
-        public void notOwner(int partition, HostId host) {
-            owners.notOwner(partition, host);
+        public long publishedVersion(int partition) {
+            return owners.version(partition);
+        }
+
+        @Override
+        public boolean notOwner(int partition, HostId host, long askedAtVersion) {
+            return owners.notOwner(partition, host, askedAtVersion);
         }
 
         @Override
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
@@ -99,9 +99,19 @@
         return owner != null && owner.lastReply == Reply.LATE;
     }
 
-    /** Records that a daemon has replied that it is not the owner, which holds until it publishes its ownership again. */
-    void notOwner(int partition, HostId host) {
+    /**
+     * Records that a daemon has replied that it is not the owner, which holds until it publishes its ownership again.
+     *
+     * @param askedAtVersion the published {@link #version} when the daemon was asked
+     * @return whether the reply holds: the daemon has not published its ownership since it was asked
+     */
+    boolean notOwner(int partition, HostId host, long askedAtVersion) {
+        Owner owner = owners.get(partition);
+        if (owner != null && owner.host.equals(host) && owner.version > askedAtVersion) {
+            return false;
+        }
         recordReply(partition, host, Reply.NOT_OWNER);
+        return true;
     }
 
     /** Records that a daemon did not reply in time, which holds until it replies. */
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -812,6 +812,37 @@
         assertThat(pages[0]).isZero();
     }
 
+    /** Guards against an owner that is not used for seconds, as its reply from before its publication arrives late. */
+    @Test
+    void replyFromBeforeTheLastPublicationDoesNotEndTheUseOfTheOwner() {
+        for (int passedMs = 0; passedMs < 5_000; passedMs += 100) {
+            VirtualJobs fleet = restartedOwnerWithLateMessages();
+            fleet.nodes.run(passedMs);
+            RequestId read = fleet.nodes.submit(B, new ReadJob(new JobId(JOB), 0, 1_000));
+            fleet.nodes.run(7_000 - passedMs);
+            assertThat(page(fleet.nodes.reply(read).orElseThrow())).hasSize(ITEMS);
+            fleet.nodes.setPeerLatency((from, to) -> OptionalLong.of(1));
+            int[] pages = countPages(fleet);
+            assertThat(page(fleet.read(B, JOB, 0))).hasSize(ITEMS);
+            assertThat(pages[0]).as("after %s ms", passedMs).isZero();
+        }
+    }
+
+    /** Restarts the owner of a finished job, whose messages are slower than facts are; another daemon knows it. */
+    private static VirtualJobs restartedOwnerWithLateMessages() {
+        VirtualJobs fleet = new VirtualJobs();
+        fleet.nodes.setFaults((host, request) ->
+                host.equals(B) && request instanceof StoreRequest.Join ? StoreFault.REFUSED : StoreFault.NONE);
+        List.of(A, B).forEach(fleet::start);
+        fleet.nodes.run(5_000);
+        fleet.submit(B, JOB, ITEMS);
+        fleet.nodes.run(5_000);
+        fleet.nodes.setPeerLatency((from, to) -> OptionalLong.of(from.equals(A) ? 300 : 1));
+        fleet.nodes.kill(A);
+        fleet.start(A);
+        return fleet;
+    }
+
     @Test
     void readOfAJobThatItsOwnerHasNotLoadedYetDoesNotEndTheUseOfTheOwner() {
         HostId reader = readerOfAFinishedJob();
@@ -850,8 +881,12 @@
     }
 
     private int[] countPages() {
+        return countPages(jobs);
+    }
+
+    private static int[] countPages(VirtualJobs fleet) {
         int[] pages = new int[1];
-        jobs.nodes.setFaults((host, request) -> {
+        fleet.nodes.setFaults((host, request) -> {
             pages[0] += request instanceof StoreRequest.ReadNewest ? 1 : 0;
             return StoreFault.NONE;
         });
