--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -22,11 +22,14 @@
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.StoreRequest;
+import org.cornelcrank.core.TopicPartition;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.store.fake.EmptyAppends;
 import org.cornelcrank.store.fake.VirtualNodes.StoreFault;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -379,6 +382,132 @@
                 .hasSize(3);
     }
 
+    /** Guards against an epoch that is raised for ever, as the store has it already and refuses its repeats. */
+    @ParameterizedTest
+    @EnumSource(EmptyAppends.class)
+    void partitionIsOpenedAlthoughTheFirstResponseToItsEpochIsLost(EmptyAppends rule) {
+        VirtualJobs fleet = startWithLostResponsesToEpochs(rule);
+        assertThat(fleet.nodes.stateChanges())
+                .filteredOn(change -> change.contains("owns partition") && change.contains("under epoch"))
+                .hasSize(3);
+    }
+
+    /** Guards against results that the store takes for a repeat of the append that has raised the epoch. */
+    @ParameterizedTest
+    @EnumSource(EmptyAppends.class)
+    void firstResultsOfAnEpochAreStoredHoweverTheStoreCountsEmptyAppends(EmptyAppends rule) {
+        VirtualJobs fleet = startWithLostResponsesToEpochs(rule);
+        fleet.submit(A, JOB, ITEMS);
+        fleet.nodes.run(5_000);
+        List<ListedResult> results = page(fleet.read(A, JOB, 0));
+        assertThat(results).hasSize(ITEMS);
+        fleet.nodes.kill(A);
+        fleet.start(B);
+        fleet.nodes.run(10_000);
+        assertThat(page(fleet.read(B, JOB, 0))).isEqualTo(results);
+        assertThat(fleet.runsByItem.values()).hasSize(ITEMS).containsOnly(1);
+    }
+
+    /** Starts a daemon at a store that loses the first response to each epoch. */
+    private static VirtualJobs startWithLostResponsesToEpochs(EmptyAppends rule) {
+        VirtualJobs fleet = new VirtualJobs();
+        fleet.nodes.store().setEmptyAppends(rule);
+        Set<TopicPartition> lost = new HashSet<>();
+        fleet.nodes.setFaults((host, request) -> request instanceof StoreRequest.Append append
+                        && append.records().isEmpty()
+                        && lost.add(append.partition())
+                ? StoreFault.RESPONSE_LOST
+                : StoreFault.NONE);
+        fleet.start(A);
+        fleet.nodes.run(10_000);
+        return fleet;
+    }
+
+    /** Guards against an owner that is fenced by a daemon that was suspended until its lease had ended. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    void leaseThatHasEndedBeforeItsResponseIsHandledFencesNoOwner(int suspendedAtRenewal) {
+        for (int delayMs = 0; delayMs < 8; delayMs++) {
+            VirtualJobs fleet = new VirtualJobs(B);
+            fleet.nodes.run(5_000 + delayMs);
+            startWithoutLease(fleet);
+            fleet.submit(B, JOB, 150);
+            suspendAtRenewal(fleet, suspendedAtRenewal, 4_000);
+            fleet.nodes.run(25_000);
+            assertThat(fleet.nodes.stateChanges())
+                    .noneMatch(change -> change.startsWith(B.value())
+                            && (change.contains("the store has epoch") || change.contains("owns it under epoch")));
+            assertThat(page(fleet.read(B, JOB, 0))).hasSize(150);
+        }
+    }
+
+    /** Guards against daemons that fence each other again and again after they were suspended during renewals. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void daemonsSuspendedDuringRenewalsAgreeOnOwnersForGood(long seed) {
+        Random random = new Random(seed);
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.run(5_000);
+        Set<HostId> suspended = new HashSet<>();
+        jobs.nodes.setFaults((host, request) -> {
+            boolean renews = request instanceof StoreRequest.Join || request instanceof StoreRequest.Append;
+            if (renews && random.nextInt(3) == 0 && suspended.add(host)) {
+                boolean missesFacts = random.nextBoolean();
+                jobs.nodes.later(random.nextInt(7), () -> {
+                    jobs.nodes.freeze(host);
+                    jobs.loseFacts(host, missesFacts);
+                });
+                jobs.nodes.later(1_000 + random.nextInt(6_000), () -> {
+                    suspended.remove(host);
+                    jobs.nodes.thaw(host);
+                });
+                jobs.nodes.later(8_000, () -> jobs.loseFacts(host, false));
+            }
+            return StoreFault.NONE;
+        });
+        jobs.nodes.run(20_000);
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(9_000);
+        submitJobs("first-");
+        int changes = jobs.nodes.stateChanges().size();
+        submitJobs("second-");
+        assertThat(jobs.nodes.stateChanges()).hasSize(changes);
+        for (HostId host : List.of(A, B, C)) {
+            assertThat(page(jobs.read(host, JOB, 0))).hasSize(ITEMS);
+        }
+        assertThat(jobs.nodes.stateChanges()).hasSize(changes);
+    }
+
+    /** Submits jobs to all partitions, and lets their items end. */
+    private void submitJobs(String prefix) {
+        for (int i = 0; i < 6; i++) {
+            jobs.submit(A, prefix + i, 3);
+        }
+        jobs.nodes.run(5_000);
+    }
+
+    /** Starts a daemon that gets no lease until it knows which epochs the owner has published. */
+    private static void startWithoutLease(VirtualJobs fleet) {
+        fleet.nodes.setFaults((host, request) ->
+                host.equals(A) && request instanceof StoreRequest.Join ? StoreFault.REFUSED : StoreFault.NONE);
+        fleet.start(A);
+        fleet.nodes.run(25_000);
+    }
+
+    /** Suspends a daemon after it has sent the given renewal and before it handles the response, and delays facts. */
+    private static void suspendAtRenewal(VirtualJobs fleet, int renewal, long durationMs) {
+        int[] renewals = new int[1];
+        fleet.nodes.setFaults((host, request) -> {
+            if (host.equals(A) && request instanceof StoreRequest.Join && ++renewals[0] == renewal) {
+                fleet.nodes.later(2, () -> fleet.nodes.freeze(A));
+                fleet.loseFacts(A, true);
+                fleet.nodes.later(durationMs, () -> fleet.nodes.thaw(A));
+                fleet.nodes.later(durationMs + 200, () -> fleet.loseFacts(A, false));
+            }
+            return StoreFault.NONE;
+        });
+    }
+
     @Test
     void submissionWithoutAResponseOfTheStoreMayHaveRun() {
         jobs.nodes.setFaults(
@@ -683,6 +812,37 @@
         assertThat(pages[0]).isZero();
     }
 
+    /** Guards against an owner that is not used for seconds, as its reply from before its publication arrives late. */
+    @Test
+    void replyFromBeforeTheLastPublicationDoesNotEndTheUseOfTheOwner() {
+        for (int passedMs = 0; passedMs < 5_000; passedMs += 100) {
+            VirtualJobs fleet = restartedOwnerWithLateMessages();
+            fleet.nodes.run(passedMs);
+            RequestId read = fleet.nodes.submit(B, new ReadJob(new JobId(JOB), 0, 1_000));
+            fleet.nodes.run(7_000 - passedMs);
+            assertThat(page(fleet.nodes.reply(read).orElseThrow())).hasSize(ITEMS);
+            fleet.nodes.setPeerLatency((from, to) -> OptionalLong.of(1));
+            int[] pages = countPages(fleet);
+            assertThat(page(fleet.read(B, JOB, 0))).hasSize(ITEMS);
+            assertThat(pages[0]).as("after %s ms", passedMs).isZero();
+        }
+    }
+
+    /** Restarts the owner of a finished job, whose messages are slower than facts are; another daemon knows it. */
+    private static VirtualJobs restartedOwnerWithLateMessages() {
+        VirtualJobs fleet = new VirtualJobs();
+        fleet.nodes.setFaults((host, request) ->
+                host.equals(B) && request instanceof StoreRequest.Join ? StoreFault.REFUSED : StoreFault.NONE);
+        List.of(A, B).forEach(fleet::start);
+        fleet.nodes.run(5_000);
+        fleet.submit(B, JOB, ITEMS);
+        fleet.nodes.run(5_000);
+        fleet.nodes.setPeerLatency((from, to) -> OptionalLong.of(from.equals(A) ? 300 : 1));
+        fleet.nodes.kill(A);
+        fleet.start(A);
+        return fleet;
+    }
+
     @Test
     void readOfAJobThatItsOwnerHasNotLoadedYetDoesNotEndTheUseOfTheOwner() {
         HostId reader = readerOfAFinishedJob();
@@ -721,8 +881,12 @@
     }
 
     private int[] countPages() {
+        return countPages(jobs);
+    }
+
+    private static int[] countPages(VirtualJobs fleet) {
         int[] pages = new int[1];
-        jobs.nodes.setFaults((host, request) -> {
+        fleet.nodes.setFaults((host, request) -> {
             pages[0] += request instanceof StoreRequest.ReadNewest ? 1 : 0;
             return StoreFault.NONE;
         });
@@ -979,6 +1143,46 @@
         assertThat(code(jobs.read(B, JOB, 0))).isEqualTo(RefusalCode.NOT_FOUND);
     }
 
+    /** Guards against an expired job that its next owner runs again, as its results are gone and its parts are not. */
+    @ParameterizedTest
+    @EnumSource(
+            value = StoreFault.class,
+            names = {"REFUSED", "REQUEST_LOST", "RESET", "RESPONSE_LOST", "DONE_LATE"})
+    void expiredJobWhosePartsCannotBeDroppedIsNotRunAgain(StoreFault fault) {
+        jobs.submit(A, JOB, ITEMS);
+        HostId owner = jobs.awaitOwner();
+        jobs.nodes.setFaults((host, request) -> drops(request) ? fault : StoreFault.NONE);
+        jobs.nodes.run(VirtualJobs.RETENTION_MS + 10_000);
+        jobs.nodes.kill(owner);
+        jobs.capacities.remove(owner);
+        jobs.nodes.run(15_000);
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(VirtualJobs.RETENTION_MS + 10_000);
+        assertThat(jobs.runsByItem.values()).hasSize(ITEMS).containsOnly(1);
+        for (int partition = 0; partition < 3; partition++) {
+            assertThat(jobs.nodes.store().newest(JobRecords.jobs(partition))).isEmpty();
+            assertThat(jobs.nodes.store().newest(JobRecords.results(partition))).isEmpty();
+        }
+    }
+
+    /** Guards against a finished job that stays in the store as one attempt to drop it has failed. */
+    @Test
+    void expiredJobIsDroppedOnceTheStoreAcceptsIt() {
+        jobs.submit(A, JOB, ITEMS);
+        jobs.nodes.setFaults((host, request) -> drops(request) ? StoreFault.REFUSED : StoreFault.NONE);
+        jobs.nodes.run(VirtualJobs.RETENTION_MS + 10_000);
+        assertThat(page(jobs.read(B, JOB, 0))).hasSize(ITEMS);
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(5_000);
+        assertThat(code(jobs.read(C, JOB, 0))).isEqualTo(RefusalCode.NOT_FOUND);
+    }
+
+    private static boolean drops(StoreRequest request) {
+        return request instanceof StoreRequest.Append append
+                && append.partition().topic().equals(JobRecords.JOBS)
+                && append.records().stream().anyMatch(KeyedRecord::isTombstone);
+    }
+
     private static List<HostId> others(HostId host) {
         return List.of(A, B, C).stream().filter(other -> !other.equals(host)).toList();
     }
