Add links between daemons and targets that can fail to the test fixtures

A partition between some daemons and all targets could not be played over real sockets: the daemons of a fleet shared one address of each target.

LinkProxy forwards connections of one daemon to one target and delays, silences, resets, refuses or does not establish them, separately for open and for new ones; connections hang as the backlog of its listener is full. TargetLinks is the set of a daemon's proxies, of which all or some fail. The store's stand-in can show a client other addresses of the targets, so that GatewayFleet.withLinks starts each daemon with links of its own.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -18,6 +18,7 @@
 import org.cornelcrank.platform.fake.RoutesStandIn;
 import org.cornelcrank.platform.fake.RunnerStandIn;
 import org.cornelcrank.platform.fake.StoreStandIn;
+import org.cornelcrank.platform.fake.TargetLinks;
 import org.cornelcrank.server.settings.GatewaySettings;
 import org.cornelcrank.server.settings.GatewaySettingsParser;
 import org.cornelcrank.server.settings.SettingsResult;
@@ -41,6 +42,11 @@
     final StoreStandIn store = new StoreStandIn(2);
     final Map<String, RunnerStandIn> runners = new LinkedHashMap<>();
     final List<GatewayProcess> daemons = new ArrayList<>();
+
+    /** The links of each daemon to the runners, none if the daemons connect to the runners themselves. */
+    final List<TargetLinks> links = new ArrayList<>();
+
+    private final boolean linked;
     private final List<GatewaySettings> settings = new ArrayList<>();
     private final HttpClient http = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -48,6 +54,11 @@
             .build();
 
     GatewayFleet(int daemonCount, String... runnerIds) throws IOException {
+        this(false, daemonCount, runnerIds);
+    }
+
+    private GatewayFleet(boolean linked, int daemonCount, String... runnerIds) throws IOException {
+        this.linked = linked;
         putRoutes(1, "idem", "unsafe", "stream", "stream-once", "once", "batch");
         for (String id : runnerIds) {
             RunnerStandIn runner = new RunnerStandIn(id);
@@ -66,6 +77,11 @@
         }
     }
 
+    /** Starts a fleet in which the link of each daemon to each runner can fail. */
+    static GatewayFleet withLinks(int daemonCount, String... runnerIds) throws IOException {
+        return new GatewayFleet(true, daemonCount, runnerIds);
+    }
+
     /** Stores a route table with the named routes. */
     void putRoutes(int version, String... names) {
         store.put("op", "config", RoutesStandIn.table(version, names));
@@ -98,11 +114,19 @@
     }
 
     void start(String host, long drainDelayMs, long drainTimeoutMs) throws IOException {
-        GatewaySettings parsed = settings(host, store.address(), drainDelayMs, drainTimeoutMs);
+        GatewaySettings parsed = settings(host, storeAddress(host), drainDelayMs, drainTimeoutMs);
         settings.add(parsed);
         daemons.add(GatewayProcess.start(parsed));
     }
 
+    private String storeAddress(String host) {
+        if (!linked) {
+            return store.address();
+        }
+        links.add(new TargetLinks());
+        return store.addressFor(host, links.get(links.size() - 1));
+    }
+
     /** Returns settings with free ports of the loopback interface. */
     static GatewaySettings settings(String host, String storeAddress, long drainDelayMs, long drainTimeoutMs)
             throws IOException {
@@ -170,6 +194,10 @@
                 .sum();
     }
 
+    void setEventMs(long eventMs) {
+        runners.values().forEach(runner -> runner.setEventMs(eventMs));
+    }
+
     void setBehaviour(RunnerStandIn.Behaviour behaviour) {
         runners.values().forEach(runner -> runner.setBehaviour(behaviour));
     }
@@ -278,6 +306,7 @@
             }
         } finally {
             daemons.forEach(GatewayProcess::stop);
+            links.forEach(TargetLinks::close);
             runners.values().forEach(RunnerStandIn::close);
             store.close();
         }
