Let links between daemons and targets fail in the soak

No play of real processes lost the connections between a daemon and its targets while both were well. They end with the other disruptions, so that the soak lasts as long as before, and its checks are the same.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.cornelcrank.platform.fake.ResponseChecker;
 import org.cornelcrank.platform.fake.ResponseChecker.Attempt;
@@ -56,6 +57,7 @@
     private final Thread cleaner = new Thread(this::closeDaemons);
     private final SoakTargets targets;
     private final SoakDisruptions disruptions;
+    private final SoakLinkFaults linkFaults;
     private volatile boolean stopped;
     private volatile boolean readersStopped;
     private final List<Usage> idle = new ArrayList<>();
@@ -77,6 +79,7 @@
                 ? Optional.of(new SoakStoreTroubles(random, store, daemons, partitions, threads))
                 : Optional.empty();
         disruptions = new SoakDisruptions(random, store, daemons, targets, threads, troubles);
+        linkFaults = new SoakLinkFaults(new Random(~seed), threads);
     }
 
     /** Runs and returns what was wrong. */
@@ -84,7 +87,7 @@
         disruptions.changeRoutes();
         for (int i = 0; i < DAEMONS; i++) {
             String host = "host-" + i;
-            daemons.add(new DaemonProgram(host, store.addressFor(host), partitions, directory));
+            daemons.add(new DaemonProgram(host, linkFaults.storeAddress(store, host), partitions, directory));
             daemons.get(i).start();
         }
         for (DaemonProgram daemon : daemons) {
@@ -104,7 +107,12 @@
             Random readerRandom = new Random(seed * READERS + i);
             threads.execute(() -> reads.run(readerRandom, () -> readersStopped));
         }
+        Future<?> links = threads.submit(() -> {
+            linkFaults.run(durationMs);
+            return null;
+        });
         disruptions.run(durationMs);
+        await(links, "all links must be sound again");
         stopped = true;
         if (storeTroubles) {
             Thread.sleep(CALM_MS);
@@ -129,11 +137,15 @@
             }
         }
         for (Future<?> read : wholeReads) {
-            try {
-                read.get();
-            } catch (ExecutionException e) {
-                throw new IllegalStateException("a read must end", e);
-            }
+            await(read, "a read must end");
+        }
+    }
+
+    private static void await(Future<?> task, String expectation) throws InterruptedException {
+        try {
+            task.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(expectation, e);
         }
     }
 
@@ -156,7 +168,11 @@
             Files.writeString(directory.resolve(daemon.host() + ".dump"), daemon.dump());
         }
         Files.write(directory.resolve("faults.txt"), checker.faults());
-        Files.write(directory.resolve("disruptions.txt"), disruptions.log());
+        Files.write(
+                directory.resolve("disruptions.txt"),
+                Stream.concat(disruptions.log().stream(), linkFaults.log().stream())
+                        .sorted()
+                        .toList());
         Files.writeString(directory.resolve("summary.txt"), summary() + ", faults " + checker.counts() + "\n");
         return checker.faults();
     }
@@ -223,7 +239,7 @@
                 attempts.stream().collect(Collectors.groupingBy(Attempt::status, TreeMap::new, Collectors.counting()));
         List<WrittenCopy> copies = ledger.copies();
         long reused = copies.stream().filter(WrittenCopy::onReusedConnection).count();
-        return "seed %d: %d requests, statuses %s, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %s, %s, idle %s, afterwards %s"
+        return "seed %d: %d requests, statuses %s, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %d faults of links, %s, %s, idle %s, afterwards %s"
                 .formatted(
                         seed,
                         attempts.size(),
@@ -232,6 +248,7 @@
                         copies.size(),
                         reused,
                         disruptions.log().size(),
+                        linkFaults.log().size(),
                         jobs,
                         reads,
                         idle,
@@ -250,6 +267,7 @@
         threads.awaitTermination(END_TIMEOUT_S, TimeUnit.SECONDS);
         closeDaemons();
         Runtime.getRuntime().removeShutdownHook(cleaner);
+        linkFaults.close();
         targets.close();
         store.close();
     }
