Let an attempt be dispatched through another daemon

The effects, events and kinds of failure with which the core chooses a relay for an attempt, checks whether this daemon can connect to a target, and ends an attempt whose target has become unreachable from this daemon. Nothing uses them yet: every attempt is dispatched without a relay.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
@@ -41,11 +41,17 @@
     /** Cancels a timer; an expiry that is already queued may still be delivered. */
     record Unschedule(TimerKey key) implements Effect {}
 
-    /** Starts an attempt; results in {@link Event.AttemptStarted} and the other attempt events. */
+    /**
+     * Starts an attempt; results in {@link Event.AttemptStarted} and the other attempt events.
+     *
+     * <p>{@code relay} is the daemon that forwards the connection to the target; empty if this daemon connects to the
+     * target itself.
+     */
     record Dispatch(
             AttemptId attempt,
             TargetId target,
             String address,
+            Optional<HostId> relay,
             DispatchSource source,
             Optional<ResumePoint> resume,
             long timeoutMs)
@@ -54,6 +60,15 @@
     /** Cancels an attempt, which makes the target stop generating; {@link Event.AttemptEnded} still follows. */
     record CancelAttempt(AttemptId attempt) implements Effect {}
 
+    /**
+     * Ends an attempt with {@link FailureKind#PATH_LOST} if the target still sends nothing for it; otherwise has no
+     * effect.
+     */
+    record AbandonAttempt(AttemptId attempt) implements Effect {}
+
+    /** Checks whether this daemon can connect to a target; results in one {@link Event.TargetProbed}. */
+    record ProbeTarget(TargetId target, String address) implements Effect {}
+
     /** Sends an order to a target; results in {@link Event.OrderEnded}. */
     record Order(TargetId target, String address, long orderNumber, TargetOrder order) implements Effect {}
 
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -86,6 +86,9 @@
     /** Reports the total number of tokens that the target has streamed for the attempt. */
     record AttemptProgressed(AttemptId attempt, int tokens) implements Event {}
 
+    /** A target has sent nothing for the attempt for some time; repeated while the silence lasts. */
+    record AttemptSilent(AttemptId attempt) implements Event {}
+
     /** The attempt has ended; no further event for it follows. */
     record AttemptEnded(AttemptId attempt, AttemptOutcome outcome) implements Event {}
 
@@ -108,6 +111,9 @@
     /** A target's load could not be queried; {@code refused} indicates that the target refused the connection. */
     record TargetUnreachable(TargetId target, boolean refused) implements Event {}
 
+    /** A check has ended of whether this daemon can connect to a target. */
+    record TargetProbed(TargetId target, boolean reachable) implements Event {}
+
     /** Nothing listens at a target's address after it has lost a connection. */
     record TargetGone(TargetId target) implements Event {}
 
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/FailureKind.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/FailureKind.java
@@ -8,6 +8,10 @@
     CONNECTION_LOST,
     /** The target terminated or became unreachable after the request was sent. */
     TARGET_GONE,
+    /** The daemon, or the one that relays the attempt, cannot reach the target, although others may. */
+    PATH_LOST,
+    /** The daemon that was to relay the attempt is unreachable or refuses to. */
+    RELAY_FAILED,
     /** The target did not respond, or its response stalled, for longer than the timeout. */
     TIMED_OUT,
     /** The target rejected the request as invalid (HTTP 4xx other than 429). */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -388,7 +388,7 @@
     private static long pauseMs(AttemptOutcome.Failed failed, JobRun.ItemProgress progress) {
         return switch (failed.kind()) {
             case CANCELLED -> 0;
-            case CONNECTION_LOST, TARGET_GONE -> lossPauseMs(progress.countLoss());
+            case CONNECTION_LOST, TARGET_GONE, PATH_LOST, RELAY_FAILED -> lossPauseMs(progress.countLoss());
             default -> FAILURE_PAUSE_MS;
         };
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -158,6 +158,7 @@
                 attempt,
                 run.target().id(),
                 run.target().address(),
+                Optional.empty(),
                 run.work().source(),
                 run.resume(),
                 run.work().timeoutMs()));
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -545,6 +545,7 @@
                 route.attempt,
                 route.target.id(),
                 route.target.address(),
+                Optional.empty(),
                 request.source(),
                 resumePoint(route),
                 timeoutMs));
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -99,7 +99,13 @@
 
     private void dispatch(String address, DispatchSource source) throws Exception {
         Effect.Dispatch dispatch = new Effect.Dispatch(
-                new AttemptId(HOST, 1, 1), new TargetId("target"), address, source, Optional.empty(), 1_000);
+                new AttemptId(HOST, 1, 1),
+                new TargetId("target"),
+                address,
+                Optional.empty(),
+                source,
+                Optional.empty(),
+                1_000);
         thread.submit(() -> client.run(dispatch)).get(HANG_LIMIT_S, TimeUnit.SECONDS);
         thread.submit(() -> {}).get(HANG_LIMIT_S, TimeUnit.SECONDS);
     }
