--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -328,6 +328,11 @@
         context.peers().deliver((from, message) -> receive(from, message, nowMs, out));
     }
 
+    /** Returns the address of a target; empty if it is not in the directory. */
+    public Optional<String> targetAddress(TargetId target) {
+        return context.directory().find(target).map(TargetState::address);
+    }
+
     @Override
     public void route(RoutedRequest request, RouteListener listener, long nowMs, Effects out) {
         online.route(request, listener, nowMs, out);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/AcceptingHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/AcceptingHandler.java
@@ -1,5 +1,7 @@
 package org.cornelcrank.server.peer;
 
+import java.util.Optional;
+
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -13,7 +15,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Accepting side of a peer connection: authenticates the peer, then receives its messages.
+ * Accepting side of a peer connection: authenticates the peer, then receives its messages, unless the peer wants a
+ * connection to a target to be relayed.
  *
  * <p>Invariant: no message is accepted before the peer has proven that it holds the shared key. Not thread-safe:
  * confined to its channel.
@@ -27,10 +30,12 @@
 
     private final Handshake handshake;
     private final PeerReceiver receiver;
+    private final Optional<RelayedConnections> relays;
     private final Challenge challenge;
     private HostId peer;
 
-    AcceptingHandler(Handshake handshake, PeerReceiver receiver) {
+    AcceptingHandler(Handshake handshake, PeerReceiver receiver, Optional<RelayedConnections> relays) {
+        this.relays = relays;
         this.handshake = handshake;
         this.receiver = receiver;
         this.challenge = handshake.challenge();
@@ -47,6 +52,8 @@
             receiver.receive(peer, frame.getEnvelope());
         } else if (peer != null && frame.hasPing()) {
             context.writeAndFlush(PONG);
+        } else if (peer != null && frame.hasOpenRelay() && relays.isPresent()) {
+            relay(context, relays.get(), frame.getOpenRelay().getTarget());
         } else if (peer == null && frame.hasHello()) {
             onHello(context, frame.getHello());
         } else {
@@ -60,6 +67,11 @@
         context.close();
     }
 
+    private void relay(ChannelHandlerContext context, RelayedConnections connections, String target) {
+        RelayedConnection connection = connections.reserve(peer, target);
+        context.pipeline().replace(this, null, new RelayHandler(connections, new RelayTcpConnector(), connection));
+    }
+
     private void onHello(ChannelHandlerContext context, Hello hello) {
         String reason = handshake.rejectionReason(challenge, hello).orElse(null);
         if (reason == null) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerPipeline.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerPipeline.java
@@ -1,5 +1,8 @@
 package org.cornelcrank.server.peer;
 
+import java.util.List;
+
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -21,9 +24,15 @@
     private PeerPipeline() {}
 
     static void addFrameHandlers(ChannelPipeline pipeline) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-        pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
-        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-        pipeline.addLast(new ProtobufEncoder());
+        newFrameHandlers().forEach(pipeline::addLast);
+    }
+
+    /** Returns new handlers that encode and decode frames, in the order of the pipeline. */
+    static List<ChannelHandler> newFrameHandlers() {
+        return List.of(
+                new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                new ProtobufDecoder(Frame.getDefaultInstance()),
+                new LengthFieldPrepender(LENGTH_BYTES),
+                new ProtobufEncoder());
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
@@ -19,12 +19,15 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.server.loop.CoreLoop;
@@ -47,6 +50,7 @@
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
     private final Map<HostId, Link> links = new ConcurrentHashMap<>();
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final EventLoopGroup group;
     private final Function<HostId, Optional<String>> addresses;
     private final MonotonicClock clock;
@@ -130,15 +134,27 @@
      * @return the bound address
      */
     public InetSocketAddress bind(InetSocketAddress address) {
+        return bind(address, Optional.empty());
+    }
+
+    /**
+     * Binds the port for connections and datagrams.
+     *
+     * @param address the address to listen at; port 0 selects a free port
+     * @param relays the connections to targets that this daemon relays for its peers; empty if it relays none
+     * @return the bound address
+     */
+    public InetSocketAddress bind(InetSocketAddress address, Optional<RelayedConnections> relays) {
         tcp = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        accepted.add(channel);
                         tls.ifPresent(context -> channel.pipeline().addLast(context.serverHandler(channel)));
                         PeerPipeline.addFrameHandlers(channel.pipeline());
-                        channel.pipeline().addLast(new AcceptingHandler(handshake, receiver));
+                        channel.pipeline().addLast(new AcceptingHandler(handshake, receiver, relays));
                     }
                 })
                 .bind(address)
@@ -188,6 +204,7 @@
             tcp.close().syncUninterruptibly();
             udp.close().syncUninterruptibly();
         }
+        accepted.close().awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
--- /dev/null
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
@@ -0,0 +1,136 @@
+package org.cornelcrank.server.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.cornelcrank.server.wire.Frame;
+import org.cornelcrank.server.wire.RelayOpened;
+import org.cornelcrank.server.wire.RelayRefused;
+
+/**
+ * The peer's side of a connection that this daemon relays: connects to the target and forwards what the peer sends.
+ *
+ * <p>Invariants: the target's connection is closed at once when the peer's is; the peer is read no faster than the target
+ * reads. A peer that closes its connection while a target does not read is noticed when the target reads on, or once
+ * nothing was carried for {@link #IDLE_LIMIT_S}. Not thread-safe: confined to the connection's event loop.
+ */
+final class RelayHandler extends SimpleChannelInboundHandler<Frame> {
+
+    /** How long a connection may carry nothing, in s: longer than any attempt waits, unless its daemon is lost. */
+    static final int IDLE_LIMIT_S = 60;
+
+    private static final Frame OPENED =
+            Frame.newBuilder().setRelayOpened(RelayOpened.getDefaultInstance()).build();
+
+    private final RelayedConnections relays;
+    private final RelayConnector connector;
+    private final RelayedConnection connection;
+    private Channel target;
+    private boolean opened;
+
+    RelayHandler(RelayedConnections relays, RelayConnector connector, RelayedConnection connection) {
+        this.relays = Objects.requireNonNull(relays, "relays must not be null");
+        this.connector = Objects.requireNonNull(connector, "connector must not be null");
+        this.connection = Objects.requireNonNull(connection, "connection must not be null");
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        Optional<RelayRefused.Reason> reason = relays.refusalReason();
+        if (reason.isPresent()) {
+            refuse(context, reason.get());
+            return;
+        }
+        Optional<InetSocketAddress> address = relays.address(connection.target());
+        if (address.isEmpty()) {
+            refuse(context, RelayRefused.Reason.UNKNOWN_TARGET);
+            return;
+        }
+        context.channel().config().setWriteBufferWaterMark(RelayedConnection.WATER_MARK);
+        context.pipeline().addFirst(new IdleStateHandler(0, 0, IDLE_LIMIT_S));
+        ChannelFuture connecting = connector.connect(
+                context.channel().eventLoop(), address.get(), new RelayTargetHandler(context.channel(), connection));
+        target = connecting.channel();
+        connecting.addListener(connected -> onConnected(context, connected.isSuccess()));
+    }
+
+    private void onConnected(ChannelHandlerContext context, boolean connected) {
+        if (!context.channel().isActive()) {
+            target.close();
+        } else if (connected) {
+            opened = true;
+            connection.opened();
+            context.writeAndFlush(OPENED);
+            target.config().setAutoRead(true);
+        } else {
+            refuse(context, RelayRefused.Reason.UNREACHABLE);
+        }
+    }
+
+    private void refuse(ChannelHandlerContext context, RelayRefused.Reason reason) {
+        connection.refuse(reason);
+        Frame refused = Frame.newBuilder()
+                .setRelayRefused(RelayRefused.newBuilder().setReason(reason))
+                .build();
+        context.writeAndFlush(refused).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (!opened || !frame.hasRelayData()) {
+            end(context, "unexpected frame");
+            return;
+        }
+        ByteBuf bytes = RelayFrames.bytes(frame);
+        connection.carried(bytes.readableBytes());
+        // Bytes for a target that has closed its connection are dropped, as the peer learns of the close.
+        target.writeAndFlush(bytes);
+        if (target.isActive() && !target.isWritable()) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (opened) {
+            target.config().setAutoRead(context.channel().isWritable());
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            end(context, "idle");
+        } else {
+            context.fireUserEventTriggered(event);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        end(context, "closed by the peer");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        end(context, "failed: " + cause);
+    }
+
+    private void end(ChannelHandlerContext context, String reason) {
+        connection.end(reason);
+        context.close();
+        if (target != null) {
+            target.close();
+        }
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Frame.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Frame.java
@@ -8,7 +8,8 @@
 /**
  * <pre>
  * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side only
- * answers the handshake and pings.
+ * answers the handshake and pings. After OpenRelay, which may follow Hello directly, the connection carries the bytes
+ * of one connection to a target and nothing else.
  * </pre>
  *
  * Protobuf type {@code cornelcrank.peer.Frame}
@@ -66,6 +67,11 @@
     ENVELOPE(5),
     PING(6),
     PONG(7),
+    OPEN_RELAY(8),
+    RELAY_OPENED(9),
+    RELAY_REFUSED(10),
+    RELAY_DATA(11),
+    RELAY_END(12),
     CONTENT_NOT_SET(0);
     private final int value;
     private ContentCase(int value) {
@@ -90,6 +96,11 @@
         case 5: return ENVELOPE;
         case 6: return PING;
         case 7: return PONG;
+        case 8: return OPEN_RELAY;
+        case 9: return RELAY_OPENED;
+        case 10: return RELAY_REFUSED;
+        case 11: return RELAY_DATA;
+        case 12: return RELAY_END;
         case 0: return CONTENT_NOT_SET;
         default: return null;
       }
@@ -322,6 +333,161 @@
     return org.cornelcrank.server.wire.Pong.getDefaultInstance();
   }
 
+  public static final int OPEN_RELAY_FIELD_NUMBER = 8;
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   * @return Whether the openRelay field is set.
+   */
+  @java.lang.Override
+  public boolean hasOpenRelay() {
+    return contentCase_ == 8;
+  }
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   * @return The openRelay.
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.OpenRelay getOpenRelay() {
+    if (contentCase_ == 8) {
+       return (org.cornelcrank.server.wire.OpenRelay) content_;
+    }
+    return org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.OpenRelayOrBuilder getOpenRelayOrBuilder() {
+    if (contentCase_ == 8) {
+       return (org.cornelcrank.server.wire.OpenRelay) content_;
+    }
+    return org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+  }
+
+  public static final int RELAY_OPENED_FIELD_NUMBER = 9;
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   * @return Whether the relayOpened field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayOpened() {
+    return contentCase_ == 9;
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   * @return The relayOpened.
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayOpened getRelayOpened() {
+    if (contentCase_ == 9) {
+       return (org.cornelcrank.server.wire.RelayOpened) content_;
+    }
+    return org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayOpenedOrBuilder getRelayOpenedOrBuilder() {
+    if (contentCase_ == 9) {
+       return (org.cornelcrank.server.wire.RelayOpened) content_;
+    }
+    return org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+  }
+
+  public static final int RELAY_REFUSED_FIELD_NUMBER = 10;
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   * @return Whether the relayRefused field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayRefused() {
+    return contentCase_ == 10;
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   * @return The relayRefused.
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayRefused getRelayRefused() {
+    if (contentCase_ == 10) {
+       return (org.cornelcrank.server.wire.RelayRefused) content_;
+    }
+    return org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayRefusedOrBuilder getRelayRefusedOrBuilder() {
+    if (contentCase_ == 10) {
+       return (org.cornelcrank.server.wire.RelayRefused) content_;
+    }
+    return org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+  }
+
+  public static final int RELAY_DATA_FIELD_NUMBER = 11;
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   * @return Whether the relayData field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayData() {
+    return contentCase_ == 11;
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   * @return The relayData.
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayData getRelayData() {
+    if (contentCase_ == 11) {
+       return (org.cornelcrank.server.wire.RelayData) content_;
+    }
+    return org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayDataOrBuilder getRelayDataOrBuilder() {
+    if (contentCase_ == 11) {
+       return (org.cornelcrank.server.wire.RelayData) content_;
+    }
+    return org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+  }
+
+  public static final int RELAY_END_FIELD_NUMBER = 12;
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   * @return Whether the relayEnd field is set.
+   */
+  @java.lang.Override
+  public boolean hasRelayEnd() {
+    return contentCase_ == 12;
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   * @return The relayEnd.
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayEnd getRelayEnd() {
+    if (contentCase_ == 12) {
+       return (org.cornelcrank.server.wire.RelayEnd) content_;
+    }
+    return org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.server.wire.RelayEndOrBuilder getRelayEndOrBuilder() {
+    if (contentCase_ == 12) {
+       return (org.cornelcrank.server.wire.RelayEnd) content_;
+    }
+    return org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -357,6 +523,21 @@
     if (contentCase_ == 7) {
       output.writeMessage(7, (org.cornelcrank.server.wire.Pong) content_);
     }
+    if (contentCase_ == 8) {
+      output.writeMessage(8, (org.cornelcrank.server.wire.OpenRelay) content_);
+    }
+    if (contentCase_ == 9) {
+      output.writeMessage(9, (org.cornelcrank.server.wire.RelayOpened) content_);
+    }
+    if (contentCase_ == 10) {
+      output.writeMessage(10, (org.cornelcrank.server.wire.RelayRefused) content_);
+    }
+    if (contentCase_ == 11) {
+      output.writeMessage(11, (org.cornelcrank.server.wire.RelayData) content_);
+    }
+    if (contentCase_ == 12) {
+      output.writeMessage(12, (org.cornelcrank.server.wire.RelayEnd) content_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -389,6 +570,26 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (org.cornelcrank.server.wire.Pong) content_);
     }
+    if (contentCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.cornelcrank.server.wire.OpenRelay) content_);
+    }
+    if (contentCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (org.cornelcrank.server.wire.RelayOpened) content_);
+    }
+    if (contentCase_ == 10) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, (org.cornelcrank.server.wire.RelayRefused) content_);
+    }
+    if (contentCase_ == 11) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, (org.cornelcrank.server.wire.RelayData) content_);
+    }
+    if (contentCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (org.cornelcrank.server.wire.RelayEnd) content_);
+    }
     return size;
   }
   @java.lang.Override
@@ -443,6 +644,26 @@
         if (!getPong()
             .equals(other.getPong())) return false;
         break;
+      case 8:
+        if (!getOpenRelay()
+            .equals(other.getOpenRelay())) return false;
+        break;
+      case 9:
+        if (!getRelayOpened()
+            .equals(other.getRelayOpened())) return false;
+        break;
+      case 10:
+        if (!getRelayRefused()
+            .equals(other.getRelayRefused())) return false;
+        break;
+      case 11:
+        if (!getRelayData()
+            .equals(other.getRelayData())) return false;
+        break;
+      case 12:
+        if (!getRelayEnd()
+            .equals(other.getRelayEnd())) return false;
+        break;
       case 0:
       default:
     }
@@ -486,6 +707,26 @@
         hash = (37 * hash) + PONG_FIELD_NUMBER;
         hash = (53 * hash) + getPong().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + OPEN_RELAY_FIELD_NUMBER;
+        hash = (53 * hash) + getOpenRelay().hashCode();
+        break;
+      case 9:
+        hash = (37 * hash) + RELAY_OPENED_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayOpened().hashCode();
+        break;
+      case 10:
+        hash = (37 * hash) + RELAY_REFUSED_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayRefused().hashCode();
+        break;
+      case 11:
+        hash = (37 * hash) + RELAY_DATA_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayData().hashCode();
+        break;
+      case 12:
+        hash = (37 * hash) + RELAY_END_FIELD_NUMBER;
+        hash = (53 * hash) + getRelayEnd().hashCode();
+        break;
       case 0:
       default:
     }
@@ -589,7 +830,8 @@
   /**
    * <pre>
    * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side only
-   * answers the handshake and pings.
+   * answers the handshake and pings. After OpenRelay, which may follow Hello directly, the connection carries the bytes
+   * of one connection to a target and nothing else.
    * </pre>
    *
    * Protobuf type {@code cornelcrank.peer.Frame}
@@ -646,6 +888,21 @@
       if (pongBuilder_ != null) {
         pongBuilder_.clear();
       }
+      if (openRelayBuilder_ != null) {
+        openRelayBuilder_.clear();
+      }
+      if (relayOpenedBuilder_ != null) {
+        relayOpenedBuilder_.clear();
+      }
+      if (relayRefusedBuilder_ != null) {
+        relayRefusedBuilder_.clear();
+      }
+      if (relayDataBuilder_ != null) {
+        relayDataBuilder_.clear();
+      }
+      if (relayEndBuilder_ != null) {
+        relayEndBuilder_.clear();
+      }
       contentCase_ = 0;
       content_ = null;
       return this;
@@ -715,6 +972,26 @@
           pongBuilder_ != null) {
         result.content_ = pongBuilder_.build();
       }
+      if (contentCase_ == 8 &&
+          openRelayBuilder_ != null) {
+        result.content_ = openRelayBuilder_.build();
+      }
+      if (contentCase_ == 9 &&
+          relayOpenedBuilder_ != null) {
+        result.content_ = relayOpenedBuilder_.build();
+      }
+      if (contentCase_ == 10 &&
+          relayRefusedBuilder_ != null) {
+        result.content_ = relayRefusedBuilder_.build();
+      }
+      if (contentCase_ == 11 &&
+          relayDataBuilder_ != null) {
+        result.content_ = relayDataBuilder_.build();
+      }
+      if (contentCase_ == 12 &&
+          relayEndBuilder_ != null) {
+        result.content_ = relayEndBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -758,6 +1035,26 @@
           mergePong(other.getPong());
           break;
         }
+        case OPEN_RELAY: {
+          mergeOpenRelay(other.getOpenRelay());
+          break;
+        }
+        case RELAY_OPENED: {
+          mergeRelayOpened(other.getRelayOpened());
+          break;
+        }
+        case RELAY_REFUSED: {
+          mergeRelayRefused(other.getRelayRefused());
+          break;
+        }
+        case RELAY_DATA: {
+          mergeRelayData(other.getRelayData());
+          break;
+        }
+        case RELAY_END: {
+          mergeRelayEnd(other.getRelayEnd());
+          break;
+        }
         case CONTENT_NOT_SET: {
           break;
         }
@@ -835,6 +1132,41 @@
               contentCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetOpenRelayFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              contentCase_ = 8;
+              break;
+            } // case 66
+            case 74: {
+              input.readMessage(
+                  internalGetRelayOpenedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              contentCase_ = 9;
+              break;
+            } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetRelayRefusedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              contentCase_ = 10;
+              break;
+            } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetRelayDataFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              contentCase_ = 11;
+              break;
+            } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetRelayEndFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              contentCase_ = 12;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1847,6 +2179,706 @@
       return pongBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.OpenRelay, org.cornelcrank.server.wire.OpenRelay.Builder, org.cornelcrank.server.wire.OpenRelayOrBuilder> openRelayBuilder_;
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     * @return Whether the openRelay field is set.
+     */
+    @java.lang.Override
+    public boolean hasOpenRelay() {
+      return contentCase_ == 8;
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     * @return The openRelay.
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.OpenRelay getOpenRelay() {
+      if (openRelayBuilder_ == null) {
+        if (contentCase_ == 8) {
+          return (org.cornelcrank.server.wire.OpenRelay) content_;
+        }
+        return org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+      } else {
+        if (contentCase_ == 8) {
+          return openRelayBuilder_.getMessage();
+        }
+        return org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    public Builder setOpenRelay(org.cornelcrank.server.wire.OpenRelay value) {
+      if (openRelayBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        content_ = value;
+        onChanged();
+      } else {
+        openRelayBuilder_.setMessage(value);
+      }
+      contentCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    public Builder setOpenRelay(
+        org.cornelcrank.server.wire.OpenRelay.Builder builderForValue) {
+      if (openRelayBuilder_ == null) {
+        content_ = builderForValue.build();
+        onChanged();
+      } else {
+        openRelayBuilder_.setMessage(builderForValue.build());
+      }
+      contentCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    public Builder mergeOpenRelay(org.cornelcrank.server.wire.OpenRelay value) {
+      if (openRelayBuilder_ == null) {
+        if (contentCase_ == 8 &&
+            content_ != org.cornelcrank.server.wire.OpenRelay.getDefaultInstance()) {
+          content_ = org.cornelcrank.server.wire.OpenRelay.newBuilder((org.cornelcrank.server.wire.OpenRelay) content_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          content_ = value;
+        }
+        onChanged();
+      } else {
+        if (contentCase_ == 8) {
+          openRelayBuilder_.mergeFrom(value);
+        } else {
+          openRelayBuilder_.setMessage(value);
+        }
+      }
+      contentCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    public Builder clearOpenRelay() {
+      if (openRelayBuilder_ == null) {
+        if (contentCase_ == 8) {
+          contentCase_ = 0;
+          content_ = null;
+          onChanged();
+        }
+      } else {
+        if (contentCase_ == 8) {
+          contentCase_ = 0;
+          content_ = null;
+        }
+        openRelayBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    public org.cornelcrank.server.wire.OpenRelay.Builder getOpenRelayBuilder() {
+      return internalGetOpenRelayFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.OpenRelayOrBuilder getOpenRelayOrBuilder() {
+      if ((contentCase_ == 8) && (openRelayBuilder_ != null)) {
+        return openRelayBuilder_.getMessageOrBuilder();
+      } else {
+        if (contentCase_ == 8) {
+          return (org.cornelcrank.server.wire.OpenRelay) content_;
+        }
+        return org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.OpenRelay, org.cornelcrank.server.wire.OpenRelay.Builder, org.cornelcrank.server.wire.OpenRelayOrBuilder> 
+        internalGetOpenRelayFieldBuilder() {
+      if (openRelayBuilder_ == null) {
+        if (!(contentCase_ == 8)) {
+          content_ = org.cornelcrank.server.wire.OpenRelay.getDefaultInstance();
+        }
+        openRelayBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.server.wire.OpenRelay, org.cornelcrank.server.wire.OpenRelay.Builder, org.cornelcrank.server.wire.OpenRelayOrBuilder>(
+                (org.cornelcrank.server.wire.OpenRelay) content_,
+                getParentForChildren(),
+                isClean());
+        content_ = null;
+      }
+      contentCase_ = 8;
+      onChanged();
+      return openRelayBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayOpened, org.cornelcrank.server.wire.RelayOpened.Builder, org.cornelcrank.server.wire.RelayOpenedOrBuilder> relayOpenedBuilder_;
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     * @return Whether the relayOpened field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayOpened() {
+      return contentCase_ == 9;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     * @return The relayOpened.
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayOpened getRelayOpened() {
+      if (relayOpenedBuilder_ == null) {
+        if (contentCase_ == 9) {
+          return (org.cornelcrank.server.wire.RelayOpened) content_;
+        }
+        return org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+      } else {
+        if (contentCase_ == 9) {
+          return relayOpenedBuilder_.getMessage();
+        }
+        return org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    public Builder setRelayOpened(org.cornelcrank.server.wire.RelayOpened value) {
+      if (relayOpenedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        content_ = value;
+        onChanged();
+      } else {
+        relayOpenedBuilder_.setMessage(value);
+      }
+      contentCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    public Builder setRelayOpened(
+        org.cornelcrank.server.wire.RelayOpened.Builder builderForValue) {
+      if (relayOpenedBuilder_ == null) {
+        content_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayOpenedBuilder_.setMessage(builderForValue.build());
+      }
+      contentCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    public Builder mergeRelayOpened(org.cornelcrank.server.wire.RelayOpened value) {
+      if (relayOpenedBuilder_ == null) {
+        if (contentCase_ == 9 &&
+            content_ != org.cornelcrank.server.wire.RelayOpened.getDefaultInstance()) {
+          content_ = org.cornelcrank.server.wire.RelayOpened.newBuilder((org.cornelcrank.server.wire.RelayOpened) content_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          content_ = value;
+        }
+        onChanged();
+      } else {
+        if (contentCase_ == 9) {
+          relayOpenedBuilder_.mergeFrom(value);
+        } else {
+          relayOpenedBuilder_.setMessage(value);
+        }
+      }
+      contentCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    public Builder clearRelayOpened() {
+      if (relayOpenedBuilder_ == null) {
+        if (contentCase_ == 9) {
+          contentCase_ = 0;
+          content_ = null;
+          onChanged();
+        }
+      } else {
+        if (contentCase_ == 9) {
+          contentCase_ = 0;
+          content_ = null;
+        }
+        relayOpenedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    public org.cornelcrank.server.wire.RelayOpened.Builder getRelayOpenedBuilder() {
+      return internalGetRelayOpenedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayOpenedOrBuilder getRelayOpenedOrBuilder() {
+      if ((contentCase_ == 9) && (relayOpenedBuilder_ != null)) {
+        return relayOpenedBuilder_.getMessageOrBuilder();
+      } else {
+        if (contentCase_ == 9) {
+          return (org.cornelcrank.server.wire.RelayOpened) content_;
+        }
+        return org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayOpened, org.cornelcrank.server.wire.RelayOpened.Builder, org.cornelcrank.server.wire.RelayOpenedOrBuilder> 
+        internalGetRelayOpenedFieldBuilder() {
+      if (relayOpenedBuilder_ == null) {
+        if (!(contentCase_ == 9)) {
+          content_ = org.cornelcrank.server.wire.RelayOpened.getDefaultInstance();
+        }
+        relayOpenedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.server.wire.RelayOpened, org.cornelcrank.server.wire.RelayOpened.Builder, org.cornelcrank.server.wire.RelayOpenedOrBuilder>(
+                (org.cornelcrank.server.wire.RelayOpened) content_,
+                getParentForChildren(),
+                isClean());
+        content_ = null;
+      }
+      contentCase_ = 9;
+      onChanged();
+      return relayOpenedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayRefused, org.cornelcrank.server.wire.RelayRefused.Builder, org.cornelcrank.server.wire.RelayRefusedOrBuilder> relayRefusedBuilder_;
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     * @return Whether the relayRefused field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayRefused() {
+      return contentCase_ == 10;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     * @return The relayRefused.
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayRefused getRelayRefused() {
+      if (relayRefusedBuilder_ == null) {
+        if (contentCase_ == 10) {
+          return (org.cornelcrank.server.wire.RelayRefused) content_;
+        }
+        return org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+      } else {
+        if (contentCase_ == 10) {
+          return relayRefusedBuilder_.getMessage();
+        }
+        return org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    public Builder setRelayRefused(org.cornelcrank.server.wire.RelayRefused value) {
+      if (relayRefusedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        content_ = value;
+        onChanged();
+      } else {
+        relayRefusedBuilder_.setMessage(value);
+      }
+      contentCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    public Builder setRelayRefused(
+        org.cornelcrank.server.wire.RelayRefused.Builder builderForValue) {
+      if (relayRefusedBuilder_ == null) {
+        content_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayRefusedBuilder_.setMessage(builderForValue.build());
+      }
+      contentCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    public Builder mergeRelayRefused(org.cornelcrank.server.wire.RelayRefused value) {
+      if (relayRefusedBuilder_ == null) {
+        if (contentCase_ == 10 &&
+            content_ != org.cornelcrank.server.wire.RelayRefused.getDefaultInstance()) {
+          content_ = org.cornelcrank.server.wire.RelayRefused.newBuilder((org.cornelcrank.server.wire.RelayRefused) content_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          content_ = value;
+        }
+        onChanged();
+      } else {
+        if (contentCase_ == 10) {
+          relayRefusedBuilder_.mergeFrom(value);
+        } else {
+          relayRefusedBuilder_.setMessage(value);
+        }
+      }
+      contentCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    public Builder clearRelayRefused() {
+      if (relayRefusedBuilder_ == null) {
+        if (contentCase_ == 10) {
+          contentCase_ = 0;
+          content_ = null;
+          onChanged();
+        }
+      } else {
+        if (contentCase_ == 10) {
+          contentCase_ = 0;
+          content_ = null;
+        }
+        relayRefusedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    public org.cornelcrank.server.wire.RelayRefused.Builder getRelayRefusedBuilder() {
+      return internalGetRelayRefusedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayRefusedOrBuilder getRelayRefusedOrBuilder() {
+      if ((contentCase_ == 10) && (relayRefusedBuilder_ != null)) {
+        return relayRefusedBuilder_.getMessageOrBuilder();
+      } else {
+        if (contentCase_ == 10) {
+          return (org.cornelcrank.server.wire.RelayRefused) content_;
+        }
+        return org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayRefused, org.cornelcrank.server.wire.RelayRefused.Builder, org.cornelcrank.server.wire.RelayRefusedOrBuilder> 
+        internalGetRelayRefusedFieldBuilder() {
+      if (relayRefusedBuilder_ == null) {
+        if (!(contentCase_ == 10)) {
+          content_ = org.cornelcrank.server.wire.RelayRefused.getDefaultInstance();
+        }
+        relayRefusedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.server.wire.RelayRefused, org.cornelcrank.server.wire.RelayRefused.Builder, org.cornelcrank.server.wire.RelayRefusedOrBuilder>(
+                (org.cornelcrank.server.wire.RelayRefused) content_,
+                getParentForChildren(),
+                isClean());
+        content_ = null;
+      }
+      contentCase_ = 10;
+      onChanged();
+      return relayRefusedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayData, org.cornelcrank.server.wire.RelayData.Builder, org.cornelcrank.server.wire.RelayDataOrBuilder> relayDataBuilder_;
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     * @return Whether the relayData field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayData() {
+      return contentCase_ == 11;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     * @return The relayData.
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayData getRelayData() {
+      if (relayDataBuilder_ == null) {
+        if (contentCase_ == 11) {
+          return (org.cornelcrank.server.wire.RelayData) content_;
+        }
+        return org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+      } else {
+        if (contentCase_ == 11) {
+          return relayDataBuilder_.getMessage();
+        }
+        return org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    public Builder setRelayData(org.cornelcrank.server.wire.RelayData value) {
+      if (relayDataBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        content_ = value;
+        onChanged();
+      } else {
+        relayDataBuilder_.setMessage(value);
+      }
+      contentCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    public Builder setRelayData(
+        org.cornelcrank.server.wire.RelayData.Builder builderForValue) {
+      if (relayDataBuilder_ == null) {
+        content_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayDataBuilder_.setMessage(builderForValue.build());
+      }
+      contentCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    public Builder mergeRelayData(org.cornelcrank.server.wire.RelayData value) {
+      if (relayDataBuilder_ == null) {
+        if (contentCase_ == 11 &&
+            content_ != org.cornelcrank.server.wire.RelayData.getDefaultInstance()) {
+          content_ = org.cornelcrank.server.wire.RelayData.newBuilder((org.cornelcrank.server.wire.RelayData) content_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          content_ = value;
+        }
+        onChanged();
+      } else {
+        if (contentCase_ == 11) {
+          relayDataBuilder_.mergeFrom(value);
+        } else {
+          relayDataBuilder_.setMessage(value);
+        }
+      }
+      contentCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    public Builder clearRelayData() {
+      if (relayDataBuilder_ == null) {
+        if (contentCase_ == 11) {
+          contentCase_ = 0;
+          content_ = null;
+          onChanged();
+        }
+      } else {
+        if (contentCase_ == 11) {
+          contentCase_ = 0;
+          content_ = null;
+        }
+        relayDataBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    public org.cornelcrank.server.wire.RelayData.Builder getRelayDataBuilder() {
+      return internalGetRelayDataFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayDataOrBuilder getRelayDataOrBuilder() {
+      if ((contentCase_ == 11) && (relayDataBuilder_ != null)) {
+        return relayDataBuilder_.getMessageOrBuilder();
+      } else {
+        if (contentCase_ == 11) {
+          return (org.cornelcrank.server.wire.RelayData) content_;
+        }
+        return org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayData, org.cornelcrank.server.wire.RelayData.Builder, org.cornelcrank.server.wire.RelayDataOrBuilder> 
+        internalGetRelayDataFieldBuilder() {
+      if (relayDataBuilder_ == null) {
+        if (!(contentCase_ == 11)) {
+          content_ = org.cornelcrank.server.wire.RelayData.getDefaultInstance();
+        }
+        relayDataBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.server.wire.RelayData, org.cornelcrank.server.wire.RelayData.Builder, org.cornelcrank.server.wire.RelayDataOrBuilder>(
+                (org.cornelcrank.server.wire.RelayData) content_,
+                getParentForChildren(),
+                isClean());
+        content_ = null;
+      }
+      contentCase_ = 11;
+      onChanged();
+      return relayDataBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayEnd, org.cornelcrank.server.wire.RelayEnd.Builder, org.cornelcrank.server.wire.RelayEndOrBuilder> relayEndBuilder_;
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     * @return Whether the relayEnd field is set.
+     */
+    @java.lang.Override
+    public boolean hasRelayEnd() {
+      return contentCase_ == 12;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     * @return The relayEnd.
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayEnd getRelayEnd() {
+      if (relayEndBuilder_ == null) {
+        if (contentCase_ == 12) {
+          return (org.cornelcrank.server.wire.RelayEnd) content_;
+        }
+        return org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+      } else {
+        if (contentCase_ == 12) {
+          return relayEndBuilder_.getMessage();
+        }
+        return org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    public Builder setRelayEnd(org.cornelcrank.server.wire.RelayEnd value) {
+      if (relayEndBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        content_ = value;
+        onChanged();
+      } else {
+        relayEndBuilder_.setMessage(value);
+      }
+      contentCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    public Builder setRelayEnd(
+        org.cornelcrank.server.wire.RelayEnd.Builder builderForValue) {
+      if (relayEndBuilder_ == null) {
+        content_ = builderForValue.build();
+        onChanged();
+      } else {
+        relayEndBuilder_.setMessage(builderForValue.build());
+      }
+      contentCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    public Builder mergeRelayEnd(org.cornelcrank.server.wire.RelayEnd value) {
+      if (relayEndBuilder_ == null) {
+        if (contentCase_ == 12 &&
+            content_ != org.cornelcrank.server.wire.RelayEnd.getDefaultInstance()) {
+          content_ = org.cornelcrank.server.wire.RelayEnd.newBuilder((org.cornelcrank.server.wire.RelayEnd) content_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          content_ = value;
+        }
+        onChanged();
+      } else {
+        if (contentCase_ == 12) {
+          relayEndBuilder_.mergeFrom(value);
+        } else {
+          relayEndBuilder_.setMessage(value);
+        }
+      }
+      contentCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    public Builder clearRelayEnd() {
+      if (relayEndBuilder_ == null) {
+        if (contentCase_ == 12) {
+          contentCase_ = 0;
+          content_ = null;
+          onChanged();
+        }
+      } else {
+        if (contentCase_ == 12) {
+          contentCase_ = 0;
+          content_ = null;
+        }
+        relayEndBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    public org.cornelcrank.server.wire.RelayEnd.Builder getRelayEndBuilder() {
+      return internalGetRelayEndFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.server.wire.RelayEndOrBuilder getRelayEndOrBuilder() {
+      if ((contentCase_ == 12) && (relayEndBuilder_ != null)) {
+        return relayEndBuilder_.getMessageOrBuilder();
+      } else {
+        if (contentCase_ == 12) {
+          return (org.cornelcrank.server.wire.RelayEnd) content_;
+        }
+        return org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.server.wire.RelayEnd, org.cornelcrank.server.wire.RelayEnd.Builder, org.cornelcrank.server.wire.RelayEndOrBuilder> 
+        internalGetRelayEndFieldBuilder() {
+      if (relayEndBuilder_ == null) {
+        if (!(contentCase_ == 12)) {
+          content_ = org.cornelcrank.server.wire.RelayEnd.getDefaultInstance();
+        }
+        relayEndBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.server.wire.RelayEnd, org.cornelcrank.server.wire.RelayEnd.Builder, org.cornelcrank.server.wire.RelayEndOrBuilder>(
+                (org.cornelcrank.server.wire.RelayEnd) content_,
+                getParentForChildren(),
+                isClean());
+        content_ = null;
+      }
+      contentCase_ = 12;
+      onChanged();
+      return relayEndBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.peer.Frame)
   }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/FrameOrBuilder.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/FrameOrBuilder.java
@@ -115,5 +115,80 @@
    */
   org.cornelcrank.server.wire.PongOrBuilder getPongOrBuilder();
 
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   * @return Whether the openRelay field is set.
+   */
+  boolean hasOpenRelay();
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   * @return The openRelay.
+   */
+  org.cornelcrank.server.wire.OpenRelay getOpenRelay();
+  /**
+   * <code>.cornelcrank.peer.OpenRelay open_relay = 8;</code>
+   */
+  org.cornelcrank.server.wire.OpenRelayOrBuilder getOpenRelayOrBuilder();
+
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   * @return Whether the relayOpened field is set.
+   */
+  boolean hasRelayOpened();
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   * @return The relayOpened.
+   */
+  org.cornelcrank.server.wire.RelayOpened getRelayOpened();
+  /**
+   * <code>.cornelcrank.peer.RelayOpened relay_opened = 9;</code>
+   */
+  org.cornelcrank.server.wire.RelayOpenedOrBuilder getRelayOpenedOrBuilder();
+
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   * @return Whether the relayRefused field is set.
+   */
+  boolean hasRelayRefused();
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   * @return The relayRefused.
+   */
+  org.cornelcrank.server.wire.RelayRefused getRelayRefused();
+  /**
+   * <code>.cornelcrank.peer.RelayRefused relay_refused = 10;</code>
+   */
+  org.cornelcrank.server.wire.RelayRefusedOrBuilder getRelayRefusedOrBuilder();
+
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   * @return Whether the relayData field is set.
+   */
+  boolean hasRelayData();
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   * @return The relayData.
+   */
+  org.cornelcrank.server.wire.RelayData getRelayData();
+  /**
+   * <code>.cornelcrank.peer.RelayData relay_data = 11;</code>
+   */
+  org.cornelcrank.server.wire.RelayDataOrBuilder getRelayDataOrBuilder();
+
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   * @return Whether the relayEnd field is set.
+   */
+  boolean hasRelayEnd();
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   * @return The relayEnd.
+   */
+  org.cornelcrank.server.wire.RelayEnd getRelayEnd();
+  /**
+   * <code>.cornelcrank.peer.RelayEnd relay_end = 12;</code>
+   */
+  org.cornelcrank.server.wire.RelayEndOrBuilder getRelayEndOrBuilder();
+
   org.cornelcrank.server.wire.Frame.ContentCase getContentCase();
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
@@ -56,6 +56,31 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelcrank_peer_Pong_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_peer_OpenRelay_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_peer_OpenRelay_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_peer_RelayOpened_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_peer_RelayOpened_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_peer_RelayRefused_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_peer_RelayRefused_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_peer_RelayData_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_peer_RelayData_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_peer_RelayEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_peer_RelayEnd_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cornelcrank_peer_Rejection_descriptor;
   static final 
@@ -85,7 +110,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\020cornelcrank.peer\"\316\002\n\005Frame" +
+      "\n\npeer.proto\022\020cornelcrank.peer\"\325\004\n\005Frame" +
       "\0220\n\tchallenge\030\001 \001(\0132\033.cornelcrank.peer.C" +
       "hallengeH\000\022(\n\005hello\030\002 \001(\0132\027.cornelcrank." +
       "peer.HelloH\000\022,\n\007welcome\030\003 \001(\0132\031.cornelcr" +
@@ -93,21 +118,35 @@
       "cornelcrank.peer.RejectionH\000\022.\n\010envelope" +
       "\030\005 \001(\0132\032.cornelcrank.peer.EnvelopeH\000\022&\n\004" +
       "ping\030\006 \001(\0132\026.cornelcrank.peer.PingH\000\022&\n\004" +
-      "pong\030\007 \001(\0132\026.cornelcrank.peer.PongH\000B\t\n\007" +
-      "content\"\032\n\tChallenge\022\r\n\005nonce\030\001 \001(\014\"v\n\005H" +
-      "ello\022\030\n\020protocol_version\030\001 \001(\r\022\022\n\ndeploy" +
-      "ment\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\023\n\013incarnation\030" +
-      "\004 \001(\003\022\r\n\005nonce\030\005 \001(\014\022\r\n\005proof\030\006 \001(\014\"=\n\007W" +
-      "elcome\022\014\n\004host\030\001 \001(\t\022\r\n\005proof\030\002 \001(\014\022\025\n\ra" +
-      "nswers_pings\030\003 \001(\010\"\006\n\004Ping\"\006\n\004Pong\"\033\n\tRe" +
-      "jection\022\016\n\006reason\030\001 \001(\t\"*\n\010Envelope\022\r\n\005s" +
-      "lice\030\001 \001(\t\022\017\n\007payload\030\002 \001(\014\"4\n\016SealedDat" +
-      "agram\022\023\n\013signed_part\030\001 \001(\014\022\r\n\005proof\030\002 \001(" +
-      "\014\"\215\001\n\017DatagramContent\022\030\n\020protocol_versio" +
-      "n\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(\t\022\014\n\004host\030\003 \001(" +
-      "\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010envelope\030\005 \001(\0132\032." +
-      "cornelcrank.peer.EnvelopeB*\n\033org.cornelc" +
-      "rank.server.wireB\tPeerProtoP\001b\006proto3"
+      "pong\030\007 \001(\0132\026.cornelcrank.peer.PongH\000\0221\n\n" +
+      "open_relay\030\010 \001(\0132\033.cornelcrank.peer.Open" +
+      "RelayH\000\0225\n\014relay_opened\030\t \001(\0132\035.cornelcr" +
+      "ank.peer.RelayOpenedH\000\0227\n\rrelay_refused\030" +
+      "\n \001(\0132\036.cornelcrank.peer.RelayRefusedH\000\022" +
+      "1\n\nrelay_data\030\013 \001(\0132\033.cornelcrank.peer.R" +
+      "elayDataH\000\022/\n\trelay_end\030\014 \001(\0132\032.cornelcr" +
+      "ank.peer.RelayEndH\000B\t\n\007content\"\032\n\tChalle" +
+      "nge\022\r\n\005nonce\030\001 \001(\014\"v\n\005Hello\022\030\n\020protocol_" +
+      "version\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(\t\022\014\n\004hos" +
+      "t\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\r\n\005nonce\030\005 " +
+      "\001(\014\022\r\n\005proof\030\006 \001(\014\"=\n\007Welcome\022\014\n\004host\030\001 " +
+      "\001(\t\022\r\n\005proof\030\002 \001(\014\022\025\n\ranswers_pings\030\003 \001(" +
+      "\010\"\006\n\004Ping\"\006\n\004Pong\"\033\n\tOpenRelay\022\016\n\006target" +
+      "\030\001 \001(\t\"\r\n\013RelayOpened\"\247\001\n\014RelayRefused\0225" +
+      "\n\006reason\030\001 \001(\0162%.cornelcrank.peer.RelayR" +
+      "efused.Reason\"`\n\006Reason\022\026\n\022REASON_UNSPEC" +
+      "IFIED\020\000\022\022\n\016UNKNOWN_TARGET\020\001\022\017\n\013UNREACHAB" +
+      "LE\020\002\022\013\n\007NO_ROOM\020\003\022\014\n\010STOPPING\020\004\"\034\n\tRelay" +
+      "Data\022\017\n\007content\030\001 \001(\014\"\031\n\010RelayEnd\022\r\n\005res" +
+      "et\030\001 \001(\010\"\033\n\tRejection\022\016\n\006reason\030\001 \001(\t\"*\n" +
+      "\010Envelope\022\r\n\005slice\030\001 \001(\t\022\017\n\007payload\030\002 \001(" +
+      "\014\"4\n\016SealedDatagram\022\023\n\013signed_part\030\001 \001(\014" +
+      "\022\r\n\005proof\030\002 \001(\014\"\215\001\n\017DatagramContent\022\030\n\020p" +
+      "rotocol_version\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(" +
+      "\t\022\014\n\004host\030\003 \001(\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010env" +
+      "elope\030\005 \001(\0132\032.cornelcrank.peer.EnvelopeB" +
+      "*\n\033org.cornelcrank.server.wireB\tPeerProt" +
+      "oP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -118,7 +157,7 @@
     internal_static_cornelcrank_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_Frame_descriptor,
-        new java.lang.String[] { "Challenge", "Hello", "Welcome", "Rejection", "Envelope", "Ping", "Pong", "Content", });
+        new java.lang.String[] { "Challenge", "Hello", "Welcome", "Rejection", "Envelope", "Ping", "Pong", "OpenRelay", "RelayOpened", "RelayRefused", "RelayData", "RelayEnd", "Content", });
     internal_static_cornelcrank_peer_Challenge_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cornelcrank_peer_Challenge_fieldAccessorTable = new
@@ -149,26 +188,56 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_Pong_descriptor,
         new java.lang.String[] { });
-    internal_static_cornelcrank_peer_Rejection_descriptor =
+    internal_static_cornelcrank_peer_OpenRelay_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_cornelcrank_peer_OpenRelay_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_peer_OpenRelay_descriptor,
+        new java.lang.String[] { "Target", });
+    internal_static_cornelcrank_peer_RelayOpened_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_cornelcrank_peer_RelayOpened_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_peer_RelayOpened_descriptor,
+        new java.lang.String[] { });
+    internal_static_cornelcrank_peer_RelayRefused_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_cornelcrank_peer_RelayRefused_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_peer_RelayRefused_descriptor,
+        new java.lang.String[] { "Reason", });
+    internal_static_cornelcrank_peer_RelayData_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_cornelcrank_peer_RelayData_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_peer_RelayData_descriptor,
+        new java.lang.String[] { "Content", });
+    internal_static_cornelcrank_peer_RelayEnd_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_cornelcrank_peer_RelayEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_peer_RelayEnd_descriptor,
+        new java.lang.String[] { "Reset", });
+    internal_static_cornelcrank_peer_Rejection_descriptor =
+      getDescriptor().getMessageType(11);
     internal_static_cornelcrank_peer_Rejection_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_Rejection_descriptor,
         new java.lang.String[] { "Reason", });
     internal_static_cornelcrank_peer_Envelope_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(12);
     internal_static_cornelcrank_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_Envelope_descriptor,
         new java.lang.String[] { "Slice", "Payload", });
     internal_static_cornelcrank_peer_SealedDatagram_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(13);
     internal_static_cornelcrank_peer_SealedDatagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_SealedDatagram_descriptor,
         new java.lang.String[] { "SignedPart", "Proof", });
     internal_static_cornelcrank_peer_DatagramContent_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(14);
     internal_static_cornelcrank_peer_DatagramContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_DatagramContent_descriptor,
