Run attempts over relayed connections, and abandon silent ones

An attempt with a relay is sent over a connection that the relay forwards to the target. To all handlers of responses it is the target's connection: it becomes active once the target is connected, and ends without an error only if the target has ended it. Each way to a target has a pool of its own. A request whose connection was not open has not run; one whose relay is lost may have.

An attempt on whose connection nothing arrives is reported as silent after 300 ms, or 600 ms within a response, and can be abandoned. So far only the read timeout or the deadline ended it.

Evidence: RelayedAttemptsEndToEndTests, 30 tests over sockets.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
@@ -38,7 +38,8 @@
  *
  * <p>Immutable; the state machines are confined to the daemon's event loop.
  */
-record GatewayAssembly(DaemonCore core, MembershipView membership, RouteTableSettings routes) {
+record GatewayAssembly(
+        DaemonCore core, MembershipView membership, RoutingStateMachine routing, RouteTableSettings routes) {
 
     private static final String RANDOM_ALGORITHM = "L64X128MixRandom";
     private static final int MAX_EXPLAINED_SUBJECTS = 1_024;
@@ -89,7 +90,7 @@
                 new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT, new DecisionLog(metrics)::log);
         List<StateMachine> stateMachines = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
         stateMachines.add(new OperationsStateMachine(membership, journal, () -> stateMachines));
-        return new GatewayAssembly(new DaemonCore(stateMachines, journal, dispatch -> {}), membership, routes);
+        return new GatewayAssembly(new DaemonCore(stateMachines, journal, dispatch -> {}), membership, routing, routes);
     }
 
     private static RoutingPolicy routingPolicy(String name) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -27,6 +27,8 @@
 import org.cornelcrank.server.peer.PeerIdentity;
 import org.cornelcrank.server.peer.PeerSecurity;
 import org.cornelcrank.server.peer.PeerTransport;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.RelayedConnections;
 import org.cornelcrank.server.peer.SharedKey;
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.cornelcrank.server.settings.GatewaySettings;
@@ -93,6 +95,12 @@
                 GatewayAssembly.assemble(settings, identity, new PlatformDirectoryFormat(json), metrics);
         CoreLoop loop = new CoreLoop(assembly.core(), clock, scheduler, metrics);
         Drain drain = new Drain(settings.drainDelayMs(), settings.drainTimeoutMs());
+        PeerSecurity security = new PeerSecurity(
+                new PeerIdentity(settings.deployment(), identity.host(), identity.incarnation()),
+                new SharedKey(settings.sharedKey()),
+                Optional.empty());
+        RelayedConnections relayedConnections =
+                new RelayedConnections(assembly.routing()::targetAddress, drain::requested, clock::nowMs, metrics);
         GatewayIo io = new GatewayIo(new GatewayIo.Dependencies(
                 settings,
                 identity,
@@ -102,14 +110,13 @@
                 new PlatformJobDialect(json),
                 assembly.routes(),
                 loops,
+                new RelayClient(security, assembly.membership()::address),
+                relayedConnections,
                 drain,
                 metrics));
         PlatformStoreClient storeClient = new PlatformStoreClient(settings.storeAddress(), loops, json);
         PeerTransport transport = new PeerTransport(
-                new PeerSecurity(
-                        new PeerIdentity(settings.deployment(), identity.host(), identity.incarnation()),
-                        new SharedKey(settings.sharedKey()),
-                        Optional.empty()),
+                security,
                 new PeerCodecs(GatewayAssembly.codecs()),
                 assembly.membership()::address,
                 loop,
@@ -120,7 +127,7 @@
         loop.addRunner(transport);
         loop.addRunner(new StoreCallRunner(storeClient::call, loop));
         loop.addRunner(GatewayProcess::isIgnored);
-        transport.bind(settings.peerAddress());
+        transport.bind(settings.peerAddress(), Optional.of(relayedConnections));
         io.bind();
         loop.post(new Event.Started());
         LOGGER.info(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -12,6 +12,8 @@
 import org.cornelcrank.server.http.RequestGate;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.RelayedConnections;
 import org.cornelcrank.server.settings.GatewaySettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,6 +40,7 @@
     private final MonotonicClock clock;
     private final Drain drain;
     private final RequestGate requests;
+    private final RelayedConnections relayedConnections;
     private final GatewayCalls calls;
     private final GatewayTargetClient targets;
     private final GatewayCommands commands;
@@ -55,6 +58,7 @@
         this.clock = dependencies.clock();
         this.drain = dependencies.drain();
         this.requests = new RequestGate(drain, clock, RequestLimits.DEFAULT.maxBodyBytes());
+        this.relayedConnections = dependencies.relayedConnections();
         OpenRequests openRequests = new OpenRequests(dependencies.metrics());
         dependencies.metrics().registerGauge("gateway.unfinished-responses", requests::openRequests);
         this.calls = new GatewayCalls(
@@ -68,9 +72,14 @@
                 calls,
                 dependencies.dialect(),
                 dependencies.clock(),
-                loops,
+                new TargetConnections(
+                        loops,
+                        dependencies.relays(),
+                        dependencies.loop().scheduler(),
+                        dependencies.clock(),
+                        dependencies.metrics()),
                 MemoryLimit.ofResponses(
-                        maxMemoryBytes(GatewayTargetClient.MAX_RESPONSE_BYTES, settings.responseMemoryPercent()),
+                        maxMemoryBytes(TargetConnections.MAX_RESPONSE_BYTES, settings.responseMemoryPercent()),
                         dependencies.metrics()),
                 dependencies.metrics());
         this.commands = new GatewayCommands(calls, openRequests, dependencies.loop());
@@ -139,7 +148,7 @@
             LOGGER.info("Daemon {} ends {} open requests at its drain timeout", settings.host(), openRequests);
             loop.post(new Event.StopTimedOut(RequestGate.STOPPING));
         }
-        boolean ends = drain.ends(nowMs, coreIdle, openRequests);
+        boolean ends = drain.ends(nowMs, coreIdle && relayedConnections.quiet(nowMs), openRequests);
         if (ends) {
             callerListener.channel().close();
             server.closeConnections();
@@ -171,6 +180,8 @@
             JobDialect jobDialect,
             RouteTableSettings routes,
             LoopResources loops,
+            RelayClient relays,
+            RelayedConnections relayedConnections,
             Drain drain,
             MetricRegistry metrics) {}
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -12,11 +12,9 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOption;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.resolver.DefaultAddressResolverGroup;
-import io.netty.util.AttributeKey;
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.DispatchSource;
@@ -34,6 +32,8 @@
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.RelayException;
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -46,47 +46,40 @@
 import reactor.netty.Connection;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
-import reactor.netty.resources.ConnectionProvider;
-import reactor.netty.resources.LoopResources;
 import reactor.util.retry.Retry;
 
 /**
  * Runs requests on targets and passes their responses to the receivers.
  *
  * <p>Invariants: every dispatched attempt ends in exactly one {@link Event.AttemptEnded}; a response is believed only if
- * it states the request's id, whatever its status, and accepted as a success only if it is also signed and complete; an
- * attempt that ends early closes its connection. Not thread-safe: confined to the event loop.
+ * it states the request's id, whatever its status, and accepted as a success only if it is also signed and complete,
+ * also if a peer relays its connection; an attempt that ends early closes its connection. Not thread-safe: confined to
+ * the event loop.
  */
 final class GatewayTargetClient implements EffectRunner {
 
-    /** How long connecting to a target may take, in ms: several times the latency between regions. */
-    private static final int CONNECT_TIMEOUT_MS = 500;
-
-    /** Maximum number of connections that one daemon opens to one target. */
-    private static final int MAX_CONNECTIONS_PER_TARGET = 64;
-
-    /** How long a pooled connection may stay idle if the target specifies no timeout, in ms. */
-    private static final long DEFAULT_IDLE_MS = 4_000;
-
     /** Fraction of the target's idle timeout after which a pooled connection is no longer used. */
     private static final double IDLE_FRACTION = 0.75;
 
-    /** Maximum number of bytes that a target may send for one request, head and events included. */
-    static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
-
     /** How many bytes of a body count as progress: one now and then must not keep an attempt open. */
     private static final int MIN_PROGRESS_BYTES = 1024;
 
+    /** How long nothing may arrive before the head of a response until the target counts as silent, in ms. */
+    static final long SILENCE_MS = 300;
+
+    /** How long nothing may arrive after the head of a response until the target counts as silent, in ms. */
+    static final long SILENCE_IN_RESPONSE_MS = 600;
+
+    /** The time between two reports of a silence that lasts, in ms. */
+    static final long REPEATED_SILENCE_MS = 300;
+
     private static final Retry OTHER_CONNECTION =
-            Retry.max(MAX_CONNECTIONS_PER_TARGET).filter(ConnectionNotUsableException::causes);
+            Retry.max(TargetConnections.MAX_CONNECTIONS_PER_TARGET).filter(ConnectionNotUsableException::causes);
 
     private static final Logger LOGGER = LoggerFactory.getLogger("cornelcrank.target");
 
-    private static final AttributeKey<Long> IDLE_LIMIT_MS = AttributeKey.valueOf("cornelcrank-idle-limit-ms");
-
     private final Map<AttemptId, RunningAttempt> running = new HashMap<>();
-    private final HttpClient http;
-    private final TargetProbe probe;
+    private final TargetConnections connections;
     private final CoreLoop loop;
     private final GatewayCalls calls;
     private final GatewayDialect dialect;
@@ -99,35 +92,13 @@
             GatewayCalls calls,
             GatewayDialect dialect,
             MonotonicClock clock,
-            LoopResources loops,
+            TargetConnections connections,
             MemoryLimit<TargetId> memory,
             MetricRegistry metrics) {
-        ConnectionProvider connections = ConnectionProvider.builder("targets")
-                .maxConnections(MAX_CONNECTIONS_PER_TARGET)
-                .pendingAcquireMaxCount(-1)
-                .lifo()
-                .evictionPredicate((connection, metadata) -> {
-                    if (TargetExchanges.of(connection.channel()).exhausted()) {
-                        return true;
-                    }
-                    Long limitMs = connection.channel().attr(IDLE_LIMIT_MS).get();
-                    return metadata.idleTime() > (limitMs == null ? DEFAULT_IDLE_MS : limitMs);
-                })
-                .build();
-        this.http = HttpClient.create(connections)
-                .resolver(DefaultAddressResolverGroup.INSTANCE)
-                .runOn(loops, false)
-                .disableRetry(true)
-                .followRedirect(false)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .doOnChannelInit((observer, channel, address) -> {
-                    TargetExchanges.follow(channel, metrics);
-                    channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES));
-                });
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.loop = Objects.requireNonNull(loop, "loop must not be null");
         this.memory = Objects.requireNonNull(memory, "memory must not be null");
-        this.probe = new TargetProbe(loops, loop.scheduler());
+        this.connections = Objects.requireNonNull(connections, "connections must not be null");
         this.calls = Objects.requireNonNull(calls, "calls must not be null");
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
         this.metrics = Objects.requireNonNull(metrics, "metrics must not be null");
@@ -147,6 +118,13 @@
             }
             return true;
         }
+        if (effect instanceof Effect.AbandonAttempt abandon) {
+            RunningAttempt attempt = running.get(abandon.attempt());
+            if (attempt != null) {
+                attempt.abandonIfSilent();
+            }
+            return true;
+        }
         return false;
     }
 
@@ -164,7 +142,17 @@
             endUnsent(dispatch, FailureKind.CANCELLED, "the caller has disconnected");
             return;
         }
-        RunningAttempt attempt = new RunningAttempt(dispatch.attempt(), dispatch.target(), address, receiver.get());
+        Optional<TargetConnections.RelayedClient> relayed =
+                dispatch.relay().flatMap(relay -> connections.relayed(relay, dispatch.target()));
+        if (dispatch.relay().isPresent() && relayed.isEmpty()) {
+            endUnsent(
+                    dispatch,
+                    FailureKind.RELAY_FAILED,
+                    "relay " + dispatch.relay().get() + " has no known address");
+            return;
+        }
+        RunningAttempt attempt =
+                new RunningAttempt(dispatch.attempt(), dispatch.target(), address, relayed, receiver.get());
         running.put(dispatch.attempt(), attempt);
         try {
             send(attempt, dispatch);
@@ -184,9 +172,9 @@
         RequestHead head = attempt.receiver.head();
         HttpHeaders headers = dialect.targetHeaders(
                 head, dispatch.target(), dispatch.timeoutMs(), attempt.receiver.resumeAfterEvent());
-        attempt.transfer = http.remoteAddress(() -> attempt.address)
+        attempt.transfer = attempt.http()
                 .headers(all -> all.set(headers))
-                .doOnRequest((request, connection) -> begin(head.requestId(), connection))
+                .doOnRequest((request, connection) -> begin(attempt, connection))
                 .request(HttpMethod.valueOf(head.method()))
                 .uri(head.uri())
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(attempt.receiver.body())))
@@ -195,15 +183,18 @@
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
                 .subscribe(attempt::end, error -> attempt.onTransferError(toFailure(error, attempt)));
         attempt.checkReadTimeout();
+        attempt.checkSilence();
     }
 
     /** Rejects a connection that must not carry the request before any byte of the request is sent. */
-    private static void begin(String requestId, Connection connection) {
-        if (!TargetExchanges.of(connection.channel()).begin(requestId)) {
+    private static void begin(RunningAttempt attempt, Connection connection) {
+        if (!TargetExchanges.of(connection.channel())
+                .begin(attempt.receiver.head().requestId())) {
             // Closed first, as the next try would otherwise get the same connection.
             connection.channel().close();
             throw new ConnectionNotUsableException();
         }
+        attempt.connection = connection.channel();
     }
 
     /** Returns the receiver of the response, empty if the caller has disconnected. */
@@ -302,7 +293,7 @@
 
     private static void rememberIdleTimeout(HttpClientResponse response, TargetResponseHead head) {
         if (head.idleTimeoutMs() > 0 && response instanceof Connection connection) {
-            connection.channel().attr(IDLE_LIMIT_MS).set((long) (head.idleTimeoutMs() * IDLE_FRACTION));
+            TargetConnections.limitIdleTime(connection.channel(), (long) (head.idleTimeoutMs() * IDLE_FRACTION));
         }
     }
 
@@ -368,11 +359,32 @@
     }
 
     private static AttemptOutcome.Failed toFailure(Throwable error, RunningAttempt attempt) {
-        if (!attempt.responded && HttpOutcomes.isConnectFailure(error)) {
+        if (!attempt.responded && attempt.relayed.isEmpty() && HttpOutcomes.isConnectFailure(error)) {
             return attempt.failed(
                     Verdict.NOT_RUN, FailureKind.CONNECTION_REFUSED, 0, 0, String.valueOf(error.getMessage()));
         }
-        FailureKind kind = error instanceof TimeoutException ? FailureKind.TIMED_OUT : FailureKind.CONNECTION_LOST;
+        if (error instanceof TimeoutException) {
+            return attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.TIMED_OUT, 0, 0, error.toString());
+        }
+        if (attempt.relayed.isPresent()) {
+            return toRelayFailure(error, attempt);
+        }
+        return attempt.failed(Verdict.MAY_HAVE_RUN, FailureKind.CONNECTION_LOST, 0, 0, error.toString());
+    }
+
+    /** Nothing is sent over a relayed connection before it is open. */
+    private static AttemptOutcome.Failed toRelayFailure(Throwable error, RunningAttempt attempt) {
+        if (!attempt.begun()) {
+            FailureKind kind = error instanceof RelayException refused
+                            && refused.failed() == RelayException.Cause.TARGET_UNREACHABLE
+                    ? FailureKind.PATH_LOST
+                    : FailureKind.RELAY_FAILED;
+            return attempt.failed(Verdict.NOT_RUN, kind, 0, 0, error.toString());
+        }
+        boolean peerLost = RelayClient.failure(attempt.connection)
+                .filter(failure -> failure.failed() == RelayException.Cause.PEER_LOST)
+                .isPresent();
+        FailureKind kind = peerLost ? FailureKind.PATH_LOST : FailureKind.CONNECTION_LOST;
         return attempt.failed(Verdict.MAY_HAVE_RUN, kind, 0, 0, error.toString());
     }
 
@@ -382,25 +394,44 @@
         private final AttemptId id;
         private final TargetId target;
         private final InetSocketAddress address;
+        private final Optional<TargetConnections.RelayedClient> relayed;
         private final ResponseReceiver receiver;
         private final MemoryLimit<TargetId>.Message response;
         private final long sentAtMs = clock.nowMs();
         private Disposable transfer;
         private Disposable pendingCheck = Disposables.disposed();
+        private Disposable silenceCheck = Disposables.disposed();
+        private Channel connection;
         private long lastActivityAtMs = sentAtMs;
+        private long receiverTookAtMs;
         private boolean responded;
         private boolean ended;
         private boolean awaitsReceiver;
         private int recordedBodyBytes;
 
-        RunningAttempt(AttemptId id, TargetId target, InetSocketAddress address, ResponseReceiver receiver) {
+        RunningAttempt(
+                AttemptId id,
+                TargetId target,
+                InetSocketAddress address,
+                Optional<TargetConnections.RelayedClient> relayed,
+                ResponseReceiver receiver) {
             this.id = id;
             this.target = target;
             this.address = address;
+            this.relayed = relayed;
             this.receiver = receiver;
             this.response = memory.open(target, this::onEvicted);
         }
 
+        HttpClient http() {
+            return relayed.map(TargetConnections.RelayedClient::http).orElseGet(() -> connections.direct(address));
+        }
+
+        /** Returns whether a byte of the request may have been sent. */
+        boolean begun() {
+            return connection != null;
+        }
+
         void recordActivity() {
             lastActivityAtMs = clock.nowMs();
         }
@@ -422,6 +453,7 @@
             awaitsReceiver = true;
             return pause.get().doFinally(signal -> {
                 awaitsReceiver = false;
+                receiverTookAtMs = clock.nowMs();
                 response.update(receiver.heldBytes());
                 recordActivity();
             });
@@ -448,6 +480,38 @@
                             + eviction.heldBytes() + " of " + eviction.maxBytes()));
         }
 
+        /** Reports the target as silent once nothing has arrived for some time, and again while that lasts. */
+        void checkSilence() {
+            if (ended) {
+                return;
+            }
+            long nextMs = REPEATED_SILENCE_MS;
+            long remainingMs = remainingUntilSilentMs();
+            if (remainingMs > 0) {
+                nextMs = remainingMs;
+            } else if (!awaitsReceiver) {
+                loop.post(new Event.AttemptSilent(id));
+            }
+            silenceCheck = loop.scheduler().schedule(this::checkSilence, nextMs, TimeUnit.MILLISECONDS);
+        }
+
+        private long remainingUntilSilentMs() {
+            long heardAtMs = Math.max(sentAtMs, receiverTookAtMs);
+            if (begun()) {
+                heardAtMs = Math.max(heardAtMs, LastArrival.atMs(connection));
+            }
+            return heardAtMs + (responded ? SILENCE_IN_RESPONSE_MS : SILENCE_MS) - clock.nowMs();
+        }
+
+        /** Ends the attempt if its target is unreachable or silent. */
+        void abandonIfSilent() {
+            if (!begun()) {
+                end(failed(Verdict.NOT_RUN, FailureKind.PATH_LOST, 0, 0, "abandoned before a connection was open"));
+            } else if (!awaitsReceiver && remainingUntilSilentMs() <= 0) {
+                end(failed(Verdict.MAY_HAVE_RUN, FailureKind.PATH_LOST, 0, 0, "abandoned, as nothing arrives"));
+            }
+        }
+
         /** Ends the attempt once the target has made no progress for the read timeout. */
         void checkReadTimeout() {
             long readTimeoutMs = receiver.readTimeoutMs();
@@ -473,19 +537,27 @@
                 end(timedOut);
                 return;
             }
-            pendingCheck = probe.isListening(address).subscribe(listening -> {
-                boolean recentActivity = clock.nowMs() - lastActivityAtMs < readTimeoutMs;
-                if (recentActivity) {
-                    checkReadTimeout();
-                } else if (!listening) {
-                    end(targetGone(timedOut));
-                } else if (receiver.waitsForTarget()) {
-                    recordActivity();
-                    checkReadTimeout();
-                } else {
-                    end(timedOut);
-                }
-            });
+            if (relayed.isPresent()) {
+                // Only the daemon that relays the attempt could check whether the target listens.
+                onProbed(true, timedOut);
+                return;
+            }
+            pendingCheck =
+                    connections.probe().isListening(address).subscribe(listening -> onProbed(listening, timedOut));
+        }
+
+        private void onProbed(boolean listening, AttemptOutcome.Failed timedOut) {
+            boolean recentActivity = clock.nowMs() - lastActivityAtMs < receiver.readTimeoutMs();
+            if (recentActivity) {
+                checkReadTimeout();
+            } else if (!listening) {
+                end(targetGone(timedOut));
+            } else if (receiver.waitsForTarget()) {
+                recordActivity();
+                checkReadTimeout();
+            } else {
+                end(timedOut);
+            }
         }
 
         /**
@@ -493,20 +565,24 @@
          * depends on that if the number of its runs is limited.
          */
         void onTransferError(AttemptOutcome.Failed failed) {
-            if (failed.kind() != FailureKind.CONNECTION_LOST) {
+            if (failed.kind() != FailureKind.CONNECTION_LOST || relayed.isPresent()) {
                 end(failed);
                 return;
             }
             if (!receiver.hasRunLimit()) {
                 end(failed);
-                probe.isListening(address)
+                connections
+                        .probe()
+                        .isListening(address)
                         .filter(listening -> !listening)
                         .subscribe(gone -> loop.post(new Event.TargetGone(target)));
                 return;
             }
             pendingCheck.dispose();
-            pendingCheck =
-                    probe.isListening(address).subscribe(listening -> end(listening ? failed : targetGone(failed)));
+            pendingCheck = connections
+                    .probe()
+                    .isListening(address)
+                    .subscribe(listening -> end(listening ? failed : targetGone(failed)));
         }
 
         private AttemptOutcome.Failed targetGone(AttemptOutcome.Failed failed) {
@@ -542,12 +618,14 @@
             running.remove(id);
             response.close();
             pendingCheck.dispose();
+            silenceCheck.dispose();
             if (outcome instanceof AttemptOutcome.Failed failed) {
                 receiver.onAttemptFailed(failed);
                 if (transfer != null) {
                     transfer.dispose();
                 }
             }
+            relayed.ifPresent(TargetConnections.RelayedClient::close);
             loop.post(new Event.AttemptEnded(id, outcome));
         }
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
@@ -40,7 +40,8 @@
  * Runs attempts on targets over HTTP.
  *
  * <p>Invariant: every dispatched attempt ends in exactly one {@link Event.AttemptEnded}. Responses are buffered up to
- * {@code maxResponseBytes}; streamed events are forwarded as the caller reads them. Thread-safe.
+ * {@code maxResponseBytes}; streamed events are forwarded as the caller reads them. The relay of a
+ * dispatch is ignored for now: this daemon always connects to the target itself. Thread-safe.
  */
 public final class TargetClient implements EffectRunner {
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/RouteSelectionEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/RouteSelectionEndToEndTests.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,11 @@
 import org.cornelcrank.server.gateway.GatewayIo;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.PeerIdentity;
+import org.cornelcrank.server.peer.PeerSecurity;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.RelayedConnections;
+import org.cornelcrank.server.peer.SharedKey;
 import org.cornelcrank.server.peer.SocketAddresses;
 import org.cornelcrank.server.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
@@ -85,6 +91,11 @@
                 new PlatformJobDialect(json),
                 assembly.routes(),
                 loops,
+                new RelayClient(
+                        new PeerSecurity(
+                                new PeerIdentity("test", identity.host(), 1), new SharedKey("test"), Optional.empty()),
+                        assembly.membership()::address),
+                new RelayedConnections(assembly.routing()::targetAddress, () -> false, clock::nowMs, metrics),
                 new Drain(0, 0),
                 metrics));
         io.addRunners(loop);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -31,6 +31,10 @@
 import org.cornelcrank.platform.PlatformDialect;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.PeerIdentity;
+import org.cornelcrank.server.peer.PeerSecurity;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.SharedKey;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,8 +68,16 @@
             new GatewayCalls(identity, loop, clock, new OpenRequests(metrics), metrics),
             new PlatformDialect(),
             clock,
-            loops,
-            MemoryLimit.ofResponses(GatewayTargetClient.MAX_RESPONSE_BYTES, metrics),
+            new TargetConnections(
+                    loops,
+                    new RelayClient(
+                            new PeerSecurity(
+                                    new PeerIdentity("test", HOST, 1), new SharedKey("secret"), Optional.empty()),
+                            relay -> Optional.empty()),
+                    loop.scheduler(),
+                    clock,
+                    metrics),
+            MemoryLimit.ofResponses(TargetConnections.MAX_RESPONSE_BYTES, metrics),
             metrics);
 
     @AfterEach
--- /dev/null
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttemptsEndToEndTests.java
@@ -0,0 +1,419 @@
+package org.cornelcrank.server.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
+import org.cornelcrank.platform.fake.RawRunnerStandIn;
+import org.cornelcrank.platform.fake.RawRunnerStandIn.Script;
+import org.cornelcrank.server.peer.PeerTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests attempts that a peer relays to a target, over real sockets. */
+class RelayedAttemptsEndToEndTests {
+
+    private static final long HANG_LIMIT_S = 30;
+    private static final TargetId TARGET = new TargetId("raw");
+    private static final TargetId OTHER = new TargetId("other");
+
+    /** Nothing listens there: this daemon must not connect to the target itself. */
+    private static final String OUT_OF_REACH = "127.0.0.1:9";
+
+    private static final Optional<HostId> RELAY = Optional.of(RelayedAttempts.RELAY);
+    private static final String LONG_BODY = body(1_000_000);
+    private static final String EVENTS = "id: 1\ndata: first\n\nid: 2\ndata: last\n\n";
+
+    private final RelayedAttempts attempts = new RelayedAttempts();
+    private final CountDownLatch released = new CountDownLatch(1);
+    private RawRunnerStandIn runner;
+
+    @BeforeEach
+    void start() throws IOException {
+        runner =
+                new RawRunnerStandIn("raw", (request, response) -> response.whole(request, new String(request.body())));
+        attempts.relayDirectory.put(TARGET, runner.address());
+    }
+
+    @AfterEach
+    void stop() {
+        released.countDown();
+        attempts.close();
+        runner.close();
+    }
+
+    private static String body(int length) {
+        StringBuilder body = new StringBuilder(length);
+        for (int i = 0; i < length; i++) {
+            body.append((char) ('a' + i % 23 * 7 % 26));
+        }
+        return body.toString();
+    }
+
+    static Stream<Arguments> framings() {
+        return Stream.of(
+                Arguments.of("length", (Script) (request, response) -> response.whole(request, LONG_BODY)),
+                Arguments.of("chunks", (Script) (request, response) -> {
+                    response.head(request, "Transfer-Encoding: chunked\r\n");
+                    int half = LONG_BODY.length() / 2;
+                    response.write(Integer.toHexString(half) + "\r\n" + LONG_BODY.substring(0, half) + "\r\n");
+                    response.write(Integer.toHexString(LONG_BODY.length() - half) + "\r\n" + LONG_BODY.substring(half)
+                            + "\r\n0\r\n\r\n");
+                }),
+                Arguments.of("close", (Script) (request, response) -> {
+                    response.head(request, "Connection: close\r\n");
+                    response.write(LONG_BODY);
+                    response.end();
+                }));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("framings")
+    void bytesOfARelayedResponseArriveUnchanged(String name, Script script) throws Exception {
+        attempts.startRelay();
+        runner.setScript(script);
+        GatewayCall call = attempts.call("a", "x");
+        AttemptId attempt = attempts.dispatch(call, TARGET, OUT_OF_REACH, RELAY);
+        assertThat(attempts.outcome(attempt)).isInstanceOf(AttemptOutcome.Succeeded.class);
+        assertThat(new String(call.held().body(), StandardCharsets.ISO_8859_1)).isEqualTo(LONG_BODY);
+    }
+
+    @Test
+    void bytesOfARelayedRequestArriveUnchanged() throws Exception {
+        attempts.startRelay();
+        GatewayCall call = attempts.call("a", LONG_BODY);
+        AttemptId attempt = attempts.dispatch(call, TARGET, OUT_OF_REACH, RELAY);
+        assertThat(attempts.outcome(attempt)).isInstanceOf(AttemptOutcome.Succeeded.class);
+        assertThat(new String(call.held().body(), StandardCharsets.ISO_8859_1)).isEqualTo(LONG_BODY);
+    }
+
+    @Test
+    void targetReceivesTheSameHeadAsFromADirectConnection() throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> response.whole(request, request.line() + request.headers()));
+        GatewayCall direct = attempts.call("a", "x");
+        attempts.outcome(attempts.dispatch(direct, TARGET, runner.address(), Optional.empty()));
+        GatewayCall relayed = attempts.call("a", "x");
+        attempts.outcome(attempts.dispatch(relayed, TARGET, OUT_OF_REACH, RELAY));
+        assertThat(relayed.held().body()).isEqualTo(direct.held().body());
+    }
+
+    @Test
+    void eventsOfARelayedStreamArrive() throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> {
+            response.head(request, "Content-Type: text/event-stream\r\nConnection: close\r\n");
+            response.write(EVENTS);
+            response.end();
+        });
+        AttemptId attempt = attempts.dispatch(RelayedAttempts.item("a"), TARGET, OUT_OF_REACH, RELAY);
+        AttemptOutcome.Succeeded succeeded = (AttemptOutcome.Succeeded) attempts.outcome(attempt);
+        assertThat(succeeded.body().toStringUtf8()).isEqualTo("first\nlast");
+    }
+
+    /** Guards against half a body that is taken for a whole one, as its end is the end of the connection. */
+    @Test
+    void relayThatEndsInABodyUntilCloseDoesNotMakeItLookComplete() throws Exception {
+        PeerTransport relay = attempts.startRelay();
+        runner.setScript((request, response) -> {
+            response.head(request, "Connection: close\r\n");
+            response.write("half");
+            released.await();
+        });
+        AttemptId attempt = attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY);
+        attempts.next(Event.AttemptStarted.class);
+        attempts.end(relay);
+        AttemptOutcome.Failed failed = attempts.failure(attempt);
+        assertThat(failed.kind()).isEqualTo(FailureKind.PATH_LOST);
+        assertThat(failed.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    /** Guards against half a body that is taken for a whole one, as the relay closes a reset connection. */
+    @Test
+    void targetThatResetsABodyUntilCloseDoesNotMakeItLookComplete() throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> {
+            response.head(request, "Connection: close\r\n");
+            response.write("half");
+            response.reset();
+        });
+        assertConnectionLost();
+    }
+
+    @Test
+    void targetThatClosesBeforeTheEndOfABodyLosesTheConnection() throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> {
+            response.head(request, "Content-Length: 10\r\n");
+            response.write("half");
+            response.end();
+        });
+        assertConnectionLost();
+    }
+
+    /** Nobody but the relay could tell whether the target is gone, so that it does not count as such. */
+    @Test
+    void targetThatClosesWithoutAResponseLosesTheConnection() throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> response.end());
+        assertConnectionLost();
+    }
+
+    private void assertConnectionLost() throws InterruptedException {
+        AttemptId attempt = attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY);
+        AttemptOutcome.Failed failed = attempts.failure(attempt);
+        assertThat(failed.kind()).isEqualTo(FailureKind.CONNECTION_LOST);
+        assertThat(failed.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void targetThatTheRelayDoesNotKnowIsOutOfItsReach() throws Exception {
+        attempts.startRelay();
+        attempts.relayDirectory.clear();
+        assertNotRun(FailureKind.PATH_LOST);
+        assertThat(attempts.relayMetrics.counter("relay.refused.unknown-target").getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void targetThatRefusesTheRelaysConnectionIsOutOfItsReach() throws Exception {
+        attempts.startRelay();
+        runner.close();
+        assertNotRun(FailureKind.PATH_LOST);
+        assertThat(attempts.relayMetrics.counter("relay.refused.unreachable").getCount())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void relayThatStopsOpensNoFurtherConnection() throws Exception {
+        attempts.startRelay();
+        attempts.relayStopping.set(true);
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    @Test
+    void relayThatDoesNotKnowTheMessageFails() throws Exception {
+        attempts.startPeer(RelayedAttempts.RELAY, RelayedAttempts.KEY, Optional.empty());
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    @Test
+    void relayWithAnotherKeyFails() throws Exception {
+        attempts.startPeer(RelayedAttempts.RELAY, "guess", Optional.empty());
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    /** Guards against a request that reaches a daemon which has taken over the address of another one. */
+    @Test
+    void peerOfAnotherNameAtTheRelaysAddressFails() throws Exception {
+        HostId stranger = new HostId("stranger");
+        attempts.startPeer(stranger, RelayedAttempts.KEY, Optional.empty());
+        attempts.peers.put(RelayedAttempts.RELAY, attempts.peers.get(stranger));
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1:9", "nowhere"})
+    void relayThatCannotBeReachedFails(String address) throws Exception {
+        attempts.peers.put(RelayedAttempts.RELAY, address);
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    @Test
+    void relayWithoutAnAddressFails() throws Exception {
+        assertNotRun(FailureKind.RELAY_FAILED);
+    }
+
+    @Test
+    void relayThatSaysNothingFails() throws Exception {
+        try (ServerSocket silent = silentRelay()) {
+            assertNotRun(FailureKind.RELAY_FAILED);
+        }
+    }
+
+    private ServerSocket silentRelay() throws IOException {
+        ServerSocket silent = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        attempts.peers.put(RelayedAttempts.RELAY, "127.0.0.1:" + silent.getLocalPort());
+        return silent;
+    }
+
+    private void assertNotRun(FailureKind kind) throws InterruptedException {
+        AttemptId attempt = attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY);
+        AttemptOutcome.Failed failed = attempts.failure(attempt);
+        assertThat(failed.kind()).isEqualTo(kind);
+        assertThat(failed.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(runner.requests()).isZero();
+    }
+
+    @Test
+    void cancelClosesTheTargetsConnection() throws Exception {
+        attempts.startRelay();
+        keepConnectionOpen();
+        AttemptId attempt = attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY);
+        attempts.next(Event.AttemptStarted.class);
+        attempts.run(new Effect.CancelAttempt(attempt));
+        assertThat(attempts.failure(attempt).kind()).isEqualTo(FailureKind.CANCELLED);
+        await(() -> runner.closedByPeer() == 1);
+    }
+
+    /** Writes events until the connection is closed. */
+    private void keepConnectionOpen() {
+        runner.setScript((request, response) -> {
+            response.head(request, "Content-Type: text/event-stream\r\nConnection: close\r\n");
+            while (!released.await(1, TimeUnit.MILLISECONDS)) {
+                response.write(": comment\n\n");
+            }
+        });
+    }
+
+    @Test
+    void relayedConnectionIsUsedAgain() throws Exception {
+        attempts.startRelay();
+        for (String id : List.of("a", "b", "c")) {
+            assertThat(relayed(id, TARGET)).isEqualTo(id);
+        }
+        assertThat(runner.connections()).isEqualTo(1);
+        assertThat(attempts.relayMetrics.counter("relay.opened").getCount()).isEqualTo(1);
+    }
+
+    /** Guards against a pooled connection through the same relay that ends at another target. */
+    @Test
+    void connectionToOneTargetNeverCarriesARequestForAnother() throws Exception {
+        attempts.startRelay();
+        try (RawRunnerStandIn other =
+                new RawRunnerStandIn("other", (request, response) -> response.whole(request, "of the other"))) {
+            attempts.relayDirectory.put(OTHER, other.address());
+            for (String id : List.of("a", "b", "c", "d")) {
+                assertThat(relayed(id, TARGET)).isEqualTo(id);
+                assertThat(relayed(id + "-other", OTHER)).isEqualTo("of the other");
+            }
+            assertThat(runner.requests()).isEqualTo(4);
+            assertThat(other.requests()).isEqualTo(4);
+        }
+    }
+
+    /** Guards against the late copy of a response that the next request on the connection receives. */
+    @Test
+    void secondCopyOfAResponseReachesNobody() throws Exception {
+        attempts.startRelay();
+        CountDownLatch copied = new CountDownLatch(1);
+        runner.setScript((request, response) -> {
+            response.whole(request, new String(request.body()));
+            if (request.id().equals("a")) {
+                response.whole(request, new String(request.body()));
+                copied.countDown();
+            }
+        });
+        assertThat(relayed("a", TARGET)).isEqualTo("a");
+        assertThat(copied.await(HANG_LIMIT_S, TimeUnit.SECONDS)).isTrue();
+        await(() -> runner.closedByPeer() == 1);
+        assertThat(relayed("b", TARGET)).isEqualTo("b");
+        assertThat(runner.connections()).isEqualTo(2);
+    }
+
+    /** Sends the id as the body and returns the body of the response. */
+    private String relayed(String id, TargetId target) throws InterruptedException {
+        GatewayCall call = attempts.call(id, id);
+        AttemptId attempt = attempts.dispatch(call, target, OUT_OF_REACH, RELAY);
+        assertThat(attempts.outcome(attempt)).isInstanceOf(AttemptOutcome.Succeeded.class);
+        return new String(call.held().body(), StandardCharsets.ISO_8859_1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void targetThatSendsNothingIsSilentUntilItsAttemptIsAbandoned(boolean relayed) throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> released.await());
+        AttemptId attempt = dispatch(relayed);
+        assertThat(attempts.next(Event.AttemptSilent.class).attempt()).isEqualTo(attempt);
+        assertThat(attempts.next(Event.AttemptSilent.class).attempt()).isEqualTo(attempt);
+        assertThat(runner.requests()).isEqualTo(1);
+        attempts.run(new Effect.AbandonAttempt(attempt));
+        AttemptOutcome.Failed failed = attempts.failure(attempt);
+        assertThat(failed.kind()).isEqualTo(FailureKind.PATH_LOST);
+        assertThat(failed.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void targetThatStopsSendingInAResponseIsSilent(boolean relayed) throws Exception {
+        attempts.startRelay();
+        runner.setScript((request, response) -> {
+            response.head(request, "Content-Length: 10\r\n");
+            response.write("half");
+            released.await();
+        });
+        AttemptId attempt = dispatch(relayed);
+        attempts.next(Event.AttemptStarted.class);
+        assertThat(attempts.next(Event.AttemptSilent.class).attempt()).isEqualTo(attempt);
+        attempts.run(new Effect.AbandonAttempt(attempt));
+        assertThat(attempts.failure(attempt).kind()).isEqualTo(FailureKind.PATH_LOST);
+        await(() -> attempts.relayMetrics
+                .getGauges()
+                .get("relay.connections")
+                .getValue()
+                .equals(0));
+    }
+
+    /** Guards against a slow target whose attempt is given up although it responds. */
+    @Test
+    void attemptWhoseTargetSendsIsNotAbandoned() throws Exception {
+        attempts.startRelay();
+        keepConnectionOpen();
+        AttemptId attempt = dispatch(true);
+        attempts.next(Event.AttemptStarted.class);
+        attempts.run(new Effect.AbandonAttempt(attempt));
+        attempts.run(new Effect.CancelAttempt(attempt));
+        assertThat(attempts.failure(attempt).kind()).isEqualTo(FailureKind.CANCELLED);
+    }
+
+    @Test
+    void attemptWithoutAConnectionHasNotRunWhenItIsAbandoned() throws Exception {
+        try (ServerSocket silent = silentRelay()) {
+            AttemptId attempt = dispatch(true);
+            attempts.run(new Effect.AbandonAttempt(attempt));
+            AttemptOutcome.Failed failed = attempts.failure(attempt);
+            assertThat(failed.kind()).isEqualTo(FailureKind.PATH_LOST);
+            assertThat(failed.verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+    }
+
+    private AttemptId dispatch(boolean relayed) {
+        return relayed
+                ? attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY)
+                : attempts.dispatch(attempts.call("a", "x"), TARGET, runner.address(), Optional.empty());
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(HANG_LIMIT_S);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > untilNanos) {
+                throw new AssertionError("the condition did not hold within " + HANG_LIMIT_S + " s");
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
+}
