Answer whether this daemon can connect to a target

The probe that tells whether a target is gone still connects twice, as a stopping process may accept one more connection.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/DaemonIo.java
@@ -17,6 +17,7 @@
 import org.cornelcrank.daemon.DaemonOptions;
 import org.cornelcrank.gateway.Drain;
 import org.cornelcrank.server.exchange.ExchangeRegistry;
+import org.cornelcrank.server.gateway.TargetProbeRunner;
 import org.cornelcrank.server.http.ApiHttpServer;
 import org.cornelcrank.server.http.ErrorBodies;
 import org.cornelcrank.server.http.Probes;
@@ -37,6 +38,7 @@
 import org.cornelcrank.server.target.TargetClient;
 import org.cornelcrank.server.target.TargetWatcher;
 import reactor.core.publisher.Mono;
+import reactor.netty.tcp.TcpResources;
 
 /**
  * Components of one daemon's I/O layer, built around its decision core.
@@ -73,6 +75,7 @@
         TargetWatcher watcher = new TargetWatcher(Duration.ofMillis(settings.reportIntervalMs()), loop, json, metrics);
         loop.addRunner(exchanges);
         loop.addRunner(new TargetClient(loop, exchanges, json, settings.maxAnswerBytes(), metrics));
+        loop.addRunner(new TargetProbeRunner(loop, TcpResources.get()));
         loop.addRunner(watcher);
         loop.addRunner(new HttpLogClient(settings.logUrl().toString(), loop, json, metrics));
         Drain drain = new Drain(settings.drainDelayMs(), settings.drainTimeoutMs());
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -120,6 +120,7 @@
         loop.addRunner(calls);
         loop.addRunner(commands);
         loop.addRunner(targets);
+        loop.addRunner(new TargetProbeRunner(loop, loops));
     }
 
     /** Opens the listeners. */
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetProbe.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetProbe.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.channel.ChannelOption;
 import io.netty.resolver.DefaultAddressResolverGroup;
@@ -14,10 +14,10 @@
 import reactor.netty.tcp.TcpClient;
 
 /**
- * Checks by connecting whether a process listens at a target's address; concurrent checks of one address share a
- * connection.
+ * Checks by connecting whether a process listens at a target's address; concurrent checks of one kind and address share
+ * a connection.
  *
- * <p>Not thread-safe: confined to the event loop.
+ * <p>Thread-safe.
  */
 final class TargetProbe {
 
@@ -30,7 +30,8 @@
      */
     static final long CONFIRM_PAUSE_MS = 50;
 
-    private final Map<InetSocketAddress, Mono<Boolean>> pending = new HashMap<>();
+    private final Map<InetSocketAddress, Mono<Boolean>> pending = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, Mono<Boolean>> pendingConnects = new ConcurrentHashMap<>();
     private final Scheduler scheduler;
     private final TcpClient client;
 
@@ -47,6 +48,13 @@
         return pending.computeIfAbsent(address, this::probe);
     }
 
+    /** Returns whether connecting succeeds once. */
+    Mono<Boolean> canConnect(InetSocketAddress address) {
+        return pendingConnects.computeIfAbsent(address, key -> connect(key)
+                .doOnTerminate(() -> pendingConnects.remove(key))
+                .cache());
+    }
+
     private Mono<Boolean> probe(InetSocketAddress address) {
         Mono<Boolean> confirmation =
                 Mono.delay(Duration.ofMillis(CONFIRM_PAUSE_MS), scheduler).then(connect(address));
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/TargetProbeTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/TargetProbeTests.java
@@ -67,6 +67,32 @@
         }
     }
 
+    @Test
+    void targetThatAcceptsOneConnectionCanBeConnectedTo() throws IOException {
+        try (ServerSocket target = listen()) {
+            StepVerifier.create(probe.canConnect(address(target)))
+                    .expectNext(true)
+                    .verifyComplete();
+        }
+    }
+
+    @Test
+    void stoppedTargetCannotBeConnectedTo() throws IOException {
+        ServerSocket target = listen();
+        target.close();
+        StepVerifier.create(probe.canConnect(address(target))).expectNext(false).verifyComplete();
+    }
+
+    @Test
+    void concurrentConnectsShareOneConnectionAndLaterOnesDoNot() throws IOException {
+        try (ServerSocket target = listen()) {
+            Mono<Boolean> first = probe.canConnect(address(target));
+            assertThat(probe.canConnect(address(target))).isSameAs(first);
+            StepVerifier.create(first).expectNext(true).verifyComplete();
+            assertThat(probe.canConnect(address(target))).isNotSameAs(first);
+        }
+    }
+
     /** Waits until the pause has begun, then advances the time past it. */
     private void passPause() {
         while (time.getScheduledTaskCount() == 0) {
