--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayIo.java
@@ -75,6 +75,7 @@
                 new TargetConnections(
                         loops,
                         dependencies.relays(),
+                        TargetConnections.CONNECT_TIMEOUT_MS,
                         dependencies.loop().scheduler(),
                         dependencies.clock(),
                         dependencies.metrics()),
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetConnections.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetConnections.java
@@ -30,12 +30,12 @@
  * The ways in which this daemon connects to targets: HTTP clients with pools of connections, and probes.
  *
  * <p>Invariants: each relayed way to a target has a pool of its own, so that a connection to one target never carries a
- * request for another; the pool of a way that is no longer used is closed after {@link #ROUTE_IDLE_MS}. Not thread-safe:
+ * request for another; the pool of a way that is no longer used is closed within twice {@link #ROUTE_IDLE_MS}. Not thread-safe:
  * confined to the event loop.
  */
 final class TargetConnections {
 
-    /** How long connecting to a target may take, in ms: several times the latency between regions. */
+    /** How long connecting to a target, also through a peer, may take, in ms: several times the latency between regions. */
     static final int CONNECT_TIMEOUT_MS = 500;
 
     /** Maximum number of connections that one daemon opens to one target, or to one target through one peer. */
@@ -44,7 +44,7 @@
     /** Maximum number of bytes that a target may send for one request, head and events included. */
     static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
-    /** How long the unused pool of a relayed way is kept, in ms; its connections occupy places at the peer. */
+    /** How long the unused pool of a relayed way is kept at least, in ms; its connections occupy places at the peer. */
     static final long ROUTE_IDLE_MS = 5_000;
 
     /** How long a pooled connection may stay idle if the target specifies no timeout, in ms. */
@@ -57,19 +57,32 @@
     private final RelayClient relays;
     private final Scheduler scheduler;
     private final MonotonicClock clock;
+    private final long relayTimeoutMs;
     private final MetricRegistry metrics;
     private final TargetProbe probe;
     private final HttpClient direct;
     private Disposable eviction = Disposables.disposed();
 
+    /**
+     * Creates the ways without connections.
+     *
+     * @param loops provides the event loop of the connections
+     * @param relays makes connections to peers carry those to targets
+     * @param relayTimeoutMs how long it may take to open a connection through a peer, in ms
+     * @param scheduler closes pools that are no longer used
+     * @param clock provides the current time
+     * @param metrics receives the gauge of ways through peers, and the counters of connections
+     */
     TargetConnections(
             LoopResources loops,
             RelayClient relays,
+            long relayTimeoutMs,
             Scheduler scheduler,
             MonotonicClock clock,
             MetricRegistry metrics) {
         this.loops = Objects.requireNonNull(loops, "loops must not be null");
         this.relays = Objects.requireNonNull(relays, "relays must not be null");
+        this.relayTimeoutMs = relayTimeoutMs;
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler must not be null");
         this.clock = Objects.requireNonNull(clock, "clock must not be null");
         this.metrics = Objects.requireNonNull(metrics, "metrics must not be null");
@@ -142,13 +155,13 @@
 
     private void evict() {
         eviction = Disposables.disposed();
-        long nowMs = clock.nowMs();
         for (Iterator<RelayedClient> clients = relayed.values().iterator(); clients.hasNext(); ) {
             RelayedClient client = clients.next();
-            if (client.users == 0 && nowMs - client.usedAtMs >= ROUTE_IDLE_MS) {
+            if (client.users == 0 && !client.usedSinceCheck) {
                 clients.remove();
                 client.pool.dispose();
             }
+            client.usedSinceCheck = false;
         }
         scheduleEviction();
     }
@@ -159,10 +172,10 @@
         private final ConnectionProvider pool = newPool("relayed");
         private final HttpClient client;
         private int users;
-        private long usedAtMs;
+        private boolean usedSinceCheck;
 
         RelayedClient(RelayRoute route) {
-            this.client = newClient(pool, channel -> relays.relay(channel, route, CONNECT_TIMEOUT_MS))
+            this.client = newClient(pool, channel -> relays.relay(channel, route, relayTimeoutMs))
                     .remoteAddress(route::address);
         }
 
@@ -173,7 +186,7 @@
         /** Ends the use by one attempt. */
         void close() {
             users--;
-            usedAtMs = clock.nowMs();
+            usedSinceCheck = true;
             scheduleEviction();
         }
     }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -74,6 +74,7 @@
                             new PeerSecurity(
                                     new PeerIdentity("test", HOST, 1), new SharedKey("secret"), Optional.empty()),
                             relay -> Optional.empty()),
+                    TargetConnections.CONNECT_TIMEOUT_MS,
                     loop.scheduler(),
                     clock,
                     metrics),
