--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/GatewayTargetClientTests.java
@@ -31,6 +31,10 @@
 import org.cornelcrank.platform.PlatformDialect;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
+import org.cornelcrank.server.peer.PeerIdentity;
+import org.cornelcrank.server.peer.PeerSecurity;
+import org.cornelcrank.server.peer.RelayClient;
+import org.cornelcrank.server.peer.SharedKey;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,8 +68,17 @@
             new GatewayCalls(identity, loop, clock, new OpenRequests(metrics), metrics),
             new PlatformDialect(),
             clock,
-            loops,
-            MemoryLimit.ofResponses(GatewayTargetClient.MAX_RESPONSE_BYTES, metrics),
+            new TargetConnections(
+                    loops,
+                    new RelayClient(
+                            new PeerSecurity(
+                                    new PeerIdentity("test", HOST, 1), new SharedKey("secret"), Optional.empty()),
+                            relay -> Optional.empty()),
+                    TargetConnections.CONNECT_TIMEOUT_MS,
+                    loop.scheduler(),
+                    clock,
+                    metrics),
+            MemoryLimit.ofResponses(TargetConnections.MAX_RESPONSE_BYTES, metrics),
             metrics);
 
     @AfterEach
@@ -99,7 +112,13 @@
 
     private void dispatch(String address, DispatchSource source) throws Exception {
         Effect.Dispatch dispatch = new Effect.Dispatch(
-                new AttemptId(HOST, 1, 1), new TargetId("target"), address, source, Optional.empty(), 1_000);
+                new AttemptId(HOST, 1, 1),
+                new TargetId("target"),
+                address,
+                Optional.empty(),
+                source,
+                Optional.empty(),
+                1_000);
         thread.submit(() -> client.run(dispatch)).get(HANG_LIMIT_S, TimeUnit.SECONDS);
         thread.submit(() -> {}).get(HANG_LIMIT_S, TimeUnit.SECONDS);
     }
