Serve callers of a daemon that cannot reach the targets through others

What callers saw: while some daemons were partitioned from all targets, but not from callers, the store and other daemons, their callers were refused with "no target serves" or waited for connections that hung. Callers of the other daemons were refused as well, as sound targets were ejected there, and sound requests were suspected of crashing targets.

Cause: whether a target can be reached was taken for a property of the target. It is one of the pair of daemon and target. A request was run by the daemon that its caller reached, or not at all; one refused connection, one attempt without a response, or one lost connection behind which nothing seemed to listen was published as the target's end, and confirmed that the requests in flight had crashed it.

Requests wait for the end of a check instead of being refused. Losses that turn out to be of the way are no longer counted against requests, and a request that waited for a target no longer accuses the parts of its prompt: many such requests run at once when targets return, and a crash of all of them then looked like that of a part.

--- a/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
+++ b/cornelcrank-batch/src/main/java/org/cornelcrank/batch/JobRunner.java
@@ -157,7 +157,8 @@
     private void failed(WaitingItem item, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         switch (failure.kind()) {
             case CANCELLED -> window.putFirst(item);
-            case CONNECTION_REFUSED, RELAY_FAILED, OVERLOADED -> delay(item.afterRefusal(), item.refusals(), nowMs, out);
+            case CONNECTION_REFUSED, RELAY_FAILED, OVERLOADED -> delay(
+                    item.afterRefusal(), item.refusals(), nowMs, out);
             case REJECTED, ANSWER_TOO_LARGE -> fail(item, ItemFailure.of(failure, context.limits()), nowMs, out);
             default -> retryOrFail(item.afterFailure(), failure, nowMs, out);
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -31,12 +31,20 @@
     private final Optional<TeamPolicy> admittedUnder;
     final List<HedgedPermitRequest> hedgedRequests = new ArrayList<>();
     final Set<TargetId> excluded = new TreeSet<>();
+    final Set<TargetId> lossesAt = new TreeSet<>();
     final String resumeKey;
     Phase phase = Phase.CHOOSING;
     Verdict verdict = Verdict.NOT_RUN;
     AttemptId attempt;
     TargetState target;
     HostId controller;
+    Optional<HostId> relay = Optional.empty();
+    boolean crossesRegions;
+    int pathFailures;
+
+    /** Whether the request has waited for a target: many such requests run at once as soon as one can be reached. */
+    boolean awaitedPath;
+
     boolean permitted;
     boolean suspect;
     boolean trial;
@@ -111,6 +119,8 @@
         CHOOSING,
         /** Other daemons are asked for the version that began the stream. */
         RESOLVING,
+        /** This daemon reaches no target that may run the request, and waits for the end of a check. */
+        AWAITING_PATH,
         /** A permit is requested and the controller has not replied yet. */
         ASKED,
         /** The request waits in the controller's queue. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -46,32 +46,65 @@
      * Records that a request lost its connection to a target.
      *
      * <p>A request that ran as a suspect counts as the cause at once; any other one only after the target's death is
-     * confirmed by {@link #targetDown} or by a further lost connection. The loss of a request without a fingerprint,
-     * which cannot be the cause, confirms the deaths of others but never becomes one itself.
+     * confirmed by {@link #targetDown} or {@link #repeatedLoss}. The loss of a request without a fingerprint, which cannot
+     * be the cause, confirms the deaths of others but never becomes one itself.
      */
     void connectionLost(TargetId target, SuspectRun run, long nowMs, Effects out) {
         losses.add(new Loss(target, run, nowMs));
         if (run.suspected()) {
-            confirm(loss -> loss.fingerprint().equals(run.fingerprint()), settings.quarantineMs(), nowMs, out);
+            confirm(loss -> loss.fingerprint().equals(run.fingerprint()), settings.quarantineMs(), true, nowMs, out);
         }
-        long onTarget = losses.stream()
-                .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
-                .count();
-        if (onTarget > 1) {
+    }
+
+    /** Confirms the death of a target that this daemon reaches if several requests have recently lost it. */
+    void repeatedLoss(TargetId target, long nowMs, Effects out) {
+        if (lostRepeatedly(target, nowMs)) {
             targetDown(target, nowMs, out);
         }
     }
 
+    /** Does the same as {@link #repeatedLoss} for a target that nobody reaches, see {@link #targetDownWithOthers}. */
+    void repeatedLossWithOthers(TargetId target, long nowMs, Effects out) {
+        if (lostRepeatedly(target, nowMs)) {
+            targetDownWithOthers(target, nowMs, out);
+        }
+    }
+
+    private boolean lostRepeatedly(TargetId target, long nowMs) {
+        return losses.stream()
+                        .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
+                        .count()
+                > 1;
+    }
+
+    /** Forgets the lost connections to a target that this daemon could not reach although it was not down. */
+    void forgetLosses(TargetId target) {
+        losses.removeIf(loss -> loss.target.equals(target));
+    }
+
     /** Records a sign that a target is down; requests that recently lost their connection to it become suspects. */
     void targetDown(TargetId target, long nowMs, Effects out) {
-        confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), nowMs, out);
+        confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), true, nowMs, out);
+    }
+
+    /**
+     * Records that a target was down at a moment when no daemon that was asked reached any target: the requests become
+     * suspects, but no part of their prompts is accused, as the targets may have a common cause to be down.
+     */
+    void targetDownWithOthers(TargetId target, long nowMs, Effects out) {
+        confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), false, nowMs, out);
     }
 
-    private void confirm(Predicate<Loss> condition, long windowMs, long nowMs, Effects out) {
+    private void confirm(Predicate<Loss> condition, long windowMs, boolean accusesParts, long nowMs, Effects out) {
         for (Loss loss : List.copyOf(losses)) {
             if (condition.test(loss) && nowMs - loss.atMs <= windowMs) {
                 losses.remove(loss);
-                loss.fingerprint().ifPresent(fingerprint -> publishDeath(loss, fingerprint, nowMs, out));
+                loss.fingerprint().ifPresent(fingerprint -> {
+                    publishDeath(loss, fingerprint, nowMs, out);
+                    if (accusesParts) {
+                        promptParts.crashed(loss.run, fingerprint, loss.target, loss.atMs, nowMs, out);
+                    }
+                });
             }
         }
     }
@@ -90,7 +123,6 @@
                 "request suspected",
                 Long.toHexString(fingerprint) + " was in flight when the target went down");
         publish(DEATH_PREFIX + Long.toHexString(fingerprint) + "/" + loss.target, loss.atMs, count, nowMs, out);
-        promptParts.crashed(loss.run, fingerprint, loss.target, loss.atMs, nowMs, out);
     }
 
     /** Clears a request that completed, or that an operator allows to run again. */
