Let a target's response refute that another daemon found it to be down

Cause: receivers of the fact ejected it whatever they saw themselves.

Change: an ejection that follows from another daemon's fact alone ends as soon as the target responds to this daemon.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -238,6 +238,7 @@
     private void recordContact(BatchRun run, long nowMs) {
         if (run.relay().isEmpty()) {
             context.paths().contact(run.target(), nowMs);
+            run.target().health().responded();
         }
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -672,6 +672,7 @@
     private void recordContact(Route route, long nowMs) {
         if (route.relay.isEmpty()) {
             context.paths().contact(route.target, nowMs);
+            route.target.health().responded();
         }
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -321,7 +321,7 @@
 
     /** Ejects a target that a daemon found to be down, and checks that if this daemon has heard from it lately. */
     private void downReceived(TargetState target, Fact fact, long nowMs, Effects out) {
-        target.health().eject(nowMs);
+        target.health().ejectAsTold(nowMs);
         context.suspects().targetDown(target.id(), nowMs, out);
         if (statusPublisher.refutable(fact) && target.path().contactSince(nowMs - RECENT_CONTACT_MS)) {
             paths.toldDown(target, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
@@ -17,6 +17,7 @@
     private int failuresInRow;
     private int ejections;
     private long ejectedUntilMs;
+    private boolean toldDown;
     private double startLatencyMs;
     private int latencySamples;
 
@@ -54,6 +55,7 @@
         ejectedUntilMs = nowMs + (settings.ejectionMs() << doublings);
         ejections++;
         failuresInRow = 0;
+        toldDown = false;
         return true;
     }
 
@@ -66,11 +68,24 @@
         return true;
     }
 
+    /** Ejects the target as another daemon has found it to be down, until it responds to this one. */
+    void ejectAsTold(long nowMs) {
+        toldDown |= eject(nowMs);
+    }
+
+    /** Records that the target has responded to this daemon, which refutes that it is down. */
+    void responded() {
+        if (toldDown) {
+            reinstate();
+        }
+    }
+
     /** Takes back failures that were not the target's fault. */
     void reinstate() {
         failuresInRow = 0;
         ejections = Math.max(0, ejections - (ejectedUntilMs > 0 ? 1 : 0));
         ejectedUntilMs = 0;
+        toldDown = false;
     }
 
     boolean ejected(long nowMs) {
