Let requests wait while the only relay of their target is replaced

What callers saw: after the only known relay of a daemon without a way to the targets died, requests for targets other than the one under check were refused at once, although the check finds a relay for them as well. Found by review; not shown by a test of its own.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -122,7 +122,10 @@
 
     /** Returns whether a check may make the target usable soon. */
     boolean mayBecomeUsable(TargetState target) {
-        return !isolated() && (target.path().state() == TargetPath.State.CHECKING || !disconnected() && doubtful());
+        return !isolated()
+                && (target.path().state() == TargetPath.State.CHECKING
+                        || relayed(target) && !checks.isEmpty()
+                        || !disconnected() && doubtful());
     }
 
     /** Returns the daemon that relays new attempts to the target, empty if this daemon connects to it itself. */
