--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -0,0 +1,333 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.routing.VirtualFleet.Cut;
+import org.cornelcrank.routing.VirtualFleet.SentRequest;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Failures of the ways between daemons and targets, and of the daemons that relay. */
+class PathMonitorTests {
+
+    /** How soon after a cut the daemons without a way to the targets must serve their callers as well as the others. */
+    private static final long GOAL_MS = 1_000;
+
+    private static final double MAX_MESSAGES_PER_SECOND = 100;
+    private static final double MAX_PROBES_PER_SECOND = 30;
+    private static final long ARRIVAL_INTERVAL_MS = 20;
+    private static final Location OTHER_SOUTH = VirtualFleet.location("south", "south-b");
+
+    private final VirtualFleet fleet = new VirtualFleet(11);
+    private final List<SentRequest> sent = new ArrayList<>();
+    private long fingerprint = 1_000;
+    private int tokens = 35;
+    private long arrivalIntervalMs = ARRIVAL_INTERVAL_MS;
+
+    private void start(int daemonsPerDataCentre, int targetsPerDataCentre) {
+        List<Location> dataCentres = List.of(VirtualFleet.SOUTH, OTHER_SOUTH, VirtualFleet.NORTH);
+        for (Location dataCentre : dataCentres) {
+            for (int i = 0; i < targetsPerDataCentre; i++) {
+                fleet.addEngine("r-" + dataCentre.dataCentre() + "-" + i, dataCentre, 8, 20, 5);
+            }
+        }
+        startDaemons(IntStream.range(0, daemonsPerDataCentre * dataCentres.size())
+                .mapToObj(i -> dataCentres.get(i % dataCentres.size()))
+                .toList());
+    }
+
+    private void startDaemons(List<Location> locations) {
+        fleet.requestOptions = new RequestOptions(3, true, 0, Optional.empty(), Optional.empty());
+        fleet.resumesAnywhere = true;
+        fleet.start(
+                locations,
+                () -> new RoutingPolicy(
+                        RoutingSettings.forLatencyObjectives(),
+                        new PrefixAffinityTargetSelector(),
+                        AdmissionOrder.URGENCY_FIRST));
+        fleet.keepEffects = true;
+    }
+
+    /** Sends requests to all daemons in turn; returns those sent within the time span. */
+    private List<SentRequest> play(long spanMs) {
+        int from = sent.size();
+        long endMs = fleet.nowMs + spanMs;
+        while (fleet.nowMs < endMs) {
+            sent.add(fleet.send(
+                    sent.size() % fleet.nodes.size(),
+                    Work.online(tokens, ++fingerprint).withDeadline(5_000)));
+            fleet.run(arrivalIntervalMs);
+        }
+        return List.copyOf(sent.subList(from, sent.size()));
+    }
+
+    private void finish() {
+        fleet.run(6_000);
+    }
+
+    private void cut(int count, Cut cut) {
+        for (int daemon = 0; daemon < count; daemon++) {
+            fleet.cutFromTargets(daemon, cut);
+        }
+    }
+
+    private static List<SentRequest> notCompleted(List<SentRequest> requests) {
+        return requests.stream().filter(request -> !request.completed()).toList();
+    }
+
+    private static List<Effect.Explain> decisions(VirtualFleet.Node node, String decision) {
+        return node.effects.stream()
+                .filter(Effect.Explain.class::isInstance)
+                .map(Effect.Explain.class::cast)
+                .filter(explain -> explain.decision().equals(decision))
+                .toList();
+    }
+
+    private long countDecisions(String decision) {
+        return fleet.nodes.stream()
+                .mapToLong(node -> decisions(node, decision).size())
+                .sum();
+    }
+
+    private static List<Effect.Dispatch> relayedDispatches(VirtualFleet.Node node) {
+        return node.effects.stream()
+                .filter(Effect.Dispatch.class::isInstance)
+                .map(Effect.Dispatch.class::cast)
+                .filter(dispatch -> dispatch.relay().isPresent())
+                .toList();
+    }
+
+    private static List<SentRequest> at(List<SentRequest> requests, int fromDaemon, int toDaemon) {
+        return requests.stream()
+                .filter(request -> request.daemon >= fromDaemon && request.daemon < toDaemon)
+                .toList();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void daemonsAreNotLeftWithoutRelaysThatHaveTheirWayBack(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        cut(7, cut);
+        play(2_000);
+        IntStream.range(7, 12).forEach(daemon -> fleet.cutFromTargets(daemon, cut));
+        play(3_000);
+        IntStream.range(7, 12).forEach(fleet::reconnectToTargets);
+        play(GOAL_MS);
+        List<SentRequest> after = at(play(8_000), 0, 7);
+        finish();
+        assertThat(after).isNotEmpty();
+        assertThat(notCompleted(after)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void lossOfOneTargetDoesNotRelayAttemptsToOthers(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        for (int daemon = 0; daemon < fleet.nodes.size(); daemon++) {
+            VirtualFleet.Node node = fleet.nodes.get(daemon);
+            TargetId lost = node.watched.isEmpty()
+                    ? at(sent, daemon, daemon + 1).get(0).dispatchedTo.get(0)
+                    : node.watched.iterator().next();
+            fleet.cutFromTarget(daemon, lost, cut);
+            play(2_000);
+            node.effects.clear();
+            play(3_000);
+            assertThat(relayedDispatches(node))
+                    .allMatch(dispatch -> dispatch.target().equals(lost));
+            fleet.reconnectToTarget(daemon, lost);
+            play(GOAL_MS);
+            node.effects.clear();
+            play(3_000);
+            assertThat(relayedDispatches(node)).isEmpty();
+            for (int i = 0; i < 24; i++) {
+                sent.add(fleet.send(daemon, Work.online(tokens, ++fingerprint).withDeadline(5_000)));
+            }
+            fleet.run(1_000);
+            assertThat(relayedDispatches(node)).isEmpty();
+            assertThat(node.effects)
+                    .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                            && dispatch.target().equals(lost)
+                            && dispatch.relay().isEmpty());
+        }
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void lossOfTheOnlyTargetInUseDoesNotRelayAttemptsToOthers(Cut cut) {
+        start(4, 4);
+        play(1_000);
+        fleet.run(3_000);
+        int daemon = IntStream.range(0, fleet.nodes.size())
+                .filter(i -> fleet.nodes.get(i).watched.isEmpty())
+                .findFirst()
+                .orElseThrow();
+        VirtualFleet.Node node = fleet.nodes.get(daemon);
+        SentRequest first = fleet.send(daemon, Work.online(tokens, ++fingerprint));
+        fleet.run(100);
+        TargetId lost = first.dispatchedTo.get(0);
+        fleet.cutFromTarget(daemon, lost, cut);
+        fleet.run(2_000);
+        node.effects.clear();
+        List<SentRequest> during = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            during.add(fleet.send(daemon, Work.online(tokens, ++fingerprint)));
+            fleet.run(50);
+        }
+        fleet.run(2_000);
+        assertThat(first.completed()).isTrue();
+        assertThat(notCompleted(during)).isEmpty();
+        assertThat(relayedDispatches(node))
+                .allMatch(dispatch -> dispatch.target().equals(lost));
+    }
+
+    @Test
+    void targetsAreNotEjectedForShortCuts() {
+        start(4, 4);
+        play(3_000);
+        for (int i = 0; i < 20; i++) {
+            cut(9, Cut.SILENT);
+            play(300 + 50 * i);
+            IntStream.range(0, 9).forEach(fleet::reconnectToTargets);
+            play(1_500);
+        }
+        finish();
+        assertThat(countDecisions("ejected")).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 7})
+    void requestsThatARelayLosesAreNotSuspected(int firstCut) {
+        start(4, 4);
+        heavyLoad();
+        play(3_000);
+        for (int i = 0; i < 3; i++) {
+            cut(firstCut, Cut.REFUSED);
+            play(2_000);
+            IntStream.range(firstCut, 11).forEach(daemon -> fleet.cutFromTargets(daemon, Cut.REFUSED));
+            play(4_000);
+            IntStream.range(0, 12).forEach(fleet::reconnectToTargets);
+            play(2_000);
+        }
+        finish();
+        assertThat(countDecisions("request suspected")).isZero();
+    }
+
+    @Test
+    void attemptsThroughARelayThatLosesOneTargetDoNotStaySilent() {
+        start(4, 4);
+        play(3_000);
+        cut(7, Cut.SILENT);
+        play(2_000);
+        heavyLoad();
+        play(1_000);
+        Map<SentRequest, EngineModel.Job> relayed = new LinkedHashMap<>();
+        for (VirtualFleet.Node node : fleet.nodes.subList(0, 7)) {
+            node.jobs.values().stream()
+                    .filter(job -> job.relayedBy.isPresent())
+                    .forEach(job -> relayed.put(node.requestsByAttempt.get(job.attempt), job));
+        }
+        relayed.forEach((request, job) -> fleet.cutFromTarget(
+                daemon(job.relayedBy.get()), request.dispatchedTo.get(request.dispatchedTo.size() - 1), Cut.SILENT));
+        assertThat(relayed).isNotEmpty();
+        fleet.run(3_000);
+        assertThat(notCompleted(List.copyOf(relayed.keySet()))).isEmpty();
+    }
+
+    private int daemon(HostId host) {
+        return IntStream.range(0, fleet.nodes.size())
+                .filter(i -> fleet.nodes.get(i).identity.host().equals(host))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Makes several requests of a daemon run at once on each target. */
+    private void heavyLoad() {
+        tokens = 100;
+        arrivalIntervalMs = 10;
+    }
+
+    @Test
+    void requestsAreNotRefusedAtADaemonWithoutPeersIfOneTargetIsDown() {
+        for (int i = 0; i < 4; i++) {
+            fleet.addEngine("r-" + i, VirtualFleet.SOUTH, 8, 20, 5);
+        }
+        startDaemons(List.of(VirtualFleet.SOUTH));
+        play(1_000);
+        fleet.crashTarget(fleet.engines.keySet().iterator().next(), 3_000);
+        play(3_000);
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void requestsAreNotQuarantinedForCutsOfAllDaemons(boolean heavy) {
+        start(4, 4);
+        if (heavy) {
+            heavyLoad();
+        }
+        play(3_000);
+        for (int i = 0; i < 4; i++) {
+            cut(12, Cut.REFUSED);
+            play(2_000);
+            IntStream.range(0, 12).forEach(fleet::reconnectToTargets);
+            play(3_000);
+        }
+        finish();
+        if (!heavy) {
+            assertThat(countDecisions("request suspected")).isZero();
+        }
+        assertThat(fleet.nodes).allSatisfy(node -> assertThat(node.effects)
+                .noneMatch(effect -> effect instanceof Effect.Explain explain
+                        && explain.decision().contains("quarantined")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {20, 130})
+    void daemonsOfLargeFleetsAreNotLeftWithoutTargets(int perDataCentre) {
+        start(perDataCentre, perDataCentre);
+        fleet.keepEffects = false;
+        int daemons = fleet.nodes.size();
+        arrivalIntervalMs = 2;
+        play(1_000);
+        cut(daemons / 2, Cut.SILENT);
+        long messagesBefore = fleet.peerMessages;
+        long probesBefore = countProbes();
+        play(GOAL_MS);
+        List<SentRequest> during = play(1_000);
+        double daemonSeconds = daemons * (GOAL_MS + 1_000) / 1_000.0;
+        assertThat((fleet.peerMessages - messagesBefore) / daemonSeconds).isLessThan(MAX_MESSAGES_PER_SECOND);
+        assertThat((countProbes() - probesBefore) / daemonSeconds).isLessThan(MAX_PROBES_PER_SECOND);
+        fleet.run(2_000);
+        double served = servedShare(at(during, 0, daemons / 2));
+        double others = servedShare(at(during, daemons / 2, daemons));
+        assertThat(served).isGreaterThanOrEqualTo(0.95 * others);
+        assertThat(others).isGreaterThan(0.95);
+    }
+
+    private static double servedShare(List<SentRequest> requests) {
+        return 1 - notCompleted(requests).size() / (double) requests.size();
+    }
+
+    private long countProbes() {
+        return fleet.nodes.stream().mapToLong(node -> node.probes).sum();
+    }
+}
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -68,6 +68,7 @@
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
     private final RoutingMessageCodec codec = new RoutingMessageCodec();
+    private final Map<HostId, Integer> indexes = new HashMap<>();
     private final Set<HostId> cutOff = new HashSet<>();
     private List<HostEntry> listed = List.of();
     private Supplier<RoutingPolicy> policy;
@@ -75,6 +76,7 @@
     private long requests;
     long nowMs = 1_000_000;
     long peerBytes;
+    long peerMessages;
     boolean keepEffects;
     boolean reportsTokensOfCrashes;
     boolean resumesAnywhere;
@@ -170,6 +172,7 @@
             identities.add(new DaemonIdentity(new HostId("d" + i), 1, locations.get(i), "127.0.0.1:" + (8000 + i)));
         }
         for (DaemonIdentity identity : identities) {
+            indexes.put(identity.host(), nodes.size());
             nodes.add(new Node(nodes.size(), identity, identities, policy.get()));
         }
         listed = List.copyOf(hosts.values());
@@ -284,8 +287,19 @@
     void cutFromTargets(int daemon, Cut cut) {
         Node node = nodes.get(daemon);
         node.cut = Optional.of(cut);
+        endConnections(node, cut, target -> true);
+    }
+
+    /** Cuts a daemon off from one target. */
+    void cutFromTarget(int daemon, TargetId target, Cut cut) {
+        Node node = nodes.get(daemon);
+        node.pairCuts.put(target, cut);
+        endConnections(node, cut, target::equals);
+    }
+
+    private void endConnections(Node node, Cut cut, Predicate<TargetId> affected) {
         for (EngineModel.Job job : List.copyOf(node.jobs.values())) {
-            if (job.relayedBy.isPresent()) {
+            if (job.relayedBy.isPresent() || !affected.test(node.targetByAttempt.get(job.attempt))) {
                 continue;
             }
             if (cut == Cut.SILENT) {
@@ -300,9 +314,15 @@
         }
         for (Node caller : nodes) {
             for (EngineModel.Job job : List.copyOf(caller.jobs.values())) {
-                if (job.relayedBy.equals(Optional.of(node.identity.host()))) {
+                TargetId target = caller.targetByAttempt.get(job.attempt);
+                if (!job.relayedBy.equals(Optional.of(node.identity.host())) || !affected.test(target)) {
+                    continue;
+                }
+                if (cut == Cut.SILENT) {
                     job.unreachable = true;
                     reportSilence(caller, job.attempt);
+                } else {
+                    stop(caller, engines.get(target), job, FailureKind.CONNECTION_LOST);
                 }
             }
         }
@@ -313,6 +333,11 @@
         nodes.get(daemon).cut = Optional.empty();
     }
 
+    /** Ends the cut of a daemon from one target. */
+    void reconnectToTarget(int daemon, TargetId target) {
+        nodes.get(daemon).pairCuts.remove(target);
+    }
+
     private void reportSilence(Node node, AttemptId attempt) {
         at(nowMs + SILENCE_MS, () -> {
             EngineModel.Job job = node.jobs.get(attempt);
@@ -354,9 +379,9 @@
         EngineModel engine = engines.get(probe.target());
         long latencyMs = 2
                 * latencyMs(node.identity.location(), hosts.get(probe.target()).location());
-        boolean silent = node.cut.equals(Optional.of(Cut.SILENT));
+        boolean silent = node.cutFrom(probe.target()).equals(Optional.of(Cut.SILENT));
         at(nowMs + (silent ? PROBE_TIMEOUT_MS : latencyMs), () -> {
-            boolean reachable = engine.up && node.cut.isEmpty();
+            boolean reachable = engine.up && node.cutFrom(probe.target()).isEmpty();
             node.handle(new Event.TargetProbed(probe.target(), reachable));
         });
     }
@@ -365,7 +390,8 @@
         EngineModel engine = engines.get(dispatch.target());
         Work work = workOf(dispatch.source());
         Node carrier = dispatch.relay().map(this::node).orElse(node);
-        if (carrier != node && (!carrier.alive || carrier.cut.isPresent() || !engine.up)) {
+        if (carrier != node
+                && (!carrier.alive || carrier.cutFrom(dispatch.target()).isPresent() || !engine.up)) {
             FailureKind kind = carrier.alive ? FailureKind.PATH_LOST : FailureKind.RELAY_FAILED;
             afterLatency(
                     node,
@@ -373,8 +399,8 @@
                     () -> node.attemptEnded(dispatch.attempt(), failed(kind, Verdict.NOT_RUN, 0)));
             return;
         }
-        if (carrier == node && node.cut.isPresent()) {
-            failToConnect(node, dispatch, node.cut.get());
+        if (carrier == node && node.cutFrom(dispatch.target()).isPresent()) {
+            failToConnect(node, dispatch, node.cutFrom(dispatch.target()).get());
             return;
         }
         if (!engine.up) {
@@ -407,10 +433,7 @@
     }
 
     private Node node(HostId host) {
-        return nodes.stream()
-                .filter(node -> node.identity.host().equals(host))
-                .findFirst()
-                .orElseThrow();
+        return nodes.get(indexes.get(host));
     }
 
     private Work workOf(DispatchSource source) {
@@ -611,6 +634,7 @@
         Set<TargetId> watched = Set.of();
         boolean alive = true;
         Optional<Cut> cut = Optional.empty();
+        private final Map<TargetId, Cut> pairCuts = new TreeMap<>();
         long queuedAtEngine;
         long probes;
 
@@ -626,6 +650,10 @@
             return nowMs;
         }
 
+        private Optional<Cut> cutFrom(TargetId target) {
+            return cut.or(() -> Optional.ofNullable(pairCuts.get(target)));
+        }
+
         /** Runs an action after a pause unless the daemon is dead by then. */
         void afterPause(long pauseMs, Runnable action) {
             at(nowMs + pauseMs, () -> {
@@ -732,13 +760,12 @@
         private void peerSend(Effect.Send send) {
             ByteString bytes = codec.encode(send.message());
             peerBytes += bytes.size();
+            peerMessages++;
             if (!identity.host().equals(send.to())
                     && (cutOff.contains(identity.host()) || cutOff.contains(send.to()))) {
                 return;
             }
-            Optional<Node> to = nodes.stream()
-                    .filter(node -> node.identity.host().equals(send.to()))
-                    .findFirst();
+            Optional<Node> to = Optional.ofNullable(indexes.get(send.to())).map(nodes::get);
             to.ifPresent(node -> at(nowMs + latencyMs(identity.location(), node.identity.location()), () -> {
                 try {
                     node.handle(new Event.PeerMessageReceived(identity.host(), codec.decode(bytes)));
