--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
@@ -68,9 +68,14 @@
         return true;
     }
 
-    /** Ejects the target as another daemon has found it to be down, until it responds to this one. */
-    void ejectAsTold(long nowMs) {
-        toldDown |= eject(nowMs);
+    /**
+     * Ejects the target as another daemon has found it to be down, until it responds to this one; returns whether it was
+     * not ejected before.
+     */
+    boolean ejectAsTold(long nowMs) {
+        boolean newlyEjected = eject(nowMs);
+        toldDown |= newlyEjected;
+        return newlyEjected;
     }
 
     /** Records that the target has responded to this daemon, which refutes that it is down. */
