Let a stream that skips an event always send one

The first run had sent four of five pieces, so that the second one skipped the last and wrote no event: byte for byte what WITHOUT_EVENTS writes, which the check allows. The second run comes about only if the daemon does not regard all targets as failed, which is rare here.

A run that skips a piece now sends one beyond the last at least, so that the case is always a gap, which the caller must never get as complete. No other case sends less than before.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/AttemptOutcomesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/AttemptOutcomesEndToEndTests.java
@@ -412,7 +412,7 @@
                             : pieces(run, next, next, true);
                     case IDS_FROM_ONE -> pieces(run, 1, PIECES, true);
                     case IDS_REPEAT_THE_LAST -> pieces(run, Math.max(1, run.after()), PIECES, true);
-                    case IDS_SKIP_ONE -> pieces(run, next + 1, PIECES, true);
+                    case IDS_SKIP_ONE -> pieces(run, next + 1, PIECES + 1, true);
                     case IDS_GO_BACK -> pieces(run, next, PIECES - 1, true) + pieces(run, next, PIECES, true);
                     case NO_IDS -> pieces(run, next, PIECES, false);
                     case NO_ID_FIRST -> pieces(run, next, next, false) + pieces(run, next + 1, PIECES, true);
