--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRun.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRun.java
@@ -27,6 +27,7 @@
     private BatchWork work;
     private AttemptId attempt;
     private Optional<ResumePoint> resume = Optional.empty();
+    private Optional<HostId> relay = Optional.empty();
     private boolean revoked;
     private boolean suspect;
 
@@ -87,8 +88,14 @@
         return attempt;
     }
 
-    void started(AttemptId newAttempt) {
+    void started(AttemptId newAttempt, Optional<HostId> newRelay) {
         attempt = newAttempt;
+        relay = newRelay;
+    }
+
+    /** Returns the daemon that relays the attempt, empty if this daemon is connected to the target itself. */
+    Optional<HostId> relay() {
+        return relay;
     }
 
     boolean dispatched() {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -72,6 +72,7 @@
         if (listener == null
                 || target.isEmpty()
                 || demand.isEmpty()
+                || !context.paths().usable(target.get(), nowMs)
                 || !leaving && !advertiser.acceptGrant(granted.job())) {
             release(from, granted.attempt(), granted.target(), RoutingMessage.Use.UNUSED, 0, out);
             return;
@@ -111,7 +112,7 @@
                     true);
             context.peers().send(run.controller(), request, out);
         } else {
-            dispatch(run, run.permitId(), out);
+            dispatch(run, run.permitId(), nowMs, out);
         }
     }
 
@@ -151,14 +152,14 @@
         return new AttemptOutcome.Failed(Verdict.NOT_RUN, kind, status, 0, false, 0, ByteString.EMPTY, detail);
     }
 
-    private void dispatch(BatchRun run, AttemptId attempt, Effects out) {
-        run.started(attempt);
+    private void dispatch(BatchRun run, AttemptId attempt, long nowMs, Effects out) {
+        run.started(attempt, context.paths().relayFor(run.target(), nowMs));
         byAttempt.put(attempt, run);
         out.add(new Effect.Dispatch(
                 attempt,
                 run.target().id(),
                 run.target().address(),
-                Optional.empty(),
+                run.relay(),
                 run.work().source(),
                 run.resume(),
                 run.work().timeoutMs()));
@@ -172,7 +173,7 @@
                 run.revoke();
                 end(run, notStarted(), RoutingMessage.Use.UNUSED, nowMs, out);
             } else {
-                dispatch(run, permitId, out);
+                dispatch(run, permitId, nowMs, out);
             }
         }
         return run != null;
@@ -225,24 +226,46 @@
         }
     }
 
+    void attemptStarted(AttemptId attempt, long nowMs) {
+        BatchRun run = byAttempt.get(attempt);
+        if (run != null) {
+            recordContact(run, nowMs);
+        }
+    }
+
+    private void recordContact(BatchRun run, long nowMs) {
+        if (run.relay().isEmpty()) {
+            context.paths().contact(run.target(), nowMs);
+        }
+    }
+
+    void attemptSilent(AttemptId attempt, long nowMs, Effects out) {
+        BatchRun run = byAttempt.get(attempt);
+        if (run != null) {
+            context.paths().attemptSilent(attempt, run.target(), run.relay(), nowMs, out);
+        }
+    }
+
     /** Handles the end of an attempt; returns whether the attempt belongs to this runner. */
     boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
         BatchRun run = byAttempt.remove(attempt);
         if (run == null) {
             return false;
         }
+        context.paths().attemptEnded(attempt);
         if (outcome instanceof AttemptOutcome.Failed failure) {
             boolean generationGone = failure.status() == HTTP_GONE
                     && run.resume().filter(point -> point.fromToken() > 0).isPresent();
             if (generationGone && !run.revoked()) {
                 run.restartGeneration();
-                dispatch(run, context.attempts().next(), out);
+                dispatch(run, context.attempts().next(), nowMs, out);
                 return true;
             }
             SuspectRun suspectRun = new SuspectRun(run.work().fingerprint(), run.service(), List.of(), run.suspect());
-            TargetFailures.apply(context, run.target(), failure, suspectRun, nowMs, out);
+            TargetFailures.apply(context, run.target(), run.relay(), failure, suspectRun, nowMs, out);
         } else {
             run.target().health().attemptSucceeded();
+            recordContact(run, nowMs);
             if (suspected(run.work(), nowMs)) {
                 context.suspects().clear(run.work().fingerprint().getAsLong(), nowMs, out);
             }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -63,6 +63,12 @@
     /** How long after its deadline a request is ended that is still open, in ms: attempts end at the deadline. */
     private static final long OVERDUE_MS = 1_000;
 
+    /** How long a request waits for the end of a check of its targets, in ms: all rounds of one. */
+    private static final long PATH_CHECK_TIMEOUT_MS = 1_200;
+
+    /** How many attempts of a request may fail before they reach their target without counting as attempts. */
+    private static final int MAX_PATH_FAILURES = 4;
+
     /** The number of tokens, or events, up to which a response counts as just begun. */
     private static final int MAX_FIRST_TOKENS = 8;
 
@@ -245,7 +251,7 @@
             out.add(new Effect.CancelAttempt(route.attempt));
         } else if (route.phase == Route.Phase.RESOLVING) {
             endResolving(route);
-        } else {
+        } else if (route.phase != Route.Phase.AWAITING_PATH) {
             withdraw(route, out);
         }
     }
@@ -282,12 +288,50 @@
         }
         Optional<TargetState> chosen = route.team(context.settings())
                 .flatMap(team -> choice.choose(request, team, route.filter(), nowMs, out));
-        if (chosen.isEmpty()) {
+        if (chosen.isPresent()) {
+            route.target = chosen.get();
+            obtainPermit(route, nowMs, out);
+        } else if (mayFindTarget(route, nowMs)) {
+            awaitPath(route, nowMs, out);
+        } else {
+            giveUpWithoutTarget(route, nowMs, out);
+        }
+    }
+
+    private boolean mayFindTarget(Route route, long nowMs) {
+        return route.team(context.settings())
+                .filter(team -> choice.mayFindTarget(route.request, team, route.filter(), nowMs))
+                .isPresent();
+    }
+
+    private void awaitPath(Route route, long nowMs, Effects out) {
+        context.count("requests-awaiting-path");
+        route.phase = Route.Phase.AWAITING_PATH;
+        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + PATH_CHECK_TIMEOUT_MS), out);
+    }
+
+    /** Goes on with the requests that wait for a way to a target. */
+    void pathsChanged(long nowMs, Effects out) {
+        for (Route route : List.copyOf(routes.values())) {
+            if (route.phase == Route.Phase.AWAITING_PATH) {
+                findPath(route, nowMs, out);
+            }
+        }
+    }
+
+    private void findPath(Route route, long nowMs, Effects out) {
+        wakeups.remove(route.request.id());
+        if (!route.boundToTarget()) {
+            chooseTarget(route, nowMs, out);
+        } else if (nowMs >= route.request.deadlineAtMs()) {
+            giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before the target was reached", nowMs, out);
+        } else if (context.paths().usable(route.target, nowMs)) {
+            obtainPermit(route, nowMs, out);
+        } else if (context.paths().mayBecomeUsable(route.target)) {
+            awaitPath(route, nowMs, out);
+        } else {
             giveUpWithoutTarget(route, nowMs, out);
-            return;
         }
-        route.target = chosen.get();
-        obtainPermit(route, nowMs, out);
     }
 
     private void giveUpWithoutTarget(Route route, long nowMs, Effects out) {
@@ -297,7 +341,7 @@
         }
         String version = route.version.map(text -> " of version " + text).orElse("");
         if (route.version.isEmpty() || context.directory().lists(route.request.service(), route.version.get())) {
-            route.retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+            route.retryAfterMs = context.paths().retryAfterMs();
         }
         giveUp(route, RefusalCode.NO_TARGET, "no target" + version + " serves " + route.request.service(), nowMs, out);
     }
@@ -468,6 +512,10 @@
                 concludeVersion(route, nowMs, out);
                 continue;
             }
+            if (route != null && route.phase == Route.Phase.AWAITING_PATH) {
+                findPath(route, nowMs, out);
+                continue;
+            }
             if (route == null || !route.awaitsPermit()) {
                 continue;
             }
@@ -523,6 +571,12 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
+        if (!context.paths().usable(route.target, nowMs)) {
+            withdraw(route, out);
+            findPath(route, nowMs, out);
+            return;
+        }
+        route.relay = context.paths().relayFor(route.target, nowMs);
         if (context.promptParts().quarantined(request.sharedParts())) {
             route.retryAfterMs = context.promptParts().retryAfterMs(request.sharedParts(), nowMs);
             if (!route.trial || route.retryAfterMs > 0) {
@@ -545,10 +599,14 @@
                 route.attempt,
                 route.target.id(),
                 route.target.address(),
-                Optional.empty(),
+                route.relay,
                 request.source(),
                 resumePoint(route),
                 timeoutMs));
+        if (route.relay.isPresent()) {
+            context.count("attempts-relayed");
+            out.explain(Subject.Kind.REQUEST, request.id(), nowMs, "relayed by " + route.relay.get(), "path lost");
+        }
         route.listener.routeDispatched(request, route.target.id(), nowMs, out);
     }
 
@@ -595,9 +653,28 @@
         Route route = byAttempt.get(attempt);
         if (route != null) {
             route.target.health().attemptStarted(nowMs - route.dispatchedAtMs);
+            recordContact(route, nowMs);
+        }
+    }
+
+    private void recordContact(Route route, long nowMs) {
+        if (route.relay.isEmpty()) {
+            context.paths().contact(route.target, nowMs);
         }
     }
 
+    /** Handles the silence of an attempt's target; returns whether the attempt belongs to this router. */
+    boolean attemptSilent(AttemptId attempt, long nowMs, Effects out) {
+        Route route = byAttempt.get(attempt);
+        if (route == null) {
+            return false;
+        }
+        if (route.request.repeatable()) {
+            context.paths().attemptSilent(attempt, route.target, route.relay, nowMs, out);
+        }
+        return true;
+    }
+
     /** Handles the end of an attempt; returns whether the attempt belongs to this router. */
     boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
         Route route = byAttempt.remove(attempt);
@@ -605,6 +682,7 @@
             return false;
         }
         route.target.attemptEnded();
+        context.paths().attemptEnded(attempt);
         permits.release(route, attempt, FailureMapping.permitUse(outcome), out);
         countTokens(route, outcome);
         if (outcome instanceof AttemptOutcome.Succeeded succeeded) {
@@ -627,6 +705,7 @@
 
     private void attemptSucceeded(Route route, AttemptOutcome.Succeeded outcome, long nowMs, Effects out) {
         route.target.health().attemptSucceeded();
+        recordContact(route, nowMs);
         if (context.suspects().suspected(route.request.fingerprint(), nowMs)) {
             context.suspects().clear(route.request.fingerprint(), nowMs, out);
         }
@@ -640,7 +719,7 @@
     private void attemptFailed(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
         if (!ownDeadline) {
-            TargetFailures.apply(context, route.target, failure, suspectRun(route, failure), nowMs, out);
+            TargetFailures.apply(context, route.target, route.relay, failure, suspectRun(route, failure), nowMs, out);
         }
         if (route.phase == Route.Phase.ENDED) {
             return;
@@ -676,6 +755,7 @@
     }
 
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
+        boolean neverReached = countPathFailure(route, failure);
         RetryPolicy.Step step = retryPolicy.after(route, failure);
         if (route.trial && failure.verdict().equals(Verdict.NOT_RUN)) {
             context.promptParts().trialNotRun(route.request.sharedParts(), nowMs, out);
@@ -683,7 +763,7 @@
         if (context.suspects().quarantined(route.request.fingerprint(), nowMs)
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
-        } else if (step == RetryPolicy.Step.GIVE_UP || !retryBudget.tryTake()) {
+        } else if (step == RetryPolicy.Step.GIVE_UP || !neverReached && !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
@@ -696,14 +776,36 @@
             route.permitRefusals = 0;
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
-                obtainPermit(route, nowMs, out);
+                findPath(route, nowMs, out);
             } else {
-                route.excluded.add(route.target.id());
+                if (!isPathFailure(failure)) {
+                    route.excluded.add(route.target.id());
+                }
                 chooseTarget(route, nowMs, out);
             }
         }
     }
 
+    /** Returns whether the attempt did not reach its target, and does not count; only a few of a request do not. */
+    private static boolean countPathFailure(Route route, AttemptOutcome.Failed failure) {
+        boolean neverReached = isPathFailure(failure) && failure.verdict().equals(Verdict.NOT_RUN);
+        if (!neverReached || route.pathFailures >= MAX_PATH_FAILURES) {
+            return false;
+        }
+        route.pathFailures++;
+        route.attempts--;
+        return true;
+    }
+
+    /** Returns whether the way to the target has failed, so that the target may serve the request another way. */
+    private static boolean isPathFailure(AttemptOutcome.Failed failure) {
+        return switch (failure.kind()) {
+            case PATH_LOST, RELAY_FAILED -> true;
+            case CONNECTION_REFUSED -> failure.status() == 0;
+            default -> false;
+        };
+    }
+
     private void giveUp(Route route, RefusalCode code, String message, long nowMs, Effects out) {
         Refusal refusal = new Refusal(route.verdict, code, message, route.retryAfterMs);
         end(route, new RouteOutcome.GivenUp(refusal), nowMs, out);
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
@@ -0,0 +1,129 @@
+package org.cornelcrank.routing;
+
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.TargetId;
+
+/**
+ * A check of whether a target is down or only this daemon cannot reach it.
+ *
+ * <p>This daemon tries to connect itself, unless it has just failed to; if it cannot, other daemons are asked in rounds.
+ * Not thread-safe: confined to the daemon's event loop.
+ */
+final class PathCheck {
+
+    private final TargetId target;
+    private final long number;
+    private final long startedAtMs;
+    private final boolean relayedBefore;
+    private final EnumSet<Cause> causes;
+    private final Set<HostId> asked = new TreeSet<>();
+    private final Set<HostId> awaited = new TreeSet<>();
+    private boolean asksPeers;
+    private boolean denied;
+    private int replies;
+    private int rounds;
+
+    PathCheck(TargetId target, long number, Cause cause, boolean relayedBefore, long nowMs) {
+        this.relayedBefore = relayedBefore;
+        this.target = target;
+        this.number = number;
+        this.startedAtMs = nowMs;
+        this.causes = EnumSet.of(cause);
+    }
+
+    TargetId target() {
+        return target;
+    }
+
+    long number() {
+        return number;
+    }
+
+    long startedAtMs() {
+        return startedAtMs;
+    }
+
+    /** Returns whether another daemon already relayed to the target when the check began. */
+    boolean relayedBefore() {
+        return relayedBefore;
+    }
+
+    void add(Cause cause) {
+        causes.add(cause);
+    }
+
+    boolean has(Cause cause) {
+        return causes.contains(cause);
+    }
+
+    EnumSet<Cause> causes() {
+        return EnumSet.copyOf(causes);
+    }
+
+    /** Returns whether other daemons are asked, as this daemon cannot reach the target. */
+    boolean asksPeers() {
+        return asksPeers;
+    }
+
+    Set<HostId> asked() {
+        return asked;
+    }
+
+    int rounds() {
+        return rounds;
+    }
+
+    void beginRound(Set<HostId> peers) {
+        asksPeers = true;
+        rounds++;
+        asked.addAll(peers);
+        awaited.clear();
+        awaited.addAll(peers);
+    }
+
+    /** Records a reply that does not confirm that the target can be reached; returns whether the round is complete. */
+    boolean notReached(HostId from, boolean down) {
+        denied |= down;
+        replies++;
+        awaited.remove(from);
+        return awaited.isEmpty();
+    }
+
+    /** Returns the result if no daemon that was asked reaches the target. */
+    Unreachable unreachable() {
+        if (denied) {
+            return Unreachable.DOWN;
+        }
+        return replies > 0 || asked.isEmpty() ? Unreachable.BY_ALL : Unreachable.NO_REPLY;
+    }
+
+    /** What is known of a target that nobody reaches. */
+    enum Unreachable {
+        /** A daemon that reaches other targets cannot reach it. */
+        DOWN,
+        /** No daemon that replied reaches any target, so that this one may be down or all of them cut off. */
+        BY_ALL,
+        /** No other daemon has replied. */
+        NO_REPLY
+    }
+
+    /** Why a target is checked. */
+    enum Cause {
+        /** A connection could not be established. */
+        CONNECT_FAILED,
+        /** A connection was lost on which a request was running. */
+        CONNECTION_LOST,
+        /** A request got no response in time. */
+        UNRESPONSIVE,
+        /** Nothing has arrived for a request for some time. */
+        SILENT,
+        /** Another daemon has published that the target is down. */
+        TOLD_DOWN,
+        /** The target's load could not be queried. */
+        REPORT_FAILED
+    }
+}
--- /dev/null
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -0,0 +1,593 @@
+package org.cornelcrank.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.codahale.metrics.MetricRegistry;
+import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
+import org.cornelcrank.core.Subject;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.TimerKey;
+
+/**
+ * Finds out whether a target is down or only this daemon cannot reach it, and which daemon relays connections then.
+ *
+ * <p>A target counts as down only if this daemon cannot connect to it and neither can another one that reaches other
+ * targets. If another one can connect, it relays this daemon's connections until this daemon reaches the target again.
+ * While this daemon has lost targets and heard from none itself since, all its attempts are relayed. Each check ends
+ * after a bounded number of rounds. Not thread-safe: confined to the daemon's event loop.
+ */
+final class PathMonitor {
+
+    static final TimerKey TIMER = new TimerKey(RoutingStateMachine.NAME, "paths");
+
+    /** How long peers have to reply, in ms: a failed attempt to connect and a round trip between regions. */
+    private static final long REPLY_TIMEOUT_MS = 350;
+
+    private static final int MAX_ROUNDS = 3;
+
+    /** The number of targets under check at once that makes this daemon doubt its own network. */
+    private static final int DOUBTFUL_CHECKS = 2;
+
+    /** How long a target must have sent nothing to this daemon to be checked for its silence on one attempt, in ms. */
+    private static final long SILENCE_MS = 300;
+
+    /** The minimum time between two checks of a target because of its silence, in ms. */
+    private static final long SILENCE_CHECK_INTERVAL_MS = 1_000;
+
+    /** The interval at which this daemon tries to reach relayed targets itself, in ms. */
+    private static final long RESTORE_INTERVAL_MS = 250;
+
+    /** The retry delay for callers that another daemon may serve, in ms. */
+    private static final long ELSEWHERE_RETRY_MS = 100;
+
+    private static final long DEFAULT_RETRY_MS = 1_000;
+
+    private static final int RESTORE_PROBES = 3;
+    private static final int RESTORE_PROBES_AFTER_SUCCESS = 64;
+
+    private final TargetDirectory directory;
+    private final PeerLink peers;
+    private final RelaySelector relays;
+    private final MetricRegistry metrics;
+    private final DueQueue<Due> due = new DueQueue<>(TIMER);
+    private final Map<TargetId, PathCheck> checks = new TreeMap<>();
+    private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
+    private final Map<HostId, Long> relayChecks = new HashMap<>();
+    private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
+    private final Set<TargetId> probing = new HashSet<>();
+    private PathListener listener;
+    private long lastNumber;
+    private long lastContactAtMs = Long.MIN_VALUE;
+    private long lostAtMs = Long.MIN_VALUE;
+    private long isolatedAtMs = Long.MIN_VALUE;
+    private boolean anyoneReplied;
+    private boolean restoring;
+
+    PathMonitor(TargetDirectory directory, PeerLink peers, RelaySelector relays, MetricRegistry metrics) {
+        this.directory = directory;
+        this.peers = peers;
+        this.relays = relays;
+        this.metrics = metrics;
+    }
+
+    void subscribe(PathListener newListener) {
+        listener = newListener;
+    }
+
+    /** Returns whether this daemon has lost its way to targets and has reached none itself since. */
+    boolean disconnected() {
+        return lostAtMs > lastContactAtMs;
+    }
+
+    private boolean relayed(TargetState target) {
+        return target.path().state() == TargetPath.State.RELAYED || disconnected();
+    }
+
+    /** Returns whether neither this daemon nor any that it asked reaches a target. */
+    boolean isolated() {
+        return isolatedAtMs > lastContactAtMs;
+    }
+
+    /** Returns how soon a request that finds no target may find one, in ms: at once if other daemons have not replied. */
+    long retryAfterMs() {
+        return isolated() && !anyoneReplied ? ELSEWHERE_RETRY_MS : DEFAULT_RETRY_MS;
+    }
+
+    /** Returns whether new attempts can be sent to the target now. */
+    boolean usable(TargetState target, long nowMs) {
+        if (isolated() || target.path().state() == TargetPath.State.CHECKING) {
+            return false;
+        }
+        return relayed(target) ? relays.select(target, nowMs).isPresent() : !doubtful();
+    }
+
+    /** Returns whether a check may make the target usable soon. */
+    boolean mayBecomeUsable(TargetState target) {
+        return !isolated() && (target.path().state() == TargetPath.State.CHECKING || !disconnected() && doubtful());
+    }
+
+    /** Returns the daemon that relays new attempts to the target, empty if this daemon connects to it itself. */
+    Optional<HostId> relayFor(TargetState target, long nowMs) {
+        return relayed(target) ? relays.select(target, nowMs) : Optional.empty();
+    }
+
+    /** Returns whether several targets have become unreachable at once and none has been heard from since. */
+    private boolean doubtful() {
+        int pending = 0;
+        long sinceMs = Long.MAX_VALUE;
+        for (PathCheck check : checks.values()) {
+            if (check.asksPeers()) {
+                pending++;
+                sinceMs = Math.min(sinceMs, check.startedAtMs());
+            }
+        }
+        return pending >= DOUBTFUL_CHECKS && lastContactAtMs < sinceMs;
+    }
+
+    /** Records that a target has sent something to this daemon itself. */
+    void contact(TargetState target, long nowMs) {
+        target.path().contact(nowMs);
+        lastContactAtMs = Math.max(lastContactAtMs, nowMs);
+    }
+
+    /** Checks a target to which this daemon has failed to connect. */
+    void connectFailed(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
+        if (!relayed(target)) {
+            PathCheck check = check(target, cause, nowMs);
+            if (!check.asksPeers()) {
+                askPeers(target, check, nowMs, out);
+            }
+        }
+    }
+
+    /** Checks a target that may be down, by connecting to it first. */
+    void doubted(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
+        if (relayed(target)) {
+            return;
+        }
+        boolean pending = checks.containsKey(target.id());
+        check(target, cause, nowMs);
+        if (!pending) {
+            probe(target, out);
+        }
+    }
+
+    private PathCheck check(TargetState target, PathCheck.Cause cause, long nowMs) {
+        PathCheck check = checks.computeIfAbsent(target.id(), id -> {
+            count("paths-checked");
+            return new PathCheck(id, ++lastNumber, cause, relayed(target), nowMs);
+        });
+        check.add(cause);
+        return check;
+    }
+
+    private void probe(TargetState target, Effects out) {
+        if (probing.add(target.id())) {
+            out.add(new Effect.ProbeTarget(target.id(), target.address()));
+        }
+    }
+
+    private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
+        target.path().checking();
+        Set<HostId> selected =
+                check.rounds() < MAX_ROUNDS ? relays.selectPeers(check.asked(), nowMs) : Set.<HostId>of();
+        if (selected.isEmpty()) {
+            conclude(target, check, check.unreachable(), nowMs, out);
+            return;
+        }
+        check.beginRound(selected);
+        RoutingMessage request = new RoutingMessage.ReachabilityRequested(check.number(), target.id());
+        selected.forEach(host -> peers.send(host, request, out));
+        due.put(new Due.CheckTimeout(target.id(), check.number()), nowMs + REPLY_TIMEOUT_MS, out);
+    }
+
+    /** Ends a check whose target nobody reaches. */
+    private void conclude(TargetState target, PathCheck check, PathCheck.Unreachable result, long nowMs, Effects out) {
+        checks.remove(check.target());
+        target.path().includeAllRelays();
+        if (check.relayedBefore() || disconnected()) {
+            target.path().relayed();
+        } else {
+            target.path().direct();
+        }
+        if (result != PathCheck.Unreachable.DOWN && lastContactAtMs < check.startedAtMs()) {
+            isolatedAtMs = nowMs;
+            anyoneReplied = result == PathCheck.Unreachable.BY_ALL;
+            scheduleRestore(nowMs, out);
+        }
+        explain(target, nowMs, "unreachable, " + result, check, "asked " + check.asked(), out);
+        listener.unreachable(target, check.causes(), result, nowMs, out);
+    }
+
+    private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
+        checks.remove(check.target());
+        target.path().direct();
+        listener.reachable(target, check.causes(), nowMs, out);
+    }
+
+    private void concludeRelayed(TargetState target, PathCheck check, HostId relay, long nowMs, Effects out) {
+        checks.remove(check.target());
+        target.path().relayed();
+        if (check.relayedBefore()) {
+            listener.reachable(target, check.causes(), nowMs, out);
+            return;
+        }
+        if (lastContactAtMs < check.startedAtMs()) {
+            lostAtMs = nowMs;
+        }
+        isolatedAtMs = Long.MIN_VALUE;
+        count("paths-lost");
+        String reason = relay + " reaches it" + (disconnected() ? "; no other target is reached either" : "");
+        explain(target, nowMs, "reached through other daemons", check, reason, out);
+        abandonSilent(out);
+        scheduleRestore(nowMs, out);
+        if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
+            target.path().explainLosses();
+            probe(target, out);
+        }
+        listener.relayed(target, nowMs, out);
+    }
+
+    /**
+     * Decides what the lost connections to a target mean that another daemon reaches: if this daemon reaches it as well by
+     * now, the target was down for a moment.
+     */
+    private void explainLosses(TargetState target, boolean reachable, long nowMs, Effects out) {
+        if (target.path().takeUnexplainedLosses()) {
+            listener.lossesExplained(target, reachable, nowMs, out);
+        }
+    }
+
+    private void explain(TargetState target, long nowMs, String decision, PathCheck check, String reason, Effects out) {
+        long ageMs = nowMs - check.startedAtMs();
+        out.explain(
+                Subject.Kind.TARGET, target.id(), nowMs, decision, check.causes() + " " + ageMs + " ms ago; " + reason);
+        out.add(new Effect.StateChanged(RoutingStateMachine.NAME, "target " + target.id() + " " + decision));
+    }
+
+    /** Handles the end of this daemon's own attempt to connect to a target. */
+    void probed(TargetId id, boolean reachable, long nowMs, Effects out) {
+        probing.remove(id);
+        Optional<TargetState> found = directory.find(id);
+        replyToPeers(id, reachable, nowMs, out);
+        if (found.isEmpty()) {
+            checks.remove(id);
+            return;
+        }
+        TargetState target = found.get();
+        if (reachable) {
+            contact(target, nowMs);
+        }
+        explainLosses(target, reachable, nowMs, out);
+        PathCheck check = checks.get(id);
+        if (check != null && !check.asksPeers()) {
+            if (reachable) {
+                concludeReachable(target, check, nowMs, out);
+            } else if (check.causes().equals(EnumSet.of(PathCheck.Cause.TOLD_DOWN))) {
+                checks.remove(id);
+            } else {
+                askPeers(target, check, nowMs, out);
+            }
+        } else if (check == null && reachable && target.path().state() == TargetPath.State.RELAYED) {
+            restored(target, nowMs, out);
+        }
+    }
+
+    private void restored(TargetState target, long nowMs, Effects out) {
+        target.path().direct();
+        count("paths-restored");
+        out.explain(Subject.Kind.TARGET, target.id(), nowMs, "reached directly again", "connecting succeeded");
+        probeLost(RESTORE_PROBES_AFTER_SUCCESS, nowMs, out);
+        listener.relayed(target, nowMs, out);
+    }
+
+    /** Checks a target on behalf of another daemon. */
+    void requested(HostId from, RoutingMessage.ReachabilityRequested request, Effects out) {
+        Optional<TargetState> target = directory.find(request.target());
+        if (target.isEmpty()) {
+            reply(from, request.number(), request.target(), RoutingMessage.Reachability.UNSURE, out);
+            return;
+        }
+        PeerInquiry inquiry = new PeerInquiry(from, request.number(), request.target());
+        inquiries.computeIfAbsent(request.target(), id -> new ArrayList<>()).add(inquiry);
+        probe(target.get(), out);
+    }
+
+    /**
+     * Replies to the daemons that asked for a target. If this daemon does not reach it, it first tries another target:
+     * it may have lost its own way to all of them.
+     */
+    private void replyToPeers(TargetId probed, boolean reachable, long nowMs, Effects out) {
+        List<PeerInquiry> waiting = inquiries.remove(probed);
+        if (waiting == null) {
+            return;
+        }
+        for (PeerInquiry inquiry : waiting) {
+            if (!inquiry.target().equals(probed)) {
+                reply(
+                        inquiry,
+                        reachable ? RoutingMessage.Reachability.UNREACHABLE : RoutingMessage.Reachability.UNSURE,
+                        out);
+            } else if (reachable) {
+                reply(inquiry, RoutingMessage.Reachability.REACHABLE, out);
+            } else {
+                Optional<TargetState> control = controlTarget(probed, nowMs);
+                if (control.isEmpty()) {
+                    reply(inquiry, RoutingMessage.Reachability.UNSURE, out);
+                } else {
+                    inquiries
+                            .computeIfAbsent(control.get().id(), id -> new ArrayList<>())
+                            .add(inquiry);
+                    probe(control.get(), out);
+                }
+            }
+        }
+    }
+
+    /** Returns a target that this daemon has heard from lately, to find out whether it reaches any. */
+    private Optional<TargetState> controlTarget(TargetId except, long nowMs) {
+        return directory.all().stream()
+                .filter(target -> !target.id().equals(except)
+                        && !target.health().ejected(nowMs)
+                        && target.path().state() == TargetPath.State.DIRECT)
+                .max(Comparator.comparingLong(target -> target.path().contactAtMs()));
+    }
+
+    private void reply(PeerInquiry inquiry, RoutingMessage.Reachability reachability, Effects out) {
+        reply(inquiry.from(), inquiry.number(), inquiry.target(), reachability, out);
+    }
+
+    private void reply(HostId to, long number, TargetId target, RoutingMessage.Reachability reachability, Effects out) {
+        peers.send(to, new RoutingMessage.ReachabilityReply(number, target, reachability), out);
+    }
+
+    void replied(HostId from, RoutingMessage.ReachabilityReply reply, long nowMs, Effects out) {
+        boolean reachable = reply.reachability() == RoutingMessage.Reachability.REACHABLE;
+        relayChecks.remove(from);
+        if (reachable) {
+            relays.reaches(from);
+        }
+        Optional<TargetState> target = directory.find(reply.target());
+        PathCheck check = checks.get(reply.target());
+        if (target.isEmpty() || check == null || check.number() != reply.number()) {
+            return;
+        }
+        if (reachable) {
+            target.get().path().includeRelay(from);
+            concludeRelayed(target.get(), check, from, nowMs, out);
+            return;
+        }
+        target.get().path().excludeRelay(from);
+        boolean down = reply.reachability() == RoutingMessage.Reachability.UNREACHABLE;
+        if (check.notReached(from, down)) {
+            roundEnded(target.get(), check, nowMs, out);
+        }
+    }
+
+    private void roundEnded(TargetState target, PathCheck check, long nowMs, Effects out) {
+        if (check.unreachable() == PathCheck.Unreachable.DOWN) {
+            conclude(target, check, PathCheck.Unreachable.DOWN, nowMs, out);
+        } else {
+            askPeers(target, check, nowMs, out);
+        }
+    }
+
+    /** Checks a target that another daemon has found to be down. */
+    void toldDown(TargetState target, long nowMs, Effects out) {
+        PathCheck check = checks.get(target.id());
+        if (check != null && check.asksPeers()) {
+            conclude(target, check, PathCheck.Unreachable.DOWN, nowMs, out);
+        } else if (check == null) {
+            doubted(target, PathCheck.Cause.TOLD_DOWN, nowMs, out);
+        }
+    }
+
+    /** Handles the failure of an attempt that another daemon was to relay. */
+    void relayFailed(TargetState target, HostId relay, FailureKind kind, long nowMs, Effects out) {
+        if (kind == FailureKind.RELAY_FAILED) {
+            count("relays-failed");
+            relays.failed(relay, nowMs);
+        } else {
+            target.path().excludeRelay(relay);
+        }
+        if (kind == FailureKind.PATH_LOST || relays.select(target, nowMs).isEmpty()) {
+            recheck(target, PathCheck.Cause.CONNECT_FAILED, nowMs, out);
+        }
+    }
+
+    /** Checks a target again that another daemon relays to. */
+    void recheck(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
+        PathCheck check = check(target, cause, nowMs);
+        if (!check.asksPeers()) {
+            askPeers(target, check, nowMs, out);
+        }
+    }
+
+    /** Handles the silence of a target on an attempt that may be made again elsewhere. */
+    void attemptSilent(AttemptId attempt, TargetState target, Optional<HostId> relay, long nowMs, Effects out) {
+        silent.put(attempt, new SilentAttempt(target, relay));
+        if (relay.isPresent()) {
+            checkRelay(attempt, target, relay.get(), nowMs, out);
+        } else if (relayed(target)) {
+            out.add(new Effect.AbandonAttempt(attempt));
+        } else if (!target.path().contactSince(nowMs - SILENCE_MS)
+                && nowMs - target.path().silenceCheckedAtMs() >= SILENCE_CHECK_INTERVAL_MS) {
+            target.path().silenceChecked(nowMs);
+            doubted(target, PathCheck.Cause.SILENT, nowMs, out);
+        }
+    }
+
+    private void checkRelay(AttemptId attempt, TargetState target, HostId relay, long nowMs, Effects out) {
+        if (relays.hasFailed(relay, nowMs)) {
+            out.add(new Effect.AbandonAttempt(attempt));
+        } else if (!relayChecks.containsKey(relay)) {
+            long number = ++lastNumber;
+            relayChecks.put(relay, number);
+            peers.send(relay, new RoutingMessage.ReachabilityRequested(number, target.id()), out);
+            due.put(new Due.RelayTimeout(relay, number), nowMs + REPLY_TIMEOUT_MS, out);
+        }
+    }
+
+    void attemptEnded(AttemptId attempt) {
+        silent.remove(attempt);
+    }
+
+    private void abandonSilent(Effects out) {
+        silent.forEach((attempt, state) -> {
+            if (state.relay().isEmpty() && relayed(state.target())) {
+                out.add(new Effect.AbandonAttempt(attempt));
+            }
+        });
+    }
+
+    void timerDue(long nowMs, Effects out) {
+        for (Due entry : due.takeDue(nowMs, out)) {
+            if (entry instanceof Due.CheckTimeout timeout) {
+                checkTimedOut(timeout, nowMs, out);
+            } else if (entry instanceof Due.RelayTimeout timeout) {
+                relayTimedOut(timeout, nowMs, out);
+            } else {
+                restore(nowMs, out);
+            }
+        }
+    }
+
+    private void checkTimedOut(Due.CheckTimeout timeout, long nowMs, Effects out) {
+        PathCheck check = checks.get(timeout.target());
+        Optional<TargetState> target = directory.find(timeout.target());
+        if (check == null || check.number() != timeout.number()) {
+            return;
+        }
+        if (target.isEmpty()) {
+            checks.remove(timeout.target());
+        } else {
+            roundEnded(target.get(), check, nowMs, out);
+        }
+    }
+
+    private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
+        if (!relayChecks.remove(timeout.relay(), timeout.number())) {
+            return;
+        }
+        count("relays-failed");
+        relays.failed(timeout.relay(), nowMs);
+        silent.forEach((attempt, state) -> {
+            if (state.relay().equals(Optional.of(timeout.relay()))) {
+                out.add(new Effect.AbandonAttempt(attempt));
+            }
+        });
+    }
+
+    private void scheduleRestore(long nowMs, Effects out) {
+        if (!restoring) {
+            restoring = true;
+            due.put(new Due.Restore(), nowMs + RESTORE_INTERVAL_MS, out);
+        }
+    }
+
+    /** Tries to reach some of the relayed targets, and finds new relays if there is none. */
+    private void restore(long nowMs, Effects out) {
+        restoring = false;
+        relays.forgetExpired(nowMs);
+        List<TargetState> lost = lostTargets();
+        if (lost.isEmpty()) {
+            return;
+        }
+        scheduleRestore(nowMs, out);
+        probeLost(RESTORE_PROBES, nowMs, out);
+        TargetState first = lost.get(0);
+        if (checks.isEmpty() && (isolated() || relays.select(first, nowMs).isEmpty())) {
+            first.path().includeAllRelays();
+            recheck(first, PathCheck.Cause.CONNECT_FAILED, nowMs, out);
+        }
+    }
+
+    private void probeLost(int limit, long nowMs, Effects out) {
+        lostTargets().stream().limit(limit).forEach(target -> {
+            target.path().probed(nowMs);
+            probe(target, out);
+        });
+    }
+
+    /** Returns the targets that this daemon does not reach itself, the one first that was tried the longest time ago. */
+    private List<TargetState> lostTargets() {
+        return directory.all().stream()
+                .filter(target -> isolated() || target.path().state() == TargetPath.State.RELAYED)
+                .sorted(Comparator.comparingLong(target -> target.path().probedAtMs()))
+                .toList();
+    }
+
+    /** Forgets what is known about targets that are gone. */
+    void targetsChanged() {
+        Set<TargetId> listed = directory.ids();
+        checks.keySet().retainAll(listed);
+        silent.values().removeIf(state -> !listed.contains(state.target().id()));
+    }
+
+    private void count(String name) {
+        metrics.counter(RoutingStateMachine.NAME + "." + name).inc();
+    }
+
+    Optional<Location> locationOf(HostId relay) {
+        return relays.locationOf(relay);
+    }
+
+    Set<HostId> relays() {
+        return relays.relays();
+    }
+
+    /** A check that another daemon has asked for; it waits for the probe of that target, or of a control target. */
+    private record PeerInquiry(HostId from, long number, TargetId target) {}
+
+    /** An attempt whose target has sent nothing for some time, empty relay if this daemon is connected to it itself. */
+    private record SilentAttempt(TargetState target, Optional<HostId> relay) {}
+
+    /** What is due at some time. */
+    private sealed interface Due {
+
+        record CheckTimeout(TargetId target, long number) implements Due {}
+
+        record RelayTimeout(HostId relay, long number) implements Due {}
+
+        record Restore() implements Due {}
+    }
+
+    /** Is notified of the results of checks. */
+    interface PathListener {
+
+        /** This daemon reaches the target after all. */
+        void reachable(TargetState target, EnumSet<PathCheck.Cause> causes, long nowMs, Effects out);
+
+        /** The way to the target has changed: another daemon relays now, or no longer. */
+        void relayed(TargetState target, long nowMs, Effects out);
+
+        /**
+         * The cause of lost connections to a target is known: the target was down for a moment, or this daemon has lost
+         * its way to it.
+         */
+        void lossesExplained(TargetState target, boolean wasDown, long nowMs, Effects out);
+
+        /** Neither this daemon nor any that was asked reaches the target. */
+        void unreachable(
+                TargetState target,
+                EnumSet<PathCheck.Cause> causes,
+                PathCheck.Unreachable result,
+                long nowMs,
+                Effects out);
+    }
+}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -21,8 +21,13 @@
 
     private static final Set<FailureKind> FINAL =
             EnumSet.of(FailureKind.REJECTED, FailureKind.CANCELLED, FailureKind.ANSWER_TOO_LARGE);
-    private static final Set<FailureKind> RESUMABLE =
-            EnumSet.of(FailureKind.CONNECTION_LOST, FailureKind.TARGET_GONE, FailureKind.TIMED_OUT);
+    private static final Set<FailureKind> RESUMABLE = EnumSet.of(
+            FailureKind.CONNECTION_LOST,
+            FailureKind.TARGET_GONE,
+            FailureKind.PATH_LOST,
+            FailureKind.RELAY_FAILED,
+            FailureKind.CONNECTION_REFUSED,
+            FailureKind.TIMED_OUT);
 
     private final int maxAttempts;
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -37,6 +37,8 @@
     AttemptId attempt;
     TargetState target;
     HostId controller;
+    Optional<HostId> relay = Optional.empty();
+    int pathFailures;
     boolean permitted;
     boolean suspect;
     boolean trial;
@@ -111,6 +113,8 @@
         CHOOSING,
         /** Other daemons are asked for the version that began the stream. */
         RESOLVING,
+        /** This daemon reaches no target that may run the request, and waits for the end of a check. */
+        AWAITING_PATH,
         /** A permit is requested and the controller has not replied yet. */
         ASKED,
         /** The request waits in the controller's queue. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingContext.java
@@ -1,5 +1,6 @@
 package org.cornelcrank.routing;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import com.codahale.metrics.MetricRegistry;
@@ -23,6 +24,7 @@
         SuspectRegistry suspects,
         PromptPartRegistry promptParts,
         TargetStatusPublisher statusPublisher,
+        PathMonitor paths,
         RandomGenerator random,
         MetricRegistry metrics) {
 
@@ -35,6 +37,27 @@
         return identity.location().distanceTo(target.location()) == Location.Distance.OTHER_REGION;
     }
 
+    /** Returns the distance to a target on the way that new attempts take. */
+    Location.Distance distanceTo(TargetState target, long nowMs) {
+        Location.Distance distance = identity.location().distanceTo(target.location());
+        Optional<Location> relay = paths.relayFor(target, nowMs).flatMap(paths::locationOf);
+        if (relay.isEmpty()) {
+            return distance;
+        }
+        return regionCrossings(target, nowMs) > 0 ? Location.Distance.OTHER_REGION : distance;
+    }
+
+    /** Returns how often new attempts on a target cross between regions. */
+    int regionCrossings(TargetState target, long nowMs) {
+        Optional<Location> relay = paths.relayFor(target, nowMs).flatMap(paths::locationOf);
+        Location through = relay.orElse(target.location());
+        return crossings(identity.location(), through) + crossings(through, target.location());
+    }
+
+    private static int crossings(Location from, Location to) {
+        return from.distanceTo(to) == Location.Distance.OTHER_REGION ? 1 : 0;
+    }
+
     void count(String name) {
         metrics.counter(RoutingStateMachine.NAME + "." + name).inc();
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -142,6 +142,20 @@
             long key, Optional<SoftwareVersion> version, Optional<SoftwareVersion> sole, boolean mixed)
             implements RoutingMessage {}
 
+    /** Requests that the receiver checks whether it can connect to a target; {@code number} identifies the request. */
+    record ReachabilityRequested(long number, TargetId target) implements RoutingMessage {}
+
+    /** States whether the sender can connect to a target. */
+    record ReachabilityReply(long number, TargetId target, Reachability reachability) implements RoutingMessage {}
+
+    /** Whether a daemon can connect to a target. */
+    enum Reachability {
+        /** The daemon cannot tell a target that is down from a network failure of its own. */
+        UNSURE,
+        REACHABLE,
+        UNREACHABLE
+    }
+
     /** The job and team that hold a batch permit. */
     record BatchOwner(JobId job, TeamPath team) {}
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -25,6 +25,9 @@
 import org.cornelcrank.routing.wire.WirePermitRefused;
 import org.cornelcrank.routing.wire.WirePermitReleased;
 import org.cornelcrank.routing.wire.WirePermitRevoked;
+import org.cornelcrank.routing.wire.WireReachability;
+import org.cornelcrank.routing.wire.WireReachabilityReply;
+import org.cornelcrank.routing.wire.WireReachabilityRequested;
 import org.cornelcrank.routing.wire.WireRoutingMessage;
 import org.cornelcrank.routing.wire.WireRunningPermit;
 import org.cornelcrank.routing.wire.WireRunningPermits;
@@ -129,6 +132,16 @@
             reply.version().ifPresent(version -> wireReply.setVersion(version.text()));
             reply.sole().ifPresent(version -> wireReply.setSoleVersion(version.text()));
             wire.setStreamVersionReply(wireReply);
+        } else if (message instanceof RoutingMessage.ReachabilityRequested request) {
+            wire.setReachabilityRequested(WireReachabilityRequested.newBuilder()
+                    .setNumber(request.number())
+                    .setTarget(request.target().value()));
+        } else if (message instanceof RoutingMessage.ReachabilityReply reply) {
+            wire.setReachabilityReply(WireReachabilityReply.newBuilder()
+                    .setNumber(reply.number())
+                    .setTarget(reply.target().value())
+                    .setReachability(
+                            WireReachability.valueOf(reply.reachability().name())));
         } else {
             throw new IllegalArgumentException("message must belong to the slice " + RoutingStateMachine.NAME
                     + " but was " + message.getClass().getName());
@@ -209,10 +222,25 @@
                     wire.getStreamVersionRequested().getKey(),
                     new ServiceName(wire.getStreamVersionRequested().getService()));
             case STREAM_VERSION_REPLY -> streamVersionReply(wire.getStreamVersionReply());
+            case REACHABILITY_REQUESTED -> new RoutingMessage.ReachabilityRequested(
+                    wire.getReachabilityRequested().getNumber(),
+                    new TargetId(wire.getReachabilityRequested().getTarget()));
+            case REACHABILITY_REPLY -> new RoutingMessage.ReachabilityReply(
+                    wire.getReachabilityReply().getNumber(),
+                    new TargetId(wire.getReachabilityReply().getTarget()),
+                    reachability(wire.getReachabilityReply().getReachability()));
             case KIND_NOT_SET -> throw new InvalidProtocolBufferException("unknown kind of message about permits");
         };
     }
 
+    private static RoutingMessage.Reachability reachability(WireReachability wire) {
+        return switch (wire) {
+            case REACHABLE -> RoutingMessage.Reachability.REACHABLE;
+            case UNREACHABLE -> RoutingMessage.Reachability.UNREACHABLE;
+            default -> RoutingMessage.Reachability.UNSURE;
+        };
+    }
+
     private static RoutingMessage.StreamVersionReply streamVersionReply(WireStreamVersionReply wire) {
         Optional<SoftwareVersion> version =
                 wire.hasVersion() ? Optional.of(new SoftwareVersion(wire.getVersion())) : Optional.empty();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -42,11 +42,15 @@
     private static final TimerKey TICK = new TimerKey(NAME, "tick");
     private static final long TICK_INTERVAL_MS = 1_000;
 
+    /** How recently a daemon must have heard from a target to check itself whether it is down, in ms. */
+    private static final long RECENT_CONTACT_MS = 10_000;
+
     private final RoutingContext context;
     private final MembershipView membership;
     private final TargetStatusPublisher statusPublisher;
     private final RateLimitPublisher rateLimitPublisher;
     private final TargetController controller;
+    private final PathMonitor paths;
     private final StreamVersions streams;
     private final OnlineRouter online;
     private final BatchRunner batch;
@@ -69,21 +73,25 @@
             MetricRegistry metrics) {
         this.membership = Objects.requireNonNull(membership, "membership must not be null");
         RoutingSettings routing = policy.settings();
-        statusPublisher =
-                new TargetStatusPublisher(dissemination, routing.quarantine().deathWindowMs());
+        statusPublisher = new TargetStatusPublisher(
+                identity.host(), dissemination, routing.quarantine().deathWindowMs());
         rateLimitPublisher = new RateLimitPublisher(dissemination);
         PromptPartRegistry promptParts = new PromptPartRegistry(routing, identity, membership, dissemination, metrics);
+        TargetDirectory directory = new TargetDirectory(settings, routing);
+        PeerLink peers = new PeerLink(identity.host());
+        paths = new PathMonitor(directory, peers, new RelaySelector(membership, identity, random), metrics);
         context = new RoutingContext(
                 identity,
                 settings,
                 policy,
-                new TargetDirectory(settings, routing),
+                directory,
                 new ControllerMap(membership),
-                new PeerLink(identity.host()),
+                peers,
                 new AttemptIdGenerator(identity),
                 new SuspectRegistry(routing.quarantine(), dissemination, promptParts),
                 promptParts,
                 statusPublisher,
+                paths,
                 random,
                 metrics);
         TeamLimiter limiter = new TeamLimiter(membership);
@@ -92,6 +100,7 @@
         streams = new StreamVersions(context, membership);
         online = new OnlineRouter(context, limiter, link, streams);
         batch = new BatchRunner(context, new BatchDemandAdvertiser(context));
+        paths.subscribe(new PathChangeHandler(context, controller, online));
         permitAdvertiser = new PermitAdvertiser(context, online, batch);
         onlineRequests = new OnlineRequestHandler(online);
         dump = new RoutingDump(context, controller, online, batch, limiter, link);
@@ -99,6 +108,11 @@
         settings.subscribe(this::settingsChanged);
     }
 
+    /** Returns the address of a listed target. */
+    public Optional<String> targetAddress(TargetId target) {
+        return context.directory().find(target).map(TargetState::address);
+    }
+
     @Override
     public String name() {
         return NAME;
@@ -122,6 +136,11 @@
             online.endAll(timedOut.notRun(), nowMs, out);
         } else if (event instanceof Event.AttemptStarted started) {
             online.attemptStarted(started.attempt(), nowMs);
+            batch.attemptStarted(started.attempt(), nowMs);
+        } else if (event instanceof Event.AttemptSilent silent) {
+            if (!online.attemptSilent(silent.attempt(), nowMs, out)) {
+                batch.attemptSilent(silent.attempt(), nowMs, out);
+            }
         } else if (event instanceof Event.AttemptEnded ended) {
             attemptEnded(ended, nowMs, out);
         } else {
@@ -135,6 +154,8 @@
             online.timerDue(nowMs, out);
         } else if (key.equals(TargetController.TIMER)) {
             controller.timerDue(nowMs, out);
+        } else if (key.equals(PathMonitor.TIMER)) {
+            paths.timerDue(nowMs, out);
         } else if (key.equals(TICK)) {
             out.schedule(TICK, nowMs + TICK_INTERVAL_MS);
             tick(nowMs, out);
@@ -182,8 +203,11 @@
         } else if (event instanceof Event.TargetReported reported) {
             reported(reported.report(), nowMs, out);
         } else if (event instanceof Event.TargetUnreachable unreachable && unreachable.refused()) {
-            statusPublisher.down(unreachable.target(), nowMs, out);
-            controller.unreachable(unreachable.target(), nowMs, out);
+            context.directory()
+                    .find(unreachable.target())
+                    .ifPresent(target -> paths.connectFailed(target, PathCheck.Cause.REPORT_FAILED, nowMs, out));
+        } else if (event instanceof Event.TargetProbed probed) {
+            paths.probed(probed.target(), probed.reachable(), nowMs, out);
         } else if (event instanceof Event.TargetGone gone) {
             context.directory()
                     .find(gone.target())
@@ -263,6 +287,10 @@
             streams.requested(from, request, nowMs, out);
         } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
             online.streamVersionReplied(from, reply, nowMs, out);
+        } else if (message instanceof RoutingMessage.ReachabilityRequested request) {
+            paths.requested(from, request, out);
+        } else if (message instanceof RoutingMessage.ReachabilityReply reply) {
+            paths.replied(from, reply, nowMs, out);
         }
     }
 
@@ -292,8 +320,16 @@
                 controller.rateLimitChanged(target.get().id(), nowMs, out);
             }
         } else if (key.startsWith(TargetStatusPublisher.DOWN_PREFIX)) {
-            target.get().health().eject(nowMs);
-            context.suspects().targetDown(target.get().id(), nowMs, out);
+            downReceived(target.get(), fact, nowMs, out);
+        }
+    }
+
+    /** Ejects a target that a daemon found to be down, and checks that if this daemon has heard from it lately. */
+    private void downReceived(TargetState target, Fact fact, long nowMs, Effects out) {
+        target.health().eject(nowMs);
+        context.suspects().targetDown(target.id(), nowMs, out);
+        if (statusPublisher.refutable(fact) && target.path().contactSince(nowMs - RECENT_CONTACT_MS)) {
+            paths.toldDown(target, nowMs, out);
         }
     }
 
@@ -310,6 +346,7 @@
         }
         seenMembershipVersion = membershipVersion;
         seenDirectoryVersion = directoryVersion;
+        paths.targetsChanged();
         controller.assignTargets(nowMs, out);
         controller.refresh(controller.holders().stream().filter(this::lost).toList(), nowMs, out);
         online.controllersChanged(nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -46,7 +46,7 @@
      * Records that a request lost its connection to a target.
      *
      * <p>A request that ran as a suspect counts as the cause at once; any other one only after the target's death is
-     * confirmed by {@link #targetDown} or by a further lost connection. The loss of a request without a fingerprint,
+     * confirmed by {@link #targetDown} or {@link #repeatedLoss}. The loss of a request without a fingerprint,
      * which cannot be the cause, confirms the deaths of others but never becomes one itself.
      */
     void connectionLost(TargetId target, SuspectRun run, long nowMs, Effects out) {
@@ -54,6 +54,13 @@
         if (run.suspected()) {
             confirm(loss -> loss.fingerprint().equals(run.fingerprint()), settings.quarantineMs(), nowMs, out);
         }
+    }
+
+    /**
+     * Confirms the death of a target that this daemon reaches if several requests have recently lost their connection to
+     * it.
+     */
+    void repeatedLoss(TargetId target, long nowMs, Effects out) {
         long onTarget = losses.stream()
                 .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
                 .count();
@@ -62,6 +69,11 @@
         }
     }
 
+    /** Forgets the lost connections to a target that this daemon could not reach although it was not down. */
+    void forgetLosses(TargetId target) {
+        losses.removeIf(loss -> loss.target.equals(target));
+    }
+
     /** Records a sign that a target is down; requests that recently lost their connection to it become suspects. */
     void targetDown(TargetId target, long nowMs, Effects out) {
         confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -25,6 +25,9 @@
     private static final double SLOW_MARGIN_MS = 100;
     private static final double SLOW_SHARE = 0.1;
 
+    /** The number of crossings between regions to a target of this region through a relay of another one. */
+    private static final int MAX_CROSSINGS = 2;
+
     /** The extra latency of a target in the other region in ms: the round trips of a permit and of a response. */
     private static final long OTHER_REGION_COST_MS = 150;
 
@@ -37,7 +40,7 @@
     }
 
     Optional<TargetState> choose(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs, Effects out) {
-        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
+        List<TargetState> eligible = eligible(request, team, filter, nowMs);
         Optional<TargetCandidate> chosen = chooseByDistance(request, candidates(eligible, request, nowMs), nowMs);
         chosen.ifPresent(candidate -> explain(request, candidate, eligible, nowMs, out));
         return chosen.flatMap(candidate -> context.directory().find(candidate.target()));
@@ -45,7 +48,7 @@
 
     /** Returns another target that seems to have a free slot, for a request that would have to wait. */
     Optional<TargetState> chooseWithCapacity(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
-        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
+        List<TargetState> eligible = eligible(request, team, filter, nowMs);
         List<TargetCandidate> candidates = withCapacity(inOwnRegion(candidates(eligible, request, nowMs)));
         return select(candidates, request)
                 .flatMap(candidate -> context.directory().find(candidate.target()));
@@ -56,15 +59,27 @@
      * network latency.
      */
     Optional<TargetState> chooseForHedge(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
-        List<TargetState> eligible = context.directory().eligible(request, team, filter, nowMs);
+        List<TargetState> eligible = eligible(request, team, filter, nowMs);
         Optional<TargetState> best =
                 eligible.stream().min(Comparator.comparingLong(target -> hedgeCostMs(target, nowMs)));
-        return best.filter(
-                target -> !context.isInOtherRegion(target) || link.tryTake(LinkBudget.Purpose.ONLINE, nowMs));
+        return best.filter(target ->
+                context.regionCrossings(target, nowMs) == 0 || link.tryTake(LinkBudget.Purpose.ONLINE, nowMs));
+    }
+
+    private List<TargetState> eligible(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
+        return context.directory().eligible(request, team, filter, nowMs).stream()
+                .filter(target -> context.paths().usable(target, nowMs))
+                .toList();
+    }
+
+    /** Returns whether a target that may run the request is being checked, and may be usable after that. */
+    boolean mayFindTarget(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
+        return context.directory().eligible(request, team, filter, nowMs).stream()
+                .anyMatch(target -> context.paths().mayBecomeUsable(target));
     }
 
     private long hedgeCostMs(TargetState target, long nowMs) {
-        return target.expectedWaitMs(nowMs, staleMs()) + (context.isInOtherRegion(target) ? OTHER_REGION_COST_MS : 0);
+        return target.expectedWaitMs(nowMs, staleMs()) + context.regionCrossings(target, nowMs) * OTHER_REGION_COST_MS;
     }
 
     private Optional<TargetCandidate> chooseByDistance(
@@ -121,13 +136,13 @@
     private List<TargetCandidate> candidates(List<TargetState> targets, RoutedRequest request, long nowMs) {
         double medianStartMs = medianStartLatencyMs(targets);
         List<TargetCandidate> candidates = new ArrayList<>(targets.size());
-        for (TargetState target : targets) {
+        for (TargetState target : withFewestCrossings(targets, nowMs)) {
             double startMs = target.health().startLatencyMs();
             boolean slow = medianStartMs > 0 && startMs > SLOW_FACTOR * medianStartMs + SLOW_MARGIN_MS;
             double share = target.health().admittedShare(nowMs) * (slow ? SLOW_SHARE : 1);
             candidates.add(new TargetCandidate(
                     target.id(),
-                    context.identity().location().distanceTo(target.location()),
+                    context.distanceTo(target, nowMs),
                     target.slots(context.routing().permits().unreportedSlots()),
                     target.inUse(nowMs, staleMs()),
                     target.waiting(nowMs, staleMs()),
@@ -138,6 +153,17 @@
         return candidates;
     }
 
+    /** Leaves out the targets that are reached by a detour through another region, if others have free slots. */
+    private List<TargetState> withFewestCrossings(List<TargetState> targets, long nowMs) {
+        List<TargetState> onTheWay = targets.stream()
+                .filter(target -> context.regionCrossings(target, nowMs) < MAX_CROSSINGS)
+                .toList();
+        boolean free = onTheWay.stream()
+                .anyMatch(target -> target.inUse(nowMs, staleMs())
+                        < target.slots(context.routing().permits().unreportedSlots()));
+        return free ? onTheWay : targets;
+    }
+
     private static double medianStartLatencyMs(List<TargetState> targets) {
         double[] known = targets.stream()
                 .mapToDouble(target -> target.health().startLatencyMs())
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -1,11 +1,13 @@
 package org.cornelcrank.routing;
 
 import java.util.Locale;
+import java.util.Optional;
 
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.FailureKind;
+import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Subject;
 
 /**
@@ -20,24 +22,24 @@
     static void apply(
             RoutingContext context,
             TargetState target,
+            Optional<HostId> relay,
             AttemptOutcome.Failed failure,
             SuspectRun run,
             long nowMs,
             Effects out) {
-        boolean ejected = recordFailure(context, target, failure, run, nowMs, out);
+        boolean ejected = relay.isPresent()
+                ? recordRelayedFailure(context, target, relay.get(), failure, run, nowMs, out)
+                : recordFailure(context, target, failure, run, nowMs, out);
         context.count("attempts-failed-" + failure.kind().name().toLowerCase(Locale.ROOT));
         if (ejected) {
             explainEjection(target, failure.kind(), nowMs, out);
         }
     }
 
-    /** Records that a target was found to be gone after the attempts on it had ended. */
+    /** Records that this daemon could not connect to a target after the attempts on it had ended. */
     static void targetGone(RoutingContext context, TargetState target, long nowMs, Effects out) {
         context.count("targets-gone");
-        context.suspects().targetDown(target.id(), nowMs, out);
-        if (ejectEverywhere(context, target, nowMs, out)) {
-            explainEjection(target, FailureKind.TARGET_GONE, nowMs, out);
-        }
+        context.paths().connectFailed(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
     }
 
     private static boolean recordFailure(
@@ -49,34 +51,73 @@
             Effects out) {
         return switch (failure.kind()) {
             case CONNECTION_REFUSED -> {
-                context.suspects().targetDown(target.id(), nowMs, out);
-                yield ejectEverywhere(context, target, nowMs, out);
+                if (failure.status() != 0) {
+                    yield replaced(context, target, nowMs, out);
+                }
+                context.paths().connectFailed(target, PathCheck.Cause.CONNECT_FAILED, nowMs, out);
+                yield false;
             }
             case TARGET_GONE -> {
                 context.suspects().connectionLost(target.id(), run, nowMs, out);
-                context.suspects().targetDown(target.id(), nowMs, out);
-                yield ejectEverywhere(context, target, nowMs, out);
+                context.paths().connectFailed(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
+                yield false;
             }
             case CONNECTION_LOST -> {
                 context.suspects().connectionLost(target.id(), run, nowMs, out);
-                yield target.health().attemptFailed(nowMs);
+                boolean ejected = target.health().attemptFailed(nowMs);
+                context.paths().doubted(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
+                yield ejected;
             }
             case TIMED_OUT -> {
-                boolean noResponse = failure.tokens() == 0 && failure.status() == 0;
-                yield noResponse
-                        ? ejectEverywhere(context, target, nowMs, out)
-                        : target.health().attemptFailed(nowMs);
+                if (!withoutResponse(failure)) {
+                    yield target.health().attemptFailed(nowMs);
+                }
+                context.paths().doubted(target, PathCheck.Cause.UNRESPONSIVE, nowMs, out);
+                yield target.health().eject(nowMs);
+            }
+            case TARGET_ERROR -> target.health().attemptFailed(nowMs);
+            default -> false;
+        };
+    }
+
+    /** Records a failure that may also be the fault of the daemon that relayed the attempt. */
+    private static boolean recordRelayedFailure(
+            RoutingContext context,
+            TargetState target,
+            HostId relay,
+            AttemptOutcome.Failed failure,
+            SuspectRun run,
+            long nowMs,
+            Effects out) {
+        return switch (failure.kind()) {
+            case PATH_LOST, RELAY_FAILED -> {
+                context.paths().relayFailed(target, relay, failure.kind(), nowMs, out);
+                yield false;
             }
+            case CONNECTION_REFUSED -> failure.status() != 0 && replaced(context, target, nowMs, out);
+            case CONNECTION_LOST, TARGET_GONE -> {
+                context.suspects().connectionLost(target.id(), run, nowMs, out);
+                context.paths().recheck(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
+                yield target.health().attemptFailed(nowMs);
+            }
+            case TIMED_OUT -> withoutResponse(failure)
+                    ? target.health().eject(nowMs)
+                    : target.health().attemptFailed(nowMs);
             case TARGET_ERROR -> target.health().attemptFailed(nowMs);
             default -> false;
         };
     }
 
-    /** Ejects a target that does not respond, and publishes this to all daemons. */
-    private static boolean ejectEverywhere(RoutingContext context, TargetState target, long nowMs, Effects out) {
+    private static boolean withoutResponse(AttemptOutcome.Failed failure) {
+        return failure.tokens() == 0 && failure.status() == 0;
+    }
+
+    /** Ejects a target at whose address another one has responded, and publishes this to all daemons. */
+    private static boolean replaced(RoutingContext context, TargetState target, long nowMs, Effects out) {
+        context.suspects().targetDown(target.id(), nowMs, out);
         boolean newlyEjected = target.health().eject(nowMs);
         if (newlyEjected) {
-            context.statusPublisher().down(target.id(), nowMs, out);
+            context.statusPublisher().unresponsive(target.id(), nowMs, out);
         }
         return newlyEjected;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
@@ -57,6 +57,22 @@
         return true;
     }
 
+    /** Ejects the target once without making later ejections longer; returns whether it was not ejected before. */
+    boolean ejectBriefly(long nowMs) {
+        if (ejected(nowMs)) {
+            return false;
+        }
+        ejectedUntilMs = nowMs + settings.ejectionMs();
+        return true;
+    }
+
+    /** Takes back failures that were not the target's fault. */
+    void reinstate() {
+        failuresInRow = 0;
+        ejections = Math.max(0, ejections - (ejectedUntilMs > 0 ? 1 : 0));
+        ejectedUntilMs = 0;
+    }
+
     boolean ejected(long nowMs) {
         return nowMs < ejectedUntilMs;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetState.java
@@ -21,6 +21,7 @@
 
     private final TargetId id;
     private final TargetHealth health;
+    private final TargetPath path = new TargetPath();
     private final PrefixCacheView cache = new PrefixCacheView();
     private HostEntry entry;
     private TargetReport report;
@@ -66,6 +67,10 @@
         return health;
     }
 
+    TargetPath path() {
+        return path;
+    }
+
     PrefixCacheView cache() {
         return cache;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetStatusPublisher.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetStatusPublisher.java
@@ -5,6 +5,7 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.TargetId;
 
@@ -19,12 +20,16 @@
     static final String LEAVING_PREFIX = "leaving/";
     static final String DOWN_PREFIX = "down/";
 
+    private static final String UNRESPONSIVE_SUFFIX = "/unresponsive";
+
     private static final long LEAVING_LIFETIME_MS = 30_000;
 
+    private final HostId self;
     private final Dissemination dissemination;
     private final long downLifetimeMs;
 
-    TargetStatusPublisher(Dissemination dissemination, long downLifetimeMs) {
+    TargetStatusPublisher(HostId self, Dissemination dissemination, long downLifetimeMs) {
+        this.self = self;
         this.dissemination = dissemination;
         this.downLifetimeMs = downLifetimeMs;
     }
@@ -38,9 +43,24 @@
         publish(LEAVING_PREFIX + target.id(), incarnation, LEAVING_LIFETIME_MS, nowMs, out);
     }
 
-    /** Publishes that nothing listens at the target's address. */
+    /** Publishes that the target cannot be reached, as another daemon has confirmed. */
     void down(TargetId target, long nowMs, Effects out) {
-        publish(DOWN_PREFIX + target, ByteString.EMPTY, downLifetimeMs, nowMs, out);
+        publishDown(target, self.value(), nowMs, out);
+    }
+
+    /** Publishes that the target accepts connections but does not respond. */
+    void unresponsive(TargetId target, long nowMs, Effects out) {
+        publishDown(target, self.value() + UNRESPONSIVE_SUFFIX, nowMs, out);
+    }
+
+    private void publishDown(TargetId target, String value, long nowMs, Effects out) {
+        publish(DOWN_PREFIX + target, ByteString.copyFromUtf8(value), downLifetimeMs, nowMs, out);
+    }
+
+    /** Returns whether connecting to the target can refute another daemon's fact that it is down. */
+    boolean refutable(Fact fact) {
+        String value = fact.value().toStringUtf8();
+        return !value.equals(self.value()) && !value.endsWith(UNRESPONSIVE_SUFFIX);
     }
 
     private void publish(String key, ByteString value, long lifetimeMs, long nowMs, Effects out) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
@@ -106,6 +106,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cornelcrank_routing_WireStreamVersionReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_routing_WireReachabilityRequested_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_routing_WireReachabilityRequested_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cornelcrank_routing_WireReachabilityReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cornelcrank_routing_WireReachabilityReply_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -115,7 +125,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rrouting.proto\022\023cornelcrank.routing\"\317\006\n" +
+      "\n\rrouting.proto\022\023cornelcrank.routing\"\353\007\n" +
       "\022WireRoutingMessage\0228\n\nask_permit\030\001 \001(\0132" +
       "\".cornelcrank.routing.WireAskPermitH\000\022@\n" +
       "\016permit_granted\030\002 \001(\0132&.cornelcrank.rout" +
@@ -136,54 +146,64 @@
       "stream_version_requested\030\013 \001(\0132/.cornelc" +
       "rank.routing.WireStreamVersionRequestedH" +
       "\000\022K\n\024stream_version_reply\030\014 \001(\0132+.cornel" +
-      "crank.routing.WireStreamVersionReplyH\000B\006" +
-      "\n\004kind\"B\n\rWireAttemptId\022\014\n\004host\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\"j\n\rWi" +
-      "reOccupancy\022\r\n\005slots\030\001 \001(\005\022\017\n\007running\030\002 " +
-      "\001(\005\022\017\n\007waiting\030\003 \001(\005\022\030\n\020expected_wait_ms" +
-      "\030\004 \001(\003\022\016\n\006loaded\030\005 \003(\t\"\317\001\n\rWireAskPermit" +
-      "\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.routing." +
-      "WireAttemptId\022\016\n\006target\030\002 \001(\t\022\017\n\007service" +
-      "\030\003 \001(\t\022\017\n\007urgency\030\004 \001(\005\022\024\n\014remaining_ms\030" +
-      "\005 \001(\003\022\017\n\007suspect\030\006 \001(\010\022\034\n\017start_within_m" +
-      "s\030\007 \001(\022H\000\210\001\001B\022\n\020_start_within_ms\"\217\001\n\021Wir" +
-      "ePermitGranted\0223\n\007attempt\030\001 \001(\0132\".cornel" +
-      "crank.routing.WireAttemptId\022\016\n\006target\030\002 " +
-      "\001(\t\0225\n\toccupancy\030\003 \001(\0132\".cornelcrank.rou" +
-      "ting.WireOccupancy\"\216\001\n\020WirePermitQueued\022" +
-      "3\n\007attempt\030\001 \001(\0132\".cornelcrank.routing.W" +
-      "ireAttemptId\022\016\n\006target\030\002 \001(\t\0225\n\toccupanc" +
-      "y\030\003 \001(\0132\".cornelcrank.routing.WireOccupa" +
-      "ncy\"\224\001\n\021WirePermitRefused\0223\n\007attempt\030\001 \001" +
-      "(\0132\".cornelcrank.routing.WireAttemptId\022\016" +
-      "\n\006target\030\002 \001(\t\022\016\n\006reason\030\003 \001(\005\022\026\n\016retry_" +
-      "after_ms\030\004 \001(\003\022\022\n\ncontroller\030\005 \001(\t\"v\n\022Wi" +
-      "rePermitReleased\0223\n\007attempt\030\001 \001(\0132\".corn" +
-      "elcrank.routing.WireAttemptId\022\016\n\006target\030" +
-      "\002 \001(\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wanted\030\004 \001(\005\"X\n\021Wi" +
-      "rePermitRevoked\0223\n\007attempt\030\001 \001(\0132\".corne" +
-      "lcrank.routing.WireAttemptId\022\016\n\006target\030\002" +
-      " \001(\t\"\235\001\n\025WireBatchDemandStated\022\013\n\003job\030\001 " +
-      "\001(\t\022\014\n\004team\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021\n\tdu" +
-      "e_in_ms\030\004 \001(\003\022\r\n\005share\030\005 \001(\005\022\016\n\006wanted\030\006" +
-      " \001(\005\022\021\n\tremaining\030\007 \001(\003\022\023\n\013controllers\030\010" +
-      " \001(\005\"d\n\020WireBatchGranted\0223\n\007attempt\030\001 \001(" +
-      "\0132\".cornelcrank.routing.WireAttemptId\022\016\n" +
-      "\006target\030\002 \001(\t\022\013\n\003job\030\003 \001(\t\"\246\001\n\021WireRunni" +
-      "ngPermit\0223\n\007attempt\030\001 \001(\0132\".cornelcrank." +
-      "routing.WireAttemptId\022\017\n\007service\030\002 \001(\t\022\017" +
-      "\n\007urgency\030\003 \001(\005\022\016\n\006age_ms\030\004 \001(\003\022\017\n\007suspe" +
-      "ct\030\005 \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n\004team\030\007 \001(\t\"]\n\022W" +
-      "ireRunningPermits\022\016\n\006target\030\001 \001(\t\0227\n\007per" +
-      "mits\030\002 \003(\0132&.cornelcrank.routing.WireRun" +
-      "ningPermit\"D\n\017WireStreamBegun\022\013\n\003key\030\001 \001" +
-      "(\006\022\017\n\007version\030\002 \001(\t\022\023\n\013lifetime_ms\030\003 \001(\005" +
-      "\":\n\032WireStreamVersionRequested\022\013\n\003key\030\001 " +
-      "\001(\006\022\017\n\007service\030\002 \001(\t\"\202\001\n\026WireStreamVersi" +
-      "onReply\022\013\n\003key\030\001 \001(\006\022\024\n\007version\030\002 \001(\tH\000\210" +
-      "\001\001\022\r\n\005mixed\030\003 \001(\010\022\031\n\014sole_version\030\004 \001(\tH" +
-      "\001\210\001\001B\n\n\010_versionB\017\n\r_sole_versionB \n\034org" +
-      ".cornelcrank.routing.wireP\001b\006proto3"
+      "crank.routing.WireStreamVersionReplyH\000\022P" +
+      "\n\026reachability_requested\030\r \001(\0132..cornelc" +
+      "rank.routing.WireReachabilityRequestedH\000" +
+      "\022H\n\022reachability_reply\030\016 \001(\0132*.cornelcra" +
+      "nk.routing.WireReachabilityReplyH\000B\006\n\004ki" +
+      "nd\"B\n\rWireAttemptId\022\014\n\004host\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\003\022\016\n\006number\030\003 \001(\003\"j\n\rWireOc" +
+      "cupancy\022\r\n\005slots\030\001 \001(\005\022\017\n\007running\030\002 \001(\005\022" +
+      "\017\n\007waiting\030\003 \001(\005\022\030\n\020expected_wait_ms\030\004 \001" +
+      "(\003\022\016\n\006loaded\030\005 \003(\t\"\317\001\n\rWireAskPermit\0223\n\007" +
+      "attempt\030\001 \001(\0132\".cornelcrank.routing.Wire" +
+      "AttemptId\022\016\n\006target\030\002 \001(\t\022\017\n\007service\030\003 \001" +
+      "(\t\022\017\n\007urgency\030\004 \001(\005\022\024\n\014remaining_ms\030\005 \001(" +
+      "\003\022\017\n\007suspect\030\006 \001(\010\022\034\n\017start_within_ms\030\007 " +
+      "\001(\022H\000\210\001\001B\022\n\020_start_within_ms\"\217\001\n\021WirePer" +
+      "mitGranted\0223\n\007attempt\030\001 \001(\0132\".cornelcran" +
+      "k.routing.WireAttemptId\022\016\n\006target\030\002 \001(\t\022" +
+      "5\n\toccupancy\030\003 \001(\0132\".cornelcrank.routing" +
+      ".WireOccupancy\"\216\001\n\020WirePermitQueued\0223\n\007a" +
+      "ttempt\030\001 \001(\0132\".cornelcrank.routing.WireA" +
+      "ttemptId\022\016\n\006target\030\002 \001(\t\0225\n\toccupancy\030\003 " +
+      "\001(\0132\".cornelcrank.routing.WireOccupancy\"" +
+      "\224\001\n\021WirePermitRefused\0223\n\007attempt\030\001 \001(\0132\"" +
+      ".cornelcrank.routing.WireAttemptId\022\016\n\006ta" +
+      "rget\030\002 \001(\t\022\016\n\006reason\030\003 \001(\005\022\026\n\016retry_afte" +
+      "r_ms\030\004 \001(\003\022\022\n\ncontroller\030\005 \001(\t\"v\n\022WirePe" +
+      "rmitReleased\0223\n\007attempt\030\001 \001(\0132\".cornelcr" +
+      "ank.routing.WireAttemptId\022\016\n\006target\030\002 \001(" +
+      "\t\022\013\n\003use\030\003 \001(\005\022\016\n\006wanted\030\004 \001(\005\"X\n\021WirePe" +
+      "rmitRevoked\0223\n\007attempt\030\001 \001(\0132\".cornelcra" +
+      "nk.routing.WireAttemptId\022\016\n\006target\030\002 \001(\t" +
+      "\"\235\001\n\025WireBatchDemandStated\022\013\n\003job\030\001 \001(\t\022" +
+      "\014\n\004team\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021\n\tdue_in" +
+      "_ms\030\004 \001(\003\022\r\n\005share\030\005 \001(\005\022\016\n\006wanted\030\006 \001(\005" +
+      "\022\021\n\tremaining\030\007 \001(\003\022\023\n\013controllers\030\010 \001(\005" +
+      "\"d\n\020WireBatchGranted\0223\n\007attempt\030\001 \001(\0132\"." +
+      "cornelcrank.routing.WireAttemptId\022\016\n\006tar" +
+      "get\030\002 \001(\t\022\013\n\003job\030\003 \001(\t\"\246\001\n\021WireRunningPe" +
+      "rmit\0223\n\007attempt\030\001 \001(\0132\".cornelcrank.rout" +
+      "ing.WireAttemptId\022\017\n\007service\030\002 \001(\t\022\017\n\007ur" +
+      "gency\030\003 \001(\005\022\016\n\006age_ms\030\004 \001(\003\022\017\n\007suspect\030\005" +
+      " \001(\010\022\013\n\003job\030\006 \001(\t\022\014\n\004team\030\007 \001(\t\"]\n\022WireR" +
+      "unningPermits\022\016\n\006target\030\001 \001(\t\0227\n\007permits" +
+      "\030\002 \003(\0132&.cornelcrank.routing.WireRunning" +
+      "Permit\"D\n\017WireStreamBegun\022\013\n\003key\030\001 \001(\006\022\017" +
+      "\n\007version\030\002 \001(\t\022\023\n\013lifetime_ms\030\003 \001(\005\":\n\032" +
+      "WireStreamVersionRequested\022\013\n\003key\030\001 \001(\006\022" +
+      "\017\n\007service\030\002 \001(\t\"\202\001\n\026WireStreamVersionRe" +
+      "ply\022\013\n\003key\030\001 \001(\006\022\024\n\007version\030\002 \001(\tH\000\210\001\001\022\r" +
+      "\n\005mixed\030\003 \001(\010\022\031\n\014sole_version\030\004 \001(\tH\001\210\001\001" +
+      "B\n\n\010_versionB\017\n\r_sole_version\";\n\031WireRea" +
+      "chabilityRequested\022\016\n\006number\030\001 \001(\003\022\016\n\006ta" +
+      "rget\030\002 \001(\t\"t\n\025WireReachabilityReply\022\016\n\006n" +
+      "umber\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022;\n\014reachabil" +
+      "ity\030\003 \001(\0162%.cornelcrank.routing.WireReac" +
+      "hability*>\n\020WireReachability\022\n\n\006UNSURE\020\000" +
+      "\022\r\n\tREACHABLE\020\001\022\017\n\013UNREACHABLE\020\002B \n\034org." +
+      "cornelcrank.routing.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -194,7 +214,7 @@
     internal_static_cornelcrank_routing_WireRoutingMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireRoutingMessage_descriptor,
-        new java.lang.String[] { "AskPermit", "PermitGranted", "PermitQueued", "PermitRefused", "PermitReleased", "PermitRevoked", "BatchDemandStated", "BatchGranted", "RunningPermits", "StreamBegun", "StreamVersionRequested", "StreamVersionReply", "Kind", });
+        new java.lang.String[] { "AskPermit", "PermitGranted", "PermitQueued", "PermitRefused", "PermitReleased", "PermitRevoked", "BatchDemandStated", "BatchGranted", "RunningPermits", "StreamBegun", "StreamVersionRequested", "StreamVersionReply", "ReachabilityRequested", "ReachabilityReply", "Kind", });
     internal_static_cornelcrank_routing_WireAttemptId_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cornelcrank_routing_WireAttemptId_fieldAccessorTable = new
@@ -285,6 +305,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireStreamVersionReply_descriptor,
         new java.lang.String[] { "Key", "Version", "Mixed", "SoleVersion", });
+    internal_static_cornelcrank_routing_WireReachabilityRequested_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_cornelcrank_routing_WireReachabilityRequested_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_routing_WireReachabilityRequested_descriptor,
+        new java.lang.String[] { "Number", "Target", });
+    internal_static_cornelcrank_routing_WireReachabilityReply_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_cornelcrank_routing_WireReachabilityReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cornelcrank_routing_WireReachabilityReply_descriptor,
+        new java.lang.String[] { "Number", "Target", "Reachability", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessage.java
@@ -66,6 +66,8 @@
     STREAM_BEGUN(10),
     STREAM_VERSION_REQUESTED(11),
     STREAM_VERSION_REPLY(12),
+    REACHABILITY_REQUESTED(13),
+    REACHABILITY_REPLY(14),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -95,6 +97,8 @@
         case 10: return STREAM_BEGUN;
         case 11: return STREAM_VERSION_REQUESTED;
         case 12: return STREAM_VERSION_REPLY;
+        case 13: return REACHABILITY_REQUESTED;
+        case 14: return REACHABILITY_REPLY;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -482,6 +486,68 @@
     return org.cornelcrank.routing.wire.WireStreamVersionReply.getDefaultInstance();
   }
 
+  public static final int REACHABILITY_REQUESTED_FIELD_NUMBER = 13;
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   * @return Whether the reachabilityRequested field is set.
+   */
+  @java.lang.Override
+  public boolean hasReachabilityRequested() {
+    return kindCase_ == 13;
+  }
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   * @return The reachabilityRequested.
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireReachabilityRequested getReachabilityRequested() {
+    if (kindCase_ == 13) {
+       return (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder getReachabilityRequestedOrBuilder() {
+    if (kindCase_ == 13) {
+       return (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+  }
+
+  public static final int REACHABILITY_REPLY_FIELD_NUMBER = 14;
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   * @return Whether the reachabilityReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasReachabilityReply() {
+    return kindCase_ == 14;
+  }
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   * @return The reachabilityReply.
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireReachabilityReply getReachabilityReply() {
+    if (kindCase_ == 14) {
+       return (org.cornelcrank.routing.wire.WireReachabilityReply) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+  }
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   */
+  @java.lang.Override
+  public org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder getReachabilityReplyOrBuilder() {
+    if (kindCase_ == 14) {
+       return (org.cornelcrank.routing.wire.WireReachabilityReply) kind_;
+    }
+    return org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -532,6 +598,12 @@
     if (kindCase_ == 12) {
       output.writeMessage(12, (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_);
     }
+    if (kindCase_ == 13) {
+      output.writeMessage(13, (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_);
+    }
+    if (kindCase_ == 14) {
+      output.writeMessage(14, (org.cornelcrank.routing.wire.WireReachabilityReply) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -584,6 +656,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, (org.cornelcrank.routing.wire.WireStreamVersionReply) kind_);
     }
+    if (kindCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_);
+    }
+    if (kindCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.cornelcrank.routing.wire.WireReachabilityReply) kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -658,6 +738,14 @@
         if (!getStreamVersionReply()
             .equals(other.getStreamVersionReply())) return false;
         break;
+      case 13:
+        if (!getReachabilityRequested()
+            .equals(other.getReachabilityRequested())) return false;
+        break;
+      case 14:
+        if (!getReachabilityReply()
+            .equals(other.getReachabilityReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -721,6 +809,14 @@
         hash = (37 * hash) + STREAM_VERSION_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getStreamVersionReply().hashCode();
         break;
+      case 13:
+        hash = (37 * hash) + REACHABILITY_REQUESTED_FIELD_NUMBER;
+        hash = (53 * hash) + getReachabilityRequested().hashCode();
+        break;
+      case 14:
+        hash = (37 * hash) + REACHABILITY_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getReachabilityReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -891,6 +987,12 @@
       if (streamVersionReplyBuilder_ != null) {
         streamVersionReplyBuilder_.clear();
       }
+      if (reachabilityRequestedBuilder_ != null) {
+        reachabilityRequestedBuilder_.clear();
+      }
+      if (reachabilityReplyBuilder_ != null) {
+        reachabilityReplyBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -980,6 +1082,14 @@
           streamVersionReplyBuilder_ != null) {
         result.kind_ = streamVersionReplyBuilder_.build();
       }
+      if (kindCase_ == 13 &&
+          reachabilityRequestedBuilder_ != null) {
+        result.kind_ = reachabilityRequestedBuilder_.build();
+      }
+      if (kindCase_ == 14 &&
+          reachabilityReplyBuilder_ != null) {
+        result.kind_ = reachabilityReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1043,6 +1153,14 @@
           mergeStreamVersionReply(other.getStreamVersionReply());
           break;
         }
+        case REACHABILITY_REQUESTED: {
+          mergeReachabilityRequested(other.getReachabilityRequested());
+          break;
+        }
+        case REACHABILITY_REPLY: {
+          mergeReachabilityReply(other.getReachabilityReply());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1155,6 +1273,20 @@
               kindCase_ = 12;
               break;
             } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetReachabilityRequestedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 13;
+              break;
+            } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetReachabilityReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2867,6 +2999,286 @@
       return streamVersionReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireReachabilityRequested, org.cornelcrank.routing.wire.WireReachabilityRequested.Builder, org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder> reachabilityRequestedBuilder_;
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     * @return Whether the reachabilityRequested field is set.
+     */
+    @java.lang.Override
+    public boolean hasReachabilityRequested() {
+      return kindCase_ == 13;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     * @return The reachabilityRequested.
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireReachabilityRequested getReachabilityRequested() {
+      if (reachabilityRequestedBuilder_ == null) {
+        if (kindCase_ == 13) {
+          return (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+      } else {
+        if (kindCase_ == 13) {
+          return reachabilityRequestedBuilder_.getMessage();
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    public Builder setReachabilityRequested(org.cornelcrank.routing.wire.WireReachabilityRequested value) {
+      if (reachabilityRequestedBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        reachabilityRequestedBuilder_.setMessage(value);
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    public Builder setReachabilityRequested(
+        org.cornelcrank.routing.wire.WireReachabilityRequested.Builder builderForValue) {
+      if (reachabilityRequestedBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        reachabilityRequestedBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    public Builder mergeReachabilityRequested(org.cornelcrank.routing.wire.WireReachabilityRequested value) {
+      if (reachabilityRequestedBuilder_ == null) {
+        if (kindCase_ == 13 &&
+            kind_ != org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance()) {
+          kind_ = org.cornelcrank.routing.wire.WireReachabilityRequested.newBuilder((org.cornelcrank.routing.wire.WireReachabilityRequested) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 13) {
+          reachabilityRequestedBuilder_.mergeFrom(value);
+        } else {
+          reachabilityRequestedBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    public Builder clearReachabilityRequested() {
+      if (reachabilityRequestedBuilder_ == null) {
+        if (kindCase_ == 13) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 13) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        reachabilityRequestedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    public org.cornelcrank.routing.wire.WireReachabilityRequested.Builder getReachabilityRequestedBuilder() {
+      return internalGetReachabilityRequestedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder getReachabilityRequestedOrBuilder() {
+      if ((kindCase_ == 13) && (reachabilityRequestedBuilder_ != null)) {
+        return reachabilityRequestedBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 13) {
+          return (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireReachabilityRequested, org.cornelcrank.routing.wire.WireReachabilityRequested.Builder, org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder> 
+        internalGetReachabilityRequestedFieldBuilder() {
+      if (reachabilityRequestedBuilder_ == null) {
+        if (!(kindCase_ == 13)) {
+          kind_ = org.cornelcrank.routing.wire.WireReachabilityRequested.getDefaultInstance();
+        }
+        reachabilityRequestedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.routing.wire.WireReachabilityRequested, org.cornelcrank.routing.wire.WireReachabilityRequested.Builder, org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder>(
+                (org.cornelcrank.routing.wire.WireReachabilityRequested) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 13;
+      onChanged();
+      return reachabilityRequestedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireReachabilityReply, org.cornelcrank.routing.wire.WireReachabilityReply.Builder, org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder> reachabilityReplyBuilder_;
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     * @return Whether the reachabilityReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasReachabilityReply() {
+      return kindCase_ == 14;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     * @return The reachabilityReply.
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireReachabilityReply getReachabilityReply() {
+      if (reachabilityReplyBuilder_ == null) {
+        if (kindCase_ == 14) {
+          return (org.cornelcrank.routing.wire.WireReachabilityReply) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+      } else {
+        if (kindCase_ == 14) {
+          return reachabilityReplyBuilder_.getMessage();
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    public Builder setReachabilityReply(org.cornelcrank.routing.wire.WireReachabilityReply value) {
+      if (reachabilityReplyBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        kind_ = value;
+        onChanged();
+      } else {
+        reachabilityReplyBuilder_.setMessage(value);
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    public Builder setReachabilityReply(
+        org.cornelcrank.routing.wire.WireReachabilityReply.Builder builderForValue) {
+      if (reachabilityReplyBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        reachabilityReplyBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    public Builder mergeReachabilityReply(org.cornelcrank.routing.wire.WireReachabilityReply value) {
+      if (reachabilityReplyBuilder_ == null) {
+        if (kindCase_ == 14 &&
+            kind_ != org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance()) {
+          kind_ = org.cornelcrank.routing.wire.WireReachabilityReply.newBuilder((org.cornelcrank.routing.wire.WireReachabilityReply) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 14) {
+          reachabilityReplyBuilder_.mergeFrom(value);
+        } else {
+          reachabilityReplyBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    public Builder clearReachabilityReply() {
+      if (reachabilityReplyBuilder_ == null) {
+        if (kindCase_ == 14) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 14) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        reachabilityReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    public org.cornelcrank.routing.wire.WireReachabilityReply.Builder getReachabilityReplyBuilder() {
+      return internalGetReachabilityReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    @java.lang.Override
+    public org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder getReachabilityReplyOrBuilder() {
+      if ((kindCase_ == 14) && (reachabilityReplyBuilder_ != null)) {
+        return reachabilityReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 14) {
+          return (org.cornelcrank.routing.wire.WireReachabilityReply) kind_;
+        }
+        return org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cornelcrank.routing.wire.WireReachabilityReply, org.cornelcrank.routing.wire.WireReachabilityReply.Builder, org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder> 
+        internalGetReachabilityReplyFieldBuilder() {
+      if (reachabilityReplyBuilder_ == null) {
+        if (!(kindCase_ == 14)) {
+          kind_ = org.cornelcrank.routing.wire.WireReachabilityReply.getDefaultInstance();
+        }
+        reachabilityReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cornelcrank.routing.wire.WireReachabilityReply, org.cornelcrank.routing.wire.WireReachabilityReply.Builder, org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder>(
+                (org.cornelcrank.routing.wire.WireReachabilityReply) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 14;
+      onChanged();
+      return reachabilityReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireRoutingMessage)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessageOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireRoutingMessageOrBuilder.java
@@ -190,5 +190,35 @@
    */
   org.cornelcrank.routing.wire.WireStreamVersionReplyOrBuilder getStreamVersionReplyOrBuilder();
 
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   * @return Whether the reachabilityRequested field is set.
+   */
+  boolean hasReachabilityRequested();
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   * @return The reachabilityRequested.
+   */
+  org.cornelcrank.routing.wire.WireReachabilityRequested getReachabilityRequested();
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityRequested reachability_requested = 13;</code>
+   */
+  org.cornelcrank.routing.wire.WireReachabilityRequestedOrBuilder getReachabilityRequestedOrBuilder();
+
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   * @return Whether the reachabilityReply field is set.
+   */
+  boolean hasReachabilityReply();
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   * @return The reachabilityReply.
+   */
+  org.cornelcrank.routing.wire.WireReachabilityReply getReachabilityReply();
+  /**
+   * <code>.cornelcrank.routing.WireReachabilityReply reachability_reply = 14;</code>
+   */
+  org.cornelcrank.routing.wire.WireReachabilityReplyOrBuilder getReachabilityReplyOrBuilder();
+
   org.cornelcrank.routing.wire.WireRoutingMessage.KindCase getKindCase();
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 
 import org.cornelcrank.core.AttemptId;
+import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Urgency;
@@ -134,6 +135,10 @@
         long startedAtMs = -1;
         long countedFromMs;
         long promptMs;
+        Optional<HostId> relayedBy = Optional.empty();
+
+        /** Whether nothing that the engine sends reaches the daemon. */
+        boolean unreachable;
 
         Job(AttemptId attempt, VirtualFleet.Work work, Optional<ResumePoint> resume, int daemon) {
             this.attempt = attempt;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -205,7 +205,10 @@
         Effects out = new Effects();
         registry.connectionLost(target, run(OptionalLong.of(POISON)), 1_000, out);
         assertThat(registry.records()).isEmpty();
+        registry.repeatedLoss(target, 1_005, out);
+        assertThat(registry.records()).isEmpty();
         registry.connectionLost(target, run(OptionalLong.empty()), 1_010, out);
+        registry.repeatedLoss(target, 1_015, out);
         assertThat(registry.records()).containsOnlyKeys(POISON);
         assertThat(registry.records().get(POISON).deaths()).containsOnlyKeys(target);
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -52,6 +52,9 @@
     static final long LATENCY_MS = 1;
     static final long FAR_LATENCY_MS = 30;
     static final long REPORT_INTERVAL_MS = 500;
+    static final long SILENCE_MS = 300;
+    static final long CONNECT_TIMEOUT_MS = 500;
+    static final long PROBE_TIMEOUT_MS = 200;
     static final ServiceName SERVICE = new ServiceName("saarthi-lm");
     static final Location NORTH = location("north", "north-a");
     static final Location SOUTH = location("south", "south-a");
@@ -277,9 +280,103 @@
         return new AttemptOutcome.Failed(verdict, kind, 0, tokens, tokens > 0, 0, ByteString.EMPTY, "");
     }
 
+    /** Cuts a daemon off from all targets; its peers still reach it. */
+    void cutFromTargets(int daemon, Cut cut) {
+        Node node = nodes.get(daemon);
+        node.cut = Optional.of(cut);
+        for (EngineModel.Job job : List.copyOf(node.jobs.values())) {
+            if (job.relayedBy.isPresent()) {
+                continue;
+            }
+            if (cut == Cut.SILENT) {
+                job.unreachable = true;
+                reportSilence(node, job.attempt);
+            } else {
+                EngineModel engine = engines.get(node.targetByAttempt.get(job.attempt));
+                int tokens = engine.stop(job, nowMs);
+                startQueued(engine);
+                node.attemptEnded(job.attempt, failed(FailureKind.TARGET_GONE, Verdict.MAY_HAVE_RUN, tokens));
+            }
+        }
+        for (Node caller : nodes) {
+            for (EngineModel.Job job : List.copyOf(caller.jobs.values())) {
+                if (job.relayedBy.equals(Optional.of(node.identity.host()))) {
+                    job.unreachable = true;
+                    reportSilence(caller, job.attempt);
+                }
+            }
+        }
+    }
+
+    /** Ends the cut of a daemon from the targets. */
+    void reconnectToTargets(int daemon) {
+        nodes.get(daemon).cut = Optional.empty();
+    }
+
+    private void reportSilence(Node node, AttemptId attempt) {
+        at(nowMs + SILENCE_MS, () -> {
+            EngineModel.Job job = node.jobs.get(attempt);
+            if (job != null && job.unreachable) {
+                node.handle(new Event.AttemptSilent(attempt));
+                reportSilence(node, attempt);
+            }
+        });
+    }
+
+    private void abandon(Node node, AttemptId attempt) {
+        EngineModel.Job job = node.jobs.get(attempt);
+        if (job != null && job.unreachable) {
+            Verdict verdict = job.startedAtMs < 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+            node.attemptEnded(attempt, failed(FailureKind.PATH_LOST, verdict, 0));
+        }
+    }
+
+    /** Fails an attempt to connect by the way in which the daemon is cut off. */
+    private void failToConnect(Node node, Effect.Dispatch dispatch, Cut cut) {
+        AttemptOutcome.Failed refused = failed(FailureKind.CONNECTION_REFUSED, Verdict.NOT_RUN, 0);
+        if (cut == Cut.REFUSED) {
+            afterLatency(node, dispatch.target(), () -> node.attemptEnded(dispatch.attempt(), refused));
+            return;
+        }
+        EngineModel.Job job =
+                new EngineModel.Job(dispatch.attempt(), workOf(dispatch.source()), dispatch.resume(), node.index);
+        job.unreachable = true;
+        node.jobs.put(dispatch.attempt(), job);
+        reportSilence(node, dispatch.attempt());
+        at(nowMs + CONNECT_TIMEOUT_MS, () -> {
+            if (node.jobs.containsKey(dispatch.attempt())) {
+                node.attemptEnded(dispatch.attempt(), refused);
+            }
+        });
+    }
+
+    private void probe(Node node, Effect.ProbeTarget probe) {
+        EngineModel engine = engines.get(probe.target());
+        long latencyMs = 2
+                * latencyMs(node.identity.location(), hosts.get(probe.target()).location());
+        boolean silent = node.cut.equals(Optional.of(Cut.SILENT));
+        at(nowMs + (silent ? PROBE_TIMEOUT_MS : latencyMs), () -> {
+            boolean reachable = engine.up && node.cut.isEmpty();
+            node.handle(new Event.TargetProbed(probe.target(), reachable));
+        });
+    }
+
     private void dispatch(Node node, Effect.Dispatch dispatch) {
         EngineModel engine = engines.get(dispatch.target());
         Work work = workOf(dispatch.source());
+        Node carrier = dispatch.relay().map(this::node).orElse(node);
+        if (carrier != node && (!carrier.alive || carrier.cut.isPresent() || !engine.up)) {
+            FailureKind kind = carrier.alive ? FailureKind.PATH_LOST : FailureKind.RELAY_FAILED;
+            afterLatency(
+                    node,
+                    dispatch.target(),
+                    () -> node.attemptEnded(dispatch.attempt(), failed(kind, Verdict.NOT_RUN, 0)));
+            return;
+        }
+        if (carrier == node && node.cut.isPresent()) {
+            failToConnect(node, dispatch, node.cut.get());
+            return;
+        }
         if (!engine.up) {
             afterLatency(
                     node,
@@ -297,6 +394,7 @@
             afterLatency(node, dispatch.target(), () -> node.attemptEnded(dispatch.attempt(), gone));
             return;
         }
+        job.relayedBy = dispatch.relay();
         engine.arrivalsAtMs.add(nowMs);
         node.jobs.put(dispatch.attempt(), job);
         at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
@@ -308,6 +406,13 @@
         }
     }
 
+    private Node node(HostId host) {
+        return nodes.stream()
+                .filter(node -> node.identity.host().equals(host))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private Work workOf(DispatchSource source) {
         if (source instanceof DispatchSource.FromCaller caller) {
             return sentRequests.get(caller.request()).work;
@@ -319,11 +424,18 @@
     private void start(EngineModel engine, EngineModel.Job job) {
         engine.start(job, nowMs);
         Node node = nodes.get(job.daemon);
+        if (job.resumedFrom == 0 && node.requestsByAttempt.containsKey(job.attempt)) {
+            node.requestsByAttempt.get(job.attempt).runs++;
+        }
         at(nowMs + job.promptMs, () -> {
             if (engine.running.get(job.attempt) == job) {
                 Event.TargetResponded response =
                         new Event.TargetResponded(engine.id, job.startedAtMs, engine.maxRequestsPerSecond);
-                at(nowMs + LATENCY_MS, () -> node.attemptStarted(job.attempt, response));
+                at(nowMs + LATENCY_MS, () -> {
+                    if (!job.unreachable) {
+                        node.attemptStarted(job.attempt, response);
+                    }
+                });
             }
         });
         long durationMs = job.promptMs + engine.tokenMs * (job.work.tokens - job.resumedFrom);
@@ -364,6 +476,9 @@
     }
 
     private void ended(EngineModel engine, EngineModel.Job job, AttemptOutcome outcome) {
+        if (job.unreachable) {
+            return;
+        }
         Node node = nodes.get(job.daemon);
         afterLatency(node, engine.id, () -> node.attemptEnded(job.attempt, outcome));
     }
@@ -448,6 +563,7 @@
         final long sentAtMs;
         final List<TargetId> dispatchedTo = new ArrayList<>();
         final List<Long> dispatchedAtMs = new ArrayList<>();
+        int runs;
         long firstTokenAtMs = -1;
         long endedAtMs = -1;
         Object reply;
@@ -494,7 +610,9 @@
         private final Map<String, Long> timers = new TreeMap<>();
         Set<TargetId> watched = Set.of();
         boolean alive = true;
+        Optional<Cut> cut = Optional.empty();
         long queuedAtEngine;
+        long probes;
 
         Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
             this.index = index;
@@ -572,6 +690,11 @@
                 afterLatency(this, dispatch.target(), () -> dispatch(this, dispatch));
             } else if (effect instanceof Effect.CancelAttempt cancel) {
                 cancel(cancel.attempt());
+            } else if (effect instanceof Effect.ProbeTarget probe) {
+                probes++;
+                probe(this, probe);
+            } else if (effect instanceof Effect.AbandonAttempt abandoned) {
+                abandon(this, abandoned.attempt());
             } else if (effect instanceof Effect.Reply reply) {
                 SentRequest request = sentRequests.get(reply.request());
                 if (request != null) {
@@ -626,5 +749,13 @@
         }
     }
 
+    /** How a daemon is cut off from the targets. */
+    enum Cut {
+        /** Nothing arrives, on old connections or new ones. */
+        SILENT,
+        /** Connections are reset, and new ones refused. */
+        REFUSED
+    }
+
     private record Task(long atMs, long order, Runnable action) {}
 }
