--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -108,11 +108,6 @@
         settings.subscribe(this::settingsChanged);
     }
 
-    /** Returns the address of a listed target. */
-    public Optional<String> targetAddress(TargetId target) {
-        return context.directory().find(target).map(TargetState::address);
-    }
-
     @Override
     public String name() {
         return NAME;
