Ask silent controllers again for requests that need a permit

What callers saw: a resumable stream was cut off after its first events, with most of its deadline left, when its target had gone and other targets were free.

Cause: a request whose target is gone counts as a suspect until the loss is explained, and a suspect must not run without a permit.

Change: such targets are only set aside. Once no other target is left, their controllers are asked again, up to five times, waiting twice as long each time. Targets that no daemon controls are excluded as before, and so are those of batch requests and of targets with a rate limit. The log states which permit was not obtained, and why. A stream that only one target can resume asks that target's controller again instead of going to another target.

Evidence: requestThatLostItsTargetIsNotGivenUpIfTheOtherControllersPause fails without the change (the request ends without a second attempt) and passes with it.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -67,6 +67,9 @@
     /** How long a request waits for the end of a check of its targets, in ms: all rounds of one. */
     private static final long PATH_CHECK_TIMEOUT_MS = 1_200;
 
+    /** How often the silent controllers of a request that must not run without a permit are asked again. */
+    private static final int MAX_REPEATED_ASKS = 5;
+
     /** How many attempts of a request may fail before they reach their target without counting as attempts. */
     private static final int MAX_PATH_FAILURES = 4;
 
@@ -287,8 +290,10 @@
             giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before a target was free", nowMs, out);
             return;
         }
-        Optional<TargetState> chosen = route.team(context.settings())
-                .flatMap(team -> choice.choose(request, team, route.filter(), nowMs, out));
+        Optional<TargetState> chosen = choose(route, nowMs, out);
+        if (chosen.isEmpty() && askAgain(route)) {
+            chosen = choose(route, nowMs, out);
+        }
         if (chosen.isPresent()) {
             route.target = chosen.get();
             obtainPermit(route, nowMs, out);
@@ -299,6 +304,21 @@
         }
     }
 
+    private Optional<TargetState> choose(Route route, long nowMs, Effects out) {
+        return route.team(context.settings())
+                .flatMap(team -> choice.choose(route.request, team, route.filter(), nowMs, out));
+    }
+
+    /** Lets a request use the targets again whose controllers were silent, a limited number of times. */
+    private static boolean askAgain(Route route) {
+        if (route.unanswered.isEmpty() || route.repeatedAsks >= MAX_REPEATED_ASKS) {
+            return false;
+        }
+        route.unanswered.clear();
+        route.repeatedAsks++;
+        return true;
+    }
+
     private boolean mayFindTarget(Route route, long nowMs) {
         return route.team(context.settings())
                 .filter(team -> choice.mayFindTarget(route.request, team, route.filter(), nowMs))
@@ -566,7 +586,7 @@
 
     private void dispatchWithoutPermit(Route route, String reason, long nowMs, Effects out) {
         boolean limited = route.target.maxRequestsPerSecond().isPresent();
-        if (route.request.urgency() == Urgency.BATCH || route.suspect || limited) {
+        if (route.request.urgency() == Urgency.BATCH || limited) {
             withdraw(route, out);
             route.excluded.add(route.target.id());
             if (limited) {
@@ -575,11 +595,30 @@
             chooseTarget(route, nowMs, out);
             return;
         }
+        if (route.suspect) {
+            askElsewhere(route, reason, nowMs, out);
+            return;
+        }
         context.count("permits-skipped");
         out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "dispatched without a permit", reason);
         dispatch(route, nowMs, out);
     }
 
+    /** Requests a permit elsewhere, and where no controller has replied once more if no other target is left. */
+    private void askElsewhere(Route route, String reason, long nowMs, Effects out) {
+        out.explain(
+                Subject.Kind.REQUEST, route.request.id(), nowMs, "no permit obtained for " + route.target.id(), reason);
+        withdraw(route, out);
+        (route.controller == null ? route.excluded : route.unanswered).add(route.target.id());
+        if (!route.boundToTarget()) {
+            chooseTarget(route, nowMs, out);
+        } else if (askAgain(route)) {
+            findPath(route, nowMs, out);
+        } else {
+            giveUpWithoutTarget(route, nowMs, out);
+        }
+    }
+
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
         if (!context.paths().usable(route.target, nowMs)) {
@@ -790,6 +829,8 @@
         } else {
             context.count("retries");
             route.permitRefusals = 0;
+            route.repeatedAsks = 0;
+            route.unanswered.clear();
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PermitRequests.java
@@ -50,10 +50,11 @@
         return route.arrivedAtMs + objectiveMs - (long) (startMs > 0 ? startMs : DEFAULT_START_LATENCY_MS) - nowMs;
     }
 
-    /** Returns how long to wait for any reply of the controller, in ms. */
+    /** Returns how long to wait for any reply of the controller, in ms: longer each time the controllers are asked again. */
     long replyTimeoutMs(Route route) {
-        return context.routing().permits().patienceMs()
-                * (context.isInOtherRegion(route.target) ? OTHER_REGION_TIMEOUT_FACTOR : 1);
+        long patienceMs = context.routing().permits().patienceMs();
+        int factor = context.isInOtherRegion(route.target) ? OTHER_REGION_TIMEOUT_FACTOR : 1;
+        return patienceMs * Math.max(factor, 1 << route.repeatedAsks);
     }
 
     /** Releases a permit, or withdraws the request for it. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -31,6 +31,11 @@
     private final Optional<TeamPolicy> admittedUnder;
     final List<HedgedPermitRequest> hedgedRequests = new ArrayList<>();
     final Set<TargetId> excluded = new TreeSet<>();
+
+    /** The targets whose controllers have not replied in time, which are asked again if there is no other target. */
+    final Set<TargetId> unanswered = new TreeSet<>();
+
+    int repeatedAsks;
     final Set<TargetId> lossesAt = new TreeSet<>();
     final String resumeKey;
     Phase phase = Phase.CHOOSING;
@@ -107,7 +112,9 @@
 
     /** Returns the targets that the request may still use. */
     TargetFilter filter() {
-        return new TargetFilter(excluded, version);
+        Set<TargetId> unusable = new TreeSet<>(excluded);
+        unusable.addAll(unanswered);
+        return new TargetFilter(unusable, version);
     }
 
     /** Returns whether the request has requested a permit and no attempt is running. */
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -27,6 +27,7 @@
     private static final long DISSEMINATION_MS = 200;
     private static final int LONG_TOKENS = 600;
     private static final long CONTROLLER_PAUSE_MS = 700;
+    private static final long SHORT_PAUSE_MS = 60;
 
     private final VirtualFleet fleet = new VirtualFleet(9);
     private EngineModel engine;
@@ -127,6 +128,23 @@
         assertThat(requests).allMatch(request -> request.dispatchedTo.size() == 1);
     }
 
+    /** Guards against requests that are given up after their target's end as a controller replies late. */
+    @Test
+    void requestThatLostItsTargetIsNotGivenUpIfTheOtherControllersPause() {
+        SentRequest request = fleet.send(otherThanController(), Work.online(3 * TOKENS, 1));
+        fleet.run(300);
+        fleet.addEngine("r2", VirtualFleet.NORTH, SLOTS, 100, 10);
+        fleet.list(host -> true);
+        fleet.run(1_000);
+        fleet.nodes.stream().filter(node -> node.index != request.daemon).forEach(node -> fleet.cutOff(node.index));
+        fleet.crashTarget(TARGET, 3_000);
+        fleet.run(SHORT_PAUSE_MS);
+        fleet.nodes.forEach(node -> fleet.reconnect(node.index));
+        fleet.run(5_000);
+        assertThat(request.dispatchedTo).containsExactly(TARGET, new TargetId("r2"));
+        assertThat(request.completed()).isTrue();
+    }
+
     /** Sends requests to a daemon that is not the controller: as many as there are slots, and twice as many more. */
     private List<SentRequest> fillSlotsAndQueue() {
         fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
