Use relays that took no connection lately if there is no other

Cause: a relay that had failed to open one connection was not selected for two seconds, whatever the others did. The event loop of the daemon itself had stood still for half a second, so that the openings at all its relays timed out together and none was left. The check that follows found them in reach, but that does not end the time for which they are avoided, so that the requests that waited for it were refused as well.

Change: such a relay is selected if there is no other and no check is under way that may find one. A check begins as before once none but avoided relays is left.

Evidence: relaysThatTookNoConnectionForAMomentAreUsedIfThereAreNoOthers fails without the change for both kinds of cuts.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -117,7 +117,18 @@
         if (isolated() || target.path().state() == TargetPath.State.CHECKING) {
             return false;
         }
-        return relayed(target) ? relays.select(target, nowMs).isPresent() : !doubtful();
+        if (!relayed(target)) {
+            return !doubtful();
+        }
+        return hasRelay(target, nowMs)
+                || checks.isEmpty() && relays.select(target, nowMs).isPresent();
+    }
+
+    /** Returns whether a daemon relays to the target that has taken all new connections lately. */
+    private boolean hasRelay(TargetState target, long nowMs) {
+        return relays.select(target, nowMs)
+                .filter(relay -> !relays.avoids(relay))
+                .isPresent();
     }
 
     /** Returns whether a check may make the target usable soon. */
@@ -437,9 +448,7 @@
         } else {
             target.path().excludeRelay(relay);
         }
-        if (relayed(target)
-                && (kind == FailureKind.PATH_LOST
-                        || relays.select(target, nowMs).isEmpty())) {
+        if (relayed(target) && (kind == FailureKind.PATH_LOST || !hasRelay(target, nowMs))) {
             recheck(target, Optional.empty(), PathCheck.Cause.CONNECT_FAILED, nowMs, out);
         }
     }
@@ -555,8 +564,7 @@
         scheduleRestore(nowMs, out);
         probeLost(RESTORE_PROBES, nowMs, out);
         lost.stream()
-                .filter(target -> !checks.containsKey(target.id())
-                        && (isolated() || relays.select(target, nowMs).isEmpty()))
+                .filter(target -> !checks.containsKey(target.id()) && (isolated() || !hasRelay(target, nowMs)))
                 .findFirst()
                 .ifPresent(target -> {
                     target.path().includeAllRelays();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
@@ -65,6 +65,11 @@
         version++;
     }
 
+    /** Returns whether a daemon has taken no new connections lately; it is selected only if there is no other relay. */
+    boolean avoids(HostId host) {
+        return avoidedUntilMs.containsKey(host);
+    }
+
     boolean hasFailed(HostId host, long nowMs) {
         return nowMs < failedUntilMs.getOrDefault(host, Long.MIN_VALUE);
     }
@@ -94,12 +99,14 @@
     }
 
     private Optional<HostId> choose(TargetState target, long nowMs) {
-        List<Member> usable = relays.stream()
-                .filter(host ->
-                        !target.path().excludes(host) && !hasFailed(host, nowMs) && !avoidedUntilMs.containsKey(host))
+        List<Member> reaching = relays.stream()
+                .filter(host -> !target.path().excludes(host) && !hasFailed(host, nowMs))
                 .map(this::member)
                 .flatMap(Optional::stream)
                 .toList();
+        List<Member> preferred =
+                reaching.stream().filter(member -> !avoids(member.host())).toList();
+        List<Member> usable = preferred.isEmpty() ? reaching : preferred;
         Optional<Integer> best =
                 usable.stream().map(member -> cost(member, target)).min(Comparator.naturalOrder());
         return best.flatMap(cost -> RendezvousHash.choose(
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -134,6 +134,24 @@
         assertThat(notCompleted(after)).isEmpty();
     }
 
+    /** Guards against requests that are refused for seconds as each relay has failed to open a connection once. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void relaysThatTookNoConnectionForAMomentAreUsedIfThereAreNoOthers(Cut cut) {
+        start(2, 2);
+        play(3_000);
+        cut(4, cut);
+        play(2_000);
+        List<VirtualFleet.Node> relays = fleet.nodes.subList(4, 6);
+        relays.forEach(node -> node.refusesRelays = true);
+        play(300);
+        relays.forEach(node -> node.refusesRelays = false);
+        List<SentRequest> after = at(play(1_500), 0, 4);
+        finish();
+        assertThat(fleet.count("relays-failed")).isPositive();
+        assertThat(notCompleted(after)).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(Cut.class)
     void lossOfOneTargetDoesNotRelayAttemptsToOthers(Cut cut) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -390,9 +390,9 @@
         EngineModel engine = engines.get(dispatch.target());
         Work work = workOf(dispatch.source());
         Node carrier = dispatch.relay().map(this::node).orElse(node);
-        if (carrier != node
-                && (!carrier.alive || carrier.cutFrom(dispatch.target()).isPresent() || !engine.up)) {
-            FailureKind kind = carrier.alive ? FailureKind.PATH_LOST : FailureKind.RELAY_FAILED;
+        boolean relays = carrier.alive && !carrier.refusesRelays;
+        if (carrier != node && (!relays || carrier.cutFrom(dispatch.target()).isPresent() || !engine.up)) {
+            FailureKind kind = relays ? FailureKind.PATH_LOST : FailureKind.RELAY_FAILED;
             afterLatency(
                     node,
                     dispatch.target(),
@@ -633,6 +633,7 @@
         private final Map<String, Long> timers = new TreeMap<>();
         Set<TargetId> watched = Set.of();
         boolean alive = true;
+        boolean refusesRelays;
         Optional<Cut> cut = Optional.empty();
         private final Map<TargetId, Cut> pairCuts = new TreeMap<>();
         long queuedAtEngine;
