Let streams under way wait for room instead of cutting them

What callers saw: a resumable stream whose target had broken off was cut after its second event, with 30 s of its deadline left, when the targets' slots had just been halved; other requests were refused with "no target can meet the deadline" at the same time.

Cause: the queue of a target holds eight waiting requests per slot, and a new version with fewer slots shortens it. The requests beyond it are refused, the last in the queue first. A stream that resumes has no objective any more and is therefore the last one. Three such refusals ended it, and one if only its own target could resume it, as if its caller had no part of the response yet.

Change: a target that refuses a stream under way for overload is only set aside. Once no other target is left, the stream asks them all again every 250 ms, until one has room or its deadline has passed. Requests of which no byte has reached the caller are refused as before, so that their callers learn it at once. Permits are granted as before, so that suspects still run one at a time.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -255,7 +255,7 @@
             out.add(new Effect.CancelAttempt(route.attempt));
         } else if (route.phase == Route.Phase.RESOLVING) {
             endResolving(route);
-        } else if (route.phase != Route.Phase.AWAITING_PATH) {
+        } else if (!route.awaitsTarget()) {
             withdraw(route, out);
         }
     }
@@ -365,7 +365,34 @@
         }
     }
 
+    /**
+     * Lets a stream whose caller has a part of it ask the targets again that had no room for it, as ending it now would
+     * break the response; returns whether there are any.
+     */
+    private boolean awaitRoom(Route route, long nowMs, Effects out) {
+        if (route.full.isEmpty()) {
+            return false;
+        }
+        out.explain(
+                Subject.Kind.REQUEST, route.request.id(), nowMs, "waits to be resumed", "no room now: " + route.full);
+        route.phase = Route.Phase.AWAITING_ROOM;
+        wakeups.put(
+                route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
+        return true;
+    }
+
+    private void lookForTargetAgain(Route route, long nowMs, Effects out) {
+        if (route.phase == Route.Phase.AWAITING_ROOM) {
+            route.full.clear();
+            route.permitRefusals = 0;
+        }
+        findPath(route, nowMs, out);
+    }
+
     private void giveUpWithoutTarget(Route route, long nowMs, Effects out) {
+        if (awaitRoom(route, nowMs, out)) {
+            return;
+        }
         if (route.retryAfterMs > 0) {
             giveUp(route, RefusalCode.OVERLOADED, "no target can meet the deadline", nowMs, out);
             return;
@@ -493,7 +520,8 @@
                 refused.reason().name());
         byAttempt.remove(route.attempt);
         route.permitRefusals++;
-        route.excluded.add(route.target.id());
+        boolean resumesLater = route.bytesReachedCaller && refused.reason() == RoutingMessage.Reason.OVERLOADED;
+        (resumesLater ? route.full : route.excluded).add(route.target.id());
         if (refused.retryAfterMs() > 0) {
             route.retryAfterMs = route.retryAfterMs == 0
                     ? refused.retryAfterMs()
@@ -506,11 +534,11 @@
         boolean mayRequestAgain =
                 route.permitRefusals < context.routing().permits().maxAsks()
                         || refused.reason() == RoutingMessage.Reason.UNAVAILABLE;
-        if (route.boundToTarget() || !mayRequestAgain) {
+        if (!route.boundToTarget() && mayRequestAgain) {
+            chooseTarget(route, nowMs, out);
+        } else if (!awaitRoom(route, nowMs, out)) {
             giveUp(route, RefusalCode.OVERLOADED, "no target can meet the deadline", nowMs, out);
-            return;
         }
-        chooseTarget(route, nowMs, out);
     }
 
     private void redirect(Route route, Optional<HostId> controller, long nowMs, Effects out) {
@@ -543,8 +571,8 @@
                 concludeVersion(route, nowMs, out);
                 continue;
             }
-            if (route != null && route.phase == Route.Phase.AWAITING_PATH) {
-                findPath(route, nowMs, out);
+            if (route != null && route.awaitsTarget()) {
+                lookForTargetAgain(route, nowMs, out);
                 continue;
             }
             if (route == null || !route.awaitsPermit()) {
@@ -831,6 +859,7 @@
             route.permitRefusals = 0;
             route.repeatedAsks = 0;
             route.unanswered.clear();
+            route.full.clear();
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -35,6 +35,9 @@
     /** The targets whose controllers have not replied in time, which are asked again if there is no other target. */
     final Set<TargetId> unanswered = new TreeSet<>();
 
+    /** The targets that had no room for a stream whose caller has a part of it, which are asked again later. */
+    final Set<TargetId> full = new TreeSet<>();
+
     int repeatedAsks;
     final Set<TargetId> lossesAt = new TreeSet<>();
     final String resumeKey;
@@ -114,6 +117,7 @@
     TargetFilter filter() {
         Set<TargetId> unusable = new TreeSet<>(excluded);
         unusable.addAll(unanswered);
+        unusable.addAll(full);
         return new TargetFilter(unusable, version);
     }
 
@@ -122,12 +126,19 @@
         return phase == Phase.ASKED || phase == Phase.QUEUED || phase == Phase.DISPUTED;
     }
 
+    /** Returns whether the request waits until it may look for a target again, without a permit request. */
+    boolean awaitsTarget() {
+        return phase == Phase.AWAITING_PATH || phase == Phase.AWAITING_ROOM;
+    }
+
     enum Phase {
         CHOOSING,
         /** Other daemons are asked for the version that began the stream. */
         RESOLVING,
         /** This daemon reaches no target that may run the request, and waits for the end of a check. */
         AWAITING_PATH,
+        /** No target has room to resume the stream now. */
+        AWAITING_ROOM,
         /** A permit is requested and the controller has not replied yet. */
         ASKED,
         /** The request waits in the controller's queue. */
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -21,7 +21,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-/** Plays requests whose team is removed from the settings while they are open. */
+/** Plays requests that are open while the settings change. */
 class SettingsChangeTests {
 
     private static final int TOKENS = 50;
@@ -130,6 +130,44 @@
         assertThat(stream.completedInTime()).as("%s", stream).isTrue();
     }
 
+    /** Guards against streams that are cut as the queues of the other targets are full after a change of the slots. */
+    @Test
+    void streamThatHasToBeResumedWhileAllQueuesAreFullIsNotCut() {
+        SentRequest stream = fleet.send(0, Work.online(2 * TOKENS, 1).withDeadline(4 * DEADLINE_MS));
+        fleet.run(300);
+        fillQueues();
+        fleet.crashTarget(stream.dispatchedTo.get(0), 10_000);
+        fleet.run(4 * DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSize(2).doesNotHaveDuplicates();
+    }
+
+    /** Guards against streams that are cut by a full queue although only their own target can resume them. */
+    @Test
+    void streamThatOnlyItsTargetCanResumeIsNotCutWhileTheQueueThereIsFull() {
+        RequestOptions bound = new RequestOptions(3, false, OBJECTIVE_MS);
+        SentRequest stream = fleet.send(0, Work.online(2 * TOKENS, 1).withDeadline(4 * DEADLINE_MS), bound);
+        fleet.run(300);
+        fillQueues();
+        fleet.cutFromTarget(0, stream.dispatchedTo.get(0), VirtualFleet.Cut.REFUSED);
+        fleet.reconnectToTarget(0, stream.dispatchedTo.get(0));
+        fleet.run(4 * DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSize(2).containsOnly(stream.dispatchedTo.get(0));
+    }
+
+    /** Halves the slots of all targets, and sends more requests than fit into their queues. */
+    private void fillQueues() {
+        for (TargetId target : fleet.engines.keySet()) {
+            fleet.nodes.forEach(node -> node.settings.setSlots(target, 2));
+        }
+        for (int i = 2; i <= 80; i++) {
+            fleet.send(i % 3, Work.online(TOKENS, i).withDeadline(4 * DEADLINE_MS));
+        }
+        fleet.run(30);
+        assertThat(fleet.sentRequests.values()).anyMatch(request -> request.reply instanceof Refusal);
+    }
+
     /** Guards against requests that stay open for ever because the handling of an event of theirs failed. */
     @Test
     void requestWhoseEventCouldNotBeHandledEndsAfterItsDeadline() {
