Resume streams whose other controllers are silent for longer

What callers see: a resumable stream is cut off if its target ends and the controllers of all other targets are silent for longer than they are asked, in sum some 0.5 s with the default settings and a single target left, although its deadline leaves seconds. Seen in the test below only; the streams that were cut in RequestStatesEndToEndTests had found silent controllers for some tens of milliseconds, which the five repeated permit requests cover.

Cause: the number of these is limited, so that a request of which its caller has nothing yet is refused soon enough to try elsewhere. The same limit ended a stream of which its caller has a part and which no refusal can help.

Change: such a stream waits as it does for room at targets with full queues, and asks the silent controllers again every 250 ms until its deadline. It still needs a permit.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -366,15 +366,19 @@
     }
 
     /**
-     * Lets a stream whose caller has a part of it ask the targets again that had no room for it, as ending it now would
-     * break the response; returns whether there are any.
+     * Lets a stream whose caller has a part of it ask the targets again that had no room for it or whose controllers
+     * were silent, as ending it now would break the response; returns whether there are any.
      */
     private boolean awaitRoom(Route route, long nowMs, Effects out) {
-        if (route.full.isEmpty()) {
+        if (!route.bytesReachedCaller || route.full.isEmpty() && route.unanswered.isEmpty()) {
             return false;
         }
         out.explain(
-                Subject.Kind.REQUEST, route.request.id(), nowMs, "waits to be resumed", "no room now: " + route.full);
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                "waits to be resumed",
+                "no room now: " + route.full + ", no reply: " + route.unanswered);
         route.phase = Route.Phase.AWAITING_ROOM;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
@@ -384,6 +388,7 @@
     private void lookForTargetAgain(Route route, long nowMs, Effects out) {
         if (route.phase == Route.Phase.AWAITING_ROOM) {
             route.full.clear();
+            route.unanswered.clear();
             route.permitRefusals = 0;
         }
         findPath(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -137,7 +137,7 @@
         RESOLVING,
         /** This daemon reaches no target that may run the request, and waits for the end of a check. */
         AWAITING_PATH,
-        /** No target has room to resume the stream now. */
+        /** No target has room to resume the stream now, as far as controllers reply. */
         AWAITING_ROOM,
         /** A permit is requested and the controller has not replied yet. */
         ASKED,
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PermitFailureTests.java
@@ -145,6 +145,26 @@
         assertThat(request.completed()).isTrue();
     }
 
+    /** Guards against streams that are cut after their target's end as the other controllers pause for some time. */
+    @Test
+    void streamThatLostItsTargetIsNotCutIfTheOtherControllersPauseForLonger() {
+        fleet.resumesAnywhere = true;
+        fleet.reportsTokensOfCrashes = true;
+        SentRequest stream =
+                fleet.send(otherThanController(), Work.online(3 * TOKENS, 1), new RequestOptions(0, true, 0));
+        fleet.run(300);
+        fleet.addEngine("r2", VirtualFleet.NORTH, SLOTS, 100, 10);
+        fleet.list(host -> true);
+        fleet.run(1_000);
+        fleet.nodes.stream().filter(node -> node.index != stream.daemon).forEach(node -> fleet.cutOff(node.index));
+        fleet.crashTarget(TARGET, 10_000);
+        fleet.run(2 * CONTROLLER_PAUSE_MS);
+        fleet.nodes.forEach(node -> fleet.reconnect(node.index));
+        fleet.run(5_000);
+        assertThat(stream.completed()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).containsExactly(TARGET, new TargetId("r2"));
+    }
+
     /** Sends requests to a daemon that is not the controller: as many as there are slots, and twice as many more. */
     private List<SentRequest> fillSlotsAndQueue() {
         fleet.nodes.forEach(node -> node.settings.setSlots(TARGET, SLOTS));
