Await the listed targets in the test of request states

Seen: plays of RequestStatesEndToEndTests that ended with "the condition did not hold within PT30S" before their change of the configuration, in 2 of 88 plays of a trial with three daemons and 1 of 22 of a trial with one daemon, beside load averages of 40 to 63.

Cause: the fixture, in all three by their logs. It waits until the daemons know its routes, but not its targets. The item of its job then ran on i-1, which the store already stated as leaving and the owner of the job did not know yet. The test counts the runs at its own targets and waited for the first one for ever.

Change: each play begins once the daemon lists all targets of the test and i-1 as leaving. All assertions are unchanged.

Evidence: the logs of the three plays state "runs on i-1".

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/RequestStatesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/RequestStatesEndToEndTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -251,10 +252,20 @@
     }
 
     private void awaitVersion(int version) throws IOException {
-        GatewayFleet.await(() -> fleet.get(fleet.metricsUri(0, "/dump"))
-                .body()
-                .lines()
-                .anyMatch(line -> line.matches("\\W*routesVersion\\W+" + version)));
+        awaitDumpLine(line -> line.matches("\\W*routesVersion\\W+" + version));
+    }
+
+    /** Waits until the daemons know the targets whose runs of requests are counted, and use no others. */
+    private void awaitTargets() throws IOException {
+        for (RawRunnerStandIn runner : runners) {
+            awaitDumpLine(line -> line.strip().startsWith(runner.id() + " "));
+        }
+        awaitDumpLine(line -> line.strip().startsWith("i-1 ") && line.contains(" true "));
+    }
+
+    private void awaitDumpLine(Predicate<String> expected) throws IOException {
+        GatewayFleet.await(
+                () -> fleet.get(fleet.metricsUri(0, "/dump")).body().lines().anyMatch(expected));
     }
 
     /** Guards against whole requests that a change of the configuration leaves without a complete response. */
@@ -263,6 +274,7 @@
     void requestInAnyStateGetsItsWholeResponseBesideAChange(Change change) throws Exception {
         put(table(FIRST, ROUTES));
         awaitVersion(FIRST);
+        awaitTargets();
         assertThat(fleet.post(0, "batch", "job", JOB).statusCode()).isEqualTo(202);
         GatewayFleet.await(() -> begun.get() == 1);
         Future<?> reader = threads.submit(this::readJob);
