Let requests go on that lost their only target with the way to it

What callers saw: if a daemon lost its way to a target by resets, a request that was running there, and that no other target could run, was given up at once: "no target serves", or its stream was cut, although another daemon reaches the target. The same for a connection that was reset after new ones had been refused, when the target was already reached through a relay.

Cause: a lost connection excluded its target for the rest of the request, before it was known whether the target or only the way to it was lost.

Change: the loss excludes the target until it is explained. Meanwhile the request waits if no other target can run it. If the way was lost, the request may use the target again; if the target was down, it stays excluded. A loss on a way that is already known to be lost excludes nothing and accuses nobody.

Evidence: of the 8 tests of OnlyTargetTests 4 failed before: the three with Cut.REFUSED, and requestIsNotGivenUpIfItsConnectionIsResetAfterNewOnesWereRefused. Those with Cut.SILENT and the one of a target that is down passed before.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.TeamPolicy;
@@ -320,8 +322,10 @@
     }
 
     private boolean mayFindTarget(Route route, long nowMs) {
+        Set<TargetId> explained = new TreeSet<>(route.lossesAt);
+        explained.removeIf(context.paths()::lossUnexplained);
         return route.team(context.settings())
-                .filter(team -> choice.mayFindTarget(route.request, team, route.filter(), nowMs))
+                .filter(team -> choice.mayFindTarget(route.request, team, route.filter(explained), nowMs))
                 .isPresent();
     }
 
@@ -341,7 +345,10 @@
         }
     }
 
-    /** Clears the suspicion against requests that lost their target only because this daemon lost its way to it. */
+    /**
+     * Lets requests that lost their target only because this daemon lost its way to it use the target again, and clears
+     * the suspicion against them.
+     */
     void lossesForgotten(TargetId target, long nowMs) {
         for (Route route : routes.values()) {
             if (route.lossesAt.remove(target) && route.lossesAt.isEmpty()) {
@@ -770,6 +777,7 @@
 
     private void attemptFailed(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
+        boolean wayLost = route.relay.isEmpty() && context.paths().relayed(route.target);
         if (!ownDeadline) {
             TargetFailures.apply(context, route.target, route.relay, failure, suspectRun(route, failure), nowMs, out);
         }
@@ -793,7 +801,7 @@
             route.version = Optional.of(route.target.softwareVersion());
         }
         route.deliveredTokens = route.resumedFrom + failure.tokens();
-        if (isLoss(failure)) {
+        if (isLoss(failure) && !wayLost) {
             route.suspect = true;
             route.lossesAt.add(route.target.id());
         }
@@ -835,7 +843,7 @@
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
             } else {
-                if (!isPathFailure(failure)) {
+                if (!isPathFailure(failure) && !isLoss(failure)) {
                     route.excluded.add(route.target.id());
                 }
                 chooseTarget(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -51,6 +51,7 @@
             context.suspects().forgetLosses(target.id());
             online.lossesForgotten(target.id(), nowMs);
         }
+        online.pathsChanged(nowMs, out);
     }
 
     @Override
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -128,6 +128,16 @@
                         || !disconnected() && doubtful());
     }
 
+    /** Returns whether it is not known yet if lost connections to the target mean that it is down. */
+    boolean lossUnexplained(TargetId target) {
+        PathCheck check = checks.get(target);
+        return check != null && check.has(PathCheck.Cause.CONNECTION_LOST)
+                || directory
+                        .find(target)
+                        .filter(state -> state.path().lossesUnexplained())
+                        .isPresent();
+    }
+
     /** Returns the daemon that relays new attempts to the target, empty if this daemon connects to it itself. */
     Optional<HostId> relayFor(TargetState target, long nowMs) {
         return relayed(target) ? relays.select(target, nowMs) : Optional.empty();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -36,7 +36,10 @@
     final Set<TargetId> unanswered = new TreeSet<>();
 
     int repeatedAsks;
+
+    /** The targets whose connections the request has lost, except those that were lost only with the way to them. */
     final Set<TargetId> lossesAt = new TreeSet<>();
+
     final String resumeKey;
     Phase phase = Phase.CHOOSING;
     Verdict verdict = Verdict.NOT_RUN;
@@ -112,8 +115,14 @@
 
     /** Returns the targets that the request may still use. */
     TargetFilter filter() {
+        return filter(lossesAt);
+    }
+
+    /** Returns the same targets except that only some of the losses exclude theirs. */
+    TargetFilter filter(Set<TargetId> excludingLosses) {
         Set<TargetId> unusable = new TreeSet<>(excluded);
         unusable.addAll(unanswered);
+        unusable.addAll(excludingLosses);
         return new TargetFilter(unusable, version);
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -75,7 +75,8 @@
     /** Returns whether a target that may run the request is being checked, and may be usable after that. */
     boolean mayFindTarget(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
         return context.directory().eligible(request, team, filter, nowMs).stream()
-                .anyMatch(target -> context.paths().mayBecomeUsable(target));
+                .anyMatch(target -> context.paths().mayBecomeUsable(target)
+                        || context.paths().lossUnexplained(target.id()));
     }
 
     private long hedgeCostMs(TargetState target, long nowMs) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetPath.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetPath.java
@@ -100,6 +100,10 @@
         lossesUnexplained = true;
     }
 
+    boolean lossesUnexplained() {
+        return lossesUnexplained;
+    }
+
     boolean takeUnexplainedLosses() {
         boolean taken = lossesUnexplained;
         lossesUnexplained = false;
--- /dev/null
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
@@ -0,0 +1,113 @@
+package org.cornelcrank.routing;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+import org.cornelcrank.core.Refusal;
+import org.cornelcrank.core.RefusalCode;
+import org.cornelcrank.core.SoftwareVersion;
+import org.cornelcrank.core.TargetId;
+import org.cornelcrank.routing.VirtualFleet.Cut;
+import org.cornelcrank.routing.VirtualFleet.SentRequest;
+import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Requests that only one target can run, whose daemon loses its way to that target. */
+class OnlyTargetTests {
+
+    private static final int DAEMON = 0;
+
+    /** How long the targets of a fleet need for the prompt, and for each token, in ms. */
+    private static final long PROMPT_MS = 200;
+
+    private static final long TOKEN_MS = 10;
+
+    private final VirtualFleet fleet = new VirtualFleet(5);
+    private final TargetId target = new TargetId("only");
+
+    private void start() {
+        fleet.addEngine("only", VirtualFleet.SOUTH, 8, PROMPT_MS, TOKEN_MS);
+        startDaemons();
+    }
+
+    private void startDaemons() {
+        fleet.requestOptions = new RequestOptions(3, true, 0, Optional.empty(), Optional.empty());
+        fleet.resumesAnywhere = true;
+        fleet.start(
+                Collections.nCopies(4, VirtualFleet.SOUTH),
+                () -> new RoutingPolicy(
+                        RoutingSettings.forLatencyObjectives(),
+                        new PrefixAffinityTargetSelector(),
+                        AdmissionOrder.URGENCY_FIRST));
+        fleet.keepEffects = true;
+    }
+
+    private SentRequest sendAndRun(long spanMs) {
+        SentRequest request = fleet.send(DAEMON, Work.online(100, fleet.nowMs).withDeadline(6_000));
+        fleet.run(spanMs);
+        assertThat(request.dispatchedTo).isNotEmpty();
+        return request;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void requestWithoutResponseIsNotGivenUpWithTheWayToItsOnlyTarget(Cut cut) {
+        start();
+        SentRequest request = sendAndRun(PROMPT_MS / 2);
+        fleet.cutFromTarget(DAEMON, target, cut);
+        fleet.run(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void streamIsNotCutWithTheWayToItsOnlyTarget(Cut cut) {
+        start();
+        SentRequest request = sendAndRun(PROMPT_MS + 20 * TOKEN_MS);
+        fleet.cutFromTarget(DAEMON, target, cut);
+        fleet.run(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void streamIsNotCutWithTheWayToTheOnlyTargetOfItsVersion(Cut cut) {
+        fleet.addEngine("r-1", VirtualFleet.SOUTH, new SoftwareVersion("1"));
+        fleet.addEngine("r-2", VirtualFleet.SOUTH, new SoftwareVersion("2"));
+        startDaemons();
+        SentRequest request = sendAndRun(500);
+        TargetId first = request.dispatchedTo.get(0);
+        fleet.cutFromTarget(DAEMON, first, cut);
+        fleet.run(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+        assertThat(request.dispatchedTo).containsOnly(first);
+    }
+
+    @Test
+    void requestIsNotGivenUpIfItsConnectionIsResetAfterNewOnesWereRefused() {
+        start();
+        SentRequest request = sendAndRun(PROMPT_MS / 2);
+        fleet.refuseNewConnections(DAEMON, target);
+        SentRequest later = sendAndRun(PROMPT_MS / 2);
+        assertThat(fleet.count("attempts-relayed")).isPositive();
+        fleet.cutFromTarget(DAEMON, target, Cut.REFUSED);
+        fleet.run(6_000);
+        assertThat(List.of(request, later)).allMatch(SentRequest::completedInTime);
+    }
+
+    @Test
+    void requestDoesNotWaitForItsOnlyTargetOnceThatIsFoundDown() {
+        start();
+        SentRequest request = sendAndRun(PROMPT_MS / 2);
+        fleet.cutFromTarget(DAEMON, target, Cut.REFUSED);
+        fleet.crashTarget(target, 10_000);
+        fleet.run(1_000);
+        assertThat(request.reply).isInstanceOfSatisfying(Refusal.class, refusal -> assertThat(refusal.code())
+                .isEqualTo(RefusalCode.NO_TARGET));
+    }
+}
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -297,6 +297,11 @@
         endConnections(node, cut, target::equals);
     }
 
+    /** Lets the open connections of a daemon to one target live on while new ones are refused. */
+    void refuseNewConnections(int daemon, TargetId target) {
+        nodes.get(daemon).pairCuts.put(target, Cut.REFUSED);
+    }
+
     private void endConnections(Node node, Cut cut, Predicate<TargetId> affected) {
         for (EngineModel.Job job : List.copyOf(node.jobs.values())) {
             if (job.relayedBy.isPresent() || !affected.test(node.targetByAttempt.get(job.attempt))) {
