Let requests go on whose relay alone has lost their target

What callers saw: at a daemon that reaches a target through a relay only, a request that no other target can run was given up as soon as the relay lost its own way to the target by resets, although another relay reached it.

Cause: the lost connection excluded the target for the rest of the request.

Change: if another daemon than the relay that lost the connection reaches the target, requests may use it again. They remain suspect, as before, since the target may have been down for a moment.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -357,6 +357,14 @@
         }
     }
 
+    /**
+     * Lets requests that lost their target through a relay use it again; they remain suspect, since the target may have
+     * been down for a moment.
+     */
+    void relayReplaced(TargetId target) {
+        routes.values().forEach(route -> route.lossesAt.remove(target));
+    }
+
     private void findPath(Route route, long nowMs, Effects out) {
         wakeups.remove(route.request.id());
         if (!route.boundToTarget()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -43,6 +43,12 @@
         online.pathsChanged(nowMs, out);
     }
 
+    @Override
+    public void relayReplaced(TargetState target, long nowMs, Effects out) {
+        online.relayReplaced(target.id());
+        relayed(target, nowMs, out);
+    }
+
     @Override
     public void lossesExplained(TargetState target, boolean wasDown, long nowMs, Effects out) {
         if (wasDown) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -249,7 +249,7 @@
         isolatedAtMs = Long.MIN_VALUE;
         if (check.relayedBefore()) {
             if (check.lostThrough().filter(lost -> !lost.equals(relay)).isPresent()) {
-                listener.relayed(target, nowMs, out);
+                listener.relayReplaced(target, nowMs, out);
             } else {
                 listener.reachable(target, check.causes(), nowMs, out);
             }
@@ -642,6 +642,9 @@
         /** The way to the target has changed: another daemon relays now, or no longer. */
         void relayed(TargetState target, long nowMs, Effects out);
 
+        /** A relay has lost its connections to the target, and another one reaches it. */
+        void relayReplaced(TargetState target, long nowMs, Effects out);
+
         /**
          * The cause of lost connections to a target is known: the target was down for a moment, or this daemon has lost
          * its way to it.
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.SoftwareVersion;
@@ -100,6 +101,25 @@
         assertThat(List.of(request, later)).allMatch(SentRequest::completedInTime);
     }
 
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void streamIsNotCutWithTheWayOfItsRelayToItsOnlyTarget(Cut cut) {
+        start();
+        fleet.cutFromTarget(DAEMON, target, cut);
+        SentRequest request = sendAndRun(PROMPT_MS + 1_000);
+        HostId relay = fleet.nodes
+                .get(DAEMON)
+                .jobs
+                .values()
+                .iterator()
+                .next()
+                .relayedBy
+                .orElseThrow();
+        fleet.cutFromTarget(Integer.parseInt(relay.value().substring(1)), target, cut);
+        fleet.run(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+    }
+
     @Test
     void requestDoesNotWaitForItsOnlyTargetOnceThatIsFoundDown() {
         start();
