Go on without the result of a probe that never comes

What callers saw: if the result of one attempt to connect to a target was lost, silent requests on it waited for their time limit, a target that could be reached again was relayed for good, and other daemons that asked whether it can be reached got no reply.

Cause: a target that is being probed is not probed again, and neither the probe nor the first step of a check, which waits for it, had a time limit.

Other daemons are told that it is not sure whether the target can be reached, so that a lost result makes no target down.

Evidence: silentRequestIsNotLeftWithoutACheckByALostProbe, targetIsNotRelayedForGoodAfterALostProbe and peersAreNotLeftWithoutRepliesAfterLostProbes of OnlyTargetTests failed before.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -4,10 +4,10 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -38,6 +38,9 @@
     /** How long peers have to reply, in ms: a failed attempt to connect and a round trip between regions. */
     private static final long REPLY_TIMEOUT_MS = 350;
 
+    /** How long the result of this daemon's own attempt to connect is waited for, in ms. */
+    private static final long PROBE_TIMEOUT_MS = 1_000;
+
     private static final int MAX_ROUNDS = 3;
 
     /** The number of targets under check at once that makes this daemon doubt its own network. */
@@ -72,7 +75,7 @@
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
     private final Map<HostId, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
-    private final Set<TargetId> probing = new HashSet<>();
+    private final Map<TargetId, Long> probing = new HashMap<>();
     private PathListener listener;
     private long lastNumber;
     private long lastContactAtMs = Long.MIN_VALUE;
@@ -183,7 +186,7 @@
         boolean pending = checks.containsKey(target.id());
         check(target, cause, nowMs);
         if (!pending) {
-            probe(target, out);
+            probe(target, nowMs, out);
         }
     }
 
@@ -196,9 +199,12 @@
         return check;
     }
 
-    private void probe(TargetState target, Effects out) {
-        if (probing.add(target.id())) {
+    private void probe(TargetState target, long nowMs, Effects out) {
+        if (!probing.containsKey(target.id())) {
+            long number = ++lastNumber;
+            probing.put(target.id(), number);
             out.add(new Effect.ProbeTarget(target.id(), target.address()));
+            due.put(new Due.ProbeTimeout(target.id(), number), nowMs + PROBE_TIMEOUT_MS, out);
         }
     }
 
@@ -266,7 +272,7 @@
         scheduleRestore(nowMs, out);
         if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
             target.path().explainLosses();
-            probe(target, out);
+            probe(target, nowMs, out);
         }
         listener.relayed(target, nowMs, out);
     }
@@ -290,7 +296,10 @@
 
     /** Handles the end of this daemon's own attempt to connect to a target. */
     void probed(TargetId id, boolean reachable, long nowMs, Effects out) {
-        probing.remove(id);
+        Long number = probing.remove(id);
+        if (number != null) {
+            due.remove(new Due.ProbeTimeout(id, number));
+        }
         Optional<TargetState> found = directory.find(id);
         replyToPeers(id, reachable, nowMs, out);
         if (found.isEmpty()) {
@@ -327,13 +336,13 @@
     }
 
     /** Checks a target on behalf of another daemon. */
-    void requested(HostId from, RoutingMessage.ReachabilityRequested request, Effects out) {
+    void requested(HostId from, RoutingMessage.ReachabilityRequested request, long nowMs, Effects out) {
         Optional<TargetState> target = directory.find(request.target());
         if (target.isEmpty()) {
             reply(from, request.number(), request.target(), RoutingMessage.Reachability.UNSURE, out);
             return;
         }
-        await(target.get(), new PeerInquiry(from, request.number(), request.target(), false), out);
+        await(target.get(), new PeerInquiry(from, request.number(), request.target(), false), nowMs, out);
     }
 
     /**
@@ -359,15 +368,15 @@
                 if (next.isEmpty()) {
                     reply(inquiry, RoutingMessage.Reachability.UNSURE, out);
                 } else {
-                    await(next.get(), control ? inquiry.withControl() : inquiry, out);
+                    await(next.get(), control ? inquiry.withControl() : inquiry, nowMs, out);
                 }
             }
         }
     }
 
-    private void await(TargetState target, PeerInquiry inquiry, Effects out) {
+    private void await(TargetState target, PeerInquiry inquiry, long nowMs, Effects out) {
         inquiries.computeIfAbsent(target.id(), id -> new ArrayList<>()).add(inquiry);
-        probe(target, out);
+        probe(target, nowMs, out);
     }
 
     /** Returns a target that this daemon has heard from lately, to find out whether it reaches any. */
@@ -515,6 +524,8 @@
                 checkTimedOut(timeout, nowMs, out);
             } else if (entry instanceof Due.RelayTimeout timeout) {
                 relayTimedOut(timeout, nowMs, out);
+            } else if (entry instanceof Due.ProbeTimeout timeout) {
+                probeTimedOut(timeout, nowMs, out);
             } else {
                 restore(nowMs, out);
             }
@@ -534,6 +545,20 @@
         }
     }
 
+    /** Goes on without the result of a probe, which says nothing about the target to other daemons. */
+    private void probeTimedOut(Due.ProbeTimeout timeout, long nowMs, Effects out) {
+        TargetId target = timeout.target();
+        if (!Objects.equals(probing.get(target), timeout.number())) {
+            return;
+        }
+        out.explain(Subject.Kind.TARGET, target, nowMs, "counts as not reached", "no result of the probe");
+        List<PeerInquiry> waiting = inquiries.remove(target);
+        if (waiting != null) {
+            waiting.forEach(inquiry -> reply(inquiry, RoutingMessage.Reachability.UNSURE, out));
+        }
+        probed(target, false, nowMs, out);
+    }
+
     private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
         if (!relayChecks.remove(timeout.relay(), timeout.number())) {
             return;
@@ -577,7 +602,7 @@
     private void probeLost(int limit, long nowMs, Effects out) {
         lostTargets().stream().limit(limit).forEach(target -> {
             target.path().probed(nowMs);
-            probe(target, out);
+            probe(target, nowMs, out);
         });
     }
 
@@ -630,6 +655,8 @@
 
         record RelayTimeout(HostId relay, long number) implements Due {}
 
+        record ProbeTimeout(TargetId target, long number) implements Due {}
+
         record Restore() implements Due {}
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -284,7 +284,7 @@
         } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
             online.streamVersionReplied(from, reply, nowMs, out);
         } else if (message instanceof RoutingMessage.ReachabilityRequested request) {
-            paths.requested(from, request, out);
+            paths.requested(from, request, nowMs, out);
         } else if (message instanceof RoutingMessage.ReachabilityReply reply) {
             paths.replied(from, reply, nowMs, out);
         }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
@@ -120,6 +120,52 @@
         assertThat(request).matches(SentRequest::completedInTime);
     }
 
+    @Test
+    void silentRequestIsNotLeftWithoutACheckByALostProbe() {
+        start();
+        VirtualFleet.Node node = fleet.nodes.get(DAEMON);
+        SentRequest request = sendAndRun(PROMPT_MS / 2);
+        node.losesProbes = true;
+        fleet.cutFromTarget(DAEMON, target, Cut.SILENT);
+        fleet.run(500);
+        assertThat(node.probes).isPositive();
+        node.losesProbes = false;
+        fleet.run(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+    }
+
+    @Test
+    void targetIsNotRelayedForGoodAfterALostProbe() {
+        start();
+        VirtualFleet.Node node = fleet.nodes.get(DAEMON);
+        sendAndRun(PROMPT_MS / 2);
+        fleet.cutFromTarget(DAEMON, target, Cut.REFUSED);
+        fleet.run(2_000);
+        node.losesProbes = true;
+        fleet.run(1_000);
+        node.losesProbes = false;
+        fleet.reconnectToTarget(DAEMON, target);
+        fleet.run(2_000);
+        long relayed = fleet.count("attempts-relayed");
+        assertThat(relayed).isPositive();
+        sendAndRun(3_000);
+        assertThat(fleet.count("attempts-relayed")).isEqualTo(relayed);
+    }
+
+    @Test
+    void peersAreNotLeftWithoutRepliesAfterLostProbes() {
+        start();
+        List<VirtualFleet.Node> peers = fleet.nodes.subList(1, 4);
+        peers.forEach(peer -> peer.losesProbes = true);
+        fleet.cutFromTarget(DAEMON, target, Cut.REFUSED);
+        SentRequest refused = sendAndRun(2_500);
+        assertThat(refused.completed()).isFalse();
+        peers.forEach(peer -> peer.losesProbes = false);
+        fleet.run(3_000);
+        SentRequest request = sendAndRun(6_000);
+        assertThat(request).matches(SentRequest::completedInTime);
+    }
+
     @Test
     void requestDoesNotWaitForItsOnlyTargetOnceThatIsFoundDown() {
         start();
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -643,6 +643,9 @@
         long queuedAtEngine;
         long probes;
 
+        /** Whether the results of probes never arrive. */
+        boolean losesProbes;
+
         Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
             this.index = index;
             this.identity = identity;
@@ -725,7 +728,9 @@
                 cancel(cancel.attempt());
             } else if (effect instanceof Effect.ProbeTarget probe) {
                 probes++;
-                probe(this, probe);
+                if (!losesProbes) {
+                    probe(this, probe);
+                }
             } else if (effect instanceof Effect.AbandonAttempt abandoned) {
                 abandon(this, abandoned.attempt());
             } else if (effect instanceof Effect.Reply reply) {
