Let requests stop waiting for a target that has been replaced

What callers saw: a request that waited for the end of a check of its target went on waiting if the host list stated a new incarnation of that target meanwhile: up to 1.2 s if the new one could run it, and until its deadline if it was a stream that only the former incarnation could resume.

Cause: the check ends with the incarnation, without a result, so that nobody woke the requests; and the former incarnation stayed under check for good in the view of a stream that is bound to it.

Change: requests that wait look for a way again whenever the targets or the members of the fleet change, and only a target that is listed is waited for.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -373,7 +373,7 @@
             giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before the target was reached", nowMs, out);
         } else if (context.paths().usable(route.target, nowMs)) {
             obtainPermit(route, nowMs, out);
-        } else if (context.paths().mayBecomeUsable(route.target)) {
+        } else if (context.directory().lists(route.target) && context.paths().mayBecomeUsable(route.target)) {
             awaitPath(route, nowMs, out);
         } else {
             giveUpWithoutTarget(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -351,6 +351,7 @@
         batch.controllersChanged();
         permitAdvertiser.advertiseToNewControllers(nowMs, out);
         batch.refresh(true, nowMs, out);
+        online.pathsChanged(nowMs, out);
     }
 
     private boolean lost(HostId holder) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -69,6 +69,11 @@
         return Optional.ofNullable(targets.get(target));
     }
 
+    /** Returns whether the target is listed, with the same incarnation. */
+    boolean lists(TargetState target) {
+        return targets.get(target.id()) == target;
+    }
+
     Set<TargetId> ids() {
         return targets.keySet();
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -119,6 +119,26 @@
                         version));
     }
 
+    /** Starts an engine again under the same name and tells all daemons its new incarnation and address. */
+    void replaceTarget(TargetId target, String address) {
+        EngineModel engine = engines.get(target);
+        crashTarget(target, 0);
+        engine.up = true;
+        HostEntry entry = hosts.get(target);
+        hosts.put(
+                target,
+                new HostEntry(
+                        entry.name(),
+                        entry.role(),
+                        entry.location(),
+                        address,
+                        entry.services(),
+                        entry.leaving(),
+                        entry.incarnation() + 1,
+                        entry.softwareVersion()));
+        list(host -> true);
+    }
+
     /** Tells all daemons the current list of hosts, of which some may have left. */
     void list(Predicate<HostEntry> present) {
         listAt(node -> true, present);
@@ -386,7 +406,8 @@
                 * latencyMs(node.identity.location(), hosts.get(probe.target()).location());
         boolean silent = node.cutFrom(probe.target()).equals(Optional.of(Cut.SILENT));
         at(nowMs + (silent ? PROBE_TIMEOUT_MS : latencyMs), () -> {
-            boolean reachable = engine.up && node.cutFrom(probe.target()).isEmpty();
+            boolean listens = engine.up && hosts.get(probe.target()).address().equals(probe.address());
+            boolean reachable = listens && node.cutFrom(probe.target()).isEmpty();
             node.handle(new Event.TargetProbed(probe.target(), reachable));
         });
     }
@@ -408,7 +429,7 @@
             failToConnect(node, dispatch, node.cutFrom(dispatch.target()).get());
             return;
         }
-        if (!engine.up) {
+        if (!engine.up || !hosts.get(dispatch.target()).address().equals(dispatch.address())) {
             afterLatency(
                     node,
                     dispatch.target(),
