Keep what was seen of a former incarnation apart from the new one

What callers saw: while a target was listed with a new incarnation or address, a silent attempt on the former one, or a connection to its address that failed, led to a check of the new one, and then to the finding that the way to it was lost, although nobody had tried it. If no other target had been heard from, the daemon relayed all its attempts until its next probe ended. The silent attempt itself waited for its time limit.

Cause: checks and probes were kept by the name of the target only.

Change: the result of a probe names the address, and one of a former address is followed by a probe of the new one. A check ends with the incarnation that it is about. A failure on a former incarnation makes this daemon connect to the new one before it asks others, and a time-out there says nothing about the new one. Silent attempts on a former incarnation end, as on a way that is lost.

TargetProbeRunnerTests compares the address in the result as well.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -111,8 +111,8 @@
     /** A target's load could not be queried; {@code refused} indicates that the target refused the connection. */
     record TargetUnreachable(TargetId target, boolean refused) implements Event {}
 
-    /** A check has ended of whether this daemon can connect to a target. */
-    record TargetProbed(TargetId target, boolean reachable) implements Event {}
+    /** A check has ended of whether this daemon can connect to a target at an address. */
+    record TargetProbed(TargetId target, String address, boolean reachable) implements Event {}
 
     /** Nothing listens at a target's address after it has lost a connection. */
     record TargetGone(TargetId target) implements Event {}
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
@@ -6,7 +6,6 @@
 import java.util.TreeSet;
 
 import org.cornelcrank.core.HostId;
-import org.cornelcrank.core.TargetId;
 
 /**
  * A check of whether a target is down or only this daemon cannot reach it.
@@ -16,7 +15,7 @@
  */
 final class PathCheck {
 
-    private final TargetId target;
+    private final TargetState target;
     private final long number;
     private final long startedAtMs;
     private final boolean relayedBefore;
@@ -29,7 +28,7 @@
     private int replies;
     private int rounds;
 
-    PathCheck(TargetId target, long number, Cause cause, boolean relayedBefore, long nowMs) {
+    PathCheck(TargetState target, long number, Cause cause, boolean relayedBefore, long nowMs) {
         this.relayedBefore = relayedBefore;
         this.target = target;
         this.number = number;
@@ -37,7 +36,7 @@
         this.causes = EnumSet.of(cause);
     }
 
-    TargetId target() {
+    TargetState target() {
         return target;
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -75,7 +74,7 @@
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
     private final Map<HostId, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
-    private final Map<TargetId, Long> probing = new HashMap<>();
+    private final Map<TargetId, Probe> probing = new HashMap<>();
     private PathListener listener;
     private long lastNumber;
     private long lastContactAtMs = Long.MIN_VALUE;
@@ -170,7 +169,9 @@
 
     /** Checks a target to which this daemon has failed to connect. */
     void connectFailed(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
-        if (!relayed(target)) {
+        if (replaced(target)) {
+            doubted(target, cause, nowMs, out);
+        } else if (!relayed(target)) {
             PathCheck check = check(target, cause, nowMs);
             if (!check.asksPeers()) {
                 askPeers(target, check, nowMs, out);
@@ -179,8 +180,9 @@
     }
 
     /** Checks a target that may be down, by connecting to it first. */
-    void doubted(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
-        if (relayed(target)) {
+    void doubted(TargetState doubted, PathCheck.Cause cause, long nowMs, Effects out) {
+        TargetState target = directory.find(doubted.id()).orElse(doubted);
+        if (relayed(target) || target != doubted && cause == PathCheck.Cause.UNRESPONSIVE) {
             return;
         }
         boolean pending = checks.containsKey(target.id());
@@ -190,22 +192,29 @@
         }
     }
 
+    /** Returns whether another incarnation of the target is listed. */
+    private boolean replaced(TargetState target) {
+        return directory.find(target.id()).filter(listed -> listed != target).isPresent();
+    }
+
     private PathCheck check(TargetState target, PathCheck.Cause cause, long nowMs) {
         PathCheck check = checks.computeIfAbsent(target.id(), id -> {
             count("paths-checked");
-            return new PathCheck(id, ++lastNumber, cause, relayed(target), nowMs);
+            return new PathCheck(target, ++lastNumber, cause, relayed(target), nowMs);
         });
         check.add(cause);
         return check;
     }
 
     private void probe(TargetState target, long nowMs, Effects out) {
-        if (!probing.containsKey(target.id())) {
-            long number = ++lastNumber;
-            probing.put(target.id(), number);
-            out.add(new Effect.ProbeTarget(target.id(), target.address()));
-            due.put(new Due.ProbeTimeout(target.id(), number), nowMs + PROBE_TIMEOUT_MS, out);
+        Probe pending = probing.get(target.id());
+        if (pending != null && pending.address().equals(target.address())) {
+            return;
         }
+        Probe probe = new Probe(target.address(), ++lastNumber);
+        probing.put(target.id(), probe);
+        out.add(new Effect.ProbeTarget(target.id(), target.address()));
+        due.put(new Due.ProbeTimeout(target.id(), probe), nowMs + PROBE_TIMEOUT_MS, out);
     }
 
     private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
@@ -224,7 +233,7 @@
 
     /** Ends a check whose target nobody reaches. */
     private void conclude(TargetState target, PathCheck check, PathCheck.Unreachable result, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().includeAllRelays();
         if (check.relayedBefore() || disconnected()) {
             target.path().relayed();
@@ -241,7 +250,7 @@
     }
 
     private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().direct();
         if (check.asksPeers() && check.has(PathCheck.Cause.CONNECTION_LOST)) {
             listener.lossesExplained(target, true, nowMs, out);
@@ -250,7 +259,7 @@
     }
 
     private void concludeRelayed(TargetState target, PathCheck check, HostId relay, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().relayed();
         isolatedAtMs = Long.MIN_VALUE;
         if (check.relayedBefore()) {
@@ -294,13 +303,18 @@
         out.add(new Effect.StateChanged(RoutingStateMachine.NAME, "target " + target.id() + " " + decision));
     }
 
-    /** Handles the end of this daemon's own attempt to connect to a target. */
-    void probed(TargetId id, boolean reachable, long nowMs, Effects out) {
-        Long number = probing.remove(id);
-        if (number != null) {
-            due.remove(new Due.ProbeTimeout(id, number));
+    /** Handles the end of this daemon's own attempt to connect to a target, which may have got another address since. */
+    void probed(TargetId id, String address, boolean reachable, long nowMs, Effects out) {
+        Probe pending = probing.get(id);
+        if (pending != null && pending.address().equals(address)) {
+            probing.remove(id);
+            due.remove(new Due.ProbeTimeout(id, pending));
         }
         Optional<TargetState> found = directory.find(id);
+        if (found.isPresent() && !found.get().address().equals(address)) {
+            probe(found.get(), nowMs, out);
+            return;
+        }
         replyToPeers(id, reachable, nowMs, out);
         if (found.isEmpty()) {
             checks.remove(id);
@@ -484,7 +498,9 @@
     /** Handles the silence of a target on an attempt that may be made again elsewhere. */
     void attemptSilent(AttemptId attempt, TargetState target, Optional<HostId> relay, long nowMs, Effects out) {
         silent.put(attempt, new SilentAttempt(target, relay));
-        if (relay.isPresent()) {
+        if (replaced(target)) {
+            out.add(new Effect.AbandonAttempt(attempt));
+        } else if (relay.isPresent()) {
             checkRelay(attempt, target, relay.get(), nowMs, out);
         } else if (relayed(target)) {
             out.add(new Effect.AbandonAttempt(attempt));
@@ -548,7 +564,7 @@
     /** Goes on without the result of a probe, which says nothing about the target to other daemons. */
     private void probeTimedOut(Due.ProbeTimeout timeout, long nowMs, Effects out) {
         TargetId target = timeout.target();
-        if (!Objects.equals(probing.get(target), timeout.number())) {
+        if (!timeout.probe().equals(probing.get(target))) {
             return;
         }
         out.explain(Subject.Kind.TARGET, target, nowMs, "counts as not reached", "no result of the probe");
@@ -556,7 +572,7 @@
         if (waiting != null) {
             waiting.forEach(inquiry -> reply(inquiry, RoutingMessage.Reachability.UNSURE, out));
         }
-        probed(target, false, nowMs, out);
+        probed(target, timeout.probe().address(), false, nowMs, out);
     }
 
     private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
@@ -614,14 +630,16 @@
                 .toList();
     }
 
-    /** Forgets what is known about targets that are gone. */
-    void targetsChanged() {
+    /** Forgets what is known about targets that are gone, and ends the silent attempts on those that were replaced. */
+    void targetsChanged(Effects out) {
         Set<TargetId> listed = directory.ids();
-        checks.values().removeIf(check -> directory
-                .find(check.target())
-                .filter(target -> !check.asksPeers() || target.path().state() == TargetPath.State.CHECKING)
-                .isEmpty());
+        checks.values().removeIf(check -> !directory.lists(check.target()));
         silent.values().removeIf(state -> !listed.contains(state.target().id()));
+        silent.forEach((attempt, state) -> {
+            if (replaced(state.target())) {
+                out.add(new Effect.AbandonAttempt(attempt));
+            }
+        });
     }
 
     private void count(String name) {
@@ -648,6 +666,9 @@
     /** An attempt whose target has sent nothing for some time, empty relay if this daemon is connected to it itself. */
     private record SilentAttempt(TargetState target, Optional<HostId> relay) {}
 
+    /** This daemon's own attempt to connect to a target. */
+    private record Probe(String address, long number) {}
+
     /** What is due at some time. */
     private sealed interface Due {
 
@@ -655,7 +676,7 @@
 
         record RelayTimeout(HostId relay, long number) implements Due {}
 
-        record ProbeTimeout(TargetId target, long number) implements Due {}
+        record ProbeTimeout(TargetId target, Probe probe) implements Due {}
 
         record Restore() implements Due {}
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -203,7 +203,7 @@
                     .find(unreachable.target())
                     .ifPresent(target -> paths.connectFailed(target, PathCheck.Cause.REPORT_FAILED, nowMs, out));
         } else if (event instanceof Event.TargetProbed probed) {
-            paths.probed(probed.target(), probed.reachable(), nowMs, out);
+            paths.probed(probed.target(), probed.address(), probed.reachable(), nowMs, out);
         } else if (event instanceof Event.TargetGone gone) {
             context.directory()
                     .find(gone.target())
@@ -344,7 +344,7 @@
         }
         seenMembershipVersion = membershipVersion;
         seenDirectoryVersion = directoryVersion;
-        paths.targetsChanged();
+        paths.targetsChanged(out);
         controller.assignTargets(nowMs, out);
         controller.refresh(controller.holders().stream().filter(this::lost).toList(), nowMs, out);
         online.controllersChanged(nowMs, out);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ReplacedTargetTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ReplacedTargetTests.java
@@ -1,12 +1,15 @@
 package org.cornelcrank.routing;
 
 import java.util.Collections;
+import java.util.List;
 
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.routing.VirtualFleet.Cut;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -46,6 +49,14 @@
         fleet.nodes.stream().filter(other -> other != node).forEach(peer -> peer.losesProbes = true);
     }
 
+    private List<Effect.Explain> waysLost() {
+        return node.effects.stream()
+                .filter(Effect.Explain.class::isInstance)
+                .map(Effect.Explain.class::cast)
+                .filter(explain -> explain.decision().equals("reached through other daemons"))
+                .toList();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {OLD_ADDRESS, NEW_ADDRESS})
     void streamDoesNotWaitForATargetThatHasBeenReplaced(String address) {
@@ -77,4 +88,48 @@
         fleet.run(2_000);
         assertThat(request).matches(SentRequest::completed);
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {350, 600})
+    void silenceOfAFormerIncarnationDoesNotAccuseTheWayToTheNewOne(long replacedAfterMs) {
+        start(new RequestOptions(3, true, 0));
+        SentRequest request = send();
+        fleet.run(100);
+        fleet.cutFromTarget(DAEMON, target, Cut.SILENT);
+        silencePeers();
+        fleet.run(replacedAfterMs);
+        fleet.reconnectToTarget(DAEMON, target);
+        fleet.nodes.forEach(any -> any.losesProbes = false);
+        fleet.replaceTarget(target, NEW_ADDRESS);
+        fleet.run(3_000);
+        assertThat(waysLost()).isEmpty();
+        assertThat(request).matches(SentRequest::completed);
+    }
+
+    @Test
+    void silenceThatBeginsAfterTheTargetHasBeenReplacedDoesNotAccuseTheWayToTheNewOne() {
+        start(new RequestOptions(3, true, 0));
+        SentRequest request = send();
+        fleet.run(100);
+        fleet.cutFromTarget(DAEMON, target, Cut.SILENT);
+        fleet.reconnectToTarget(DAEMON, target);
+        fleet.replaceTarget(target, NEW_ADDRESS);
+        fleet.run(3_000);
+        assertThat(waysLost()).isEmpty();
+        assertThat(request).matches(SentRequest::completed);
+    }
+
+    @Test
+    void probeOfAFormerAddressDoesNotAccuseTheWayToTheNewOne() {
+        start(new RequestOptions(3, true, 0));
+        send();
+        fleet.run(100);
+        fleet.cutFromTarget(DAEMON, target, Cut.SILENT);
+        fleet.run(350);
+        assertThat(node.probes).isPositive();
+        fleet.reconnectToTarget(DAEMON, target);
+        fleet.relist(target, NEW_ADDRESS, 0);
+        fleet.run(3_000);
+        assertThat(waysLost()).isEmpty();
+    }
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -124,6 +124,11 @@
         EngineModel engine = engines.get(target);
         crashTarget(target, 0);
         engine.up = true;
+        relist(target, address, hosts.get(target).incarnation() + 1);
+    }
+
+    /** Tells all daemons another address or incarnation of a target. */
+    void relist(TargetId target, String address, long incarnation) {
         HostEntry entry = hosts.get(target);
         hosts.put(
                 target,
@@ -134,7 +139,7 @@
                         address,
                         entry.services(),
                         entry.leaving(),
-                        entry.incarnation() + 1,
+                        incarnation,
                         entry.softwareVersion()));
         list(host -> true);
     }
@@ -408,7 +413,7 @@
         at(nowMs + (silent ? PROBE_TIMEOUT_MS : latencyMs), () -> {
             boolean listens = engine.up && hosts.get(probe.target()).address().equals(probe.address());
             boolean reachable = listens && node.cutFrom(probe.target()).isEmpty();
-            node.handle(new Event.TargetProbed(probe.target(), reachable));
+            node.handle(new Event.TargetProbed(probe.target(), probe.address(), reachable));
         });
     }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetProbeRunner.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetProbeRunner.java
@@ -40,11 +40,12 @@
         try {
             address = SocketAddresses.parse(request.address());
         } catch (IllegalArgumentException e) {
-            loop.post(new Event.TargetProbed(request.target(), false));
+            loop.post(new Event.TargetProbed(request.target(), request.address(), false));
             return true;
         }
         probe.canConnect(address)
-                .subscribe(reachable -> loop.post(new Event.TargetProbed(request.target(), reachable)));
+                .subscribe(
+                        reachable -> loop.post(new Event.TargetProbed(request.target(), request.address(), reachable)));
         return true;
     }
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/TargetProbeRunnerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/TargetProbeRunnerTests.java
@@ -52,14 +52,15 @@
     @Test
     void targetThatListensIsReachable() throws Exception {
         try (ServerSocket target = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
-            assertThat(probe("127.0.0.1:" + target.getLocalPort())).isEqualTo(new Event.TargetProbed(TARGET, true));
+            String address = "127.0.0.1:" + target.getLocalPort();
+            assertThat(probe(address)).isEqualTo(new Event.TargetProbed(TARGET, address, true));
         }
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"127.0.0.1:9", "nowhere", "127.0.0.1:80800"})
     void targetThatDoesNotListenOrHasNoValidAddressIsUnreachable(String address) throws Exception {
-        assertThat(probe(address)).isEqualTo(new Event.TargetProbed(TARGET, false));
+        assertThat(probe(address)).isEqualTo(new Event.TargetProbed(TARGET, address, false));
     }
 
     @Test
