Test that requests wait while the only relay of their target is replaced

A stream that only one target can resume, at a daemon whose only known relay has just died, and while another target is under check for that, was refused before it.

--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/OnlyTargetTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.Location;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.SoftwareVersion;
@@ -33,14 +34,14 @@
 
     private void start() {
         fleet.addEngine("only", VirtualFleet.SOUTH, 8, PROMPT_MS, TOKEN_MS);
-        startDaemons();
+        startDaemons(Collections.nCopies(4, VirtualFleet.SOUTH));
     }
 
-    private void startDaemons() {
+    private void startDaemons(List<Location> locations) {
         fleet.requestOptions = new RequestOptions(3, true, 0, Optional.empty(), Optional.empty());
         fleet.resumesAnywhere = true;
         fleet.start(
-                Collections.nCopies(4, VirtualFleet.SOUTH),
+                locations,
                 () -> new RoutingPolicy(
                         RoutingSettings.forLatencyObjectives(),
                         new PrefixAffinityTargetSelector(),
@@ -48,6 +49,12 @@
         fleet.keepEffects = true;
     }
 
+    private SentRequest sendStream(long key, boolean resumed) {
+        RequestOptions options =
+                new RequestOptions(3, true, 0, Optional.of(new StreamIdentity(key, resumed)), Optional.empty());
+        return fleet.send(DAEMON, Work.online(10, key).withDeadline(6_000), options);
+    }
+
     private SentRequest sendAndRun(long spanMs) {
         SentRequest request = fleet.send(DAEMON, Work.online(100, fleet.nowMs).withDeadline(6_000));
         fleet.run(spanMs);
@@ -80,7 +87,7 @@
     void streamIsNotCutWithTheWayToTheOnlyTargetOfItsVersion(Cut cut) {
         fleet.addEngine("r-1", VirtualFleet.SOUTH, new SoftwareVersion("1"));
         fleet.addEngine("r-2", VirtualFleet.SOUTH, new SoftwareVersion("2"));
-        startDaemons();
+        startDaemons(Collections.nCopies(4, VirtualFleet.SOUTH));
         SentRequest request = sendAndRun(500);
         TargetId first = request.dispatchedTo.get(0);
         fleet.cutFromTarget(DAEMON, first, cut);
@@ -166,6 +173,38 @@
         assertThat(request).matches(SentRequest::completedInTime);
     }
 
+    /** Guards against refusals for targets other than the one under check. */
+    @Test
+    void streamIsNotRefusedWhileTheOnlyRelayIsReplaced() {
+        fleet.addEngine("r-1", VirtualFleet.SOUTH, new SoftwareVersion("1"));
+        fleet.addEngine("r-2", VirtualFleet.SOUTH, new SoftwareVersion("2"));
+        startDaemons(List.of(VirtualFleet.SOUTH, VirtualFleet.SOUTH, VirtualFleet.NORTH));
+        long key = 1;
+        SentRequest begun = sendStream(key, false);
+        fleet.run(1_000);
+        long otherKey = key;
+        SentRequest other;
+        do {
+            other = sendStream(++otherKey, false);
+            fleet.run(1_000);
+        } while (other.dispatchedTo.equals(begun.dispatchedTo));
+        fleet.nodes.get(2).losesProbes = true;
+        fleet.cutFromTargets(DAEMON, Cut.REFUSED);
+        assertThat(sendAndRun(3_000)).matches(SentRequest::completed);
+        fleet.nodes.get(2).losesProbes = false;
+        fleet.killDaemon(1, 500);
+        long checked = fleet.count("paths-checked");
+        SentRequest first = sendStream(key, true);
+        while (first.reply == null && fleet.count("paths-checked") == checked) {
+            fleet.run(1);
+        }
+        SentRequest second = sendStream(otherKey, true);
+        assertThat(second.reply).isNull();
+        fleet.run(6_000);
+        assertThat(List.of(first, second)).allMatch(SentRequest::completedInTime);
+        assertThat(second.dispatchedTo).containsOnly(other.dispatchedTo.get(0));
+    }
+
     @Test
     void requestDoesNotWaitForItsOnlyTargetOnceThatIsFoundDown() {
         start();
