--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 
 import org.cornelcrank.config.ServicePolicy;
 import org.cornelcrank.config.TeamPolicy;
@@ -320,8 +322,10 @@
     }
 
     private boolean mayFindTarget(Route route, long nowMs) {
+        Set<TargetId> explained = new TreeSet<>(route.lossesAt);
+        explained.removeIf(context.paths()::lossUnexplained);
         return route.team(context.settings())
-                .filter(team -> choice.mayFindTarget(route.request, team, route.filter(), nowMs))
+                .filter(team -> choice.mayFindTarget(route.request, team, route.filter(explained), nowMs))
                 .isPresent();
     }
 
@@ -341,7 +345,10 @@
         }
     }
 
-    /** Clears the suspicion against requests that lost their target only because this daemon lost its way to it. */
+    /**
+     * Lets requests that lost their target only because this daemon lost its way to it use the target again, and clears
+     * the suspicion against them.
+     */
     void lossesForgotten(TargetId target, long nowMs) {
         for (Route route : routes.values()) {
             if (route.lossesAt.remove(target) && route.lossesAt.isEmpty()) {
@@ -350,6 +357,14 @@
         }
     }
 
+    /**
+     * Lets requests that lost their target through a relay use it again; they remain suspect, since the target may have
+     * been down for a moment.
+     */
+    void relayReplaced(TargetId target) {
+        routes.values().forEach(route -> route.lossesAt.remove(target));
+    }
+
     private void findPath(Route route, long nowMs, Effects out) {
         wakeups.remove(route.request.id());
         if (!route.boundToTarget()) {
@@ -358,7 +373,7 @@
             giveUp(route, RefusalCode.DEADLINE_EXCEEDED, "deadline passed before the target was reached", nowMs, out);
         } else if (context.paths().usable(route.target, nowMs)) {
             obtainPermit(route, nowMs, out);
-        } else if (context.paths().mayBecomeUsable(route.target)) {
+        } else if (context.directory().lists(route.target) && context.paths().mayBecomeUsable(route.target)) {
             awaitPath(route, nowMs, out);
         } else {
             giveUpWithoutTarget(route, nowMs, out);
@@ -803,6 +818,7 @@
 
     private void attemptFailed(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
+        boolean wayLost = route.relay.isEmpty() && context.paths().relayed(route.target);
         if (!ownDeadline) {
             TargetFailures.apply(context, route.target, route.relay, failure, suspectRun(route, failure), nowMs, out);
         }
@@ -826,7 +842,7 @@
             route.version = Optional.of(route.target.softwareVersion());
         }
         route.deliveredTokens = route.resumedFrom + failure.tokens();
-        if (isLoss(failure)) {
+        if (isLoss(failure) && !wayLost) {
             route.suspect = true;
             route.lossesAt.add(route.target.id());
         }
@@ -869,7 +885,7 @@
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
             } else {
-                if (!isPathFailure(failure)) {
+                if (!isPathFailure(failure) && !isLoss(failure)) {
                     route.excluded.add(route.target.id());
                 }
                 chooseTarget(route, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +37,9 @@
     /** How long peers have to reply, in ms: a failed attempt to connect and a round trip between regions. */
     private static final long REPLY_TIMEOUT_MS = 350;
 
+    /** How long the result of this daemon's own attempt to connect is waited for, in ms. */
+    private static final long PROBE_TIMEOUT_MS = 1_000;
+
     private static final int MAX_ROUNDS = 3;
 
     /** The number of targets under check at once that makes this daemon doubt its own network. */
@@ -72,7 +74,7 @@
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
     private final Map<HostId, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
-    private final Set<TargetId> probing = new HashSet<>();
+    private final Map<TargetId, Probe> probing = new HashMap<>();
     private PathListener listener;
     private long lastNumber;
     private long lastContactAtMs = Long.MIN_VALUE;
@@ -139,6 +141,16 @@
                         || !disconnected() && doubtful());
     }
 
+    /** Returns whether it is not known yet if lost connections to the target mean that it is down. */
+    boolean lossUnexplained(TargetId target) {
+        PathCheck check = checks.get(target);
+        return check != null && check.has(PathCheck.Cause.CONNECTION_LOST)
+                || directory
+                        .find(target)
+                        .filter(state -> state.path().lossesUnexplained())
+                        .isPresent();
+    }
+
     /** Returns the daemon that relays new attempts to the target, empty if this daemon connects to it itself. */
     Optional<HostId> relayFor(TargetState target, long nowMs) {
         return relayed(target) ? relays.select(target, nowMs) : Optional.empty();
@@ -168,7 +180,9 @@
 
     /** Checks a target to which this daemon has failed to connect. */
     void connectFailed(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
-        if (!relayed(target)) {
+        if (replaced(target)) {
+            doubted(target, cause, nowMs, out);
+        } else if (!relayed(target)) {
             PathCheck check = check(target, cause, nowMs);
             if (!check.asksPeers()) {
                 askPeers(target, check, nowMs, out);
@@ -177,30 +191,41 @@
     }
 
     /** Checks a target that may be down, by connecting to it first. */
-    void doubted(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
-        if (relayed(target)) {
+    void doubted(TargetState doubted, PathCheck.Cause cause, long nowMs, Effects out) {
+        TargetState target = directory.find(doubted.id()).orElse(doubted);
+        if (relayed(target) || target != doubted && cause == PathCheck.Cause.UNRESPONSIVE) {
             return;
         }
         boolean pending = checks.containsKey(target.id());
         check(target, cause, nowMs);
         if (!pending) {
-            probe(target, out);
+            probe(target, nowMs, out);
         }
     }
 
+    /** Returns whether another incarnation of the target is listed. */
+    private boolean replaced(TargetState target) {
+        return directory.find(target.id()).filter(listed -> listed != target).isPresent();
+    }
+
     private PathCheck check(TargetState target, PathCheck.Cause cause, long nowMs) {
         PathCheck check = checks.computeIfAbsent(target.id(), id -> {
             count("paths-checked");
-            return new PathCheck(id, ++lastNumber, cause, relayed(target), nowMs);
+            return new PathCheck(target, ++lastNumber, cause, relayed(target), nowMs);
         });
         check.add(cause);
         return check;
     }
 
-    private void probe(TargetState target, Effects out) {
-        if (probing.add(target.id())) {
-            out.add(new Effect.ProbeTarget(target.id(), target.address()));
+    private void probe(TargetState target, long nowMs, Effects out) {
+        Probe pending = probing.get(target.id());
+        if (pending != null && pending.address().equals(target.address())) {
+            return;
         }
+        Probe probe = new Probe(target.address(), ++lastNumber);
+        probing.put(target.id(), probe);
+        out.add(new Effect.ProbeTarget(target.id(), target.address()));
+        due.put(new Due.ProbeTimeout(target.id(), probe), nowMs + PROBE_TIMEOUT_MS, out);
     }
 
     private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
@@ -219,7 +244,7 @@
 
     /** Ends a check whose target nobody reaches. */
     private void conclude(TargetState target, PathCheck check, PathCheck.Unreachable result, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().includeAllRelays();
         if (check.relayedBefore() || disconnected()) {
             target.path().relayed();
@@ -236,7 +261,7 @@
     }
 
     private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().direct();
         if (check.asksPeers() && check.has(PathCheck.Cause.CONNECTION_LOST)) {
             listener.lossesExplained(target, true, nowMs, out);
@@ -245,12 +270,12 @@
     }
 
     private void concludeRelayed(TargetState target, PathCheck check, HostId relay, long nowMs, Effects out) {
-        checks.remove(check.target());
+        checks.remove(target.id());
         target.path().relayed();
         isolatedAtMs = Long.MIN_VALUE;
         if (check.relayedBefore()) {
             if (check.lostThrough().filter(lost -> !lost.equals(relay)).isPresent()) {
-                listener.relayed(target, nowMs, out);
+                listener.relayReplaced(target, nowMs, out);
             } else {
                 listener.reachable(target, check.causes(), nowMs, out);
             }
@@ -267,7 +292,7 @@
         scheduleRestore(nowMs, out);
         if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
             target.path().explainLosses();
-            probe(target, out);
+            probe(target, nowMs, out);
         }
         listener.relayed(target, nowMs, out);
     }
@@ -289,10 +314,18 @@
         out.add(new Effect.StateChanged(RoutingStateMachine.NAME, "target " + target.id() + " " + decision));
     }
 
-    /** Handles the end of this daemon's own attempt to connect to a target. */
-    void probed(TargetId id, boolean reachable, long nowMs, Effects out) {
-        probing.remove(id);
+    /** Handles the end of this daemon's own attempt to connect to a target, which may have got another address since. */
+    void probed(TargetId id, String address, boolean reachable, long nowMs, Effects out) {
+        Probe pending = probing.get(id);
+        if (pending != null && pending.address().equals(address)) {
+            probing.remove(id);
+            due.remove(new Due.ProbeTimeout(id, pending));
+        }
         Optional<TargetState> found = directory.find(id);
+        if (found.isPresent() && !found.get().address().equals(address)) {
+            probe(found.get(), nowMs, out);
+            return;
+        }
         replyToPeers(id, reachable, nowMs, out);
         if (found.isEmpty()) {
             checks.remove(id);
@@ -328,13 +361,13 @@
     }
 
     /** Checks a target on behalf of another daemon. */
-    void requested(HostId from, RoutingMessage.ReachabilityRequested request, Effects out) {
+    void requested(HostId from, RoutingMessage.ReachabilityRequested request, long nowMs, Effects out) {
         Optional<TargetState> target = directory.find(request.target());
         if (target.isEmpty()) {
             reply(from, request.number(), request.target(), RoutingMessage.Reachability.UNSURE, out);
             return;
         }
-        await(target.get(), new PeerInquiry(from, request.number(), request.target(), false), out);
+        await(target.get(), new PeerInquiry(from, request.number(), request.target(), false), nowMs, out);
     }
 
     /**
@@ -360,15 +393,15 @@
                 if (next.isEmpty()) {
                     reply(inquiry, RoutingMessage.Reachability.UNSURE, out);
                 } else {
-                    await(next.get(), control ? inquiry.withControl() : inquiry, out);
+                    await(next.get(), control ? inquiry.withControl() : inquiry, nowMs, out);
                 }
             }
         }
     }
 
-    private void await(TargetState target, PeerInquiry inquiry, Effects out) {
+    private void await(TargetState target, PeerInquiry inquiry, long nowMs, Effects out) {
         inquiries.computeIfAbsent(target.id(), id -> new ArrayList<>()).add(inquiry);
-        probe(target, out);
+        probe(target, nowMs, out);
     }
 
     /** Returns a target that this daemon has heard from lately, to find out whether it reaches any. */
@@ -474,7 +507,9 @@
     /** Handles the silence of a target on an attempt that may be made again elsewhere. */
     void attemptSilent(AttemptId attempt, TargetState target, Optional<HostId> relay, long nowMs, Effects out) {
         silent.put(attempt, new SilentAttempt(target, relay));
-        if (relay.isPresent()) {
+        if (replaced(target)) {
+            out.add(new Effect.AbandonAttempt(attempt));
+        } else if (relay.isPresent()) {
             checkRelay(attempt, target, relay.get(), nowMs, out);
         } else if (relayed(target)) {
             out.add(new Effect.AbandonAttempt(attempt));
@@ -514,6 +549,8 @@
                 checkTimedOut(timeout, nowMs, out);
             } else if (entry instanceof Due.RelayTimeout timeout) {
                 relayTimedOut(timeout, nowMs, out);
+            } else if (entry instanceof Due.ProbeTimeout timeout) {
+                probeTimedOut(timeout, nowMs, out);
             } else {
                 restore(nowMs, out);
             }
@@ -533,6 +570,20 @@
         }
     }
 
+    /** Goes on without the result of a probe, which says nothing about the target to other daemons. */
+    private void probeTimedOut(Due.ProbeTimeout timeout, long nowMs, Effects out) {
+        TargetId target = timeout.target();
+        if (!timeout.probe().equals(probing.get(target))) {
+            return;
+        }
+        out.explain(Subject.Kind.TARGET, target, nowMs, "counts as not reached", "no result of the probe");
+        List<PeerInquiry> waiting = inquiries.remove(target);
+        if (waiting != null) {
+            waiting.forEach(inquiry -> reply(inquiry, RoutingMessage.Reachability.UNSURE, out));
+        }
+        probed(target, timeout.probe().address(), false, nowMs, out);
+    }
+
     private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
         if (!relayChecks.remove(timeout.relay(), timeout.number())) {
             return;
@@ -575,7 +626,7 @@
     private void probeLost(int limit, long nowMs, Effects out) {
         lostTargets().stream().limit(limit).forEach(target -> {
             target.path().probed(nowMs);
-            probe(target, out);
+            probe(target, nowMs, out);
         });
     }
 
@@ -587,14 +638,16 @@
                 .toList();
     }
 
-    /** Forgets what is known about targets that are gone. */
-    void targetsChanged() {
+    /** Forgets what is known about targets that are gone, and ends the silent attempts on those that were replaced. */
+    void targetsChanged(Effects out) {
         Set<TargetId> listed = directory.ids();
-        checks.values().removeIf(check -> directory
-                .find(check.target())
-                .filter(target -> !check.asksPeers() || target.path().state() == TargetPath.State.CHECKING)
-                .isEmpty());
+        checks.values().removeIf(check -> !directory.lists(check.target()));
         silent.values().removeIf(state -> !listed.contains(state.target().id()));
+        silent.forEach((attempt, state) -> {
+            if (replaced(state.target())) {
+                out.add(new Effect.AbandonAttempt(attempt));
+            }
+        });
     }
 
     private void count(String name) {
@@ -621,6 +674,9 @@
     /** An attempt whose target has sent nothing for some time, empty relay if this daemon is connected to it itself. */
     private record SilentAttempt(TargetState target, Optional<HostId> relay) {}
 
+    /** This daemon's own attempt to connect to a target. */
+    private record Probe(String address, long number) {}
+
     /** What is due at some time. */
     private sealed interface Due {
 
@@ -628,6 +684,8 @@
 
         record RelayTimeout(HostId relay, long number) implements Due {}
 
+        record ProbeTimeout(TargetId target, Probe probe) implements Due {}
+
         record Restore() implements Due {}
     }
 
@@ -640,6 +698,9 @@
         /** The way to the target has changed: another daemon relays now, or no longer. */
         void relayed(TargetState target, long nowMs, Effects out);
 
+        /** A relay has lost its connections to the target, and another one reaches it. */
+        void relayReplaced(TargetState target, long nowMs, Effects out);
+
         /**
          * The cause of lost connections to a target is known: the target was down for a moment, or this daemon has lost
          * its way to it.
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -203,7 +203,7 @@
                     .find(unreachable.target())
                     .ifPresent(target -> paths.connectFailed(target, PathCheck.Cause.REPORT_FAILED, nowMs, out));
         } else if (event instanceof Event.TargetProbed probed) {
-            paths.probed(probed.target(), probed.reachable(), nowMs, out);
+            paths.probed(probed.target(), probed.address(), probed.reachable(), nowMs, out);
         } else if (event instanceof Event.TargetGone gone) {
             context.directory()
                     .find(gone.target())
@@ -284,7 +284,7 @@
         } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
             online.streamVersionReplied(from, reply, nowMs, out);
         } else if (message instanceof RoutingMessage.ReachabilityRequested request) {
-            paths.requested(from, request, out);
+            paths.requested(from, request, nowMs, out);
         } else if (message instanceof RoutingMessage.ReachabilityReply reply) {
             paths.replied(from, reply, nowMs, out);
         }
@@ -344,13 +344,14 @@
         }
         seenMembershipVersion = membershipVersion;
         seenDirectoryVersion = directoryVersion;
-        paths.targetsChanged();
+        paths.targetsChanged(out);
         controller.assignTargets(nowMs, out);
         controller.refresh(controller.holders().stream().filter(this::lost).toList(), nowMs, out);
         online.controllersChanged(nowMs, out);
         batch.controllersChanged();
         permitAdvertiser.advertiseToNewControllers(nowMs, out);
         batch.refresh(true, nowMs, out);
+        online.pathsChanged(nowMs, out);
     }
 
     private boolean lost(HostId holder) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -119,6 +119,31 @@
                         version));
     }
 
+    /** Starts an engine again under the same name and tells all daemons its new incarnation and address. */
+    void replaceTarget(TargetId target, String address) {
+        EngineModel engine = engines.get(target);
+        crashTarget(target, 0);
+        engine.up = true;
+        relist(target, address, hosts.get(target).incarnation() + 1);
+    }
+
+    /** Tells all daemons another address or incarnation of a target. */
+    void relist(TargetId target, String address, long incarnation) {
+        HostEntry entry = hosts.get(target);
+        hosts.put(
+                target,
+                new HostEntry(
+                        entry.name(),
+                        entry.role(),
+                        entry.location(),
+                        address,
+                        entry.services(),
+                        entry.leaving(),
+                        incarnation,
+                        entry.softwareVersion()));
+        list(host -> true);
+    }
+
     /** Tells all daemons the current list of hosts, of which some may have left. */
     void list(Predicate<HostEntry> present) {
         listAt(node -> true, present);
@@ -297,6 +322,11 @@
         endConnections(node, cut, target::equals);
     }
 
+    /** Lets the open connections of a daemon to one target live on while new ones are refused. */
+    void refuseNewConnections(int daemon, TargetId target) {
+        nodes.get(daemon).pairCuts.put(target, Cut.REFUSED);
+    }
+
     private void endConnections(Node node, Cut cut, Predicate<TargetId> affected) {
         for (EngineModel.Job job : List.copyOf(node.jobs.values())) {
             if (job.relayedBy.isPresent() || !affected.test(node.targetByAttempt.get(job.attempt))) {
@@ -381,8 +411,9 @@
                 * latencyMs(node.identity.location(), hosts.get(probe.target()).location());
         boolean silent = node.cutFrom(probe.target()).equals(Optional.of(Cut.SILENT));
         at(nowMs + (silent ? PROBE_TIMEOUT_MS : latencyMs), () -> {
-            boolean reachable = engine.up && node.cutFrom(probe.target()).isEmpty();
-            node.handle(new Event.TargetProbed(probe.target(), reachable));
+            boolean listens = engine.up && hosts.get(probe.target()).address().equals(probe.address());
+            boolean reachable = listens && node.cutFrom(probe.target()).isEmpty();
+            node.handle(new Event.TargetProbed(probe.target(), probe.address(), reachable));
         });
     }
 
@@ -403,7 +434,7 @@
             failToConnect(node, dispatch, node.cutFrom(dispatch.target()).get());
             return;
         }
-        if (!engine.up) {
+        if (!engine.up || !hosts.get(dispatch.target()).address().equals(dispatch.address())) {
             afterLatency(
                     node,
                     dispatch.target(),
@@ -639,6 +670,9 @@
         long queuedAtEngine;
         long probes;
 
+        /** Whether the results of probes never arrive. */
+        boolean losesProbes;
+
         Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
             this.index = index;
             this.identity = identity;
@@ -721,7 +755,9 @@
                 cancel(cancel.attempt());
             } else if (effect instanceof Effect.ProbeTarget probe) {
                 probes++;
-                probe(this, probe);
+                if (!losesProbes) {
+                    probe(this, probe);
+                }
             } else if (effect instanceof Effect.AbandonAttempt abandoned) {
                 abandon(this, abandoned.attempt());
             } else if (effect instanceof Effect.Reply reply) {
