Take the ports of test daemons from outside the range of outgoing connections

Seen: UnreachableTargetsEndToEndTests failed to start a daemon with "address already in use" in 2 of 12 runs beside load averages of up to 57, three test processes at a time.

Cause: the fixtures asked the system for a free port, released it and started the daemon there later. The system takes such ports from the range of outgoing connections, so that one of those could have it first.

Change: the fixtures take ports from 10000 to 31999, which Linux does not use by itself, each once in a process. No assertion is changed.

Evidence: PeerTransportTests, RelayedAttemptsEndToEndTests, RouteSelectionEndToEndTests and DaemonEndToEndTests pass with the change. The race itself is not reproduced by a test.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayChildProcess.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayChildProcess.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -34,7 +33,7 @@
     private static final long END_LIMIT_S = 10;
 
     private final HttpClient http = HttpClient.newHttpClient();
-    private final List<Integer> ports = freePorts();
+    private final int[] ports = FreePorts.next(PORTS);
     private final Path output;
     private final Process process;
 
@@ -55,22 +54,8 @@
                 .start();
     }
 
-    private static List<Integer> freePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < PORTS; i++) {
-                sockets.add(new ServerSocket(0));
-            }
-            return sockets.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        }
-    }
-
     private String address(int listener) {
-        return "127.0.0.1:" + ports.get(listener);
+        return "127.0.0.1:" + ports[listener];
     }
 
     /** Returns the URI of a path at the listener for callers. */
@@ -79,7 +64,7 @@
     }
 
     int frontPort() {
-        return ports.get(0);
+        return ports[0];
     }
 
     boolean ready() {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.server;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -130,7 +129,7 @@
     /** Returns settings with free ports of the loopback interface. */
     static GatewaySettings settings(String host, String storeAddress, long drainDelayMs, long drainTimeoutMs)
             throws IOException {
-        int[] ports = freePorts();
+        int[] ports = FreePorts.next(PORTS);
         String[] flags = {
             "--deployment",
             "test",
@@ -164,22 +163,6 @@
         return ((SettingsResult.Valid<GatewaySettings>) GatewaySettingsParser.parse(flags, Map.of())).settings();
     }
 
-    private static int[] freePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        int[] ports = new int[PORTS];
-        try {
-            for (int i = 0; i < PORTS; i++) {
-                sockets.add(new ServerSocket(0));
-                ports[i] = sockets.get(i).getLocalPort();
-            }
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        }
-        return ports;
-    }
-
     /** Returns the runner that ran the request. */
     RunnerStandIn runnerOf(String requestId) {
         return runners.values().stream()
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/LoopbackFleet.java
@@ -107,7 +107,7 @@
 
     void startDaemon(String host) throws IOException {
         String seeds = daemons.isEmpty() ? "" : "entry-1=" + seedAddress;
-        InetSocketAddress peer = SocketAddresses.withFreePort(new InetSocketAddress("127.0.0.1", 0));
+        InetSocketAddress peer = new InetSocketAddress("127.0.0.1", FreePorts.next());
         if (daemons.isEmpty()) {
             seedAddress = SocketAddresses.format(peer);
         }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttempts.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttempts.java
@@ -45,6 +45,7 @@
 import org.cornelcrank.platform.PlatformDialect;
 import org.cornelcrank.routing.OnlineRequest;
 import org.cornelcrank.routing.RequestOptions;
+import org.cornelcrank.server.FreePorts;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.peer.PeerCodecs;
@@ -136,7 +137,7 @@
                 clock,
                 new MetricRegistry(),
                 new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
-        InetSocketAddress address = SocketAddresses.withFreePort(new InetSocketAddress("127.0.0.1", 0));
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePorts.next());
         peers.put(host, SocketAddresses.format(transport.bind(address, relays)));
         transports.add(transport);
         return transport;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
@@ -25,6 +25,7 @@
 import org.cornelcrank.daemon.DaemonCore;
 import org.cornelcrank.daemon.DecisionJournal;
 import org.cornelcrank.platform.fake.SilencingProxy;
+import org.cornelcrank.server.FreePorts;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -133,8 +134,7 @@
 
     private static int freePort() {
         try {
-            return SocketAddresses.withFreePort(new InetSocketAddress("127.0.0.1", 0))
-                    .getPort();
+            return FreePorts.next();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
