Limit the checks of targets for which peers are asked at once

What callers saw: nothing. A daemon that loses many targets at once asked four peers for each of them, and probed three lost targets again with each reply. Measured in virtual time with 1,600 targets, 800 requests running at one of 10 daemons, and a cut: 438 checks and 1,396 probes of that daemon within a second, and up to 47,508 bytes of questions and replies about targets, of a budget of 4,000 bytes for all control messages. With 390 daemons: 32 requests, 32 checks and 134 probes; 400 requests, 289 checks and 1,009 probes.

Cause: checks began without regard to others.

Change: peers are asked for at most 16 targets at once. A further check waits until an earlier one ends. If that shows that the daemon reaches no target, or that nobody does, the checks that wait end with it, as all attempts are relayed or refused then. Lost targets are probed at once only as the daemon becomes disconnected. Like losses after that, those of checks that end with it accuse nobody.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
@@ -74,11 +74,16 @@
         return EnumSet.copyOf(causes);
     }
 
-    /** Returns whether other daemons are asked, as this daemon cannot reach the target. */
+    /** Returns whether other daemons are asked, now or after other checks, as this daemon cannot reach the target. */
     boolean asksPeers() {
         return asksPeers;
     }
 
+    /** Returns whether other daemons have not been asked yet, as they are asked for other targets first. */
+    boolean waitsForOthers() {
+        return asksPeers && rounds == 0;
+    }
+
     Set<HostId> asked() {
         return asked;
     }
@@ -87,8 +92,12 @@
         return rounds;
     }
 
-    void beginRound(Set<HostId> peers) {
+    /** Records that other daemons are to be asked. */
+    void needsPeers() {
         asksPeers = true;
+    }
+
+    void beginRound(Set<HostId> peers) {
         rounds++;
         asked.addAll(peers);
         awaited.clear();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -42,6 +42,9 @@
 
     private static final int MAX_ROUNDS = 3;
 
+    /** For how many targets other daemons are asked at once. */
+    private static final int MAX_ASKING = 16;
+
     /** The number of targets under check at once that makes this daemon doubt its own network. */
     private static final int DOUBTFUL_CHECKS = 2;
 
@@ -219,6 +222,10 @@
 
     private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
         target.path().checking();
+        check.needsPeers();
+        if (check.waitsForOthers() && asking() >= MAX_ASKING) {
+            return;
+        }
         Set<HostId> selected =
                 check.rounds() < MAX_ROUNDS ? relays.selectPeers(check.asked(), nowMs) : Set.<HostId>of();
         if (selected.isEmpty()) {
@@ -231,6 +238,43 @@
         due.put(new Due.CheckTimeout(target.id(), check.number()), nowMs + REPLY_TIMEOUT_MS, out);
     }
 
+    private long asking() {
+        return checks.values().stream().filter(check -> check.rounds() > 0).count();
+    }
+
+    /** Goes on with the checks that wait for others, whose results may decide them as well. */
+    private void continueWaiting(long nowMs, Effects out) {
+        List<PathCheck> waiting = checks.values().stream()
+                .filter(PathCheck::waitsForOthers)
+                .sorted(Comparator.comparingLong(PathCheck::number))
+                .toList();
+        long free = MAX_ASKING - asking();
+        for (PathCheck check : waiting) {
+            if (disconnected() && !check.relayedBefore()) {
+                concludeDisconnected(check, nowMs, out);
+            } else if (isolated()) {
+                PathCheck.Unreachable result =
+                        anyoneReplied ? PathCheck.Unreachable.BY_ALL : PathCheck.Unreachable.NO_REPLY;
+                conclude(check.target(), check, result, nowMs, out);
+            } else if (free-- > 0) {
+                askPeers(check.target(), check, nowMs, out);
+            }
+        }
+    }
+
+    /** Ends a check that nobody has been asked about, as this daemon reaches no target itself. */
+    private void concludeDisconnected(PathCheck check, long nowMs, Effects out) {
+        TargetState target = check.target();
+        checks.remove(target.id());
+        target.path().direct();
+        count("paths-lost");
+        explain(target, nowMs, "relayed", check, "no target is reached", out);
+        if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
+            listener.lossesExplained(target, false, nowMs, out);
+        }
+        listener.relayed(target, nowMs, out);
+    }
+
     /** Ends a check whose target nobody reaches. */
     private void conclude(TargetState target, PathCheck check, PathCheck.Unreachable result, long nowMs, Effects out) {
         checks.remove(target.id());
@@ -271,8 +315,11 @@
             return;
         }
         if (lastContactAtMs < check.startedAtMs()) {
+            boolean newlyLost = !disconnected();
             lostAtMs = nowMs;
-            probeLost(RESTORE_PROBES, nowMs, out);
+            if (newlyLost) {
+                probeLost(RESTORE_PROBES, nowMs, out);
+            }
         }
         count("paths-lost");
         String reason = relay + " reaches it" + (disconnected() ? "; no other target is reached either" : "");
@@ -339,6 +386,7 @@
         } else if (check == null && reachable && target.path().state() == TargetPath.State.RELAYED) {
             restored(target, nowMs, out);
         }
+        continueWaiting(nowMs, out);
     }
 
     private void restored(TargetState target, long nowMs, Effects out) {
@@ -427,12 +475,14 @@
         if (reachable) {
             target.get().path().includeRelay(from);
             concludeRelayed(target.get(), check, from, nowMs, out);
+            continueWaiting(nowMs, out);
             return;
         }
         target.get().path().excludeRelay(from);
         boolean down = reply.reachability() == RoutingMessage.Reachability.UNREACHABLE;
         if (check.notReached(from, down)) {
             roundEnded(target.get(), check, nowMs, out);
+            continueWaiting(nowMs, out);
         }
     }
 
@@ -546,6 +596,7 @@
                 restore(nowMs, out);
             }
         }
+        continueWaiting(nowMs, out);
     }
 
     private void checkTimedOut(Due.CheckTimeout timeout, long nowMs, Effects out) {
@@ -631,7 +682,7 @@
     }
 
     /** Forgets what is known about targets that are gone, and ends the silent attempts on those that were replaced. */
-    void targetsChanged(Effects out) {
+    void targetsChanged(long nowMs, Effects out) {
         Set<TargetId> listed = directory.ids();
         checks.values().removeIf(check -> !directory.lists(check.target()));
         silent.values().removeIf(state -> !listed.contains(state.target().id()));
@@ -640,6 +691,7 @@
                 out.add(new Effect.AbandonAttempt(attempt));
             }
         });
+        continueWaiting(nowMs, out);
     }
 
     private void count(String name) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -344,7 +344,7 @@
         }
         seenMembershipVersion = membershipVersion;
         seenDirectoryVersion = directoryVersion;
-        paths.targetsChanged(out);
+        paths.targetsChanged(nowMs, out);
         controller.assignTargets(nowMs, out);
         controller.refresh(controller.holders().stream().filter(this::lost).toList(), nowMs, out);
         online.controllersChanged(nowMs, out);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -668,6 +668,7 @@
         private final Map<TargetId, Cut> pairCuts = new TreeMap<>();
         long queuedAtEngine;
         long probes;
+        long checkBytes;
 
         /** Whether the results of probes never arrive. */
         boolean losesProbes;
@@ -797,6 +798,10 @@
             ByteString bytes = codec.encode(send.message());
             peerBytes += bytes.size();
             peerMessages++;
+            if (send.message() instanceof RoutingMessage.ReachabilityRequested
+                    || send.message() instanceof RoutingMessage.ReachabilityReply) {
+                checkBytes += bytes.size();
+            }
             if (!identity.host().equals(send.to())
                     && (cutOff.contains(identity.host()) || cutOff.contains(send.to()))) {
                 return;
