Resume streams at limited targets whose controllers reply late

What callers see: a resumable stream is cut off with "no target can meet the deadline" if its target ends and the other targets state a limit of requests per second, as soon as the controller of each of these does not reply within 15 ms.

Cause: an attempt at a target with a limit needs a permit, as one of a suspect does. If its controller did not reply in time, the target was excluded for good, although nothing had failed there.

Change: for a stream of which its caller has a part, the controller is asked again, as for suspects. Requests of which their callers have nothing yet are refused as before, and the limit holds as before, since nothing is dispatched without a permit.

Not seen in an end-to-end test, whose targets state no limit.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -619,7 +619,7 @@
 
     private void dispatchWithoutPermit(Route route, String reason, long nowMs, Effects out) {
         boolean limited = route.target.maxRequestsPerSecond().isPresent();
-        if (route.request.urgency() == Urgency.BATCH || limited) {
+        if (route.request.urgency() == Urgency.BATCH || limited && !route.bytesReachedCaller) {
             withdraw(route, out);
             route.excluded.add(route.target.id());
             if (limited) {
@@ -628,7 +628,7 @@
             chooseTarget(route, nowMs, out);
             return;
         }
-        if (route.suspect) {
+        if (route.suspect || limited) {
             askElsewhere(route, reason, nowMs, out);
             return;
         }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RateLimitTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RateLimitTests.java
@@ -40,6 +40,7 @@
     private static final long WINDOW_MS = 4_000;
     private static final double TOLERANCE = 1.5;
     private static final int TOLERATED_REQUESTS = 5;
+    private static final long SHORT_PAUSE_MS = 60;
 
     private final List<SentRequest> requests = new ArrayList<>();
     private SplittableRandom random;
@@ -65,6 +66,19 @@
                         RoutingPolicy.defaults().admission()));
     }
 
+    private void startInOneDataCentre() {
+        fleet = new VirtualFleet(1);
+        fleet.requestOptions = new RequestOptions(2, true, OBJECTIVE_MS);
+        fleet.addEngine("r1", VirtualFleet.NORTH, 8, 20, 20);
+        fleet.addEngine("r2", VirtualFleet.NORTH, 8, 20, 20);
+        fleet.start(
+                List.of(VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH, VirtualFleet.NORTH),
+                () -> new RoutingPolicy(
+                        RoutingSettings.forLatencyObjectives(),
+                        RoutingPolicy.defaults().selector(),
+                        RoutingPolicy.defaults().admission()));
+    }
+
     /** Sends {@code perSecond} requests a second on average, 1.9 times as many in 2.4 of every 6 s. */
     private void play(long spanMs, double perSecond) {
         long endMs = fleet.nowMs + spanMs;
@@ -212,6 +226,34 @@
                 .isEmpty();
     }
 
+    /** Guards against streams that are cut after their target's end as the controllers of limited targets reply late. */
+    @Test
+    void streamIsResumedAtALimitedTargetWhoseControllerPausesBriefly() {
+        startInOneDataCentre();
+        fleet.resumesAnywhere = true;
+        fleet.reportsTokensOfCrashes = true;
+        fleet.engines.values().forEach(engine -> engine.maxRequestsPerSecond = OptionalDouble.of(20));
+        for (int i = 0; i < 20; i++) {
+            fleet.send(i % 4, Work.online(TOKENS, ++lastFingerprint).withDeadline(DEADLINE_MS));
+            fleet.run(SPREAD_MS / 20);
+        }
+        int daemon = fleet.nodes.stream()
+                .filter(node -> node.watched.isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .index;
+        SentRequest stream =
+                fleet.send(daemon, Work.online(4 * TOKENS, ++lastFingerprint).withDeadline(DEADLINE_MS));
+        fleet.run(OBJECTIVE_MS);
+        fleet.cutOff(daemon);
+        fleet.crashTarget(stream.dispatchedTo.get(0), DEADLINE_MS);
+        fleet.run(SHORT_PAUSE_MS);
+        fleet.reconnect(daemon);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSize(2).doesNotHaveDuplicates();
+    }
+
     /** A limit of zero is tested from time to time, as only a response can end it. */
     @Test
     void targetWithALimitOfZeroIsUsedAgainAfterItsLimitHasEnded() {
