Tell targets the time that is left once their connection is open

Callers whose requests waited for a connection had targets work on them past their deadline: the target was told the whole time limit of the attempt.

Cause: Deadline-Ms was computed when the attempt was dispatched. Opening a connection takes up to 500 ms, and a request waits for longer if all 64 connections to the target are in use.

Change: the header is set in doOnRequest, which runs once the connection is open and before the first byte is written, also when another connection is tried. GatewayDialect.targetHeaders no longer takes the remaining time; setRemainingTime sets it.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/http/GatewayDialect.java
@@ -24,12 +24,14 @@
     RequestHead prepare(DispatchSource.Prepared prepared);
 
     /**
-     * Returns the headers of a request to a target.
+     * Returns the headers of a request to a target, without the time that it has left.
      *
-     * @param remainingMs the time that the target has left to respond, in ms
      * @param lastEventId the event after which an interrupted stream resumes, empty for a request from the start
      */
-    HttpHeaders targetHeaders(RequestHead head, TargetId target, long remainingMs, OptionalLong lastEventId);
+    HttpHeaders targetHeaders(RequestHead head, TargetId target, OptionalLong lastEventId);
+
+    /** Sets in the headers of a request to a target the time that the target has left to respond, in ms. */
+    void setRemainingTime(HttpHeaders headers, long remainingMs);
 
     /** Reads the head of a target's response to the request with the id. */
     TargetResponseHead readResponse(int status, HttpHeaders headers, String requestId);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -170,11 +170,13 @@
 
     private void send(RunningAttempt attempt, Effect.Dispatch dispatch) {
         RequestHead head = attempt.receiver.head();
-        HttpHeaders headers = dialect.targetHeaders(
-                head, dispatch.target(), dispatch.timeoutMs(), attempt.receiver.resumeAfterEvent());
+        HttpHeaders headers = dialect.targetHeaders(head, dispatch.target(), attempt.receiver.resumeAfterEvent());
         attempt.transfer = attempt.http()
                 .headers(all -> all.set(headers))
-                .doOnRequest((request, connection) -> begin(attempt, connection))
+                .doOnRequest((request, connection) -> {
+                    begin(attempt, connection);
+                    dialect.setRemainingTime(request.requestHeaders(), attempt.remainingMs(dispatch.timeoutMs()));
+                })
                 .request(HttpMethod.valueOf(head.method()))
                 .uri(head.uri())
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(attempt.receiver.body())))
@@ -432,6 +434,11 @@
             return connection != null;
         }
 
+        /** Returns how much of the time limit is left, which includes the time until a connection is open. */
+        long remainingMs(long timeoutMs) {
+            return Math.max(1, sentAtMs + timeoutMs - clock.nowMs());
+        }
+
         void recordActivity() {
             lastActivityAtMs = clock.nowMs();
         }
