Test requests that may not be repeated while their relay is lost

Nothing tested what a caller gets if the daemon that relays its request stops, is killed or falls silent.

DaemonProgram can end or freeze its process without starting it again.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -124,13 +124,18 @@
                 .start();
     }
 
-    /** Ends the process, waits for its end and starts it again. */
-    synchronized void restart(End end, long pauseMs) throws IOException, InterruptedException {
+    /** Ends the process without waiting for its end. */
+    synchronized void end(End end) {
         if (end == End.KILL) {
             process.destroyForcibly();
         } else {
             process.destroy();
         }
+    }
+
+    /** Ends the process, waits for its end and starts it again. */
+    synchronized void restart(End end, long pauseMs) throws IOException, InterruptedException {
+        end(end);
         if (!process.waitFor(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
             throw new IllegalStateException(host + " must end when it is told to");
         }
@@ -145,6 +150,11 @@
         signal("CONT");
     }
 
+    /** Stops the process for good, as if its machine stood still. */
+    synchronized void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
     private void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                 .start()
