Close a target's connection when the caller leaves while the target does not read

If a caller left while its request was still being sent through a relay, the target's connection stayed open until the target read on, or until the relay's idle limit of 60 s.

Cause: a relay does not read a peer whose target does not read, so that it never saw the end of the peer's connection.

Change: a peer that is not read is sent an empty frame every 100 ms. The kernel of a peer that has closed its connection replies with a reset, so that the next write fails and closes both connections.

Evidence: RelayedAttemptsEndToEndTests .cancelClosesTheTargetsConnectionWhileTheTargetDoesNotReadTheRequest failed before the change, as the relay still held the connection 30 s after the cancel, and passes now. The same in the other direction, with a caller that does not read, passed before (...WhileTheCallerDoesNotRead).

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -13,6 +14,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.cornelcrank.server.wire.Frame;
+import org.cornelcrank.server.wire.RelayData;
 import org.cornelcrank.server.wire.RelayOpened;
 import org.cornelcrank.server.wire.RelayRefused;
 
@@ -20,14 +22,19 @@
  * The peer's side of a connection that this daemon relays: connects to the target and forwards what the peer sends.
  *
  * <p>Invariants: the target's connection is closed at once when the peer's is; the peer is read no faster than the target
- * reads. A peer that closes its connection while a target does not read is noticed when the target reads on, or once
- * nothing was carried for {@link #IDLE_LIMIT_S}. Not thread-safe: confined to the connection's event loop.
+ * reads. A peer that is not read is sent empty frames, as writing to a connection that it has closed fails. Not
+ * thread-safe: confined to the connection's event loop.
  */
 final class RelayHandler extends SimpleChannelInboundHandler<Frame> {
 
     /** How long a connection may carry nothing, in s: longer than any attempt waits, unless its daemon is lost. */
     static final int IDLE_LIMIT_S = 60;
 
+    /** How often a peer that is not read is sent an empty frame, in ms; the second one after its close fails. */
+    static final long CLOSE_CHECK_INTERVAL_MS = 100;
+
+    private static final Frame EMPTY =
+            Frame.newBuilder().setRelayData(RelayData.getDefaultInstance()).build();
     private static final Frame OPENED =
             Frame.newBuilder().setRelayOpened(RelayOpened.getDefaultInstance()).build();
 
@@ -36,6 +43,7 @@
     private final RelayedConnection connection;
     private Channel target;
     private boolean opened;
+    private boolean checksClose;
 
     RelayHandler(RelayedConnections relays, RelayConnector connector, RelayedConnection connection) {
         this.relays = Objects.requireNonNull(relays, "relays must not be null");
@@ -96,7 +104,34 @@
         target.writeAndFlush(bytes);
         if (target.isActive() && !target.isWritable()) {
             context.channel().config().setAutoRead(false);
+            if (!checksClose) {
+                checksClose = true;
+                scheduleCloseCheck(context);
+            }
+        }
+    }
+
+    private void scheduleCloseCheck(ChannelHandlerContext context) {
+        context.channel()
+                .eventLoop()
+                .schedule(() -> checkClose(context), CLOSE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkClose(ChannelHandlerContext context) {
+        checksClose =
+                context.channel().isActive() && !context.channel().config().isAutoRead();
+        if (!checksClose) {
+            return;
+        }
+        if (connection.idleMs() >= TimeUnit.SECONDS.toMillis(IDLE_LIMIT_S)) {
+            end(context, "idle");
+            return;
+        }
+        // Bytes that wait to be written show a close as well.
+        if (context.channel().isWritable()) {
+            context.writeAndFlush(EMPTY);
         }
+        scheduleCloseCheck(context);
     }
 
     @Override
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
@@ -50,6 +50,11 @@
         return lastByteAtMs;
     }
 
+    /** Returns for how long nothing was carried, in ms. */
+    long idleMs() {
+        return relays.nowMs() - lastByteAtMs;
+    }
+
     long carriedBytes() {
         return carriedBytes;
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnections.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnections.java
@@ -107,6 +107,10 @@
     /** Records bytes and returns the current time in ms. */
     long carried(int bytes) {
         carriedBytes.inc(bytes);
+        return nowMs();
+    }
+
+    long nowMs() {
         return clock.getAsLong();
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttemptsEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttemptsEndToEndTests.java
@@ -12,10 +12,12 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
+import com.codahale.metrics.Counter;
 import org.cornelcrank.core.AttemptId;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.Effect;
@@ -57,6 +59,10 @@
 
     private static final long HOLD_MS = 300;
     private static final int STREAM_EVENTS = 300;
+
+    /** More bytes than the sockets' buffers on the way to the target take. */
+    private static final int MORE_THAN_BUFFERS = 24 * 1024 * 1024;
+
     private static final String EVENTS = "id: 1\ndata: first\n\nid: 2\ndata: last\n\n";
 
     private final RelayedAttempts attempts = new RelayedAttempts(RELAY_TIMEOUT_MS);
@@ -353,6 +359,63 @@
         await(() -> runner.closedByPeer() == 1);
     }
 
+    /** Guards against a target that goes on with a request whose caller has left, as its relay does not read. */
+    @Test
+    void cancelClosesTheTargetsConnectionWhileTheTargetDoesNotReadTheRequest() throws Exception {
+        attempts.startRelay();
+        runner.setEarlyScript((request, response) -> released.await());
+        AttemptId attempt = attempts.dispatch(attempts.call("a", body(MORE_THAN_BUFFERS)), TARGET, OUT_OF_REACH, RELAY);
+        awaitStall();
+        attempts.run(new Effect.CancelAttempt(attempt));
+        assertThat(attempts.failure(attempt).kind()).isEqualTo(FailureKind.CANCELLED);
+        await(() -> relayedConnections() == 0);
+    }
+
+    @Test
+    void cancelClosesTheTargetsConnectionWhileTheCallerDoesNotRead() throws Exception {
+        attempts.startRelay();
+        writeEventsWithoutEnd("a");
+        AttemptId attempt = attempts.dispatch(attempts.call("a", "x"), TARGET, OUT_OF_REACH, RELAY);
+        attempts.next(Event.AttemptStarted.class);
+        awaitStall();
+        attempts.run(new Effect.CancelAttempt(attempt));
+        assertThat(attempts.failure(attempt).kind()).isEqualTo(FailureKind.CANCELLED);
+        await(() -> runner.closedByPeer() == 1 && relayedConnections() == 0);
+    }
+
+    /** Answers the request with the id with events until the connection is closed, others with their bodies. */
+    private void writeEventsWithoutEnd(String id) {
+        runner.setScript((request, response) -> {
+            if (!request.id().equals(id)) {
+                response.whole(request, new String(request.body()));
+                return;
+            }
+            response.head(request, "Content-Type: text/event-stream\r\nConnection: close\r\n");
+            for (int i = 1; released.getCount() > 0; i++) {
+                response.write("id: " + i + "\ndata: " + "x".repeat(8_000) + "\n\n");
+            }
+        });
+    }
+
+    /** Waits until the relay carries no byte for a while. */
+    private void awaitStall() {
+        Counter carried = attempts.relayMetrics.counter("relay.bytes");
+        AtomicLong last = new AtomicLong();
+        AtomicLong sinceMs = new AtomicLong(attempts.clock.nowMs());
+        await(() -> {
+            long nowMs = attempts.clock.nowMs();
+            if (last.getAndSet(carried.getCount()) != carried.getCount()) {
+                sinceMs.set(nowMs);
+            }
+            return last.get() > 0 && nowMs - sinceMs.get() >= HOLD_MS;
+        });
+    }
+
+    private int relayedConnections() {
+        return (Integer)
+                attempts.relayMetrics.getGauges().get("relay.connections").getValue();
+    }
+
     /** Writes events until the connection is closed. */
     private void keepConnectionOpen() {
         runner.setScript((request, response) -> {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
@@ -196,6 +196,30 @@
         assertThat(peer.config().isAutoRead()).isTrue();
     }
 
+    /** Guards against a close of a peer that goes unnoticed as the peer is not read. */
+    @Test
+    void peerIsSentEmptyFramesOnlyWhileItIsNotRead() {
+        open();
+        advance(2 * RelayHandler.CLOSE_CHECK_INTERVAL_MS);
+        assertThat(sentToPeer()).isEmpty();
+        targetLink.hold();
+        while (peer.config().isAutoRead()) {
+            peer.writeInbound(data("x".repeat(8 * 1024)));
+        }
+        advance(RelayHandler.CLOSE_CHECK_INTERVAL_MS);
+        assertThat(sentToPeer()).containsExactly(data(""));
+        advance(RelayHandler.CLOSE_CHECK_INTERVAL_MS);
+        assertThat(sentToPeer()).containsExactly(data(""));
+        targetLink.release();
+        advance(2 * RelayHandler.CLOSE_CHECK_INTERVAL_MS);
+        assertThat(sentToPeer()).isEmpty();
+    }
+
+    private void advance(long timeMs) {
+        peer.advanceTimeBy(timeMs, TimeUnit.MILLISECONDS);
+        peer.runScheduledPendingTasks();
+    }
+
     @Test
     void connectionOfAPeerThatIsLostIsClosedEventually() {
         open();
@@ -205,6 +229,24 @@
         assertThat(target.isActive()).isFalse();
     }
 
+    /** Guards against empty frames that count as bytes, so that a lost peer never counts as idle. */
+    @Test
+    void connectionOfAPeerThatIsLostWhileTheTargetDoesNotReadIsClosedEventually() {
+        open();
+        targetLink.hold();
+        while (peer.config().isAutoRead()) {
+            peer.writeInbound(data("x".repeat(8 * 1024)));
+        }
+        long limitMs = TimeUnit.SECONDS.toMillis(RelayHandler.IDLE_LIMIT_S);
+        while (nowMs < limitMs) {
+            assertThat(peer.isActive()).isTrue();
+            nowMs += RelayHandler.CLOSE_CHECK_INTERVAL_MS;
+            advance(RelayHandler.CLOSE_CHECK_INTERVAL_MS);
+        }
+        assertThat(peer.isActive()).isFalse();
+        assertThat(target.isActive()).isFalse();
+    }
+
     @Test
     void frameOfAnotherKindClosesBothConnections() {
         open();
