Test that a slow caller does not hold up other relayed connections

A stream whose caller does not read fills all buffers up to its target; thirty requests through the same relay to the same target are served meanwhile. That what the relay buffers is limited and that the stream goes on whole are tested by RelayHandlerTests.targetIsNotReadWhileThePeerDoesNotRead and RelayedAttemptsEndToEndTests.slowCallerReceivesTheWholeStreamAndItsTargetIsNotSilent. No product code is changed for it.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttemptsEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/RelayedAttemptsEndToEndTests.java
@@ -58,6 +58,7 @@
     private static final long RELAY_TIMEOUT_MS = 10_000;
 
     private static final long HOLD_MS = 300;
+    private static final int OTHER_REQUESTS = 30;
     private static final int STREAM_EVENTS = 300;
 
     /** More bytes than the sockets' buffers on the way to the target take. */
@@ -383,6 +384,21 @@
         await(() -> runner.closedByPeer() == 1 && relayedConnections() == 0);
     }
 
+    /** Guards against one slow caller for whom the relay holds up the others. */
+    @Test
+    void otherRelayedConnectionsGoOnWhileACallerDoesNotRead() throws Exception {
+        attempts.startRelay();
+        writeEventsWithoutEnd("slow");
+        AttemptId slow = attempts.dispatch(attempts.call("slow", "x"), TARGET, OUT_OF_REACH, RELAY);
+        attempts.next(Event.AttemptStarted.class);
+        awaitStall();
+        for (int i = 0; i < OTHER_REQUESTS; i++) {
+            assertThat(relayed("other-" + i, TARGET)).isEqualTo("other-" + i);
+        }
+        attempts.run(new Effect.CancelAttempt(slow));
+        assertThat(attempts.failure(slow).kind()).isEqualTo(FailureKind.CANCELLED);
+    }
+
     /** Answers the request with the id with events until the connection is closed, others with their bodies. */
     private void writeEventsWithoutEnd(String id) {
         runner.setScript((request, response) -> {
