Let a stopping relay wait for responses that targets owe

Callers got 502 for requests that ran for more than a second without a byte, if the daemon that relayed them stopped meanwhile, although its drain timeout was not over.

Cause: a relay that stops waits until its relayed connections have carried no byte for 1 s, and took one whose target still works on a request for idle.

Change: a connection on which the target has sent nothing since the peer has is waited for up to the drain timeout, as requests of the daemon's own callers are. A target that pauses for 1 s within a response is still cut, and a stop takes its whole time limit if a peer is lost while a target owes it a response.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
@@ -99,7 +99,7 @@
             return;
         }
         ByteBuf bytes = RelayFrames.bytes(frame);
-        connection.carried(bytes.readableBytes());
+        connection.carriedToTarget(bytes.readableBytes());
         // Bytes for a target that has closed its connection are dropped, as the peer learns of the close.
         target.writeAndFlush(bytes);
         if (target.isActive() && !target.isWritable()) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayTargetHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayTargetHandler.java
@@ -43,7 +43,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         ByteBuf bytes = (ByteBuf) message;
-        connection.carried(bytes.readableBytes());
+        connection.carriedToPeer(bytes.readableBytes());
         RelayFrames.split(bytes, peer::write);
         if (!peer.isWritable()) {
             context.channel().config().setAutoRead(false);
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
@@ -24,6 +24,7 @@
     private final long openedAtMs;
     private long lastByteAtMs;
     private long carriedBytes;
+    private boolean awaitsTarget;
     private boolean ended;
 
     RelayedConnection(RelayedConnections relays, HostId peer, String target, long openedAtMs) {
@@ -64,8 +65,24 @@
         relays.opened(this);
     }
 
-    /** Records bytes that were received on either side. */
-    void carried(int bytes) {
+    /** Returns whether the target has sent nothing since the peer has. */
+    boolean awaitsTarget() {
+        return awaitsTarget;
+    }
+
+    /** Records bytes that were received from the peer. */
+    void carriedToTarget(int bytes) {
+        awaitsTarget = true;
+        carried(bytes);
+    }
+
+    /** Records bytes that were received from the target. */
+    void carriedToPeer(int bytes) {
+        awaitsTarget = false;
+        carried(bytes);
+    }
+
+    private void carried(int bytes) {
         carriedBytes += bytes;
         lastByteAtMs = relays.carried(bytes);
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnections.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnections.java
@@ -71,9 +71,13 @@
         metrics.registerGauge("relay.connections", open::size);
     }
 
-    /** Returns whether no connection has carried a byte for some time, so that a daemon that stops may end. */
+    /**
+     * Returns whether no target owes a response and no connection has carried a byte for some time, so that a daemon that
+     * stops may end.
+     */
     public boolean quiet(long nowMs) {
-        return open.stream().allMatch(connection -> nowMs - connection.lastByteAtMs() >= QUIET_MS);
+        return open.stream()
+                .allMatch(connection -> !connection.awaitsTarget() && nowMs - connection.lastByteAtMs() >= QUIET_MS);
     }
 
     /** Reserves the place of a connection that a peer asks for. */
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
@@ -312,6 +312,17 @@
         assertThat(relays.quiet(nowMs)).isTrue();
     }
 
+    /** Guards against a stop that cuts a request whose target takes longer than others to respond. */
+    @Test
+    void daemonIsNotQuietWhileATargetOwesAResponse() {
+        open();
+        peer.writeInbound(data("request"));
+        assertThat(relays.quiet(nowMs + 10 * RelayedConnections.QUIET_MS)).isFalse();
+        target.writeInbound(bytes("response"));
+        assertThat(relays.quiet(nowMs + RelayedConnections.QUIET_MS - 1)).isFalse();
+        assertThat(relays.quiet(nowMs + RelayedConnections.QUIET_MS)).isTrue();
+    }
+
     private void open() {
         relay();
         connecting.setSuccess();
