Reproduce partitions without owners while callers read jobs again and again

Callers who read whole jobs again and again over a full link between regions leave the loads of new owners too little of it, so that partitions stay without an owner and more reads go to the store. The fault is not mended here.

The bound is the spread of the starts, two renewals of leases and twice the time that the loads take at the rate of the link. The limits of the other plays of JobReadStoreLimitTests are the same as before; its report states in addition how many jobs were read and how many reads failed.

--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobReadStoreLimitTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobReadStoreLimitTests.java
@@ -43,6 +43,15 @@
         assertThat(day.readers).as(report).allMatch(VirtualReader::done);
     }
 
+    /** Guards against reads of callers that leave the loads of new owners too little of a full link. */
+    @ParameterizedTest
+    @CsvSource({"10, 43", "10, 2000", "60, 43", "60, 200", "390, 43", "390, 600"})
+    void partitionsGetOwnersWhileCallersReadJobsAgainOverTheLinkBetweenRegions(int hosts, int callers) {
+        Day day = new Day(new VirtualJobSites(hosts, 1), VirtualJobSites.RESULT_BYTES, true);
+        String report = day.play(callers, 2 * day.sites.loadMs());
+        assertThat(day.sites.allOwned()).as(report).isTrue();
+    }
+
     /** A start of all daemons, with callers from the first moment on. */
     private static final class Day {
 
@@ -50,6 +59,8 @@
         private final boolean readAgain;
         private final List<JobId> jobs = new ArrayList<>();
         private final List<VirtualReader> readers = new ArrayList<>();
+        private int jobsRead;
+        private int failedReads;
 
         Day(VirtualJobSites sites, int resultBytes, boolean readAgain) {
             this.sites = sites;
@@ -67,20 +78,22 @@
 
         /** Plays until all partitions have owners, at most until a caller who waits for them would give up. */
         String play(int callers) {
+            return play(callers, sites.loadMs() + VirtualReader.PATIENCE_MS);
+        }
+
+        /** Plays until all partitions have owners, at most for this time after all daemons have got their leases. */
+        String play(int callers, long loadLimitMs) {
             sites.start(sites.hosts());
             for (int i = 0; i < callers; i++) {
                 read(jobs.get(i % JOBS));
             }
             long startedAtMs = sites.nodes.nowMs();
-            long limitMs = VirtualJobSites.START_SPREAD_MS
-                    + 2 * VirtualJobSites.RENEW_INTERVAL_MS
-                    + sites.loadMs()
-                    + VirtualReader.PATIENCE_MS;
+            long limitMs = VirtualJobSites.START_SPREAD_MS + 2 * VirtualJobSites.RENEW_INTERVAL_MS + loadLimitMs;
             while (!sites.allOwned() && sites.nodes.nowMs() - startedAtMs < limitMs) {
                 sites.nodes.run(10);
             }
             String report =
-                    "%d hosts, %d callers: all owned %s after %d ms (%d ms at link rate), %d calls, %d refused, %d kB, %d of %d reads done"
+                    "%d hosts, %d callers: all owned %s after %d ms (%d ms at link rate), %d calls, %d refused, %d kB, %d of %d reads done, %d jobs read, %d reads failed"
                             .formatted(
                                     sites.hosts().size(),
                                     callers,
@@ -91,26 +104,32 @@
                                     sites.network.refusedReads(),
                                     sites.network.responseBytes() / 1_000,
                                     readers.stream().filter(VirtualReader::done).count(),
-                                    readers.size());
+                                    readers.size(),
+                                    jobsRead,
+                                    failedReads);
             System.out.println(report);
             return report;
         }
 
         private void read(JobId job) {
             VirtualReader[] reader = new VirtualReader[1];
-            reader[0] = new VirtualReader(
-                    sites,
-                    job,
-                    Long.MAX_VALUE,
-                    (host, reply) -> sites.nodes.later(1, () -> {
-                        if (reader[0].done() && readAgain) {
-                            sites.nodes.later(PAUSE_MS, () -> read(job));
-                        }
-                    }));
+            reader[0] = new VirtualReader(sites, job, Long.MAX_VALUE, (host, reply) -> {
+                failedReads += reply.isPresent() && reply.get() instanceof JobPage ? 0 : 1;
+                sites.nodes.later(1, () -> readAgain(reader[0], job));
+            });
             if (!readAgain) {
                 readers.add(reader[0]);
             }
             reader[0].read();
         }
+
+        private void readAgain(VirtualReader reader, JobId job) {
+            if (reader.done()) {
+                jobsRead++;
+                if (readAgain) {
+                    sites.nodes.later(PAUSE_MS, () -> read(job));
+                }
+            }
+        }
     }
 }
