Look for the way back to targets that were relayed before a check

What callers saw: after a cut ended, requests still crossed one more host to a target that the daemon reached itself, until the daemon restarted.

Cause: PathMonitor.restore stops if no target is relayed at that moment. A relayed target under check is not; when the check ends it is relayed again, and nothing scheduled the next attempt to reach it directly.

Change: whatever makes a target relayed schedules that attempt.

Evidence: targetThatWasDownWhileRelayedIsReachedDirectlyAgainAfterTheCut of PathMonitorTests failed for both cuts on.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -247,7 +247,7 @@
         checks.remove(target.id());
         target.path().includeAllRelays();
         if (check.relayedBefore() || disconnected()) {
-            target.path().relayed();
+            useRelay(target, nowMs, out);
         } else {
             target.path().direct();
         }
@@ -271,7 +271,7 @@
 
     private void concludeRelayed(TargetState target, PathCheck check, HostId relay, long nowMs, Effects out) {
         checks.remove(target.id());
-        target.path().relayed();
+        useRelay(target, nowMs, out);
         isolatedAtMs = Long.MIN_VALUE;
         if (check.relayedBefore()) {
             if (check.lostThrough().filter(lost -> !lost.equals(relay)).isPresent()) {
@@ -289,7 +289,6 @@
         String reason = relay + " reaches it" + (disconnected() ? "; no other target is reached either" : "");
         explain(target, nowMs, "reached through other daemons", check, reason, out);
         abandonSilent(out);
-        scheduleRestore(nowMs, out);
         if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
             target.path().explainLosses();
             probe(target, nowMs, out);
@@ -297,6 +296,11 @@
         listener.relayed(target, nowMs, out);
     }
 
+    private void useRelay(TargetState target, long nowMs, Effects out) {
+        target.path().relayed();
+        scheduleRestore(nowMs, out);
+    }
+
     /**
      * Decides what the lost connections to a target mean that another daemon reaches: if this daemon reaches it as well by
      * now, the target was down for a moment.
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -351,4 +351,42 @@
     private long countProbes() {
         return fleet.nodes.stream().mapToLong(node -> node.probes).sum();
     }
+
+    /** Guards against a target that is relayed for good as it was being checked when the next probe was due. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetThatWasDownWhileRelayedIsReachedDirectlyAgainAfterTheCut(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = at(sent, 0, 1).get(0).dispatchedTo.get(0);
+        fleet.cutFromTarget(0, lost, cut);
+        play(1_000);
+        burst(0);
+        play(2_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        for (int i = 0; i < 3; i++) {
+            burst(0);
+            fleet.run(30);
+            fleet.crashTarget(lost, 1_000);
+            play(5_000);
+        }
+        fleet.reconnectToTarget(0, lost);
+        play(3 * GOAL_MS);
+        node.effects.clear();
+        burst(0);
+        play(2_000);
+        burst(0);
+        play(2_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost));
+        assertThat(relayedDispatches(node)).isEmpty();
+    }
+
+    private void burst(int daemon) {
+        for (int i = 0; i < 40; i++) {
+            sent.add(fleet.send(daemon, Work.online(tokens, ++fingerprint).withDeadline(5_000)));
+        }
+    }
 }
