--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -129,7 +129,7 @@
     /** Returns whether a daemon relays to the target that has taken all new connections lately. */
     private boolean hasRelay(TargetState target, long nowMs) {
         return relays.select(target, nowMs)
-                .filter(relay -> !relays.avoids(relay))
+                .filter(relay -> !relays.avoids(relay, nowMs))
                 .isPresent();
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
@@ -66,8 +66,8 @@
     }
 
     /** Returns whether a daemon has taken no new connections lately; it is selected only if there is no other relay. */
-    boolean avoids(HostId host) {
-        return avoidedUntilMs.containsKey(host);
+    boolean avoids(HostId host, long nowMs) {
+        return nowMs < avoidedUntilMs.getOrDefault(host, Long.MIN_VALUE);
     }
 
     boolean hasFailed(HostId host, long nowMs) {
@@ -104,8 +104,9 @@
                 .map(this::member)
                 .flatMap(Optional::stream)
                 .toList();
-        List<Member> preferred =
-                reaching.stream().filter(member -> !avoids(member.host())).toList();
+        List<Member> preferred = reaching.stream()
+                .filter(member -> !avoids(member.host(), nowMs))
+                .toList();
         List<Member> usable = preferred.isEmpty() ? reaching : preferred;
         Optional<Integer> best =
                 usable.stream().map(member -> cost(member, target)).min(Comparator.naturalOrder());
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -8,9 +8,11 @@
 import java.util.stream.IntStream;
 
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.Cut;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -389,4 +391,39 @@
             sent.add(fleet.send(daemon, Work.online(tokens, ++fingerprint).withDeadline(5_000)));
         }
     }
+
+    /** Guards against a target that stays unused at a daemon for good as its relays once took no connections. */
+    @Test
+    void targetIsUsedAgainAfterItsRelaysTookNoConnections() {
+        start(1, 1);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = new TargetId("r-south-a-0");
+        fleet.cutFromTarget(0, lost, Cut.REFUSED);
+        burst(0);
+        play(3_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        for (int i = 0; i < 3; i++) {
+            burst(0);
+            fleet.run(30);
+            fleet.crashTarget(lost, 1_000);
+            play(5_000);
+        }
+        for (int i = 0; i < 20; i++) {
+            burst(0);
+            fleet.run(100);
+            List.copyOf(node.jobs.values()).stream()
+                    .filter(job -> job.relayedBy.isPresent())
+                    .forEach(job -> node.attemptEnded(
+                            job.attempt, VirtualFleet.failed(FailureKind.RELAY_FAILED, Verdict.NOT_RUN, 0)));
+            fleet.run(400);
+        }
+        play(10_000);
+        node.effects.clear();
+        burst(0);
+        play(4_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost));
+    }
 }
