Ask a relay about each target that is silent through it

What callers saw: a request through a relay that had lost its target got no further until its deadline while another one, on a slow target, used the same relay.

Cause: PathMonitor.relayChecks held one check for a relay, whatever the target. Silence is reported every 300 ms and a reply waited for longer, so that the attempt on the lost target met the check of the slow one each time.

Change: a check is of a relay and a target.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -72,7 +72,7 @@
     private final DueQueue<Due> due = new DueQueue<>(TIMER);
     private final Map<TargetId, PathCheck> checks = new TreeMap<>();
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
-    private final Map<HostId, Long> relayChecks = new HashMap<>();
+    private final Map<RelayedTarget, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
     private final Map<TargetId, Probe> probing = new HashMap<>();
     private PathListener listener;
@@ -431,7 +431,9 @@
         if (reachable) {
             relays.reaches(from);
         }
-        if (relayChecks.remove(from, reply.number()) && !reachable && target.isPresent()) {
+        if (relayChecks.remove(new RelayedTarget(from, reply.target()), reply.number())
+                && !reachable
+                && target.isPresent()) {
             relayLostTarget(target.get(), from, nowMs, out);
             return;
         }
@@ -525,13 +527,14 @@
     }
 
     private void checkRelay(AttemptId attempt, TargetState target, HostId relay, long nowMs, Effects out) {
+        RelayedTarget checked = new RelayedTarget(relay, target.id());
         if (relays.hasFailed(relay, nowMs)) {
             out.add(new Effect.AbandonAttempt(attempt));
-        } else if (!relayChecks.containsKey(relay)) {
+        } else if (!relayChecks.containsKey(checked)) {
             long number = ++lastNumber;
-            relayChecks.put(relay, number);
+            relayChecks.put(checked, number);
             peers.send(relay, new RoutingMessage.ReachabilityRequested(number, target.id()), out);
-            due.put(new Due.RelayTimeout(relay, number), nowMs + REPLY_TIMEOUT_MS, out);
+            due.put(new Due.RelayTimeout(checked, number), nowMs + REPLY_TIMEOUT_MS, out);
         }
     }
 
@@ -589,13 +592,14 @@
     }
 
     private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
-        if (!relayChecks.remove(timeout.relay(), timeout.number())) {
+        if (!relayChecks.remove(timeout.checked(), timeout.number())) {
             return;
         }
+        HostId relay = timeout.checked().relay();
         count("relays-failed");
-        relays.failed(timeout.relay(), nowMs);
+        relays.failed(relay, nowMs);
         silent.forEach((attempt, state) -> {
-            if (state.relay().equals(Optional.of(timeout.relay()))) {
+            if (state.relay().equals(Optional.of(relay))) {
                 out.add(new Effect.AbandonAttempt(attempt));
             }
         });
@@ -678,6 +682,9 @@
     /** An attempt whose target has sent nothing for some time, empty relay if this daemon is connected to it itself. */
     private record SilentAttempt(TargetState target, Optional<HostId> relay) {}
 
+    /** A target as it is reached through a daemon. */
+    private record RelayedTarget(HostId relay, TargetId target) {}
+
     /** This daemon's own attempt to connect to a target. */
     private record Probe(String address, long number) {}
 
@@ -686,7 +693,7 @@
 
         record CheckTimeout(TargetId target, long number) implements Due {}
 
-        record RelayTimeout(HostId relay, long number) implements Due {}
+        record RelayTimeout(RelayedTarget checked, long number) implements Due {}
 
         record ProbeTimeout(TargetId target, Probe probe) implements Due {}
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
@@ -426,4 +427,43 @@
                 .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
                         && dispatch.target().equals(lost));
     }
+
+    /** Guards against an attempt that stays silent as its relay is only asked about another, slow target. */
+    @Test
+    void attemptDoesNotStaySilentWhileItsRelayIsAskedAboutASlowTarget() {
+        start(1, 4);
+        play(3_000);
+        cut(1, Cut.SILENT);
+        fleet.cutFromTargets(2, Cut.SILENT);
+        play(2_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        for (int i = 0; i < 12; i++) {
+            sent.add(fleet.send(0, Work.online(900, ++fingerprint)));
+        }
+        fleet.run(300);
+        List<EngineModel.Job> relayed = node.jobs.values().stream()
+                .filter(job -> job.relayedBy.isPresent())
+                .toList();
+        EngineModel.Job first = relayed.get(0);
+        TargetId slow = lastTarget(node, first);
+        EngineModel.Job second = relayed.stream()
+                .filter(job -> job.relayedBy.equals(first.relayedBy)
+                        && !lastTarget(node, job).equals(slow))
+                .findFirst()
+                .orElseThrow();
+        SentRequest request = node.requestsByAttempt.get(second.attempt);
+        for (long atMs = fleet.nowMs + VirtualFleet.SILENCE_MS;
+                atMs < fleet.nowMs + 6_000;
+                atMs += VirtualFleet.SILENCE_MS) {
+            fleet.at(atMs, () -> node.handle(new Event.AttemptSilent(first.attempt)));
+        }
+        fleet.cutFromTarget(daemon(first.relayedBy.orElseThrow()), lastTarget(node, second), Cut.SILENT);
+        fleet.run(3_000);
+        assertThat(request.dispatchedTo).hasSizeGreaterThan(1);
+    }
+
+    private static TargetId lastTarget(VirtualFleet.Node node, EngineModel.Job job) {
+        List<TargetId> targets = node.requestsByAttempt.get(job.attempt).dispatchedTo;
+        return targets.get(targets.size() - 1);
+    }
 }
