Let relayed responses refute that a target is down

What callers saw: a daemon that relays left out a sound target for as long as it was ejected for a wrong fact of another daemon.

Cause: OnlineRouter and BatchRunner told the health of a target of its own responses only if this daemon was connected to it itself, and a daemon that relays does not check such facts.

Change: a response refutes the fact however it came.

Evidence: relayedResponseRefutesAWrongFactOfAnotherDaemon of PathMonitorTests failed on. The change of BatchRunner is the same one, by reading; no test of its own.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -238,8 +238,8 @@
     private void recordContact(BatchRun run, long nowMs) {
         if (run.relay().isEmpty()) {
             context.paths().contact(run.target(), nowMs);
-            run.target().health().responded();
         }
+        run.target().health().responded();
     }
 
     void attemptSilent(AttemptId attempt, long nowMs, Effects out) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -759,8 +759,8 @@
     private void recordContact(Route route, long nowMs) {
         if (route.relay.isEmpty()) {
             context.paths().contact(route.target, nowMs);
-            route.target.health().responded();
         }
+        route.target.health().responded();
     }
 
     /** Handles the silence of an attempt's target; returns whether the attempt belongs to this router. */
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
@@ -466,4 +468,35 @@
         List<TargetId> targets = node.requestsByAttempt.get(job.attempt).dispatchedTo;
         return targets.get(targets.size() - 1);
     }
+
+    /** Guards against a target unused at a daemon that relays though its response has refuted that it is down. */
+    @Test
+    void relayedResponseRefutesAWrongFactOfAnotherDaemon() {
+        start(4, 4);
+        play(3_000);
+        cut(7, Cut.SILENT);
+        play(2_000);
+        SentRequest request = fleet.send(0, Work.online(60, ++fingerprint));
+        fleet.run(200);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId target = request.dispatchedTo.get(0);
+        node.receive(downFact(target));
+        fleet.run(200);
+        assertThat(request.completed()).isTrue();
+        node.effects.clear();
+        burst(0);
+        fleet.run(100);
+        assertThat(relayedDispatches(node))
+                .anyMatch(dispatch -> dispatch.target().equals(target));
+    }
+
+    private Fact downFact(TargetId target) {
+        return new Fact(
+                RoutingStateMachine.NAME,
+                TargetStatusPublisher.DOWN_PREFIX + target,
+                fleet.nowMs,
+                ByteString.copyFromUtf8("d11"),
+                2_000,
+                Fact.Scope.EVERYWHERE);
+    }
 }
