--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -499,4 +499,73 @@
                 2_000,
                 Fact.Scope.EVERYWHERE);
     }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void daemonsServeTheirCallersSoonAfterACutOfAllOfThem(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        for (int i = 0; i < 3; i++) {
+            cut(12, cut);
+            play(4_000);
+            IntStream.range(0, 12).forEach(fleet::reconnectToTargets);
+            play(GOAL_MS);
+            List<SentRequest> after = play(3_000);
+            fleet.run(2_000);
+            assertThat(notCompleted(after)).isEmpty();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void daemonCutFromTargetsAndPeersServesItsCallersSoonAfterTheCut(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        cut(2, cut);
+        fleet.cutOff(0);
+        fleet.cutOff(1);
+        play(2_000);
+        List<SentRequest> during = at(play(3_000), 0, 2);
+        fleet.reconnect(0);
+        fleet.reconnect(1);
+        play(GOAL_MS);
+        List<SentRequest> relayed = play(3_000);
+        IntStream.range(0, 2).forEach(fleet::reconnectToTargets);
+        play(GOAL_MS);
+        List<SentRequest> after = play(3_000);
+        finish();
+        assertThat(during).allSatisfy(request -> assertThat(request.endedAtMs - request.sentAtMs)
+                .isLessThanOrEqualTo(500));
+        assertThat(notCompleted(relayed)).isEmpty();
+        assertThat(notCompleted(after)).isEmpty();
+    }
+
+    /** Guards against a target that nobody uses as its only way is that of a daemon that believes to need a relay. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetIsUsedByADaemonThatHasItsWayBackWhenTheOthersLoseTheirs(Cut cut) {
+        start(1, 2);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = new TargetId("r-south-a-0");
+        fleet.cutFromTarget(0, lost, cut);
+        burst(0);
+        play(3_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        burst(0);
+        fleet.run(50);
+        fleet.reconnectToTarget(0, lost);
+        fleet.cutFromTarget(1, lost, cut);
+        fleet.cutFromTarget(2, lost, cut);
+        play(3 * GOAL_MS);
+        node.effects.clear();
+        burst(0);
+        play(3_000);
+        burst(0);
+        play(3_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost)
+                        && dispatch.relay().isEmpty());
+    }
 }
