Try other targets before a daemon counts as isolated

What callers saw: with one target down, a daemon with few requests refused them as "no target" while its other targets were free, if it had no peers or they were silent.

Cause: PathMonitor.conclude took a daemon for isolated if nobody who was asked reached the one target and no target had been heard from for 500 ms. A daemon without requests hears from none.

Change: it connects to three further targets first, which takes at most the time limit of a probe, and is isolated only if it reaches none of them. Requests wait meanwhile as for a check.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -60,6 +60,11 @@
         online.pathsChanged(nowMs, out);
     }
 
+    @Override
+    public void isolationChecked(long nowMs, Effects out) {
+        online.pathsChanged(nowMs, out);
+    }
+
     @Override
     public void unreachable(
             TargetState target,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.core.AttemptId;
@@ -54,9 +55,12 @@
     /** The interval at which this daemon tries to reach relayed targets itself, in ms. */
     private static final long RESTORE_INTERVAL_MS = 250;
 
-    /** How long this daemon must have heard from no target to refuse requests at once, in ms. */
+    /** How long this daemon must have heard from no target to doubt that it reaches any, in ms. */
     private static final long ISOLATION_MS = 500;
 
+    /** The number of further targets that must not be reached either for this daemon to refuse requests at once. */
+    private static final int ISOLATION_PROBES = 3;
+
     /** The retry delay for callers that another daemon may serve, in ms. */
     private static final long ELSEWHERE_RETRY_MS = 100;
 
@@ -75,11 +79,13 @@
     private final Map<RelayedTarget, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
     private final Map<TargetId, Probe> probing = new HashMap<>();
+    private final Set<TargetId> isolationProbes = new TreeSet<>();
     private PathListener listener;
     private long lastNumber;
     private long lastContactAtMs = Long.MIN_VALUE;
     private long lostAtMs = Long.MIN_VALUE;
     private long isolatedAtMs = Long.MIN_VALUE;
+    private long isolationCheckedAtMs = Long.MIN_VALUE;
     private boolean anyoneReplied;
     private boolean restoring;
 
@@ -109,6 +115,11 @@
         return isolatedAtMs > lastContactAtMs;
     }
 
+    /** Returns whether other targets are being tried as neither this daemon nor any that it asked reaches one. */
+    private boolean mayBeIsolated() {
+        return !isolationProbes.isEmpty();
+    }
+
     /** Returns how soon a request that finds no target may find one, in ms: at once if other daemons have not replied. */
     long retryAfterMs() {
         return isolated() && !anyoneReplied ? ELSEWHERE_RETRY_MS : DEFAULT_RETRY_MS;
@@ -116,7 +127,7 @@
 
     /** Returns whether new attempts can be sent to the target now. */
     boolean usable(TargetState target, long nowMs) {
-        if (isolated() || target.path().state() == TargetPath.State.CHECKING) {
+        if (isolated() || mayBeIsolated() || target.path().state() == TargetPath.State.CHECKING) {
             return false;
         }
         if (!relayed(target)) {
@@ -136,7 +147,8 @@
     /** Returns whether a check may make the target usable soon. */
     boolean mayBecomeUsable(TargetState target) {
         return !isolated()
-                && (target.path().state() == TargetPath.State.CHECKING
+                && (mayBeIsolated()
+                        || target.path().state() == TargetPath.State.CHECKING
                         || relayed(target) && !checks.isEmpty()
                         || !disconnected() && doubtful());
     }
@@ -252,14 +264,56 @@
             target.path().direct();
         }
         if (result != PathCheck.Unreachable.DOWN && lastContactAtMs < nowMs - ISOLATION_MS) {
-            isolatedAtMs = nowMs;
             anyoneReplied = result == PathCheck.Unreachable.BY_ALL;
+            checkIsolation(target, nowMs, out);
             scheduleRestore(nowMs, out);
         }
         explain(target, nowMs, "unreachable, " + result, check, "asked " + check.asked(), out);
         listener.unreachable(target, check.causes(), result, nowMs, out);
     }
 
+    /** Tries other targets, unless this daemon is isolated already: the one may be down, and the daemon have been idle. */
+    private void checkIsolation(TargetState unreachable, long nowMs, Effects out) {
+        if (isolated() || mayBeIsolated()) {
+            return;
+        }
+        List<TargetState> others = directory.all().stream()
+                .filter(target -> target != unreachable)
+                .sorted(Comparator.comparing(
+                                (TargetState target) -> target.health().ejected(nowMs))
+                        .thenComparing(target -> checks.containsKey(target.id()))
+                        .thenComparing(target -> target.path().contactAtMs(), Comparator.reverseOrder()))
+                .limit(ISOLATION_PROBES)
+                .toList();
+        isolationCheckedAtMs = nowMs;
+        if (others.isEmpty()) {
+            isolate(unreachable.id(), nowMs, out);
+        }
+        others.forEach(target -> {
+            isolationProbes.add(target.id());
+            probe(target, nowMs, out);
+        });
+    }
+
+    private void isolationProbed(TargetId target, long nowMs, Effects out) {
+        if (!isolationProbes.remove(target)) {
+            return;
+        }
+        if (lastContactAtMs >= isolationCheckedAtMs) {
+            isolationProbes.clear();
+        } else if (isolationProbes.isEmpty()) {
+            isolate(target, nowMs, out);
+        }
+        if (isolationProbes.isEmpty()) {
+            listener.isolationChecked(nowMs, out);
+        }
+    }
+
+    private void isolate(TargetId lastTried, long nowMs, Effects out) {
+        isolatedAtMs = nowMs;
+        out.explain(Subject.Kind.TARGET, lastTried, nowMs, "isolated", "no target that was tried is reached");
+    }
+
     private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
         checks.remove(target.id());
         target.path().direct();
@@ -273,6 +327,7 @@
         checks.remove(target.id());
         useRelay(target, nowMs, out);
         isolatedAtMs = Long.MIN_VALUE;
+        isolationProbes.clear();
         if (check.relayedBefore()) {
             if (check.lostThrough().filter(lost -> !lost.equals(relay)).isPresent()) {
                 listener.relayReplaced(target, nowMs, out);
@@ -331,14 +386,15 @@
             return;
         }
         replyToPeers(id, reachable, nowMs, out);
+        if (reachable && found.isPresent()) {
+            contact(found.get(), nowMs);
+        }
+        isolationProbed(id, nowMs, out);
         if (found.isEmpty()) {
             checks.remove(id);
             return;
         }
         TargetState target = found.get();
-        if (reachable) {
-            contact(target, nowMs);
-        }
         explainLosses(target, reachable, nowMs, out);
         PathCheck check = checks.get(id);
         if (check != null && check.asksPeers() && reachable && !check.relayedBefore()) {
@@ -718,6 +774,9 @@
          */
         void lossesExplained(TargetState target, boolean wasDown, long nowMs, Effects out);
 
+        /** It is known whether this daemon reaches any of the targets that it has tried. */
+        void isolationChecked(long nowMs, Effects out);
+
         /** Neither this daemon nor any that was asked reaches the target. */
         void unreachable(
                 TargetState target,
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -568,4 +568,32 @@
                         && dispatch.target().equals(lost)
                         && dispatch.relay().isEmpty());
     }
+
+    /** Guards against requests refused with "no target" as one of several targets is down and there are no peers. */
+    @Test
+    void requestsAreNotRefusedAtAnIdleDaemonWithoutPeersIfOneTargetIsDown() {
+        for (int i = 0; i < 4; i++) {
+            fleet.addEngine("r-" + i, VirtualFleet.SOUTH, 8, 20, 5);
+        }
+        startDaemons(List.of(VirtualFleet.SOUTH));
+        arrivalIntervalMs = 1_000;
+        play(3_000);
+        fleet.crashTarget(fleet.engines.keySet().iterator().next(), 60_000);
+        play(20_000);
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
+
+    /** Guards against requests refused with "no target" at a daemon that its peers do not reach as one target is down. */
+    @Test
+    void requestsAreNotRefusedAtAnIdleDaemonWhosePeersAreSilentIfOneTargetIsDown() {
+        start(2, 2);
+        fleet.cutOff(0);
+        arrivalIntervalMs = 200;
+        play(6_000);
+        fleet.crashTarget(at(sent, 0, 1).get(0).dispatchedTo.get(0), 60_000);
+        play(20_000);
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
 }
