Let streams under way wait while their daemon reaches no target

What callers saw: streams were cut with "no target" when all daemons had lost their ways to the targets for a moment, with seconds of their deadline left.

Cause: a daemon that reaches no target refuses requests at once, so that callers try another one. A stream of which the caller has a part has no such choice: ending it breaks the response.

One that only its own target can resume is ended as before if that is no longer listed.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -381,11 +381,14 @@
     }
 
     /**
-     * Lets a stream whose caller has a part of it ask the targets again that had no room for it or whose controllers
-     * were silent, as ending it now would break the response; returns whether there are any.
+     * Lets a stream whose caller has a part of it wait for targets that had no room for it, whose controllers were
+     * silent, or of which none is reached, as ending it now would break the response; returns whether it waits.
      */
     private boolean awaitRoom(Route route, long nowMs, Effects out) {
-        if (!route.bytesReachedCaller || route.full.isEmpty() && route.unanswered.isEmpty()) {
+        boolean isolated = context.paths().isolated()
+                && (!route.boundToTarget() || context.directory().lists(route.target));
+        boolean mayBeResumed = isolated || !route.full.isEmpty() || !route.unanswered.isEmpty();
+        if (!route.bytesReachedCaller || !mayBeResumed) {
             return false;
         }
         out.explain(
@@ -393,7 +396,8 @@
                 route.request.id(),
                 nowMs,
                 "waits to be resumed",
-                "no room now: " + route.full + ", no reply: " + route.unanswered);
+                "no room now: " + route.full + ", no reply: " + route.unanswered
+                        + (isolated ? ", no target is reached" : ""));
         route.phase = Route.Phase.AWAITING_ROOM;
         wakeups.put(
                 route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + CAPACITY_CHECK_INTERVAL_MS), out);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/LostPathTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/LostPathTests.java
@@ -237,6 +237,22 @@
         });
     }
 
+    /** Guards against streams that are cut while all daemons have lost their ways for a moment. */
+    @Test
+    void streamsUnderWayAreResumedAfterACutOfAllDaemons() {
+        start(4, 4);
+        play(3_000);
+        List<SentRequest> streams = IntStream.range(0, fleet.nodes.size())
+                .mapToObj(daemon -> fleet.send(daemon, Work.online(400, ++fingerprint)))
+                .toList();
+        fleet.run(500);
+        cut(fleet.nodes.size(), Cut.REFUSED);
+        fleet.run(3_000);
+        IntStream.range(0, fleet.nodes.size()).forEach(fleet::reconnectToTargets);
+        fleet.run(6_500);
+        assertThat(notCompleted(streams)).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(Cut.class)
     void itemsOfDaemonsWithoutAWayToTheTargetsGoOn(Cut cut) {
