--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.codahale.metrics.MetricRegistry;
 import org.cornelcrank.core.AttemptId;
@@ -57,9 +58,12 @@
     /** The interval at which this daemon tries to reach relayed targets itself, in ms. */
     private static final long RESTORE_INTERVAL_MS = 250;
 
-    /** How long this daemon must have heard from no target to refuse requests at once, in ms. */
+    /** How long this daemon must have heard from no target to doubt that it reaches any, in ms. */
     private static final long ISOLATION_MS = 500;
 
+    /** The number of further targets that must not be reached either for this daemon to refuse requests at once. */
+    private static final int ISOLATION_PROBES = 3;
+
     /** The retry delay for callers that another daemon may serve, in ms. */
     private static final long ELSEWHERE_RETRY_MS = 100;
 
@@ -75,14 +79,16 @@
     private final DueQueue<Due> due = new DueQueue<>(TIMER);
     private final Map<TargetId, PathCheck> checks = new TreeMap<>();
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
-    private final Map<HostId, Long> relayChecks = new HashMap<>();
+    private final Map<RelayedTarget, Long> relayChecks = new HashMap<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
     private final Map<TargetId, Probe> probing = new HashMap<>();
+    private final Set<TargetId> isolationProbes = new TreeSet<>();
     private PathListener listener;
     private long lastNumber;
     private long lastContactAtMs = Long.MIN_VALUE;
     private long lostAtMs = Long.MIN_VALUE;
     private long isolatedAtMs = Long.MIN_VALUE;
+    private long isolationCheckedAtMs = Long.MIN_VALUE;
     private boolean anyoneReplied;
     private boolean restoring;
 
@@ -112,6 +118,11 @@
         return isolatedAtMs > lastContactAtMs;
     }
 
+    /** Returns whether other targets are being tried as neither this daemon nor any that it asked reaches one. */
+    private boolean mayBeIsolated() {
+        return !isolationProbes.isEmpty();
+    }
+
     /** Returns how soon a request that finds no target may find one, in ms: at once if other daemons have not replied. */
     long retryAfterMs() {
         return isolated() && !anyoneReplied ? ELSEWHERE_RETRY_MS : DEFAULT_RETRY_MS;
@@ -119,7 +130,7 @@
 
     /** Returns whether new attempts can be sent to the target now. */
     boolean usable(TargetState target, long nowMs) {
-        if (isolated() || target.path().state() == TargetPath.State.CHECKING) {
+        if (isolated() || mayBeIsolated() || target.path().state() == TargetPath.State.CHECKING) {
             return false;
         }
         if (!relayed(target)) {
@@ -132,14 +143,15 @@
     /** Returns whether a daemon relays to the target that has taken all new connections lately. */
     private boolean hasRelay(TargetState target, long nowMs) {
         return relays.select(target, nowMs)
-                .filter(relay -> !relays.avoids(relay))
+                .filter(relay -> !relays.avoids(relay, nowMs))
                 .isPresent();
     }
 
     /** Returns whether a check may make the target usable soon. */
     boolean mayBecomeUsable(TargetState target) {
         return !isolated()
-                && (target.path().state() == TargetPath.State.CHECKING
+                && (mayBeIsolated()
+                        || target.path().state() == TargetPath.State.CHECKING
                         || relayed(target) && !checks.isEmpty()
                         || !disconnected() && doubtful());
     }
@@ -291,19 +303,61 @@
         checks.remove(target.id());
         target.path().includeAllRelays();
         if (check.relayedBefore() || disconnected()) {
-            target.path().relayed();
+            useRelay(target, nowMs, out);
         } else {
             target.path().direct();
         }
         if (result != PathCheck.Unreachable.DOWN && lastContactAtMs < nowMs - ISOLATION_MS) {
-            isolatedAtMs = nowMs;
             anyoneReplied = result == PathCheck.Unreachable.BY_ALL;
+            checkIsolation(target, nowMs, out);
             scheduleRestore(nowMs, out);
         }
         explain(target, nowMs, "unreachable, " + result, check, "asked " + check.asked(), out);
         listener.unreachable(target, check.causes(), result, nowMs, out);
     }
 
+    /** Tries other targets, unless this daemon is isolated already: the one may be down, and the daemon have been idle. */
+    private void checkIsolation(TargetState unreachable, long nowMs, Effects out) {
+        if (isolated() || mayBeIsolated()) {
+            return;
+        }
+        List<TargetState> others = directory.all().stream()
+                .filter(target -> target != unreachable)
+                .sorted(Comparator.comparing(
+                                (TargetState target) -> target.health().ejected(nowMs))
+                        .thenComparing(target -> checks.containsKey(target.id()))
+                        .thenComparing(target -> target.path().contactAtMs(), Comparator.reverseOrder()))
+                .limit(ISOLATION_PROBES)
+                .toList();
+        isolationCheckedAtMs = nowMs;
+        if (others.isEmpty()) {
+            isolate(unreachable.id(), nowMs, out);
+        }
+        others.forEach(target -> {
+            isolationProbes.add(target.id());
+            probe(target, nowMs, out);
+        });
+    }
+
+    private void isolationProbed(TargetId target, long nowMs, Effects out) {
+        if (!isolationProbes.remove(target)) {
+            return;
+        }
+        if (lastContactAtMs >= isolationCheckedAtMs) {
+            isolationProbes.clear();
+        } else if (isolationProbes.isEmpty()) {
+            isolate(target, nowMs, out);
+        }
+        if (isolationProbes.isEmpty()) {
+            listener.isolationChecked(nowMs, out);
+        }
+    }
+
+    private void isolate(TargetId lastTried, long nowMs, Effects out) {
+        isolatedAtMs = nowMs;
+        out.explain(Subject.Kind.TARGET, lastTried, nowMs, "isolated", "no target that was tried is reached");
+    }
+
     private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
         checks.remove(target.id());
         target.path().direct();
@@ -315,8 +369,9 @@
 
     private void concludeRelayed(TargetState target, PathCheck check, HostId relay, long nowMs, Effects out) {
         checks.remove(target.id());
-        target.path().relayed();
+        useRelay(target, nowMs, out);
         isolatedAtMs = Long.MIN_VALUE;
+        isolationProbes.clear();
         if (check.relayedBefore()) {
             if (check.lostThrough().filter(lost -> !lost.equals(relay)).isPresent()) {
                 listener.relayReplaced(target, nowMs, out);
@@ -336,7 +391,6 @@
         String reason = relay + " reaches it" + (disconnected() ? "; no other target is reached either" : "");
         explain(target, nowMs, "reached through other daemons", check, reason, out);
         abandonSilent(out);
-        scheduleRestore(nowMs, out);
         if (check.has(PathCheck.Cause.CONNECTION_LOST)) {
             target.path().explainLosses();
             probe(target, nowMs, out);
@@ -344,6 +398,11 @@
         listener.relayed(target, nowMs, out);
     }
 
+    private void useRelay(TargetState target, long nowMs, Effects out) {
+        target.path().relayed();
+        scheduleRestore(nowMs, out);
+    }
+
     /**
      * Decides what the lost connections to a target mean that another daemon reaches: if this daemon reaches it as well by
      * now, the target was down for a moment.
@@ -374,14 +433,15 @@
             return;
         }
         replyToPeers(id, reachable, nowMs, out);
+        if (reachable && found.isPresent()) {
+            contact(found.get(), nowMs);
+        }
+        isolationProbed(id, nowMs, out);
         if (found.isEmpty()) {
             checks.remove(id);
             return;
         }
         TargetState target = found.get();
-        if (reachable) {
-            contact(target, nowMs);
-        }
         explainLosses(target, reachable, nowMs, out);
         PathCheck check = checks.get(id);
         if (check != null && check.asksPeers() && reachable && !check.relayedBefore()) {
@@ -475,7 +535,9 @@
         if (reachable) {
             relays.reaches(from);
         }
-        if (relayChecks.remove(from, reply.number()) && !reachable && target.isPresent()) {
+        if (relayChecks.remove(new RelayedTarget(from, reply.target()), reply.number())
+                && !reachable
+                && target.isPresent()) {
             relayLostTarget(target.get(), from, nowMs, out);
             return;
         }
@@ -571,13 +633,14 @@
     }
 
     private void checkRelay(AttemptId attempt, TargetState target, HostId relay, long nowMs, Effects out) {
+        RelayedTarget checked = new RelayedTarget(relay, target.id());
         if (relays.hasFailed(relay, nowMs)) {
             out.add(new Effect.AbandonAttempt(attempt));
-        } else if (!relayChecks.containsKey(relay)) {
+        } else if (!relayChecks.containsKey(checked)) {
             long number = ++lastNumber;
-            relayChecks.put(relay, number);
+            relayChecks.put(checked, number);
             peers.send(relay, new RoutingMessage.ReachabilityRequested(number, target.id()), out);
-            due.put(new Due.RelayTimeout(relay, number), nowMs + REPLY_TIMEOUT_MS, out);
+            due.put(new Due.RelayTimeout(checked, number), nowMs + REPLY_TIMEOUT_MS, out);
         }
     }
 
@@ -636,13 +699,14 @@
     }
 
     private void relayTimedOut(Due.RelayTimeout timeout, long nowMs, Effects out) {
-        if (!relayChecks.remove(timeout.relay(), timeout.number())) {
+        if (!relayChecks.remove(timeout.checked(), timeout.number())) {
             return;
         }
+        HostId relay = timeout.checked().relay();
         count("relays-failed");
-        relays.failed(timeout.relay(), nowMs);
+        relays.failed(relay, nowMs);
         silent.forEach((attempt, state) -> {
-            if (state.relay().equals(Optional.of(timeout.relay()))) {
+            if (state.relay().equals(Optional.of(relay))) {
                 out.add(new Effect.AbandonAttempt(attempt));
             }
         });
@@ -726,6 +790,9 @@
     /** An attempt whose target has sent nothing for some time, empty relay if this daemon is connected to it itself. */
     private record SilentAttempt(TargetState target, Optional<HostId> relay) {}
 
+    /** A target as it is reached through a daemon. */
+    private record RelayedTarget(HostId relay, TargetId target) {}
+
     /** This daemon's own attempt to connect to a target. */
     private record Probe(String address, long number) {}
 
@@ -734,7 +801,7 @@
 
         record CheckTimeout(TargetId target, long number) implements Due {}
 
-        record RelayTimeout(HostId relay, long number) implements Due {}
+        record RelayTimeout(RelayedTarget checked, long number) implements Due {}
 
         record ProbeTimeout(TargetId target, Probe probe) implements Due {}
 
@@ -759,6 +826,9 @@
          */
         void lossesExplained(TargetState target, boolean wasDown, long nowMs, Effects out);
 
+        /** It is known whether this daemon reaches any of the targets that it has tried. */
+        void isolationChecked(long nowMs, Effects out);
+
         /** Neither this daemon nor any that was asked reaches the target. */
         void unreachable(
                 TargetState target,
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -7,10 +7,15 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Event;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.Cut;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -351,4 +356,244 @@
     private long countProbes() {
         return fleet.nodes.stream().mapToLong(node -> node.probes).sum();
     }
+
+    /** Guards against a target that is relayed for good as it was being checked when the next probe was due. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetThatWasDownWhileRelayedIsReachedDirectlyAgainAfterTheCut(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = at(sent, 0, 1).get(0).dispatchedTo.get(0);
+        fleet.cutFromTarget(0, lost, cut);
+        play(1_000);
+        burst(0);
+        play(2_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        for (int i = 0; i < 3; i++) {
+            burst(0);
+            fleet.run(30);
+            fleet.crashTarget(lost, 1_000);
+            play(5_000);
+        }
+        fleet.reconnectToTarget(0, lost);
+        play(3 * GOAL_MS);
+        node.effects.clear();
+        burst(0);
+        play(2_000);
+        burst(0);
+        play(2_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost));
+        assertThat(relayedDispatches(node)).isEmpty();
+    }
+
+    private void burst(int daemon) {
+        for (int i = 0; i < 40; i++) {
+            sent.add(fleet.send(daemon, Work.online(tokens, ++fingerprint).withDeadline(5_000)));
+        }
+    }
+
+    /** Guards against a target that stays unused at a daemon for good as its relays once took no connections. */
+    @Test
+    void targetIsUsedAgainAfterItsRelaysTookNoConnections() {
+        start(1, 1);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = new TargetId("r-south-a-0");
+        fleet.cutFromTarget(0, lost, Cut.REFUSED);
+        burst(0);
+        play(3_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        for (int i = 0; i < 3; i++) {
+            burst(0);
+            fleet.run(30);
+            fleet.crashTarget(lost, 1_000);
+            play(5_000);
+        }
+        for (int i = 0; i < 20; i++) {
+            burst(0);
+            fleet.run(100);
+            List.copyOf(node.jobs.values()).stream()
+                    .filter(job -> job.relayedBy.isPresent())
+                    .forEach(job -> node.attemptEnded(
+                            job.attempt, VirtualFleet.failed(FailureKind.RELAY_FAILED, Verdict.NOT_RUN, 0)));
+            fleet.run(400);
+        }
+        play(10_000);
+        node.effects.clear();
+        burst(0);
+        play(4_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost));
+    }
+
+    /** Guards against an attempt that stays silent as its relay is only asked about another, slow target. */
+    @Test
+    void attemptDoesNotStaySilentWhileItsRelayIsAskedAboutASlowTarget() {
+        start(1, 4);
+        play(3_000);
+        cut(1, Cut.SILENT);
+        fleet.cutFromTargets(2, Cut.SILENT);
+        play(2_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        for (int i = 0; i < 12; i++) {
+            sent.add(fleet.send(0, Work.online(900, ++fingerprint)));
+        }
+        fleet.run(300);
+        List<EngineModel.Job> relayed = node.jobs.values().stream()
+                .filter(job -> job.relayedBy.isPresent())
+                .toList();
+        EngineModel.Job first = relayed.get(0);
+        TargetId slow = lastTarget(node, first);
+        EngineModel.Job second = relayed.stream()
+                .filter(job -> job.relayedBy.equals(first.relayedBy)
+                        && !lastTarget(node, job).equals(slow))
+                .findFirst()
+                .orElseThrow();
+        SentRequest request = node.requestsByAttempt.get(second.attempt);
+        for (long atMs = fleet.nowMs + VirtualFleet.SILENCE_MS;
+                atMs < fleet.nowMs + 6_000;
+                atMs += VirtualFleet.SILENCE_MS) {
+            fleet.at(atMs, () -> node.handle(new Event.AttemptSilent(first.attempt)));
+        }
+        fleet.cutFromTarget(daemon(first.relayedBy.orElseThrow()), lastTarget(node, second), Cut.SILENT);
+        fleet.run(3_000);
+        assertThat(request.dispatchedTo).hasSizeGreaterThan(1);
+    }
+
+    private static TargetId lastTarget(VirtualFleet.Node node, EngineModel.Job job) {
+        List<TargetId> targets = node.requestsByAttempt.get(job.attempt).dispatchedTo;
+        return targets.get(targets.size() - 1);
+    }
+
+    /** Guards against a target unused at a daemon that relays though its response has refuted that it is down. */
+    @Test
+    void relayedResponseRefutesAWrongFactOfAnotherDaemon() {
+        start(4, 4);
+        play(3_000);
+        cut(7, Cut.SILENT);
+        play(2_000);
+        SentRequest request = fleet.send(0, Work.online(60, ++fingerprint));
+        fleet.run(200);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId target = request.dispatchedTo.get(0);
+        node.receive(downFact(target));
+        fleet.run(200);
+        assertThat(request.completed()).isTrue();
+        node.effects.clear();
+        burst(0);
+        fleet.run(100);
+        assertThat(relayedDispatches(node))
+                .anyMatch(dispatch -> dispatch.target().equals(target));
+    }
+
+    private Fact downFact(TargetId target) {
+        return new Fact(
+                RoutingStateMachine.NAME,
+                TargetStatusPublisher.DOWN_PREFIX + target,
+                fleet.nowMs,
+                ByteString.copyFromUtf8("d11"),
+                2_000,
+                Fact.Scope.EVERYWHERE);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void daemonsServeTheirCallersSoonAfterACutOfAllOfThem(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        for (int i = 0; i < 3; i++) {
+            cut(12, cut);
+            play(4_000);
+            IntStream.range(0, 12).forEach(fleet::reconnectToTargets);
+            play(GOAL_MS);
+            List<SentRequest> after = play(3_000);
+            fleet.run(2_000);
+            assertThat(notCompleted(after)).isEmpty();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void daemonCutFromTargetsAndPeersServesItsCallersSoonAfterTheCut(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        cut(2, cut);
+        fleet.cutOff(0);
+        fleet.cutOff(1);
+        play(2_000);
+        List<SentRequest> during = at(play(3_000), 0, 2);
+        fleet.reconnect(0);
+        fleet.reconnect(1);
+        play(GOAL_MS);
+        List<SentRequest> relayed = play(3_000);
+        IntStream.range(0, 2).forEach(fleet::reconnectToTargets);
+        play(GOAL_MS);
+        List<SentRequest> after = play(3_000);
+        finish();
+        assertThat(during).allSatisfy(request -> assertThat(request.endedAtMs - request.sentAtMs)
+                .isLessThanOrEqualTo(500));
+        assertThat(notCompleted(relayed)).isEmpty();
+        assertThat(notCompleted(after)).isEmpty();
+    }
+
+    /** Guards against a target that nobody uses as its only way is that of a daemon that believes to need a relay. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetIsUsedByADaemonThatHasItsWayBackWhenTheOthersLoseTheirs(Cut cut) {
+        start(1, 2);
+        play(3_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        TargetId lost = new TargetId("r-south-a-0");
+        fleet.cutFromTarget(0, lost, cut);
+        burst(0);
+        play(3_000);
+        assertThat(relayedDispatches(node)).isNotEmpty();
+        burst(0);
+        fleet.run(50);
+        fleet.reconnectToTarget(0, lost);
+        fleet.cutFromTarget(1, lost, cut);
+        fleet.cutFromTarget(2, lost, cut);
+        play(3 * GOAL_MS);
+        node.effects.clear();
+        burst(0);
+        play(3_000);
+        burst(0);
+        play(3_000);
+        assertThat(node.effects)
+                .anyMatch(effect -> effect instanceof Effect.Dispatch dispatch
+                        && dispatch.target().equals(lost)
+                        && dispatch.relay().isEmpty());
+    }
+
+    /** Guards against requests refused with "no target" as one of several targets is down and there are no peers. */
+    @Test
+    void requestsAreNotRefusedAtAnIdleDaemonWithoutPeersIfOneTargetIsDown() {
+        for (int i = 0; i < 4; i++) {
+            fleet.addEngine("r-" + i, VirtualFleet.SOUTH, 8, 20, 5);
+        }
+        startDaemons(List.of(VirtualFleet.SOUTH));
+        arrivalIntervalMs = 1_000;
+        play(3_000);
+        fleet.crashTarget(fleet.engines.keySet().iterator().next(), 60_000);
+        play(20_000);
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
+
+    /** Guards against requests refused with "no target" at a daemon that its peers do not reach as one target is down. */
+    @Test
+    void requestsAreNotRefusedAtAnIdleDaemonWhosePeersAreSilentIfOneTargetIsDown() {
+        start(2, 2);
+        fleet.cutOff(0);
+        arrivalIntervalMs = 200;
+        play(6_000);
+        fleet.crashTarget(at(sent, 0, 1).get(0).dispatchedTo.get(0), 60_000);
+        play(20_000);
+        finish();
+        assertThat(notCompleted(sent)).isEmpty();
+    }
 }
