Do not take relays that lose their ways for crashes of targets

What callers saw: QUARANTINED "the request crashed targets" for a sound request after three relays in turn had lost their ways by resets; after two it was published as a suspect.

Cause: a loss through a relay made the request a suspect and was neither confirmed nor forgotten if another relay reached the target. The next loss of a suspect confirmed all its losses at once, before any check.

Change: if another daemon than the relay that lost the connection reaches the target, the losses are forgotten and the request is no suspect, as when a daemon loses its own way. A loss of a suspect through a relay counts only after the check has confirmed it; the request waits for that result, at most as long as for a way, so that it does not crash a further target meanwhile.

Evidence: PathMonitorTests.requestThatLosesSeveralRelaysIsNotSuspected failed on for two relays and for three. QuarantineTests. requestThatCrashesTargetsThroughRelaysIsQuarantinedAtItsSecondDeath passed before, failed without the wait (three targets instead of two), and passes.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -332,8 +332,13 @@
     private void awaitPath(Route route, long nowMs, Effects out) {
         context.count("requests-awaiting-path");
         route.awaitedPath = true;
+        awaitCheck(route, nowMs, out);
+    }
+
+    private void awaitCheck(Route route, long nowMs, Effects out) {
         route.phase = Route.Phase.AWAITING_PATH;
-        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), nowMs + PATH_CHECK_TIMEOUT_MS), out);
+        route.awaitsPathUntilMs = nowMs + PATH_CHECK_TIMEOUT_MS;
+        wakeups.put(route.request.id(), Math.min(route.request.deadlineAtMs(), route.awaitsPathUntilMs), out);
     }
 
     /** Goes on with the requests that wait for a way to a target. */
@@ -357,15 +362,11 @@
         }
     }
 
-    /**
-     * Lets requests that lost their target through a relay use it again; they remain suspect, since the target may have
-     * been down for a moment.
-     */
-    void relayReplaced(TargetId target) {
-        routes.values().forEach(route -> route.lossesAt.remove(target));
-    }
-
     private void findPath(Route route, long nowMs, Effects out) {
+        if (route.unexplainedLoss.isPresent()) {
+            awaitExplanation(route, nowMs, out);
+            return;
+        }
         wakeups.remove(route.request.id());
         if (!route.boundToTarget()) {
             chooseTarget(route, nowMs, out);
@@ -842,11 +843,17 @@
             route.version = Optional.of(route.target.softwareVersion());
         }
         route.deliveredTokens = route.resumedFrom + failure.tokens();
+        boolean suspectBefore = route.suspect;
         if (isLoss(failure) && !wayLost) {
             route.suspect = true;
             route.lossesAt.add(route.target.id());
         }
-        retry(route, failure, nowMs, out);
+        boolean unexplained = isLoss(failure) && context.paths().lossUnexplained(route.target.id());
+        if (unexplained && suspectBefore && route.relay.isPresent()) {
+            postponeRetry(route, failure, nowMs, out);
+        } else {
+            retry(route, failure, nowMs, out);
+        }
     }
 
     private static SuspectRun suspectRun(Route route, AttemptOutcome.Failed failure) {
@@ -858,6 +865,22 @@
                 route.suspect);
     }
 
+    /** Lets a request wait until it is known why it has lost its target, and retries it then. */
+    private void postponeRetry(Route route, AttemptOutcome.Failed loss, long nowMs, Effects out) {
+        route.unexplainedLoss = Optional.of(loss);
+        awaitCheck(route, nowMs, out);
+    }
+
+    private void awaitExplanation(Route route, long nowMs, Effects out) {
+        boolean timedOut = nowMs >= Math.min(route.request.deadlineAtMs(), route.awaitsPathUntilMs);
+        if (timedOut || !context.paths().lossUnexplained(route.target.id())) {
+            wakeups.remove(route.request.id());
+            AttemptOutcome.Failed loss = route.unexplainedLoss.get();
+            route.unexplainedLoss = Optional.empty();
+            retry(route, loss, nowMs, out);
+        }
+    }
+
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean neverReached = countPathFailure(route, failure);
         RetryPolicy.Step step = retryPolicy.after(route, failure);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -45,7 +45,8 @@
 
     @Override
     public void relayReplaced(TargetState target, long nowMs, Effects out) {
-        online.relayReplaced(target.id());
+        context.suspects().forgetLosses(target.id());
+        online.lossesForgotten(target.id(), nowMs);
         relayed(target, nowMs, out);
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -56,6 +56,11 @@
     /** Whether the request has waited for a target: many such requests run at once as soon as one can be reached. */
     boolean awaitedPath;
 
+    long awaitsPathUntilMs;
+
+    /** The loss of the target that is to be explained before the request is retried. */
+    Optional<AttemptOutcome.Failed> unexplainedLoss = Optional.empty();
+
     boolean permitted;
     boolean suspect;
     boolean trial;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/SuspectRegistry.java
@@ -52,11 +52,23 @@
     void connectionLost(TargetId target, SuspectRun run, long nowMs, Effects out) {
         losses.add(new Loss(target, run, nowMs));
         if (run.suspected()) {
-            confirm(loss -> loss.fingerprint().equals(run.fingerprint()), settings.quarantineMs(), true, nowMs, out);
+            confirmAll(run, nowMs, out);
         }
     }
 
-    /** Confirms the death of a target that this daemon reaches if several requests have recently lost it. */
+    private void confirmAll(SuspectRun run, long nowMs, Effects out) {
+        confirm(loss -> loss.fingerprint().equals(run.fingerprint()), settings.quarantineMs(), true, nowMs, out);
+    }
+
+    /**
+     * Records that a request lost its connection through a relay, which may have lost its own way to the target: it counts
+     * as the cause only after the death is confirmed, also if it ran as a suspect.
+     */
+    void relayedConnectionLost(TargetId target, SuspectRun run, long nowMs) {
+        losses.add(new Loss(target, run, nowMs));
+    }
+
+    /** Confirms the death of a target that this daemon reaches if several requests, or a suspect, have recently lost it. */
     void repeatedLoss(TargetId target, long nowMs, Effects out) {
         if (lostRepeatedly(target, nowMs)) {
             targetDown(target, nowMs, out);
@@ -71,10 +83,14 @@
     }
 
     private boolean lostRepeatedly(TargetId target, long nowMs) {
+        List<Loss> recent = recentLosses(target, nowMs);
+        return recent.size() > 1 || recent.stream().anyMatch(loss -> loss.run.suspected());
+    }
+
+    private List<Loss> recentLosses(TargetId target, long nowMs) {
         return losses.stream()
-                        .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
-                        .count()
-                > 1;
+                .filter(loss -> loss.target.equals(target) && nowMs - loss.atMs <= settings.deathWindowMs())
+                .toList();
     }
 
     /** Forgets the lost connections to a target that this daemon could not reach although it was not down. */
@@ -84,6 +100,9 @@
 
     /** Records a sign that a target is down; requests that recently lost their connection to it become suspects. */
     void targetDown(TargetId target, long nowMs, Effects out) {
+        recentLosses(target, nowMs).stream()
+                .filter(loss -> loss.run.suspected())
+                .forEach(loss -> confirmAll(loss.run, nowMs, out));
         confirm(loss -> loss.target.equals(target), settings.deathWindowMs(), true, nowMs, out);
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -105,7 +105,7 @@
             }
             case CONNECTION_REFUSED -> target.health().eject(nowMs);
             case CONNECTION_LOST, TARGET_GONE -> {
-                context.suspects().connectionLost(target.id(), run, nowMs, out);
+                context.suspects().relayedConnectionLost(target.id(), run, nowMs);
                 context.paths().lostThroughRelay(target, relay, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -248,6 +248,38 @@
         assertThat(countDecisions("request suspected")).isZero();
     }
 
+    private List<String> quarantines() {
+        return fleet.nodes.stream()
+                .flatMap(node -> node.effects.stream())
+                .filter(Effect.StateChanged.class::isInstance)
+                .map(Object::toString)
+                .filter(change -> change.contains(" quarantined"))
+                .toList();
+    }
+
+    /** Guards against sound requests suspected, or quarantined, as their relays lose their ways one after another. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void requestThatLosesSeveralRelaysIsNotSuspected(int relays) {
+        start(4, 4);
+        play(3_000);
+        cut(1, Cut.REFUSED);
+        play(2_000);
+        SentRequest request = fleet.send(0, Work.online(700, ++fingerprint));
+        for (int i = 0; i < relays; i++) {
+            fleet.run(300);
+            EngineModel.Job job = fleet.nodes.get(0).jobs.values().stream()
+                    .filter(running -> fleet.nodes.get(0).requestsByAttempt.get(running.attempt) == request)
+                    .findFirst()
+                    .orElseThrow();
+            fleet.cutFromTargets(daemon(job.relayedBy.orElseThrow()), Cut.REFUSED);
+            fleet.run(700);
+        }
+        fleet.run(9_000);
+        assertThat(quarantines()).isEmpty();
+        assertThat(countDecisions("request suspected")).isZero();
+    }
+
     @Test
     void attemptsThroughARelayThatLosesOneTargetDoNotStaySilent() {
         start(4, 4);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/QuarantineTests.java
@@ -20,6 +20,7 @@
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.core.Urgency;
 import org.cornelcrank.core.Verdict;
+import org.cornelcrank.routing.VirtualFleet.Cut;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
 import org.junit.jupiter.api.BeforeEach;
@@ -61,6 +62,22 @@
                 .isEqualTo(Verdict.NOT_RUN));
     }
 
+    @Test
+    void requestThatCrashesTargetsThroughRelaysIsQuarantinedAtItsSecondDeath() {
+        fleet.cutFromTargets(0, Cut.REFUSED);
+        for (int i = 0; i < 20; i++) {
+            fleet.send(0, Work.online(TOKENS, i + 1));
+            fleet.run(100);
+        }
+        fleet.run(2_000);
+        SentRequest poison = sendPoison(0);
+        fleet.run(5_000);
+        assertThat(fleet.count("attempts-relayed")).isPositive();
+        assertThat(poison.dispatchedTo).hasSize(2);
+        assertThat(poison.reply).isInstanceOfSatisfying(Refusal.class, refusal -> assertThat(refusal.code())
+                .isEqualTo(RefusalCode.QUARANTINED));
+    }
+
     @Test
     void otherRequestsOnCrashedTargetsComplete() {
         for (int i = 0; i < 9; i++) {
