Check another daemon's fact before it accuses requests

What callers saw: a sound request counted as a suspect, and the parts of its prompt were accused, after one lost connection and a wrong fact of another daemon that the target was down. During a rolling upgrade older daemons publish such a fact for each refused connection.

Cause: RoutingStateMachine.downReceived took the fact for the sign of a crash before this daemon had checked it.

Change: if this daemon checks the fact, its requests are accused only if it cannot connect either.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -37,6 +37,11 @@
         online.pathsChanged(nowMs, out);
     }
 
+    @Override
+    public void toldDownConfirmed(TargetState target, long nowMs, Effects out) {
+        context.suspects().targetDown(target.id(), nowMs, out);
+    }
+
     @Override
     public void relayed(TargetState target, long nowMs, Effects out) {
         target.health().reinstate();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -344,6 +344,7 @@
                 concludeReachable(target, check, nowMs, out);
             } else if (check.causes().equals(EnumSet.of(PathCheck.Cause.TOLD_DOWN))) {
                 checks.remove(id);
+                listener.toldDownConfirmed(target, nowMs, out);
             } else {
                 askPeers(target, check, nowMs, out);
             }
@@ -695,6 +696,9 @@
         /** This daemon reaches the target after all. */
         void reachable(TargetState target, EnumSet<PathCheck.Cause> causes, long nowMs, Effects out);
 
+        /** Another daemon has found the target to be down, and this one does not reach it either. */
+        void toldDownConfirmed(TargetState target, long nowMs, Effects out);
+
         /** The way to the target has changed: another daemon relays now, or no longer. */
         void relayed(TargetState target, long nowMs, Effects out);
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -325,9 +325,10 @@
         if (target.health().ejectAsTold(nowMs)) {
             out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", "found to be down by another daemon");
         }
-        context.suspects().targetDown(target.id(), nowMs, out);
         if (statusPublisher.refutable(fact) && target.path().contactSince(nowMs - RECENT_CONTACT_MS)) {
             paths.toldDown(target, nowMs, out);
+        } else {
+            context.suspects().targetDown(target.id(), nowMs, out);
         }
     }
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -7,10 +7,14 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.Effect;
+import org.cornelcrank.core.Fact;
+import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.core.Verdict;
 import org.cornelcrank.routing.VirtualFleet.Cut;
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
@@ -248,6 +252,36 @@
         assertThat(countDecisions("request suspected")).isZero();
     }
 
+    /** Guards against a crash that is concluded from one lost connection and another daemon's wrong view. */
+    @Test
+    void requestIsNotSuspectedForAWrongFactOfAnotherDaemon() {
+        start(4, 4);
+        play(3_000);
+        SentRequest request = fleet.send(5, Work.online(200, ++fingerprint));
+        fleet.run(200);
+        VirtualFleet.Node node = fleet.nodes.get(5);
+        TargetId target = request.dispatchedTo.get(0);
+        EngineModel.Job job = node.jobs.values().stream()
+                .filter(running -> node.requestsByAttempt.get(running.attempt) == request)
+                .findFirst()
+                .orElseThrow();
+        node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, 0));
+        fleet.run(200);
+        node.receive(wrongFact(target));
+        fleet.run(1_000);
+        assertThat(decisions(node, "request suspected")).isEmpty();
+    }
+
+    private Fact wrongFact(TargetId target) {
+        return new Fact(
+                RoutingStateMachine.NAME,
+                TargetStatusPublisher.DOWN_PREFIX + target,
+                fleet.nowMs,
+                ByteString.copyFromUtf8("d11"),
+                2_000,
+                Fact.Scope.EVERYWHERE);
+    }
+
     private List<String> quarantines() {
         return fleet.nodes.stream()
                 .flatMap(node -> node.effects.stream())
