Refuse permits of a target only for confirmed facts about it

What callers saw: hosts that reach a target did not use it, as permits were refused as UNAVAILABLE, while the host that grants them had lost its way to the target, or its relay.

Cause: TargetController.acceptsWork took each ejection by its own daemon, also one for a time-out or after a check that found nobody, for a property of the target.

Change: health keeps apart whether a target is down, as found by a check with a second daemon, told by another one and not refuted, or shown by another target that responds at its address. Only then are permits refused. A response of the target refutes it.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -74,7 +74,8 @@
             long nowMs,
             Effects out) {
         boolean down = result == PathCheck.Unreachable.DOWN;
-        boolean ejected = down ? target.health().eject(nowMs) : target.health().ejectBriefly(nowMs);
+        boolean ejected =
+                down ? target.health().ejectDown(nowMs) : target.health().ejectBriefly(nowMs);
         if (ejected) {
             out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", causes + ", " + result);
             out.add(new Effect.StateChanged(
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -126,11 +126,12 @@
         context.directory().find(target).ifPresent(state -> ledger.limitRate(state.maxRequestsPerSecond(), nowMs));
     }
 
+    /** Returns whether permits may be granted, also to daemons that reach the target another way than this one. */
     private boolean acceptsWork(TargetId target, long nowMs) {
         return context.directory()
                         .find(target)
                         .filter(state -> !context.directory().leaving(state, nowMs))
-                        .filter(state -> !state.health().ejected(nowMs))
+                        .filter(state -> !state.health().down(nowMs))
                         .isPresent()
                 && !unreachable.contains(target);
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -124,7 +124,7 @@
     /** Ejects a target at whose address another one has responded, and publishes this to all daemons. */
     private static boolean replaced(RoutingContext context, TargetState target, long nowMs, Effects out) {
         context.suspects().targetDown(target.id(), nowMs, out);
-        boolean newlyEjected = target.health().eject(nowMs);
+        boolean newlyEjected = target.health().ejectDown(nowMs);
         if (newlyEjected) {
             context.statusPublisher().unresponsive(target.id(), nowMs, out);
         }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetHealth.java
@@ -17,6 +17,7 @@
     private int failuresInRow;
     private int ejections;
     private long ejectedUntilMs;
+    private long downUntilMs;
     private boolean toldDown;
     private double startLatencyMs;
     private int latencySamples;
@@ -59,6 +60,13 @@
         return true;
     }
 
+    /** Does the same as {@link #eject} for a target that a second daemon, or the target itself, has confirmed to be down. */
+    boolean ejectDown(long nowMs) {
+        boolean newlyEjected = eject(nowMs);
+        downUntilMs = ejectedUntilMs;
+        return newlyEjected;
+    }
+
     /** Ejects the target once without making later ejections longer; returns whether it was not ejected before. */
     boolean ejectBriefly(long nowMs) {
         if (ejected(nowMs)) {
@@ -73,13 +81,14 @@
      * not ejected before.
      */
     boolean ejectAsTold(long nowMs) {
-        boolean newlyEjected = eject(nowMs);
+        boolean newlyEjected = ejectDown(nowMs);
         toldDown |= newlyEjected;
         return newlyEjected;
     }
 
     /** Records that the target has responded to this daemon, which refutes that it is down. */
     void responded() {
+        downUntilMs = 0;
         if (toldDown) {
             reinstate();
         }
@@ -90,6 +99,7 @@
         failuresInRow = 0;
         ejections = Math.max(0, ejections - (ejectedUntilMs > 0 ? 1 : 0));
         ejectedUntilMs = 0;
+        downUntilMs = 0;
         toldDown = false;
     }
 
@@ -97,6 +107,11 @@
         return nowMs < ejectedUntilMs;
     }
 
+    /** Returns whether the target is ejected for everybody, and not only for what this daemon alone has seen. */
+    boolean down(long nowMs) {
+        return nowMs < downUntilMs;
+    }
+
     /** Returns the share of its normal requests that the target may get, 0 while it is ejected. */
     double admittedShare(long nowMs) {
         if (ejected(nowMs)) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -234,6 +234,68 @@
         assertThat(countDecisions("ejected")).isZero();
     }
 
+    /** Guards against a target closed to all daemons as its controller has lost its way to it, and then its relay. */
+    @Test
+    void targetIsNotClosedToOthersForAFailureOfTheControllersRelay() {
+        start(4, 4);
+        play(3_000);
+        int controller = -1;
+        EngineModel.Job job = null;
+        for (int daemon = 0; daemon < 12 && job == null; daemon++) {
+            controller = daemon;
+            VirtualFleet.Node node = fleet.nodes.get(daemon);
+            fleet.cutFromTargets(daemon, Cut.SILENT);
+            play(2_000);
+            for (int i = 0; i < 24; i++) {
+                fleet.send(daemon, Work.online(100, ++fingerprint).notRepeatable(), RequestOptions.DEFAULTS);
+            }
+            fleet.run(200);
+            job = node.jobs.values().stream()
+                    .filter(running -> running.relayedBy.isPresent() && node.watched.contains(targetOf(node, running)))
+                    .findFirst()
+                    .orElse(null);
+            if (job == null) {
+                fleet.reconnectToTargets(daemon);
+                play(2_000);
+            }
+        }
+        VirtualFleet.Node node = fleet.nodes.get(controller);
+        TargetId target = targetOf(node, job);
+        fleet.nodes.forEach(other -> other.effects.clear());
+        node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.TIMED_OUT, Verdict.MAY_HAVE_RUN, 0));
+        arrivalIntervalMs = 2;
+        play(400);
+        assertThat(fleet.nodes.stream()
+                        .flatMap(other -> decisions(other, "permit refused by " + target).stream())
+                        .filter(refused -> refused.reason().equals(RoutingMessage.Reason.UNAVAILABLE.name())))
+                .isEmpty();
+    }
+
+    /** Guards against targets closed to the daemons that reach them by controllers that have lost their ways. */
+    @ParameterizedTest
+    @ValueSource(ints = {48, 56, 59})
+    void targetsAreNotClosedToTheFewDaemonsThatReachThem(int cut) {
+        start(20, 4);
+        arrivalIntervalMs = 5;
+        play(3_000);
+        cut(cut, Cut.REFUSED);
+        fleet.nodes.forEach(node -> node.effects.clear());
+        List<SentRequest> during = at(play(6_000), cut, 60);
+        finish();
+        assertThat(fleet.nodes.subList(cut, 60).stream()
+                        .flatMap(node -> node.effects.stream())
+                        .filter(effect -> effect instanceof Effect.Explain explain
+                                && explain.decision().startsWith("permit refused by ")
+                                && explain.reason().equals(RoutingMessage.Reason.UNAVAILABLE.name())))
+                .isEmpty();
+        assertThat(notCompleted(during)).isEmpty();
+    }
+
+    private static TargetId targetOf(VirtualFleet.Node node, EngineModel.Job job) {
+        List<TargetId> targets = node.requestsByAttempt.get(job.attempt).dispatchedTo;
+        return targets.get(targets.size() - 1);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {3, 7})
     void requestsThatARelayLosesAreNotSuspected(int firstCut) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetHealthTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetHealthTests.java
@@ -28,6 +28,23 @@
         assertThat(health.ejected(NOW_MS)).isTrue();
     }
 
+    /** Guards against a target that is closed to all daemons for what one of them has seen. */
+    @Test
+    void onlyConfirmedEjectionsCountAsDown() {
+        health.eject(NOW_MS);
+        assertThat(health.down(NOW_MS)).isFalse();
+        health.ejectAsTold(NOW_MS);
+        assertThat(health.down(NOW_MS)).isTrue();
+        health.responded();
+        assertThat(health.down(NOW_MS)).isFalse();
+        health.ejectDown(NOW_MS);
+        assertThat(health.down(NOW_MS)).isTrue();
+        health.reinstate();
+        assertThat(health.down(NOW_MS)).isFalse();
+        health.ejectBriefly(NOW_MS);
+        assertThat(health.down(NOW_MS)).isFalse();
+    }
+
     @Test
     void briefEjectionsDoNotGrow() {
         long ejectionMs = RoutingSettings.forLatencyObjectives().ejection().ejectionMs();
