--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathChangeHandler.java
@@ -37,6 +37,11 @@
         online.pathsChanged(nowMs, out);
     }
 
+    @Override
+    public void toldDownConfirmed(TargetState target, long nowMs, Effects out) {
+        context.suspects().targetDown(target.id(), nowMs, out);
+    }
+
     @Override
     public void relayed(TargetState target, long nowMs, Effects out) {
         target.health().reinstate();
@@ -45,7 +50,8 @@
 
     @Override
     public void relayReplaced(TargetState target, long nowMs, Effects out) {
-        online.relayReplaced(target.id());
+        context.suspects().forgetLosses(target.id());
+        online.lossesForgotten(target.id(), nowMs);
         relayed(target, nowMs, out);
     }
 
@@ -73,7 +79,8 @@
             long nowMs,
             Effects out) {
         boolean down = result == PathCheck.Unreachable.DOWN;
-        boolean ejected = down ? target.health().eject(nowMs) : target.health().ejectBriefly(nowMs);
+        boolean ejected =
+                down ? target.health().ejectDown(nowMs) : target.health().ejectBriefly(nowMs);
         if (ejected) {
             out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", causes + ", " + result);
             out.add(new Effect.StateChanged(
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -105,7 +105,7 @@
             }
             case CONNECTION_REFUSED -> target.health().eject(nowMs);
             case CONNECTION_LOST, TARGET_GONE -> {
-                context.suspects().connectionLost(target.id(), run, nowMs, out);
+                context.suspects().relayedConnectionLost(target.id(), run, nowMs);
                 context.paths().lostThroughRelay(target, relay, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
@@ -124,7 +124,7 @@
     /** Ejects a target at whose address another one has responded, and publishes this to all daemons. */
     private static boolean replaced(RoutingContext context, TargetState target, long nowMs, Effects out) {
         context.suspects().targetDown(target.id(), nowMs, out);
-        boolean newlyEjected = target.health().eject(nowMs);
+        boolean newlyEjected = target.health().ejectDown(nowMs);
         if (newlyEjected) {
             context.statusPublisher().unresponsive(target.id(), nowMs, out);
         }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -235,6 +235,68 @@
         assertThat(countDecisions("ejected")).isZero();
     }
 
+    /** Guards against a target closed to all daemons as its controller has lost its way to it, and then its relay. */
+    @Test
+    void targetIsNotClosedToOthersForAFailureOfTheControllersRelay() {
+        start(4, 4);
+        play(3_000);
+        int controller = -1;
+        EngineModel.Job job = null;
+        for (int daemon = 0; daemon < 12 && job == null; daemon++) {
+            controller = daemon;
+            VirtualFleet.Node node = fleet.nodes.get(daemon);
+            fleet.cutFromTargets(daemon, Cut.SILENT);
+            play(2_000);
+            for (int i = 0; i < 24; i++) {
+                fleet.send(daemon, Work.online(100, ++fingerprint).notRepeatable(), RequestOptions.DEFAULTS);
+            }
+            fleet.run(200);
+            job = node.jobs.values().stream()
+                    .filter(running -> running.relayedBy.isPresent() && node.watched.contains(targetOf(node, running)))
+                    .findFirst()
+                    .orElse(null);
+            if (job == null) {
+                fleet.reconnectToTargets(daemon);
+                play(2_000);
+            }
+        }
+        VirtualFleet.Node node = fleet.nodes.get(controller);
+        TargetId target = targetOf(node, job);
+        fleet.nodes.forEach(other -> other.effects.clear());
+        node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.TIMED_OUT, Verdict.MAY_HAVE_RUN, 0));
+        arrivalIntervalMs = 2;
+        play(400);
+        assertThat(fleet.nodes.stream()
+                        .flatMap(other -> decisions(other, "permit refused by " + target).stream())
+                        .filter(refused -> refused.reason().equals(RoutingMessage.Reason.UNAVAILABLE.name())))
+                .isEmpty();
+    }
+
+    /** Guards against targets closed to the daemons that reach them by controllers that have lost their ways. */
+    @ParameterizedTest
+    @ValueSource(ints = {48, 56, 59})
+    void targetsAreNotClosedToTheFewDaemonsThatReachThem(int cut) {
+        start(20, 4);
+        arrivalIntervalMs = 5;
+        play(3_000);
+        cut(cut, Cut.REFUSED);
+        fleet.nodes.forEach(node -> node.effects.clear());
+        List<SentRequest> during = at(play(6_000), cut, 60);
+        finish();
+        assertThat(fleet.nodes.subList(cut, 60).stream()
+                        .flatMap(node -> node.effects.stream())
+                        .filter(effect -> effect instanceof Effect.Explain explain
+                                && explain.decision().startsWith("permit refused by ")
+                                && explain.reason().equals(RoutingMessage.Reason.UNAVAILABLE.name())))
+                .isEmpty();
+        assertThat(notCompleted(during)).isEmpty();
+    }
+
+    private static TargetId targetOf(VirtualFleet.Node node, EngineModel.Job job) {
+        List<TargetId> targets = node.requestsByAttempt.get(job.attempt).dispatchedTo;
+        return targets.get(targets.size() - 1);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {3, 7})
     void requestsThatARelayLosesAreNotSuspected(int firstCut) {
@@ -253,6 +315,68 @@
         assertThat(countDecisions("request suspected")).isZero();
     }
 
+    /** Guards against a crash that is concluded from one lost connection and another daemon's wrong view. */
+    @Test
+    void requestIsNotSuspectedForAWrongFactOfAnotherDaemon() {
+        start(4, 4);
+        play(3_000);
+        SentRequest request = fleet.send(5, Work.online(200, ++fingerprint));
+        fleet.run(200);
+        VirtualFleet.Node node = fleet.nodes.get(5);
+        TargetId target = request.dispatchedTo.get(0);
+        EngineModel.Job job = node.jobs.values().stream()
+                .filter(running -> node.requestsByAttempt.get(running.attempt) == request)
+                .findFirst()
+                .orElseThrow();
+        node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, 0));
+        fleet.run(200);
+        node.receive(wrongFact(target));
+        fleet.run(1_000);
+        assertThat(decisions(node, "request suspected")).isEmpty();
+    }
+
+    private Fact wrongFact(TargetId target) {
+        return new Fact(
+                RoutingStateMachine.NAME,
+                TargetStatusPublisher.DOWN_PREFIX + target,
+                fleet.nowMs,
+                ByteString.copyFromUtf8("d11"),
+                2_000,
+                Fact.Scope.EVERYWHERE);
+    }
+
+    private List<String> quarantines() {
+        return fleet.nodes.stream()
+                .flatMap(node -> node.effects.stream())
+                .filter(Effect.StateChanged.class::isInstance)
+                .map(Object::toString)
+                .filter(change -> change.contains(" quarantined"))
+                .toList();
+    }
+
+    /** Guards against sound requests suspected, or quarantined, as their relays lose their ways one after another. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void requestThatLosesSeveralRelaysIsNotSuspected(int relays) {
+        start(4, 4);
+        play(3_000);
+        cut(1, Cut.REFUSED);
+        play(2_000);
+        SentRequest request = fleet.send(0, Work.online(700, ++fingerprint));
+        for (int i = 0; i < relays; i++) {
+            fleet.run(300);
+            EngineModel.Job job = fleet.nodes.get(0).jobs.values().stream()
+                    .filter(running -> fleet.nodes.get(0).requestsByAttempt.get(running.attempt) == request)
+                    .findFirst()
+                    .orElseThrow();
+            fleet.cutFromTargets(daemon(job.relayedBy.orElseThrow()), Cut.REFUSED);
+            fleet.run(700);
+        }
+        fleet.run(9_000);
+        assertThat(quarantines()).isEmpty();
+        assertThat(countDecisions("request suspected")).isZero();
+    }
+
     @Test
     void attemptsThroughARelayThatLosesOneTargetDoNotStaySilent() {
         start(4, 4);
