Refuse requests soon if no controller replies to them

What callers saw: a request that had lost its target, while no controller of another target replied, was kept until its deadline (7.7 s of 8 s, with twelve targets) and then refused without a time to try again, so that it was too late for another daemon.

Cause: the rounds in which controllers are asked again were counted, and each asks the targets one after another, waiting longer each time. The sum grows with the number of targets.

Change: a request asks for a second from the first controller that is silent on, whatever the number of targets and rounds.

Evidence: requestThatLostItsTargetEndsSoonIfNoControllerReplies fails without the change and passes with it, as do all tests of the module.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -69,8 +69,8 @@
     /** How long a request waits for the end of a check of its targets, in ms: all rounds of one. */
     private static final long PATH_CHECK_TIMEOUT_MS = 1_200;
 
-    /** How often the silent controllers of a request that must not run without a permit are asked again. */
-    private static final int MAX_REPEATED_ASKS = 5;
+    /** How long a request that must not run without a permit asks controllers while none of them replies, in ms. */
+    private static final long MAX_CONTROLLER_SILENCE_MS = 1_000;
 
     /** How many attempts of a request may fail before they reach their target without counting as attempts. */
     private static final int MAX_PATH_FAILURES = 4;
@@ -293,7 +293,7 @@
             return;
         }
         Optional<TargetState> chosen = choose(route, nowMs, out);
-        if (chosen.isEmpty() && askAgain(route)) {
+        if (chosen.isEmpty() && askAgain(route, nowMs)) {
             chosen = choose(route, nowMs, out);
         }
         if (chosen.isPresent()) {
@@ -311,9 +311,9 @@
                 .flatMap(team -> choice.choose(route.request, team, route.filter(), nowMs, out));
     }
 
-    /** Lets a request use the targets again whose controllers were silent, a limited number of times. */
-    private static boolean askAgain(Route route) {
-        if (route.unanswered.isEmpty() || route.repeatedAsks >= MAX_REPEATED_ASKS) {
+    /** Lets a request use the targets again whose controllers were silent, for a limited time. */
+    private static boolean askAgain(Route route, long nowMs) {
+        if (route.unanswered.isEmpty() || route.asksInVain(nowMs, MAX_CONTROLLER_SILENCE_MS)) {
             return false;
         }
         route.unanswered.clear();
@@ -408,7 +408,7 @@
     private void lookForTargetAgain(Route route, long nowMs, Effects out) {
         if (route.phase == Route.Phase.AWAITING_ROOM) {
             route.full.clear();
-            route.unanswered.clear();
+            route.forgetSilence();
             route.permitRefusals = 0;
         }
         findPath(route, nowMs, out);
@@ -663,9 +663,12 @@
                 Subject.Kind.REQUEST, route.request.id(), nowMs, "no permit obtained for " + route.target.id(), reason);
         withdraw(route, out);
         (route.controller == null ? route.excluded : route.unanswered).add(route.target.id());
-        if (!route.boundToTarget()) {
+        route.controllerSilent(nowMs);
+        if (route.asksInVain(nowMs, MAX_CONTROLLER_SILENCE_MS)) {
+            giveUpWithoutTarget(route, nowMs, out);
+        } else if (!route.boundToTarget()) {
             chooseTarget(route, nowMs, out);
-        } else if (askAgain(route)) {
+        } else if (askAgain(route, nowMs)) {
             findPath(route, nowMs, out);
         } else {
             giveUpWithoutTarget(route, nowMs, out);
@@ -905,8 +908,7 @@
         } else {
             context.count("retries");
             route.permitRefusals = 0;
-            route.repeatedAsks = 0;
-            route.unanswered.clear();
+            route.forgetSilence();
             route.full.clear();
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -39,6 +40,7 @@
     final Set<TargetId> full = new TreeSet<>();
 
     int repeatedAsks;
+    private OptionalLong silentSinceMs = OptionalLong.empty();
 
     /** The targets whose connections the request has lost, except those that were lost only with the way to them. */
     final Set<TargetId> lossesAt = new TreeSet<>();
@@ -116,6 +118,25 @@
         return settings.team(request.team()).or(() -> admittedUnder);
     }
 
+    /** Records that a controller has not replied in time. */
+    void controllerSilent(long nowMs) {
+        if (silentSinceMs.isEmpty()) {
+            silentSinceMs = OptionalLong.of(nowMs);
+        }
+    }
+
+    /** Returns whether no controller has replied for at least the given time. */
+    boolean asksInVain(long nowMs, long silenceMs) {
+        return silentSinceMs.isPresent() && nowMs - silentSinceMs.getAsLong() >= silenceMs;
+    }
+
+    /** Lets the request ask all controllers anew. */
+    void forgetSilence() {
+        unanswered.clear();
+        repeatedAsks = 0;
+        silentSinceMs = OptionalLong.empty();
+    }
+
     /** Returns whether only the target that began the request's stream can resume it. */
     boolean boundToTarget() {
         return bytesReachedCaller && !request.options().resumableAnywhere();
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -720,4 +720,22 @@
         finish();
         assertThat(notCompleted(sent)).isEmpty();
     }
+
+    /** Guards against a caller kept until its deadline as no controller of the other targets replies. */
+    @Test
+    void requestThatLostItsTargetEndsSoonIfNoControllerReplies() {
+        start(4, 4);
+        play(3_000);
+        int daemon = IntStream.range(0, fleet.nodes.size())
+                .filter(i -> fleet.nodes.get(i).watched.isEmpty())
+                .findFirst()
+                .orElseThrow();
+        SentRequest request = fleet.send(daemon, Work.online(500, ++fingerprint).withDeadline(8_000));
+        fleet.run(300);
+        fleet.cutOff(daemon);
+        fleet.crashTarget(request.dispatchedTo.get(0), 60_000);
+        long lostAtMs = fleet.nowMs;
+        play(12_000);
+        assertThat(request.endedAtMs - lostAtMs).isLessThanOrEqualTo(2_000);
+    }
 }
