Let a daemon that reaches a relayed target again end its check

What callers saw: a target was ejected everywhere though a daemon reached it, and could have relayed to it for the others.

Cause: PathMonitor.probed ignored a successful probe while a relayed target was checked, and such a check did not connect itself. If the relays lost their ways as this daemon got its own back, their replies made the target DOWN.

Change: the check of a relayed target connects beside asking, and a connection that succeeds ends it: the target is reached directly again. Requests that a relay lost go on as if another relay reached the target.

Evidence: targetIsNotFoundDownByADaemonThatHasItsWayBackWhenTheOthersLoseTheirs of PathMonitorTests failed before the change, on: DOWN in each of ten rounds with resets, and in one of ten with silent connections.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -316,6 +316,15 @@
 
     private void concludeReachable(TargetState target, PathCheck check, long nowMs, Effects out) {
         checks.remove(target.id());
+        if (check.relayedBefore()) {
+            restored(target, nowMs, out);
+            if (check.lostThrough().isPresent()) {
+                listener.relayReplaced(target, nowMs, out);
+            } else {
+                listener.relayed(target, nowMs, out);
+            }
+            return;
+        }
         target.path().direct();
         if (check.asksPeers() && check.has(PathCheck.Cause.CONNECTION_LOST)) {
             listener.lossesExplained(target, true, nowMs, out);
@@ -397,18 +406,17 @@
         TargetState target = found.get();
         explainLosses(target, reachable, nowMs, out);
         PathCheck check = checks.get(id);
-        if (check != null && check.asksPeers() && reachable && !check.relayedBefore()) {
+        if (check != null && reachable) {
             concludeReachable(target, check, nowMs, out);
         } else if (check != null && !check.asksPeers()) {
-            if (reachable) {
-                concludeReachable(target, check, nowMs, out);
-            } else if (check.causes().equals(EnumSet.of(PathCheck.Cause.TOLD_DOWN))) {
+            if (check.causes().equals(EnumSet.of(PathCheck.Cause.TOLD_DOWN))) {
                 checks.remove(id);
             } else {
                 askPeers(target, check, nowMs, out);
             }
         } else if (check == null && reachable && target.path().state() == TargetPath.State.RELAYED) {
             restored(target, nowMs, out);
+            listener.relayed(target, nowMs, out);
         }
     }
 
@@ -417,7 +425,6 @@
         count("paths-restored");
         out.explain(Subject.Kind.TARGET, target.id(), nowMs, "reached directly again", "connecting succeeded");
         probeLost(RESTORE_PROBES_AFTER_SUCCESS, nowMs, out);
-        listener.relayed(target, nowMs, out);
     }
 
     /** Checks a target on behalf of another daemon. */
@@ -562,6 +569,7 @@
         PathCheck check = check(target, cause, nowMs);
         lostThrough.ifPresent(check::lostThrough);
         if (!check.asksPeers()) {
+            probe(target, nowMs, out);
             askPeers(target, check, nowMs, out);
         }
     }
@@ -765,7 +773,7 @@
         /** The way to the target has changed: another daemon relays now, or no longer. */
         void relayed(TargetState target, long nowMs, Effects out);
 
-        /** A relay has lost its connections to the target, and another one reaches it. */
+        /** A relay has lost its connections to the target, and another one or this daemon reaches it. */
         void relayReplaced(TargetState target, long nowMs, Effects out);
 
         /**
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -596,4 +596,32 @@
         finish();
         assertThat(notCompleted(sent)).isEmpty();
     }
+
+    /** Guards against a target that is published as down by a daemon that reaches it itself again. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetIsNotFoundDownByADaemonThatHasItsWayBackWhenTheOthersLoseTheirs(Cut cut) {
+        start(1, 2);
+        play(3_000);
+        TargetId lost = new TargetId("r-south-a-0");
+        for (int i = 0; i < 10; i++) {
+            fleet.cutFromTarget(0, lost, cut);
+            burst(0);
+            play(3_000);
+            burst(0);
+            fleet.run(50 + 25 * i);
+            fleet.reconnectToTarget(0, lost);
+            fleet.cutFromTarget(1, lost, cut);
+            fleet.cutFromTarget(2, lost, cut);
+            play(3 * GOAL_MS);
+            fleet.reconnectToTarget(1, lost);
+            fleet.reconnectToTarget(2, lost);
+            play(3 * GOAL_MS);
+        }
+        assertThat(fleet.count("attempts-relayed")).isPositive();
+        assertThat(fleet.nodes.get(0).effects.stream()
+                        .filter(effect -> effect instanceof Effect.Explain explain
+                                && explain.decision().startsWith("unreachable, ")))
+                .isEmpty();
+    }
 }
