Do not eject targets for attempts sent before the way was lost

What callers saw: less capacity everywhere after the cut of one host.

Cause: an attempt that may not be repeated and that was lost in the cut timed out when the way was back. The daemon could connect, so it ejected the target and published it as unresponsive, which no daemon refutes by connecting.

Change: a time-out says nothing about the target if the way to it, or to all targets, has failed since the attempt was dispatched.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRun.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRun.java
@@ -28,6 +28,7 @@
     private AttemptId attempt;
     private Optional<ResumePoint> resume = Optional.empty();
     private Optional<HostId> relay = Optional.empty();
+    private long dispatchedAtMs;
     private boolean revoked;
     private boolean suspect;
 
@@ -88,9 +89,14 @@
         return attempt;
     }
 
-    void started(AttemptId newAttempt, Optional<HostId> newRelay) {
+    void started(AttemptId newAttempt, Optional<HostId> newRelay, long nowMs) {
         attempt = newAttempt;
         relay = newRelay;
+        dispatchedAtMs = nowMs;
+    }
+
+    long dispatchedAtMs() {
+        return dispatchedAtMs;
     }
 
     /** Returns the daemon that relays the attempt, empty if this daemon is connected to the target itself. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -155,7 +155,7 @@
     }
 
     private void dispatch(BatchRun run, AttemptId attempt, long nowMs, Effects out) {
-        run.started(attempt, context.paths().relayFor(run.target(), nowMs));
+        run.started(attempt, context.paths().relayFor(run.target(), nowMs), nowMs);
         byAttempt.put(attempt, run);
         out.add(new Effect.Dispatch(
                 attempt,
@@ -265,7 +265,9 @@
                 return true;
             }
             SuspectRun suspectRun = new SuspectRun(run.work().fingerprint(), run.service(), List.of(), run.suspect());
-            TargetFailures.apply(context, run.target(), run.relay(), failure, suspectRun, nowMs, out);
+            TargetFailures.FailedAttempt failed = new TargetFailures.FailedAttempt(
+                    run.target(), run.relay(), run.dispatchedAtMs(), failure, suspectRun);
+            TargetFailures.apply(context, failed, nowMs, out);
         } else {
             run.target().health().attemptSucceeded();
             recordContact(run, nowMs);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -821,7 +821,9 @@
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
         boolean wayLost = route.relay.isEmpty() && context.paths().relayed(route.target);
         if (!ownDeadline) {
-            TargetFailures.apply(context, route.target, route.relay, failure, suspectRun(route, failure), nowMs, out);
+            TargetFailures.FailedAttempt failed = new TargetFailures.FailedAttempt(
+                    route.target, route.relay, route.dispatchedAtMs, failure, suspectRun(route, failure));
+            TargetFailures.apply(context, failed, nowMs, out);
         }
         if (route.phase == Route.Phase.ENDED) {
             return;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -104,6 +104,11 @@
         return target.path().state() == TargetPath.State.RELAYED || disconnected();
     }
 
+    /** Returns whether the way to the target, or to all targets, has failed at the given time or later. */
+    boolean failedSince(TargetState target, long sinceMs) {
+        return target.path().failedSince(sinceMs) || lostAtMs >= sinceMs || isolatedAtMs >= sinceMs;
+    }
+
     /** Returns whether neither this daemon nor any that it asked reaches a target. */
     boolean isolated() {
         return isolatedAtMs > lastContactAtMs;
@@ -229,7 +234,7 @@
     }
 
     private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
-        target.path().checking();
+        target.path().checking(nowMs);
         Set<HostId> selected =
                 check.rounds() < MAX_ROUNDS ? relays.selectPeers(check.asked(), nowMs) : Set.<HostId>of();
         if (selected.isEmpty()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -19,20 +19,14 @@
 
     private TargetFailures() {}
 
-    static void apply(
-            RoutingContext context,
-            TargetState target,
-            Optional<HostId> relay,
-            AttemptOutcome.Failed failure,
-            SuspectRun run,
-            long nowMs,
-            Effects out) {
-        boolean ejected = relay.isPresent()
-                ? recordRelayedFailure(context, target, relay.get(), failure, run, nowMs, out)
-                : recordFailure(context, target, failure, run, nowMs, out);
-        context.count("attempts-failed-" + failure.kind().name().toLowerCase(Locale.ROOT));
+    static void apply(RoutingContext context, FailedAttempt attempt, long nowMs, Effects out) {
+        boolean ejected = attempt.relay().isPresent()
+                ? recordRelayedFailure(context, attempt, attempt.relay().get(), nowMs, out)
+                : recordFailure(context, attempt, nowMs, out);
+        FailureKind kind = attempt.failure().kind();
+        context.count("attempts-failed-" + kind.name().toLowerCase(Locale.ROOT));
         if (ejected) {
-            explainEjection(target, failure.kind(), nowMs, out);
+            explainEjection(attempt.target(), kind, nowMs, out);
         }
     }
 
@@ -42,13 +36,9 @@
         context.paths().connectFailed(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
     }
 
-    private static boolean recordFailure(
-            RoutingContext context,
-            TargetState target,
-            AttemptOutcome.Failed failure,
-            SuspectRun run,
-            long nowMs,
-            Effects out) {
+    private static boolean recordFailure(RoutingContext context, FailedAttempt attempt, long nowMs, Effects out) {
+        TargetState target = attempt.target();
+        AttemptOutcome.Failed failure = attempt.failure();
         return switch (failure.kind()) {
             case CONNECTION_REFUSED -> {
                 if (failure.status() != 0) {
@@ -61,7 +51,7 @@
                 if (context.paths().relayed(target)) {
                     yield false;
                 }
-                context.suspects().connectionLost(target.id(), run, nowMs, out);
+                context.suspects().connectionLost(target.id(), attempt.run(), nowMs, out);
                 context.paths().connectFailed(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
                 yield false;
             }
@@ -69,13 +59,14 @@
                 if (context.paths().relayed(target)) {
                     yield false;
                 }
-                context.suspects().connectionLost(target.id(), run, nowMs, out);
+                context.suspects().connectionLost(target.id(), attempt.run(), nowMs, out);
                 boolean ejected = target.health().attemptFailed(nowMs);
                 context.paths().doubted(target, PathCheck.Cause.CONNECTION_LOST, nowMs, out);
                 yield ejected;
             }
             case TIMED_OUT -> {
-                if (context.paths().relayed(target)) {
+                // What was sent may have been lost with the way, so that the target may not have received it.
+                if (context.paths().relayed(target) || context.paths().failedSince(target, attempt.dispatchedAtMs())) {
                     yield false;
                 }
                 if (!withoutResponse(failure)) {
@@ -91,13 +82,9 @@
 
     /** Records a failure that may also be the fault of the daemon that relayed the attempt. */
     private static boolean recordRelayedFailure(
-            RoutingContext context,
-            TargetState target,
-            HostId relay,
-            AttemptOutcome.Failed failure,
-            SuspectRun run,
-            long nowMs,
-            Effects out) {
+            RoutingContext context, FailedAttempt attempt, HostId relay, long nowMs, Effects out) {
+        TargetState target = attempt.target();
+        AttemptOutcome.Failed failure = attempt.failure();
         return switch (failure.kind()) {
             case PATH_LOST, RELAY_FAILED -> {
                 context.paths().relayFailed(target, relay, failure.kind(), nowMs, out);
@@ -105,7 +92,7 @@
             }
             case CONNECTION_REFUSED -> target.health().eject(nowMs);
             case CONNECTION_LOST, TARGET_GONE -> {
-                context.suspects().relayedConnectionLost(target.id(), run, nowMs);
+                context.suspects().relayedConnectionLost(target.id(), attempt.run(), nowMs);
                 context.paths().lostThroughRelay(target, relay, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
@@ -135,4 +122,12 @@
         out.explain(Subject.Kind.TARGET, target.id(), nowMs, "ejected", "last failure " + kind);
         out.add(new Effect.StateChanged(RoutingStateMachine.NAME, "target " + target.id() + " ejected after " + kind));
     }
+
+    /** A failed attempt; {@code relay} is empty if this daemon was connected to the target itself. */
+    record FailedAttempt(
+            TargetState target,
+            Optional<HostId> relay,
+            long dispatchedAtMs,
+            AttemptOutcome.Failed failure,
+            SuspectRun run) {}
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetPath.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetPath.java
@@ -21,6 +21,7 @@
     private long selectedVersion = NONE_SELECTED;
     private State state = State.DIRECT;
     private long contactAtMs = Long.MIN_VALUE;
+    private long failedAtMs = Long.MIN_VALUE;
     private long silenceCheckedAtMs;
     private long probedAtMs;
     private boolean lossesUnexplained;
@@ -34,8 +35,14 @@
         includeAllRelays();
     }
 
-    void checking() {
+    void checking(long nowMs) {
         state = State.CHECKING;
+        failedAtMs = nowMs;
+    }
+
+    /** Returns whether the way to the target, or that of its relay, has failed at the given time or later. */
+    boolean failedSince(long sinceMs) {
+        return failedAtMs >= sinceMs;
     }
 
     void relayed() {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -234,6 +234,29 @@
         assertThat(countDecisions("ejected")).isZero();
     }
 
+    /** Guards against sound targets ejected everywhere for attempts that a daemon lost with its way and that time out later. */
+    @Test
+    void targetsAreNotEjectedForAttemptsThatTimeOutAfterTheCut() {
+        start(4, 4);
+        play(3_000);
+        for (int i = 0; i < 8; i++) {
+            sent.add(fleet.send(0, Work.online(200, ++fingerprint).notRepeatable(), RequestOptions.DEFAULTS));
+        }
+        fleet.run(100);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        fleet.cutFromTargets(0, Cut.SILENT);
+        play(2_000);
+        fleet.reconnectToTargets(0);
+        play(GOAL_MS);
+        List<EngineModel.Job> silent =
+                node.jobs.values().stream().filter(job -> job.unreachable).toList();
+        assertThat(silent).isNotEmpty();
+        silent.forEach(job ->
+                node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.TIMED_OUT, Verdict.MAY_HAVE_RUN, 0)));
+        play(1_000);
+        assertThat(countDecisions("ejected")).isZero();
+    }
+
     /** Guards against a target closed to all daemons as its controller has lost its way to it, and then its relay. */
     @Test
     void targetIsNotClosedToOthersForAFailureOfTheControllersRelay() {
