Do not eject targets for relayed attempts that time out

What callers saw: a daemon without a way of its own used sound targets less after its relay had fallen silent.

Cause: TargetFailures.recordRelayedFailure ejected the target for a time-out without a response, which may as well be the fault of the relay.

Change: a relayed attempt that times out is not counted against its target. A target that accepts connections and does not respond is found by the daemons that are connected to it themselves.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetFailures.java
@@ -96,10 +96,8 @@
                 context.paths().lostThroughRelay(target, relay, nowMs, out);
                 yield target.health().attemptFailed(nowMs);
             }
-            case TIMED_OUT -> withoutResponse(failure)
-                    ? target.health().eject(nowMs)
-                    : target.health().attemptFailed(nowMs);
             case TARGET_ERROR -> target.health().attemptFailed(nowMs);
+                // Nothing shows whether a time-out is the target's fault or the relay's.
             default -> false;
         };
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -234,6 +234,53 @@
         assertThat(countDecisions("ejected")).isZero();
     }
 
+    /** Guards against sound targets ejected at a daemon for a relay that falls silent under several requests. */
+    @Test
+    void targetsAreNotEjectedForARelayThatFallsSilentUnderSeveralRequests() {
+        start(4, 4);
+        play(3_000);
+        cut(1, Cut.SILENT);
+        play(2_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        for (int i = 0; i < 40; i++) {
+            sent.add(fleet.send(0, Work.online(200, ++fingerprint).notRepeatable(), RequestOptions.DEFAULTS));
+        }
+        fleet.run(100);
+        Map<HostId, List<EngineModel.Job>> byRelay = new LinkedHashMap<>();
+        node.jobs.values().stream().filter(job -> job.relayedBy.isPresent()).forEach(job -> byRelay.computeIfAbsent(
+                        job.relayedBy.get(), relay -> new ArrayList<>())
+                .add(job));
+        byRelay.keySet().forEach(relay -> fleet.cutFromTargets(daemon(relay), Cut.SILENT));
+        play(2_000);
+        assertThat(byRelay.values()).anyMatch(jobs -> jobs.size() >= 8);
+        byRelay.values().stream()
+                .flatMap(List::stream)
+                .filter(job -> node.jobs.containsKey(job.attempt))
+                .forEach(job -> node.attemptEnded(
+                        job.attempt, VirtualFleet.failed(FailureKind.TIMED_OUT, Verdict.MAY_HAVE_RUN, 0)));
+        assertThat(decisions(node, "ejected")).isEmpty();
+    }
+
+    /** Guards against a sound target ejected at a daemon for a relay that falls silent under a request. */
+    @Test
+    void targetsAreNotEjectedForARelayThatFallsSilent() {
+        start(4, 4);
+        play(3_000);
+        cut(1, Cut.SILENT);
+        play(2_000);
+        VirtualFleet.Node node = fleet.nodes.get(0);
+        sent.add(fleet.send(0, Work.online(200, ++fingerprint).notRepeatable(), RequestOptions.DEFAULTS));
+        fleet.run(100);
+        EngineModel.Job job = node.jobs.values().stream()
+                .filter(running -> running.relayedBy.isPresent())
+                .findFirst()
+                .orElseThrow();
+        fleet.cutFromTargets(daemon(job.relayedBy.orElseThrow()), Cut.SILENT);
+        play(2_000);
+        node.attemptEnded(job.attempt, VirtualFleet.failed(FailureKind.TIMED_OUT, Verdict.MAY_HAVE_RUN, 0));
+        assertThat(decisions(node, "ejected")).isEmpty();
+    }
+
     /** Guards against sound targets ejected everywhere for attempts that a daemon lost with its way and that time out later. */
     @Test
     void targetsAreNotEjectedForAttemptsThatTimeOutAfterTheCut() {
