Retry after a lost way without taking from the retry budget

What callers saw: TARGET_FAILED for repeatable requests that ran when their daemon lost its way to the targets, if there were more of them than the retry budget holds.

Cause: OnlineRouter.retry took a token for each of them. The budget guards a failing fleet against retries, and a lost way is no sign of one.

Change: lost ways take no token. A lost connection takes one unless the check has shown that only the way was lost; if the budget is used up, the request waits for that result, at most as long as for a way.

Evidence: PathMonitorTests.allRequestsThatRunWhenTheWayIsLostGoOn failed on for both cuts with 90 requests.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -851,7 +851,7 @@
             route.lossesAt.add(route.target.id());
         }
         boolean unexplained = isLoss(failure) && context.paths().lossUnexplained(route.target.id());
-        if (unexplained && suspectBefore && route.relay.isPresent()) {
+        if (unexplained && (suspectBefore && route.relay.isPresent() || retryBudget.exhausted())) {
             postponeRetry(route, failure, nowMs, out);
         } else {
             retry(route, failure, nowMs, out);
@@ -892,7 +892,8 @@
         if (context.suspects().quarantined(route.request.fingerprint(), nowMs)
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
-        } else if (step == RetryPolicy.Step.GIVE_UP || !neverReached && !retryBudget.tryTake()) {
+        } else if (step == RetryPolicy.Step.GIVE_UP
+                || !neverReached && !isWayLost(route, failure) && !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
@@ -929,6 +930,15 @@
         return true;
     }
 
+    /** Returns whether the attempt ended only as the way to its target was lost, which is no sign of a failing fleet. */
+    private static boolean isWayLost(Route route, AttemptOutcome.Failed failure) {
+        return switch (failure.kind()) {
+            case PATH_LOST, RELAY_FAILED -> true;
+            case CONNECTION_LOST, TARGET_GONE -> !route.lossesAt.contains(route.target.id());
+            default -> false;
+        };
+    }
+
     private static boolean isLoss(AttemptOutcome.Failed failure) {
         return failure.kind() == FailureKind.CONNECTION_LOST || failure.kind() == FailureKind.TARGET_GONE;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryBudget.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryBudget.java
@@ -21,13 +21,17 @@
 
     /** Takes one retry from the budget; returns false if it is exhausted. */
     boolean tryTake() {
-        if (tokens < 1) {
+        if (exhausted()) {
             return false;
         }
         tokens--;
         return true;
     }
 
+    boolean exhausted() {
+        return tokens < 1;
+    }
+
     double tokens() {
         return tokens;
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/PathMonitorTests.java
@@ -156,6 +156,22 @@
         assertThat(notCompleted(after)).isEmpty();
     }
 
+    /** Guards against requests refused as more attempts are lost with the way than the retry budget holds. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void allRequestsThatRunWhenTheWayIsLostGoOn(Cut cut) {
+        start(4, 4);
+        play(3_000);
+        List<SentRequest> running = new ArrayList<>();
+        for (int i = 0; i < 90; i++) {
+            running.add(fleet.send(0, Work.online(200, ++fingerprint)));
+        }
+        fleet.run(300);
+        cut(1, cut);
+        fleet.run(10_000);
+        assertThat(notCompleted(running)).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(Cut.class)
     void lossOfOneTargetDoesNotRelayAttemptsToOthers(Cut cut) {
