Let relays wait for responses as long as any caller may

What callers saw: TARGET_FAILED, or a second run, for a response through a relay that began more than 60 s after its request; an attempt may take 120 s by default, and a caller may wait for an hour.

Cause: RelayHandler.IDLE_LIMIT_S was shorter than the time limit of attempts.

Change: a connection without a byte is kept for an hour. One on which bytes wait that the peer or the target does not read is closed after 60 s as before, so that a lost peer does not hold its place for longer once the response exceeds the buffers; a shorter one frees it when the target closes its connection.

The tests of connections with unread bytes guard what the old limit did and have not been run against it.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import org.cornelcrank.server.wire.Frame;
@@ -20,13 +21,19 @@
  * The peer's side of a connection that this daemon relays: connects to the target and forwards what the peer sends.
  *
  * <p>Invariants: the target's connection is closed at once when the peer's is; the peer is read no faster than the target
- * reads. A peer that closes its connection while a target does not read is noticed when the target reads on, or once
- * nothing was carried for {@link #IDLE_LIMIT_S}. Not thread-safe: confined to the connection's event loop.
+ * reads. A peer that closes its connection while a target does not read is noticed when the target reads on, or after
+ * {@link #STALL_LIMIT_S}. Not thread-safe: confined to the connection's event loop.
  */
 final class RelayHandler extends SimpleChannelInboundHandler<Frame> {
 
-    /** How long a connection may carry nothing, in s: longer than any attempt waits, unless its daemon is lost. */
-    static final int IDLE_LIMIT_S = 60;
+    /** How long the peer or the target may leave bytes that wait for it unread, in s. */
+    static final int STALL_LIMIT_S = 60;
+
+    /**
+     * How long a connection may carry nothing, in s: as long as any caller may wait. The place of a peer that is lost is
+     * free before that once the target has closed its connection.
+     */
+    static final int IDLE_LIMIT_S = 3_600;
 
     private static final Frame OPENED =
             Frame.newBuilder().setRelayOpened(RelayOpened.getDefaultInstance()).build();
@@ -56,7 +63,7 @@
             return;
         }
         context.channel().config().setWriteBufferWaterMark(RelayedConnection.WATER_MARK);
-        context.pipeline().addFirst(new IdleStateHandler(0, 0, IDLE_LIMIT_S));
+        context.pipeline().addFirst(new IdleStateHandler(STALL_LIMIT_S, STALL_LIMIT_S, IDLE_LIMIT_S));
         ChannelFuture connecting = connector.connect(
                 context.channel().eventLoop(), address.get(), new RelayTargetHandler(context.channel(), connection));
         target = connecting.channel();
@@ -109,13 +116,25 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent) {
-            end(context, "idle");
+        if (event instanceof IdleStateEvent idle) {
+            onIdle(context, idle.state());
         } else {
             context.fireUserEventTriggered(event);
         }
     }
 
+    private void onIdle(ChannelHandlerContext context, IdleState state) {
+        boolean ends =
+                switch (state) {
+                    case READER_IDLE -> opened && !target.isWritable();
+                    case WRITER_IDLE -> !context.channel().isWritable();
+                    case ALL_IDLE -> true;
+                };
+        if (ends) {
+            end(context, "idle");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         end(context, "closed by the peer");
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
@@ -205,6 +205,47 @@
         assertThat(target.isActive()).isFalse();
     }
 
+    /** Guards against a sound attempt cut by its relay before its time limit, which is up to two minutes. */
+    @Test
+    void responseThatBeginsAfterAMinuteIsRelayed() {
+        open();
+        peer.writeInbound(data("request"));
+        peer.advanceTimeBy(100, TimeUnit.SECONDS);
+        peer.runScheduledPendingTasks();
+        assertThat(peer.isActive()).isTrue();
+        target.writeInbound(bytes("response"));
+        assertThat(text(sentToPeer())).isEqualTo("response");
+    }
+
+    /** Guards against the place of a lost peer that is held for as long as a sound attempt may be silent. */
+    @Test
+    void connectionOfAPeerThatDoesNotTakeItsResponseIsClosedAfterAMinute() {
+        open();
+        peerLink.hold();
+        while (target.config().isAutoRead()) {
+            target.writeInbound(bytes("x".repeat(RelayedConnection.MAX_READ_BYTES)));
+        }
+        assertIsClosedAfterAMinute();
+    }
+
+    @Test
+    void connectionToATargetThatDoesNotTakeItsRequestIsClosedAfterAMinute() {
+        open();
+        targetLink.hold();
+        while (peer.config().isAutoRead()) {
+            peer.writeInbound(data("x".repeat(8 * 1024)));
+        }
+        assertIsClosedAfterAMinute();
+    }
+
+    private void assertIsClosedAfterAMinute() {
+        peer.advanceTimeBy(60, TimeUnit.SECONDS);
+        peer.runScheduledPendingTasks();
+        assertThat(peer.isActive()).isFalse();
+        assertThat(target.isActive()).isFalse();
+        assertThat(gauge()).isZero();
+    }
+
     @Test
     void frameOfAnotherKindClosesBothConnections() {
         open();
