--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -828,7 +828,9 @@
         boolean ownDeadline = failure.kind() == FailureKind.TIMED_OUT && nowMs >= route.request.deadlineAtMs();
         boolean wayLost = route.relay.isEmpty() && context.paths().relayed(route.target);
         if (!ownDeadline) {
-            TargetFailures.apply(context, route.target, route.relay, failure, suspectRun(route, failure), nowMs, out);
+            TargetFailures.FailedAttempt failed = new TargetFailures.FailedAttempt(
+                    route.target, route.relay, route.dispatchedAtMs, failure, suspectRun(route, failure));
+            TargetFailures.apply(context, failed, nowMs, out);
         }
         if (route.phase == Route.Phase.ENDED) {
             return;
@@ -856,7 +858,7 @@
             route.lossesAt.add(route.target.id());
         }
         boolean unexplained = isLoss(failure) && context.paths().lossUnexplained(route.target.id());
-        if (unexplained && suspectBefore && route.relay.isPresent()) {
+        if (unexplained && (suspectBefore && route.relay.isPresent() || retryBudget.exhausted())) {
             postponeRetry(route, failure, nowMs, out);
         } else {
             retry(route, failure, nowMs, out);
@@ -897,7 +899,8 @@
         if (context.suspects().quarantined(route.request.fingerprint(), nowMs)
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
-        } else if (step == RetryPolicy.Step.GIVE_UP || !neverReached && !retryBudget.tryTake()) {
+        } else if (step == RetryPolicy.Step.GIVE_UP
+                || !neverReached && !isWayLost(route, failure) && !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
@@ -933,6 +936,15 @@
         return true;
     }
 
+    /** Returns whether the attempt ended only as the way to its target was lost, which is no sign of a failing fleet. */
+    private static boolean isWayLost(Route route, AttemptOutcome.Failed failure) {
+        return switch (failure.kind()) {
+            case PATH_LOST, RELAY_FAILED -> true;
+            case CONNECTION_LOST, TARGET_GONE -> !route.lossesAt.contains(route.target.id());
+            default -> false;
+        };
+    }
+
     private static boolean isLoss(AttemptOutcome.Failed failure) {
         return failure.kind() == FailureKind.CONNECTION_LOST || failure.kind() == FailureKind.TARGET_GONE;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -113,6 +113,11 @@
         return target.path().state() == TargetPath.State.RELAYED || disconnected();
     }
 
+    /** Returns whether the way to the target, or to all targets, has failed at the given time or later. */
+    boolean failedSince(TargetState target, long sinceMs) {
+        return target.path().failedSince(sinceMs) || lostAtMs >= sinceMs || isolatedAtMs >= sinceMs;
+    }
+
     /** Returns whether neither this daemon nor any that it asked reaches a target. */
     boolean isolated() {
         return isolatedAtMs > lastContactAtMs;
@@ -244,7 +249,7 @@
     }
 
     private void askPeers(TargetState target, PathCheck check, long nowMs, Effects out) {
-        target.path().checking();
+        target.path().checking(nowMs);
         check.needsPeers();
         if (check.waitsForOthers() && asking() >= MAX_ASKING) {
             return;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
@@ -69,8 +69,9 @@
     }
 
     private void assertWithinBudget(long spanMs) {
-        assertThat(fleet.nodes)
-                .allSatisfy(node -> assertThat(node.checkBytes).isLessThanOrEqualTo(BUDGET_BYTES * spanMs / 1_000));
+        assertThat(fleet.nodes).allSatisfy(node -> assertThat(node.checkBytes)
+                .as("node %d", node.index)
+                .isLessThanOrEqualTo(BUDGET_BYTES * spanMs / 1_000));
     }
 
     @ParameterizedTest
