Offer items no slots at targets that their controller has ejected

What callers saw: items whose target breaks off, or sends what is no event, ran there again and again instead of elsewhere, so that their jobs did not end.

Callers' requests choose another target if their daemon has ejected one. Items do not choose: the controller offers slots, and its ejections were all that kept them from a failing target.

Change: a controller offers no slots for items at a target that it has ejected itself, as before. Permits of callers' requests stay as they are.

Evidence: TargetBytesEndToEndTests passes, 75 tests.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetController.java
@@ -299,6 +299,10 @@
         if (state.isEmpty() || demands.isEmpty() || !acceptsWork(target, nowMs)) {
             return;
         }
+        // The owners of items do not choose their targets, so that only this daemon keeps items from a failing one.
+        if (state.get().health().ejected(nowMs)) {
+            return;
+        }
         for (int capacity = ledger.capacityForBatch(nowMs); capacity > 0; capacity--) {
             Optional<BatchDemandQueue.StandingDemand> taken =
                     demands.take(state.get(), allPermits(), meanItemMs, nowMs);
