Register test targets before requests are counted

Seen: TargetBytesEndToEndTests failed with "0 to be greater than 0" in 3 cases of one run beside a load average above 30, and in 1 case of 6 runs of the class on beside a load average of 34.

Cause: the fixture returned before the daemon had read the entry of the target that the test is about, and the test ends after 64 rounds of requests, whichever target they run at.

Change: the fixture returns once all daemons list the target. No assertion is changed.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayFleet.java
@@ -99,8 +99,13 @@
         store.put("servers", runner.id(), runner.entry(service, ZONE, state));
     }
 
-    void register(RawRunnerStandIn runner) {
+    /** Registers a runner, and returns once all daemons list it. */
+    void register(RawRunnerStandIn runner) throws IOException {
         store.put("servers", runner.id(), runner.entry("svc", ZONE));
+        for (int i = 0; i < daemons.size(); i++) {
+            String dump = metricsUri(i, "/dump");
+            await(() -> get(dump).body().lines().anyMatch(line -> line.strip().startsWith(runner.id() + " ")));
+        }
     }
 
     void start(String host) throws IOException {
