Let the soak begin with an earlier build and upgrade its daemons

Jobs that one build has accepted must be read through the other.

With -Dsoak.production=DIRECTORY all daemons of a soak run the build in that directory. One to three of them, drawn by the seed, are stopped in order and replaced one after the other, beside the other disruptions; a fleet that stays mixed is read at the end as well.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -35,8 +35,9 @@
 
     private final String host;
     private final int[] ports = new int[PORTS];
-    private final List<String> command;
+    private final List<String> arguments;
     private final File log;
+    private String classPath;
     private Process process;
 
     /** How the process is ended. */
@@ -46,16 +47,16 @@
     }
 
     DaemonProgram(String host, String storeAddress, int partitions, Path logs) throws IOException {
+        this(host, storeAddress, partitions, logs, System.getProperty("java.class.path"));
+    }
+
+    /** Creates a daemon that runs the build of the given class path until it is upgraded. */
+    DaemonProgram(String host, String storeAddress, int partitions, Path logs, String classPath) throws IOException {
         this.host = host;
         this.log = logs.resolve(host + ".log").toFile();
+        this.classPath = classPath;
         takeFreePorts();
-        command = List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx128m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
+        arguments = List.of(
                 CornelcrankDaemon.class.getName(),
                 "gateway",
                 "--deployment",
@@ -118,6 +119,14 @@
     }
 
     synchronized void start() throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                classPath));
+        command.addAll(arguments);
         process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
@@ -143,6 +152,12 @@
         start();
     }
 
+    /** Stops the process in order and starts the build under test in its place. */
+    synchronized void upgrade() throws IOException, InterruptedException {
+        classPath = System.getProperty("java.class.path");
+        restart(End.TERMINATE, 0);
+    }
+
     /** Stops the process for that long, as if its machine stood still. */
     synchronized void freeze(long durationMs) throws IOException, InterruptedException {
         signal("STOP");
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -47,6 +47,7 @@
     private final Path directory;
     private final Random random;
     private final boolean storeTroubles;
+    private final Optional<String> productionClassPath;
     private final int partitions;
     private final int callers;
     private final StoreStandIn store;
@@ -65,9 +66,16 @@
     private SoakJobs jobs;
     private SoakReads reads;
 
-    ResponseSoak(long seed, boolean storeTroubles, Path logs) throws IOException {
+    /**
+     * Creates a soak.
+     *
+     * @param productionClassPath the build that all daemons run at first, some of which are upgraded one after the other;
+     *     empty if they run the build under test from the beginning
+     */
+    ResponseSoak(long seed, boolean storeTroubles, Path logs, Optional<String> productionClassPath) throws IOException {
         this.seed = seed;
         this.storeTroubles = storeTroubles;
+        this.productionClassPath = productionClassPath;
         this.partitions = storeTroubles ? TROUBLED_PARTITIONS : PARTITIONS;
         this.callers = storeTroubles ? TROUBLED_CALLERS : CALLERS;
         this.store = new StoreStandIn(partitions);
@@ -87,7 +95,12 @@
         disruptions.changeRoutes();
         for (int i = 0; i < DAEMONS; i++) {
             String host = "host-" + i;
-            daemons.add(new DaemonProgram(host, linkFaults.storeAddress(store, host), partitions, directory));
+            daemons.add(new DaemonProgram(
+                    host,
+                    linkFaults.storeAddress(store, host),
+                    partitions,
+                    directory,
+                    productionClassPath.orElse(System.getProperty("java.class.path"))));
             daemons.get(i).start();
         }
         for (DaemonProgram daemon : daemons) {
@@ -112,6 +125,9 @@
             linkFaults.run(durationMs * 3 / 4);
             return null;
         });
+        if (productionClassPath.isPresent()) {
+            disruptions.upgradeOneByOne(durationMs);
+        }
         disruptions.run(durationMs);
         await(links, "all links must be sound again");
         stopped = true;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoakTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoakTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,7 +14,9 @@
 /**
  * Tests daemons in processes of their own with targets that write responses twice. {@code -Dsoak.seeds=7-9},
  * {@code -Dsoak.troubled-seeds=7-9} and {@code -Dsoak.seconds=20} choose other seeds and another length; logs are kept
- * under {@code target/soak} and {@code target/soak-troubled}.
+ * under {@code target/soak} and {@code target/soak-troubled}. With {@code -Dsoak.production=DIRECTORY}, all daemons run
+ * the build whose libraries are in that directory ({@code bin/build-deployment} puts them in {@code target/daemon}) until
+ * they are upgraded.
  */
 class ResponseSoakTests {
 
@@ -47,10 +50,12 @@
         run(seed, true, "target/soak-troubled");
     }
 
-    private static void run(long seed, boolean storeTroubles, String directory)
+    private static void run(long seed, boolean storeTroubles, String logDirectory)
             throws IOException, InterruptedException {
-        Path logs = Path.of(System.getProperty("soak.directory", directory));
-        try (ResponseSoak soak = new ResponseSoak(seed, storeTroubles, logs)) {
+        Path logs = Path.of(System.getProperty("soak.directory", logDirectory));
+        Optional<String> production =
+                Optional.ofNullable(System.getProperty("soak.production")).map(directory -> directory + "/*");
+        try (ResponseSoak soak = new ResponseSoak(seed, storeTroubles, logs, production)) {
             List<String> faults = soak.run(Long.getLong("soak.seconds", 12) * MS_PER_SECOND);
             System.out.println(soak.summary() + ", faults: " + faults.size());
             assertThat(faults.stream().limit(SHOWN))
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakDisruptions.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakDisruptions.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
@@ -42,7 +43,7 @@
     private final ExecutorService threads;
     private final Optional<SoakStoreTroubles> storeTroubles;
     private final List<Future<?>> ends = new ArrayList<>();
-    private final List<String> log = new ArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
     private int routesVersion;
 
     SoakDisruptions(
@@ -65,6 +66,20 @@
         routesVersion++;
     }
 
+    /** Upgrades some of the daemons, or all, one after the other within that time. */
+    void upgradeOneByOne(long durationMs) {
+        int upgraded = random.nextInt(1, daemons.size() + 1);
+        long intervalMs = durationMs / (upgraded + 1);
+        ends.add(threads.submit(() -> {
+            for (DaemonProgram daemon : daemons.subList(0, upgraded)) {
+                Thread.sleep(intervalMs);
+                note("UPGRADE " + daemon.host());
+                daemon.upgrade();
+            }
+            return null;
+        }));
+    }
+
     /** Disrupts for that long, and returns once all daemons are ready again. */
     void run(long durationMs) throws IOException, InterruptedException {
         long startNanos = System.nanoTime();
