Ask a proven relay alone before asking several peers

No caller saw this yet. A daemon that lost half of the targets in use, without a byte, sent 4,188 bytes of questions in the first second; its budget for control messages is 4,000 bytes a second.

Cause: each check asked up to four peers at once, although most of the checks before it had just found a peer that reaches targets. The number of checks at once was limited, not what each of them costs.

A peer that has reached a target within the last 500 ms is now asked alone for 100 ms, the nearest one first. Only its confirmation ends the check. If it denies or does not reply, the rounds of four follow as before, so that one further daemon without a way does not make a target count as down.

New tests: a target that one further daemon does not reach is not ejected (fails if the denial counts), and checks go on without peers that do not reply (fails with a time limit of 1 s). All tests of the module pass.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathCheck.java
@@ -23,6 +23,7 @@
     private final Set<HostId> asked = new TreeSet<>();
     private final Set<HostId> awaited = new TreeSet<>();
     private Optional<HostId> lostThrough = Optional.empty();
+    private Optional<HostId> askedRelay = Optional.empty();
     private boolean asksPeers;
     private int denials;
     private int replies;
@@ -81,7 +82,7 @@
 
     /** Returns whether other daemons have not been asked yet, as they are asked for other targets first. */
     boolean waitsForOthers() {
-        return asksPeers && rounds == 0;
+        return asksPeers && asked.isEmpty();
     }
 
     Set<HostId> asked() {
@@ -97,6 +98,18 @@
         asksPeers = true;
     }
 
+    /** Records that a daemon that has just reached other targets is asked alone, before any round. */
+    void askRelay(HostId relay) {
+        askedRelay = Optional.of(relay);
+        asked.add(relay);
+        awaited.add(relay);
+    }
+
+    /** Returns whether only the daemon that has just reached other targets has been asked so far. */
+    boolean asksRelayOnly() {
+        return askedRelay.isPresent() && rounds == 0;
+    }
+
     void beginRound(Set<HostId> peers) {
         rounds++;
         asked.addAll(peers);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -38,6 +38,9 @@
     /** How long peers have to reply, in ms: a failed attempt to connect and a round trip between regions. */
     private static final long REPLY_TIMEOUT_MS = 350;
 
+    /** How long a daemon that has just reached other targets is waited for alone, in ms. */
+    private static final long RELAY_REPLY_TIMEOUT_MS = 100;
+
     /** How long the result of this daemon's own attempt to connect is waited for, in ms. */
     private static final long PROBE_TIMEOUT_MS = 1_000;
 
@@ -254,6 +257,12 @@
         if (check.waitsForOthers() && asking() >= MAX_ASKING) {
             return;
         }
+        Optional<HostId> relay = check.waitsForOthers() ? relays.provenRelay(target, nowMs) : Optional.empty();
+        if (relay.isPresent()) {
+            check.askRelay(relay.get());
+            ask(target, check, Set.of(relay.get()), RELAY_REPLY_TIMEOUT_MS, nowMs, out);
+            return;
+        }
         Set<HostId> selected =
                 check.rounds() < MAX_ROUNDS ? relays.selectPeers(check.asked(), nowMs) : Set.<HostId>of();
         if (selected.isEmpty()) {
@@ -261,13 +270,19 @@
             return;
         }
         check.beginRound(selected);
+        ask(target, check, selected, REPLY_TIMEOUT_MS, nowMs, out);
+    }
+
+    private void ask(TargetState target, PathCheck check, Set<HostId> hosts, long timeoutMs, long nowMs, Effects out) {
         RoutingMessage request = new RoutingMessage.ReachabilityRequested(check.number(), target.id());
-        selected.forEach(host -> peers.send(host, request, out));
-        due.put(new Due.CheckTimeout(target.id(), check.number()), nowMs + REPLY_TIMEOUT_MS, out);
+        hosts.forEach(host -> peers.send(host, request, out));
+        due.put(new Due.CheckTimeout(target.id(), check.number()), nowMs + timeoutMs, out);
     }
 
     private long asking() {
-        return checks.values().stream().filter(check -> check.rounds() > 0).count();
+        return checks.values().stream()
+                .filter(check -> !check.asked().isEmpty())
+                .count();
     }
 
     /** Goes on with the checks that wait for others, whose results may decide them as well. */
@@ -546,7 +561,7 @@
         boolean reachable = reply.reachability() == RoutingMessage.Reachability.REACHABLE;
         Optional<TargetState> target = directory.find(reply.target());
         if (reachable) {
-            relays.reaches(from);
+            relays.reaches(from, nowMs);
         }
         if (relayChecks.remove(new RelayedTarget(from, reply.target()), reply.number())
                 && !reachable
@@ -584,7 +599,7 @@
     }
 
     private void roundEnded(TargetState target, PathCheck check, long nowMs, Effects out) {
-        if (check.unreachable() == PathCheck.Unreachable.DOWN) {
+        if (check.unreachable() == PathCheck.Unreachable.DOWN && !check.asksRelayOnly()) {
             conclude(target, check, PathCheck.Unreachable.DOWN, nowMs, out);
         } else {
             askPeers(target, check, nowMs, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RelaySelector.java
@@ -31,12 +31,16 @@
     /** How long a daemon that has failed as a relay is not used, in ms. */
     private static final long FAILED_RELAY_MS = 2_000;
 
+    /** How long a daemon that has reached a target is taken to reach others as well, in ms. */
+    private static final long PROVEN_RELAY_MS = 500;
+
     private final MembershipView membership;
     private final DaemonIdentity identity;
     private final RandomGenerator random;
     private final Set<HostId> relays = new LinkedHashSet<>();
     private final Map<HostId, Long> failedUntilMs = new HashMap<>();
     private final Map<HostId, Long> avoidedUntilMs = new HashMap<>();
+    private final Map<HostId, Long> provenUntilMs = new HashMap<>();
     private long version;
 
     RelaySelector(MembershipView membership, DaemonIdentity identity, RandomGenerator random) {
@@ -46,7 +50,8 @@
     }
 
     /** Records that a daemon reaches targets. */
-    void reaches(HostId host) {
+    void reaches(HostId host, long nowMs) {
+        provenUntilMs.put(host, nowMs + PROVEN_RELAY_MS);
         if (relays.add(host) | failedUntilMs.remove(host) != null) {
             version++;
         }
@@ -55,6 +60,7 @@
     /** Records that a daemon does not respond. */
     void failed(HostId host, long nowMs) {
         relays.remove(host);
+        provenUntilMs.remove(host);
         failedUntilMs.put(host, nowMs + FAILED_RELAY_MS);
         version++;
     }
@@ -79,6 +85,7 @@
     }
 
     void forgetExpired(long nowMs) {
+        provenUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
         boolean changed = failedUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
         changed |= avoidedUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
         changed |= relays.removeIf(host -> member(host).isEmpty());
@@ -99,20 +106,27 @@
     }
 
     private Optional<HostId> choose(TargetState target, long nowMs) {
-        List<Member> reaching = relays.stream()
+        List<Member> reaching = reaching(target, nowMs);
+        List<Member> preferred = reaching.stream()
+                .filter(member -> !avoids(member.host(), nowMs))
+                .toList();
+        return nearest(target, preferred.isEmpty() ? reaching : preferred);
+    }
+
+    private List<Member> reaching(TargetState target, long nowMs) {
+        return relays.stream()
                 .filter(host -> !target.path().excludes(host) && !hasFailed(host, nowMs))
                 .map(this::member)
                 .flatMap(Optional::stream)
                 .toList();
-        List<Member> preferred = reaching.stream()
-                .filter(member -> !avoids(member.host(), nowMs))
-                .toList();
-        List<Member> usable = preferred.isEmpty() ? reaching : preferred;
+    }
+
+    private Optional<HostId> nearest(TargetState target, List<Member> members) {
         Optional<Integer> best =
-                usable.stream().map(member -> cost(member, target)).min(Comparator.naturalOrder());
+                members.stream().map(member -> cost(member, target)).min(Comparator.naturalOrder());
         return best.flatMap(cost -> RendezvousHash.choose(
                 target.id().value(),
-                usable.stream()
+                members.stream()
                         .filter(member -> cost(member, target) == cost)
                         .map(Member::host)
                         .toList(),
@@ -135,6 +149,16 @@
         return membership.find(host).map(Member::location);
     }
 
+    /** Returns the nearest daemon that has just reached a target and may reach this one, empty if there is none. */
+    Optional<HostId> provenRelay(TargetState target, long nowMs) {
+        return nearest(
+                target,
+                reaching(target, nowMs).stream()
+                        .filter(member -> !avoids(member.host(), nowMs))
+                        .filter(member -> nowMs < provenUntilMs.getOrDefault(member.host(), Long.MIN_VALUE))
+                        .toList());
+    }
+
     /**
      * Returns the daemons to ask next: known relays first, and otherwise of different data centres and regions, since
      * all of a data centre may have lost their way together.
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
@@ -31,6 +31,9 @@
     private static final int TARGETS = 1_600;
     private static final int REQUESTS = 800;
 
+    /** For how many targets other daemons are asked at once. */
+    private static final int AT_ONCE = 16;
+
     private final VirtualFleet fleet = new VirtualFleet(11);
     private final List<SentRequest> running = new ArrayList<>();
 
@@ -89,15 +92,49 @@
     @ParameterizedTest
     @EnumSource(Cut.class)
     void targetsAreRelayedIfManyOfThemAreLostAndOthersAreNot(Cut cut) {
+        halfOfTargetsUsed().forEach(target -> fleet.cutFromTarget(0, target, cut));
+        fleet.run(1_000);
+        assertWithinBudget(1_000);
+        assertServed();
+    }
+
+    /** Guards against targets that count as down as one daemon, asked alone, does not reach them either. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void targetsAreNotEjectedAsOneFurtherDaemonDoesNotReachThem(Cut cut) {
+        fleet.keepEffects = true;
+        int further = 0;
+        for (TargetId target : halfOfTargetsUsed()) {
+            fleet.cutFromTarget(0, target, cut);
+            fleet.cutFromTarget(1 + further++ % (DAEMONS - 1), target, cut);
+        }
+        fleet.run(3_000);
+        assertThat(fleet.count("paths-lost")).isGreaterThan(100);
+        assertThat(fleet.nodes).allSatisfy(node -> assertThat(node.effects)
+                .noneMatch(effect -> effect instanceof Effect.Explain explain
+                        && explain.decision().equals("ejected")));
+        assertServed();
+    }
+
+    /** Guards against checks that wait for daemons, asked alone, that do not reply any more. */
+    @Test
+    void checksGoOnWithoutDaemonsThatDoNotReply() {
+        List<TargetId> lost = halfOfTargetsUsed();
+        lost.subList(0, 20).forEach(target -> fleet.cutFromTarget(0, target, Cut.REFUSED));
+        fleet.run(200);
+        fleet.nodes.subList(1, DAEMONS / 2).forEach(node -> node.losesProbes = true);
+        lost.subList(20, 20 + AT_ONCE).forEach(target -> fleet.cutFromTarget(0, target, Cut.REFUSED));
+        fleet.run(400);
+        assertThat(fleet.count("paths-lost")).isGreaterThanOrEqualTo(20 + AT_ONCE);
+        assertServed();
+    }
+
+    private List<TargetId> halfOfTargetsUsed() {
         List<TargetId> used = running.stream()
                 .map(request -> request.dispatchedTo.get(0))
                 .distinct()
                 .toList();
-        List<TargetId> lost = used.subList(0, used.size() / 2);
-        lost.forEach(target -> fleet.cutFromTarget(0, target, cut));
-        fleet.run(1_000);
-        assertWithinBudget(1_000);
-        assertServed();
+        return used.subList(0, used.size() / 2);
     }
 
     @Test
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RelaySelectorTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RelaySelectorTests.java
@@ -16,6 +16,7 @@
 class RelaySelectorTests {
 
     private static final long AVOIDED_MS = 2_000;
+    private static final long PROVEN_MS = 500;
 
     private final DaemonIdentity self = daemon("d0");
     private final RelaySelector relays = new RelaySelector(
@@ -35,11 +36,32 @@
     /** Guards against a relay that is passed over for good as it once took no connections. */
     @Test
     void relayThatTookNoConnectionsIsPreferredAgainAfterAWhile() {
-        relays.reaches(new HostId("d1"));
-        relays.reaches(new HostId("d2"));
+        relays.reaches(new HostId("d1"), 0);
+        relays.reaches(new HostId("d2"), 0);
         HostId preferred = relays.select(target(), 0).orElseThrow();
         relays.avoid(preferred, 0);
         assertThat(relays.select(target(), AVOIDED_MS - 1)).isNotEqualTo(Optional.of(preferred));
         assertThat(relays.select(target(), AVOIDED_MS)).contains(preferred);
     }
+
+    /** Guards against questions to a daemon alone whose view of other targets is old. */
+    @Test
+    void daemonIsAskedAloneOnlyAsLongAsItHasJustReachedTargets() {
+        relays.reaches(new HostId("d1"), 0);
+        assertThat(relays.provenRelay(target(), PROVEN_MS - 1)).contains(new HostId("d1"));
+        assertThat(relays.provenRelay(target(), PROVEN_MS)).isEmpty();
+    }
+
+    @Test
+    void daemonThatMayNotRelayToATargetIsNotAskedAloneForIt() {
+        relays.reaches(new HostId("d1"), 0);
+        TargetState excluding = target();
+        excluding.path().excludeRelay(new HostId("d1"));
+        assertThat(relays.provenRelay(excluding, 0)).isEmpty();
+        relays.avoid(new HostId("d1"), 0);
+        assertThat(relays.provenRelay(target(), 0)).isEmpty();
+        relays.reaches(new HostId("d2"), 0);
+        relays.failed(new HostId("d2"), 0);
+        assertThat(relays.provenRelay(target(), 0)).isEmpty();
+    }
 }
