Bound the questions to relays that lose their ways

No caller saw this yet. A daemon that reaches targets only through relays sent 5,572 bytes of questions in one second when eight of its nine peers lost their ways without a byte, 4,000 being its budget for control messages.

Cause: a silent relay was asked about each of its silent targets at once, and each target that it had lost then began a check of its own, although the checks before it had found a relay that reaches targets.

A relay is now asked about four targets at once, and about the next ones as it replies; one that does not reply is given up for all of them as before. A target that waits for a check as its relay lost it moves to a relay that has just reached others, as targets of a disconnected daemon do already, unless a lost connection has to be explained first. If that relay does not reach it, the attempt fails as not run, and a check begins.

All tests of the module pass.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -4,7 +4,9 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,6 +51,9 @@
     /** For how many targets other daemons are asked at once. */
     private static final int MAX_ASKING = 16;
 
+    /** About how many silent targets a relay is asked at once. */
+    private static final int MAX_RELAY_CHECKS = 4;
+
     /** The number of targets under check at once that makes this daemon doubt its own network. */
     private static final int DOUBTFUL_CHECKS = 2;
 
@@ -83,6 +88,7 @@
     private final Map<TargetId, PathCheck> checks = new TreeMap<>();
     private final Map<TargetId, List<PeerInquiry>> inquiries = new HashMap<>();
     private final Map<RelayedTarget, Long> relayChecks = new HashMap<>();
+    private final Set<RelayedTarget> waitingRelayChecks = new LinkedHashSet<>();
     private final Map<AttemptId, SilentAttempt> silent = new LinkedHashMap<>();
     private final Map<TargetId, Probe> probing = new HashMap<>();
     private final Set<TargetId> isolationProbes = new TreeSet<>();
@@ -299,6 +305,8 @@
                 PathCheck.Unreachable result =
                         anyoneReplied ? PathCheck.Unreachable.BY_ALL : PathCheck.Unreachable.NO_REPLY;
                 conclude(check.target(), check, result, nowMs, out);
+            } else if (replacesRelay(check, nowMs)) {
+                concludeReplaced(check, nowMs, out);
             } else if (free-- > 0) {
                 askPeers(check.target(), check, nowMs, out);
             }
@@ -318,6 +326,22 @@
         listener.relayed(target, nowMs, out);
     }
 
+    /** Returns whether another relay can be used without asking, as no lost connection has to be explained. */
+    private boolean replacesRelay(PathCheck check, long nowMs) {
+        return check.relayedBefore()
+                && !check.has(PathCheck.Cause.CONNECTION_LOST)
+                && relays.provenRelay(check.target(), nowMs).isPresent();
+    }
+
+    /** Ends a check that nobody has been asked about, as another relay has just reached other targets. */
+    private void concludeReplaced(PathCheck check, long nowMs, Effects out) {
+        TargetState target = check.target();
+        checks.remove(target.id());
+        useRelay(target, nowMs, out);
+        explain(target, nowMs, "relayed", check, "another relay reaches other targets", out);
+        listener.relayed(target, nowMs, out);
+    }
+
     /** Ends a check whose target nobody reaches. */
     private void conclude(TargetState target, PathCheck check, PathCheck.Unreachable result, long nowMs, Effects out) {
         checks.remove(target.id());
@@ -563,11 +587,12 @@
         if (reachable) {
             relays.reaches(from, nowMs);
         }
-        if (relayChecks.remove(new RelayedTarget(from, reply.target()), reply.number())
-                && !reachable
-                && target.isPresent()) {
-            relayLostTarget(target.get(), from, nowMs, out);
-            return;
+        if (relayChecks.remove(new RelayedTarget(from, reply.target()), reply.number())) {
+            sendRelayChecks(from, nowMs, out);
+            if (!reachable && target.isPresent()) {
+                relayLostTarget(target.get(), from, nowMs, out);
+                return;
+            }
         }
         PathCheck check = checks.get(reply.target());
         if (target.isEmpty() || check == null || check.number() != reply.number()) {
@@ -666,13 +691,39 @@
         if (relays.hasFailed(relay, nowMs)) {
             out.add(new Effect.AbandonAttempt(attempt));
         } else if (!relayChecks.containsKey(checked)) {
-            long number = ++lastNumber;
-            relayChecks.put(checked, number);
-            peers.send(relay, new RoutingMessage.ReachabilityRequested(number, target.id()), out);
-            due.put(new Due.RelayTimeout(checked, number), nowMs + REPLY_TIMEOUT_MS, out);
+            waitingRelayChecks.add(checked);
+            sendRelayChecks(relay, nowMs, out);
+        }
+    }
+
+    /** Asks a relay about the next silent targets, as far as it has replied about those before. */
+    private void sendRelayChecks(HostId relay, long nowMs, Effects out) {
+        long pending = relayChecks.keySet().stream()
+                .filter(checked -> checked.relay().equals(relay))
+                .count();
+        Iterator<RelayedTarget> waiting = waitingRelayChecks.iterator();
+        while (pending < MAX_RELAY_CHECKS && waiting.hasNext()) {
+            RelayedTarget next = waiting.next();
+            if (!next.relay().equals(relay)) {
+                continue;
+            }
+            waiting.remove();
+            if (silentThrough(next)) {
+                pending++;
+                long number = ++lastNumber;
+                relayChecks.put(next, number);
+                peers.send(relay, new RoutingMessage.ReachabilityRequested(number, next.target()), out);
+                due.put(new Due.RelayTimeout(next, number), nowMs + REPLY_TIMEOUT_MS, out);
+            }
         }
     }
 
+    private boolean silentThrough(RelayedTarget checked) {
+        return silent.values().stream()
+                .anyMatch(state -> state.relay().equals(Optional.of(checked.relay()))
+                        && state.target().id().equals(checked.target()));
+    }
+
     void attemptEnded(AttemptId attempt) {
         silent.remove(attempt);
     }
@@ -734,6 +785,7 @@
         HostId relay = timeout.checked().relay();
         count("relays-failed");
         relays.failed(relay, nowMs);
+        waitingRelayChecks.removeIf(checked -> checked.relay().equals(relay));
         silent.forEach((attempt, state) -> {
             if (state.relay().equals(Optional.of(relay))) {
                 out.add(new Effect.AbandonAttempt(attempt));
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
@@ -129,6 +129,22 @@
         assertServed();
     }
 
+    /** Guards against a question about each target that is silent through relays that have lost their ways. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void checksStayWithinTheControlBudgetIfRelaysLoseTheirWays(Cut cut) {
+        fleet.cutFromTargets(0, cut);
+        fleet.run(2_000);
+        fleet.nodes.forEach(node -> node.checkBytes = 0);
+        IntStream.range(1, DAEMONS - 1).forEach(daemon -> fleet.cutFromTargets(daemon, cut));
+        fleet.run(1_000);
+        System.out.println(
+                "BYTES " + fleet.nodes.stream().map(n -> n.checkBytes).toList());
+        assertWithinBudget(1_000);
+        fleet.run(1_000);
+        assertServed();
+    }
+
     private List<TargetId> halfOfTargetsUsed() {
         List<TargetId> used = running.stream()
                 .map(request -> request.dispatchedTo.get(0))
