--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/ConcurrentChecksTests.java
@@ -138,8 +138,6 @@
         fleet.nodes.forEach(node -> node.checkBytes = 0);
         IntStream.range(1, DAEMONS - 1).forEach(daemon -> fleet.cutFromTargets(daemon, cut));
         fleet.run(1_000);
-        System.out.println(
-                "BYTES " + fleet.nodes.stream().map(n -> n.checkBytes).toList());
         assertWithinBudget(1_000);
         fleet.run(1_000);
         assertServed();
