Reject responses whose status line is not valid

Callers of the gateway received responses with the status 000, 1000 or 101 as a target's own, signature included: "HTTP/1.1 0 Unknown Status (0)", or a change of protocol that nobody had asked for. Clients that check the status line failed, others waited for a body without end.

Cause: the decoder of the HTTP library accepts any number as a status, several versions of the protocol, blanks before the status line and control characters in the reason phrase; no part of the product checked what it had decoded.

A validator in front of the decoder, in the new module cornelcrank-http, checks the syntax of the status line: HTTP/1.0 or HTTP/1.1, one space, a status of three digits from 100 to 599 other than 101, then nothing or a space and a reason phrase without control characters. Otherwise the connection is closed and the attempt ends as one that may have run. The line cannot be checked behind the decoder, which has cut and replaced parts of it by then.

--- /dev/null
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
@@ -0,0 +1,112 @@
+package org.cornelcrank.http;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+
+/**
+ * Passes the bytes of a response to the decoder only once their syntax was checked, line by line.
+ *
+ * <p>The check precedes the decoder, as that cuts and joins what it does not understand. Invariants: nothing behind an
+ * invalid line is passed on, and its connection is closed; at most one incomplete line is held. Not thread-safe: confined
+ * to the connection's event loop.
+ */
+final class ResponseValidator extends ByteToMessageDecoder {
+
+    /** Maximum length of a line in bytes: the decoder accepts no longer heads. */
+    static final int MAX_LINE_BYTES = 8 * 1024;
+
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    private Part part = Part.STATUS_LINE;
+    private int status;
+
+    /** What is expected next. */
+    private enum Part {
+        STATUS_LINE,
+        FIELDS,
+        BODY,
+        NOTHING
+    }
+
+    /** Begins a new exchange on a connection whose last one, if any, has ended. */
+    void expectResponse() {
+        if (part != Part.NOTHING) {
+            part = Part.STATUS_LINE;
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+        int start = in.readerIndex();
+        int end = start;
+        try {
+            for (int next = check(in, end); next > end; next = check(in, end)) {
+                end = next;
+            }
+        } catch (MalformedResponseException e) {
+            part = Part.NOTHING;
+            in.skipBytes(in.readableBytes());
+            context.fireExceptionCaught(e);
+            context.close();
+            return;
+        }
+        if (end > start && part == Part.NOTHING) {
+            in.skipBytes(end - start);
+        } else if (end > start) {
+            out.add(in.readRetainedSlice(end - start));
+        }
+    }
+
+    /** Returns the index behind the bytes that are valid from an index on; that index if more bytes are needed. */
+    private int check(ByteBuf in, int start) {
+        if (start == in.writerIndex()) {
+            return start;
+        }
+        return switch (part) {
+            case STATUS_LINE, FIELDS -> checkLine(in, start);
+            case BODY, NOTHING -> in.writerIndex();
+        };
+    }
+
+    private int checkLine(ByteBuf in, int start) {
+        int lineFeed = in.indexOf(start, in.writerIndex(), (byte) '\n');
+        if (lineFeed < 0) {
+            requireLength(in.writerIndex() - start);
+            return start;
+        }
+        requireLength(lineFeed - start);
+        int end = lineFeed - 1;
+        if (end < start || in.getByte(end) != '\r') {
+            throw new MalformedResponseException(
+                    "a line must end in CR LF but was " + ResponseLines.quoted(in, start, lineFeed));
+        }
+        onLine(in, start, end);
+        return lineFeed + 1;
+    }
+
+    private static void requireLength(int lineBytes) {
+        if (lineBytes > MAX_LINE_BYTES) {
+            throw new MalformedResponseException("a line must have at most " + MAX_LINE_BYTES + " bytes");
+        }
+    }
+
+    private void onLine(ByteBuf in, int start, int end) {
+        if (part == Part.STATUS_LINE) {
+            onStatusLine(in, start, end);
+        } else if (start == end) {
+            part = status < FIRST_FINAL_STATUS ? Part.STATUS_LINE : Part.BODY;
+        }
+    }
+
+    private void onStatusLine(ByteBuf in, int start, int end) {
+        status = ResponseLines.status(in, start, end);
+        if (status == SWITCHING_PROTOCOLS) {
+            throw new MalformedResponseException("the response must not switch protocols, as no request asks for that");
+        }
+        part = Part.FIELDS;
+    }
+}
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -28,6 +28,7 @@
 import org.cornelcrank.gateway.http.RequestHead;
 import org.cornelcrank.gateway.http.ResponseId;
 import org.cornelcrank.gateway.http.TargetResponseHead;
+import org.cornelcrank.http.MalformedResponseException;
 import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
@@ -183,11 +184,32 @@
                 .response((response, content) -> onResponseHead(attempt, response, content))
                 .retryWhen(OTHER_CONNECTION)
                 .timeout(Duration.ofMillis(dispatch.timeoutMs()), loop.scheduler())
-                .subscribe(attempt::end, error -> attempt.onTransferError(toFailure(error, attempt)));
+                .subscribe(attempt::end, error -> onError(attempt, error));
         attempt.checkReadTimeout();
         attempt.checkSilence();
     }
 
+    private void onError(RunningAttempt attempt, Throwable error) {
+        if (error instanceof MalformedResponseException malformed && attempt.begun()) {
+            reportMalformed(attempt, malformed);
+        }
+        attempt.onTransferError(toFailure(error, attempt));
+    }
+
+    private void reportMalformed(RunningAttempt attempt, MalformedResponseException error) {
+        metrics.counter("responses.rejected.malformed").inc();
+        TargetExchanges exchanges = TargetExchanges.of(attempt.connection);
+        LOGGER.atWarn()
+                .addKeyValue("attempt", attempt.id)
+                .addKeyValue("request", attempt.receiver.head().requestId())
+                .addKeyValue("target", attempt.target)
+                .addKeyValue("ageMs", clock.nowMs() - attempt.sentAtMs)
+                .addKeyValue("connection", exchanges.localPort())
+                .addKeyValue("exchange", exchanges.number())
+                .addKeyValue("reason", error.getMessage())
+                .log("response rejected: it is malformed");
+    }
+
     /** Rejects a connection that must not carry the request before any byte of the request is sent. */
     private static void begin(RunningAttempt attempt, Connection connection) {
         if (!TargetExchanges.of(connection.channel())
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetConnections.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/TargetConnections.java
@@ -16,6 +16,7 @@
 import io.netty.util.AttributeKey;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.http.StrictResponses;
 import org.cornelcrank.server.loop.MonotonicClock;
 import org.cornelcrank.server.peer.RelayClient;
 import org.cornelcrank.server.peer.RelayRoute;
@@ -141,6 +142,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .doOnChannelInit((observer, channel, address) -> {
                     TargetExchanges.follow(channel, metrics);
+                    StrictResponses.require(channel);
                     LastArrival.follow(channel, clock);
                     channel.pipeline().addFirst(new ResponseLimit(MAX_RESPONSE_BYTES));
                     onInit.accept(channel);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -154,6 +154,26 @@
         assertThat(runner.writtenBytes()).isLessThan(MAX_WRITTEN_BYTES);
     }
 
+    static Stream<String> malformedHeads() {
+        return Stream.of("HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 1000 Trouble\r\n", "HTTP/1.1 101 Trouble\r\n");
+    }
+
+    /** Guards against a response that does not exist in the protocol and yet reaches a caller. */
+    @ParameterizedTest
+    @MethodSource("malformedHeads")
+    void responseWithAMalformedHeadReachesNobody(String head) throws IOException {
+        runner.setScript((request, response) -> response.write(head + "Request-Id: " + request.id()
+                + "\r\nResponse-Signature: signed-by-raw\r\nContent-Length: 4\r\n\r\n" + BODY));
+        fleet.register(runner);
+        HttpResponse<String> response = postUntilTheRunnerResponds("unsafe");
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(response.headers().map()).doesNotContainKey("Response-Signature");
+        assertThat(response.body()).doesNotContain(BODY);
+        assertThat(runner.requests()).isEqualTo(1);
+        assertThat(fleet.get(fleet.metricsUri(0, "/metrics")).body())
+                .containsPattern("responses_rejected_malformed\\S* 1");
+    }
+
     @Test
     void bytesAfterACompleteResponseEndTheConnectionAndReachNobody() throws IOException {
         runner.setScript((request, response) -> {
