Reject responses with a line that is no field

Reported from other systems, and shown here: a target sent a head in which the name of a field held a blank or a control byte, and the caller received the response with that line passed on in another form, or with a body that was not the target's. "X Y: 1" came out as "X: 1"; a line that began with a blank was joined to the field before it, so that "Response-Signature: s" came out as "s X: 1"; "Content-Length Y: 2" before a body of four bytes made a whole 200 of two of them, and "Transfer Encoding: chunked" gave the chunks' own bytes as the body.

Cause: the decoder cuts the name of a response's field at the first blank and joins continued lines before any header object exists. Control bytes and separators in names and control bytes in values were rejected before; their tests stay.

--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
@@ -21,6 +21,14 @@
     private static final int DELETE = 0x7f;
     private static final int MAX_QUOTED_BYTES = 80;
 
+    private static final boolean[] TOKEN_CHARACTERS = new boolean[DELETE];
+
+    static {
+        "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                .chars()
+                .forEach(character -> TOKEN_CHARACTERS[character] = true);
+    }
+
     private ResponseLines() {}
 
     /**
@@ -68,6 +76,31 @@
         return value;
     }
 
+    /**
+     * Returns the index of the colon that ends the name of a field.
+     *
+     * <p>A line that begins with a space or a tab continues the line before it in former versions of the protocol, and is
+     * not valid.
+     *
+     * @throws MalformedResponseException if the line is not valid
+     */
+    static int fieldNameEnd(ByteBuf bytes, int start, int end) {
+        int nameEnd = start;
+        while (nameEnd < end && isTokenCharacter(bytes.getUnsignedByte(nameEnd))) {
+            nameEnd++;
+        }
+        boolean named = nameEnd > start && nameEnd < end && bytes.getByte(nameEnd) == ':';
+        if (!named || !isText(bytes, nameEnd, end)) {
+            throw new MalformedResponseException(
+                    "a field must be a name, a colon and a value but was " + quoted(bytes, start, end));
+        }
+        return nameEnd;
+    }
+
+    private static boolean isTokenCharacter(int character) {
+        return character < TOKEN_CHARACTERS.length && TOKEN_CHARACTERS[character];
+    }
+
     /** Returns whether there is no control character but the tab. */
     private static boolean isText(ByteBuf bytes, int start, int end) {
         for (int i = start; i < end; i++) {
--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
@@ -99,6 +99,8 @@
             onStatusLine(in, start, end);
         } else if (start == end) {
             part = status < FIRST_FINAL_STATUS ? Part.STATUS_LINE : Part.BODY;
+        } else {
+            ResponseLines.fieldNameEnd(in, start, end);
         }
     }
 
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -155,7 +155,14 @@
     }
 
     static Stream<String> malformedHeads() {
-        return Stream.of("HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 1000 Trouble\r\n", "HTTP/1.1 101 Trouble\r\n");
+        return Stream.of(
+                "HTTP/1.1 000 Trouble\r\n",
+                "HTTP/1.1 1000 Trouble\r\n",
+                "HTTP/1.1 101 Trouble\r\n",
+                "HTTP/1.1 200 OK\r\nX Y: 1\r\n",
+                "HTTP/1.1 200 OK\r\nX\u0001Y: 1\r\n",
+                "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n");
     }
 
     /** Guards against a response that does not exist in the protocol and yet reaches a caller. */
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
@@ -99,6 +99,51 @@
         assertIsNoResponse(line + "\r\n" + fields("Content-Length: 4\r\n") + BODY);
     }
 
+    static Stream<String> invalidFields() {
+        return Stream.of(
+                "X Y: 1",
+                "X\tY: 1",
+                "X : 1",
+                "X\t: 1",
+                "X Y",
+                "X",
+                ": 1",
+                "X\u0001Y: 1",
+                "\u0001X: 1",
+                "X\u0000: 1",
+                "X\u000bY: 1",
+                "X\fY: 1",
+                "X\rY: 1",
+                "X\u007fY: 1",
+                "X(Y): 1",
+                "X\"Y: 1",
+                "X/Y: 1",
+                "X@Y: 1",
+                "X\u00e4: 1",
+                "X: a\u0001b",
+                "X: a\u0000b",
+                "X: a\rb",
+                "X: a\u007fb",
+                " X: 1",
+                "\tX: 1",
+                " ",
+                "Content-Length Y: 2",
+                "Content-Length : 2",
+                "Content-Length\t: 2",
+                "Content Length: 2",
+                "Connection Y: close",
+                "Transfer Encoding: chunked",
+                "Transfer-Encoding : chunked");
+    }
+
+    /** Guards against a field or a framing that the target has not sent, as a field name was cut. */
+    @ParameterizedTest
+    @MethodSource("invalidFields")
+    void lineThatIsNoFieldMakesTheResponseInvalid(String line) throws Exception {
+        assertIsNoResponse("HTTP/1.1 200 OK\r\n" + fields(line + "\r\n") + BODY);
+        assertIsNoResponse("HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields("Content-Length: 4\r\n") + BODY);
+    }
+
     static Stream<String> soundHeads() {
         return Stream.of(
                 "HTTP/1.1 200\r\n" + "Content-Length: 4\r\n",
