Reject responses whose framing is not defined

Callers received bodies that were not the target's: with the transfer coding gzip, identity or xchunked the bytes until the connection closed; with "gzip, chunked" the bytes without their chunks and still coded, while the field that says so is not forwarded. With both chunks and a length, with a second transfer coding, with chunks in HTTP/1.0, and with a length behind the status 204, the end of the body was a guess of the decoder.

Cause: the decoder looks for "chunked" anywhere in the codings, treats other codings as none, and drops a length beside chunks. It does not tell what it has dropped.

The validator reads the fields that frame a body as RFC 9112 defines them: at most one length, of decimal digits; "chunked" as the only coding, stated once, in HTTP/1.1 and without a length; no body behind the status 204. It thus knows where a body of a length ends, and checks what follows as the start of a head.

Lengths that are no number or stated twice were rejected before; their tests stay.

--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
@@ -53,6 +53,11 @@
         return status;
     }
 
+    /** Returns whether a valid status line states version 1.0. */
+    static boolean isVersion10(ByteBuf bytes, int start) {
+        return bytes.getByte(start + VERSION_PREFIX.length) == '0';
+    }
+
     private static boolean hasVersion(ByteBuf bytes, int start) {
         for (int i = 0; i < VERSION_PREFIX.length; i++) {
             if (bytes.getByte(start + i) != VERSION_PREFIX[i]) {
--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
@@ -21,14 +21,17 @@
     private static final int FIRST_FINAL_STATUS = 200;
     private static final int SWITCHING_PROTOCOLS = 101;
 
+    private final ResponseFraming framing = new ResponseFraming();
     private Part part = Part.STATUS_LINE;
     private int status;
+    private long remainingBytes;
 
     /** What is expected next. */
     private enum Part {
         STATUS_LINE,
         FIELDS,
-        BODY,
+        BODY_OF_LENGTH,
+        BODY_UNTIL_CLOSE,
         NOTHING
     }
 
@@ -68,10 +71,20 @@
         }
         return switch (part) {
             case STATUS_LINE, FIELDS -> checkLine(in, start);
-            case BODY, NOTHING -> in.writerIndex();
+            case BODY_OF_LENGTH -> skipBody(in, start);
+            case BODY_UNTIL_CLOSE, NOTHING -> in.writerIndex();
         };
     }
 
+    private int skipBody(ByteBuf in, int start) {
+        int length = (int) Math.min(remainingBytes, in.writerIndex() - start);
+        remainingBytes -= length;
+        if (remainingBytes == 0) {
+            part = Part.STATUS_LINE;
+        }
+        return start + length;
+    }
+
     private int checkLine(ByteBuf in, int start) {
         int lineFeed = in.indexOf(start, in.writerIndex(), (byte) '\n');
         if (lineFeed < 0) {
@@ -98,9 +111,9 @@
         if (part == Part.STATUS_LINE) {
             onStatusLine(in, start, end);
         } else if (start == end) {
-            part = status < FIRST_FINAL_STATUS ? Part.STATUS_LINE : Part.BODY;
+            onHeadEnd();
         } else {
-            ResponseLines.fieldNameEnd(in, start, end);
+            framing.addField(in, start, ResponseLines.fieldNameEnd(in, start, end), end);
         }
     }
 
@@ -109,6 +122,17 @@
         if (status == SWITCHING_PROTOCOLS) {
             throw new MalformedResponseException("the response must not switch protocols, as no request asks for that");
         }
+        framing.begin(status, ResponseLines.isVersion10(in, start));
         part = Part.FIELDS;
     }
+
+    private void onHeadEnd() {
+        framing.requireConsistent();
+        remainingBytes = framing.lengthBytes();
+        if (status < FIRST_FINAL_STATUS || remainingBytes == 0) {
+            part = Part.STATUS_LINE;
+        } else {
+            part = remainingBytes == ResponseFraming.NO_LENGTH ? Part.BODY_UNTIL_CLOSE : Part.BODY_OF_LENGTH;
+        }
+    }
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
@@ -144,6 +144,52 @@
         assertIsNoResponse("HTTP/1.1 200 OK\r\n" + line + "\r\n" + fields("Content-Length: 4\r\n") + BODY);
     }
 
+    static Stream<String> invalidFramings() {
+        return Stream.of(
+                "Transfer-Encoding: gzip",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding: identity",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: chunked, chunked",
+                "Transfer-Encoding: chunked, identity",
+                "Transfer-Encoding: chunked;x=1",
+                "Transfer-Encoding:",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+                "Transfer-Encoding: chunked\r\nContent-Length: 4",
+                "Content-Length: 4\r\nTransfer-Encoding: chunked",
+                "Content-Length: 4\r\nContent-Length: 2",
+                "Content-Length: 4, 2",
+                "Content-Length: +4",
+                "Content-Length: -4",
+                "Content-Length: 0x4",
+                "Content-Length: 4x",
+                "Content-Length: 4 4",
+                "Content-Length: 99999999999999999999",
+                "Content-Length:");
+    }
+
+    /** Guards against a body whose end or coding is a guess. */
+    @ParameterizedTest
+    @MethodSource("invalidFramings")
+    void framingThatIsNotDefinedMakesTheResponseInvalid(String framing) throws Exception {
+        assertIsNoResponse("HTTP/1.1 200 OK\r\n" + fields(framing + "\r\n") + "4\r\nbody\r\n0\r\n\r\n");
+    }
+
+    static Stream<String> contradictions() {
+        return Stream.of(
+                "HTTP/1.0 200 OK\r\n" + fields("Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n",
+                "HTTP/1.1 204 OK\r\n" + fields("Content-Length: 4\r\n") + BODY,
+                "HTTP/1.1 204 OK\r\n" + fields("Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n");
+    }
+
+    /** Guards against a body that is left out, or taken from another version of the protocol. */
+    @ParameterizedTest
+    @MethodSource("contradictions")
+    void framingThatContradictsTheStatusLineMakesTheResponseInvalid(String response) throws Exception {
+        assertIsNoResponse(response);
+    }
+
     static Stream<String> soundHeads() {
         return Stream.of(
                 "HTTP/1.1 200\r\n" + "Content-Length: 4\r\n",
