Reject chunks and trailers that are not valid

Callers received bodies in chunks whose sizes the decoder had guessed: "4<01>" and "4 x" were taken for 4, as the decoder stops at the first byte that it does not understand. A corrupt size thus may cut a body without a failure. Trailers with a blank in or behind a name, or that continue a line, were accepted.

The validator follows chunks in front of the decoder: a size of hexadecimal digits below 2 GiB, then blanks or an extension of text, the chunk, CR LF, and trailers by the same rule as the fields of a head. Blanks behind a size are still accepted, as some servers pad it.

Sizes that the decoder rejected itself keep their tests.

--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseFraming.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseFraming.java
@@ -56,19 +56,15 @@
     private static String value(ByteBuf bytes, int nameEnd, int end) {
         int first = nameEnd + 1;
         int behind = end;
-        while (first < behind && isBlank(bytes.getByte(first))) {
+        while (first < behind && ResponseLines.isBlank(bytes.getByte(first))) {
             first++;
         }
-        while (first < behind && isBlank(bytes.getByte(behind - 1))) {
+        while (first < behind && ResponseLines.isBlank(bytes.getByte(behind - 1))) {
             behind--;
         }
         return bytes.toString(first, behind - first, StandardCharsets.ISO_8859_1);
     }
 
-    private static boolean isBlank(byte character) {
-        return character == ' ' || character == '\t';
-    }
-
     private long parseLength(String value) {
         boolean digits = !value.isEmpty()
                 && value.length() <= MAX_LENGTH_DIGITS
--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseLines.java
@@ -16,6 +16,7 @@
     private static final int STATUS_START = "HTTP/1.1 ".length();
     private static final int STATUS_END = "HTTP/1.1 200".length();
     private static final int DECIMAL = 10;
+    private static final int HEXADECIMAL = 16;
     private static final int FIRST_STATUS = 100;
     private static final int LAST_STATUS = 599;
     private static final int DELETE = 0x7f;
@@ -102,6 +103,41 @@
         return nameEnd;
     }
 
+    /**
+     * Returns the size that a line before a chunk states, in bytes.
+     *
+     * <p>Blanks behind the size, and extensions, which have no meaning here, are valid.
+     *
+     * @throws MalformedResponseException if the line is not valid
+     */
+    static int chunkSize(ByteBuf bytes, int start, int end) {
+        long size = 0;
+        int sizeEnd = start;
+        while (sizeEnd < end && size <= Integer.MAX_VALUE && hexadecimal(bytes.getByte(sizeEnd)) >= 0) {
+            size = size * HEXADECIMAL + hexadecimal(bytes.getByte(sizeEnd));
+            sizeEnd++;
+        }
+        int extension = sizeEnd;
+        while (extension < end && isBlank(bytes.getByte(extension))) {
+            extension++;
+        }
+        boolean ended = extension == end || bytes.getByte(extension) == ';';
+        if (sizeEnd == start || size > Integer.MAX_VALUE || !ended || !isText(bytes, extension, end)) {
+            throw new MalformedResponseException(
+                    "a chunk must begin with its size in bytes but began with " + quoted(bytes, start, end));
+        }
+        return (int) size;
+    }
+
+    private static int hexadecimal(byte character) {
+        return Character.digit(character, HEXADECIMAL);
+    }
+
+    /** Returns whether a byte is white space within a line. */
+    static boolean isBlank(byte character) {
+        return character == ' ' || character == '\t';
+    }
+
     private static boolean isTokenCharacter(int character) {
         return character < TOKEN_CHARACTERS.length && TOKEN_CHARACTERS[character];
     }
--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
@@ -32,6 +32,10 @@
         FIELDS,
         BODY_OF_LENGTH,
         BODY_UNTIL_CLOSE,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILERS,
         NOTHING
     }
 
@@ -70,8 +74,8 @@
             return start;
         }
         return switch (part) {
-            case STATUS_LINE, FIELDS -> checkLine(in, start);
-            case BODY_OF_LENGTH -> skipBody(in, start);
+            case STATUS_LINE, FIELDS, CHUNK_SIZE, CHUNK_END, TRAILERS -> checkLine(in, start);
+            case BODY_OF_LENGTH, CHUNK -> skipBody(in, start);
             case BODY_UNTIL_CLOSE, NOTHING -> in.writerIndex();
         };
     }
@@ -80,7 +84,7 @@
         int length = (int) Math.min(remainingBytes, in.writerIndex() - start);
         remainingBytes -= length;
         if (remainingBytes == 0) {
-            part = Part.STATUS_LINE;
+            part = part == Part.CHUNK ? Part.CHUNK_END : Part.STATUS_LINE;
         }
         return start + length;
     }
@@ -108,12 +112,26 @@
     }
 
     private void onLine(ByteBuf in, int start, int end) {
-        if (part == Part.STATUS_LINE) {
-            onStatusLine(in, start, end);
-        } else if (start == end) {
-            onHeadEnd();
-        } else {
-            framing.addField(in, start, ResponseLines.fieldNameEnd(in, start, end), end);
+        boolean empty = start == end;
+        switch (part) {
+            case STATUS_LINE -> onStatusLine(in, start, end);
+            case CHUNK_SIZE -> onChunkSize(in, start, end);
+            case CHUNK_END -> onChunkEnd(in, start, end);
+            case FIELDS -> {
+                if (empty) {
+                    onHeadEnd();
+                } else {
+                    framing.addField(in, start, ResponseLines.fieldNameEnd(in, start, end), end);
+                }
+            }
+            case TRAILERS -> {
+                if (empty) {
+                    part = Part.STATUS_LINE;
+                } else {
+                    ResponseLines.fieldNameEnd(in, start, end);
+                }
+            }
+            default -> throw new IllegalStateException("a line must be expected but was " + part);
         }
     }
 
@@ -131,8 +149,23 @@
         remainingBytes = framing.lengthBytes();
         if (status < FIRST_FINAL_STATUS || remainingBytes == 0) {
             part = Part.STATUS_LINE;
+        } else if (framing.chunked()) {
+            part = Part.CHUNK_SIZE;
         } else {
             part = remainingBytes == ResponseFraming.NO_LENGTH ? Part.BODY_UNTIL_CLOSE : Part.BODY_OF_LENGTH;
         }
     }
+
+    private void onChunkSize(ByteBuf in, int start, int end) {
+        remainingBytes = ResponseLines.chunkSize(in, start, end);
+        part = remainingBytes == 0 ? Part.TRAILERS : Part.CHUNK;
+    }
+
+    private void onChunkEnd(ByteBuf in, int start, int end) {
+        if (start != end) {
+            throw new MalformedResponseException(
+                    "a chunk must end in CR LF but was followed by " + ResponseLines.quoted(in, start, end));
+        }
+        part = Part.CHUNK_SIZE;
+    }
 }
--- a/cornelcrank-http/src/test/java/org/cornelcrank/http/ResponseValidatorTests.java
+++ b/cornelcrank-http/src/test/java/org/cornelcrank/http/ResponseValidatorTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
@@ -29,17 +30,25 @@
 
     private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s1\r\n";
     private static final String WITH_LENGTH = HEAD + "Content-Length: 4\r\n\r\nbody";
+    private static final String IN_CHUNKS =
+            HEAD + "Transfer-Encoding: chunked\r\n\r\n2;x\r\nbo\r\n02\r\ndy\r\n0\r\nX: 1\r\n\r\n";
     private static final String UNTIL_CLOSE = HEAD + "Connection: close\r\n\r\nbody";
 
     /** The lines of a head as RFC 9112 defines them. */
     private static final Pattern VALID_HEAD = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d(?: [\\t -~\\x80-\\xff]*)?\r\n"
             + "(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t -~\\x80-\\xff]*\r\n)*\r\n");
 
+    /** Blanks behind a size without an extension are tolerated. */
+    private static final Pattern CHUNK_SIZE = Pattern.compile("([0-9A-Fa-f]+)[ \t]*(?:;[\t -~\\x80-\\xff]*)?\r\n");
+
+    private static final Pattern TRAILERS =
+            Pattern.compile("(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\\x80-\\xff]*\r\n)*\r\n");
+
     /** A response as a caller sees it. */
     private record Received(int status, List<Map.Entry<String, String>> fields, String body) {}
 
     static Stream<String> responses() {
-        return Stream.of(WITH_LENGTH, UNTIL_CLOSE);
+        return Stream.of(WITH_LENGTH, IN_CHUNKS, UNTIL_CLOSE);
     }
 
     @ParameterizedTest
@@ -67,6 +76,45 @@
         }
     }
 
+    /** Guards against chunks whose sizes or ends the decoder guesses. */
+    @Test
+    void chunksWithOneOtherByteAreAsTheTargetWroteThemOrFail() {
+        for (int at = headEnd(IN_CHUNKS); at < IN_CHUNKS.length(); at++) {
+            for (char other = 0; other <= 0xff; other++) {
+                assertIsUnchunkedOrFails(IN_CHUNKS.substring(0, at) + other + IN_CHUNKS.substring(at + 1));
+                assertIsUnchunkedOrFails(IN_CHUNKS.substring(0, at) + other + IN_CHUNKS.substring(at));
+            }
+            assertIsUnchunkedOrFails(IN_CHUNKS.substring(0, at) + IN_CHUNKS.substring(at + 1));
+        }
+    }
+
+    private static void assertIsUnchunkedOrFails(String response) {
+        receive(response).ifPresent(received -> assertThat(Optional.of(received.body()))
+                .isEqualTo(unchunked(response.substring(headEnd(response)))));
+    }
+
+    /** Returns the content of chunks by the protocol's definition; empty if they are not valid. */
+    private static Optional<String> unchunked(String chunks) {
+        StringBuilder content = new StringBuilder();
+        Matcher size = CHUNK_SIZE.matcher(chunks);
+        int at = 0;
+        while (size.region(at, chunks.length()).lookingAt()) {
+            int bytes = Integer.parseInt(size.group(1), 16);
+            int end = size.end() + bytes;
+            if (bytes == 0) {
+                return TRAILERS.matcher(chunks).region(end, chunks.length()).lookingAt()
+                        ? Optional.of(content.toString())
+                        : Optional.empty();
+            }
+            if (!chunks.startsWith("\r\n", end)) {
+                return Optional.empty();
+            }
+            content.append(chunks, size.end(), end);
+            at = end + 2;
+        }
+        return Optional.empty();
+    }
+
     private static int headEnd(String response) {
         return response.indexOf("\r\n\r\n") + "\r\n\r\n".length();
     }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
@@ -190,6 +190,54 @@
         assertIsNoResponse(response);
     }
 
+    static Stream<String> invalidChunks() {
+        return Stream.of(
+                "4\u0001\r\nbody\r\n0\r\n\r\n",
+                "4\u0001x\r\nbody\r\n0\r\n\r\n",
+                "4 x\r\nbody\r\n0\r\n\r\n",
+                " 4\r\nbody\r\n0\r\n\r\n",
+                "+4\r\nbody\r\n0\r\n\r\n",
+                "0x4\r\nbody\r\n0\r\n\r\n",
+                "-4\r\nbody\r\n0\r\n\r\n",
+                "4,\r\nbody\r\n0\r\n\r\n",
+                ";x\r\nbody\r\n0\r\n\r\n",
+                "\r\nbody\r\n0\r\n\r\n",
+                "3\r\nbody\r\n0\r\n\r\n",
+                "4\r\nbody0\r\n\r\n",
+                "4\r\nbodyx\r\n0\r\n\r\n",
+                "4;x=\u0001\r\nbody\r\n0\r\n\r\n",
+                "100000004\r\nbody\r\n0\r\n\r\n",
+                "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
+                "4\r\nbody\r\n0\r\nX : 1\r\n\r\n",
+                "4\r\nbody\r\n0\r\n X: 1\r\n\r\n",
+                "4\r\nbody\r\n0\r\nX\u0001: 1\r\n\r\n",
+                "4\r\nbody\r\n0\r\nX: \u0001\r\n\r\n",
+                "4\r\nbody\r\n0\r\nX\r\n\r\n");
+    }
+
+    /** Guards against a length of a chunk, or an end of the chunks, that is a guess. */
+    @ParameterizedTest
+    @MethodSource("invalidChunks")
+    void chunksThatAreNotValidMakeTheResponseInvalid(String chunks) throws Exception {
+        assertIsNoResponse("HTTP/1.1 200 OK\r\n" + fields("Transfer-Encoding: chunked\r\n") + chunks);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "4\r\nbody\r\n0\r\n\r\n",
+                "004\r\nbody\r\n000\r\n\r\n",
+                "4 \t\r\nbody\r\n0\r\n\r\n",
+                "4;x;y=1; z = \"a b\"\r\nbody\r\n0;last\r\n\r\n",
+                "2\r\nbo\r\n2\r\ndy\r\n0\r\nX-Checksum: 1\r\nY:\r\n\r\n",
+            })
+    void validChunksAreForwarded(String chunks) throws Exception {
+        for (String coding : new String[] {"chunked", "Chunked", "\tchunked "}) {
+            assertIsForwarded(
+                    "HTTP/1.1 200 OK\r\n" + fields("Transfer-Encoding: " + coding + "\r\n") + chunks, 200, BODY);
+        }
+    }
+
     static Stream<String> soundHeads() {
         return Stream.of(
                 "HTTP/1.1 200\r\n" + "Content-Length: 4\r\n",
