End no relayed response before the target has taken the request

Through a peer the same fault remained where the sockets between the two daemons hold the whole request: this daemon had written it, while the peer still held a part of it when the target closed its connection. The peer reported a clean end, and the part of a response that had arrived counted as complete.

Cause: the peer did not tell how much of the request the connection to the target had taken, and only the requesting daemon knows how long the request is.

RelayEnd now states the number of bytes that the target's connection has taken, and RelayBytesHandler treats the end as clean only if that is all that was written; otherwise the attempt has lost its connection and may have run. A peer of an earlier version does not state it: a response without a length or chunks that ends with its connection fails visibly through such a peer until it is upgraded.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayBytesHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayBytesHandler.java
@@ -8,17 +8,19 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
 import org.cornelcrank.server.wire.Frame;
+import org.cornelcrank.server.wire.RelayEnd;
 
 /**
  * Carries bytes over an open relayed connection, so that the handlers behind this one see the target's connection.
  *
- * <p>Invariant: the connection ends without an error only if the peer reports that the target has ended it, as a lost
- * connection to the peer must not look like the end of a body without a length. Not thread-safe: confined to its
- * channel.
+ * <p>Invariant: the connection ends without an error only if the peer reports that the target has ended it and had taken
+ * all that was written, as neither a lost connection to the peer nor a target that has not received its request must look
+ * like the end of a body without a length. Not thread-safe: confined to its channel.
  */
 final class RelayBytesHandler extends ChannelDuplexHandler {
 
     private final RelayRoute route;
+    private long writtenBytes;
     private boolean ended;
 
     RelayBytesHandler(RelayRoute route) {
@@ -31,6 +33,7 @@
             context.write(message, promise);
             return;
         }
+        writtenBytes += bytes.readableBytes();
         RelayFrames.split(bytes, frame -> context.write(frame, bytes.isReadable() ? context.newPromise() : promise));
     }
 
@@ -44,7 +47,7 @@
             if (frame.hasRelayData()) {
                 onData(context, RelayFrames.bytes(frame));
             } else if (frame.hasRelayEnd()) {
-                onEnd(context, frame.getRelayEnd().getReset());
+                onEnd(context, frame.getRelayEnd());
             } else {
                 fail(context, RelayException.Cause.PEER_LOST, "has sent an unexpected frame");
             }
@@ -62,11 +65,19 @@
         context.read();
     }
 
-    private void onEnd(ChannelHandlerContext context, boolean reset) {
-        if (reset) {
+    private void onEnd(ChannelHandlerContext context, RelayEnd end) {
+        if (end.getReset()) {
             fail(context, RelayException.Cause.TARGET_RESET, "has lost the target's connection");
             return;
         }
+        if (!end.hasTakenBytes() || end.getTakenBytes() != writtenBytes) {
+            fail(
+                    context,
+                    RelayException.Cause.TARGET_RESET,
+                    "has passed on " + (end.hasTakenBytes() ? end.getTakenBytes() : "an unknown number") + " of "
+                            + writtenBytes + " bytes before the target closed its connection");
+            return;
+        }
         ended = true;
         context.close();
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayClient.java
@@ -16,7 +16,7 @@
  * Makes connections to peers carry the bytes of connections to targets.
  *
  * <p>Invariants: such a connection becomes active once the target is connected, and only then carries bytes; it ends
- * without an error only if the target has ended it. Thread-safe.
+ * without an error only if the target has ended it after it had taken all bytes. Thread-safe.
  */
 public final class RelayClient {
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayException.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayException.java
@@ -15,7 +15,7 @@
         TARGET_UNREACHABLE,
         /** The connection to the peer was lost, so that bytes of the target may be missing. */
         PEER_LOST,
-        /** The target has reset its connection, or the peer has lost it. */
+        /** The target has reset its connection, or closed it before it had taken all bytes, or the peer has lost it. */
         TARGET_RESET
     }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayHandler.java
@@ -106,9 +106,14 @@
             return;
         }
         ByteBuf bytes = RelayFrames.bytes(frame);
-        connection.carriedToTarget(bytes.readableBytes());
+        int length = bytes.readableBytes();
+        connection.carriedToTarget(length);
         // Bytes for a target that has closed its connection are dropped, as the peer learns of the close.
-        target.writeAndFlush(bytes);
+        target.writeAndFlush(bytes).addListener(written -> {
+            if (written.isSuccess()) {
+                connection.takenByTarget(length);
+            }
+        });
         if (target.isActive() && !target.isWritable()) {
             context.channel().config().setAutoRead(false);
             if (!checksClose) {
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayTargetHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayTargetHandler.java
@@ -86,10 +86,11 @@
         context.close();
         // What the peer still sends is read and dropped.
         peer.config().setAutoRead(true);
-        peer.writeAndFlush(Frame.newBuilder()
-                        .setRelayEnd(RelayEnd.newBuilder().setReset(reset))
-                        .build())
-                .addListener(written ->
-                        peer.eventLoop().schedule(() -> peer.close(), CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        RelayEnd end = RelayEnd.newBuilder()
+                .setReset(reset)
+                .setTakenBytes(connection.takenBytes())
+                .build();
+        peer.writeAndFlush(Frame.newBuilder().setRelayEnd(end).build()).addListener(written -> peer.eventLoop()
+                .schedule(() -> peer.close(), CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS));
     }
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/RelayedConnection.java
@@ -24,6 +24,7 @@
     private final long openedAtMs;
     private long lastByteAtMs;
     private long carriedBytes;
+    private long takenBytes;
     private boolean awaitsTarget;
     private boolean ended;
 
@@ -76,6 +77,16 @@
         carried(bytes);
     }
 
+    /** Records bytes that the connection to the target has taken. */
+    void takenByTarget(int bytes) {
+        takenBytes += bytes;
+    }
+
+    /** Returns how many bytes from the peer the connection to the target has taken. */
+    long takenBytes() {
+        return takenBytes;
+    }
+
     /** Records bytes that were received from the target. */
     void carriedToPeer(int bytes) {
         awaitsTarget = false;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
@@ -137,16 +137,17 @@
       "efused.Reason\"`\n\006Reason\022\026\n\022REASON_UNSPEC" +
       "IFIED\020\000\022\022\n\016UNKNOWN_TARGET\020\001\022\017\n\013UNREACHAB" +
       "LE\020\002\022\013\n\007NO_ROOM\020\003\022\014\n\010STOPPING\020\004\"\034\n\tRelay" +
-      "Data\022\017\n\007content\030\001 \001(\014\"\031\n\010RelayEnd\022\r\n\005res" +
-      "et\030\001 \001(\010\"\033\n\tRejection\022\016\n\006reason\030\001 \001(\t\"*\n" +
-      "\010Envelope\022\r\n\005slice\030\001 \001(\t\022\017\n\007payload\030\002 \001(" +
-      "\014\"4\n\016SealedDatagram\022\023\n\013signed_part\030\001 \001(\014" +
-      "\022\r\n\005proof\030\002 \001(\014\"\215\001\n\017DatagramContent\022\030\n\020p" +
-      "rotocol_version\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(" +
-      "\t\022\014\n\004host\030\003 \001(\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010env" +
-      "elope\030\005 \001(\0132\032.cornelcrank.peer.EnvelopeB" +
-      "*\n\033org.cornelcrank.server.wireB\tPeerProt" +
-      "oP\001b\006proto3"
+      "Data\022\017\n\007content\030\001 \001(\014\"C\n\010RelayEnd\022\r\n\005res" +
+      "et\030\001 \001(\010\022\030\n\013taken_bytes\030\002 \001(\004H\000\210\001\001B\016\n\014_t" +
+      "aken_bytes\"\033\n\tRejection\022\016\n\006reason\030\001 \001(\t\"" +
+      "*\n\010Envelope\022\r\n\005slice\030\001 \001(\t\022\017\n\007payload\030\002 " +
+      "\001(\014\"4\n\016SealedDatagram\022\023\n\013signed_part\030\001 \001" +
+      "(\014\022\r\n\005proof\030\002 \001(\014\"\215\001\n\017DatagramContent\022\030\n" +
+      "\020protocol_version\030\001 \001(\r\022\022\n\ndeployment\030\002 " +
+      "\001(\t\022\014\n\004host\030\003 \001(\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010e" +
+      "nvelope\030\005 \001(\0132\032.cornelcrank.peer.Envelop" +
+      "eB*\n\033org.cornelcrank.server.wireB\tPeerPr" +
+      "otoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -217,7 +218,7 @@
     internal_static_cornelcrank_peer_RelayEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_RelayEnd_descriptor,
-        new java.lang.String[] { "Reset", });
+        new java.lang.String[] { "Reset", "TakenBytes", });
     internal_static_cornelcrank_peer_Rejection_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_cornelcrank_peer_Rejection_fieldAccessorTable = new
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/RelayEnd.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/RelayEnd.java
@@ -52,6 +52,7 @@
             org.cornelcrank.server.wire.RelayEnd.class, org.cornelcrank.server.wire.RelayEnd.Builder.class);
   }
 
+  private int bitField0_;
   public static final int RESET_FIELD_NUMBER = 1;
   private boolean reset_ = false;
   /**
@@ -67,6 +68,33 @@
     return reset_;
   }
 
+  public static final int TAKEN_BYTES_FIELD_NUMBER = 2;
+  private long takenBytes_ = 0L;
+  /**
+   * <pre>
+   * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+   * </pre>
+   *
+   * <code>optional uint64 taken_bytes = 2;</code>
+   * @return Whether the takenBytes field is set.
+   */
+  @java.lang.Override
+  public boolean hasTakenBytes() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+   * </pre>
+   *
+   * <code>optional uint64 taken_bytes = 2;</code>
+   * @return The takenBytes.
+   */
+  @java.lang.Override
+  public long getTakenBytes() {
+    return takenBytes_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -84,6 +112,9 @@
     if (reset_ != false) {
       output.writeBool(1, reset_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(2, takenBytes_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -92,6 +123,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(1, reset_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, takenBytes_);
+    }
     return size;
   }
   @java.lang.Override
@@ -118,6 +153,11 @@
 
     if (getReset()
         != other.getReset()) return false;
+    if (hasTakenBytes() != other.hasTakenBytes()) return false;
+    if (hasTakenBytes()) {
+      if (getTakenBytes()
+          != other.getTakenBytes()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -132,6 +172,11 @@
     hash = (37 * hash) + RESET_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getReset());
+    if (hasTakenBytes()) {
+      hash = (37 * hash) + TAKEN_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTakenBytes());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -268,6 +313,7 @@
       super.clear();
       bitField0_ = 0;
       reset_ = false;
+      takenBytes_ = 0L;
       return this;
     }
 
@@ -304,6 +350,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.reset_ = reset_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.takenBytes_ = takenBytes_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -321,6 +373,9 @@
       if (other.getReset() != false) {
         setReset(other.getReset());
       }
+      if (other.hasTakenBytes()) {
+        setTakenBytes(other.getTakenBytes());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -350,6 +405,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              takenBytes_ = input.readUInt64();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -411,6 +471,62 @@
       return this;
     }
 
+    private long takenBytes_ ;
+    /**
+     * <pre>
+     * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+     * </pre>
+     *
+     * <code>optional uint64 taken_bytes = 2;</code>
+     * @return Whether the takenBytes field is set.
+     */
+    @java.lang.Override
+    public boolean hasTakenBytes() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+     * </pre>
+     *
+     * <code>optional uint64 taken_bytes = 2;</code>
+     * @return The takenBytes.
+     */
+    @java.lang.Override
+    public long getTakenBytes() {
+      return takenBytes_;
+    }
+    /**
+     * <pre>
+     * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+     * </pre>
+     *
+     * <code>optional uint64 taken_bytes = 2;</code>
+     * @param value The takenBytes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTakenBytes(long value) {
+
+      takenBytes_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+     * </pre>
+     *
+     * <code>optional uint64 taken_bytes = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTakenBytes() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      takenBytes_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.peer.RelayEnd)
   }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/RelayEndOrBuilder.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/RelayEndOrBuilder.java
@@ -19,4 +19,23 @@
    * @return The reset.
    */
   boolean getReset();
+
+  /**
+   * <pre>
+   * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+   * </pre>
+   *
+   * <code>optional uint64 taken_bytes = 2;</code>
+   * @return Whether the takenBytes field is set.
+   */
+  boolean hasTakenBytes();
+  /**
+   * <pre>
+   * How many bytes from the peer the connection to the target has taken; absent if the daemon does not count them.
+   * </pre>
+   *
+   * <code>optional uint64 taken_bytes = 2;</code>
+   * @return The takenBytes.
+   */
+  long getTakenBytes();
 }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/RelayHandlerTests.java
@@ -101,6 +101,17 @@
         assertThat(gauge()).isZero();
     }
 
+    /** Guards against a part of a response that looks complete, as its target was not sent the whole request. */
+    @Test
+    void endOfTheTargetsBytesSaysWhatTheTargetHasTaken() {
+        open();
+        peer.writeInbound(data("request"));
+        targetLink.hold();
+        peer.writeInbound(data("more"));
+        target.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        assertThat(last(sentToPeer()).getRelayEnd().getTakenBytes()).isEqualTo("request".length());
+    }
+
     /** Guards against half a body that looks complete: a failed write closes a connection without an exception. */
     @Test
     void targetsConnectionThatClosesWithoutTheEndOfItsBytesWasReset() {
