Check the responses of every HTTP client

The same responses were believed elsewhere: a plain service behind the OpenAI-compatible interface got 000, 101 and bodies of another length forwarded to its caller, and a part of a body as complete if its engine reset the connection during a long request; an append to the log answered 000 counted as not taken; a page of the log, a host list, the load of a target and a store's page were read from corrupt responses; an order answered 000 counted as refused, one answered 200 with a corrupt head as done; a call to the store answered 000 or with a corrupt 503 counted as not done; a command of the command line succeeded, and a corrupt stream counted as complete.

Cause: each client has a connection of its own, and only the gateway's had the validator.

A malformed response is an error there, which each of them already treats as an unknown outcome or as a failed read. ItemReceiver and the calls of the gateway share its connections; probes of targets only connect.

--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/DaemonClient.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/DaemonClient.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
+import org.cornelcrank.http.StrictResponses;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
@@ -34,7 +35,7 @@
 
     public DaemonClient(String url, String key) {
         this.url = Objects.requireNonNull(url, "url must not be null").replaceAll("/+$", "");
-        HttpClient client = HttpClient.create().responseTimeout(RESPONSE_TIMEOUT);
+        HttpClient client = StrictResponses.of(HttpClient.create()).responseTimeout(RESPONSE_TIMEOUT);
         this.http = key.isEmpty() ? client : client.headers(headers -> headers.set("Authorization", "Bearer " + key));
     }
 
--- a/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/StreamingClient.java
+++ b/cornelcrank-cli/src/main/java/org/cornelcrank/cli/client/StreamingClient.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.buffer.Unpooled;
+import org.cornelcrank.http.StrictResponses;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufMono;
 import reactor.netty.http.client.HttpClient;
@@ -41,7 +42,7 @@
     /** Creates a client that uses the connection pool of the given HTTP client. */
     public StreamingClient(HttpClient shared, String url, String key, String workload) {
         this.url = Objects.requireNonNull(url, "url must not be null");
-        this.http = shared.headers(headers -> {
+        this.http = StrictResponses.of(shared).headers(headers -> {
             headers.set("Content-Type", "application/json");
             if (!key.isEmpty()) {
                 headers.set("Authorization", "Bearer " + key);
--- a/cornelcrank-cli/src/test/java/org/cornelcrank/cli/client/StreamingClientTests.java
+++ b/cornelcrank-cli/src/test/java/org/cornelcrank/cli/client/StreamingClientTests.java
@@ -1,11 +1,15 @@
 package org.cornelcrank.cli.client;
 
+import java.io.IOException;
+
 import org.cornelcrank.standin.EngineSettings;
 import org.cornelcrank.standin.EngineStandIn;
 import org.cornelcrank.standin.EngineTimeModel;
 import org.cornelcrank.standin.Faults;
 import org.cornelcrank.standin.GeneratedText;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -41,6 +45,18 @@
         }
     }
 
+    /** Guards against a stream that counts as complete although its head is corrupt. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"})
+    void malformedResponseIsIncomplete(String head) throws IOException {
+        String events = "data: {\"choices\":[{\"delta\":{\"content\":\"t\"}}]}\n\ndata: [DONE]\n\n";
+        try (RawServer server = new RawServer(head + "Connection: close\r\n\r\n" + events)) {
+            StreamedResponse response = new StreamingClient(server.url(), "", "").chat("m", "head", "tail", 5);
+            assertThat(response.complete()).isFalse();
+            assertThat(response.tokens()).isZero();
+        }
+    }
+
     private static EngineStandIn startedEngine() {
         EngineStandIn engine =
                 new EngineStandIn(EngineSettings.defaults("m").withTimeModel(new EngineTimeModel(0, 1_000, 0)));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HostListPoller.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HostListPoller.java
@@ -23,6 +23,7 @@
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.RegionId;
 import org.cornelcrank.core.ServiceName;
+import org.cornelcrank.http.StrictResponses;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,7 +62,7 @@
      * @param metrics receives the counters
      */
     public HostListPoller(String baseUrl, Duration interval, CoreLoop loop, ObjectMapper json, MetricRegistry metrics) {
-        this.http = HttpClient.create().baseUrl(baseUrl);
+        this.http = StrictResponses.of(HttpClient.create()).baseUrl(baseUrl);
         this.interval = interval;
         this.loop = loop;
         this.json = json;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
@@ -15,6 +15,7 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.LogRecord;
+import org.cornelcrank.http.StrictResponses;
 import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
@@ -55,7 +56,7 @@
                 .maxConnections(MAX_CONNECTIONS)
                 .pendingAcquireMaxCount(-1)
                 .build();
-        this.http = HttpClient.create(connections).baseUrl(baseUrl);
+        this.http = StrictResponses.of(HttpClient.create(connections)).baseUrl(baseUrl);
         this.loop = loop;
         this.json = json;
         this.appends = metrics.counter("log.appends");
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetClient.java
@@ -21,6 +21,7 @@
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.http.StrictResponses;
 import org.cornelcrank.server.exchange.CallerResponse;
 import org.cornelcrank.server.exchange.Exchange;
 import org.cornelcrank.server.exchange.ExchangeRegistry;
@@ -78,7 +79,7 @@
                 .maxConnections(MAX_CONNECTIONS_PER_TARGET)
                 .pendingAcquireMaxCount(-1)
                 .build();
-        this.http = HttpClient.create(connections);
+        this.http = StrictResponses.of(HttpClient.create(connections));
         this.loop = loop;
         this.exchanges = exchanges;
         this.json = json;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetWatcher.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/target/TargetWatcher.java
@@ -17,6 +17,7 @@
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.OrderOutcome;
 import org.cornelcrank.core.TargetId;
+import org.cornelcrank.http.StrictResponses;
 import org.cornelcrank.server.client.HttpOutcomes;
 import org.cornelcrank.server.loop.CoreLoop;
 import org.cornelcrank.server.loop.EffectRunner;
@@ -50,7 +51,7 @@
      * @param metrics receives the counters
      */
     public TargetWatcher(Duration interval, CoreLoop loop, ObjectMapper json, MetricRegistry metrics) {
-        this.http = HttpClient.create();
+        this.http = StrictResponses.of(HttpClient.create());
         this.interval = interval;
         this.loop = loop;
         this.reports = new TargetReports(json);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/BrokenEngineResponseEndToEndTests.java
@@ -33,6 +33,19 @@
             "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n";
     private static final String DONE = "data: [DONE]\n\n";
     private static final int TOKENS = 6;
+    private static final List<String> MALFORMED_HEADS = List.of(
+            "HTTP/1.1 000 Trouble\r\n",
+            "HTTP/1.1 1000 Trouble\r\n",
+            "HTTP/1.1 101 Trouble\r\n",
+            "HTTP/1.1 200 OK\r\nX Y: 1\r\n",
+            "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length Y: 2\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+            "HTTP/1.1 429 Full\r\nX Y: 1\r\n");
+
+    /** The longest request that a daemon accepts. */
+    private static final int UPLOAD_BYTES = 4 * 1024 * 1024;
+
     private static final String SOUND = OPENING + tokens(1, TOKENS) + DONE;
 
     private final List<Script> scripts = new CopyOnWriteArrayList<>();
@@ -51,6 +64,11 @@
                     "raw-" + service, "target", "kerala-south", "tvm-a", engine.address(), List.of(service), false));
         }
         fleet.hostList.setHosts(hosts);
+        awaitResponses();
+    }
+
+    /** Waits until the daemon sends requests to the engine, which it may not do while the last ones have failed. */
+    private void awaitResponses() throws Exception {
         fleet.await("the engine responds", () -> complete("warm-up").body().equals(SOUND));
         fleet.await(
                 "the plain service responds",
@@ -179,6 +197,66 @@
         }
     }
 
+    /** Guards against a response that does not exist in the protocol; the call must not run twice or count as not run. */
+    @Test
+    void callWithAMalformedResponseIsNeverASuccessAndRunsOnce() throws Exception {
+        for (String head : MALFORMED_HEADS) {
+            awaitResponses();
+            scripts.add((request, response) -> {
+                response.write(head + "Connection: close\r\n\r\nbody");
+                response.end();
+            });
+            RawResponse received = send("POST /s/" + LoopbackFleet.PLAIN_SERVICE + "/2", head);
+            assertThat(received.status()).as("%s, %s", head, received).isBetween(500, 599);
+            assertThat(received.headers()).doesNotContainEntry("cornelcrank-verdict", "not-run");
+            assertThat(resumedFrom).as(head).hasSize(1);
+        }
+    }
+
+    /**
+     * Guards against a malformed head that begins a stream; the engine's next response is sound, but the daemon may not
+     * send a request again to the only engine after several failures.
+     */
+    @Test
+    void streamWithAMalformedHeadIsTriedAgainOrFails() throws Exception {
+        int triedAgain = 0;
+        for (String head : MALFORMED_HEADS) {
+            awaitResponses();
+            scripts.add((request, response) -> {
+                response.write(head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" + SOUND);
+                response.end();
+            });
+            RawResponse received = complete("malformed");
+            assertThat(resumedFrom).as(head).isNotEmpty();
+            if (received.status() == 200) {
+                assertThat(resumedFrom).as(head).containsExactly(0, 0);
+                assertThat(received.body()).isEqualTo(SOUND);
+                assertThat(received.complete()).isTrue();
+                triedAgain++;
+            } else {
+                assertThat(received.status()).as("%s, %s", head, received).isBetween(500, 599);
+                assertThat(received.headers()).doesNotContainEntry("cornelcrank-verdict", "not-run");
+            }
+        }
+        assertThat(triedAgain).isPositive();
+    }
+
+    /** Guards against a part of a response that looks complete, as the reset is noticed by the writes of the request. */
+    @Test
+    void responseThatIsResetDuringTheUploadIsNeverASuccess() throws Exception {
+        String upload = "u".repeat(UPLOAD_BYTES);
+        for (int delayMs : new int[] {0, 1, 2, 5, 50}) {
+            engine.setEarlyScript((request, response) -> {
+                if (request.line().startsWith("POST /upload")) {
+                    response.write("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart");
+                    response.reset(delayMs);
+                }
+            });
+            RawResponse received = send("POST /s/" + LoopbackFleet.PLAIN_SERVICE + "/upload" + delayMs, upload);
+            assertThat(received.status()).as("%s", received).isBetween(500, 599);
+        }
+    }
+
     private RawResponse complete(String prompt) throws IOException {
         return send("POST /v1/chat/completions", LoopbackFleet.chat(prompt, true, TOKENS));
     }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/PlatformBoundaryTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/PlatformBoundaryTests.java
@@ -120,6 +120,7 @@
                         PLATFORM,
                         "org.cornelcrank.core..",
                         "org.cornelcrank.gateway..",
+                        "org.cornelcrank.http..",
                         "org.cornelcrank.job..",
                         "java..",
                         "com.fasterxml..",
