Announce the close of connections in the test of malformed responses

Its target closed a connection that its response had left open, and the next request was sent on that connection before the close was noticed. The attempt then may have run, as it did before the relay counted bytes; the case is the test's own. Its target now states that it closes the connection, so that no request follows on it.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -74,6 +74,8 @@
     /** The time between two reports of a silence that lasts, in ms. */
     static final long REPEATED_SILENCE_MS = 300;
 
+    private static final String MALFORMED = "malformed";
+
     private static final Retry OTHER_CONNECTION =
             Retry.max(TargetConnections.MAX_CONNECTIONS_PER_TARGET).filter(ConnectionNotUsableException::causes);
 
@@ -197,7 +199,7 @@
     }
 
     private void reportMalformed(RunningAttempt attempt, MalformedResponseException error) {
-        metrics.counter("responses.rejected.malformed").inc();
+        metrics.counter("responses.rejected." + MALFORMED).inc();
         TargetExchanges exchanges = TargetExchanges.of(attempt.connection);
         LOGGER.atWarn()
                 .addKeyValue("attempt", attempt.id)
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/InvalidResponseEndToEndTests.java
@@ -299,8 +299,8 @@
         return attempts.outcome(attempt);
     }
 
-    /** Returns what follows the status line of a signed response. */
+    /** Returns what follows the status line of a signed response whose connection is not used again. */
     private static String fields(String further) {
-        return "Request-Id: REQUEST\r\nResponse-Signature: signed-by-raw\r\n" + further + "\r\n";
+        return "Request-Id: REQUEST\r\nResponse-Signature: signed-by-raw\r\nConnection: close\r\n" + further + "\r\n";
     }
 }
