Take no undefined status of the log for a refusal

An append that the log answered with 200, 204, 302 or a 5xx other than 503 counted as not written, although the protocol defines none of these and the record may be in the log; a change of the settings could be reported as not made and take effect.

Cause: every status but 201 counted as a refusal. Now 4xx and 503 do; the outcome of an append with another status is unknown, as without a response.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/platform/HttpLogClient.java
@@ -12,6 +12,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.LogRecord;
@@ -95,7 +96,9 @@
     private Event onAppendResponse(Effect.Append append, HttpClientResponse response, byte[] body) {
         int status = response.status().code();
         if (status != HttpResponseStatus.CREATED.code()) {
-            return appendFailed(append, false, HttpOutcomes.retryAfterMs(response));
+            boolean refused = response.status().codeClass() == HttpStatusClass.CLIENT_ERROR
+                    || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+            return appendFailed(append, !refused, HttpOutcomes.retryAfterMs(response));
         }
         try {
             long offset = json.readTree(body).required("offset").longValue();
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/MalformedResponseClientsTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/MalformedResponseClientsTests.java
@@ -75,6 +75,25 @@
         assertThat(next(Event.AppendFailed.class).mayHaveTakenEffect()).isTrue();
     }
 
+    /** Guards against the same if a status is valid and not defined for the call. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 204, 302, 500, 502, 504})
+    void appendWithAnUndefinedStatusMayHaveTakenEffect(int status) throws Exception {
+        respond("HTTP/1.1 " + status + " X\r\n", "");
+        new HttpLogClient("http://" + server.address(), loop, json, metrics)
+                .run(new Effect.Append(STREAM, 1, ByteString.copyFromUtf8("record")));
+        assertThat(next(Event.AppendFailed.class).mayHaveTakenEffect()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 413, 429, 503})
+    void refusedAppendHasNotTakenEffect(int status) throws Exception {
+        respond("HTTP/1.1 " + status + " X\r\n", "");
+        new HttpLogClient("http://" + server.address(), loop, json, metrics)
+                .run(new Effect.Append(STREAM, 1, ByteString.copyFromUtf8("record")));
+        assertThat(next(Event.AppendFailed.class).mayHaveTakenEffect()).isFalse();
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
