Drop what follows an invalid line in one place

The validator tells first whether an invalid line was found, and has no second case for bytes behind it.

--- a/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
+++ b/cornelcrank-http/src/main/java/org/cornelcrank/http/ResponseValidator.java
@@ -48,6 +48,10 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+        if (part == Part.NOTHING) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
         int start = in.readerIndex();
         int end = start;
         try {
@@ -61,9 +65,7 @@
             context.close();
             return;
         }
-        if (end > start && part == Part.NOTHING) {
-            in.skipBytes(end - start);
-        } else if (end > start) {
+        if (end > start) {
             out.add(in.readRetainedSlice(end - start));
         }
     }
@@ -76,7 +78,8 @@
         return switch (part) {
             case STATUS_LINE, FIELDS, CHUNK_SIZE, CHUNK_END, TRAILERS -> checkLine(in, start);
             case BODY_OF_LENGTH, CHUNK -> skipBody(in, start);
-            case BODY_UNTIL_CLOSE, NOTHING -> in.writerIndex();
+            case BODY_UNTIL_CLOSE -> in.writerIndex();
+            case NOTHING -> throw new IllegalStateException("nothing must be checked behind an invalid line");
         };
     }
 
