--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ResponseDuringUploadEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/gateway/ResponseDuringUploadEndToEndTests.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 
+import com.google.protobuf.ByteString;
 import org.cornelcrank.core.AttemptOutcome;
+import org.cornelcrank.core.DispatchSource;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.TargetId;
@@ -15,6 +18,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -105,6 +109,20 @@
         assertThat(call.held()).isNull();
     }
 
+    /** Guards against a sound response that is dropped as its request has no body whose end could be noticed. */
+    @ParameterizedTest
+    @CsvSource({"direct,GET", "direct,POST", "direct,DELETE", "relayed,GET", "relayed,POST"})
+    void responseUntilCloseToARequestWithoutABodyIsComplete(String way, String method) throws Exception {
+        runner.setScript((request, response) -> {
+            response.write(head(request.id(), 200, "Content-Type: text/event-stream\r\n") + "id: 1\ndata: one\n\n");
+            response.end();
+        });
+        DispatchSource source = new DispatchSource.Prepared(
+                "r" + ++requests, "a.example", method, "/path", Map.of(), ByteString.EMPTY, 0);
+        AttemptOutcome outcome = attempts.outcome(attempts.dispatch(source, TARGET, runner.address(), relay(way)));
+        assertThat(outcome).isInstanceOf(AttemptOutcome.Succeeded.class);
+    }
+
     static Stream<Arguments> wholeResponses() {
         return Stream.of("direct", "relayed")
                 .flatMap(way -> Stream.of(
@@ -131,8 +149,11 @@
     }
 
     private AttemptOutcome run(GatewayCall call, String way) throws InterruptedException {
-        Optional<HostId> relay = way.equals("direct") ? Optional.empty() : Optional.of(RelayedAttempts.RELAY);
-        return attempts.outcome(attempts.dispatch(call, TARGET, runner.address(), relay));
+        return attempts.outcome(attempts.dispatch(call, TARGET, runner.address(), relay(way)));
+    }
+
+    private static Optional<HostId> relay(String way) {
+        return way.equals("direct") ? Optional.empty() : Optional.of(RelayedAttempts.RELAY);
     }
 
     private static String head(String id, int status, String fields) {
