Send replies to a peer over the connection that it has opened

Cause: a first message between two daemons takes seven one-way trips, and the reply took them again, over a connection of its own: 420 ms at 30 ms each, while a reader waits 350 ms for the owner.

Messages now go over the connection that the peer has opened, unless an own one is open. The peer states in its Hello that it accepts messages and answers pings there; peers of earlier versions do not, and are sent nothing new. A connection is used so only after its first message, which shows that the peer has verified the Welcome and wants no relay. One connection is written to at a time: an attempt under way is given up and what it had queued goes first; a later connection of the same or a newer incarnation replaces an earlier one, which the peer has closed before. The limits of unsent bytes and the pings are those of own connections. Bytes that arrive now keep a connection open whose pong may be behind a long message: pongs shared their direction with nothing else so far.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/ConnectingHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/ConnectingHandler.java
@@ -16,9 +16,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Connecting side of a peer connection: authenticates itself and the peer, then is ready to send.
+ * Connecting side of a peer connection: authenticates itself and the peer, then is ready to send, and receives what the
+ * peer sends over this connection.
  *
- * <p>Not thread-safe: confined to its channel.
+ * <p>Invariant: no message is accepted before the peer has proven that it is the expected one and holds the shared key.
+ * Not thread-safe: confined to its channel.
  */
 final class ConnectingHandler extends SimpleChannelInboundHandler<Frame> {
 
@@ -29,15 +31,23 @@
 
     private final Handshake handshake;
     private final HostId expected;
+    private final PeerReceiver receiver;
     private final Consumer<Channel> onReady;
     private final Counter unresponsive;
     private Future<?> handshakeTimeout;
     private Challenge challenge;
     private Hello hello;
+    private boolean welcomed;
 
-    ConnectingHandler(Handshake handshake, HostId expected, Consumer<Channel> onReady, Counter unresponsive) {
+    ConnectingHandler(
+            Handshake handshake,
+            HostId expected,
+            PeerReceiver receiver,
+            Consumer<Channel> onReady,
+            Counter unresponsive) {
         this.handshake = handshake;
         this.expected = expected;
+        this.receiver = receiver;
         this.onReady = onReady;
         this.unresponsive = unresponsive;
     }
@@ -63,15 +73,27 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (welcomed && frame.hasEnvelope()) {
+            receiver.receive(expected, frame.getEnvelope());
+            return;
+        }
+        if (welcomed && frame.hasPing()) {
+            context.writeAndFlush(LivenessHandler.PONG);
+            return;
+        }
         if (frame.hasChallenge() && hello == null) {
             challenge = frame.getChallenge();
-            hello = handshake.hello(challenge);
+            hello = handshake.hello(challenge).toBuilder()
+                    .setAcceptsMessages(true)
+                    .build();
             context.writeAndFlush(Frame.newBuilder().setHello(hello).build());
             return;
         }
         if (frame.hasWelcome()
                 && hello != null
+                && !welcomed
                 && handshake.isValidWelcome(challenge, hello, frame.getWelcome(), expected)) {
+            welcomed = true;
             handshakeTimeout.cancel(false);
             if (frame.getWelcome().getAnswersPings()) {
                 context.pipeline().addBefore(context.name(), "liveness", new LivenessHandler(expected, unresponsive));
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/LivenessHandler.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/LivenessHandler.java
@@ -11,6 +11,7 @@
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.server.wire.Frame;
 import org.cornelcrank.server.wire.Ping;
+import org.cornelcrank.server.wire.Pong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,8 +21,8 @@
  * <p>A connection may go silent for good without being reset, so that everything sent over it is lost. While there are
  * messages to send or left in the buffer, the peer is asked for a sign of life once per {@link #PING_INTERVAL_MS}; an
  * unused connection costs nothing. A peer has the whole time limit from the moment at which the ping has left the
- * buffer, and the connection stays open while messages leave it. Invariant: at most one ping is unanswered. Not
- * thread-safe: confined to its channel.
+ * buffer, and the connection stays open while messages leave it or bytes arrive, as the response may be behind them.
+ * Invariant: at most one ping is unanswered. Not thread-safe: confined to its channel.
  */
 final class LivenessHandler extends ChannelDuplexHandler {
 
@@ -31,6 +32,10 @@
     /** How long a response may take, in ms: many round trips, and longer than a busy peer stands still. */
     static final long RESPONSE_TIMEOUT_MS = 2_000;
 
+    /** The response to a ping. */
+    static final Frame PONG =
+            Frame.newBuilder().setPong(Pong.getDefaultInstance()).build();
+
     private static final Logger LOGGER = LoggerFactory.getLogger(LivenessHandler.class);
     private static final Frame PING =
             Frame.newBuilder().setPing(Ping.getDefaultInstance()).build();
@@ -41,6 +46,7 @@
     private ChannelFuture ping;
     private long messagesSent;
     private long messagesSentAtCheck;
+    private boolean receivedSinceCheck;
 
     LivenessHandler(HostId peer, Counter unresponsive) {
         this.peer = peer;
@@ -49,6 +55,11 @@
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (message instanceof Frame frame && frame.hasPong()) {
+            // Else each ping of the peer would be followed by one of this daemon, though it has nothing to send.
+            context.write(message, promise);
+            return;
+        }
         context.write(message, promise.unvoid().addListener(sent -> messagesSent++));
         if (pending == null) {
             ping(context);
@@ -57,6 +68,7 @@
 
     private void ping(ChannelHandlerContext context) {
         messagesSentAtCheck = messagesSent;
+        receivedSinceCheck = false;
         pending = scheduleTimeout(context);
         ping = context.write(PING);
         ping.addListener(sent -> onPingSent(context, (ChannelFuture) sent));
@@ -86,6 +98,13 @@
         context.fireChannelRead(message);
     }
 
+    /** Notes that bytes have arrived, of which a long message may need more before it is read. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        receivedSinceCheck = true;
+        context.fireChannelReadComplete();
+    }
+
     /** Pings a channel that is not writable at once, as no message will be written to it. */
     private void onIntervalElapsed(ChannelHandlerContext context) {
         pending = null;
@@ -108,7 +127,8 @@
     }
 
     private void onTimeout(ChannelHandlerContext context) {
-        if (!ping.isDone() && messagesSent > messagesSentAtCheck) {
+        if (receivedSinceCheck || !ping.isDone() && messagesSent > messagesSentAtCheck) {
+            receivedSinceCheck = false;
             messagesSentAtCheck = messagesSent;
             pending = scheduleTimeout(context);
             return;
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerTransport.java
@@ -41,6 +41,8 @@
 /**
  * Sends and receives peer messages: in order over connections, or small ones in single datagrams.
  *
+ * <p>Messages go to a peer over the connection to it, or over the one from it if that came first ({@link PeerConnection}).
+ *
  * <p>Messages may be lost; none is sent twice. TCP and UDP use the same port number. Thread-safe.
  */
 public final class PeerTransport implements EffectRunner {
@@ -49,7 +51,7 @@
     private static final int THREADS = 1;
     private static final int CONNECT_TIMEOUT_MS = 2_000;
 
-    private final Map<HostId, Link> links = new ConcurrentHashMap<>();
+    private final Map<HostId, PeerConnection> connections = new ConcurrentHashMap<>();
     private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final EventLoopGroup group;
     private final Function<HostId, Optional<String>> addresses;
@@ -148,13 +150,16 @@
         tcp = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted.add(channel);
                         tls.ifPresent(context -> channel.pipeline().addLast(context.serverHandler(channel)));
                         PeerPipeline.addFrameHandlers(channel.pipeline());
-                        channel.pipeline().addLast(new AcceptingHandler(handshake, receiver, relays));
+                        channel.pipeline()
+                                .addLast(new AcceptingHandler(
+                                        handshake, receiver, relays, PeerTransport.this::connection, unresponsive));
                     }
                 })
                 .bind(address)
@@ -191,15 +196,13 @@
                 return true;
             }
         }
-        link(send.to(), address.get())
-                .connection()
-                .send(Frame.newBuilder().setEnvelope(envelope).build(), clock.nowMs());
+        connection(send.to()).send(Frame.newBuilder().setEnvelope(envelope).build(), address.get(), clock.nowMs());
         return true;
     }
 
     /** Closes all connections and the port. */
     public void close() {
-        links.values().forEach(link -> link.connection().close());
+        connections.values().forEach(PeerConnection::close);
         if (tcp != null) {
             tcp.close().syncUninterruptibly();
             udp.close().syncUninterruptibly();
@@ -208,16 +211,9 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
-    private Link link(HostId host, InetSocketAddress address) {
-        return links.compute(host, (key, existing) -> {
-            if (existing != null && existing.address().equals(address)) {
-                return existing;
-            }
-            if (existing != null) {
-                existing.connection().close();
-            }
-            return new Link(address, new PeerConnection(onReady -> connect(host, address, onReady), dropped));
-        });
+    private PeerConnection connection(HostId host) {
+        return connections.computeIfAbsent(
+                host, peer -> new PeerConnection((address, onReady) -> connect(peer, address, onReady), dropped));
     }
 
     private ChannelFuture connect(HostId host, InetSocketAddress address, Consumer<Channel> onReady) {
@@ -231,7 +227,8 @@
                     protected void initChannel(Channel channel) {
                         tls.ifPresent(context -> channel.pipeline().addLast(context.clientHandler(channel)));
                         PeerPipeline.addFrameHandlers(channel.pipeline());
-                        channel.pipeline().addLast(new ConnectingHandler(handshake, host, onReady, unresponsive));
+                        channel.pipeline()
+                                .addLast(new ConnectingHandler(handshake, host, receiver, onReady, unresponsive));
                     }
                 })
                 .connect(address);
@@ -245,7 +242,4 @@
             return Optional.empty();
         }
     }
-
-    /** The connection to a host, and the last known address to which it belongs. */
-    private record Link(InetSocketAddress address, PeerConnection connection) {}
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Hello.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Hello.java
@@ -174,6 +174,21 @@
     return proof_;
   }
 
+  public static final int ACCEPTS_MESSAGES_FIELD_NUMBER = 7;
+  private boolean acceptsMessages_ = false;
+  /**
+   * <pre>
+   * Whether the sender accepts messages and answers pings on this connection.
+   * </pre>
+   *
+   * <code>bool accepts_messages = 7;</code>
+   * @return The acceptsMessages.
+   */
+  @java.lang.Override
+  public boolean getAcceptsMessages() {
+    return acceptsMessages_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -206,6 +221,9 @@
     if (!proof_.isEmpty()) {
       output.writeBytes(6, proof_);
     }
+    if (acceptsMessages_ != false) {
+      output.writeBool(7, acceptsMessages_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -232,6 +250,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(6, proof_);
     }
+    if (acceptsMessages_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, acceptsMessages_);
+    }
     return size;
   }
   @java.lang.Override
@@ -268,6 +290,8 @@
         .equals(other.getNonce())) return false;
     if (!getProof()
         .equals(other.getProof())) return false;
+    if (getAcceptsMessages()
+        != other.getAcceptsMessages()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -292,6 +316,9 @@
     hash = (53 * hash) + getNonce().hashCode();
     hash = (37 * hash) + PROOF_FIELD_NUMBER;
     hash = (53 * hash) + getProof().hashCode();
+    hash = (37 * hash) + ACCEPTS_MESSAGES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAcceptsMessages());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -429,6 +456,7 @@
       incarnation_ = 0L;
       nonce_ = com.google.protobuf.ByteString.EMPTY;
       proof_ = com.google.protobuf.ByteString.EMPTY;
+      acceptsMessages_ = false;
       return this;
     }
 
@@ -480,6 +508,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.proof_ = proof_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.acceptsMessages_ = acceptsMessages_;
+      }
     }
 
     @java.lang.Override
@@ -516,6 +547,9 @@
       if (!other.getProof().isEmpty()) {
         setProof(other.getProof());
       }
+      if (other.getAcceptsMessages() != false) {
+        setAcceptsMessages(other.getAcceptsMessages());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -570,6 +604,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              acceptsMessages_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -859,6 +898,50 @@
       return this;
     }
 
+    private boolean acceptsMessages_ ;
+    /**
+     * <pre>
+     * Whether the sender accepts messages and answers pings on this connection.
+     * </pre>
+     *
+     * <code>bool accepts_messages = 7;</code>
+     * @return The acceptsMessages.
+     */
+    @java.lang.Override
+    public boolean getAcceptsMessages() {
+      return acceptsMessages_;
+    }
+    /**
+     * <pre>
+     * Whether the sender accepts messages and answers pings on this connection.
+     * </pre>
+     *
+     * <code>bool accepts_messages = 7;</code>
+     * @param value The acceptsMessages to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAcceptsMessages(boolean value) {
+
+      acceptsMessages_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender accepts messages and answers pings on this connection.
+     * </pre>
+     *
+     * <code>bool accepts_messages = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAcceptsMessages() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      acceptsMessages_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.peer.Hello)
   }
 
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/HelloOrBuilder.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/HelloOrBuilder.java
@@ -57,4 +57,14 @@
    * @return The proof.
    */
   com.google.protobuf.ByteString getProof();
+
+  /**
+   * <pre>
+   * Whether the sender accepts messages and answers pings on this connection.
+   * </pre>
+   *
+   * <code>bool accepts_messages = 7;</code>
+   * @return The acceptsMessages.
+   */
+  boolean getAcceptsMessages();
 }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/PeerProto.java
@@ -126,28 +126,28 @@
       "1\n\nrelay_data\030\013 \001(\0132\033.cornelcrank.peer.R" +
       "elayDataH\000\022/\n\trelay_end\030\014 \001(\0132\032.cornelcr" +
       "ank.peer.RelayEndH\000B\t\n\007content\"\032\n\tChalle" +
-      "nge\022\r\n\005nonce\030\001 \001(\014\"v\n\005Hello\022\030\n\020protocol_" +
-      "version\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(\t\022\014\n\004hos" +
-      "t\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\r\n\005nonce\030\005 " +
-      "\001(\014\022\r\n\005proof\030\006 \001(\014\"=\n\007Welcome\022\014\n\004host\030\001 " +
-      "\001(\t\022\r\n\005proof\030\002 \001(\014\022\025\n\ranswers_pings\030\003 \001(" +
-      "\010\"\006\n\004Ping\"\006\n\004Pong\"\033\n\tOpenRelay\022\016\n\006target" +
-      "\030\001 \001(\t\"\r\n\013RelayOpened\"\247\001\n\014RelayRefused\0225" +
-      "\n\006reason\030\001 \001(\0162%.cornelcrank.peer.RelayR" +
-      "efused.Reason\"`\n\006Reason\022\026\n\022REASON_UNSPEC" +
-      "IFIED\020\000\022\022\n\016UNKNOWN_TARGET\020\001\022\017\n\013UNREACHAB" +
-      "LE\020\002\022\013\n\007NO_ROOM\020\003\022\014\n\010STOPPING\020\004\"\034\n\tRelay" +
-      "Data\022\017\n\007content\030\001 \001(\014\"C\n\010RelayEnd\022\r\n\005res" +
-      "et\030\001 \001(\010\022\030\n\013taken_bytes\030\002 \001(\004H\000\210\001\001B\016\n\014_t" +
-      "aken_bytes\"\033\n\tRejection\022\016\n\006reason\030\001 \001(\t\"" +
-      "*\n\010Envelope\022\r\n\005slice\030\001 \001(\t\022\017\n\007payload\030\002 " +
-      "\001(\014\"4\n\016SealedDatagram\022\023\n\013signed_part\030\001 \001" +
-      "(\014\022\r\n\005proof\030\002 \001(\014\"\215\001\n\017DatagramContent\022\030\n" +
-      "\020protocol_version\030\001 \001(\r\022\022\n\ndeployment\030\002 " +
-      "\001(\t\022\014\n\004host\030\003 \001(\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010e" +
-      "nvelope\030\005 \001(\0132\032.cornelcrank.peer.Envelop" +
-      "eB*\n\033org.cornelcrank.server.wireB\tPeerPr" +
-      "otoP\001b\006proto3"
+      "nge\022\r\n\005nonce\030\001 \001(\014\"\220\001\n\005Hello\022\030\n\020protocol" +
+      "_version\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(\t\022\014\n\004ho" +
+      "st\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\r\n\005nonce\030\005" +
+      " \001(\014\022\r\n\005proof\030\006 \001(\014\022\030\n\020accepts_messages\030" +
+      "\007 \001(\010\"=\n\007Welcome\022\014\n\004host\030\001 \001(\t\022\r\n\005proof\030" +
+      "\002 \001(\014\022\025\n\ranswers_pings\030\003 \001(\010\"\006\n\004Ping\"\006\n\004" +
+      "Pong\"\033\n\tOpenRelay\022\016\n\006target\030\001 \001(\t\"\r\n\013Rel" +
+      "ayOpened\"\247\001\n\014RelayRefused\0225\n\006reason\030\001 \001(" +
+      "\0162%.cornelcrank.peer.RelayRefused.Reason" +
+      "\"`\n\006Reason\022\026\n\022REASON_UNSPECIFIED\020\000\022\022\n\016UN" +
+      "KNOWN_TARGET\020\001\022\017\n\013UNREACHABLE\020\002\022\013\n\007NO_RO" +
+      "OM\020\003\022\014\n\010STOPPING\020\004\"\034\n\tRelayData\022\017\n\007conte" +
+      "nt\030\001 \001(\014\"C\n\010RelayEnd\022\r\n\005reset\030\001 \001(\010\022\030\n\013t" +
+      "aken_bytes\030\002 \001(\004H\000\210\001\001B\016\n\014_taken_bytes\"\033\n" +
+      "\tRejection\022\016\n\006reason\030\001 \001(\t\"*\n\010Envelope\022\r" +
+      "\n\005slice\030\001 \001(\t\022\017\n\007payload\030\002 \001(\014\"4\n\016Sealed" +
+      "Datagram\022\023\n\013signed_part\030\001 \001(\014\022\r\n\005proof\030\002" +
+      " \001(\014\"\215\001\n\017DatagramContent\022\030\n\020protocol_ver" +
+      "sion\030\001 \001(\r\022\022\n\ndeployment\030\002 \001(\t\022\014\n\004host\030\003" +
+      " \001(\t\022\020\n\010receiver\030\004 \001(\t\022,\n\010envelope\030\005 \001(\013" +
+      "2\032.cornelcrank.peer.EnvelopeB*\n\033org.corn" +
+      "elcrank.server.wireB\tPeerProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -170,7 +170,7 @@
     internal_static_cornelcrank_peer_Hello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_peer_Hello_descriptor,
-        new java.lang.String[] { "ProtocolVersion", "Deployment", "Host", "Incarnation", "Nonce", "Proof", });
+        new java.lang.String[] { "ProtocolVersion", "Deployment", "Host", "Incarnation", "Nonce", "Proof", "AcceptsMessages", });
     internal_static_cornelcrank_peer_Welcome_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_cornelcrank_peer_Welcome_fieldAccessorTable = new
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/LivenessHandlerTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/LivenessHandlerTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -90,6 +91,36 @@
         assertThat(slow.isActive()).isFalse();
     }
 
+    /** Guards against a connection that is closed because the response to a ping is behind a long message. */
+    @Test
+    void connectionOnWhichAMessageIsBeingReceivedStaysOpen() {
+        EmbeddedChannel slow = new EmbeddedChannel();
+        PeerPipeline.addFrameHandlers(slow.pipeline());
+        slow.pipeline().addLast(new LivenessHandler(new HostId("peer"), unresponsive));
+        slow.freezeTime();
+        slow.writeOutbound(MESSAGE);
+        slow.writeInbound(Unpooled.buffer().writeInt(10));
+        for (int i = 0; i < 10; i++) {
+            slow.advanceTimeBy(LivenessHandler.RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            slow.runScheduledPendingTasks();
+            assertThat(slow.isActive()).isTrue();
+            if (i < 9) {
+                slow.writeInbound(Unpooled.buffer().writeByte(0));
+            }
+        }
+        slow.advanceTimeBy(LivenessHandler.RESPONSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        slow.runScheduledPendingTasks();
+        assertThat(slow.isActive()).isFalse();
+        slow.finishAndReleaseAll();
+    }
+
+    /** Guards against pings that two idle peers send each other for ever. */
+    @Test
+    void responsesToPingsAreNotFollowedByPings() {
+        channel.writeOutbound(LivenessHandler.PONG);
+        assertThat(sentPings()).isZero();
+    }
+
     @Test
     void connectionOnWhichThePeerRespondsStaysOpen() {
         for (int i = 0; i < 100; i++) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerTransportTests.java
@@ -97,6 +97,58 @@
         }
     }
 
+    /** Guards against replies that need the seven ways of a first message once more. */
+    @Test
+    void replyNeedsNoConnectionOfItsOwn() throws Exception {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        PeerTransport beta = transport(BETA, "secret");
+        addresses.put(ALPHA, "127.0.0.1:" + freePort());
+        send(alpha, "request", Effect.Delivery.CONNECTION);
+        assertThat(next()).isEqualTo(new TextMessage("request"));
+        for (int i = 0; i < 100; i++) {
+            send(beta, ALPHA, "reply " + i);
+        }
+        for (int i = 0; i < 100; i++) {
+            assertThat(next()).isEqualTo(new TextMessage("reply " + i));
+        }
+    }
+
+    @Test
+    void connectionOfThePeerThatHasGoneSilentIsReplaced() throws Exception {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        PeerTransport beta = transport(BETA, "secret");
+        try (SilencingProxy proxy = new SilencingProxy(SocketAddresses.parse(addresses.get(BETA)))) {
+            addresses.put(BETA, SocketAddresses.format(proxy.address()));
+            send(alpha, "request", Effect.Delivery.CONNECTION);
+            assertThat(next()).isEqualTo(new TextMessage("request"));
+            proxy.silenceOpenConnections();
+            PeerMessage arrived = null;
+            for (int i = 0; arrived == null && i < MAX_SENDS; i++) {
+                send(beta, ALPHA, "reply");
+                arrived = received.poll(100, TimeUnit.MILLISECONDS);
+            }
+            assertThat(arrived).isEqualTo(new TextMessage("reply"));
+        }
+    }
+
+    @Test
+    void replyToARestartedPeerDoesNotGoToItsEarlierConnection() throws Exception {
+        PeerTransport alpha = transport(ALPHA, "secret");
+        PeerTransport beta = transport(BETA, "secret");
+        try (SilencingProxy proxy = new SilencingProxy(SocketAddresses.parse(addresses.get(BETA)))) {
+            addresses.put(BETA, SocketAddresses.format(proxy.address()));
+            send(alpha, "request", Effect.Delivery.CONNECTION);
+            assertThat(next()).isEqualTo(new TextMessage("request"));
+            proxy.silenceOpenConnections();
+            PeerTransport restarted = transport(ALPHA, "secret", 2);
+            addresses.put(ALPHA, "127.0.0.1:" + freePort());
+            send(restarted, "request", Effect.Delivery.CONNECTION);
+            assertThat(next()).isEqualTo(new TextMessage("request"));
+            send(beta, ALPHA, "reply");
+            assertThat(next()).isEqualTo(new TextMessage("reply"));
+        }
+    }
+
     @Test
     void messagesOfAPeerWithAWrongKeyAreDropped() throws InterruptedException {
         PeerTransport stranger = transport(new HostId("stranger"), "guess");
@@ -109,6 +161,10 @@
     }
 
     private PeerTransport transport(HostId host, String key) {
+        return transport(host, key, 1);
+    }
+
+    private PeerTransport transport(HostId host, String key, long incarnation) {
         MetricRegistry metrics = new MetricRegistry();
         MonotonicClock clock = new MonotonicClock();
         CoreLoop loop = new CoreLoop(
@@ -116,7 +172,7 @@
                 clock,
                 metrics);
         PeerSecurity security =
-                new PeerSecurity(new PeerIdentity("test", host, 1), new SharedKey(key), Optional.empty());
+                new PeerSecurity(new PeerIdentity("test", host, incarnation), new SharedKey(key), Optional.empty());
         PeerTransport transport = new PeerTransport(
                 security,
                 new PeerCodecs(List.of(new TextCodec())),
@@ -144,6 +200,10 @@
         transport.run(new Effect.Send(BETA, new TextMessage(text), delivery));
     }
 
+    private static void send(PeerTransport transport, HostId to, String text) {
+        transport.run(new Effect.Send(to, new TextMessage(text), Effect.Delivery.CONNECTION));
+    }
+
     private PeerMessage next() throws InterruptedException {
         return received.poll(HANG_LIMIT_S, TimeUnit.SECONDS);
     }
