--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Frame.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/wire/Frame.java
@@ -7,9 +7,10 @@
 
 /**
  * <pre>
- * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side only
- * answers the handshake and pings. After OpenRelay, which may follow Hello directly, the connection carries the bytes
- * of one connection to a target and nothing else.
+ * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side answers the
+ * handshake and pings, and sends envelopes and pings itself only if the Hello allows it, after the first envelope. After
+ * OpenRelay, which may follow Hello directly, the connection carries the bytes of one connection to a target and nothing
+ * else.
  * </pre>
  *
  * Protobuf type {@code cornelcrank.peer.Frame}
@@ -829,9 +830,10 @@
   }
   /**
    * <pre>
-   * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side only
-   * answers the handshake and pings. After OpenRelay, which may follow Hello directly, the connection carries the bytes
-   * of one connection to a target and nothing else.
+   * One frame of a connection between daemons. The side that connects sends envelopes and pings; the other side answers the
+   * handshake and pings, and sends envelopes and pings itself only if the Hello allows it, after the first envelope. After
+   * OpenRelay, which may follow Hello directly, the connection carries the bytes of one connection to a target and nothing
+   * else.
    * </pre>
    *
    * Protobuf type {@code cornelcrank.peer.Frame}
