Keep streams whose silent target's entry lapses and comes back

Callers saw: a stream that ends in its middle although its target was sound: it had only been silent for about a second, and its entry had been missing for 150 ms in between.

Cause: a target that is listed again gets a new state object. The monitor of paths compared objects, so that it took the target for another incarnation, and ended the silent attempts on the one before. With one permitted run that cut the stream; with more it cost a run.

Change: a target counts as replaced if another incarnation of it is listed, as the documentation of lists() says, and checks use the listed state. Attempts on an incarnation that is gone are ended as before.

Evidence: SettingsChangeTests.streamIsNotCutAsTheEntryOfItsSilentTargetLapsesAndComesBack failed before (TARGET_FAILED, "target r2 failed: PATH_LOST", 1 of 11 tests) and passes. All tests of cornelcrank-routing pass. VirtualFleet can make a target silent now.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/PathMonitor.java
@@ -208,9 +208,10 @@
     }
 
     /** Checks a target to which this daemon has failed to connect. */
-    void connectFailed(TargetState target, PathCheck.Cause cause, long nowMs, Effects out) {
-        if (replaced(target)) {
-            doubted(target, cause, nowMs, out);
+    void connectFailed(TargetState failed, PathCheck.Cause cause, long nowMs, Effects out) {
+        TargetState target = listed(failed);
+        if (replaced(failed)) {
+            doubted(failed, cause, nowMs, out);
         } else if (!relayed(target)) {
             PathCheck check = check(target, cause, nowMs);
             if (!check.asksPeers()) {
@@ -221,8 +222,8 @@
 
     /** Checks a target that may be down, by connecting to it first. */
     void doubted(TargetState doubted, PathCheck.Cause cause, long nowMs, Effects out) {
-        TargetState target = directory.find(doubted.id()).orElse(doubted);
-        if (relayed(target) || target != doubted && cause == PathCheck.Cause.UNRESPONSIVE) {
+        TargetState target = listed(doubted);
+        if (relayed(target) || replaced(doubted) && cause == PathCheck.Cause.UNRESPONSIVE) {
             return;
         }
         boolean pending = checks.containsKey(target.id());
@@ -234,7 +235,12 @@
 
     /** Returns whether another incarnation of the target is listed. */
     private boolean replaced(TargetState target) {
-        return directory.find(target.id()).filter(listed -> listed != target).isPresent();
+        return listed(target).incarnation() != target.incarnation();
+    }
+
+    /** Returns the listed state of a target, whose entry may have lapsed and come back, or else the given one. */
+    private TargetState listed(TargetState target) {
+        return directory.find(target.id()).orElse(target);
     }
 
     private PathCheck check(TargetState target, PathCheck.Cause cause, long nowMs) {
@@ -616,7 +622,7 @@
     private void relayLostTarget(TargetState target, HostId relay, long nowMs, Effects out) {
         target.path().excludeRelay(relay);
         silent.forEach((attempt, state) -> {
-            if (state.target() == target && state.relay().equals(Optional.of(relay))) {
+            if (listed(state.target()) == target && state.relay().equals(Optional.of(relay))) {
                 out.add(new Effect.AbandonAttempt(attempt));
             }
         });
@@ -671,9 +677,10 @@
     }
 
     /** Handles the silence of a target on an attempt that may be made again elsewhere. */
-    void attemptSilent(AttemptId attempt, TargetState target, Optional<HostId> relay, long nowMs, Effects out) {
-        silent.put(attempt, new SilentAttempt(target, relay));
-        if (replaced(target)) {
+    void attemptSilent(AttemptId attempt, TargetState used, Optional<HostId> relay, long nowMs, Effects out) {
+        TargetState target = listed(used);
+        silent.put(attempt, new SilentAttempt(used, relay));
+        if (replaced(used)) {
             out.add(new Effect.AbandonAttempt(attempt));
         } else if (relay.isPresent()) {
             checkRelay(attempt, target, relay.get(), nowMs, out);
@@ -730,7 +737,7 @@
 
     private void abandonSilent(Effects out) {
         silent.forEach((attempt, state) -> {
-            if (state.relay().isEmpty() && relayed(state.target())) {
+            if (state.relay().isEmpty() && relayed(listed(state.target()))) {
                 out.add(new Effect.AbandonAttempt(attempt));
             }
         });
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -71,7 +71,9 @@
 
     /** Returns whether the target is listed, with the same incarnation. */
     boolean lists(TargetState target) {
-        return targets.get(target.id()) == target;
+        return find(target.id())
+                .filter(listed -> listed.incarnation() == target.incarnation())
+                .isPresent();
     }
 
     Set<TargetId> ids() {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -44,6 +44,7 @@
     int cacheHits;
     int cacheLookups;
     boolean up = true;
+    long silentUntilMs;
 
     EngineModel(String id, int slots, long promptMs, long tokenMs) {
         this.id = new TargetId(id);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -156,6 +156,22 @@
         assertThat(stream.dispatchedTo).hasSize(2).containsOnly(stream.dispatchedTo.get(0));
     }
 
+    /** Guards against streams that are cut as the entry of their target lapses and comes back while the target is silent. */
+    @Test
+    void streamIsNotCutAsTheEntryOfItsSilentTargetLapsesAndComesBack() {
+        SentRequest stream = fleet.send(
+                0, Work.online(TOKENS, 1).withDeadline(DEADLINE_MS), new RequestOptions(1, true, OBJECTIVE_MS));
+        fleet.run(300);
+        TargetId target = stream.dispatchedTo.get(0);
+        fleet.silence(target, 1_500);
+        fleet.list(host -> !host.name().equals(target.value()));
+        fleet.run(100);
+        fleet.list(host -> true);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSize(1);
+    }
+
     /** Halves the slots of all targets, and sends more requests than fit into their queues. */
     private void fillQueues() {
         for (TargetId target : fleet.engines.keySet()) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -368,10 +368,25 @@
         nodes.get(daemon).pairCuts.remove(target);
     }
 
+    /** Makes a target silent for some time; it listens meanwhile, and goes on after that. */
+    void silence(TargetId target, long silentMs) {
+        EngineModel engine = engines.get(target);
+        engine.silentUntilMs = nowMs + silentMs;
+        for (Node node : nodes) {
+            node.jobs.keySet().stream()
+                    .filter(attempt -> target.equals(node.targetByAttempt.get(attempt)))
+                    .forEach(attempt -> reportSilence(node, attempt));
+        }
+    }
+
+    private boolean silent(Node node, EngineModel.Job job) {
+        return job.unreachable || nowMs < engines.get(node.targetByAttempt.get(job.attempt)).silentUntilMs;
+    }
+
     private void reportSilence(Node node, AttemptId attempt) {
         at(nowMs + SILENCE_MS, () -> {
             EngineModel.Job job = node.jobs.get(attempt);
-            if (job != null && job.unreachable) {
+            if (job != null && silent(node, job)) {
                 node.handle(new Event.AttemptSilent(attempt));
                 reportSilence(node, attempt);
             }
@@ -380,7 +395,9 @@
 
     private void abandon(Node node, AttemptId attempt) {
         EngineModel.Job job = node.jobs.get(attempt);
-        if (job != null && job.unreachable) {
+        if (job != null && !job.unreachable && silent(node, job)) {
+            stop(node, engines.get(node.targetByAttempt.get(attempt)), job, FailureKind.PATH_LOST);
+        } else if (job != null && job.unreachable) {
             Verdict verdict = job.startedAtMs < 0 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
             node.attemptEnded(attempt, failed(FailureKind.PATH_LOST, verdict, 0));
         }
@@ -454,6 +471,9 @@
         job.relayedBy = dispatch.relay();
         engine.arrivalsAtMs.add(nowMs);
         node.jobs.put(dispatch.attempt(), job);
+        if (silent(node, job)) {
+            reportSilence(node, dispatch.attempt());
+        }
         at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
         if (engine.hasFreeSlot()) {
             start(engine, job);
@@ -533,6 +553,10 @@
         if (job.unreachable) {
             return;
         }
+        if (outcome instanceof AttemptOutcome.Succeeded && nowMs < engine.silentUntilMs) {
+            at(engine.silentUntilMs, () -> ended(engine, job, outcome));
+            return;
+        }
         Node node = nodes.get(job.daemon);
         afterLatency(node, engine.id, () -> node.attemptEnded(job.attempt, outcome));
     }
