Let streams wait for a silent target if no other may resume them

Callers saw: a stream that ends in its middle although its target was sound: it had been silent for about a second, longer than the read timeout of two latency objectives (600 ms at an objective of 300 ms), and went on afterwards.

Cause: the client of targets ends an attempt after the read timeout if further runs are permitted, without knowing whether any other target may resume the stream. If the others are draining, of another version or of another service, or are silent as well, the router finds none, and the stream is cut. Changes of the configuration and of the list of targets bring about just that.

Change: if the caller has a part of the stream, the client reports that it stalls, and the router ends the attempt only if another target may resume it and a retry is affordable. Otherwise the attempt goes on, and is judged again after the next read timeout; its deadline ends it at the latest. Each decision is explained. Requests of which nothing has reached the caller are refused or retried as before.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Effect.java
@@ -66,6 +66,12 @@
      */
     record AbandonAttempt(AttemptId attempt) implements Effect {}
 
+    /**
+     * Ends an attempt with {@link FailureKind#TIMED_OUT} if there has been no progress since its last {@link
+     * Event.AttemptStalled}; otherwise has no effect.
+     */
+    record EndStalledAttempt(AttemptId attempt) implements Effect {}
+
     /** Checks whether this daemon can connect to a target; results in one {@link Event.TargetProbed}. */
     record ProbeTarget(TargetId target, String address) implements Effect {}
 
--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -89,6 +89,12 @@
     /** A target has sent nothing for the attempt for some time; repeated while the silence lasts. */
     record AttemptSilent(AttemptId attempt) implements Event {}
 
+    /**
+     * A target has made no progress for the read timeout on a stream of which the caller has a part; repeated while that
+     * lasts.
+     */
+    record AttemptStalled(AttemptId attempt) implements Event {}
+
     /** The attempt has ended; no further event for it follows. */
     record AttemptEnded(AttemptId attempt, AttemptOutcome outcome) implements Event {}
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -783,6 +783,27 @@
         return true;
     }
 
+    /** Ends an attempt that makes no progress on a stream under way only if another target may resume the stream. */
+    void attemptStalled(AttemptId attempt, long nowMs, Effects out) {
+        Route route = byAttempt.get(attempt);
+        if (route == null || route.phase != Route.Phase.RUNNING) {
+            return;
+        }
+        boolean leaves = !retryBudget.exhausted()
+                && route.team(context.settings())
+                        .filter(team -> choice.exists(route.request, team, route.resumableElsewhere(), nowMs))
+                        .isPresent();
+        out.explain(
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                (leaves ? "leaves " : "waits for ") + route.target.id(),
+                "no progress, " + (leaves ? "another target" : "no other target") + " may resume the stream");
+        if (leaves) {
+            out.add(new Effect.EndStalledAttempt(attempt));
+        }
+    }
+
     /** Handles the end of an attempt; returns whether the attempt belongs to this router. */
     boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
         Route route = byAttempt.remove(attempt);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -156,6 +156,14 @@
         return new TargetFilter(unusable, version);
     }
 
+    /** Returns the targets that may resume the stream if the running attempt ends. */
+    TargetFilter resumableElsewhere() {
+        Set<TargetId> unusable = new TreeSet<>(excluded);
+        unusable.addAll(lossesAt);
+        unusable.add(target.id());
+        return new TargetFilter(unusable, version.or(() -> Optional.of(target.softwareVersion())));
+    }
+
     /** Returns whether the request has requested a permit and no attempt is running. */
     boolean awaitsPermit() {
         return phase == Phase.ASKED || phase == Phase.QUEUED || phase == Phase.DISPUTED;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -137,6 +137,8 @@
             if (!online.attemptSilent(silent.attempt(), nowMs, out)) {
                 batch.attemptSilent(silent.attempt(), nowMs, out);
             }
+        } else if (event instanceof Event.AttemptStalled stalled) {
+            online.attemptStalled(stalled.attempt(), nowMs, out);
         } else if (event instanceof Event.AttemptEnded ended) {
             attemptEnded(ended, nowMs, out);
         } else {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetChoice.java
@@ -72,6 +72,11 @@
                 .toList();
     }
 
+    /** Returns whether any target may run the request now. */
+    boolean exists(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
+        return !eligible(request, team, filter, nowMs).isEmpty();
+    }
+
     /** Returns whether a target that may run the request is being checked, and may be usable after that. */
     boolean mayFindTarget(RoutedRequest request, TeamPolicy team, TargetFilter filter, long nowMs) {
         return context.directory().eligible(request, team, filter, nowMs).stream()
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayTargetClient.java
@@ -128,6 +128,13 @@
             }
             return true;
         }
+        if (effect instanceof Effect.EndStalledAttempt end) {
+            RunningAttempt attempt = running.get(end.attempt());
+            if (attempt != null) {
+                attempt.endIfStalled();
+            }
+            return true;
+        }
         return false;
     }
 
@@ -429,6 +436,7 @@
         private Disposable silenceCheck = Disposables.disposed();
         private Channel connection;
         private long lastActivityAtMs = sentAtMs;
+        private Optional<AttemptOutcome> stalled = Optional.empty();
         private long receiverTookAtMs;
         private boolean responded;
         private boolean ended;
@@ -465,6 +473,7 @@
 
         void recordActivity() {
             lastActivityAtMs = clock.nowMs();
+            stalled = Optional.empty();
         }
 
         /** Records the length of the body so far as activity if it has grown enough. */
@@ -543,7 +552,10 @@
             }
         }
 
-        /** Ends the attempt once the target has made no progress for the read timeout. */
+        /**
+         * Ends the attempt once the target has made no progress for the read timeout, or lets the core decide if that
+         * might cut a stream.
+         */
         void checkReadTimeout() {
             long readTimeoutMs = receiver.readTimeoutMs();
             if (ended || readTimeoutMs == 0) {
@@ -586,11 +598,20 @@
             } else if (receiver.waitsForTarget()) {
                 recordActivity();
                 checkReadTimeout();
+            } else if (receiver.reachedCaller()) {
+                recordActivity();
+                checkReadTimeout();
+                stalled = Optional.of(timedOut);
+                loop.post(new Event.AttemptStalled(id));
             } else {
                 end(timedOut);
             }
         }
 
+        void endIfStalled() {
+            stalled.ifPresent(this::end);
+        }
+
         /**
          * Ends the attempt. If its connection was lost, checks whether the target is gone; what the request may do next
          * depends on that if the number of its runs is limited.
