Resume streams elsewhere if a target refuses to resume them

Callers saw: a stream that ends in its middle although an idle target could have resumed it: the one that was asked to had refused it as not run, as a draining or full target does.

Cause: the retry policy lists the failures after which a stream under way may be resumed; a target's refusal was not among them, so that the router gave up.

Change: a stream that any target may resume goes on elsewhere after such a refusal, and may come back to the target later, as after a refused permit. The numbers of runs and attempts, and the budget of retries, hold as before. Streams that only their own target can resume are not concerned.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -939,7 +939,8 @@
                 findPath(route, nowMs, out);
             } else {
                 if (!isPathFailure(failure) && !isLoss(failure)) {
-                    route.excluded.add(route.target.id());
+                    boolean resumesLater = route.bytesReachedCaller && failure.kind() == FailureKind.OVERLOADED;
+                    (resumesLater ? route.full : route.excluded).add(route.target.id());
                 }
                 chooseTarget(route, nowMs, out);
             }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -42,11 +42,13 @@
             return Step.GIVE_UP;
         }
         if (route.bytesReachedCaller || failure.bytesReachedCaller()) {
-            boolean resumable = route.request.resumable() && RESUMABLE.contains(failure.kind()) && !resumeRefused;
-            if (!resumable) {
+            boolean anywhere = route.request.options().resumableAnywhere();
+            boolean resumable =
+                    RESUMABLE.contains(failure.kind()) || anywhere && failure.kind() == FailureKind.OVERLOADED;
+            if (!route.request.resumable() || !resumable || resumeRefused) {
                 return Step.GIVE_UP;
             }
-            return route.request.options().resumableAnywhere() ? Step.OTHER_TARGET : Step.RESUME_SAME_TARGET;
+            return anywhere ? Step.OTHER_TARGET : Step.RESUME_SAME_TARGET;
         }
         if (route.request.repeatable()) {
             return Step.OTHER_TARGET;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/SilentTargetEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/SilentTargetEndToEndTests.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -12,6 +14,7 @@
 import org.cornelcrank.platform.fake.RunnerStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -24,6 +27,7 @@
     private static final int VERSION = 2;
 
     private final List<RawRunnerStandIn> runners = new ArrayList<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
     private GatewayFleet fleet;
 
     @BeforeEach
@@ -38,6 +42,7 @@
 
     @AfterEach
     void stop() {
+        ended.countDown();
         fleet.close();
         runners.forEach(RawRunnerStandIn::close);
     }
@@ -109,4 +114,25 @@
         startRunner("raw-2", '"' + field + '"', '"' + other + '"', SilentTargetEndToEndTests::respondWithSilence);
         assertComplete(stream());
     }
+
+    /** Guards against streams that are cut as the target that is to resume them refuses, although another one is idle. */
+    @Test
+    void streamGoesOnAtAThirdTargetIfTheSecondRefusesToResumeIt() throws Exception {
+        AtomicBoolean refused = new AtomicBoolean();
+        for (String id : List.of("raw-1", "raw-2", "raw-3")) {
+            startRunner(id, "", "", (request, response) -> {
+                if (lastEvent(request) == 0) {
+                    begin(request, response);
+                    ended.await();
+                } else if (refused.compareAndSet(false, true)) {
+                    response.refusal(request, "");
+                } else {
+                    begin(request, response);
+                    finish(request, response);
+                }
+            });
+        }
+        assertComplete(stream());
+        assertThat(refused).isTrue();
+    }
 }
