Do not abandon streams on their last run for a silence

Callers saw: a stream that may run once ends in its middle as its target is silent, if its daemon believes at that moment that it has lost its way to the targets, which then go on.

Cause: attempts on repeatable requests of which nothing arrives are abandoned once another daemon reaches the target and this one has heard from none. It was not considered that a request without a further run cannot go on elsewhere.

Change: the silence of an attempt that has begun to respond does not count as a reason to abandon it if it is the last run of its request. It goes on with its connection, until that ends or the deadline. A request without any response is retried or refused as before.

Evidence: SettingsChangeTests.streamOnItsLastRunIsNotCutAsItsDaemonDoubtsItsWayToSilentTargets failed before (TARGET_FAILED, "target r2 failed: PATH_LOST"). VirtualFleet models the read timeout, and engines that refuse.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -697,6 +697,7 @@
         wakeups.remove(request.id());
         route.phase = Route.Phase.RUNNING;
         route.attempts++;
+        route.responding = false;
         route.dispatchedAtMs = nowMs;
         route.target.attemptDispatched();
         recordStream(route, nowMs, out);
@@ -759,6 +760,7 @@
     void attemptStarted(AttemptId attempt, long nowMs) {
         Route route = byAttempt.get(attempt);
         if (route != null) {
+            route.responding = true;
             route.target.health().attemptStarted(nowMs - route.dispatchedAtMs);
             recordContact(route, nowMs);
         }
@@ -777,7 +779,8 @@
         if (route == null) {
             return false;
         }
-        if (route.request.repeatable()) {
+        boolean wouldBeCut = route.responseBegun() && retryPolicy.isLastRun(route);
+        if (route.request.repeatable() && !wouldBeCut) {
             context.paths().attemptSilent(attempt, route.target, route.relay, nowMs, out);
         }
         return true;
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -65,6 +65,12 @@
                 : route.attempts >= maxAttempts;
     }
 
+    /** Returns whether the running attempt is the last that may run the request. */
+    boolean isLastRun(Route route) {
+        int maxRuns = route.request.options().maxRuns();
+        return maxRuns > 0 ? route.runs + 1 >= maxRuns : route.attempts >= maxAttempts;
+    }
+
     /** The next step of a request after a failed attempt. */
     enum Step {
         GIVE_UP,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -78,6 +78,10 @@
     int resumedFrom;
     int generation;
     boolean bytesReachedCaller;
+
+    /** Whether the target has begun to respond to the running attempt. */
+    boolean responding;
+
     long dispatchedAtMs;
     long retryAfterMs;
     Optional<SoftwareVersion> version = Optional.empty();
@@ -156,6 +160,11 @@
         return new TargetFilter(unusable, version);
     }
 
+    /** Returns whether the caller may have a part of the response. */
+    boolean responseBegun() {
+        return responding || bytesReachedCaller;
+    }
+
     /** Returns the targets that may resume the stream if the running attempt ends. */
     TargetFilter resumableElsewhere() {
         Set<TargetId> unusable = new TreeSet<>(excluded);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/EngineModel.java
@@ -46,6 +46,9 @@
     boolean up = true;
     long silentUntilMs;
 
+    /** Whether the engine refuses further requests as not run. */
+    boolean refuses;
+
     EngineModel(String id, int slots, long promptMs, long tokenMs) {
         this.id = new TargetId(id);
         this.slots = slots;
@@ -94,13 +97,21 @@
         if (job.work.urgency() == Urgency.BATCH) {
             wastedBatchMs += Math.min(nowMs - job.startedAtMs, job.promptMs);
         }
-        long generated = Math.max(0, nowMs - job.startedAtMs - job.promptMs) / tokenMs;
+        int tokens = generatedTokens(job, nowMs);
         countOccupied(job, nowMs);
-        int tokens = (int) Math.min(generated, job.work.tokens() - job.resumedFrom);
         job.resume.ifPresent(point -> keptTokens.put(point.key(), job.resumedFrom + tokens));
         return tokens;
     }
 
+    /** Returns how many tokens a job has generated so far. */
+    int generatedTokens(Job job, long nowMs) {
+        if (job.startedAtMs < 0) {
+            return 0;
+        }
+        long generated = Math.max(0, nowMs - job.startedAtMs - job.promptMs) / tokenMs;
+        return (int) Math.min(generated, job.work.tokens() - job.resumedFrom);
+    }
+
     /** Counts the slot time of the running jobs up to now. */
     void countRunning(long nowMs) {
         running.values().forEach(job -> countOccupied(job, nowMs));
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -172,6 +172,22 @@
         assertThat(stream.dispatchedTo).hasSize(1);
     }
 
+    /** Guards against streams that are cut on their last run as their daemon takes silent targets for unreachable ones. */
+    @Test
+    void streamOnItsLastRunIsNotCutAsItsDaemonDoubtsItsWayToSilentTargets() {
+        RequestOptions once = new RequestOptions(1, true, OBJECTIVE_MS);
+        SentRequest stream = fleet.send(0, Work.online(2 * TOKENS, 1).withDeadline(DEADLINE_MS), once);
+        fleet.run(300);
+        fleet.engines.keySet().forEach(target -> {
+            fleet.silence(target, 1_500);
+            fleet.refuseNewConnections(0, target);
+        });
+        fleet.run(400);
+        send(0, 2);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+    }
+
     /** Halves the slots of all targets, and sends more requests than fit into their queues. */
     private void fillQueues() {
         for (TargetId target : fleet.engines.keySet()) {
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -80,6 +80,10 @@
     boolean keepEffects;
     boolean reportsTokensOfCrashes;
     boolean resumesAnywhere;
+
+    /** How long a silent target may make no progress on a request with a limit of runs, in ms; zero if it does not matter. */
+    long readTimeoutMs;
+
     RequestOptions requestOptions = RequestOptions.DEFAULTS;
 
     VirtualFleet(long seed) {
@@ -255,6 +259,7 @@
     SentRequest send(int daemon, Work work, RequestOptions options) {
         RequestId id = new RequestId(nodes.get(daemon).identity.host(), 1, ++requests);
         SentRequest request = new SentRequest(id, daemon, work, nowMs);
+        request.options = options;
         sentRequests.put(id, request);
         OnlineRequest command = new OnlineRequest(
                 new TeamPath("/nilavu/kiosk"),
@@ -375,10 +380,35 @@
         for (Node node : nodes) {
             node.jobs.keySet().stream()
                     .filter(attempt -> target.equals(node.targetByAttempt.get(attempt)))
-                    .forEach(attempt -> reportSilence(node, attempt));
+                    .forEach(attempt -> {
+                        reportSilence(node, attempt);
+                        checkReadTimeout(node, attempt);
+                    });
         }
     }
 
+    /** Ends an attempt of which nothing arrives, unless the request must not run again; the core decides on streams. */
+    private void checkReadTimeout(Node node, AttemptId attempt) {
+        if (readTimeoutMs == 0) {
+            return;
+        }
+        at(nowMs + readTimeoutMs, () -> {
+            EngineModel.Job job = node.jobs.get(attempt);
+            SentRequest request = node.requestsByAttempt.get(attempt);
+            if (job == null || job.unreachable || !silent(node, job) || !request.work.repeatable) {
+                return;
+            }
+            EngineModel engine = engines.get(node.targetByAttempt.get(attempt));
+            boolean streaming = request.partReceived || engine.generatedTokens(job, nowMs) > 0;
+            if (streaming && request.failedRuns + 1 < request.options.maxRuns()) {
+                node.handle(new Event.AttemptStalled(attempt));
+            } else if (!streaming && request.options.maxRuns() > 1) {
+                stop(node, engine, job, FailureKind.TIMED_OUT);
+            }
+            checkReadTimeout(node, attempt);
+        });
+    }
+
     private boolean silent(Node node, EngineModel.Job job) {
         return job.unreachable || nowMs < engines.get(node.targetByAttempt.get(job.attempt)).silentUntilMs;
     }
@@ -459,6 +489,11 @@
                             dispatch.attempt(), failed(FailureKind.CONNECTION_REFUSED, Verdict.NOT_RUN, 0)));
             return;
         }
+        if (engine.refuses) {
+            AttemptOutcome.Failed refused = failed(FailureKind.OVERLOADED, Verdict.NOT_RUN, 0);
+            afterLatency(node, dispatch.target(), () -> node.attemptEnded(dispatch.attempt(), refused));
+            return;
+        }
         EngineModel.Job job = new EngineModel.Job(dispatch.attempt(), work, dispatch.resume(), node.index);
         if (!resumesAnywhere
                 && job.resumedFrom > 0
@@ -473,6 +508,7 @@
         node.jobs.put(dispatch.attempt(), job);
         if (silent(node, job)) {
             reportSilence(node, dispatch.attempt());
+            checkReadTimeout(node, dispatch.attempt());
         }
         at(nowMs + dispatch.timeoutMs(), () -> stop(node, engine, job, FailureKind.TIMED_OUT));
         if (engine.hasFreeSlot()) {
@@ -645,6 +681,12 @@
         long firstTokenAtMs = -1;
         long endedAtMs = -1;
         Object reply;
+        int replies;
+        int failedRuns;
+        RequestOptions options;
+
+        /** Whether the caller has received a part of the response. */
+        boolean partReceived;
 
         SentRequest(RequestId id, int daemon, Work work, long sentAtMs) {
             this.id = id;
@@ -753,6 +795,13 @@
 
         void attemptEnded(AttemptId attempt, AttemptOutcome outcome) {
             jobs.remove(attempt);
+            SentRequest request = requestsByAttempt.get(attempt);
+            if (request != null && outcome instanceof AttemptOutcome.Failed failure) {
+                request.partReceived |= failure.bytesReachedCaller();
+                boolean counts =
+                        !failure.verdict().equals(Verdict.NOT_RUN) && failure.kind() != FailureKind.TARGET_GONE;
+                request.failedRuns += counts ? 1 : 0;
+            }
             handle(new Event.AttemptEnded(attempt, outcome));
         }
 
@@ -785,10 +834,16 @@
                 }
             } else if (effect instanceof Effect.AbandonAttempt abandoned) {
                 abandon(this, abandoned.attempt());
+            } else if (effect instanceof Effect.EndStalledAttempt stalled) {
+                EngineModel.Job job = jobs.get(stalled.attempt());
+                if (job != null) {
+                    stop(this, engines.get(targetByAttempt.get(stalled.attempt())), job, FailureKind.TIMED_OUT);
+                }
             } else if (effect instanceof Effect.Reply reply) {
                 SentRequest request = sentRequests.get(reply.request());
                 if (request != null) {
                     request.reply = reply.reply();
+                    request.replies++;
                     request.endedAtMs = nowMs;
                 }
             } else if (effect instanceof Effect.WatchTargets watch) {
