Let streams go back to the silent target that they have left

Callers saw: a stream that ends in its middle with "no target serves", although its target had only been silent for about a second: the target to which it was to move was drained, removed or down at that moment.

Cause: a target that makes no progress for the read timeout was excluded for the rest of the request.

Change: a stream under way remembers the targets that it has left for their silence. If no other one can resume it, it waits, as it does for room, and goes on there once the target is usable again, unless the target is leaving or no longer listed; until its deadline at the latest.

Evidence: SettingsChangeTests.streamThatLeftASilentTargetGoesOnThereIfTheOtherIsDown failed before.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -388,7 +388,8 @@
     private boolean awaitRoom(Route route, long nowMs, Effects out) {
         boolean isolated = context.paths().isolated()
                 && (!route.boundToTarget() || context.directory().lists(route.target));
-        boolean mayBeResumed = isolated || !route.full.isEmpty() || !route.unanswered.isEmpty();
+        boolean mayBeResumed =
+                isolated || !route.full.isEmpty() || !route.unanswered.isEmpty() || mayGoOnWhereItStalled(route, nowMs);
         if (!route.bytesReachedCaller || !mayBeResumed) {
             return false;
         }
@@ -405,9 +406,18 @@
         return true;
     }
 
+    /** Returns whether a target that the stream left is still listed, though it may not be usable yet. */
+    private boolean mayGoOnWhereItStalled(Route route, long nowMs) {
+        return route.stalled.stream()
+                .flatMap(target -> context.directory().find(target).stream())
+                .anyMatch(target -> target.offers(route.request.service())
+                        && !context.directory().leaving(target, nowMs));
+    }
+
     private void lookForTargetAgain(Route route, long nowMs, Effects out) {
         if (route.phase == Route.Phase.AWAITING_ROOM) {
             route.full.clear();
+            route.excluded.removeAll(route.stalled);
             route.forgetSilence();
             route.permitRefusals = 0;
         }
@@ -942,8 +952,13 @@
                 findPath(route, nowMs, out);
             } else {
                 if (!isPathFailure(failure) && !isLoss(failure)) {
-                    boolean resumesLater = route.bytesReachedCaller && failure.kind() == FailureKind.OVERLOADED;
+                    boolean stalled = route.bytesReachedCaller && failure.kind() == FailureKind.TIMED_OUT;
+                    boolean resumesLater =
+                            stalled || route.bytesReachedCaller && failure.kind() == FailureKind.OVERLOADED;
                     (resumesLater ? route.full : route.excluded).add(route.target.id());
+                    if (stalled) {
+                        route.stalled.add(route.target.id());
+                    }
                 }
                 chooseTarget(route, nowMs, out);
             }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -39,6 +39,9 @@
     /** The targets that had no room for a stream whose caller has a part of it, which are asked again later. */
     final Set<TargetId> full = new TreeSet<>();
 
+    /** The targets that the stream left as they made no progress; they may go on. */
+    final Set<TargetId> stalled = new TreeSet<>();
+
     int repeatedAsks;
     private OptionalLong silentSinceMs = OptionalLong.empty();
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -188,6 +188,23 @@
         assertThat(stream.completedInTime()).as("%s", stream).isTrue();
     }
 
+    /** Guards against streams that are cut as the target to which they were to move from a silent one is down. */
+    @Test
+    void streamThatLeftASilentTargetGoesOnThereIfTheOtherIsDown() {
+        fleet.readTimeoutMs = 600;
+        fleet.list(host -> !host.name().equals("r3"));
+        fleet.run(100);
+        SentRequest stream = fleet.send(0, Work.online(4 * TOKENS, 1).withDeadline(DEADLINE_MS));
+        fleet.run(300);
+        TargetId first = stream.dispatchedTo.get(0);
+        fleet.silence(first, 1_500);
+        fleet.run(fleet.readTimeoutMs - 1);
+        fleet.engines.values().forEach(engine -> engine.up = engine.id.equals(first));
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSizeGreaterThan(1);
+    }
+
     /** Halves the slots of all targets, and sends more requests than fit into their queues. */
     private void fillQueues() {
         for (TargetId target : fleet.engines.keySet()) {
