Let streams wait for room if targets refuse to resume them

Callers saw: a stream that ends in its middle a few milliseconds after its target was lost, as every target refused to resume it as not run, although there was room some seconds later, long before its deadline.

Cause: such refusals counted as attempts, of which a request has three more than runs, and took from the budget of retries; and each made the router forget the targets that had refused before, so that two took turns at once.

Change: the refusal of a stream under way that any target can resume counts as a refused permit does: it is no attempt, and the stream waits for room once every target has refused, until its deadline.

Evidence: SettingsChangeTests.streamThatEachTargetRefusesToResumeGoesOnOnceOneHasRoom failed before: six attempts at r2, r3, r1, r3, r1, r3, then OVERLOADED; it passes.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -926,6 +926,10 @@
 
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean neverReached = countPathFailure(route, failure);
+        boolean resumesLater = resumesLater(route, failure);
+        if (resumesLater) {
+            route.attempts--;
+        }
         RetryPolicy.Step step = retryPolicy.after(route, failure);
         if (route.trial && failure.verdict().equals(Verdict.NOT_RUN)) {
             context.promptParts().trialNotRun(route.request.sharedParts(), nowMs, out);
@@ -934,7 +938,7 @@
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
         } else if (step == RetryPolicy.Step.GIVE_UP
-                || !neverReached && !isWayLost(route, failure) && !retryBudget.tryTake()) {
+                || !neverReached && !isWayLost(route, failure) && !resumesLater && !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
@@ -946,16 +950,16 @@
             context.count("retries");
             route.permitRefusals = 0;
             route.forgetSilence();
-            route.full.clear();
+            if (!resumesLater) {
+                route.full.clear();
+            }
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
             } else {
                 if (!isPathFailure(failure) && !isLoss(failure)) {
                     boolean stalled = route.bytesReachedCaller && failure.kind() == FailureKind.TIMED_OUT;
-                    boolean resumesLater =
-                            stalled || route.bytesReachedCaller && failure.kind() == FailureKind.OVERLOADED;
-                    (resumesLater ? route.full : route.excluded).add(route.target.id());
+                    (stalled || resumesLater ? route.full : route.excluded).add(route.target.id());
                     if (stalled) {
                         route.stalled.add(route.target.id());
                     }
@@ -965,6 +969,13 @@
         }
     }
 
+    /** Returns whether a target has refused a stream under way that may be resumed there later; such attempts do not count. */
+    private static boolean resumesLater(Route route, AttemptOutcome.Failed failure) {
+        return route.bytesReachedCaller
+                && route.request.options().resumableAnywhere()
+                && failure.kind() == FailureKind.OVERLOADED;
+    }
+
     /** Returns whether the attempt did not reach its target, and does not count; only a few of a request do not. */
     private static boolean countPathFailure(Route route, AttemptOutcome.Failed failure) {
         boolean neverReached = isPathFailure(failure) && failure.verdict().equals(Verdict.NOT_RUN);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -205,6 +205,20 @@
         assertThat(stream.dispatchedTo).hasSizeGreaterThan(1);
     }
 
+    /** Guards against streams that are cut after a few refusals, although room comes before their deadline. */
+    @Test
+    void streamThatEachTargetRefusesToResumeGoesOnOnceOneHasRoom() {
+        SentRequest stream = send(0, 1);
+        fleet.run(300);
+        TargetId first = stream.dispatchedTo.get(0);
+        fleet.engines.values().forEach(engine -> engine.refuses = true);
+        fleet.crashTarget(first, DEADLINE_MS);
+        fleet.run(3_000);
+        fleet.engines.values().forEach(engine -> engine.refuses = false);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+    }
+
     /** Halves the slots of all targets, and sends more requests than fit into their queues. */
     private void fillQueues() {
         for (TargetId target : fleet.engines.keySet()) {
