--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -90,8 +90,8 @@
     record AttemptSilent(AttemptId attempt) implements Event {}
 
     /**
-     * A target has made no progress for the read timeout on a stream of which the caller has a part; repeated while that
-     * lasts.
+     * A target has made no progress for the read timeout on a stream of which the caller has a part; repeated while
+     * that lasts.
      */
     record AttemptStalled(AttemptId attempt) implements Event {}
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -969,7 +969,7 @@
         }
     }
 
-    /** Returns whether a target has refused a stream under way that may be resumed there later; such attempts do not count. */
+    /** Returns whether a target has refused a stream under way that it may resume later; this is no attempt. */
     private static boolean resumesLater(Route route, AttemptOutcome.Failed failure) {
         return route.bytesReachedCaller
                 && route.request.options().resumableAnywhere()
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -156,7 +156,7 @@
         assertThat(stream.dispatchedTo).hasSize(2).containsOnly(stream.dispatchedTo.get(0));
     }
 
-    /** Guards against streams that are cut as the entry of their target lapses and comes back while the target is silent. */
+    /** Guards against streams that are cut as the entry of their silent target lapses and comes back. */
     @Test
     void streamIsNotCutAsTheEntryOfItsSilentTargetLapsesAndComesBack() {
         SentRequest stream = fleet.send(
@@ -172,7 +172,7 @@
         assertThat(stream.dispatchedTo).hasSize(1);
     }
 
-    /** Guards against streams that are cut on their last run as their daemon takes silent targets for unreachable ones. */
+    /** Guards against streams that are cut on their last run as silent targets seem to be unreachable. */
     @Test
     void streamOnItsLastRunIsNotCutAsItsDaemonDoubtsItsWayToSilentTargets() {
         RequestOptions once = new RequestOptions(1, true, OBJECTIVE_MS);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -81,7 +81,7 @@
     boolean reportsTokensOfCrashes;
     boolean resumesAnywhere;
 
-    /** How long a silent target may make no progress on a request with a limit of runs, in ms; zero if it does not matter. */
+    /** How long a silent target may make no progress on a request, in ms; zero if there is no limit. */
     long readTimeoutMs;
 
     RequestOptions requestOptions = RequestOptions.DEFAULTS;
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/SilentTargetEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/SilentTargetEndToEndTests.java
@@ -115,7 +115,7 @@
         assertComplete(stream());
     }
 
-    /** Guards against streams that are cut as the target that is to resume them refuses, although another one is idle. */
+    /** Guards against streams that are cut as one target refuses to resume them, although another one is idle. */
     @Test
     void streamGoesOnAtAThirdTargetIfTheSecondRefusesToResumeIt() throws Exception {
         AtomicBoolean refused = new AtomicBoolean();
