Read requests to their end before they are refused

Callers saw: a whole request on a kept connection without any response or refusal, until the caller gave up. Before it, two requests had been sent at once on that connection, the second of them on a route that had been dropped.

Cause: the daemon refused a request without a route as soon as its head had been read. If the request was pipelined behind one that was running, nothing more was read from the connection after that response. What the HTTP server leaves out is inferred from the sequences below and not traced, as its sources are not at hand.

Change: a request that is refused for its head, as no routes are known, or that is about a job, gets its response after its end has been read, as requests at a stopping daemon already do. A body above the limit is read up to the limit.

Evidence: ConfigurationChangeEndToEndTests.connectionIsReadAfterAPipelinedRequestOnADroppedRoute failed before (read timed out after 30 s) and passes.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.Unpooled;
@@ -156,21 +157,26 @@
         HeadResult result = dialect.readRequest(request.method().name(), request.uri(), request.requestHeaders());
         Optional<RouteTable> table = settings.table();
         if (table.isEmpty()) {
-            return reject(
-                    response,
-                    requests.stopping() ? RequestGate.STOPPING : NO_ROUTES,
-                    result instanceof HeadResult.Valid valid ? valid.head().requestId() : null);
+            return afterBody(
+                    request,
+                    () -> reject(
+                            response,
+                            requests.stopping() ? RequestGate.STOPPING : NO_ROUTES,
+                            result instanceof HeadResult.Valid valid
+                                    ? valid.head().requestId()
+                                    : null));
         }
         Optional<Mono<Void>> jobResponse = jobs.handle(request, response);
         if (jobResponse.isPresent()) {
-            return jobResponse.get();
+            return afterBody(request, jobResponse::get);
         }
         if (result instanceof HeadResult.Invalid invalid) {
-            return reject(response, Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason()), null);
+            Refusal refusal = Refusal.notRun(RefusalCode.INVALID_REQUEST, invalid.reason());
+            return afterBody(request, () -> reject(response, refusal, null));
         }
         RequestHead head = ((HeadResult.Valid) result).head();
         if (table.get().select(head.host(), head.path()).isEmpty()) {
-            return rejectWithoutRoute(table.get(), head, response);
+            return afterBody(request, () -> rejectWithoutRoute(table.get(), head, response));
         }
         int maxBodyBytes = table.get().limits().maxBodyBytes();
         return Mono.using(
@@ -179,6 +185,10 @@
                 RequestBody::close);
     }
 
+    private Mono<Void> afterBody(HttpServerRequest request, Supplier<Mono<Void>> response) {
+        return requests.discardBody(request).then(Mono.defer(response));
+    }
+
     private Mono<Void> readAndAccept(
             RequestHead head,
             RequestBody body,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestGate.java
@@ -109,7 +109,13 @@
         return result.doFinally(signal -> openRequests.decrementAndGet());
     }
 
-    private Mono<Void> discardBody(HttpServerRequest request) {
+    /**
+     * Reads the body of a request that is refused without it, as far as the maximum.
+     *
+     * <p>A response that precedes the end of its request makes the server read nothing more from a connection on which
+     * the request was pipelined.
+     */
+    public Mono<Void> discardBody(HttpServerRequest request) {
         return request.receive()
                 .asByteArray()
                 .scan(0L, (readBytes, chunk) -> readBytes + chunk.length)
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/ConfigurationChangeEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/ConfigurationChangeEndToEndTests.java
@@ -115,6 +115,23 @@
         fleet.register(runner);
     }
 
+    /** Guards against requests that are never read after a pipelined one without a route on the same connection. */
+    @Test
+    void connectionIsReadAfterAPipelinedRequestOnADroppedRoute() throws Exception {
+        try (KeptConnection connection = new KeptConnection(fleet.connect(0))) {
+            connection.send(request("idem", "first") + request("dropped", "second"));
+            assertThat(connection.read().status()).isEqualTo(200);
+            assertThat(connection.read().status()).isEqualTo(404);
+            connection.send(request("idem", "third"));
+            assertThat(connection.read().status()).isEqualTo(200);
+        }
+    }
+
+    private static String request(String route, String id) {
+        return "POST /" + route + "/1 HTTP/1.1\r\nHost: " + GatewayFleet.HOST + "\r\nRequest-Id: " + id
+                + "\r\nContent-Length: 1\r\n\r\nx";
+    }
+
     /** Guards against streams that are cut because their route was dropped before they had to be resumed. */
     @Test
     void streamIsResumedAlthoughItsRouteWasDropped() throws Exception {
