Handle a hang-up signal before the first listener is open

Callers saw: a daemon that is told of changed settings as it starts ends at once, with the connections that it has accepted by then.

Cause: the handler of SIGHUP was installed once the daemon had started; until then the signal has its default effect, which ends the process.

Change: the handler, which only logs, is installed first.

Evidence: HangupEndToEndTests.daemonThatStartsIsNotEndedByAHangup failed before and passes. A signal before the settings have been parsed still ends the process; no listener is open then.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/CornelcrankDaemon.java
@@ -67,8 +67,9 @@
 
     private static void runGateway(GatewaySettings settings) throws IOException {
         LogFormat.use(settings.logFormat());
+        // Without a handler the signal would end the daemon, so the handler comes before the first listener.
+        Signal.handle(new Signal("HUP"), signal -> GatewayProcess.reload(settings));
         GatewayProcess process = GatewayProcess.start(settings);
-        Signal.handle(new Signal("HUP"), signal -> process.reload());
         stopAtShutdown(process::stop);
         process.awaitEnd();
     }
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayProcess.java
@@ -147,7 +147,7 @@
      * Logs that the settings file has changed. Settings that can change at run time come from the store, so nothing is
      * read again.
      */
-    public void reload() {
+    public static void reload(GatewaySettings settings) {
         LOGGER.info("Daemon {} was notified of changed settings; they take effect at its next start", settings.host());
     }
 
