--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -388,7 +388,8 @@
     private boolean awaitRoom(Route route, long nowMs, Effects out) {
         boolean isolated = context.paths().isolated()
                 && (!route.boundToTarget() || context.directory().lists(route.target));
-        boolean mayBeResumed = isolated || !route.full.isEmpty() || !route.unanswered.isEmpty();
+        boolean mayBeResumed =
+                isolated || !route.full.isEmpty() || !route.unanswered.isEmpty() || mayGoOnWhereItStalled(route, nowMs);
         if (!route.bytesReachedCaller || !mayBeResumed) {
             return false;
         }
@@ -405,9 +406,18 @@
         return true;
     }
 
+    /** Returns whether a target that the stream left is still listed, though it may not be usable yet. */
+    private boolean mayGoOnWhereItStalled(Route route, long nowMs) {
+        return route.stalled.stream()
+                .flatMap(target -> context.directory().find(target).stream())
+                .anyMatch(target -> target.offers(route.request.service())
+                        && !context.directory().leaving(target, nowMs));
+    }
+
     private void lookForTargetAgain(Route route, long nowMs, Effects out) {
         if (route.phase == Route.Phase.AWAITING_ROOM) {
             route.full.clear();
+            route.excluded.removeAll(route.stalled);
             route.forgetSilence();
             route.permitRefusals = 0;
         }
@@ -697,6 +707,7 @@
         wakeups.remove(request.id());
         route.phase = Route.Phase.RUNNING;
         route.attempts++;
+        route.responding = false;
         route.dispatchedAtMs = nowMs;
         route.target.attemptDispatched();
         recordStream(route, nowMs, out);
@@ -759,6 +770,7 @@
     void attemptStarted(AttemptId attempt, long nowMs) {
         Route route = byAttempt.get(attempt);
         if (route != null) {
+            route.responding = true;
             route.target.health().attemptStarted(nowMs - route.dispatchedAtMs);
             recordContact(route, nowMs);
         }
@@ -777,12 +789,34 @@
         if (route == null) {
             return false;
         }
-        if (route.request.repeatable()) {
+        boolean wouldBeCut = route.responseBegun() && retryPolicy.isLastRun(route);
+        if (route.request.repeatable() && !wouldBeCut) {
             context.paths().attemptSilent(attempt, route.target, route.relay, nowMs, out);
         }
         return true;
     }
 
+    /** Ends an attempt that makes no progress on a stream under way only if another target may resume the stream. */
+    void attemptStalled(AttemptId attempt, long nowMs, Effects out) {
+        Route route = byAttempt.get(attempt);
+        if (route == null || route.phase != Route.Phase.RUNNING) {
+            return;
+        }
+        boolean leaves = !retryBudget.exhausted()
+                && route.team(context.settings())
+                        .filter(team -> choice.exists(route.request, team, route.resumableElsewhere(), nowMs))
+                        .isPresent();
+        out.explain(
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                (leaves ? "leaves " : "waits for ") + route.target.id(),
+                "no progress, " + (leaves ? "another target" : "no other target") + " may resume the stream");
+        if (leaves) {
+            out.add(new Effect.EndStalledAttempt(attempt));
+        }
+    }
+
     /** Handles the end of an attempt; returns whether the attempt belongs to this router. */
     boolean attemptEnded(AttemptId attempt, AttemptOutcome outcome, long nowMs, Effects out) {
         Route route = byAttempt.remove(attempt);
@@ -892,6 +926,10 @@
 
     private void retry(Route route, AttemptOutcome.Failed failure, long nowMs, Effects out) {
         boolean neverReached = countPathFailure(route, failure);
+        boolean resumesLater = resumesLater(route, failure);
+        if (resumesLater) {
+            route.attempts--;
+        }
         RetryPolicy.Step step = retryPolicy.after(route, failure);
         if (route.trial && failure.verdict().equals(Verdict.NOT_RUN)) {
             context.promptParts().trialNotRun(route.request.sharedParts(), nowMs, out);
@@ -900,7 +938,7 @@
                 || context.promptParts().quarantined(route.request.sharedParts())) {
             giveUp(route, RefusalCode.QUARANTINED, "the request crashed targets", nowMs, out);
         } else if (step == RetryPolicy.Step.GIVE_UP
-                || !neverReached && !isWayLost(route, failure) && !retryBudget.tryTake()) {
+                || !neverReached && !isWayLost(route, failure) && !resumesLater && !retryBudget.tryTake()) {
             route.retryAfterMs = failure.retryAfterMs();
             giveUp(
                     route,
@@ -912,19 +950,32 @@
             context.count("retries");
             route.permitRefusals = 0;
             route.forgetSilence();
-            route.full.clear();
+            if (!resumesLater) {
+                route.full.clear();
+            }
             route.moves = 0;
             if (step == RetryPolicy.Step.RESUME_SAME_TARGET) {
                 findPath(route, nowMs, out);
             } else {
                 if (!isPathFailure(failure) && !isLoss(failure)) {
-                    route.excluded.add(route.target.id());
+                    boolean stalled = route.bytesReachedCaller && failure.kind() == FailureKind.TIMED_OUT;
+                    (stalled || resumesLater ? route.full : route.excluded).add(route.target.id());
+                    if (stalled) {
+                        route.stalled.add(route.target.id());
+                    }
                 }
                 chooseTarget(route, nowMs, out);
             }
         }
     }
 
+    /** Returns whether a target has refused a stream under way that it may resume later; this is no attempt. */
+    private static boolean resumesLater(Route route, AttemptOutcome.Failed failure) {
+        return route.bytesReachedCaller
+                && route.request.options().resumableAnywhere()
+                && failure.kind() == FailureKind.OVERLOADED;
+    }
+
     /** Returns whether the attempt did not reach its target, and does not count; only a few of a request do not. */
     private static boolean countPathFailure(Route route, AttemptOutcome.Failed failure) {
         boolean neverReached = isPathFailure(failure) && failure.verdict().equals(Verdict.NOT_RUN);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -42,11 +42,13 @@
             return Step.GIVE_UP;
         }
         if (route.bytesReachedCaller || failure.bytesReachedCaller()) {
-            boolean resumable = route.request.resumable() && RESUMABLE.contains(failure.kind()) && !resumeRefused;
-            if (!resumable) {
+            boolean anywhere = route.request.options().resumableAnywhere();
+            boolean resumable =
+                    RESUMABLE.contains(failure.kind()) || anywhere && failure.kind() == FailureKind.OVERLOADED;
+            if (!route.request.resumable() || !resumable || resumeRefused) {
                 return Step.GIVE_UP;
             }
-            return route.request.options().resumableAnywhere() ? Step.OTHER_TARGET : Step.RESUME_SAME_TARGET;
+            return anywhere ? Step.OTHER_TARGET : Step.RESUME_SAME_TARGET;
         }
         if (route.request.repeatable()) {
             return Step.OTHER_TARGET;
@@ -63,6 +65,12 @@
                 : route.attempts >= maxAttempts;
     }
 
+    /** Returns whether the running attempt is the last that may run the request. */
+    boolean isLastRun(Route route) {
+        int maxRuns = route.request.options().maxRuns();
+        return maxRuns > 0 ? route.runs + 1 >= maxRuns : route.attempts >= maxAttempts;
+    }
+
     /** The next step of a request after a failed attempt. */
     enum Step {
         GIVE_UP,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -39,6 +39,9 @@
     /** The targets that had no room for a stream whose caller has a part of it, which are asked again later. */
     final Set<TargetId> full = new TreeSet<>();
 
+    /** The targets that the stream left as they made no progress; they may go on. */
+    final Set<TargetId> stalled = new TreeSet<>();
+
     int repeatedAsks;
     private OptionalLong silentSinceMs = OptionalLong.empty();
 
@@ -78,6 +81,10 @@
     int resumedFrom;
     int generation;
     boolean bytesReachedCaller;
+
+    /** Whether the target has begun to respond to the running attempt. */
+    boolean responding;
+
     long dispatchedAtMs;
     long retryAfterMs;
     Optional<SoftwareVersion> version = Optional.empty();
@@ -156,6 +163,19 @@
         return new TargetFilter(unusable, version);
     }
 
+    /** Returns whether the caller may have a part of the response. */
+    boolean responseBegun() {
+        return responding || bytesReachedCaller;
+    }
+
+    /** Returns the targets that may resume the stream if the running attempt ends. */
+    TargetFilter resumableElsewhere() {
+        Set<TargetId> unusable = new TreeSet<>(excluded);
+        unusable.addAll(lossesAt);
+        unusable.add(target.id());
+        return new TargetFilter(unusable, version.or(() -> Optional.of(target.softwareVersion())));
+    }
+
     /** Returns whether the request has requested a permit and no attempt is running. */
     boolean awaitsPermit() {
         return phase == Phase.ASKED || phase == Phase.QUEUED || phase == Phase.DISPUTED;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/SettingsChangeTests.java
@@ -156,6 +156,69 @@
         assertThat(stream.dispatchedTo).hasSize(2).containsOnly(stream.dispatchedTo.get(0));
     }
 
+    /** Guards against streams that are cut as the entry of their silent target lapses and comes back. */
+    @Test
+    void streamIsNotCutAsTheEntryOfItsSilentTargetLapsesAndComesBack() {
+        SentRequest stream = fleet.send(
+                0, Work.online(TOKENS, 1).withDeadline(DEADLINE_MS), new RequestOptions(1, true, OBJECTIVE_MS));
+        fleet.run(300);
+        TargetId target = stream.dispatchedTo.get(0);
+        fleet.silence(target, 1_500);
+        fleet.list(host -> !host.name().equals(target.value()));
+        fleet.run(100);
+        fleet.list(host -> true);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSize(1);
+    }
+
+    /** Guards against streams that are cut on their last run as silent targets seem to be unreachable. */
+    @Test
+    void streamOnItsLastRunIsNotCutAsItsDaemonDoubtsItsWayToSilentTargets() {
+        RequestOptions once = new RequestOptions(1, true, OBJECTIVE_MS);
+        SentRequest stream = fleet.send(0, Work.online(2 * TOKENS, 1).withDeadline(DEADLINE_MS), once);
+        fleet.run(300);
+        fleet.engines.keySet().forEach(target -> {
+            fleet.silence(target, 1_500);
+            fleet.refuseNewConnections(0, target);
+        });
+        fleet.run(400);
+        send(0, 2);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+    }
+
+    /** Guards against streams that are cut as the target to which they were to move from a silent one is down. */
+    @Test
+    void streamThatLeftASilentTargetGoesOnThereIfTheOtherIsDown() {
+        fleet.readTimeoutMs = 600;
+        fleet.list(host -> !host.name().equals("r3"));
+        fleet.run(100);
+        SentRequest stream = fleet.send(0, Work.online(4 * TOKENS, 1).withDeadline(DEADLINE_MS));
+        fleet.run(300);
+        TargetId first = stream.dispatchedTo.get(0);
+        fleet.silence(first, 1_500);
+        fleet.run(fleet.readTimeoutMs - 1);
+        fleet.engines.values().forEach(engine -> engine.up = engine.id.equals(first));
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+        assertThat(stream.dispatchedTo).hasSizeGreaterThan(1);
+    }
+
+    /** Guards against streams that are cut after a few refusals, although room comes before their deadline. */
+    @Test
+    void streamThatEachTargetRefusesToResumeGoesOnOnceOneHasRoom() {
+        SentRequest stream = send(0, 1);
+        fleet.run(300);
+        TargetId first = stream.dispatchedTo.get(0);
+        fleet.engines.values().forEach(engine -> engine.refuses = true);
+        fleet.crashTarget(first, DEADLINE_MS);
+        fleet.run(3_000);
+        fleet.engines.values().forEach(engine -> engine.refuses = false);
+        fleet.run(DEADLINE_MS);
+        assertThat(stream.completedInTime()).as("%s", stream).isTrue();
+    }
+
     /** Halves the slots of all targets, and sends more requests than fit into their queues. */
     private void fillQueues() {
         for (TargetId target : fleet.engines.keySet()) {
