Read the jobs of a loading partition through the daemon that loads it

What callers saw: after a restart of all daemons partitions stayed without owners for over 26 s while callers read whole jobs again and again; accepted jobs could neither be run nor, with luck only, be read meanwhile.

Cause: every daemon reads jobs from the store for its callers, two at a time, over the link on which the new owners load the same records, and once more each time that a caller comes back. The reads grow with the number of daemons, the link does not.

Change: a daemon that has raised the epoch of a partition publishes that it loads it (fact "loads/N", 6 s, renewed, with its region). The daemons of its region ask it wherever they would have begun to read the store. It replies from the results that it has loaded; else it reads the job by itself, four at a time, keeps the results until the load has ended and goes on if the caller leaves. A read that would wait too long is refused at once. It never says that a job is missing. Without a reply within 350 ms, or if it has given up the load, the store is read as before.

Why it works: the results of a job cross the link at most once beside their load, whatever the number of daemons and of reads, unless the ownership moves. They may be kept, as former owners are fenced off and a position never changes.

Tests: the fake sites count facts "owner/" only, as there are others now.

Upgrades: earlier versions ignore the fact and ask owners only; if they take a loading daemon for the owner, they read the store, as the reply says that the job is not known yet. No field of a message is new.

--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -800,6 +800,49 @@
         assertThat(page(jobs.nodes.reply(read).orElseThrow())).hasSize(ITEMS);
     }
 
+    /** Guards against reads that transfer again what the load of the partition has transferred already. */
+    @Test
+    void jobOfALoadingPartitionIsReadFromTheDaemonThatLoadsIt() {
+        List<HostId> readers = readersBesideALoadThatDoesNotEnd();
+        jobs.nodes.setFaults(JobStateMachineTests::refusesResultsAndLoads);
+        for (HostId reader : readers) {
+            assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+            assertThat(code(jobs.read(reader, "unknown", 0))).isEqualTo(RefusalCode.STORE_UNAVAILABLE);
+        }
+    }
+
+    /** Guards against reads that wait for a daemon which was killed while it loaded their partition. */
+    @Test
+    void jobIsReadFromTheStoreIfTheDaemonThatLoadsItsPartitionDoesNotReply() {
+        for (HostId reader : readersBesideALoadThatDoesNotEnd()) {
+            jobs.nodes.setPeerLatency((from, to) -> OptionalLong.empty());
+            assertThat(page(jobs.read(reader, JOB, 0))).hasSize(ITEMS);
+        }
+    }
+
+    /** Kills the owner of a finished job; the next one loads its results, but never its parts. */
+    private List<HostId> readersBesideALoadThatDoesNotEnd() {
+        jobs.submit(A, JOB, ITEMS);
+        HostId former = jobs.awaitOwner();
+        jobs.nodes.run(5_000);
+        jobs.nodes.kill(former);
+        jobs.nodes.setFaults((host, request) -> loadsJobs(request) ? StoreFault.REFUSED : StoreFault.NONE);
+        jobs.nodes.run(5_000);
+        return others(former);
+    }
+
+    private static boolean loadsJobs(StoreRequest request) {
+        return request instanceof StoreRequest.ReadNewest page
+                && page.partition().topic().equals(JobRecords.JOBS)
+                && page.beforeKey().isEmpty();
+    }
+
+    private static StoreFault refusesResultsAndLoads(HostId host, StoreRequest request) {
+        boolean readsResults = request instanceof StoreRequest.ReadNewest page
+                && page.partition().topic().equals(JobRecords.RESULTS);
+        return readsResults || loadsJobs(request) ? StoreFault.REFUSED : StoreFault.NONE;
+    }
+
     @Test
     void ownerThatRepliedLateOnceIsUsedForLaterReads() {
         HostId reader = readerOfAFinishedJob();
