Hold no reads at a loading daemon for which the store fails

What callers would have seen: while the store is silent for a daemon that loads a partition, the daemons of its region ask it for the partition's jobs, are told that the reads are held, and refuse their callers as nothing follows; the store would have served them.

Cause: the daemon that loads holds a read whatever has become of its reads before.

Change: after a call to the store that has failed it replies that the reader has to read the store itself, until the store serves it again; its own read runs on and finds that out. Records that it has loaded are served as before.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/LoadingReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/LoadingReads.java
@@ -21,7 +21,7 @@
  *
  * <p>A read that cannot be served at once gets a reply that the job is not known yet, and a second one later: the job, or
  * once more that it is not known, if its turn would come too late, or that this daemon is not the owner, if the reader has
- * to read the store itself.
+ * to read the store itself. While the store fails for this daemon, only loaded records are served.
  * Invariant: a job is never reported as missing. Not thread-safe: confined to the daemon's event loop.
  */
 final class LoadingReads {
@@ -47,7 +47,11 @@
         HeldRead read = new HeldRead(readRequest, partition, nowMs + readRequest.waitMs(), callback);
         held.put(reader, read);
         storeReads.read(reader, readRequest, partition, read.deadlineAtMs(), new HeldReadListener(reader), nowMs, out);
-        if (held.containsKey(reader)) {
+        if (held.containsKey(reader) && storeReads.failing()) {
+            held.remove(reader);
+            storeReads.remove(reader, nowMs, out);
+            callback.replied(read.notServed(), nowMs, out);
+        } else if (held.containsKey(reader)) {
             read.hold(nowMs, out);
             out.explain(
                     Subject.Kind.JOB,
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -69,6 +69,7 @@
     };
     private final Lane lane = new Lane(MAX_RUNNING);
     private final Lane loadingLane = new Lane(MAX_RUNNING_WHILE_LOADING);
+    private boolean failing;
     private long started;
     private long cancelled;
     private long refused;
@@ -147,6 +148,7 @@
 
     /** Serves the callers of jobs that have been loaded meanwhile, without reading the results once more. */
     void recordsLoaded(int partition, long nowMs, Effects out) {
+        failing = false;
         for (StoreRead read : List.copyOf(reads.values())) {
             if (reads.get(read.key) == read && read.partition == partition) {
                 useLoadedResults(read, nowMs, out);
@@ -233,6 +235,11 @@
         }
     }
 
+    /** Returns whether the last call to the store has failed, and this daemon has received nothing from it since. */
+    boolean failing() {
+        return failing;
+    }
+
     /** Returns whether the read of a caller runs. */
     boolean runs(RequestId reader) {
         return reads.values().stream().anyMatch(read -> read.running && read.readers.containsKey(reader));
@@ -317,6 +324,7 @@
         read.callNumber = store.call(
                 new StoreRequest.ReadNewest(partition, afterKey, beforeKey),
                 (response, nowMs, effects) -> {
+                    failing = !(response instanceof StoreResponse.Newest);
                     if (response instanceof StoreResponse.Newest page) {
                         listener.received(page, nowMs, effects);
                     } else {
