End the use of a loading daemon once another region loads its partition

What callers would have seen: reads of a region go to a daemon that has lost the partition to a daemon of another region, for up to 6 s.

Cause: what a daemon of another region publishes was ignored, also as evidence that the earlier loading daemon has been fenced off.

Change: a later version ends the use of the earlier one, whatever its region, also if it is this daemon's own.

Evidence: PartitionOwnersTests.daemonThatLoadsInAnotherRegionEndsTheUseOfTheOneBefore failed before (host-b was still returned) and passes.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
@@ -76,12 +76,16 @@
     private void loaderReceived(Fact fact, long nowMs, Effects out) {
         String[] value = fact.value().toStringUtf8().split(SEPARATOR, 2);
         int partition = Integer.parseInt(fact.key().substring(LOADER_FACT.length()));
-        if (value.length < 2 || !value[0].equals(region.value()) || !Names.isName(value[1])) {
+        if (value.length < 2 || !Names.isName(value[1])) {
             return;
         }
         HostId host = new HostId(value[1]);
         Loader current = loaders.get(partition);
-        if (host.equals(self) || current != null && current.version > fact.version()) {
+        if (current != null && current.version > fact.version()) {
+            return;
+        }
+        if (host.equals(self) || !value[0].equals(region.value())) {
+            loaders.remove(partition);
             return;
         }
         boolean late = current != null && current.host.equals(host) && current.late;
