--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
@@ -33,12 +33,6 @@
 
         void jobStarted(long nowMs, Effects out);
 
-        /** A daemon has fenced off the former owners of a partition, and loads its records. */
-        void partitionLoads(int partition, long nowMs, Effects out);
-
-        /** Further records of a partition have been loaded. */
-        void recordsLoaded(int partition, long nowMs, Effects out);
-
         void partitionReady(int partition, long nowMs, Effects out);
 
         void partitionLost(int partition, long higherEpoch, long nowMs, Effects out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobMessage.java
@@ -28,8 +28,7 @@
 
     /**
      * Replies to a read; {@code owner} is false if the host does not own the partition, {@code known} if it does not, or
-     * has not loaded the job as far as the read needs. A daemon that loads the partition for its region replies the latter
-     * while it holds the read, and once more if it cannot serve it in time.
+     * has not loaded the job as far as the read needs.
      */
     record ReadReply(
             CorrelationId id,
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobReads.java
@@ -22,9 +22,7 @@
 
 /**
  * Reads jobs for callers: from the owner of the partition, and from the store as well if the owner is unknown, does not
- * know the job, may not reply or lets the caller wait; the first reply counts. While a daemon of this region loads the
- * partition from the store, it takes the place of the store, so that the link of the region does not transfer the same
- * records for each daemon; the store is read after all if that daemon does not reply.
+ * know the job, may not reply or lets the caller wait; the first reply counts.
  *
  * <p>Invariant: each read gets exactly one reply, before its caller leaves. Not thread-safe: confined to the daemon's
  * event loop.
@@ -37,9 +35,6 @@
     /** How long callers wait beyond the wait that they request, in ms. */
     private static final long CALLER_MARGIN_MS = 1_500;
 
-    /** How long after the requested wait a read that nobody has served is refused: early enough for its caller, in ms. */
-    static final long REFUSAL_MARGIN_MS = CALLER_MARGIN_MS - REPLY_MARGIN_MS;
-
     private static final Refusal NO_REPLY_IN_TIME = StoreReads.refusal("neither has replied in time");
 
     private final JobSettings settings;
@@ -49,7 +44,6 @@
     private final CorrelationId.Sequence ids;
     private final Map<RequestId, OpenRead> open = new LinkedHashMap<>();
     private final Map<CorrelationId, OpenRead> awaitingOwner = new HashMap<>();
-    private final Map<CorrelationId, OpenRead> awaitingLoader = new HashMap<>();
     private long lateReplies;
 
     JobReads(
@@ -133,15 +127,12 @@
     /** Handles the reply of a host that was taken for the owner. */
     void ownerReplied(HostId from, JobMessage.ReadReply reply, long nowMs, Effects out) {
         owners.replied(from);
-        if (awaitingLoader.containsKey(reply.id())) {
-            loaderReplied(awaitingLoader.get(reply.id()), from, reply, nowMs, out);
-            return;
-        }
         OpenRead read = awaitingOwner.remove(reply.id());
         if (read == null) {
             lateReplies++;
             return;
         }
+        JobMessage.ReadRequest readRequest = read.readRequest;
         if (!reply.known()) {
             if (!reply.owner() && !owners.notOwner(read.partition, from, read.askedAtVersion)) {
                 read.moveTo(from, ids.next(), nowMs);
@@ -156,11 +147,6 @@
             readStore(read, from + reason, nowMs, out);
             return;
         }
-        replyKnown(read, reply, nowMs, out);
-    }
-
-    private void replyKnown(OpenRead read, JobMessage.ReadReply reply, long nowMs, Effects out) {
-        JobMessage.ReadRequest readRequest = read.readRequest;
         if (readRequest.bodyOfItem().isPresent()) {
             reply(read, body(reply.body()), nowMs, out);
         } else {
@@ -169,23 +155,6 @@
         }
     }
 
-    /**
-     * Handles the reply of a daemon that loads the partition: its first reply without the job states that the read is
-     * held until the job is loaded, a second one that this would take too long.
-     */
-    private void loaderReplied(OpenRead read, HostId from, JobMessage.ReadReply reply, long nowMs, Effects out) {
-        if (reply.known()) {
-            replyKnown(read, reply, nowMs, out);
-        } else if (reply.owner() && !read.heldByLoader) {
-            read.heldByLoader = true;
-            scheduleTimer(nowMs, out);
-        } else if (reply.owner()) {
-            reply(read, StoreReads.refusal(from + " loads it and would serve it too late"), nowMs, out);
-        } else {
-            readDirectly(read, from + " does not know the job", nowMs, out);
-        }
-    }
-
     private void reply(OpenRead read, CallerReply reply, long nowMs, Effects out) {
         if (remove(read.request, nowMs, out)) {
             out.reply(read.request, reply);
@@ -198,7 +167,6 @@
             return false;
         }
         awaitingOwner.remove(read.readRequest.id());
-        read.loaderRequest.ifPresent(awaitingLoader::remove);
         if (read.readsStore) {
             storeReads.remove(request, nowMs, out);
         }
@@ -220,10 +188,7 @@
             if (nowMs < read.dueAtMs()) {
                 continue;
             }
-            if (read.awaitsLoader() && nowMs < read.refuseAtMs()) {
-                owners.loaderLate(read.partition, read.loader.orElseThrow());
-                readDirectly(read, read.loader.get() + " has not replied in time", nowMs, out);
-            } else if (read.readsStore) {
+            if (read.readsStore) {
                 reply(read, read.storeRefusal.orElse(NO_REPLY_IN_TIME), nowMs, out);
             } else {
                 HostId owner = read.owner.orElseThrow();
@@ -239,50 +204,6 @@
             return;
         }
         read.readsStore = true;
-        if (owners.loader(read.partition, nowMs).isPresent()) {
-            askLoader(read, reason, nowMs, out);
-        } else {
-            readDirectly(read, reason, nowMs, out);
-        }
-    }
-
-    /** Asks the daemon that loads the partition, which reads a job once for all callers of the region. */
-    private void askLoader(OpenRead read, String reason, long nowMs, Effects out) {
-        HostId loader = owners.loader(read.partition, nowMs).orElseThrow();
-        JobMessage.ReadRequest asked = read.rest(ids.next(), nowMs);
-        read.loader = Optional.of(loader);
-        read.loaderRequest = Optional.of(asked.id());
-        read.heldByLoader = false;
-        read.loaderDueAtMs = nowMs + REPLY_MARGIN_MS;
-        awaitingLoader.put(asked.id(), read);
-        out.explain(
-                Subject.Kind.JOB,
-                asked.job(),
-                nowMs,
-                "read from " + loader + ", which loads the partition",
-                "partition " + read.partition + ", from position " + asked.fromPosition() + ": " + reason);
-        owners.sendRead(loader, asked, nowMs, out);
-    }
-
-    /** Asks the daemon that loads a partition for the open reads that wait for the store; those that run go on. */
-    void loaderPublished(int partition, long nowMs, Effects out) {
-        for (OpenRead read : List.copyOf(open.values())) {
-            if (read.partition == partition
-                    && read.readsStore
-                    && !storeReads.runs(read.request)
-                    && !read.loader.equals(owners.loader(partition, nowMs))) {
-                read.loaderRequest.ifPresent(awaitingLoader::remove);
-                storeReads.remove(read.request, nowMs, out);
-                askLoader(read, "it has begun to load", nowMs, out);
-            }
-        }
-        scheduleTimer(nowMs, out);
-    }
-
-    private void readDirectly(OpenRead read, String reason, long nowMs, Effects out) {
-        read.loaderRequest.ifPresent(awaitingLoader::remove);
-        read.loaderRequest = Optional.empty();
-        read.loader = Optional.empty();
         out.explain(
                 Subject.Kind.JOB,
                 read.readRequest.job(),
@@ -336,12 +257,6 @@
          */
         boolean mayNotReply(int partition);
 
-        /** Returns the peer of this region that loads a partition, empty if there is none that replies. */
-        Optional<HostId> loader(int partition, long nowMs);
-
-        /** Records that the daemon that loads a partition did not reply in time. */
-        void loaderLate(int partition, HostId loader);
-
         void sendRead(HostId owner, JobMessage.ReadRequest readRequest, long nowMs, Effects out);
 
         /** Records that the host did not reply in time. */
@@ -370,10 +285,6 @@
         private Optional<HostId> owner;
         private long askedAtVersion;
         private boolean readsStore;
-        private Optional<HostId> loader = Optional.empty();
-        private Optional<CorrelationId> loaderRequest = Optional.empty();
-        private boolean heldByLoader;
-        private long loaderDueAtMs;
         private Optional<Refusal> storeRefusal = Optional.empty();
 
         OpenRead(
@@ -392,12 +303,7 @@
         /** Directs the read to another owner; a reply of the former one is ignored from then on. */
         void moveTo(HostId newOwner, CorrelationId id, long nowMs) {
             owner = Optional.of(newOwner);
-            readRequest = rest(id, nowMs);
-        }
-
-        /** Returns a request for the rest of the wait. */
-        JobMessage.ReadRequest rest(CorrelationId id, long nowMs) {
-            return new JobMessage.ReadRequest(
+            readRequest = new JobMessage.ReadRequest(
                     id,
                     readRequest.job(),
                     readRequest.fromPosition(),
@@ -405,21 +311,14 @@
                     readRequest.bodyOfItem());
         }
 
-        /** Returns whether the daemon that loads the partition has not replied yet. */
-        boolean awaitsLoader() {
-            return loader.isPresent() && !heldByLoader;
-        }
-
         /** Returns when something has to be done unless there is a reply before, in ms. */
         long dueAtMs() {
-            if (awaitsLoader()) {
-                return Math.min(loaderDueAtMs, refuseAtMs());
-            }
             return readsStore ? refuseAtMs() : waitEndsAtMs + REPLY_MARGIN_MS;
         }
 
+        /** Returns when a read that nobody has served is refused, in ms: early enough for its caller to be told. */
         long refuseAtMs() {
-            return waitEndsAtMs + REFUSAL_MARGIN_MS;
+            return waitEndsAtMs + CALLER_MARGIN_MS - REPLY_MARGIN_MS;
         }
     }
 }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -62,7 +62,6 @@
     private final PartitionLeases leases;
     private final JobWrites writes;
     private final JobReads reads;
-    private final LoadingReads loadingReads;
     private final JobContext context;
     private final PartitionOwners owners;
     private final Map<Integer, OwnedPartition> owned = new TreeMap<>();
@@ -89,13 +88,10 @@
         this.store = Objects.requireNonNull(store, "store must not be null");
         this.random = Objects.requireNonNull(random, "random must not be null");
         this.leases = new PartitionLeases(identity.writer(), RENEW, settings, store, this::leasesRenewed);
-        this.owners = new PartitionOwners(
-                identity.host(), identity.location().region(), dissemination, new PublishedOwnersListener());
+        this.owners = new PartitionOwners(identity.host(), dissemination, this::ownerPublished);
         CorrelationId.Sequence ids = new CorrelationId.Sequence(identity);
         this.writes = new JobWrites(settings, store, WRITES, owners, ids);
-        StoreReads storeReads = new StoreReads(store, this::loadedRecords);
-        this.reads = new JobReads(settings, READS, new PeerOwnerClient(), storeReads, ids);
-        this.loadingReads = new LoadingReads(storeReads);
+        this.reads = new JobReads(settings, READS, new PeerOwnerClient(), new StoreReads(store), ids);
         this.context = new JobContext(settings, routes, capacity, writes, new OwnedPartitionsListener());
         routes.subscribe((nowMs, out) -> owned.values().forEach(partition -> partition.tick(nowMs, out)));
     }
@@ -187,7 +183,6 @@
     private void endCommands(Refusal notRun, long nowMs, Effects out) {
         closedWith = Optional.of(notRun);
         owned.values().forEach(partition -> partition.endReads(nowMs, out));
-        owned.keySet().forEach(partition -> loadingReads.abandon(partition, nowMs, out));
         reads.refuseAll(notRun, nowMs, out);
         writes.endAll(notRun, out);
     }
@@ -217,17 +212,7 @@
     }
 
     private void readRequested(HostId from, JobMessage.ReadRequest readRequest, long nowMs, Effects out) {
-        WaitingReads.ReadCallback callback = (reply, atMs, effects) -> effects.send(from, reply);
-        int partition = JobRecords.partitionOf(readRequest.job(), settings.partitions());
-        if (loadedRecords(partition).isPresent() && closedWith.isEmpty()) {
-            loadingReads.read(from, readRequest, partition, callback, nowMs, out);
-        } else {
-            read(readRequest, callback, nowMs, out);
-        }
-    }
-
-    private Optional<LoadedRecords> loadedRecords(int partition) {
-        return Optional.ofNullable(owned.get(partition)).flatMap(OwnedPartition::loadedRecords);
+        read(readRequest, (reply, atMs, effects) -> effects.send(from, reply), nowMs, out);
     }
 
     private void read(JobMessage.ReadRequest readRequest, WaitingReads.ReadCallback callback, long nowMs, Effects out) {
@@ -271,7 +256,6 @@
         owned.remove(partition.number());
         lostEpochs.merge(partition.number(), partition.log().epoch(), Math::max);
         partition.close(nowMs, out);
-        loadingReads.abandon(partition.number(), nowMs, out);
         out.add(new Effect.StateChanged(NAME, "owns partition " + partition.number() + " no longer: " + reason));
     }
 
@@ -341,7 +325,6 @@
         writer.field("staleTimers", staleTimers);
         writer.field("staleReplies", staleReplies);
         reads.dump(writer);
-        loadingReads.dump(writer);
         writer.table("partitions", "partition", "ready", "epoch", "jobs", "runningItems");
         for (OwnedPartition partition : owned.values()) {
             writer.row(
@@ -373,20 +356,9 @@
             scheduleTick(nowMs, out);
         }
 
-        @Override
-        public void partitionLoads(int partition, long nowMs, Effects out) {
-            owners.publishLoading(owned.get(partition), nowMs, out);
-        }
-
-        @Override
-        public void recordsLoaded(int partition, long nowMs, Effects out) {
-            loadingReads.recordsLoaded(partition, nowMs, out);
-        }
-
         @Override
         public void partitionReady(int partition, long nowMs, Effects out) {
             owners.publish(owned.get(partition), nowMs, out);
-            loadingReads.opened(owned.get(partition), nowMs, out);
             reads.ownerChanged(partition, identity.host(), nowMs, out);
             scheduleTick(nowMs, out);
         }
@@ -401,22 +373,6 @@
         }
     }
 
-    /** Reacts to what peers publish. */
-    private final class PublishedOwnersListener implements PartitionOwners.Listener {
-
-        @Override
-        public void ownerPublished(int partition, HostId owner, long version, long nowMs, Effects out) {
-            JobStateMachine.this.ownerPublished(partition, owner, version, nowMs, out);
-        }
-
-        @Override
-        public void loaderPublished(int partition, long nowMs, Effects out) {
-            if (loadedRecords(partition).isEmpty()) {
-                reads.loaderPublished(partition, nowMs, out);
-            }
-        }
-    }
-
     /** Sends reads to owners as peer messages, or handles them directly if this daemon is the owner. */
     private final class PeerOwnerClient implements JobReads.OwnerClient {
 
@@ -447,16 +403,6 @@
             return !ownsLoaded(partition) && (owned.containsKey(partition) || owners.isLate(partition));
         }
 
-        @Override
-        public Optional<HostId> loader(int partition, long nowMs) {
-            return loadedRecords(partition).isPresent() ? Optional.empty() : owners.loaderOf(partition, nowMs);
-        }
-
-        @Override
-        public void loaderLate(int partition, HostId loader) {
-            owners.loaderLate(partition, loader);
-        }
-
         @Override
         public void late(int partition, HostId owner) {
             owners.late(partition, owner);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -75,8 +75,6 @@
     private final Map<JobId, Long> dropsDueAtMs = new HashMap<>();
     private final Map<Long, RunningItem> running = new HashMap<>();
     private final WaitingReads reads = new WaitingReads();
-    private final LoadedRecords loaded = new LoadedRecords();
-    private boolean loading;
     private boolean ready;
     private boolean closed;
     private boolean suspended;
@@ -157,32 +155,9 @@
         return running.size();
     }
 
-    @Override
-    public void fencedOff(long nowMs, Effects out) {
-        loading = true;
-        stateChanged("loads partition " + number + " under epoch " + log.epoch(), out);
-        context.listener().partitionLoads(number, nowMs, out);
-    }
-
     @Override
     public void loaded(StoreResponse.StoredRecord record) {
         stored.loaded(record);
-        loaded.add(record);
-    }
-
-    @Override
-    public void pageLoaded(long nowMs, Effects out) {
-        context.listener().recordsLoaded(number, nowMs, out);
-    }
-
-    /** Returns the records that have been loaded, empty unless the partition is loading. */
-    Optional<LoadedRecords> loadedRecords() {
-        return loading ? Optional.of(loaded) : Optional.empty();
-    }
-
-    private void endLoading() {
-        loading = false;
-        loaded.clear();
     }
 
     @Override
@@ -279,7 +254,6 @@
     public void caughtUp(long nowMs, Effects out) {
         if (!ready && !closed) {
             ready = true;
-            endLoading();
             stateChanged(
                     "owns partition " + number + " under epoch " + log.epoch() + ", " + jobs.size() + " jobs, "
                             + (nowMs - assignedAtMs) + " ms after its assignment",
@@ -595,7 +569,6 @@
     void close(long nowMs, Effects out) {
         closed = true;
         ready = false;
-        endLoading();
         log.close();
         jobsFollower.stop();
         out.add(new Effect.Unschedule(logTimer));
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/PartitionOwners.java
@@ -13,50 +13,35 @@
 import org.cornelcrank.core.Fact;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Names;
-import org.cornelcrank.core.RegionId;
 
 /**
- * Tracks the published owners of partitions and the daemons of this region that load one, and publishes which partitions
- * this daemon owns or loads.
+ * Tracks the published owners of partitions, and publishes which partitions this daemon owns.
  *
  * <p>Ownership is published under the owner's epoch, so that a later owner wins. It is only a hint: the store decides
- * who owns a partition. That a daemon loads a partition is published under the epoch as well, and holds until an owner
- * with a later one is published. A host that has not replied in time stays the owner, as silence says nothing about ownership.
+ * who owns a partition. A host that has not replied in time stays the owner, as silence says nothing about ownership.
  * Not thread-safe: confined to the daemon's event loop.
  */
 final class PartitionOwners {
 
     private static final String OWNER_FACT = "owner/";
-    private static final String LOADER_FACT = "loads/";
-    private static final String SEPARATOR = "/";
 
     /** How long published ownership is valid, in ms; it is published again after a third of this time. */
     private static final long FACT_LIFETIME_MS = 60_000;
 
-    /** How long it is valid that a daemon loads a partition, in ms; it is published again after a third of this time. */
-    private static final long LOADER_FACT_LIFETIME_MS = 6_000;
-
     private final HostId self;
-    private final RegionId region;
     private final Dissemination dissemination;
     private final Listener listener;
     private final Map<Integer, Owner> owners = new HashMap<>();
-    private final Map<Integer, Loader> loaders = new HashMap<>();
     private long lastOrder;
 
-    PartitionOwners(HostId self, RegionId region, Dissemination dissemination, Listener listener) {
+    PartitionOwners(HostId self, Dissemination dissemination, Listener listener) {
         this.self = Objects.requireNonNull(self, "self must not be null");
-        this.region = Objects.requireNonNull(region, "region must not be null");
         this.dissemination = Objects.requireNonNull(dissemination, "dissemination must not be null");
         this.listener = Objects.requireNonNull(listener, "listener must not be null");
         dissemination.subscribe(JobStateMachine.NAME, this::factReceived);
     }
 
     private void factReceived(Fact fact, long nowMs, Effects out) {
-        if (fact.key().startsWith(LOADER_FACT)) {
-            loaderReceived(fact, nowMs, out);
-            return;
-        }
         String host = fact.value().toStringUtf8();
         if (!fact.key().startsWith(OWNER_FACT) || !Names.isName(host)) {
             return;
@@ -73,53 +58,6 @@
         }
     }
 
-    private void loaderReceived(Fact fact, long nowMs, Effects out) {
-        String[] value = fact.value().toStringUtf8().split(SEPARATOR, 2);
-        int partition = Integer.parseInt(fact.key().substring(LOADER_FACT.length()));
-        if (value.length < 2 || !Names.isName(value[1])) {
-            return;
-        }
-        HostId host = new HostId(value[1]);
-        Loader current = loaders.get(partition);
-        if (current != null && current.version > fact.version()) {
-            return;
-        }
-        if (host.equals(self) || !value[0].equals(region.value())) {
-            loaders.remove(partition);
-            return;
-        }
-        boolean late = current != null && current.host.equals(host) && current.late;
-        loaders.put(partition, new Loader(host, fact.version(), nowMs + fact.lifetimeMs(), late));
-        if (loaderOf(partition, nowMs).isPresent()) {
-            listener.loaderPublished(partition, nowMs, out);
-        }
-    }
-
-    /** Returns the peer of this region that loads a partition and may reply, empty if there is none. */
-    Optional<HostId> loaderOf(int partition, long nowMs) {
-        return Optional.ofNullable(loaders.get(partition))
-                .filter(loader -> !loader.late && nowMs < loader.validUntilMs && loader.version > version(partition))
-                .map(Loader::host);
-    }
-
-    /** Records that a daemon that loads a partition did not reply in time, which holds until it replies. */
-    void loaderLate(int partition, HostId host) {
-        loaders.computeIfPresent(partition, (number, loader) -> loader.host.equals(host) ? loader.late(true) : loader);
-    }
-
-    /** Publishes that this daemon loads a partition, so that its region reads the partition's jobs through it. */
-    void publishLoading(OwnedPartition partition, long nowMs, Effects out) {
-        partition.ownershipPublishedAtMs(nowMs);
-        Fact fact = new Fact(
-                JobStateMachine.NAME,
-                LOADER_FACT + partition.number(),
-                partition.version(),
-                ByteString.copyFromUtf8(region.value() + SEPARATOR + self.value()),
-                LOADER_FACT_LIFETIME_MS,
-                Fact.Scope.EVERYWHERE);
-        dissemination.publish(fact, nowMs, out);
-    }
-
     /** Publishes that this daemon owns a partition. */
     void publish(OwnedPartition partition, long nowMs, Effects out) {
         partition.ownershipPublishedAtMs(nowMs);
@@ -138,9 +76,6 @@
         for (OwnedPartition partition : owned) {
             if (partition.ready() && nowMs - partition.ownershipPublishedAtMs() > FACT_LIFETIME_MS / 3) {
                 publish(partition, nowMs, out);
-            } else if (partition.loadedRecords().isPresent()
-                    && nowMs - partition.ownershipPublishedAtMs() > LOADER_FACT_LIFETIME_MS / 3) {
-                publishLoading(partition, nowMs, out);
             }
         }
     }
@@ -191,7 +126,6 @@
 
     /** Records that a daemon has replied, late or not, so that it is waited for again. */
     void replied(HostId host) {
-        loaders.replaceAll((partition, loader) -> loader.host.equals(host) ? loader.late(false) : loader);
         owners.replaceAll((partition, owner) ->
                 owner.host.equals(host) && owner.lastReply == Reply.LATE ? owner.withLastReply(Reply.IN_TIME) : owner);
     }
@@ -214,9 +148,6 @@
 
         /** A peer has published that it owns a partition. */
         void ownerPublished(int partition, HostId owner, long version, long nowMs, Effects out);
-
-        /** A peer of this region has published that it loads a partition. */
-        void loaderPublished(int partition, long nowMs, Effects out);
     }
 
     /** The last reply of an owner. */
@@ -226,13 +157,6 @@
         NOT_OWNER
     }
 
-    private record Loader(HostId host, long version, long validUntilMs, boolean late) {
-
-        Loader late(boolean isLate) {
-            return new Loader(host, version, validUntilMs, isLate);
-        }
-    }
-
     private record Owner(HostId host, long version, long order, Reply lastReply) {
 
         Owner withLastReply(Reply reply) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/ResultLog.java
@@ -115,7 +115,6 @@
                     if (response instanceof StoreResponse.Appended) {
                         state = State.LOADING;
                         backoff.reset();
-                        listener.fencedOff(nowMs, effects);
                         load("", effects);
                     } else if (response instanceof StoreResponse.Fenced fenced) {
                         epochRefused(fenced.epoch(), nowMs, effects);
@@ -153,7 +152,6 @@
                         return;
                     }
                     page.records().forEach(listener::loaded);
-                    listener.pageLoaded(nowMs, effects);
                     if (page.more() && !page.records().isEmpty()) {
                         load(page.records().get(page.records().size() - 1).key(), effects);
                         return;
@@ -280,12 +278,6 @@
     /** Receives the stored records, and is notified of the gain and the loss of ownership. */
     interface Listener {
 
-        /** Former owners write nothing from now on; the records follow. */
-        void fencedOff(long nowMs, Effects out);
-
-        /** All records of a page have been passed to {@link #loaded}. */
-        void pageLoaded(long nowMs, Effects out);
-
         /** Receives a stored record; called in the order of keys, before {@link #opened}. */
         void loaded(StoreResponse.StoredRecord record);
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -29,20 +29,15 @@
  *
  * <p>All hosts of a region share a link to the store, so a read takes only the records of its job, serves all callers
  * that ask for the same, and ends with the last of them. Reads that cannot start yet wait in the order of their
- * deadlines; one that would have to wait and not be done by its deadline is refused at once. A read of a partition that
- * this daemon loads for its region is served from the loaded records as soon as they have its job; once it runs, it goes
- * on without callers, who come back and are served from its results. Invariants: each reader gets exactly one reply
- * unless it is removed; a job is reported as missing only after a read from the store that began later than the question
- * and did not find it. Not thread-safe: confined to the daemon's event loop.
+ * deadlines; one that would have to wait and not be done by its deadline is refused at once. Invariants: each reader
+ * gets exactly one reply unless it is removed; a job is reported as missing only after a read from the store that began
+ * later than the question and did not find it. Not thread-safe: confined to the daemon's event loop.
  */
 final class StoreReads {
 
     /** The limit of concurrent reads, which together share the daemon's part of the link to the store. */
     private static final int MAX_RUNNING = 2;
 
-    /** The limit of concurrent reads of partitions that this daemon loads, each of which serves the region. */
-    private static final int MAX_RUNNING_WHILE_LOADING = 4;
-
     /** The number of jobs whose item count is cached, which saves reading it from the store. */
     private static final int MAX_CACHED_ITEM_COUNTS = 4_096;
 
@@ -56,7 +51,6 @@
     private static final double DURATION_WEIGHT = 0.3;
 
     private final StoreCalls store;
-    private final LoadingPartitions loading;
     private final Map<Key, StoreRead> reads = new LinkedHashMap<>();
     private final Map<JobId, Integer> itemCounts = new LinkedHashMap<>(16, 0.75f, true) {
 
@@ -67,16 +61,13 @@
             return size() > MAX_CACHED_ITEM_COUNTS;
         }
     };
-    private final Lane lane = new Lane(MAX_RUNNING);
-    private final Lane loadingLane = new Lane(MAX_RUNNING_WHILE_LOADING);
-    private boolean failing;
+    private double expectedDurationMs = INITIAL_DURATION_MS;
     private long started;
     private long cancelled;
     private long refused;
 
-    StoreReads(StoreCalls store, LoadingPartitions loading) {
+    StoreReads(StoreCalls store) {
         this.store = Objects.requireNonNull(store, "store must not be null");
-        this.loading = Objects.requireNonNull(loading, "loading must not be null");
     }
 
     /** Records the number of items of a job. */
@@ -98,113 +89,22 @@
             long nowMs,
             Effects out) {
         Key key = new Key(readRequest.job(), readRequest.fromPosition(), readRequest.bodyOfItem());
-        Optional<JobPage> loaded = loadedPage(key, partition);
-        if (loaded.isPresent()) {
-            out.explain(
-                    Subject.Kind.JOB,
-                    key.job(),
-                    nowMs,
-                    "read from the loaded records",
-                    "partition " + partition + ", from position " + key.fromPosition());
-            listener.ended(loaded.get(), nowMs, out);
-            return;
-        }
         StoreRead read = reads.get(key);
         if (read == null) {
-            Lane of = lane(partition);
-            if (openReads(of) >= of.maxRunning && expectedEndMs(of, nowMs) > deadlineAtMs) {
+            if (reads.size() >= MAX_RUNNING && expectedEndMs(nowMs) > deadlineAtMs) {
                 refused++;
-                listener.tooLate(refusal("the reads before it would not leave it enough time"), nowMs, out);
+                listener.ended(refusal("the reads before it would not leave it enough time"), nowMs, out);
                 return;
             }
             read = new StoreRead(key, partition);
             reads.put(key, read);
         }
         read.readers.put(reader, new Reader(deadlineAtMs, listener, read.running));
-        useLoadedResults(read, nowMs, out);
-        startNext(nowMs, out);
-    }
-
-    /** Returns whether this daemon loads the partition, so that its running reads do not end with their callers. */
-    private boolean loads(int partition) {
-        return loading.loadedRecords(partition).isPresent();
-    }
-
-    private Optional<JobPage> loadedPage(Key key, int partition) {
-        List<ListedResult> results = loadedResults(key, partition);
-        Optional<Integer> items = Optional.ofNullable(itemCounts.get(key.job()));
-        return results.isEmpty()
-                ? Optional.empty()
-                : items.map(count -> new JobPage(count, key.fromPosition(), results));
-    }
-
-    /** Returns the results that this daemon has loaded already, empty if there are none or a body is asked for. */
-    private List<ListedResult> loadedResults(Key key, int partition) {
-        return loading.loadedRecords(partition)
-                .filter(records -> key.bodyOfItem().isEmpty())
-                .map(records -> results(key, records.results(key.job(), key.fromPosition())))
-                .orElse(List.of());
-    }
-
-    /** Serves the callers of jobs that have been loaded meanwhile, without reading the results once more. */
-    void recordsLoaded(int partition, long nowMs, Effects out) {
-        failing = false;
-        for (StoreRead read : List.copyOf(reads.values())) {
-            if (reads.get(read.key) == read && read.partition == partition) {
-                useLoadedResults(read, nowMs, out);
-            }
-        }
         startNext(nowMs, out);
     }
 
-    /** Reads only the item count of a job whose results have been loaded. */
-    private void useLoadedResults(StoreRead read, long nowMs, Effects out) {
-        List<ListedResult> results = read.resultsLoaded ? List.of() : loadedResults(read.key, read.partition);
-        if (results.isEmpty()) {
-            return;
-        }
-        if (read.running) {
-            store.cancel(read.callNumber, out);
-        } else {
-            begin(read, nowMs);
-        }
-        readItemCount(read, results, nowMs, out);
-    }
-
-    /** Ends the reads without callers of a partition that this daemon does not load any more. */
-    void loadEnded(int partition, long nowMs, Effects out) {
-        for (StoreRead read : List.copyOf(reads.values())) {
-            if (read.partition == partition && read.readers.isEmpty()) {
-                reads.remove(read.key);
-                cancelled++;
-                store.cancel(read.callNumber, out);
-            }
-        }
-        startNext(nowMs, out);
-    }
-
-    private Lane lane(int partition) {
-        return loads(partition) ? loadingLane : lane;
-    }
-
-    private double expectedEndMs(Lane of, long nowMs) {
-        return nowMs + (1 + (double) openReads(of) / of.maxRunning) * expectedDurationMs(of, nowMs);
-    }
-
-    /** Returns how long a read will take; one that runs while this daemon loads shows it before it has ended. */
-    private double expectedDurationMs(Lane of, long nowMs) {
-        long longestMs = reads.values().stream()
-                .filter(read -> of == loadingLane && read.running && !read.resultsLoaded && loads(read.partition))
-                .mapToLong(read -> nowMs - read.startedAtMs)
-                .max()
-                .orElse(0);
-        return Math.max(of.expectedDurationMs, longestMs);
-    }
-
-    private long openReads(Lane of) {
-        return reads.values().stream()
-                .filter(read -> lane(read.partition) == of)
-                .count();
+    private double expectedEndMs(long nowMs) {
+        return nowMs + (1 + (double) reads.size() / MAX_RUNNING) * expectedDurationMs;
     }
 
     static Refusal refusal(String reason) {
@@ -218,14 +118,12 @@
     void remove(RequestId reader, long nowMs, Effects out) {
         boolean removed = false;
         for (StoreRead read : List.copyOf(reads.values())) {
-            if (read.readers.remove(reader) != null
-                    && read.readers.isEmpty()
-                    && !(read.running && loads(read.partition))) {
+            if (read.readers.remove(reader) != null && read.readers.isEmpty()) {
                 removed = true;
                 reads.remove(read.key);
                 if (read.running) {
                     cancelled++;
-                    lane(read.partition).tookAtLeast(nowMs - read.startedAtMs);
+                    tookAtLeast(nowMs - read.startedAtMs);
                     store.cancel(read.callNumber, out);
                 }
             }
@@ -235,66 +133,50 @@
         }
     }
 
-    /** Returns whether the last call to the store has failed, and this daemon has received nothing from it since. */
-    boolean failing() {
-        return failing;
+    /** Records how long a read has run that was cancelled; one that was served sooner says nothing. */
+    private void tookAtLeast(long durationMs) {
+        if (durationMs > expectedDurationMs) {
+            took(durationMs);
+        }
     }
 
-    /** Returns whether the read of a caller runs. */
-    boolean runs(RequestId reader) {
-        return reads.values().stream().anyMatch(read -> read.running && read.readers.containsKey(reader));
+    private void took(long durationMs) {
+        expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
     }
 
     private void startNext(long nowMs, Effects out) {
-        startNext(lane, nowMs, out);
-        startNext(loadingLane, nowMs, out);
-    }
-
-    private void startNext(Lane of, long nowMs, Effects out) {
-        while (running(of) < of.maxRunning) {
-            List<StoreRead> waiting = reads.values().stream()
-                    .filter(read -> !read.running && lane(read.partition) == of)
-                    .sorted(Comparator.comparing(StoreRead::deadlineAtMs))
-                    .toList();
-            if (waiting.isEmpty()) {
+        while (reads.values().stream().filter(read -> read.running).count() < MAX_RUNNING) {
+            Optional<StoreRead> next = reads.values().stream()
+                    .filter(read -> !read.running)
+                    .min(Comparator.comparing(StoreRead::deadlineAtMs));
+            if (next.isEmpty()) {
                 return;
             }
-            StoreRead next = waiting.get(0);
-            if (waiting.size() == 1 || nowMs + of.expectedDurationMs <= next.deadlineAtMs()) {
-                start(next, nowMs, out);
+            boolean othersWait = reads.values().stream().anyMatch(read -> !read.running && read != next.get());
+            if (!othersWait || nowMs + expectedDurationMs <= next.get().deadlineAtMs()) {
+                start(next.get(), nowMs, out);
             } else {
-                refuseLate(next, of, nowMs, out);
+                refuseLate(next.get(), nowMs, out);
             }
         }
     }
 
-    private long running(Lane of) {
-        return reads.values().stream()
-                .filter(read -> read.running && !read.resultsLoaded && lane(read.partition) == of)
-                .count();
-    }
-
     /** Refuses the callers of a waiting read that would end after their deadlines. */
-    private void refuseLate(StoreRead read, Lane of, long nowMs, Effects out) {
+    private void refuseLate(StoreRead read, long nowMs, Effects out) {
         Map<RequestId, Reader> late = new LinkedHashMap<>(read.readers);
-        late.values().removeIf(reader -> nowMs + of.expectedDurationMs <= reader.deadlineAtMs());
+        late.values().removeIf(reader -> nowMs + expectedDurationMs <= reader.deadlineAtMs());
         read.readers.keySet().removeAll(late.keySet());
         if (read.readers.isEmpty()) {
             reads.remove(read.key);
         }
         refused += late.size();
-        late.values().forEach(reader -> reader.listener().tooLate(refusal("its turn came too late"), nowMs, out));
+        late.values().forEach(reader -> reader.listener().ended(refusal("its turn came too late"), nowMs, out));
     }
 
-    private void begin(StoreRead read, long nowMs) {
+    private void start(StoreRead read, long nowMs, Effects out) {
         started++;
         read.running = true;
         read.startedAtMs = nowMs;
-        read.startedWhileLoading = loads(read.partition);
-    }
-
-    private void start(StoreRead read, long nowMs, Effects out) {
-        begin(read, nowMs);
         JobId job = read.key.job();
         if (read.key.bodyOfItem().isPresent()) {
             readParts(read, JobRecords.prefix(job), new TreeMap<>(), out);
@@ -305,12 +187,7 @@
                 JobRecords.results(read.partition),
                 JobRecords.keyBefore(job, read.key.fromPosition()),
                 JobRecords.keyAfterResults(job),
-                (page, atMs, effects) -> {
-                    loading.loadedRecords(read.partition)
-                            .filter(records -> read.startedWhileLoading)
-                            .ifPresent(records -> page.records().forEach(records::add));
-                    readItemCount(read, results(read.key, page.records()), atMs, effects);
-                },
+                (page, atMs, effects) -> readItemCount(read, results(read.key, page), atMs, effects),
                 out);
     }
 
@@ -324,7 +201,6 @@
         read.callNumber = store.call(
                 new StoreRequest.ReadNewest(partition, afterKey, beforeKey),
                 (response, nowMs, effects) -> {
-                    failing = !(response instanceof StoreResponse.Newest);
                     if (response instanceof StoreResponse.Newest page) {
                         listener.received(page, nowMs, effects);
                     } else {
@@ -334,10 +210,10 @@
                 out);
     }
 
-    private static List<ListedResult> results(Key key, List<StoreResponse.StoredRecord> records) {
+    private static List<ListedResult> results(Key key, StoreResponse.Newest page) {
         List<ListedResult> results = new ArrayList<>();
         int bytes = 0;
-        for (StoreResponse.StoredRecord record : records) {
+        for (StoreResponse.StoredRecord record : page.records()) {
             boolean next = record.key().equals(JobRecords.resultKey(key.job(), key.fromPosition() + results.size()));
             Optional<JobRecords.StoredResult> result = next ? JobRecords.result(record) : Optional.empty();
             if (result.isEmpty()) {
@@ -358,7 +234,6 @@
             endWithPage(read, cached, results, nowMs, out);
             return;
         }
-        read.resultsLoaded = loads(read.partition);
         String prefix = JobRecords.prefix(read.key.job());
         call(
                 read,
@@ -442,9 +317,7 @@
     private void end(StoreRead read, CallerReply reply, String outcome, long nowMs, Effects out) {
         reads.remove(read.key);
         long durationMs = nowMs - read.startedAtMs;
-        if (!read.resultsLoaded) {
-            lane(read.partition).took(durationMs);
-        }
+        took(durationMs);
         out.explain(
                 Subject.Kind.JOB,
                 read.key.job(),
@@ -481,21 +354,9 @@
         writer.field("refusedStoreReads", refused);
     }
 
-    /** Tells which partitions this daemon loads. */
-    interface LoadingPartitions {
-
-        /** Returns what has been loaded of a partition, empty unless this daemon loads it. */
-        Optional<LoadedRecords> loadedRecords(int partition);
-    }
-
     /** Receives the reply to a read. */
     interface Listener {
         void ended(CallerReply reply, long nowMs, Effects out);
-
-        /** The read would not end before the reader's deadline, because of the reads before it. */
-        default void tooLate(Refusal refusal, long nowMs, Effects out) {
-            ended(refusal, nowMs, out);
-        }
     }
 
     /** Receives a page of records. */
@@ -508,28 +369,6 @@
     /** A caller; {@code joined} is true if the read already ran when it asked. */
     private record Reader(long deadlineAtMs, Listener listener, boolean joined) {}
 
-    /** The reads that share a limit, and how long one of them is expected to take. */
-    private static final class Lane {
-
-        private final int maxRunning;
-        private double expectedDurationMs = INITIAL_DURATION_MS;
-
-        Lane(int maxRunning) {
-            this.maxRunning = maxRunning;
-        }
-
-        /** Records how long a read has run that was cancelled; one that was served sooner says nothing. */
-        void tookAtLeast(long durationMs) {
-            if (durationMs > expectedDurationMs) {
-                took(durationMs);
-            }
-        }
-
-        void took(long durationMs) {
-            expectedDurationMs += DURATION_WEIGHT * (durationMs - expectedDurationMs);
-        }
-    }
-
     /** A read that waits or runs, with the callers that it serves. */
     private static final class StoreRead {
 
@@ -537,8 +376,6 @@
         private final int partition;
         private final Map<RequestId, Reader> readers = new LinkedHashMap<>();
         private boolean running;
-        private boolean startedWhileLoading;
-        private boolean resultsLoaded;
         private long startedAtMs;
         private long callNumber;
 
