Count the attempts that are left when a silent target is judged

What callers would have seen: a stream that ends in its middle as its target is silent and its daemon believes that it has lost its way, if the request has runs left but no attempt.

Cause: the last run was told from the runs alone, while a request may also use up its attempts by those that have not run.

Change: both rules are the one that decides whether a failed request is given up.

Evidence: RetryPolicyTests.attemptAfterWhichAllAttemptsAreUsedUpIsTheLast failed before and passes. CallReceiver.waitsForTarget counts runs only, too: by reading, it lets the router decide then, which finds no further attempt.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RetryPolicy.java
@@ -17,7 +17,7 @@
     private static final int HTTP_GONE = 410;
 
     /** How many attempts a request may make in addition to its permitted runs, since targets may refuse to run it. */
-    private static final int MAX_NOT_RUN_ATTEMPTS = 3;
+    static final int MAX_NOT_RUN_ATTEMPTS = 3;
 
     private static final Set<FailureKind> FINAL =
             EnumSet.of(FailureKind.REJECTED, FailureKind.CANCELLED, FailureKind.ANSWER_TOO_LARGE);
@@ -59,16 +59,19 @@
 
     /** Returns whether the request has used up its attempts, or its runs if these are limited. */
     private boolean exhausted(Route route) {
+        return exhausted(route, route.runs);
+    }
+
+    private boolean exhausted(Route route, int runs) {
         int maxRuns = route.request.options().maxRuns();
         return maxRuns > 0
-                ? route.runs >= maxRuns || route.attempts >= maxRuns + MAX_NOT_RUN_ATTEMPTS
+                ? runs >= maxRuns || route.attempts >= maxRuns + MAX_NOT_RUN_ATTEMPTS
                 : route.attempts >= maxAttempts;
     }
 
-    /** Returns whether the running attempt is the last that may run the request. */
+    /** Returns whether no attempt may follow the running one if it runs the request. */
     boolean isLastRun(Route route) {
-        int maxRuns = route.request.options().maxRuns();
-        return maxRuns > 0 ? route.runs + 1 >= maxRuns : route.attempts >= maxAttempts;
+        return exhausted(route, route.runs + 1);
     }
 
     /** The next step of a request after a failed attempt. */
