Keep an attempt to connect if the peer's connection is closed already

What callers would have seen: messages to a peer that are lost, replies to reads among them, and none sent for 200 ms.

Cause: a connection of the peer on which a message had arrived was used although it had been closed meanwhile, and the own attempt given up for it.

Change: a closed connection is not used.

Evidence: PeerConnectionTests.attemptGoesOnIfTheConnectionOfThePeerIsClosedAlready failed before (no message sent, it counted as dropped) and passes.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerConnection.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/peer/PeerConnection.java
@@ -90,7 +90,8 @@
      */
     synchronized void onAccepted(Channel channel, long incarnation, long hello) {
         boolean ownIsOpen = own != null && own == ready && own.isActive();
-        if (ownIsOpen || incarnation < newestIncarnation || hello < helloOfAccepted) {
+        boolean outdated = incarnation < newestIncarnation || hello < helloOfAccepted;
+        if (ownIsOpen || outdated || !channel.isActive()) {
             return;
         }
         closeOwn();
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerConnectionTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/peer/PeerConnectionTests.java
@@ -94,6 +94,20 @@
         assertThat(channel.isActive()).isFalse();
     }
 
+    /** Guards against queued messages that are dropped for a connection which the peer has closed already. */
+    @Test
+    void attemptGoesOnIfTheConnectionOfThePeerIsClosedAlready() {
+        PeerConnection connection = new PeerConnection(this::connect, dropped);
+        connection.send(message(1), ADDRESS, 0);
+        long hello = connection.onHello(1);
+        accepted.close();
+        connection.onAccepted(accepted, 1, hello);
+        attempts.get(0).accept(channel);
+        link.release();
+        assertThat(channel.outboundMessages()).hasSize(1);
+        assertThat(dropped.getCount()).isZero();
+    }
+
     @Test
     void openConnectionIsKeptWhenThePeerOpensOne() {
         PeerConnection connection = connected();
