Respond to requests whose unused body does not arrive

What callers would have seen: no response to a request on a dropped route whose body does not arrive, or comes only when it is asked for.

Cause: nothing limited the wait, and reading the body asks the caller for it.

Change: the response waits 1 s at most, and not at all if the caller expects to be asked for the body, as that one sends nothing more.

Evidence: ConfigurationChangeEndToEndTests.requestOnADroppedRouteIsRefusedBeforeItsBodyArrives failed before (read timed out after 30 s), callerThatWaitsToBeAskedForItsBodyIsRefusedWithoutIt too (it was asked for the body). Both pass, as does connectionIsReadAfterAPipelinedRequestOnADroppedRoute.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -35,6 +35,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -66,6 +67,9 @@
     /** The retry delay for callers whose bodies this daemon cannot hold, in ms. */
     private static final long BODIES_RETRY_MS = 1_000;
 
+    /** How long a response that does not depend on the body of its request waits for it, in ms. */
+    private static final long UNUSED_BODY_TIMEOUT_MS = 1_000;
+
     private static final Refusal NO_ROUTES =
             Refusal.notRun(RefusalCode.NOT_READY, "no routes are known yet", NOT_READY_RETRY_MS);
 
@@ -79,6 +83,7 @@
     private final ReadinessGate gate;
     private final RequestGate requests;
     private final MemoryLimit<Object> bodyMemory;
+    private final Scheduler scheduler;
     private final MetricRegistry metrics;
     private final ChannelGroup connections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE, true);
 
@@ -94,6 +99,7 @@
         this.dialect = Objects.requireNonNull(dialect, "dialect must not be null");
         this.gate = Objects.requireNonNull(gate, "gate must not be null");
         this.settings = gate.settings();
+        this.scheduler = gate.scheduler();
         this.jobs = Objects.requireNonNull(jobs, "jobs must not be null");
         this.requests = Objects.requireNonNull(requests, "requests must not be null");
         this.bodyMemory = Objects.requireNonNull(bodyMemory, "bodyMemory must not be null");
@@ -185,8 +191,18 @@
                 RequestBody::close);
     }
 
+    /**
+     * Responds once the body of a request that does not need it has been read, or at the time limit; at once if the caller
+     * waits to be asked for the body.
+     */
     private Mono<Void> afterBody(HttpServerRequest request, Supplier<Mono<Void>> response) {
-        return requests.discardBody(request).then(Mono.defer(response));
+        Mono<Void> reply = Mono.defer(response);
+        if (request.requestHeaders().contains(HttpHeaderNames.EXPECT)) {
+            return reply;
+        }
+        return requests.discardBody(request)
+                .takeUntilOther(Mono.delay(Duration.ofMillis(UNUSED_BODY_TIMEOUT_MS), scheduler))
+                .then(reply);
     }
 
     private Mono<Void> readAndAccept(
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/ReadinessGate.java
@@ -35,6 +35,11 @@
         return settings;
     }
 
+    /** Returns the scheduler of the event loop. */
+    Scheduler scheduler() {
+        return scheduler;
+    }
+
     /** Waits for the routes; emits false if they are not loaded within the timeout. */
     Mono<Boolean> awaitRoutes() {
         return routesLoaded.asMono().timeout(Duration.ofMillis(TIMEOUT_MS), Mono.just(false), scheduler);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/ConfigurationChangeEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/ConfigurationChangeEndToEndTests.java
@@ -127,9 +127,32 @@
         }
     }
 
+    /** Guards against refused requests without any response, as their body comes late. */
+    @Test
+    void requestOnADroppedRouteIsRefusedBeforeItsBodyArrives() throws Exception {
+        try (KeptConnection connection = new KeptConnection(fleet.connect(0))) {
+            connection.send(head("dropped", "late", ""));
+            assertThat(connection.read().status()).isEqualTo(404);
+            connection.send("x" + request("idem", "next"));
+            assertThat(connection.read().status()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void callerThatWaitsToBeAskedForItsBodyIsRefusedWithoutIt() throws Exception {
+        try (KeptConnection connection = new KeptConnection(fleet.connect(0))) {
+            connection.send(head("dropped", "asks", "Expect: 100-continue\r\n"));
+            assertThat(connection.read().status()).isEqualTo(404);
+        }
+    }
+
     private static String request(String route, String id) {
-        return "POST /" + route + "/1 HTTP/1.1\r\nHost: " + GatewayFleet.HOST + "\r\nRequest-Id: " + id
-                + "\r\nContent-Length: 1\r\n\r\nx";
+        return head(route, id, "") + "x";
+    }
+
+    private static String head(String route, String id, String fields) {
+        return "POST /" + route + "/1 HTTP/1.1\r\nHost: " + GatewayFleet.HOST + "\r\nRequest-Id: " + id + "\r\n"
+                + fields + "Content-Length: 1\r\n\r\n";
     }
 
     /** Guards against streams that are cut because their route was dropped before they had to be resumed. */
