--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -802,16 +802,18 @@
         if (route == null || route.phase != Route.Phase.RUNNING) {
             return;
         }
-        boolean leaves = !retryBudget.exhausted()
-                && route.team(context.settings())
-                        .filter(team -> choice.exists(route.request, team, route.resumableElsewhere(), nowMs))
-                        .isPresent();
+        boolean affordable = !retryBudget.exhausted();
+        boolean elsewhere = route.team(context.settings())
+                .filter(team -> choice.exists(route.request, team, route.resumableElsewhere(), nowMs))
+                .isPresent();
+        boolean leaves = affordable && elsewhere;
         out.explain(
                 Subject.Kind.REQUEST,
                 route.request.id(),
                 nowMs,
                 (leaves ? "leaves " : "waits for ") + route.target.id(),
-                "no progress, " + (leaves ? "another target" : "no other target") + " may resume the stream");
+                "no progress, " + (elsewhere ? "another target" : "no other target") + " may resume the stream, "
+                        + (affordable ? "a retry" : "no retry") + " is affordable");
         if (leaves) {
             out.add(new Effect.EndStalledAttempt(attempt));
         }
