--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -99,6 +99,39 @@
         record.line("configuration " + version + " is acknowledged, batch routes: " + String.join(" ", prefixes));
     }
 
+    /** Returns a loopback address of this deployment. */
+    public String ip(int number) {
+        return net + number;
+    }
+
+    /** Writes a configuration with one idempotent route, and lets runners register that are given by id and address. */
+    public void configureOnline(String prefix, String service, List<String[]> registrations) {
+        store.put("keyed.op", "config", "{\"version\":7,\"routes\":[{\"name\":\"r-online\",\"host\":\"" + HOST
+                + "\",\"pathPrefix\":\"" + prefix + "\",\"kind\":\"idempotent\",\"timeoutMs\":2000,"
+                + "\"targetLatencyMs\":221,\"priority\":2,\"service\":\"" + service + "\",\"maxAttempts\":3}],"
+                + "\"services\":[{\"name\":\"" + service + "\",\"healthPath\":\"/health\",\"maxConnections\":110,"
+                + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+                + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+        long bornMs = System.currentTimeMillis();
+        Thread beats = new Thread(() -> {
+            for (int sequence = 1; !closed; sequence++) {
+                for (String[] registration : registrations) {
+                    store.put("keyed.servers", registration[0], "{\"service\":\"" + service + "\",\"address\":\""
+                            + registration[1] + "\",\"zone\":\"tvm-a\",\"version\":\"1.0\",\"slots\":6,"
+                            + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":" + sequence + ",\"born\":"
+                            + bornMs + "}");
+                }
+                try {
+                    Thread.sleep(1_200);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+        beats.setDaemon(true);
+        beats.start();
+    }
+
     public void addDaemon() throws IOException {
         int number = daemons.size() + 1;
         String name = "edge-tvm-a-" + number;
