Give items up only once their route is known to be removed

Cause: the owner took "no route in my table" for "the route was removed". Routes and jobs are read from two topics with a pause each after a failure. The same look-up made the first failure of an item its last.

Change: a missing route counts as removed only if the table was confirmed by a read that was sent after the job was last received. The store's reads are linearizable and the job was accepted after a read of the route, so such a read returns a table at least as new. Until then the job waits without demand. The record of a job needs no version for this, so jobs that earlier releases have stored are treated alike. A table that cannot be decoded confirms nothing.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -89,6 +89,7 @@
     private final Set<String> unusableEntries = new HashSet<>();
     private final Map<String, HostEntry> hosts = new TreeMap<>();
     private Optional<RouteTable> initialRoutes = Optional.empty();
+    private boolean newestRoutesReadable;
     private boolean targetsLoaded;
     private boolean changed;
     private boolean stopping;
@@ -238,6 +239,7 @@
     public void dump(StateWriter writer, long nowMs) {
         writer.field("routesVersion", settings.version());
         writer.field("routesAgeMs", nowMs - routes.caughtUpAtMs());
+        writer.field("routesConfirmedAgeMs", nowMs - settings.confirmedAsOfMs());
         writer.field("targetsAgeMs", nowMs - targetEntries.caughtUpAtMs());
         writer.field("targets", targets.size());
         writer.field("missingTargets", missingUntilMs.size());
@@ -272,6 +274,7 @@
                 return;
             }
             Optional<RouteTable> table = format.routeTable(record.value());
+            newestRoutesReadable = false;
             if (table.isEmpty()) {
                 stateChanged(
                         "routes at offset " + record.offset() + " cannot be read; the active routes stay in effect",
@@ -279,12 +282,23 @@
                 return;
             }
             install(table.get(), nowMs, out);
+            newestRoutesReadable = true;
         }
 
         @Override
         public void dropped(String key, long nowMs, Effects out) {
+            if (key.equals(format.routesKey())) {
+                newestRoutesReadable = false;
+            }
             stateChanged("key " + key + " of the routes was dropped; the active routes stay in effect", out);
         }
+
+        @Override
+        public void caughtUp(long nowMs, Effects out) {
+            if (newestRoutesReadable) {
+                settings.confirm(routes.confirmedAsOfMs());
+            }
+        }
     }
 
     private final class TargetsListener implements KeyedTopicFollower.Listener {
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
@@ -39,6 +39,7 @@
     private final Map<TargetId, Integer> slots = new HashMap<>();
     private Map<TeamPath, TeamPolicy> policies = Map.of();
     private Set<ServiceName> services = Set.of();
+    private long confirmedAsOfMs = Long.MIN_VALUE / 2;
     private volatile RouteTable table;
 
     /** Creates settings without routes. */
@@ -65,6 +66,19 @@
         return true;
     }
 
+    /** Records that no newer table existed at a time in ms. */
+    public void confirm(long asOfMs) {
+        confirmedAsOfMs = Math.max(confirmedAsOfMs, asOfMs);
+    }
+
+    /**
+     * Returns the time in ms as of which the active table is known to be the newest: it lacks no route that was in effect
+     * at any daemon before then, unless the route has been removed.
+     */
+    public long confirmedAsOfMs() {
+        return confirmedAsOfMs;
+    }
+
     /** Replaces the number of slots of all targets. */
     void updateSlots(Collection<TargetEntry> targets) {
         slots.clear();
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
@@ -92,6 +92,27 @@
         assertThat(reads.get("hosts")).isLessThanOrEqualTo(6);
     }
 
+    /** Guards against a removal that is concluded from routes which may be older than those of other daemons. */
+    @Test
+    void routesAreConfirmedOnlyByReadsThatReachTheNewestReadableTable() {
+        putRoutes(3);
+        start(A);
+        nodes.run(10_000);
+        assertThat(nodes.nowMs() - settings.get(A).confirmedAsOfMs()).isBetween(1L, 5_500L);
+        nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        nodes.run(3_000);
+        long failingSinceMs = nodes.nowMs();
+        nodes.run(10_000);
+        assertThat(settings.get(A).confirmedAsOfMs()).isLessThan(failingSinceMs);
+        append("routes", new KeyedRecord("table", ByteString.copyFromUtf8("unreadable")));
+        nodes.setFaults((host, request) -> StoreFault.NONE);
+        nodes.run(10_000);
+        assertThat(settings.get(A).confirmedAsOfMs()).isLessThan(failingSinceMs);
+        putRoutes(4);
+        nodes.run(6_000);
+        assertThat(nodes.nowMs() - settings.get(A).confirmedAsOfMs()).isBetween(1L, 5_500L);
+    }
+
     @Test
     void targetWithADroppedEntryIsRemoved() {
         putTarget("t-1", "ready");
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
@@ -24,8 +24,14 @@
         return routes.table().flatMap(table -> table.select(host, path));
     }
 
-    boolean routesReady() {
-        return routes.ready();
+    /** Returns whether the active table has been read since a time in ms, so that a route it lacks has been removed. */
+    boolean routesReadSince(long atMs) {
+        return routes.ready() && routes.confirmedAsOfMs() > atMs;
+    }
+
+    /** Returns the version of the active table, and the time in ms as of which it is the newest. */
+    String routesState() {
+        return "routes of version " + routes.version() + ", confirmed as of " + routes.confirmedAsOfMs();
     }
 
     /** Is notified of state changes of a partition. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.SoftwareVersion;
+import org.cornelcrank.routing.BatchDemand;
 
 /**
  * A job at the owner of its partition: its waiting, running and finished items, and the list of results.
@@ -23,18 +24,22 @@
     private final JobContent content;
     private final int parts;
     private final long loadedAtMs;
+    private long receivedAtMs;
     private final List<ListedResult> listed = new ArrayList<>();
     private final Map<Integer, ItemProgress> progress = new TreeMap<>();
     private final BitSet waiting = new BitSet();
     private final BitSet finished = new BitSet();
+    private Optional<BatchDemand> demand = Optional.empty();
     private int assignedPositions;
     private boolean ended;
+    private boolean awaitsRoute;
 
     JobRun(JobId id, JobContent content, int parts, long loadedAtMs) {
         this.id = id;
         this.content = content;
         this.parts = parts;
         this.loadedAtMs = loadedAtMs;
+        this.receivedAtMs = loadedAtMs;
         waiting.set(0, content.items().size());
     }
 
@@ -55,6 +60,32 @@
         return loadedAtMs;
     }
 
+    /** Returns the time in ms at which this daemon last received records of the job, each after its acceptance. */
+    long receivedAtMs() {
+        return receivedAtMs;
+    }
+
+    /** Records that the job was received once more, as a daemon has accepted it again. */
+    void receivedAgain(long nowMs) {
+        receivedAtMs = nowMs;
+    }
+
+    /** Returns the demand that was last set for the job, empty if there is none. */
+    Optional<BatchDemand> demand() {
+        return demand;
+    }
+
+    void setDemand(Optional<BatchDemand> newDemand) {
+        demand = newDemand;
+    }
+
+    /** Records whether the job waits for its route, and returns whether that has changed. */
+    boolean setAwaitsRoute(boolean awaits) {
+        boolean changed = awaits != awaitsRoute;
+        awaitsRoute = awaits;
+        return changed;
+    }
+
     /** Restores a stored result at the next position. */
     void restore(JobRecords.StoredResult stored) {
         listed.add(stored.result());
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -196,7 +196,9 @@
         JobId job = key.get().job();
         if (key.get().kind() == JobRecords.Kind.END) {
             endJob(job, nowMs, out);
-        } else if (key.get().kind() == JobRecords.Kind.NUMBERED && !jobs.containsKey(job)) {
+        } else if (key.get().kind() == JobRecords.Kind.NUMBERED && jobs.containsKey(job)) {
+            jobs.get(job).receivedAgain(nowMs);
+        } else if (key.get().kind() == JobRecords.Kind.NUMBERED) {
             JobRecords.part(record.value())
                     .ifPresentOrElse(
                             part -> partReceived(job, part, nowMs, out),
@@ -269,27 +271,44 @@
             return;
         }
         Optional<GatewayRoute> route = route(run);
-        if (route.isEmpty() && !run.ended() && context.routesReady()) {
-            run.unfinished().stream()
-                    .filter(item -> !isRunning(run, item))
-                    .forEach(item -> giveUp(run, item, "no route matches the job's requests any more", nowMs, out));
-        }
         if (route.isEmpty()) {
+            updateWithoutRoute(run, nowMs, out);
             return;
         }
+        run.setAwaitsRoute(false);
         GatewayRoute target = route.get();
-        context.capacity()
-                .setDemand(
-                        new BatchDemand(
-                                run.id(),
-                                target.team(),
-                                target.serviceFor(StableHash.of(run.id().value())),
-                                run.loadedAtMs() + target.runObjectiveMs(),
-                                1,
-                                run.waitingCount(nowMs),
-                                run.remaining()),
-                        nowMs,
-                        out);
+        BatchDemand demand = new BatchDemand(
+                run.id(),
+                target.team(),
+                target.serviceFor(StableHash.of(run.id().value())),
+                run.loadedAtMs() + target.runObjectiveMs(),
+                1,
+                run.waitingCount(nowMs),
+                run.remaining());
+        run.setDemand(Optional.of(demand));
+        context.capacity().setDemand(demand, nowMs, out);
+    }
+
+    /**
+     * Withdraws the demand of a job that no route matches. Its items are given up only once the routes have been read
+     * since the job was received: until then another daemon may have accepted it under a newer table than this one's.
+     */
+    private void updateWithoutRoute(JobRun run, long nowMs, Effects out) {
+        withdrawDemand(run, nowMs, out);
+        if (run.ended()) {
+            return;
+        }
+        String state = context.routesState() + ", job received at " + run.receivedAtMs();
+        if (!context.routesReadSince(run.receivedAtMs())) {
+            if (run.setAwaitsRoute(true)) {
+                out.explain(Subject.Kind.JOB, run.id(), nowMs, "waits for its route", state);
+            }
+            return;
+        }
+        run.unfinished().stream()
+                .filter(item -> !isRunning(run, item))
+                .forEach(item ->
+                        giveUp(run, item, "no route matches the job's requests any more: " + state, nowMs, out));
     }
 
     private boolean isRunning(JobRun run, int item) {
@@ -307,9 +326,10 @@
     /** Runs the next item of the permit's job, or releases the permit if no item can run. */
     void permitGranted(BatchPermit permit, long nowMs, Effects out) {
         JobRun run = jobs.get(permit.job());
-        Optional<Integer> item = run == null || closed || suspended
-                ? Optional.empty()
-                : run.takeWaiting(permit.softwareVersion(), nowMs);
+        Optional<Integer> item =
+                run == null || closed || suspended || route(run).isEmpty()
+                        ? Optional.empty()
+                        : run.takeWaiting(permit.softwareVersion(), nowMs);
         if (item.isEmpty()) {
             context.capacity().releaseUnused(permit, nowMs, out);
             return;
@@ -383,7 +403,7 @@
             giveUp(run, item, "the target responded that the request can never be processed", nowMs, out);
             return;
         }
-        int maxAttempts = route(run).map(GatewayRoute::maxAttempts).orElse(1);
+        int maxAttempts = route(run).map(GatewayRoute::maxAttempts).orElse(Integer.MAX_VALUE);
         if (mayHaveRun && failed.status() == TARGET_FAILED_STATUS && progress.countFailure() >= maxAttempts) {
             giveUp(run, item, "failed " + maxAttempts + " times", nowMs, out);
             return;
@@ -583,18 +603,12 @@
     }
 
     private void withdrawDemand(JobRun run, long nowMs, Effects out) {
-        route(run).ifPresent(route -> context.capacity()
-                .setDemand(
-                        new BatchDemand(
-                                run.id(),
-                                route.team(),
-                                route.serviceFor(StableHash.of(run.id().value())),
-                                nowMs,
-                                1,
-                                0,
-                                0),
-                        nowMs,
-                        out));
+        run.demand().ifPresent(demand -> {
+            run.setDemand(Optional.empty());
+            context.capacity()
+                    .setDemand(
+                            new BatchDemand(demand.job(), demand.team(), demand.service(), nowMs, 1, 0, 0), nowMs, out);
+        });
     }
 
     /** Creates the result log and the job follower of a partition. */
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobSites.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobSites.java
@@ -196,7 +196,10 @@
     /** Activates a route table at every daemon. */
     void install(RouteTable newer) {
         routeTable = newer;
-        routes.forEach((host, settings) -> nodes.act(host, (nowMs, out) -> settings.install(newer, nowMs, out)));
+        routes.forEach((host, settings) -> nodes.act(host, (nowMs, out) -> {
+            settings.install(newer, nowMs, out);
+            settings.confirm(nowMs);
+        }));
     }
 
     /** Returns the appends that store a job and the results of all its items, as daemons would. */
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -26,6 +26,7 @@
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.StateMachine;
+import org.cornelcrank.gateway.DirectoryStateMachine;
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.gateway.RequestLimits;
 import org.cornelcrank.gateway.RouteKind;
@@ -59,9 +60,20 @@
     final Map<HostId, RouteTableSettings> routes = new HashMap<>();
     private final List<SharedFacts> facts = new ArrayList<>();
     private final Set<HostId> withoutFacts = new HashSet<>();
+    private final boolean followsRoutes;
     private BiFunction<String, Integer, AttemptOutcome> outcomes = (item, run) -> FakeCapacity.succeeded(item);
 
     VirtualJobs(HostId... hosts) {
+        this(false, hosts);
+    }
+
+    /** Returns daemons that follow the routes in the store, as {@link StoredRoutes} encodes them. */
+    static VirtualJobs followingRoutes(HostId... hosts) {
+        return new VirtualJobs(true, hosts);
+    }
+
+    private VirtualJobs(boolean followsRoutes, HostId... hosts) {
+        this.followsRoutes = followsRoutes;
         for (HostId host : hosts) {
             start(host);
         }
@@ -104,15 +116,29 @@
                 capacity,
                 RandomGeneratorFactory.of("L64X128MixRandom").create(startedAtMs ^ host.hashCode()));
         capacity.subscribe(jobs);
-        settings.install(new RouteTable(1, List.of(route("llm")), RequestLimits.DEFAULT), startedAtMs, new Effects());
+        if (followsRoutes) {
+            DirectoryStateMachine directory = new DirectoryStateMachine(
+                    identity,
+                    Map.of(),
+                    new StoredRoutes(),
+                    settings,
+                    store,
+                    RandomGeneratorFactory.of("L64X128MixRandom").create(startedAtMs + host.hashCode()));
+            return List.of(store, directory, jobs);
+        }
+        install(settings, new RouteTable(1, List.of(route("llm")), RequestLimits.DEFAULT), startedAtMs, new Effects());
         return List.of(store, jobs);
     }
 
     static GatewayRoute route(String service) {
+        return route("r-jobs", "/jobs/", service);
+    }
+
+    static GatewayRoute route(String name, String pathPrefix, String service) {
         return new GatewayRoute(
-                "r-jobs",
+                name,
                 HOST,
-                "/jobs/",
+                pathPrefix,
                 RouteKind.BATCH,
                 List.of(new WeightedService(new ServiceName(service), 100)),
                 2,
@@ -128,15 +154,24 @@
     /** Activates a route table at every daemon. */
     void install(long version, List<GatewayRoute> table) {
         RouteTable newer = new RouteTable(version, table, RequestLimits.DEFAULT);
-        routes.forEach((host, settings) -> nodes.act(host, (nowMs, out) -> settings.install(newer, nowMs, out)));
+        routes.forEach((host, settings) -> nodes.act(host, (nowMs, out) -> install(settings, newer, nowMs, out)));
+    }
+
+    private static void install(RouteTableSettings settings, RouteTable newer, long nowMs, Effects out) {
+        settings.install(newer, nowMs, out);
+        settings.confirm(nowMs);
     }
 
     static SubmitJob job(String id, int items, long nowMs) {
+        return job(id, "/jobs/", items, nowMs);
+    }
+
+    static SubmitJob job(String id, String pathPrefix, int items, long nowMs) {
         List<JobItem> content = new ArrayList<>();
         for (int i = 0; i < items; i++) {
             content.add(new JobItem(
                     id + "-item-" + i,
-                    "/jobs/" + i,
+                    pathPrefix + i,
                     Map.of("Model", "m"),
                     ByteString.copyFromUtf8("body " + i + " of " + id),
                     100));
@@ -177,7 +212,7 @@
         return await(nodes.submit(host, new ReadItemBody(new JobId(id), item)));
     }
 
-    private CallerReply await(RequestId request) {
+    CallerReply await(RequestId request) {
         for (int i = 0; i < 1_000 && nodes.reply(request).isEmpty(); i++) {
             nodes.run(10);
         }
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -61,6 +61,8 @@
     private boolean loading;
     private boolean started;
     private long caughtUpAtMs = Long.MIN_VALUE / 2;
+    private long confirmedAsOfMs = Long.MIN_VALUE / 2;
+    private long loadBegunAtMs;
     private long lastRead;
     private long readAtMs = Long.MIN_VALUE / 2;
     private int maxKilobytes = MAX_KILOBYTES;
@@ -93,7 +95,7 @@
     /** Starts to load the partition. */
     public void start(long nowMs, Effects out) {
         started = true;
-        load(out);
+        load(nowMs, out);
     }
 
     /** Stops; responses to reads in flight are ignored. */
@@ -107,6 +109,14 @@
         return caughtUpAtMs;
     }
 
+    /**
+     * Returns the time in ms as of which the listener has all records: when the latest read that reached the end of the
+     * partition was sent. What was appended before then has been delivered, as reads of the store are linearizable.
+     */
+    public long confirmedAsOfMs() {
+        return confirmedAsOfMs;
+    }
+
     /** Retries the failed read; called when the timer is due. Does nothing before the start or after the stop. */
     public void timerDue(long nowMs, Effects out) {
         if (!started) {
@@ -121,13 +131,14 @@
         }
     }
 
-    private void load(Effects out) {
-        beginLoad();
+    private void load(long nowMs, Effects out) {
+        beginLoad(nowMs);
         readPage(lastKey, out);
     }
 
-    private void beginLoad() {
+    private void beginLoad(long nowMs) {
         loading = true;
+        loadBegunAtMs = nowMs;
         lastKey = "";
         followFrom = -1;
         endNeeded = false;
@@ -136,7 +147,7 @@
 
     /** Loads the partition again after a pause, as reads may be behind the pages for seconds. */
     private void scheduleLoad(long nowMs, Effects out) {
-        beginLoad();
+        beginLoad(nowMs);
         out.schedule(timer, nowMs + loadBackoff.nextDelayMs());
     }
 
@@ -201,9 +212,14 @@
         dropMissingKeys(nowMs, out);
         loading = false;
         nextOffset = followFrom;
+        reachedEnd(loadBegunAtMs, nowMs, out);
+        read(nowMs, out);
+    }
+
+    private void reachedEnd(long readSentAtMs, long nowMs, Effects out) {
         caughtUpAtMs = nowMs;
+        confirmedAsOfMs = readSentAtMs;
         notifyListener("the end", () -> listener.caughtUp(nowMs, out), out);
-        read(nowMs, out);
     }
 
     private void dropMissingKeys(long nowMs, Effects out) {
@@ -263,8 +279,7 @@
         }
         nextOffset = Math.max(nextOffset, records.nextOffset());
         if (nextOffset >= records.end()) {
-            caughtUpAtMs = nowMs;
-            notifyListener("the end", () -> listener.caughtUp(nowMs, out), out);
+            reachedEnd(readAtMs, nowMs, out);
             readWhenDue(nowMs, out);
         } else {
             read(nowMs, out);
