Join only parts of a job that belong to the same stored form

Cause: a job of several appends is written by each daemon that accepts it, under the same keys, and its bytes depended on the iteration order of Map.copyOf, which differs from process to process. A late append of one daemon replaced some of the parts of another. Bodies that could not be joined were a 404.

Each part states a hash of the contents of all parts of its form, forms have keys of their own, and only parts of one form are joined. Expired jobs are dropped in all forms. A job that cannot be decoded is counted, named in a decision and answered 503; a caller's repeat stores it in a sound form. Records of the landed build are read as before, and it recognizes the keys of the new ones.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
@@ -1,8 +1,10 @@
 package org.cornelcrank.job;
 
 import java.util.Optional;
+import java.util.Set;
 
 import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.JobId;
 import org.cornelcrank.gateway.GatewayRoute;
 import org.cornelcrank.gateway.RouteTableSettings;
 import org.cornelcrank.routing.BatchCapacity;
@@ -39,6 +41,8 @@
 
         void jobStarted(long nowMs, Effects out);
 
+        void jobUnreadable(JobId job, Set<String> partKeys, long nowMs, Effects out);
+
         void partitionReady(int partition, long nowMs, Effects out);
 
         void partitionLost(int partition, long higherEpoch, long nowMs, Effects out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import java.util.zip.DataFormatException;
 
 import com.google.protobuf.ByteString;
@@ -23,11 +24,15 @@
 /**
  * Encodes and decodes the keys and values of jobs and their results in the store.
  *
- * <p>The {@code jobs} topic holds a job in parts under {@code id/0}, {@code id/1} and so on, its number of items under
- * {@code id/#}, which comes before the parts so that it can be read without them, and its end under {@code id/end}. The
- * {@code results} topic holds its results under {@code id/position}, and the progress of preempted items under {@code
- * id/p} followed by the item's index. All records of a job are in the same partition of both topics. Stateless, thus
- * thread-safe.
+ * <p>The {@code jobs} topic holds a job in parts under {@code id/} and a number, its number of items under {@code id/#},
+ * which comes before the parts so that it can be read without them, and its end under {@code id/end}. Several daemons may
+ * store the same job, each in several appends that take effect in any order. Daemons of different releases may encode it
+ * differently, so the parts of each form have keys of their own and state which form they belong to. Earlier releases
+ * have stored parts under {@code id/0}, {@code id/1} and so on without a form.
+ *
+ * <p>The {@code results} topic holds its results under {@code id/position}, and the progress of preempted items under
+ * {@code id/p} followed by the item's index. All records of a job are in the same partition of both topics. Stateless,
+ * thus thread-safe.
  */
 final class JobRecords {
 
@@ -40,6 +45,11 @@
     private static final String PROGRESS = "p";
     private static final int POSITION_DIGITS = 6;
 
+    /** The limit of the parts of a form, and the number of forms whose keys differ; the product is below 2^31. */
+    private static final int MAX_PARTS = 10_000;
+
+    private static final int FORM_KEYS = 200_000;
+
     /** The space reserved for the key and the other fields of a part, in bytes. */
     private static final int PART_OVERHEAD_BYTES = 1_024;
 
@@ -57,10 +67,16 @@
         return new TopicPartition(RESULTS, partition);
     }
 
+    /** Returns the key of a part that an earlier release has stored. */
     static String partKey(JobId job, int index) {
         return prefix(job) + index;
     }
 
+    /** Returns the key of a part; it holds a number, by which earlier releases recognize it as a part. */
+    static String partKey(JobId job, long formHash, int index) {
+        return partKey(job, (1 + (int) Math.floorMod(formHash, FORM_KEYS)) * MAX_PARTS + index);
+    }
+
     /** Returns the key of the record that states the number of items. */
     static String headKey(JobId job) {
         return prefix(job) + HEAD;
@@ -132,27 +148,49 @@
                     .setBody(item.body())
                     .setTokens(item.tokens()));
         }
-        ByteString deflated = StoredText.deflate(wire.build().toByteString());
-        int partBytes = maxRecordBytes - PART_OVERHEAD_BYTES;
-        int parts = Math.max(1, (deflated.size() + partBytes - 1) / partBytes);
-        List<KeyedRecord> records = new ArrayList<>();
+        List<ByteString> contents =
+                split(StoredText.deflate(wire.build().toByteString()), maxRecordBytes - PART_OVERHEAD_BYTES);
+        if (contents.size() > MAX_PARTS) {
+            throw new IllegalArgumentException("a job must fit into " + MAX_PARTS + " records, but " + job + " needs "
+                    + contents.size() + " records of " + maxRecordBytes + " bytes");
+        }
+        long formHash = formHash(contents);
         WireJobPart head = WireJobPart.newBuilder()
-                .setParts(parts)
+                .setParts(contents.size())
                 .setItems(content.items().size())
                 .build();
+        List<KeyedRecord> records = new ArrayList<>();
         records.add(new KeyedRecord(headKey(job), head.toByteString()));
-        for (int i = 0; i < parts; i++) {
-            WireJobPart part = WireJobPart.newBuilder()
+        for (int i = 0; i < contents.size(); i++) {
+            WireJobPart part = head.toBuilder()
                     .setIndex(i)
-                    .setParts(parts)
-                    .setItems(content.items().size())
-                    .setContent(deflated.substring(i * partBytes, Math.min(deflated.size(), (i + 1) * partBytes)))
+                    .setContent(contents.get(i))
+                    .setFormHash(formHash)
                     .build();
-            records.add(new KeyedRecord(partKey(job, i), part.toByteString()));
+            records.add(new KeyedRecord(partKey(job, formHash, i), part.toByteString()));
         }
         return records;
     }
 
+    private static List<ByteString> split(ByteString bytes, int maxBytes) {
+        List<ByteString> contents = new ArrayList<>();
+        int from = 0;
+        do {
+            int to = Math.min(bytes.size(), from + maxBytes);
+            contents.add(bytes.substring(from, to));
+            from = to;
+        } while (from < bytes.size());
+        return contents;
+    }
+
+    /** Returns the hash that identifies the form with these contents of its parts; never zero. */
+    static long formHash(List<ByteString> contents) {
+        long hash = StableHash.of(contents.stream()
+                .map(content -> Long.toHexString(StableHash.of(content.toByteArray())))
+                .collect(Collectors.joining("/")));
+        return hash == 0 ? 1 : hash;
+    }
+
     /** Splits records into batches that are within the store's limit for a request. */
     static List<List<KeyedRecord>> batches(List<KeyedRecord> records, int maxRequestBytes) {
         List<List<KeyedRecord>> batches = new ArrayList<>();
@@ -172,7 +210,8 @@
     /** Decodes a part of a job, empty if it is malformed. */
     static Optional<WireJobPart> part(ByteString value) {
         try {
-            return Optional.of(WireJobPart.parseFrom(value)).filter(part -> part.getParts() > 0);
+            return Optional.of(WireJobPart.parseFrom(value))
+                    .filter(part -> part.getIndex() >= 0 && part.getIndex() < part.getParts());
         } catch (InvalidProtocolBufferException e) {
             return Optional.empty();
         }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
@@ -22,7 +24,7 @@
 
     private final JobId id;
     private final JobContent content;
-    private final int parts;
+    private final Set<String> partKeys;
     private final long loadedAtMs;
     private long receivedAtMs;
     private final List<ListedResult> listed = new ArrayList<>();
@@ -34,10 +36,10 @@
     private boolean ended;
     private boolean awaitsRoute;
 
-    JobRun(JobId id, JobContent content, int parts, long loadedAtMs) {
+    JobRun(JobId id, JobContent content, Set<String> partKeys, long loadedAtMs) {
         this.id = id;
         this.content = content;
-        this.parts = parts;
+        this.partKeys = new TreeSet<>(partKeys);
         this.loadedAtMs = loadedAtMs;
         this.receivedAtMs = loadedAtMs;
         waiting.set(0, content.items().size());
@@ -51,9 +53,9 @@
         return content;
     }
 
-    /** Returns the number of records that hold the job in the store. */
-    int parts() {
-        return parts;
+    /** Returns the keys of the records that hold the job in the store, in each form in which daemons have stored it. */
+    Set<String> partKeys() {
+        return partKeys;
     }
 
     long loadedAtMs() {
@@ -65,8 +67,9 @@
         return receivedAtMs;
     }
 
-    /** Records that the job was received once more, as a daemon has accepted it again. */
-    void receivedAgain(long nowMs) {
+    /** Records that a part was received once more, as a daemon has accepted the job again. */
+    void receivedAgain(String partKey, long nowMs) {
+        partKeys.add(partKey);
         receivedAtMs = nowMs;
     }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
+import com.codahale.metrics.Counter;
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.CorrelationId;
@@ -18,11 +19,13 @@
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostId;
+import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.StateMachine;
 import org.cornelcrank.core.StateWriter;
+import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.TimerKey;
 import org.cornelcrank.gateway.RouteTableSettings;
 import org.cornelcrank.routing.BatchCapacity;
@@ -59,6 +62,7 @@
     private final JobSettings settings;
     private final StoreCalls store;
     private final RandomGenerator random;
+    private final Counter unreadableJobs = new Counter();
     private final PartitionLeases leases;
     private final JobWrites writes;
     private final JobReads reads;
@@ -101,6 +105,11 @@
         return NAME;
     }
 
+    /** Returns the counter of jobs that this daemon found complete in the store but could not decode; thread-safe. */
+    public Counter unreadableJobs() {
+        return unreadableJobs;
+    }
+
     @Override
     public void on(Event event, long nowMs, Effects out) {
         if (event instanceof Event.Started) {
@@ -325,14 +334,15 @@
         writer.field("staleTimers", staleTimers);
         writer.field("staleReplies", staleReplies);
         reads.dump(writer);
-        writer.table("partitions", "partition", "ready", "epoch", "jobs", "runningItems");
+        writer.table("partitions", "partition", "ready", "epoch", "jobs", "runningItems", "unreadableJobs");
         for (OwnedPartition partition : owned.values()) {
             writer.row(
                     partition.number(),
                     partition.ready(),
                     partition.log().epoch(),
                     partition.jobs().size(),
-                    partition.runningItems());
+                    partition.runningItems(),
+                    partition.unreadable().size());
         }
         writer.table("jobs", "job", "items", "listed", "remaining", "ended", "ageMs");
         for (OwnedPartition partition : owned.values()) {
@@ -356,6 +366,17 @@
             scheduleTick(nowMs, out);
         }
 
+        @Override
+        public void jobUnreadable(JobId job, Set<String> partKeys, long nowMs, Effects out) {
+            unreadableJobs.inc();
+            out.explain(
+                    Subject.Kind.JOB,
+                    job,
+                    nowMs,
+                    "cannot be decoded",
+                    "records " + partKeys + "; it runs once a caller submits it again");
+        }
+
         @Override
         public void partitionReady(int partition, long nowMs, Effects out) {
             owners.publish(owned.get(partition), nowMs, out);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobWrites.java
@@ -1,6 +1,7 @@
 package org.cornelcrank.job;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -281,12 +282,13 @@
                 out);
     }
 
-    /** Drops the records of a job; the listener is notified once the store has acknowledged it, and not if it fails. */
-    void drop(JobId job, int parts, DropListener listener, Effects out) {
+    /**
+     * Drops the records of a job, of whose parts the keys are given; the listener is notified once the store has
+     * acknowledged it, and not if it fails.
+     */
+    void drop(JobId job, Collection<String> partKeys, DropListener listener, Effects out) {
         List<KeyedRecord> records = new ArrayList<>();
-        for (int part = 0; part < parts; part++) {
-            records.add(KeyedRecord.tombstone(JobRecords.partKey(job, part)));
-        }
+        partKeys.forEach(key -> records.add(KeyedRecord.tombstone(key)));
         records.add(KeyedRecord.tombstone(JobRecords.headKey(job)));
         records.add(KeyedRecord.tombstone(JobRecords.endKey(job)));
         append(
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -72,6 +72,7 @@
     private final Map<JobId, JobRun> jobs = new TreeMap<>();
     private final StoredRecords stored = new StoredRecords();
     private final Set<JobId> ended = new HashSet<>();
+    private final Set<JobId> unreadable = new HashSet<>();
     private final Map<JobId, Long> dropsDueAtMs = new HashMap<>();
     private final Map<Long, RunningItem> running = new HashMap<>();
     private final WaitingReads reads = new WaitingReads();
@@ -155,6 +156,11 @@
         return running.size();
     }
 
+    /** Returns the jobs that are complete in the store and cannot be decoded. */
+    Set<JobId> unreadable() {
+        return unreadable;
+    }
+
     @Override
     public void loaded(StoreResponse.StoredRecord record) {
         stored.loaded(record);
@@ -197,32 +203,33 @@
         if (key.get().kind() == JobRecords.Kind.END) {
             endJob(job, nowMs, out);
         } else if (key.get().kind() == JobRecords.Kind.NUMBERED && jobs.containsKey(job)) {
-            jobs.get(job).receivedAgain(nowMs);
+            jobs.get(job).receivedAgain(record.key(), nowMs);
         } else if (key.get().kind() == JobRecords.Kind.NUMBERED) {
             JobRecords.part(record.value())
                     .ifPresentOrElse(
-                            part -> partReceived(job, part, nowMs, out),
+                            part -> partReceived(job, record.key(), part, nowMs, out),
                             () -> out.add(new Effect.StateChanged(
                                     JobStateMachine.NAME,
                                     "record " + record.key() + " cannot be decoded and is ignored")));
         }
     }
 
-    private void partReceived(JobId job, WireJobPart part, long nowMs, Effects out) {
-        Optional<List<WireJobPart>> parts = stored.partReceived(job, part);
-        if (parts.isEmpty()) {
+    private void partReceived(JobId job, String key, WireJobPart part, long nowMs, Effects out) {
+        JobParts parts = stored.partReceived(job, key, part);
+        if (!parts.complete()) {
             return;
         }
-        Optional<JobContent> content = StoredRecords.join(parts.get());
-        if (content.isEmpty()) {
-            out.add(new Effect.StateChanged(JobStateMachine.NAME, "job " + job + " cannot be decoded and is ignored"));
-            return;
+        Optional<JobContent> content = parts.content();
+        if (content.isPresent()) {
+            begin(new JobRun(job, content.get(), parts.keys(), nowMs), nowMs, out);
+        } else if (unreadable.add(job)) {
+            context.listener().jobUnreadable(job, parts.keys(), nowMs, out);
         }
-        begin(new JobRun(job, content.get(), parts.get().size(), nowMs), nowMs, out);
     }
 
     private void begin(JobRun run, long nowMs, Effects out) {
         stored.restore(run);
+        unreadable.remove(run.id());
         jobs.put(run.id(), run);
         if (ended.contains(run.id())) {
             run.end();
@@ -243,6 +250,8 @@
         JobRecords.key(key)
                 .filter(parsed -> parsed.kind() == JobRecords.Kind.NUMBERED)
                 .ifPresent(parsed -> {
+                    stored.partDropped(parsed.job(), key);
+                    unreadable.remove(parsed.job());
                     JobRun run = jobs.get(parsed.job());
                     if (run != null && dropsDueAtMs.containsKey(run.id())) {
                         partsDropped(run, nowMs, out);
@@ -566,7 +575,7 @@
             return;
         }
         dropsDueAtMs.put(run.id(), nowMs + DROP_INTERVAL_MS);
-        context.writes().drop(run.id(), run.parts(), (atMs, effects) -> partsDropped(run, atMs, effects), out);
+        context.writes().drop(run.id(), run.partKeys(), (atMs, effects) -> partsDropped(run, atMs, effects), out);
     }
 
     private void partsDropped(JobRun run, long nowMs, Effects out) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.CallerReply;
@@ -179,7 +178,7 @@
         read.startedAtMs = nowMs;
         JobId job = read.key.job();
         if (read.key.bodyOfItem().isPresent()) {
-            readParts(read, JobRecords.prefix(job), new TreeMap<>(), out);
+            readParts(read, JobRecords.prefix(job), new JobParts(), out);
             return;
         }
         call(
@@ -271,7 +270,7 @@
                 out);
     }
 
-    private void readParts(StoreRead read, String afterKey, Map<Integer, WireJobPart> parts, Effects out) {
+    private void readParts(StoreRead read, String afterKey, JobParts parts, Effects out) {
         JobId job = read.key.job();
         call(
                 read,
@@ -285,7 +284,7 @@
                         ended |= key.isPresent() && key.get().kind() == JobRecords.Kind.END;
                         key.filter(parsed -> parsed.kind() == JobRecords.Kind.NUMBERED)
                                 .flatMap(parsed -> JobRecords.part(record.value()))
-                                .ifPresent(part -> parts.put(part.getIndex(), part));
+                                .ifPresent(part -> parts.put(record.key(), part));
                     }
                     if (page.more() && !page.records().isEmpty()) {
                         readParts(
@@ -295,17 +294,23 @@
                                 effects);
                         return;
                     }
-                    Optional<ByteString> body = ended ? Optional.empty() : body(read.key, parts);
+                    Optional<JobContent> content = ended ? Optional.empty() : parts.content();
+                    if (!ended && content.isEmpty() && !parts.isEmpty()) {
+                        String reason = "its records are incomplete or cannot be decoded";
+                        end(read, refusal(reason), reason, nowMs, effects);
+                        return;
+                    }
+                    Optional<ByteString> body = content.flatMap(present -> body(read.key, present));
                     end(read, JobReads.body(body), body.isPresent() ? "an item's body" : "no body", nowMs, effects);
                 },
                 out);
     }
 
-    private static Optional<ByteString> body(Key key, Map<Integer, WireJobPart> parts) {
-        return StoredRecords.join(List.copyOf(parts.values())).flatMap(job -> job.items().stream()
+    private static Optional<ByteString> body(Key key, JobContent content) {
+        return content.items().stream()
                 .filter(item -> item.id().equals(key.bodyOfItem().orElseThrow()))
                 .map(JobItem::body)
-                .findFirst());
+                .findFirst();
     }
 
     private void endWithPage(StoreRead read, int items, List<ListedResult> results, long nowMs, Effects out) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.KeyedRecord;
 import org.cornelcrank.core.StoreResponse;
@@ -26,7 +25,7 @@
     private final Map<JobId, TreeMap<Integer, JobRecords.StoredResult>> results = new HashMap<>();
     private final Map<JobId, Map<Integer, JobRecords.StoredProgress>> progress = new HashMap<>();
     private final Map<JobId, Set<Integer>> itemsWithProgress = new HashMap<>();
-    private final Map<JobId, Map<Integer, WireJobPart>> incompleteJobs = new HashMap<>();
+    private final Map<JobId, JobParts> incompleteJobs = new HashMap<>();
 
     /** Adds a record of the results topic. */
     void loaded(StoreResponse.StoredRecord record) {
@@ -43,28 +42,27 @@
         });
     }
 
-    /** Adds a part of a job, and returns all its parts once they are complete. */
-    Optional<List<WireJobPart>> partReceived(JobId job, WireJobPart part) {
-        Map<Integer, WireJobPart> parts = incompleteJobs.computeIfAbsent(job, id -> new TreeMap<>());
-        parts.put(part.getIndex(), part);
-        if (parts.size() < part.getParts()) {
-            return Optional.empty();
-        }
-        incompleteJobs.remove(job);
-        return Optional.of(List.copyOf(parts.values()));
+    /** Adds a part of a job, and returns all parts of the job that have been received. */
+    JobParts partReceived(JobId job, String key, WireJobPart part) {
+        JobParts parts = incompleteJobs.computeIfAbsent(job, id -> new JobParts());
+        parts.put(key, part);
+        return parts;
     }
 
-    /** Joins and decodes the parts of a job, empty if they are malformed. */
-    static Optional<JobContent> join(List<WireJobPart> parts) {
-        ByteString content = ByteString.EMPTY;
-        for (WireJobPart part : parts) {
-            content = content.concat(part.getContent());
+    /** Removes a part of a job that has been dropped from the store. */
+    void partDropped(JobId job, String key) {
+        JobParts parts = incompleteJobs.get(job);
+        if (parts != null) {
+            parts.drop(key);
+            if (parts.isEmpty()) {
+                incompleteJobs.remove(job);
+            }
         }
-        return JobRecords.content(content);
     }
 
     /** Passes the stored results and progress of a job to its run. */
     void restore(JobRun run) {
+        incompleteJobs.remove(run.id());
         TreeMap<Integer, JobRecords.StoredResult> stored = results.remove(run.id());
         if (stored != null) {
             for (int position = 0; stored.containsKey(position); position++) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobPart.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobPart.java
@@ -97,6 +97,22 @@
     return content_;
   }
 
+  public static final int FORM_HASH_FIELD_NUMBER = 5;
+  private long formHash_ = 0L;
+  /**
+   * <pre>
+   * Identifies the stored form of the job that the part belongs to, as daemons may encode and split a job differently: a
+   * hash of the contents of its parts. Zero in records of earlier releases.
+   * </pre>
+   *
+   * <code>fixed64 form_hash = 5;</code>
+   * @return The formHash.
+   */
+  @java.lang.Override
+  public long getFormHash() {
+    return formHash_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +139,9 @@
     if (!content_.isEmpty()) {
       output.writeBytes(4, content_);
     }
+    if (formHash_ != 0L) {
+      output.writeFixed64(5, formHash_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -143,6 +162,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, content_);
     }
+    if (formHash_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(5, formHash_);
+    }
     return size;
   }
   @java.lang.Override
@@ -175,6 +198,8 @@
         != other.getItems()) return false;
     if (!getContent()
         .equals(other.getContent())) return false;
+    if (getFormHash()
+        != other.getFormHash()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -194,6 +219,9 @@
     hash = (53 * hash) + getItems();
     hash = (37 * hash) + CONTENT_FIELD_NUMBER;
     hash = (53 * hash) + getContent().hashCode();
+    hash = (37 * hash) + FORM_HASH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFormHash());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -333,6 +361,7 @@
       parts_ = 0;
       items_ = 0;
       content_ = com.google.protobuf.ByteString.EMPTY;
+      formHash_ = 0L;
       return this;
     }
 
@@ -378,6 +407,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.content_ = content_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.formHash_ = formHash_;
+      }
     }
 
     @java.lang.Override
@@ -404,6 +436,9 @@
       if (!other.getContent().isEmpty()) {
         setContent(other.getContent());
       }
+      if (other.getFormHash() != 0L) {
+        setFormHash(other.getFormHash());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -448,6 +483,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 41: {
+              formHash_ = input.readFixed64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 41
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -593,6 +633,53 @@
       return this;
     }
 
+    private long formHash_ ;
+    /**
+     * <pre>
+     * Identifies the stored form of the job that the part belongs to, as daemons may encode and split a job differently: a
+     * hash of the contents of its parts. Zero in records of earlier releases.
+     * </pre>
+     *
+     * <code>fixed64 form_hash = 5;</code>
+     * @return The formHash.
+     */
+    @java.lang.Override
+    public long getFormHash() {
+      return formHash_;
+    }
+    /**
+     * <pre>
+     * Identifies the stored form of the job that the part belongs to, as daemons may encode and split a job differently: a
+     * hash of the contents of its parts. Zero in records of earlier releases.
+     * </pre>
+     *
+     * <code>fixed64 form_hash = 5;</code>
+     * @param value The formHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFormHash(long value) {
+
+      formHash_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies the stored form of the job that the part belongs to, as daemons may encode and split a job differently: a
+     * hash of the contents of its parts. Zero in records of earlier releases.
+     * </pre>
+     *
+     * <code>fixed64 form_hash = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFormHash() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      formHash_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireJobPart)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobPartOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireJobPartOrBuilder.java
@@ -33,4 +33,15 @@
    * @return The content.
    */
   com.google.protobuf.ByteString getContent();
+
+  /**
+   * <pre>
+   * Identifies the stored form of the job that the part belongs to, as daemons may encode and split a job differently: a
+   * hash of the contents of its parts. Zero in records of earlier releases.
+   * </pre>
+   *
+   * <code>fixed64 form_hash = 5;</code>
+   * @return The formHash.
+   */
+  long getFormHash();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -862,8 +862,8 @@
         HostId reader = readerOfAFinishedJob();
         others(reader).forEach(jobs.nodes::kill);
         JobId earlier = new JobId("earlier");
-        List<KeyedRecord> records = new ArrayList<>(
-                JobRecords.encode(earlier, VirtualJobs.job("earlier", 7, 0).content(), 262_144));
+        List<KeyedRecord> records = new ArrayList<>(EarlierRelease.encode(
+                earlier, VirtualJobs.job("earlier", 7, 0).content(), VirtualJobs.MAX_RECORD_BYTES));
         records.removeIf(record -> !record.key().equals(JobRecords.partKey(earlier, 0)));
         jobs.nodes.append(new StoreRequest.Append(
                 JobRecords.jobs(JobRecords.partitionOf(earlier, 3)), records, Optional.empty(), 1_000));
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/VirtualJobs.java
@@ -49,6 +49,7 @@
     static final HostId C = new HostId("host-c");
     static final long RETENTION_MS = 60_000;
     static final int MAX_ATTEMPTS = 3;
+    static final int MAX_RECORD_BYTES = 262_144;
 
     private static final int PARTITIONS = 3;
     private static final String HOST = "jobs.example";
@@ -61,6 +62,7 @@
     private final List<SharedFacts> facts = new ArrayList<>();
     private final Set<HostId> withoutFacts = new HashSet<>();
     private final boolean followsRoutes;
+    private final Map<HostId, Integer> maxRecordBytes = new HashMap<>();
     private BiFunction<String, Integer, AttemptOutcome> outcomes = (item, run) -> FakeCapacity.succeeded(item);
 
     VirtualJobs(HostId... hosts) {
@@ -93,6 +95,17 @@
         }
     }
 
+    /** Limits the records that a daemon writes from its next start on. */
+    void setMaxRecordBytes(HostId host, int bytes) {
+        maxRecordBytes.put(host, bytes);
+    }
+
+    /** Kills a daemon without notice. */
+    void kill(HostId host) {
+        nodes.kill(host);
+        capacities.remove(host).stop();
+    }
+
     void start(HostId host) {
         nodes.start(host, startedAtMs -> stateMachines(host, startedAtMs));
     }
@@ -109,7 +122,13 @@
         facts.add(shared);
         JobStateMachine jobs = new JobStateMachine(
                 identity,
-                new JobSettings(PARTITIONS, 262_144, 2_097_152, 2_500, 700, RETENTION_MS),
+                new JobSettings(
+                        PARTITIONS,
+                        maxRecordBytes.getOrDefault(host, MAX_RECORD_BYTES),
+                        2_097_152,
+                        2_500,
+                        700,
+                        RETENTION_MS),
                 settings,
                 store,
                 shared,
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/GatewayAssembly.java
@@ -86,6 +86,7 @@
                 routing,
                 random(seed, JobStateMachine.NAME));
         routing.subscribe(jobs);
+        metrics.counter("jobs.unreadable", jobs::unreadableJobs);
         DecisionJournal journal =
                 new DecisionJournal(MAX_EXPLAINED_SUBJECTS, MAX_DECISIONS_PER_SUBJECT, new DecisionLog(metrics)::log);
         List<StateMachine> stateMachines = new ArrayList<>(List.of(store, directory, membership, routing, jobs));
