Drop the parts of jobs that were never stored in full

Cause: only jobs that run are dropped, and a job of which a part is missing never runs.

Change: the owner drops the parts of a job of which no form is complete, once it has received none for the retention of results. A caller's repeat within that time completes the job as before, one after it stores it anew.

Evidence: JobFormTests.partsOfAJobThatWasNeverStoredInFullAreDropped fails without the change.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobParts.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobParts.java
@@ -20,9 +20,16 @@
 final class JobParts {
 
     private final Map<String, WireJobPart> parts = new TreeMap<>();
+    private long receivedAtMs;
 
-    void put(String key, WireJobPart part) {
+    void put(String key, WireJobPart part, long nowMs) {
         parts.put(key, part);
+        receivedAtMs = nowMs;
+    }
+
+    /** Returns the time in ms at which a part was last received. */
+    long receivedAtMs() {
+        return receivedAtMs;
     }
 
     void drop(String key) {
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -180,8 +180,7 @@
     private void scheduleTick(long nowMs, Effects out) {
         boolean needed = stopping && !leftGroup
                 || !owned.keySet().stream().allMatch(leases::holds)
-                || owned.values().stream()
-                        .anyMatch(partition -> !partition.jobs().isEmpty());
+                || !owned.values().stream().allMatch(OwnedPartition::idle);
         if (needed && !ticking) {
             ticking = true;
             out.schedule(TICK, nowMs + TICK_MS);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -156,6 +156,11 @@
         return running.size();
     }
 
+    /** Returns whether there is nothing that {@link #tick} will have to do. */
+    boolean idle() {
+        return jobs.isEmpty() && stored.incompleteJobs().isEmpty();
+    }
+
     /** Returns the jobs that are complete in the store and cannot be decoded. */
     Set<JobId> unreadable() {
         return unreadable;
@@ -215,7 +220,7 @@
     }
 
     private void partReceived(JobId job, String key, WireJobPart part, long nowMs, Effects out) {
-        JobParts parts = stored.partReceived(job, key, part);
+        JobParts parts = stored.partReceived(job, key, part, nowMs);
         if (!parts.complete()) {
             return;
         }
@@ -553,6 +558,7 @@
                 updateDemand(run, nowMs, out);
             }
         }
+        stored.incompleteJobs().forEach((job, parts) -> dropAbandonedParts(job, parts, nowMs, out));
     }
 
     private void giveUpExpiredItems(JobRun run, long nowMs, Effects out) {
@@ -578,6 +584,22 @@
         context.writes().drop(run.id(), run.partKeys(), (atMs, effects) -> partsDropped(run, atMs, effects), out);
     }
 
+    /** Drops the parts of a job that was never stored in full, and thus never accepted, once no caller sends it again. */
+    private void dropAbandonedParts(JobId job, JobParts parts, long nowMs, Effects out) {
+        boolean abandoned = nowMs - parts.receivedAtMs() >= context.settings().resultRetentionMs();
+        if (!ready || !log.isOpen() || !abandoned || nowMs < dropsDueAtMs.getOrDefault(job, nowMs)) {
+            return;
+        }
+        dropsDueAtMs.put(job, nowMs + DROP_INTERVAL_MS);
+        out.explain(
+                Subject.Kind.JOB,
+                job,
+                nowMs,
+                "incomplete parts dropped",
+                "records " + parts.keys() + ", the last received " + (nowMs - parts.receivedAtMs()) + " ms ago");
+        context.writes().drop(job, parts.keys(), (atMs, effects) -> dropsDueAtMs.remove(job), out);
+    }
+
     private void partsDropped(JobRun run, long nowMs, Effects out) {
         if (closed || !jobs.remove(run.id(), run)) {
             return;
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoreReads.java
@@ -284,7 +284,7 @@
                         ended |= key.isPresent() && key.get().kind() == JobRecords.Kind.END;
                         key.filter(parsed -> parsed.kind() == JobRecords.Kind.NUMBERED)
                                 .flatMap(parsed -> JobRecords.part(record.value()))
-                                .ifPresent(part -> parts.put(record.key(), part));
+                                .ifPresent(part -> parts.put(record.key(), part, nowMs));
                     }
                     if (page.more() && !page.records().isEmpty()) {
                         readParts(
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
@@ -43,12 +43,19 @@
     }
 
     /** Adds a part of a job, and returns all parts of the job that have been received. */
-    JobParts partReceived(JobId job, String key, WireJobPart part) {
+    JobParts partReceived(JobId job, String key, WireJobPart part, long nowMs) {
         JobParts parts = incompleteJobs.computeIfAbsent(job, id -> new JobParts());
-        parts.put(key, part);
+        parts.put(key, part, nowMs);
         return parts;
     }
 
+    /** Returns the jobs of which some parts have been received, but no form in full. */
+    Map<JobId, JobParts> incompleteJobs() {
+        Map<JobId, JobParts> incomplete = new HashMap<>(incompleteJobs);
+        incomplete.values().removeIf(JobParts::complete);
+        return incomplete;
+    }
+
     /** Removes a part of a job that has been dropped from the store. */
     void partDropped(JobId job, String key) {
         JobParts parts = incompleteJobs.get(job);
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobFormTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobFormTests.java
@@ -127,6 +127,27 @@
         assertNothingIsStored();
     }
 
+    /** Guards against records that stay for good, as only the first of the appends of a job was stored. */
+    @Test
+    void partsOfAJobThatWasNeverStoredInFullAreDropped() {
+        int[] appends = new int[1];
+        jobs.nodes.setFaults((host, request) -> request instanceof StoreRequest.Append append
+                        && append.partition().topic().equals(JobRecords.JOBS)
+                        && appends[0]++ > 0
+                ? StoreFault.REFUSED
+                : StoreFault.NONE);
+        assertThat(submit(A)).isInstanceOf(Refusal.class);
+        jobs.nodes.setFaults((host, request) -> StoreFault.NONE);
+        jobs.nodes.run(VirtualJobs.RETENTION_MS - 5_000);
+        assertThat(jobs.nodes.store().newest(JobRecords.jobs(partition(JOB)))).isNotEmpty();
+        jobs.nodes.run(10_000);
+        assertNothingIsStored();
+        assertThat(jobs.runsByItem).isEmpty();
+        assertThat(submit(B)).isInstanceOf(JobAccepted.class);
+        jobs.nodes.run(10_000);
+        assertThat(itemIds(JOB)).hasSize(ITEMS);
+    }
+
     /**
      * Guards against accepted jobs that are lost after writes which the store does seconds later: callers submit each job
      * to several daemons, which order its headers or split it differently, and all daemons restart afterwards.
