Reject no key as unknown before the settings have been read

Callers do not repeat a 401.

Cause: "not in my settings" was taken for "does not exist", also while there are no settings.

Change: until the settings are ready, an unknown key is refused as not run, with a time to try again.

--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestAuthenticator.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/http/RequestAuthenticator.java
@@ -11,6 +11,7 @@
 import org.cornelcrank.config.Settings;
 import org.cornelcrank.config.TeamPolicy;
 import org.cornelcrank.core.Caller;
+import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.TeamPath;
 import org.cornelcrank.server.loop.CoreLoop;
@@ -28,6 +29,10 @@
 public final class RequestAuthenticator {
 
     private static final int MAX_CACHED_KEYS = 10_000;
+
+    /** The retry delay for callers while no settings are known yet, in ms. */
+    private static final long NOT_READY_RETRY_MS = 500;
+
     private static final String BEARER = "Bearer ";
     private static final String WORKLOAD = "Cornelcrank-Workload";
     private static final ApiKeyEntry UNKNOWN =
@@ -72,7 +77,7 @@
     }
 
     private ResolvedKey lookUp(String keyId, String workload) {
-        ApiKeyEntry entry = settings.apiKey(keyId).orElse(UNKNOWN);
+        ApiKeyEntry entry = entry(settings, keyId);
         TeamPath path = workloadPath(entry.team(), workload);
         ResolvedKey resolvedKey = new ResolvedKey(entry, path, settings.team(path));
         if (!entry.equals(UNKNOWN) && cachedKeys.size() < MAX_CACHED_KEYS) {
@@ -81,6 +86,20 @@
         return resolvedKey;
     }
 
+    /**
+     * Returns the key with the id, or {@link #UNKNOWN}.
+     *
+     * @throws RefusedException if the key may exist, as the settings have not been read yet
+     */
+    static ApiKeyEntry entry(Settings settings, String keyId) {
+        Optional<ApiKeyEntry> entry = settings.apiKey(keyId);
+        if (entry.isEmpty() && !settings.ready()) {
+            throw new RefusedException(
+                    Refusal.notRun(RefusalCode.NOT_READY, "no settings are known yet", NOT_READY_RETRY_MS));
+        }
+        return entry.orElse(UNKNOWN);
+    }
+
     private static String cacheKey(String keyId, String workload) {
         return keyId + "/" + workload;
     }
