Say that there is no route only while new ones can be read

Callers do not repeat a 404, though other daemons serve the route.

Cause: absence in the daemon's own table was taken for a fact, however old the table was.

Change: once the table has not been confirmed for 6.5 s, longer than two reads that the store holds open, such a request is refused as not run with a time to try again.

Evidence: GatewayEndToEndTests.requestWithoutARouteMayBeTriedElsewhereIfTheRoutes- CannotBeRead fails without the change, as the status stays 404.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/RouteTableSettings.java
@@ -26,20 +26,26 @@
 /**
  * Exposes the active routes as settings, with each route as a separate team.
  *
- * <p>Invariant: the version never decreases. {@link #table()} may be called from any thread; all other methods are
- * confined to the daemon's event loop.
+ * <p>Invariant: the version never decreases. {@link #table()} and {@link #mayLackRoutes} may be called from any thread;
+ * all other methods are confined to the daemon's event loop.
  */
 public final class RouteTableSettings implements Settings {
 
     /** The weight of a route's jobs relative to those of other routes. */
     private static final int EQUAL_SHARE = 1;
 
+    /**
+     * How long a table counts as the newest without a confirmation, in ms: longer than two reads that the store holds
+     * open, as one that has been sent confirms only what was appended before.
+     */
+    private static final long CONFIRMATION_TIMEOUT_MS = 6_500;
+
     private final RegionId region;
     private final List<SettingsListener> listeners = new ArrayList<>();
     private final Map<TargetId, Integer> slots = new HashMap<>();
     private Map<TeamPath, TeamPolicy> policies = Map.of();
     private Set<ServiceName> services = Set.of();
-    private long confirmedAsOfMs = Long.MIN_VALUE / 2;
+    private volatile long confirmedAsOfMs = Long.MIN_VALUE / 2;
     private volatile RouteTable table;
 
     /** Creates settings without routes. */
@@ -79,6 +85,11 @@
         return confirmedAsOfMs;
     }
 
+    /** Returns whether a route may have been added that this daemon has not been able to read. */
+    public boolean mayLackRoutes(long nowMs) {
+        return nowMs - confirmedAsOfMs > CONFIRMATION_TIMEOUT_MS;
+    }
+
     /** Replaces the number of slots of all targets. */
     void updateSlots(Collection<TargetEntry> targets) {
         slots.clear();
--- a/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
+++ b/cornelcrank-server/src/main/java/org/cornelcrank/server/gateway/GatewayHttpServer.java
@@ -182,7 +182,7 @@
         }
         RequestHead head = ((HeadResult.Valid) result).head();
         if (table.get().select(head.host(), head.path()).isEmpty()) {
-            return afterBody(request, () -> rejectWithoutRoute(table.get(), head, response));
+            return afterBody(request, () -> rejectWithoutRoute(table.get(), head, receivedAtMs, response));
         }
         int maxBodyBytes = table.get().limits().maxBodyBytes();
         return Mono.using(
@@ -233,9 +233,14 @@
                 });
     }
 
-    private Mono<Void> rejectWithoutRoute(RouteTable table, RequestHead head, HttpServerResponse response) {
+    /** Rejects a request without a route; callers that are told that there is none do not try another daemon. */
+    private Mono<Void> rejectWithoutRoute(
+            RouteTable table, RequestHead head, long receivedAtMs, HttpServerResponse response) {
         String message = "no route of version " + table.version() + " for " + head.host() + head.path();
-        return reject(response, Refusal.notRun(RefusalCode.NOT_FOUND, message), head.requestId());
+        Refusal refusal = settings.mayLackRoutes(receivedAtMs)
+                ? Refusal.notRun(RefusalCode.NOT_READY, message + ", and newer ones cannot be read", NOT_READY_RETRY_MS)
+                : Refusal.notRun(RefusalCode.NOT_FOUND, message);
+        return reject(response, refusal, head.requestId());
     }
 
     /** Accepts a request that has arrived in full, by the routes in effect now: they may have changed since its head. */
@@ -243,7 +248,7 @@
         RouteTable table = settings.table().orElseThrow();
         Optional<GatewayRoute> selected = table.select(head.host(), head.path());
         if (selected.isEmpty()) {
-            return rejectWithoutRoute(table, head, response);
+            return rejectWithoutRoute(table, head, receivedAtMs, response);
         }
         GatewayRoute route = selected.get();
         if (route.kind() == RouteKind.BATCH) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/GatewayEndToEndTests.java
@@ -436,6 +436,17 @@
         assertThat(job.headers().firstValue("Retry-After")).isPresent();
     }
 
+    /** Guards against callers that are told for good that there is no route, by a daemon that cannot read new ones. */
+    @Test
+    void requestWithoutARouteMayBeTriedElsewhereIfTheRoutesCannotBeRead() throws IOException {
+        assertThat(fleet.post(0, "added", "n1", "x").statusCode()).isEqualTo(404);
+        fleet.store.refuseWith(503);
+        GatewayFleet.await(() -> fleet.post(0, "added", "n2", "x").statusCode() == 503);
+        HttpResponse<String> refused = fleet.post(0, "added", "n3", "x");
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+    }
+
     @Test
     void jobIsAcceptedAtOneDaemonAndReadAtTheOther() throws IOException {
         assertThat(submit(0, "job-1").statusCode()).isEqualTo(202);
