Name the records of a job in their order, and drop abandoned parts once

Found on reading the change: the records in a decision were in the order of a set, which differs from process to process, and an owner whose drop of abandoned parts was acknowledged before it had read the tombstones dropped them once more.

--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobContext.java
@@ -1,7 +1,7 @@
 package org.cornelcrank.job;
 
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.JobId;
@@ -41,7 +41,7 @@
 
         void jobStarted(long nowMs, Effects out);
 
-        void jobUnreadable(JobId job, Set<String> partKeys, long nowMs, Effects out);
+        void jobUnreadable(JobId job, List<String> partKeys, long nowMs, Effects out);
 
         void partitionReady(int partition, long nowMs, Effects out);
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobParts.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobParts.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 import com.google.protobuf.ByteString;
@@ -40,9 +39,9 @@
         return parts.isEmpty();
     }
 
-    /** Returns the keys of all parts. */
-    Set<String> keys() {
-        return Set.copyOf(parts.keySet());
+    /** Returns the keys of all parts in their order. */
+    List<String> keys() {
+        return List.copyOf(parts.keySet());
     }
 
     /** Returns whether a form has all its parts, whether or not it can be decoded. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -45,9 +45,10 @@
     private static final String PROGRESS = "p";
     private static final int POSITION_DIGITS = 6;
 
-    /** The limit of the parts of a form, and the number of forms whose keys differ; the product is below 2^31. */
+    /** The limit of the parts of a form. */
     private static final int MAX_PARTS = 10_000;
 
+    /** The number of forms whose keys differ; so many, with all their parts, have numbers below 2^31. */
     private static final int FORM_KEYS = 200_000;
 
     /** The space reserved for the key and the other fields of a part, in bytes. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,17 +27,17 @@
     private final JobContent content;
     private final Set<String> partKeys;
     private final long loadedAtMs;
-    private long receivedAtMs;
     private final List<ListedResult> listed = new ArrayList<>();
     private final Map<Integer, ItemProgress> progress = new TreeMap<>();
     private final BitSet waiting = new BitSet();
     private final BitSet finished = new BitSet();
     private Optional<BatchDemand> demand = Optional.empty();
+    private long receivedAtMs;
     private int assignedPositions;
     private boolean ended;
     private boolean awaitsRoute;
 
-    JobRun(JobId id, JobContent content, Set<String> partKeys, long loadedAtMs) {
+    JobRun(JobId id, JobContent content, Collection<String> partKeys, long loadedAtMs) {
         this.id = id;
         this.content = content;
         this.partKeys = new TreeSet<>(partKeys);
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobStateMachine.java
@@ -366,7 +366,7 @@
         }
 
         @Override
-        public void jobUnreadable(JobId job, Set<String> partKeys, long nowMs, Effects out) {
+        public void jobUnreadable(JobId job, List<String> partKeys, long nowMs, Effects out) {
             unreadableJobs.inc();
             out.explain(
                     Subject.Kind.JOB,
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -258,9 +258,11 @@
                     stored.partDropped(parsed.job(), key);
                     unreadable.remove(parsed.job());
                     JobRun run = jobs.get(parsed.job());
-                    if (run != null && dropsDueAtMs.containsKey(run.id())) {
+                    if (run == null) {
+                        dropsDueAtMs.remove(parsed.job());
+                    } else if (dropsDueAtMs.containsKey(run.id())) {
                         partsDropped(run, nowMs, out);
-                    } else if (run != null && run.done()) {
+                    } else if (run.done()) {
                         jobs.remove(parsed.job());
                     }
                 });
@@ -597,7 +599,7 @@
                 nowMs,
                 "incomplete parts dropped",
                 "records " + parts.keys() + ", the last received " + (nowMs - parts.receivedAtMs()) + " ms ago");
-        context.writes().drop(job, parts.keys(), (atMs, effects) -> dropsDueAtMs.remove(job), out);
+        context.writes().drop(job, parts.keys(), (atMs, effects) -> {}, out);
     }
 
     private void partsDropped(JobRun run, long nowMs, Effects out) {
