Give the soak a shape with two regions, long streams and a release

The soak had three daemons in one region, streams of at most eight events within some 20 ms, targets of one version, and callers that took a stream up only on the connection that they had.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/CallerConnection.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/CallerConnection.java
@@ -59,6 +59,11 @@
 
     /** Sends a request and reads its response; the head ends in an empty line. */
     Reply exchange(String head, String body) {
+        return exchange(head, body, Integer.MAX_VALUE);
+    }
+
+    /** Sends a request and reads its response, but stops reading after so many events in chunks. */
+    Reply exchange(String head, String body, int wantedEvents) {
         Map<String, String> headers = new HashMap<>();
         ByteArrayOutputStream content = new ByteArrayOutputStream();
         int status = 0;
@@ -70,8 +75,7 @@
             }
             socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
             status = readHead(headers);
-            readBody(headers, status, content);
-            complete = true;
+            complete = readBody(headers, status, content, wantedEvents);
         } catch (NoResponseException e) {
             fault = e.getMessage();
         } catch (IOException e) {
@@ -101,13 +105,17 @@
         return Integer.parseInt(line.substring(9, 12));
     }
 
-    private void readBody(Map<String, String> headers, int status, ByteArrayOutputStream content) throws IOException {
+    private boolean readBody(Map<String, String> headers, int status, ByteArrayOutputStream content, int wantedEvents)
+            throws IOException {
         if (status == NO_CONTENT) {
-            return;
+            return true;
         }
         if ("chunked".equalsIgnoreCase(headers.get("transfer-encoding"))) {
             int size = chunkSize();
             while (size > 0) {
+                if (wantedEvents < Integer.MAX_VALUE && events(content) >= wantedEvents) {
+                    return false;
+                }
                 readBytes(size, content);
                 if (!readLine().isEmpty()) {
                     throw new NoResponseException("a chunk is longer than its size");
@@ -121,6 +129,11 @@
             String length = headers.get("content-length");
             readBytes(length == null ? Integer.MAX_VALUE : Integer.parseInt(length), content);
         }
+        return true;
+    }
+
+    private static int events(ByteArrayOutputStream content) {
+        return content.toString(StandardCharsets.ISO_8859_1).split("\n\n", -1).length - 1;
     }
 
     private int chunkSize() throws IOException {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -47,11 +47,26 @@
     }
 
     DaemonProgram(String host, String storeAddress, int partitions, Path logs) throws IOException {
-        this(host, storeAddress, partitions, logs, System.getProperty("java.class.path"));
+        this(
+                host,
+                "dc-a",
+                SoakShape.COPIES.regions(),
+                storeAddress,
+                partitions,
+                logs,
+                System.getProperty("java.class.path"));
     }
 
     /** Creates a daemon that runs the build of the given class path until it is upgraded. */
-    DaemonProgram(String host, String storeAddress, int partitions, Path logs, String classPath) throws IOException {
+    DaemonProgram(
+            String host,
+            String dataCentre,
+            String regions,
+            String storeAddress,
+            int partitions,
+            Path logs,
+            String classPath)
+            throws IOException {
         this.host = host;
         this.log = logs.resolve(host + ".log").toFile();
         this.classPath = classPath;
@@ -64,9 +79,9 @@
                 "--host",
                 host,
                 "--data-centre",
-                "dc-a",
+                dataCentre,
                 "--data-centres",
-                "{\"dc-a\":\"region-1\"}",
+                regions,
                 "--front-address",
                 "127.0.0.1:" + ports[0],
                 "--readiness-address",
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -32,12 +32,7 @@
  */
 final class ResponseSoak implements AutoCloseable {
 
-    private static final int DAEMONS = 3;
-    private static final int CALLERS = 24;
-    private static final int TROUBLED_CALLERS = 4;
-    private static final int READERS = 3;
-    private static final int PARTITIONS = 2;
-    private static final int TROUBLED_PARTITIONS = 6;
+    private static final int SEED_FACTOR = 24;
     private static final int CONNECTIONS_TO_OTHERS = 16;
     private static final long CALM_MS = 15_000;
     private static final long READ_LIMIT_MS = 9_000;
@@ -46,10 +41,8 @@
     private final long seed;
     private final Path directory;
     private final Random random;
-    private final boolean storeTroubles;
+    private final SoakShape shape;
     private final Optional<String> productionClassPath;
-    private final int partitions;
-    private final int callers;
     private final StoreStandIn store;
     private final ResponseLedger ledger = new ResponseLedger();
     private final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
@@ -72,19 +65,17 @@
      * @param productionClassPath the build that all daemons run at first, some of which are upgraded one after the other;
      *     empty if they run the build under test from the beginning
      */
-    ResponseSoak(long seed, boolean storeTroubles, Path logs, Optional<String> productionClassPath) throws IOException {
+    ResponseSoak(long seed, SoakShape shape, Path logs, Optional<String> productionClassPath) throws IOException {
         this.seed = seed;
-        this.storeTroubles = storeTroubles;
+        this.shape = shape;
         this.productionClassPath = productionClassPath;
-        this.partitions = storeTroubles ? TROUBLED_PARTITIONS : PARTITIONS;
-        this.callers = storeTroubles ? TROUBLED_CALLERS : CALLERS;
-        this.store = new StoreStandIn(partitions);
+        this.store = new StoreStandIn(shape.partitions());
         this.random = new Random(seed);
         this.directory = Files.createDirectories(logs.resolve("seed-" + seed));
         Runtime.getRuntime().addShutdownHook(cleaner);
-        targets = new SoakTargets(seed, random, store, ledger);
-        Optional<SoakStoreTroubles> troubles = storeTroubles
-                ? Optional.of(new SoakStoreTroubles(random, store, daemons, partitions, threads))
+        targets = new SoakTargets(shape, seed, random, store, ledger);
+        Optional<SoakStoreTroubles> troubles = shape.storeTroubles()
+                ? Optional.of(new SoakStoreTroubles(random, store, daemons, shape.partitions(), threads))
                 : Optional.empty();
         disruptions = new SoakDisruptions(random, store, daemons, targets, threads, troubles);
         linkFaults = new SoakLinkFaults(new Random(~seed), threads);
@@ -93,12 +84,15 @@
     /** Runs and returns what was wrong. */
     List<String> run(long durationMs) throws IOException, InterruptedException {
         disruptions.changeRoutes();
-        for (int i = 0; i < DAEMONS; i++) {
+        for (int i = 0; i < shape.daemons(); i++) {
             String host = "host-" + i;
+            String dataCentre = shape.dataCentre(i);
             daemons.add(new DaemonProgram(
                     host,
-                    linkFaults.storeAddress(store, host),
-                    partitions,
+                    dataCentre,
+                    shape.regions(),
+                    linkFaults.storeAddress(store, host, address -> targets.link(dataCentre, address)),
+                    shape.partitions(),
                     directory,
                     productionClassPath.orElse(System.getProperty("java.class.path"))));
             daemons.get(i).start();
@@ -109,15 +103,21 @@
         for (DaemonProgram daemon : daemons) {
             idle.add(Usage.of(daemon, store));
         }
-        for (int i = 0; i < callers; i++) {
-            threads.execute(
-                    new SoakCaller("caller-" + i, seed * CALLERS + i, daemons, i % DAEMONS, attempts, () -> stopped));
+        for (int i = 0; i < shape.callers(); i++) {
+            threads.execute(new SoakCaller(
+                    "caller-" + i,
+                    seed * SEED_FACTOR + i,
+                    shape,
+                    daemons,
+                    i % daemons.size(),
+                    attempts,
+                    () -> stopped));
         }
-        jobs = new SoakJobs(seed, daemons, () -> stopped);
+        jobs = new SoakJobs(seed, shape.maxEvents(), daemons, () -> stopped);
         reads = new SoakReads(daemons, jobs, ledger);
         threads.execute(jobs);
-        for (int i = 0; storeTroubles && i < READERS; i++) {
-            Random readerRandom = new Random(seed * READERS + i);
+        for (int i = 0; i < shape.readers(); i++) {
+            Random readerRandom = new Random(seed * SEED_FACTOR + i);
             threads.execute(() -> reads.run(readerRandom, () -> readersStopped));
         }
         Future<?> links = threads.submit(() -> {
@@ -131,7 +131,7 @@
         disruptions.run(durationMs);
         await(links, "all links must be sound again");
         stopped = true;
-        if (storeTroubles) {
+        if (shape.storeTroubles()) {
             Thread.sleep(CALM_MS);
             readWhole();
         }
@@ -199,8 +199,9 @@
      * and a kept connection to a target for each caller.
      */
     private Usage awaitIdle(DaemonProgram daemon, ResponseChecker checker) throws InterruptedException {
-        Usage limit =
-                idle.stream().reduce(Usage.NONE, Usage::max).plus(2 * partitions, CONNECTIONS_TO_OTHERS + callers);
+        Usage limit = idle.stream()
+                .reduce(Usage.NONE, Usage::max)
+                .plus(2 * shape.partitions(), CONNECTIONS_TO_OTHERS + shape.callers());
         long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(END_TIMEOUT_S);
         Usage usage = Usage.of(daemon, store);
         while (!usage.within(limit) && System.nanoTime() < untilNanos) {
@@ -256,11 +257,19 @@
                 attempts.stream().collect(Collectors.groupingBy(Attempt::status, TreeMap::new, Collectors.counting()));
         List<WrittenCopy> copies = ledger.copies();
         long reused = copies.stream().filter(WrittenCopy::onReusedConnection).count();
-        return "seed %d: %d requests, statuses %s, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %d faults of links, %s, %s, idle %s, afterwards %s"
+        long takenUp = attempts.stream()
+                .filter(attempt -> attempt.resumedAfter() > 0 && attempt.status() == 200)
+                .count();
+        long resumed = ledger.all().stream()
+                .filter(written -> written.resumedAfter() > 0)
+                .count();
+        return "seed %d: %d requests, statuses %s, %d streams taken up, %d runs resumed, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %d faults of links, %s, %s, idle %s, afterwards %s"
                 .formatted(
                         seed,
                         attempts.size(),
                         statuses,
+                        takenUp,
+                        resumed,
                         ledger.all().size(),
                         copies.size(),
                         reused,
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakCaller.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakCaller.java
@@ -19,13 +19,16 @@
 final class SoakCaller implements Runnable {
 
     private static final String[] ROUTES = {"idem", "unsafe", "unsafe", "stream", "stream", "once", "stream-once"};
-    private static final int MAX_EVENTS = 8;
     private static final int MAX_FILLER = 200;
+    private static final int MAX_TAKE_UPS = 4;
+    private static final int OK = 200;
+    private static final int REFUSED = 503;
     private static final int MAX_PAUSE_MS = 5;
     private static final long PAUSE_WITHOUT_DAEMON_MS = 50;
 
     private final String name;
     private final Random random;
+    private final SoakShape shape;
     private final List<DaemonProgram> daemons;
     private final Queue<Attempt> attempts;
     private final BooleanSupplier stopped;
@@ -36,12 +39,14 @@
     SoakCaller(
             String name,
             long seed,
+            SoakShape shape,
             List<DaemonProgram> daemons,
             int daemon,
             Queue<Attempt> attempts,
             BooleanSupplier stopped) {
         this.name = name;
         this.random = new Random(seed);
+        this.shape = shape;
         this.daemons = daemons;
         this.daemon = daemon;
         this.attempts = attempts;
@@ -89,31 +94,69 @@
         }
     }
 
-    private void call() throws IOException {
+    private void call() throws IOException, InterruptedException {
         String route = ROUTES[random.nextInt(ROUTES.length)];
         boolean events = route.contains("stream") || route.equals("once");
-        String path = "/" + route + (events ? "/stream/" + (1 + random.nextInt(MAX_EVENTS)) : "/1");
-        Attempt attempt = send(route, path, 0);
-        int received = attempt.body().split("\n\n", -1).length - 1;
-        if (route.equals("stream") && attempt.status() == 200 && !attempt.complete() && received > 0 && connect()) {
-            send(route, path, received);
+        String path = "/" + route + (events ? "/stream/" + (1 + random.nextInt(shape.maxEvents())) : "/1");
+        boolean leavesEarly = route.equals("stream") && shape.readers() > 0 && random.nextInt(4) == 0;
+        int wanted = leavesEarly ? 1 + random.nextInt(shape.maxEvents()) : Integer.MAX_VALUE;
+        Attempt attempt = send(route, path, "", 0, wanted);
+        pauseAfterRefusal(attempt);
+        int received = events(attempt);
+        if (route.equals("stream") && attempt.status() == 200 && !attempt.complete() && received > 0) {
+            takeUp(path, attempt.requestId(), received);
         }
     }
 
-    private Attempt send(String route, String path, int resumedAfter) {
+    private void pauseAfterRefusal(Attempt attempt) throws InterruptedException {
+        if (attempt.status() == REFUSED) {
+            Thread.sleep(shape.refusalPauseMs());
+        }
+    }
+
+    /** Takes a stream up at another daemon, while the first one may still send, until it is complete. */
+    private void takeUp(String path, String first, int received) throws IOException, InterruptedException {
+        CallerConnection former = connection;
+        connection = null;
+        int has = received;
+        try {
+            for (int tries = 0; tries < MAX_TAKE_UPS; tries++) {
+                daemon = random.nextInt(daemons.size());
+                disconnect();
+                if (connect()) {
+                    Attempt attempt = send("stream", path, first, has, Integer.MAX_VALUE);
+                    if (attempt.complete() && attempt.status() == OK) {
+                        return;
+                    }
+                    has += attempt.status() == OK ? events(attempt) : 0;
+                    pauseAfterRefusal(attempt);
+                }
+            }
+        } finally {
+            former.close();
+        }
+    }
+
+    private static int events(Attempt attempt) {
+        return attempt.body().split("\n\n", -1).length - 1;
+    }
+
+    private Attempt send(String route, String path, String resumes, int resumedAfter, int wantedEvents) {
         String id = name + "-" + requests.incrementAndGet();
         String body = "body of " + id + "x".repeat(random.nextInt(MAX_FILLER));
         String head = "POST " + path + " HTTP/1.1\r\nHost: " + RoutesStandIn.HOST + "\r\nRequest-Id: " + id
                 + "\r\nDeadline-Ms: 8000\r\nContent-Length: " + body.length() + "\r\n"
-                + (resumedAfter > 0 ? "Last-Event-Id: " + resumedAfter + "\r\n" : "") + "\r\n";
+                + (resumedAfter > 0 ? "Last-Event-Id: " + resumedAfter + "\r\nResumes: " + resumes + "\r\n" : "")
+                + "\r\n";
         long atMs = System.currentTimeMillis();
-        Reply reply = connection.exchange(head, body);
+        Reply reply = connection.exchange(head, body, wantedEvents);
         boolean repeatable = !route.equals("unsafe") && !route.equals("once");
         Attempt attempt = new Attempt(
                 id,
                 path,
                 body,
                 repeatable,
+                resumes,
                 resumedAfter,
                 reply.status(),
                 reply.headers().get("response-signature"),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakJobs.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakJobs.java
@@ -29,7 +29,6 @@
 
     static final int ITEMS = 4;
 
-    private static final int MAX_EVENTS = 8;
     private static final int MAX_PAUSE_MS = 400;
     private static final int ACCEPTED = 202;
     private static final int OK = 200;
@@ -38,6 +37,7 @@
     private static final Duration COMPLETION = Duration.ofSeconds(60);
 
     private final Random random;
+    private final int maxEvents;
     private final List<DaemonProgram> daemons;
     private final BooleanSupplier stopped;
     private final ObjectMapper json = new ObjectMapper();
@@ -48,8 +48,9 @@
     private int completed;
     private int abandoned;
 
-    SoakJobs(long seed, List<DaemonProgram> daemons, BooleanSupplier stopped) {
+    SoakJobs(long seed, int maxEvents, List<DaemonProgram> daemons, BooleanSupplier stopped) {
         this.random = new Random(seed);
+        this.maxEvents = maxEvents;
         this.daemons = daemons;
         this.stopped = stopped;
     }
@@ -83,7 +84,7 @@
         List<String> items = new ArrayList<>();
         for (int i = 0; i < ITEMS; i++) {
             String id = itemId(job, i);
-            String path = "/batch/stream/" + (1 + random.nextInt(MAX_EVENTS));
+            String path = "/batch/stream/" + (1 + random.nextInt(maxEvents));
             paths.put(id, path);
             String body = Base64.getEncoder().encodeToString(id.getBytes(StandardCharsets.UTF_8));
             items.add("{\"id\":\"%s\",\"path\":\"%s\",\"headers\":{\"Model\":\"m\"},\"body\":\"%s\",\"tokens\":9}"
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakLinkFaults.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakLinkFaults.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 
 import org.cornelcrank.platform.fake.LinkFault;
 import org.cornelcrank.platform.fake.LinkFault.Kind;
+import org.cornelcrank.platform.fake.LinkShape;
 import org.cornelcrank.platform.fake.StoreStandIn;
 import org.cornelcrank.platform.fake.TargetLinks;
 
@@ -47,8 +49,8 @@
     }
 
     /** Returns the address of the store from which a daemon learns its own addresses of the targets. */
-    String storeAddress(StoreStandIn store, String host) {
-        TargetLinks ofHost = new TargetLinks();
+    String storeAddress(StoreStandIn store, String host, Function<String, LinkShape> shapes) {
+        TargetLinks ofHost = new TargetLinks(shapes);
         links.put(host, ofHost);
         return store.addressFor(host, ofHost);
     }
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
+import org.cornelcrank.platform.fake.LinkShape;
 import org.cornelcrank.platform.fake.ResponseLedger;
 import org.cornelcrank.platform.fake.ResponsePlan.Rates;
 import org.cornelcrank.platform.fake.StoreStandIn;
@@ -19,36 +22,53 @@
 
     private static final int SOUND = 2;
     private static final String SERVICE = "svc";
-    private static final String ZONE = "dc-a";
 
     private final long seed;
     private final StoreStandIn store;
     private final ResponseLedger ledger;
     private final List<StutteringRunnerStandIn> all = new ArrayList<>();
     private final List<StutteringRunnerStandIn> registered = new ArrayList<>();
+    private final Map<String, String> dataCentres = new ConcurrentHashMap<>();
+    private final SoakShape shape;
+    private final int initial;
 
-    SoakTargets(long seed, Random random, StoreStandIn store, ResponseLedger ledger) throws IOException {
+    SoakTargets(SoakShape shape, long seed, Random random, StoreStandIn store, ResponseLedger ledger)
+            throws IOException {
+        this.shape = shape;
         this.seed = seed;
         this.store = store;
         this.ledger = ledger;
-        int stuttering = 2 + random.nextInt(3);
-        for (int i = 0; i < SOUND + stuttering; i++) {
-            join(i < SOUND ? Rates.SOUND : Rates.stuttering(random));
+        initial = shape.targets().orElseGet(() -> SOUND + 2 + random.nextInt(3));
+        int sound = shape.targets().orElse(SOUND);
+        for (int i = 0; i < initial; i++) {
+            join(i < sound ? shape.soundTargets() : Rates.stuttering(random));
         }
     }
 
+    /** Returns the shape of the links from a data centre to a target. */
+    LinkShape link(String dataCentre, String targetAddress) {
+        return shape.link(dataCentre, dataCentres.getOrDefault(targetAddress, dataCentre));
+    }
+
+    /** Registers a target; as many as there were at first have the same version. */
     void join(Rates rates) throws IOException {
         int number = all.size() + 1;
-        StutteringRunnerStandIn target = new StutteringRunnerStandIn("i-" + number, 31 * seed + number, rates, ledger);
+        StutteringRunnerStandIn target = new StutteringRunnerStandIn(
+                "i-" + number, "v" + (1 + (number - 1) / initial), 31 * seed + number, rates, ledger);
         all.add(target);
         registered.add(target);
-        store.put("servers", target.id(), target.entry(SERVICE, ZONE));
+        dataCentres.put(target.address(), shape.dataCentre(number));
+        store.put("servers", target.id(), entry(target));
+    }
+
+    private String entry(StutteringRunnerStandIn target) {
+        return target.entry(SERVICE, dataCentres.get(target.address()));
     }
 
     /** Announces that a target leaves; it goes on responding. */
     StutteringRunnerStandIn leave(Random random) {
         StutteringRunnerStandIn target = registered.remove(random.nextInt(registered.size()));
-        store.put("servers", target.id(), target.entry(SERVICE, ZONE).replace("\"ready\"", "\"draining\""));
+        store.put("servers", target.id(), entry(target).replace("\"ready\"", "\"draining\""));
         return target;
     }
 
