Log how old the beliefs about a stream's version are

A stream without a record goes on if one version alone serves. The line that says so named neither the age of the own listing, nor the read that confirmed it, nor which daemons agreed, so that a listing renewed by a change of its own, one read shortly before a cut, and daemons behind the same cut that confirm each other could not be told apart.

The confirmation of the host list states when its read was sent, and the decision to go on or to refuse states both ages and the replies. A counter shows how many streams go on by inference. No decision changes.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -61,8 +61,8 @@
         }
     }
 
-    /** The host list that was read last is still current. */
-    record HostListConfirmed() implements Event {}
+    /** The host list that was read last was still current when a read of it was sent at {@code asOfMs}. */
+    record HostListConfirmed(long asOfMs) implements Event {}
 
     /**
      * States the versions of the targets' software that open streams of each service may have begun with, as recorded
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -359,7 +359,7 @@
         @Override
         public void caughtUp(long nowMs, Effects out) {
             notifyIfChanged(nowMs, out);
-            out.add(new Effect.Raise(new Event.HostListConfirmed()));
+            out.add(new Effect.Raise(new Event.HostListConfirmed(targetEntries.confirmedAsOfMs())));
             if (!targetsLoaded) {
                 targetsLoaded = true;
                 initialRoutes.ifPresent(table -> install(table, nowMs, out));
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -168,11 +168,14 @@
         endResolving(route);
         ServiceName service = route.request.service();
         Optional<SoftwareVersion> version = streams.infer(service, route.inquiry, nowMs);
+        String known = streams.describe(service, route.inquiry, nowMs);
         if (version.isPresent()) {
-            continueAt(route, version.get(), "no record; the only version of " + service, nowMs, out);
+            context.count("streams-of-inferred-version");
+            continueAt(route, version.get(), "no record; the only version of " + service + "; " + known, nowMs, out);
             return;
         }
         context.count("streams-of-unknown-version");
+        out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "version of the stream unknown", known);
         giveUp(
                 route,
                 RefusalCode.NO_TARGET,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -192,8 +192,8 @@
                     .forEach(service -> online.recordStreams(service, nowMs, out));
             applyMembershipChange(nowMs, out);
             controller.refresh(List.of(), nowMs, out);
-        } else if (event instanceof Event.HostListConfirmed) {
-            streams.services().confirmed(nowMs);
+        } else if (event instanceof Event.HostListConfirmed confirmed) {
+            streams.services().confirmed(confirmed.asOfMs(), nowMs);
         } else if (event instanceof Event.VersionsRecorded versions) {
             streams.services()
                     .recorded(versions.versions(), nowMs)
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
@@ -27,6 +27,7 @@
     private final Map<ServiceName, Versions> services = new HashMap<>();
     private Optional<Map<ServiceName, Set<SoftwareVersion>>> recorded = Optional.empty();
     private long confirmedAtMs = Long.MIN_VALUE / 2;
+    private long confirmedAsOfMs = Long.MIN_VALUE / 2;
 
     /**
      * Records the versions of the targets that are listed now; returns the services that had a single one until now.
@@ -51,9 +52,23 @@
         return noLongerSole;
     }
 
-    /** Records that the targets that were listed last are still all there are. */
-    void confirmed(long nowMs) {
+    /** Records that the targets that were listed last were still all there were at {@code asOfMs}. */
+    void confirmed(long asOfMs, long nowMs) {
         confirmedAtMs = nowMs;
+        confirmedAsOfMs = asOfMs;
+    }
+
+    /** Describes what is known of the service's versions, and its age, for the log. */
+    String describe(ServiceName service, long nowMs) {
+        Versions versions = services.get(service);
+        String listed = versions == null
+                ? "none listed"
+                : "listed " + versions.listed + " for " + (nowMs - versions.changedAtMs) + " ms";
+        String recordedHere = recorded.map(
+                        all -> all.getOrDefault(service, Set.of()).toString())
+                .orElse("not read");
+        return listed + ", recorded " + recordedHere + ", counted as up to date " + (nowMs - confirmedAtMs)
+                + " ms ago, confirmed by a read sent " + (nowMs - confirmedAsOfMs) + " ms ago";
     }
 
     /** Returns whether this daemon has listed all targets of late, so that it is not out of step with the others. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
@@ -92,6 +92,11 @@
                 : Optional.empty();
     }
 
+    /** Describes what is known of a stream without a record, and its age, for the log. */
+    String describe(ServiceName service, VersionInquiry others, long nowMs) {
+        return services.describe(service, nowMs) + "; " + others.describe();
+    }
+
     /** Returns whether what this daemon has listed and the replies so far agree on the version. */
     boolean settled(ServiceName service, VersionInquiry others, long nowMs) {
         return others.settled()
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
@@ -17,8 +17,8 @@
     private final int asked;
     private final Set<HostId> awaited;
     private final Set<SoftwareVersion> sole = new HashSet<>();
-    private int confirmations;
-    private boolean mixed;
+    private final Set<HostId> confirmedBy = new TreeSet<>();
+    private final Set<HostId> mixedAt = new TreeSet<>();
 
     VersionInquiry(Set<HostId> asked) {
         this.asked = asked.size();
@@ -30,10 +30,12 @@
         if (!awaited.remove(from)) {
             return;
         }
-        mixed |= reply.mixed();
+        if (reply.mixed()) {
+            mixedAt.add(from);
+        }
         if (reply.sole().isPresent()) {
             sole.add(reply.sole().get());
-            confirmations++;
+            confirmedBy.add(from);
         }
     }
 
@@ -44,7 +46,7 @@
 
     /** Returns whether most of the daemons that were asked have listed the same version alone, and none several. */
     boolean settled() {
-        return !mixed && sole.size() == 1 && 2 * confirmations > asked;
+        return mixedAt.isEmpty() && sole.size() == 1 && 2 * confirmedBy.size() > asked;
     }
 
     /** Returns the versions that other daemons have listed alone within the lifetime of a stream. */
@@ -54,6 +56,12 @@
 
     /** Returns whether another daemon has listed several versions within the lifetime of a stream. */
     boolean mixed() {
-        return mixed;
+        return !mixedAt.isEmpty();
+    }
+
+    /** Describes the replies for the log. */
+    String describe() {
+        return (asked - awaited.size()) + " of " + asked + " daemons replied without a record, " + confirmedBy
+                + " list only " + sole + ", " + mixedAt + " list several";
     }
 }
