Play daemons out of step with the directory in virtual time

Daemons of a VirtualFleet may follow a modelled directory in the store, and be cut off in groups, frozen or made to read late.

--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -13,8 +13,10 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
@@ -55,6 +57,7 @@
     static final long SILENCE_MS = 300;
     static final long CONNECT_TIMEOUT_MS = 500;
     static final long PROBE_TIMEOUT_MS = 200;
+    static final long MEMBER_TIMEOUT_MS = 1_500;
     static final ServiceName SERVICE = new ServiceName("saarthi-lm");
     static final Location NORTH = location("north", "north-a");
     static final Location SOUTH = location("south", "south-a");
@@ -69,7 +72,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
     private final RoutingMessageCodec codec = new RoutingMessageCodec();
     private final Map<HostId, Integer> indexes = new HashMap<>();
-    private final Set<HostId> cutOff = new HashSet<>();
+    private final Set<Set<HostId>> cutOff = new HashSet<>();
     private List<HostEntry> listed = List.of();
     private Supplier<RoutingPolicy> policy;
     private long order;
@@ -86,6 +89,9 @@
 
     RequestOptions requestOptions = RequestOptions.DEFAULTS;
 
+    /** The directory that the daemons follow; empty if a test tells them the list of hosts itself. */
+    Optional<VirtualDirectory> directory = Optional.empty();
+
     VirtualFleet(long seed) {
         random = new SplittableRandom(seed);
     }
@@ -156,17 +162,64 @@
     /** Tells some daemons the current list of hosts; the others are out of step until the next one. */
     void listAt(Predicate<Node> informed, Predicate<HostEntry> present) {
         listed = hosts.values().stream().filter(present).toList();
+        if (directory.isPresent()) {
+            directory.get().list(listed);
+            return;
+        }
         nodes.stream().filter(informed).forEach(node -> node.handle(new Event.HostListRead(listed)));
     }
 
+    /** Lets the daemons follow a directory in the store from now on, which holds what they have been told. */
+    void followDirectory(LongFunction<Event> unconfirmed) {
+        directory = Optional.of(new VirtualDirectory(this, listed, unconfirmed));
+    }
+
     /** Cuts a daemon off from all others. */
     void cutOff(int daemon) {
-        cutOff.add(nodes.get(daemon).identity.host());
+        cutOff.add(Set.of(nodes.get(daemon).identity.host()));
     }
 
     /** Ends the cut of a daemon; what was sent meanwhile is lost. */
     void reconnect(int daemon) {
-        cutOff.remove(nodes.get(daemon).identity.host());
+        cutOff.remove(Set.of(nodes.get(daemon).identity.host()));
+    }
+
+    /** Cuts daemons off from all others; both sides take each other for dead after a while. */
+    void cutOff(Set<Integer> daemons) {
+        Set<HostId> group = hostsOf(daemons);
+        cutOff.add(group);
+        at(nowMs + MEMBER_TIMEOUT_MS, () -> {
+            if (cutOff.contains(group)) {
+                setMembersAcross(group, MemberState.DEAD);
+            }
+        });
+    }
+
+    /** Ends the cut of a group of daemons. */
+    void reconnect(Set<Integer> daemons) {
+        Set<HostId> group = hostsOf(daemons);
+        cutOff.remove(group);
+        setMembersAcross(group, MemberState.ALIVE);
+    }
+
+    private Set<HostId> hostsOf(Set<Integer> daemons) {
+        return daemons.stream().map(daemon -> nodes.get(daemon).identity.host()).collect(Collectors.toSet());
+    }
+
+    private void setMembersAcross(Set<HostId> group, MemberState state) {
+        for (Node node : nodes) {
+            for (Node other : nodes) {
+                HostId host = other.identity.host();
+                if (other.alive && group.contains(host) != group.contains(node.identity.host())) {
+                    node.membership.set(host, state);
+                }
+            }
+        }
+    }
+
+    /** Returns whether messages between two daemons arrive. */
+    boolean connected(HostId one, HostId other) {
+        return cutOff.stream().noneMatch(group -> group.contains(one) != group.contains(other));
     }
 
     /** Kills all daemons at once; they start again after the given time, and know only the recorded versions. */
@@ -601,7 +654,7 @@
         at(nowMs + latencyMs(node.identity.location(), hosts.get(target).location()), action);
     }
 
-    private static long latencyMs(Location from, Location to) {
+    static long latencyMs(Location from, Location to) {
         return from.distanceTo(to) == Location.Distance.OTHER_REGION ? FAR_LATENCY_MS : LATENCY_MS;
     }
 
@@ -740,6 +793,13 @@
         /** Whether the results of probes never arrive. */
         boolean losesProbes;
 
+        /** How late answers of the store arrive, in ms. */
+        long storeLagMs;
+
+        final Set<Long> recordedStreams = new HashSet<>();
+        private final List<Runnable> inbox = new ArrayList<>();
+        private boolean frozen;
+
         Node(int index, DaemonIdentity identity, List<DaemonIdentity> all, RoutingPolicy policy) {
             this.index = index;
             this.identity = identity;
@@ -756,6 +816,28 @@
             return cut.or(() -> Optional.ofNullable(pairCuts.get(target)));
         }
 
+        /** Lets the daemon handle nothing for some time; what arrives meanwhile is handled in order after that. */
+        void freeze(long frozenMs) {
+            frozen = true;
+            at(nowMs + frozenMs, () -> {
+                frozen = false;
+                inbox.forEach(Runnable::run);
+                inbox.clear();
+            });
+        }
+
+        boolean awake() {
+            return alive && !frozen;
+        }
+
+        void whenAwake(Runnable action) {
+            if (frozen) {
+                inbox.add(action);
+            } else {
+                action.run();
+            }
+        }
+
         /** Runs an action after a pause unless the daemon is dead by then. */
         void afterPause(long pauseMs, Runnable action) {
             at(nowMs + pauseMs, () -> {
@@ -766,22 +848,30 @@
         }
 
         void handle(Event event) {
-            if (alive) {
-                Effects out = new Effects();
-                stateMachine.on(event, nowMs, out);
-                execute(out);
-            }
+            whenAwake(() -> {
+                if (alive) {
+                    Effects out = new Effects();
+                    stateMachine.on(event, nowMs, out);
+                    execute(out);
+                }
+            });
         }
 
         void receive(Fact fact) {
-            if (alive) {
-                Effects out = new Effects();
-                dissemination.receive(fact, nowMs, out);
-                execute(out);
-            }
+            whenAwake(() -> {
+                if (alive) {
+                    Effects out = new Effects();
+                    dissemination.receive(fact, nowMs, out);
+                    execute(out);
+                }
+            });
         }
 
         void attemptStarted(AttemptId attempt, Event.TargetResponded response) {
+            whenAwake(() -> startedWhenAwake(attempt, response));
+        }
+
+        private void startedWhenAwake(AttemptId attempt, Event.TargetResponded response) {
             SentRequest request = requestsByAttempt.get(attempt);
             if (request != null && request.firstTokenAtMs < 0) {
                 request.firstTokenAtMs = nowMs;
@@ -794,6 +884,10 @@
         }
 
         void attemptEnded(AttemptId attempt, AttemptOutcome outcome) {
+            whenAwake(() -> endedWhenAwake(attempt, outcome));
+        }
+
+        private void endedWhenAwake(AttemptId attempt, AttemptOutcome outcome) {
             jobs.remove(attempt);
             SentRequest request = requestsByAttempt.get(attempt);
             if (request != null && outcome instanceof AttemptOutcome.Failed failure) {
@@ -856,12 +950,14 @@
 
         private void schedule(TimerKey key, long dueAtMs) {
             timers.put(key.name(), dueAtMs);
-            at(dueAtMs, () -> {
-                if (timers.getOrDefault(key.name(), -1L) == dueAtMs) {
-                    timers.remove(key.name());
-                    handle(new Event.TimerDue(key));
-                }
-            });
+            at(
+                    dueAtMs,
+                    () -> whenAwake(() -> {
+                        if (timers.getOrDefault(key.name(), -1L) == dueAtMs) {
+                            timers.remove(key.name());
+                            handle(new Event.TimerDue(key));
+                        }
+                    }));
         }
 
         private void cancel(AttemptId attempt) {
@@ -882,12 +978,14 @@
                     || send.message() instanceof RoutingMessage.ReachabilityReply) {
                 checkBytes += bytes.size();
             }
-            if (!identity.host().equals(send.to())
-                    && (cutOff.contains(identity.host()) || cutOff.contains(send.to()))) {
+            if (!connected(identity.host(), send.to())) {
                 return;
             }
             Optional<Node> to = Optional.ofNullable(indexes.get(send.to())).map(nodes::get);
             to.ifPresent(node -> at(nowMs + latencyMs(identity.location(), node.identity.location()), () -> {
+                if (send.message() instanceof RoutingMessage.StreamBegun begun) {
+                    node.recordedStreams.add(begun.key());
+                }
                 try {
                     node.handle(new Event.PeerMessageReceived(identity.host(), codec.decode(bytes)));
                 } catch (InvalidProtocolBufferException e) {
