--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -64,11 +64,23 @@
     /** The host list that was read last was still current when a read of it was sent at {@code asOfMs}. */
     record HostListConfirmed(long asOfMs) implements Event {}
 
+    /**
+     * A state machine needs a read of the host list that begins now; {@link HostListConfirmed} or
+     * {@link HostListUnconfirmed} follows with a later {@code asOfMs}.
+     */
+    record HostListConfirmationRequested() implements Event {}
+
+    /** A read of the host list that was sent at {@code asOfMs} on request has failed. */
+    record HostListUnconfirmed(long asOfMs) implements Event {}
+
+    /** Changes of the host list may have been missed: it has been read as a whole instead of change by change. */
+    record HostListGap() implements Event {}
+
     /**
      * States the versions of the targets' software that open streams of each service may have begun with, as recorded
-     * by all daemons; a service that is missing has never had a target.
+     * by all daemons at {@code asOfMs}; a service that is missing has never had a target.
      */
-    record VersionsRecorded(Map<ServiceName, Set<SoftwareVersion>> versions) implements Event {
+    record VersionsRecorded(Map<ServiceName, Set<SoftwareVersion>> versions, long asOfMs) implements Event {
         public VersionsRecorded {
             versions = Map.copyOf(versions);
         }
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -136,6 +136,8 @@
             timerDue(due.key(), nowMs, out);
         } else if (event instanceof Event.TargetLeaving leaving) {
             targetLeaving(leaving, nowMs, out);
+        } else if (event instanceof Event.HostListConfirmationRequested) {
+            targetEntries.confirm(nowMs, out);
         } else if (event instanceof Event.StopRequested) {
             stopping = true;
         }
@@ -365,6 +367,18 @@
                 initialRoutes.ifPresent(table -> install(table, nowMs, out));
             }
         }
+
+        @Override
+        public void unconfirmed(long sentAtMs, long nowMs, Effects out) {
+            out.add(new Effect.Raise(new Event.HostListUnconfirmed(sentAtMs)));
+        }
+
+        @Override
+        public void reloaded(long nowMs, Effects out) {
+            stateChanged("targets have been loaded again; versions may have come and gone meanwhile", out);
+            out.add(new Effect.Raise(new Event.HostListGap()));
+            versions.confirm(nowMs, out);
+        }
     }
 
     private final class HostsListener implements KeyedTopicFollower.Listener {
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/VersionHistory.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/VersionHistory.java
@@ -81,6 +81,11 @@
         follower.start(nowMs, out);
     }
 
+    /** Reads at once what is recorded. */
+    void confirm(long nowMs, Effects out) {
+        follower.confirm(nowMs, out);
+    }
+
     /** Handles a timer; returns whether it belongs to this history. */
     boolean timerDue(TimerKey key, long nowMs, Effects out) {
         if (key.equals(FOLLOW_TIMER)) {
@@ -182,13 +187,13 @@
 
     @Override
     public void caughtUp(long nowMs, Effects out) {
+        Map<ServiceName, Set<SoftwareVersion>> recorded = new HashMap<>();
+        services.forEach((service, versions) -> recorded.put(
+                service, versions.stored.stream().map(SoftwareVersion::new).collect(Collectors.toSet())));
+        out.add(new Effect.Raise(new Event.VersionsRecorded(recorded, follower.confirmedAsOfMs())));
         if (changed || !loaded) {
             loaded = true;
             changed = false;
-            Map<ServiceName, Set<SoftwareVersion>> recorded = new HashMap<>();
-            services.forEach((service, versions) -> recorded.put(
-                    service, versions.stored.stream().map(SoftwareVersion::new).collect(Collectors.toSet())));
-            out.add(new Effect.Raise(new Event.VersionsRecorded(recorded)));
             writeDue(nowMs, out);
         }
     }
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
@@ -248,6 +248,29 @@
         nodes.run(5_000);
         assertThat(settings.get(A).version()).isEqualTo(2);
         assertThat(targets(A)).containsExactly("t-2 ready");
+        assertThat(lists.get(A).gaps).isEqualTo(1);
+    }
+
+    @Test
+    void listIsConfirmedOnRequestByAReadThatBeginsThen() {
+        putTarget("t-1", "ready");
+        start(A);
+        nodes.run(1_000);
+        long requestedAtMs = nodes.nowMs();
+        requestConfirmation();
+        nodes.run(200);
+        assertThat(lists.get(A).confirmedAsOfMs).isGreaterThanOrEqualTo(requestedAtMs);
+        nodes.setFaults((host, request) -> StoreFault.REFUSED);
+        nodes.run(100);
+        long failingSinceMs = nodes.nowMs();
+        requestConfirmation();
+        nodes.run(200);
+        assertThat(lists.get(A).unconfirmedAsOfMs).isGreaterThanOrEqualTo(failingSinceMs);
+        assertThat(lists.get(A).confirmedAsOfMs).isLessThan(failingSinceMs);
+    }
+
+    private void requestConfirmation() {
+        nodes.act(A, (nowMs, out) -> out.add(new Effect.Raise(new Event.HostListConfirmationRequested())));
     }
 
     @Test
@@ -471,6 +494,9 @@
 
         private List<HostEntry> entries = new ArrayList<>();
         private Map<ServiceName, Set<SoftwareVersion>> versions = Map.of();
+        private long confirmedAsOfMs;
+        private long unconfirmedAsOfMs;
+        private int gaps;
 
         @Override
         public String name() {
@@ -481,6 +507,16 @@
         public void on(Event event, long nowMs, Effects out) {
             if (event instanceof Event.HostListRead read) {
                 entries = read.hosts();
+                entries.stream()
+                        .filter(entry -> entry.role() == HostRole.TARGET)
+                        .forEach(entry ->
+                                seenVersions.add(entry.softwareVersion().text()));
+            } else if (event instanceof Event.HostListConfirmed confirmed) {
+                confirmedAsOfMs = confirmed.asOfMs();
+            } else if (event instanceof Event.HostListUnconfirmed unconfirmed) {
+                unconfirmedAsOfMs = unconfirmed.asOfMs();
+            } else if (event instanceof Event.HostListGap) {
+                gaps++;
             } else if (event instanceof Event.VersionsRecorded recorded) {
                 versions = recorded.versions();
             }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -18,6 +18,7 @@
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
+import org.cornelcrank.core.Event;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Refusal;
@@ -141,14 +142,29 @@
             return;
         }
         route.phase = Route.Phase.RESOLVING;
-        route.inquiry = new VersionInquiry(streams.ask(key, route.request.service(), out));
+        ServiceName service = route.request.service();
+        long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
+        route.inquiry = new VersionInquiry(streams.holders(key), nowMs, untilMs);
         resolving.computeIfAbsent(key, unused -> new ArrayList<>()).add(route);
-        if (route.inquiry.complete()) {
-            concludeVersion(route, nowMs, out);
-            return;
+        wakeups.put(route.request.id(), untilMs, out);
+        if (!streams.services().mixed(service, nowMs)) {
+            out.add(new Effect.Raise(new Event.HostListConfirmationRequested()));
         }
+        if (streams.services().withinReach(nowMs)) {
+            streams.ask(key, service, route.inquiry.asked(), false, out);
+            decideVersion(route, nowMs, out);
+        } else {
+            askForConfirmation(route, nowMs, out);
+        }
+    }
+
+    /** Asks other daemons to read the directory, as this daemon's own read proves nothing. */
+    private void askForConfirmation(Route route, long nowMs, Effects out) {
         long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
+        route.inquiry.askedForConfirmation(untilMs);
         wakeups.put(route.request.id(), untilMs, out);
+        long key = route.request.options().stream().orElseThrow().key();
+        streams.ask(key, route.request.service(), route.inquiry.asked(), true, out);
     }
 
     void streamVersionReplied(HostId from, RoutingMessage.StreamVersionReply reply, long nowMs, Effects out) {
@@ -157,17 +173,40 @@
             if (reply.version().isPresent()) {
                 endResolving(route);
                 continueAt(route, reply.version().get(), "recorded by " + from, nowMs, out);
-            } else if (route.inquiry.complete() || streams.settled(route.request.service(), route.inquiry, nowMs)) {
-                concludeVersion(route, nowMs, out);
+            } else {
+                decideVersion(route, nowMs, out);
+            }
+        }
+    }
+
+    /** Decides on the streams whose version may be known now, as the directory or the recorded versions were read. */
+    void versionsChanged(long nowMs, Effects out) {
+        List<Route> waiting = resolving.values().stream().flatMap(List::stream).toList();
+        waiting.forEach(route -> decideVersion(route, nowMs, out));
+    }
+
+    /** Decides on a stream of which no daemon has stated the version, if it can be decided now. */
+    private void decideVersion(Route route, long nowMs, Effects out) {
+        VersionInquiry inquiry = route.inquiry;
+        ServiceName service = route.request.service();
+        boolean timedOut = nowMs >= inquiry.untilMs();
+        Optional<SoftwareVersion> version = streams.proven(service, inquiry, nowMs);
+        boolean readEnded = streams.services().confirmationEnded(inquiry.sinceMs());
+        boolean provable = streams.provable(service, inquiry, nowMs);
+        if (version.isPresent()) {
+            if (timedOut || inquiry.mostReplied()) {
+                concludeVersion(route, version, nowMs, out);
             }
+        } else if (provable && !inquiry.confirmationAsked() && (timedOut || readEnded)) {
+            askForConfirmation(route, nowMs, out);
+        } else if (timedOut || inquiry.complete() && (readEnded || !provable)) {
+            concludeVersion(route, version, nowMs, out);
         }
     }
 
-    /** Decides on a stream of which no daemon has stated the version. */
-    private void concludeVersion(Route route, long nowMs, Effects out) {
+    private void concludeVersion(Route route, Optional<SoftwareVersion> version, long nowMs, Effects out) {
         endResolving(route);
         ServiceName service = route.request.service();
-        Optional<SoftwareVersion> version = streams.infer(service, route.inquiry, nowMs);
         String known = streams.describe(service, route.inquiry, nowMs);
         if (version.isPresent()) {
             context.count("streams-of-inferred-version");
@@ -606,7 +645,7 @@
         for (RequestId id : wakeups.takeDue(nowMs, out)) {
             Route route = routes.get(id);
             if (route != null && route.phase == Route.Phase.RESOLVING) {
-                concludeVersion(route, nowMs, out);
+                decideVersion(route, nowMs, out);
                 continue;
             }
             if (route != null && route.awaitsTarget()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/Route.java
@@ -88,7 +88,7 @@
     long dispatchedAtMs;
     long retryAfterMs;
     Optional<SoftwareVersion> version = Optional.empty();
-    VersionInquiry inquiry = new VersionInquiry(Set.of());
+    VersionInquiry inquiry = new VersionInquiry(Set.of(), 0, 0);
 
     Route(
             RoutedRequest request,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -129,17 +129,26 @@
     /** States the version of the software of the target that a stream's next events come from. */
     record StreamBegun(long key, SoftwareVersion version, long lifetimeMs) implements RoutingMessage {}
 
-    /** Requests the version that began a stream of a service. */
-    record StreamVersionRequested(long key, ServiceName service) implements RoutingMessage {}
+    /**
+     * Requests the version that began a stream of a service.
+     *
+     * <p>{@code confirm} requests a read of the directory, as the sender itself cannot read it.
+     */
+    record StreamVersionRequested(long key, ServiceName service, boolean confirm) implements RoutingMessage {}
 
     /**
      * States the version that began a stream, empty if the sender has no record of it.
      *
      * <p>{@code sole} is the only version of the service that the sender has listed within the lifetime of a stream;
      * {@code mixed} indicates that it has listed several. It states neither if it has not been running for that long.
+     * {@code confirmed} indicates that a read of the directory which began after the request has found only {@code sole}.
      */
     record StreamVersionReply(
-            long key, Optional<SoftwareVersion> version, Optional<SoftwareVersion> sole, boolean mixed)
+            long key,
+            Optional<SoftwareVersion> version,
+            Optional<SoftwareVersion> sole,
+            boolean mixed,
+            boolean confirmed)
             implements RoutingMessage {}
 
     /** Requests that the receiver checks whether it can connect to a target; {@code number} identifies the request. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -125,10 +125,13 @@
         } else if (message instanceof RoutingMessage.StreamVersionRequested request) {
             wire.setStreamVersionRequested(WireStreamVersionRequested.newBuilder()
                     .setKey(request.key())
-                    .setService(request.service().value()));
+                    .setService(request.service().value())
+                    .setConfirm(request.confirm()));
         } else if (message instanceof RoutingMessage.StreamVersionReply reply) {
-            WireStreamVersionReply.Builder wireReply =
-                    WireStreamVersionReply.newBuilder().setKey(reply.key()).setMixed(reply.mixed());
+            WireStreamVersionReply.Builder wireReply = WireStreamVersionReply.newBuilder()
+                    .setKey(reply.key())
+                    .setMixed(reply.mixed())
+                    .setConfirmed(reply.confirmed());
             reply.version().ifPresent(version -> wireReply.setVersion(version.text()));
             reply.sole().ifPresent(version -> wireReply.setSoleVersion(version.text()));
             wire.setStreamVersionReply(wireReply);
@@ -220,7 +223,8 @@
                     wire.getStreamBegun().getLifetimeMs());
             case STREAM_VERSION_REQUESTED -> new RoutingMessage.StreamVersionRequested(
                     wire.getStreamVersionRequested().getKey(),
-                    new ServiceName(wire.getStreamVersionRequested().getService()));
+                    new ServiceName(wire.getStreamVersionRequested().getService()),
+                    wire.getStreamVersionRequested().getConfirm());
             case STREAM_VERSION_REPLY -> streamVersionReply(wire.getStreamVersionReply());
             case REACHABILITY_REQUESTED -> new RoutingMessage.ReachabilityRequested(
                     wire.getReachabilityRequested().getNumber(),
@@ -246,7 +250,8 @@
                 wire.hasVersion() ? Optional.of(new SoftwareVersion(wire.getVersion())) : Optional.empty();
         Optional<SoftwareVersion> sole =
                 wire.hasSoleVersion() ? Optional.of(new SoftwareVersion(wire.getSoleVersion())) : Optional.empty();
-        return new RoutingMessage.StreamVersionReply(wire.getKey(), version, sole, wire.getMixed());
+        return new RoutingMessage.StreamVersionReply(
+                wire.getKey(), version, sole, wire.getMixed(), wire.getConfirmed());
     }
 
     private static RoutingMessage.PermitRequested permitRequested(WireAskPermit wire) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -11,6 +11,7 @@
 import org.cornelcrank.core.CallerCommand;
 import org.cornelcrank.core.DaemonIdentity;
 import org.cornelcrank.core.Dissemination;
+import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.Fact;
@@ -22,6 +23,7 @@
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
 import org.cornelcrank.core.RequestId;
+import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.StateMachine;
 import org.cornelcrank.core.StateWriter;
 import org.cornelcrank.core.Subject;
@@ -164,6 +166,7 @@
         context.suspects().expire(nowMs);
         context.promptParts().expire(nowMs);
         streams.expire(nowMs);
+        streams.noLongerWithinReach(nowMs).forEach(service -> directoryLost(service, nowMs, out));
         online.endOverdue(nowMs, out);
         controller.refresh(List.of(), nowMs, out);
         boolean readvertise =
@@ -178,6 +181,12 @@
         }
     }
 
+    private void directoryLost(ServiceName service, long nowMs, Effects out) {
+        out.add(new Effect.StateChanged(
+                NAME, "open streams of " + service + " are recorded, as the directory is out of reach"));
+        online.recordStreams(service, nowMs, out);
+    }
+
     private void attemptEnded(Event.AttemptEnded ended, long nowMs, Effects out) {
         if (!online.attemptEnded(ended.attempt(), ended.outcome(), nowMs, out)) {
             batch.attemptEnded(ended.attempt(), ended.outcome(), nowMs, out);
@@ -194,10 +203,17 @@
             controller.refresh(List.of(), nowMs, out);
         } else if (event instanceof Event.HostListConfirmed confirmed) {
             streams.services().confirmed(confirmed.asOfMs(), nowMs);
+            versionsChanged(nowMs, out);
+        } else if (event instanceof Event.HostListUnconfirmed unconfirmed) {
+            streams.services().unconfirmed(unconfirmed.asOfMs());
+            versionsChanged(nowMs, out);
+        } else if (event instanceof Event.HostListGap) {
+            streams.services().gap(nowMs);
         } else if (event instanceof Event.VersionsRecorded versions) {
             streams.services()
-                    .recorded(versions.versions(), nowMs)
+                    .recorded(versions.versions(), versions.asOfMs(), nowMs)
                     .forEach(service -> online.recordStreams(service, nowMs, out));
+            versionsChanged(nowMs, out);
         } else if (event instanceof Event.TargetReported reported) {
             reported(reported.report(), nowMs, out);
         } else if (event instanceof Event.TargetUnreachable unreachable && unreachable.refused()) {
@@ -220,6 +236,11 @@
         }
     }
 
+    private void versionsChanged(long nowMs, Effects out) {
+        online.versionsChanged(nowMs, out);
+        streams.sendPendingReplies(nowMs, out);
+    }
+
     private void reported(TargetReport report, long nowMs, Effects out) {
         Optional<TargetState> target = context.directory().find(report.target());
         if (target.isEmpty()) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
@@ -13,27 +13,32 @@
 /**
  * Tracks which versions of the software the targets of each service have had of late.
  *
- * <p>A service without any listed target keeps the versions that it had last. Not thread-safe: confined to the daemon's
- * event loop.
+ * <p>What has been listed is evidence about a moment only if a read of the directory was sent at that moment or later;
+ * each query about a moment therefore names it. A service without any listed target keeps the versions that it had last.
+ * Not thread-safe: confined to the daemon's event loop.
  */
 final class ServiceVersions {
 
     /**
-     * How long a listing counts as up to date, in ms: the longest time for which the store holds a read open, and its
-     * response time.
+     * How long the directory counts as within reach after a read, in ms: the longest time for which the store holds a
+     * read open, and its response time.
      */
-    private static final long UP_TO_DATE_MS = 4_000;
+    private static final long WITHIN_REACH_MS = 4_000;
 
     private final Map<ServiceName, Versions> services = new HashMap<>();
     private Optional<Map<ServiceName, Set<SoftwareVersion>>> recorded = Optional.empty();
+    private long recordedAsOfMs = Long.MIN_VALUE / 2;
     private long confirmedAtMs = Long.MIN_VALUE / 2;
     private long confirmedAsOfMs = Long.MIN_VALUE / 2;
+    private long unconfirmedAsOfMs = Long.MIN_VALUE / 2;
+
+    /** Since when all changes of the directory have been read. */
+    private long completeSinceMs = Long.MIN_VALUE / 2;
 
     /**
      * Records the versions of the targets that are listed now; returns the services that had a single one until now.
      */
     Set<ServiceName> listed(Collection<TargetState> targets, long nowMs) {
-        confirmedAtMs = nowMs;
         Map<ServiceName, Set<SoftwareVersion>> current = new HashMap<>();
         for (TargetState target : targets) {
             for (ServiceName service : target.services()) {
@@ -52,10 +57,35 @@
         return noLongerSole;
     }
 
-    /** Records that the targets that were listed last were still all there were at {@code asOfMs}. */
+    /** Records that all changes of the directory before {@code asOfMs} have been listed. */
     void confirmed(long asOfMs, long nowMs) {
         confirmedAtMs = nowMs;
-        confirmedAsOfMs = asOfMs;
+        confirmedAsOfMs = Math.max(confirmedAsOfMs, asOfMs);
+    }
+
+    /** Records that a read which was sent at {@code asOfMs} on request has failed. */
+    void unconfirmed(long asOfMs) {
+        unconfirmedAsOfMs = Math.max(unconfirmedAsOfMs, asOfMs);
+    }
+
+    /** Records that targets may have been listed and removed unseen until now. */
+    void gap(long nowMs) {
+        completeSinceMs = nowMs;
+    }
+
+    /** Returns whether the directory has been read since the given time in ms, so that nothing before it is unknown. */
+    boolean confirmedSince(long sinceMs) {
+        return confirmedAsOfMs >= sinceMs;
+    }
+
+    /** Returns whether a read that was sent on request at the given time in ms or later has ended. */
+    boolean confirmationEnded(long sinceMs) {
+        return confirmedSince(sinceMs) || unconfirmedAsOfMs >= sinceMs;
+    }
+
+    /** Returns whether the directory has been within reach of late. */
+    boolean withinReach(long nowMs) {
+        return nowMs - confirmedAtMs <= WITHIN_REACH_MS;
     }
 
     /** Describes what is known of the service's versions, and its age, for the log. */
@@ -67,43 +97,57 @@
         String recordedHere = recorded.map(
                         all -> all.getOrDefault(service, Set.of()).toString())
                 .orElse("not read");
-        return listed + ", recorded " + recordedHere + ", counted as up to date " + (nowMs - confirmedAtMs)
-                + " ms ago, confirmed by a read sent " + (nowMs - confirmedAsOfMs) + " ms ago";
-    }
-
-    /** Returns whether this daemon has listed all targets of late, so that it is not out of step with the others. */
-    boolean upToDate(long nowMs) {
-        return nowMs - confirmedAtMs <= UP_TO_DATE_MS;
+        return listed + ", recorded " + recordedHere + ", confirmed by a read sent " + (nowMs - confirmedAsOfMs)
+                + " ms ago";
     }
 
     /**
-     * Records the versions that open streams may have begun with, as all daemons have recorded them; returns the
-     * services that had a single one until now.
+     * Records the versions that open streams may have begun with, as all daemons have recorded them at {@code asOfMs};
+     * returns the services that had a single one until now.
      */
-    Set<ServiceName> recorded(Map<ServiceName, Set<SoftwareVersion>> versions, long nowMs) {
-        Set<ServiceName> noLongerSole = new HashSet<>(services.keySet());
-        noLongerSole.removeIf(service -> sole(service, nowMs).isEmpty());
+    Set<ServiceName> recorded(Map<ServiceName, Set<SoftwareVersion>> versions, long asOfMs, long nowMs) {
+        Set<ServiceName> noLongerSole = new HashSet<>(soleServices(nowMs));
         recorded = Optional.of(versions);
-        noLongerSole.removeIf(service -> sole(service, nowMs).isPresent());
+        recordedAsOfMs = asOfMs;
+        noLongerSole.removeAll(soleServices(nowMs));
         return noLongerSole;
     }
 
+    /** Returns the services of which {@link #sole} is known. */
+    Set<ServiceName> soleServices(long nowMs) {
+        Set<ServiceName> sole = new HashSet<>(services.keySet());
+        sole.removeIf(service -> sole(service, nowMs).isEmpty());
+        return sole;
+    }
+
     /**
      * Returns the only version that streams of the service can have begun with, empty if there may be several.
      *
-     * <p>This daemon has listed it alone for the lifetime of a stream, or since its start if no other is recorded.
+     * <p>This daemon has listed it alone for the lifetime of a stream, or since its start or the last gap if no other is
+     * recorded.
      */
     Optional<SoftwareVersion> sole(ServiceName service, long nowMs) {
         Versions versions = services.get(service);
         if (versions == null || versions.listed.size() != 1) {
             return Optional.empty();
         }
-        SoftwareVersion version = versions.listed.iterator().next();
-        boolean forLong = nowMs - versions.changedAtMs >= SoftwareVersion.STREAM_LIFETIME_MS;
-        boolean noOtherRecorded = !versions.changed
+        boolean noOtherRecorded = !versions.changedOfLate(nowMs)
                 && recorded.isPresent()
+                && recordedAsOfMs >= completeSinceMs
                 && recordedOthers(service).isEmpty();
-        return forLong || noOtherRecorded ? Optional.of(version) : Optional.empty();
+        return listedForLifetime(versions, nowMs) || noOtherRecorded
+                ? Optional.of(versions.listed.iterator().next())
+                : Optional.empty();
+    }
+
+    /** Returns whether this daemon has itself listed a single version for the lifetime of a stream. */
+    boolean soleForLifetime(ServiceName service, long nowMs) {
+        Versions versions = services.get(service);
+        return versions != null && versions.listed.size() == 1 && listedForLifetime(versions, nowMs);
+    }
+
+    private boolean listedForLifetime(Versions versions, long nowMs) {
+        return nowMs - Math.max(versions.changedAtMs, completeSinceMs) >= SoftwareVersion.STREAM_LIFETIME_MS;
     }
 
     private Set<SoftwareVersion> recordedOthers(ServiceName service) {
@@ -121,7 +165,8 @@
         }
         boolean recent = nowMs - versions.changedAtMs < SoftwareVersion.STREAM_LIFETIME_MS;
         return versions.listed.size() > 1
-                || recent && (versions.changed || !recordedOthers(service).isEmpty());
+                || versions.changedOfLate(nowMs)
+                || recent && !recordedOthers(service).isEmpty();
     }
 
     private static final class Versions {
@@ -143,5 +188,9 @@
             changedAtMs = nowMs;
             changed = true;
         }
+
+        boolean changedOfLate(long nowMs) {
+            return changed && nowMs - changedAtMs < SoftwareVersion.STREAM_LIFETIME_MS;
+        }
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
@@ -1,8 +1,12 @@
 package org.cornelcrank.routing;
 
-import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.SoftwareVersion;
@@ -14,54 +18,98 @@
  */
 final class VersionInquiry {
 
-    private final int asked;
+    private final Set<HostId> asked;
     private final Set<HostId> awaited;
-    private final Set<SoftwareVersion> sole = new HashSet<>();
-    private final Set<HostId> confirmedBy = new TreeSet<>();
-    private final Set<HostId> mixedAt = new TreeSet<>();
+    private final long sinceMs;
+    private final Map<HostId, RoutingMessage.StreamVersionReply> replies = new TreeMap<>();
+    private long untilMs;
+    private boolean confirmationAsked;
 
-    VersionInquiry(Set<HostId> asked) {
-        this.asked = asked.size();
+    /**
+     * Creates an inquiry without replies.
+     *
+     * @param asked the daemons that were asked
+     * @param sinceMs when the caller took the stream up
+     * @param untilMs when it is decided without the missing replies
+     */
+    VersionInquiry(Set<HostId> asked, long sinceMs, long untilMs) {
+        this.asked = new TreeSet<>(asked);
         this.awaited = new TreeSet<>(asked);
+        this.sinceMs = sinceMs;
+        this.untilMs = untilMs;
     }
 
-    /** Adds a reply without a record; a second one of the same daemon is ignored. */
+    /** Notes that all daemons have been asked for a read of the directory that begins after they were asked. */
+    void askedForConfirmation(long newUntilMs) {
+        confirmationAsked = true;
+        awaited.addAll(asked);
+        untilMs = newUntilMs;
+    }
+
+    /** Adds a reply without a record, in place of an earlier one of the same daemon. */
     void replied(HostId from, RoutingMessage.StreamVersionReply reply) {
-        if (!awaited.remove(from)) {
-            return;
-        }
-        if (reply.mixed()) {
-            mixedAt.add(from);
-        }
-        if (reply.sole().isPresent()) {
-            sole.add(reply.sole().get());
-            confirmedBy.add(from);
+        if (asked.contains(from)) {
+            awaited.remove(from);
+            replies.put(from, reply);
         }
     }
 
+    Set<HostId> asked() {
+        return asked;
+    }
+
+    /** Returns when the caller took the stream up, in ms. */
+    long sinceMs() {
+        return sinceMs;
+    }
+
+    /** Returns when it is decided without the missing replies, in ms. */
+    long untilMs() {
+        return untilMs;
+    }
+
+    /** Returns whether the daemons have been asked to read the directory. */
+    boolean confirmationAsked() {
+        return confirmationAsked;
+    }
+
     /** Returns whether all daemons that were asked have replied. */
     boolean complete() {
         return awaited.isEmpty();
     }
 
-    /** Returns whether most of the daemons that were asked have listed the same version alone, and none several. */
-    boolean settled() {
-        return mixedAt.isEmpty() && sole.size() == 1 && 2 * confirmedBy.size() > asked;
+    /** Returns whether most of the daemons that were asked have replied. */
+    boolean mostReplied() {
+        return complete() || 2 * awaited.size() < asked.size();
     }
 
-    /** Returns the versions that other daemons have listed alone within the lifetime of a stream. */
+    /** Returns the versions that other daemons have listed alone, whether or not they know all that is listed now. */
     Set<SoftwareVersion> sole() {
-        return sole;
+        return replies.values().stream().flatMap(reply -> reply.sole().stream()).collect(Collectors.toSet());
+    }
+
+    /** Returns whether another daemon has read the directory since it was asked, and found a single version. */
+    boolean confirmed() {
+        return replies.values().stream().anyMatch(RoutingMessage.StreamVersionReply::confirmed);
     }
 
     /** Returns whether another daemon has listed several versions within the lifetime of a stream. */
     boolean mixed() {
-        return !mixedAt.isEmpty();
+        return replies.values().stream().anyMatch(RoutingMessage.StreamVersionReply::mixed);
     }
 
     /** Describes the replies for the log. */
     String describe() {
-        return (asked - awaited.size()) + " of " + asked + " daemons replied without a record, " + confirmedBy
-                + " list only " + sole + ", " + mixedAt + " list several";
+        return (asked.size() - awaited.size()) + " of " + asked.size() + " daemons replied without a record, "
+                + from(reply -> reply.sole().isPresent()) + " list only " + sole() + ", "
+                + from(RoutingMessage.StreamVersionReply::confirmed) + " by a read since, "
+                + from(RoutingMessage.StreamVersionReply::mixed) + " list several";
+    }
+
+    private List<HostId> from(Predicate<RoutingMessage.StreamVersionReply> matching) {
+        return replies.entrySet().stream()
+                .filter(entry -> matching.test(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
     }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
@@ -195,6 +195,21 @@
     }
   }
 
+  public static final int CONFIRMED_FIELD_NUMBER = 5;
+  private boolean confirmed_ = false;
+  /**
+   * <pre>
+   * Whether a read of the directory that began after the request has found only that version.
+   * </pre>
+   *
+   * <code>bool confirmed = 5;</code>
+   * @return The confirmed.
+   */
+  @java.lang.Override
+  public boolean getConfirmed() {
+    return confirmed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -221,6 +236,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, soleVersion_);
     }
+    if (confirmed_ != false) {
+      output.writeBool(5, confirmed_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -239,6 +257,10 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, soleVersion_);
     }
+    if (confirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, confirmed_);
+    }
     return size;
   }
   @java.lang.Override
@@ -277,6 +299,8 @@
       if (!getSoleVersion()
           .equals(other.getSoleVersion())) return false;
     }
+    if (getConfirmed()
+        != other.getConfirmed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -302,6 +326,9 @@
       hash = (37 * hash) + SOLE_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + getSoleVersion().hashCode();
     }
+    hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -437,6 +464,7 @@
       version_ = "";
       mixed_ = false;
       soleVersion_ = "";
+      confirmed_ = false;
       return this;
     }
 
@@ -485,6 +513,9 @@
         result.soleVersion_ = soleVersion_;
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.confirmed_ = confirmed_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -516,6 +547,9 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (other.getConfirmed() != false) {
+        setConfirmed(other.getConfirmed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -560,6 +594,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              confirmed_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -859,6 +898,50 @@
       return this;
     }
 
+    private boolean confirmed_ ;
+    /**
+     * <pre>
+     * Whether a read of the directory that began after the request has found only that version.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @return The confirmed.
+     */
+    @java.lang.Override
+    public boolean getConfirmed() {
+      return confirmed_;
+    }
+    /**
+     * <pre>
+     * Whether a read of the directory that began after the request has found only that version.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(boolean value) {
+
+      confirmed_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a read of the directory that began after the request has found only that version.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      confirmed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireStreamVersionReply)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
@@ -83,4 +83,14 @@
    */
   com.google.protobuf.ByteString
       getSoleVersionBytes();
+
+  /**
+   * <pre>
+   * Whether a read of the directory that began after the request has found only that version.
+   * </pre>
+   *
+   * <code>bool confirmed = 5;</code>
+   * @return The confirmed.
+   */
+  boolean getConfirmed();
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionRequested.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionRequested.java
@@ -99,6 +99,21 @@
     }
   }
 
+  public static final int CONFIRM_FIELD_NUMBER = 3;
+  private boolean confirm_ = false;
+  /**
+   * <pre>
+   * Whether the receiver is to read the directory before it replies, if it has no record.
+   * </pre>
+   *
+   * <code>bool confirm = 3;</code>
+   * @return The confirm.
+   */
+  @java.lang.Override
+  public boolean getConfirm() {
+    return confirm_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -119,6 +134,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
     }
+    if (confirm_ != false) {
+      output.writeBool(3, confirm_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -130,6 +148,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
     }
+    if (confirm_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, confirm_);
+    }
     return size;
   }
   @java.lang.Override
@@ -158,6 +180,8 @@
         != other.getKey()) return false;
     if (!getService()
         .equals(other.getService())) return false;
+    if (getConfirm()
+        != other.getConfirm()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +198,9 @@
         getKey());
     hash = (37 * hash) + SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + CONFIRM_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirm());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +334,7 @@
       bitField0_ = 0;
       key_ = 0L;
       service_ = "";
+      confirm_ = false;
       return this;
     }
 
@@ -346,6 +374,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.service_ = service_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.confirm_ = confirm_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +399,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getConfirm() != false) {
+        setConfirm(other.getConfirm());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +436,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              confirm_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +562,50 @@
       return this;
     }
 
+    private boolean confirm_ ;
+    /**
+     * <pre>
+     * Whether the receiver is to read the directory before it replies, if it has no record.
+     * </pre>
+     *
+     * <code>bool confirm = 3;</code>
+     * @return The confirm.
+     */
+    @java.lang.Override
+    public boolean getConfirm() {
+      return confirm_;
+    }
+    /**
+     * <pre>
+     * Whether the receiver is to read the directory before it replies, if it has no record.
+     * </pre>
+     *
+     * <code>bool confirm = 3;</code>
+     * @param value The confirm to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirm(boolean value) {
+
+      confirm_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the receiver is to read the directory before it replies, if it has no record.
+     * </pre>
+     *
+     * <code>bool confirm = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirm() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      confirm_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireStreamVersionRequested)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionRequestedOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionRequestedOrBuilder.java
@@ -27,4 +27,14 @@
    */
   com.google.protobuf.ByteString
       getServiceBytes();
+
+  /**
+   * <pre>
+   * Whether the receiver is to read the directory before it replies, if it has no record.
+   * </pre>
+   *
+   * <code>bool confirm = 3;</code>
+   * @return The confirm.
+   */
+  boolean getConfirm();
 }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/RoutingMessageCodecTests.java
@@ -64,10 +64,11 @@
                 new RoutingMessage.BatchGranted(ATTEMPT, TARGET, new JobId("j1")),
                 new RoutingMessage.RunningPermits(TARGET, List.of(batch)),
                 new RoutingMessage.StreamBegun(-7, VERSION, 5_000),
-                new RoutingMessage.StreamVersionRequested(-7, VirtualFleet.SERVICE),
-                new RoutingMessage.StreamVersionReply(-7, Optional.of(VERSION), Optional.empty(), false),
-                new RoutingMessage.StreamVersionReply(-7, Optional.empty(), Optional.of(VERSION), false),
-                new RoutingMessage.StreamVersionReply(-7, Optional.empty(), Optional.empty(), true));
+                new RoutingMessage.StreamVersionRequested(-7, VirtualFleet.SERVICE, false),
+                new RoutingMessage.StreamVersionRequested(-7, VirtualFleet.SERVICE, true),
+                new RoutingMessage.StreamVersionReply(-7, Optional.of(VERSION), Optional.empty(), false, false),
+                new RoutingMessage.StreamVersionReply(-7, Optional.empty(), Optional.of(VERSION), false, true),
+                new RoutingMessage.StreamVersionReply(-7, Optional.empty(), Optional.empty(), true, false));
     }
 
     @ParameterizedTest
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionTests.java
@@ -224,8 +224,8 @@
         assertThat(fleet.count("stream-records-sent")).isEqualTo(3);
     }
 
-    private static Event.VersionsRecorded recorded(SoftwareVersion... versions) {
-        return new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, Set.of(versions)));
+    private Event.VersionsRecorded recorded(SoftwareVersion... versions) {
+        return new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, Set.of(versions)), fleet.nowMs);
     }
 
     /** All daemons are killed at the same moment, and callers take up what has begun once they are back. */
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionsOutOfStepTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionsOutOfStepTests.java
@@ -15,7 +15,6 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
-import org.cornelcrank.core.Event;
 import org.cornelcrank.core.Location;
 import org.cornelcrank.core.Refusal;
 import org.cornelcrank.core.RefusalCode;
@@ -70,7 +69,7 @@
                         RoutingSettings.forLatencyObjectives(),
                         RoutingPolicy.defaults().selector(),
                         RoutingPolicy.defaults().admission()));
-        fleet.followDirectory(asOfMs -> new Event.HostListConfirmed(Long.MIN_VALUE / 2));
+        fleet.followDirectory();
         fleet.run(random.nextInt(2_600, 5_100));
     }
 
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
@@ -9,7 +9,6 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import java.util.function.LongFunction;
 
 import org.cornelcrank.core.Event;
 import org.cornelcrank.core.HostEntry;
@@ -46,13 +45,11 @@
     private final Map<HostId, TargetsReader> readers = new HashMap<>();
     private final Set<HostId> cutOff = new HashSet<>();
     private final Map<HostId, Integer> cuts = new HashMap<>();
-    private final LongFunction<Event> unconfirmed;
 
     /** Creates the directory with the listing that all daemons know already. */
-    VirtualDirectory(VirtualFleet fleet, List<HostEntry> hosts, LongFunction<Event> unconfirmed) {
+    VirtualDirectory(VirtualFleet fleet, List<HostEntry> hosts) {
         this.fleet = fleet;
         this.random = fleet.random.split();
-        this.unconfirmed = unconfirmed;
         targets.set(hosts);
         hosts.forEach(host -> everListed.add(host.softwareVersion()));
         versions.set(Set.copyOf(everListed));
@@ -224,13 +221,13 @@
         void confirm() {
             if (failed) {
                 long nowMs = fleet.nowMs;
-                fleet.at(nowMs, () -> node.handle(unconfirmed.apply(nowMs)));
+                fleet.at(nowMs, () -> node.handle(new Event.HostListUnconfirmed(nowMs)));
             } else if (confirming) {
                 confirmsAgain = true;
             } else {
                 confirming = true;
                 read(0, CONFIRM_TIMEOUT_MS, this::confirmEnded, sentAtMs -> {
-                    node.handle(unconfirmed.apply(sentAtMs));
+                    node.handle(new Event.HostListUnconfirmed(sentAtMs));
                     confirmEnded();
                 });
             }
@@ -254,7 +251,7 @@
         @Override
         void handle(Set<SoftwareVersion> recorded, boolean changed, long sentAtMs) {
             if (changed) {
-                node.handle(new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, recorded)));
+                node.handle(new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, recorded), sentAtMs));
             }
         }
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -58,6 +57,7 @@
     static final long CONNECT_TIMEOUT_MS = 500;
     static final long PROBE_TIMEOUT_MS = 200;
     static final long MEMBER_TIMEOUT_MS = 1_500;
+    static final long STORE_TIMEOUT_MS = 1_000;
     static final ServiceName SERVICE = new ServiceName("saarthi-lm");
     static final Location NORTH = location("north", "north-a");
     static final Location SOUTH = location("south", "south-a");
@@ -166,12 +166,37 @@
             directory.get().list(listed);
             return;
         }
+        nodes.forEach(node -> node.outOfStep = !informed.test(node));
         nodes.stream().filter(informed).forEach(node -> node.handle(new Event.HostListRead(listed)));
     }
 
     /** Lets the daemons follow a directory in the store from now on, which holds what they have been told. */
-    void followDirectory(LongFunction<Event> unconfirmed) {
-        directory = Optional.of(new VirtualDirectory(this, listed, unconfirmed));
+    void followDirectory() {
+        directory = Optional.of(new VirtualDirectory(this, listed));
+    }
+
+    private boolean reachesStore(Node node) {
+        return node.alive && cutOff.stream().noneMatch(group -> group.contains(node.identity.host()));
+    }
+
+    /** Reads the list of hosts for a daemon, beside the one that follows changes. */
+    private void confirmHosts(Node node) {
+        if (directory.isPresent()) {
+            directory.get().confirm(node);
+            return;
+        }
+        long sentAtMs = nowMs;
+        if (!reachesStore(node)) {
+            at(nowMs + STORE_TIMEOUT_MS, () -> node.handle(new Event.HostListUnconfirmed(sentAtMs)));
+            return;
+        }
+        at(nowMs + 2 * latencyMs(node.identity.location(), SOUTH), () -> {
+            if (node.outOfStep) {
+                node.outOfStep = false;
+                node.handle(new Event.HostListRead(listed));
+            }
+            node.handle(new Event.HostListConfirmed(sentAtMs));
+        });
     }
 
     /** Cuts a daemon off from all others. */
@@ -240,8 +265,8 @@
             }
             nodes.forEach(node -> node.handle(new Event.Started()));
             nodes.forEach(node -> node.handle(new Event.HostListRead(listed)));
-            nodes.forEach(
-                    node -> node.handle(new Event.VersionsRecorded(Map.of(SERVICE, Set.copyOf(List.of(recorded))))));
+            nodes.forEach(node ->
+                    node.handle(new Event.VersionsRecorded(Map.of(SERVICE, Set.copyOf(List.of(recorded))), nowMs)));
             nodes.forEach(this::pollReports);
         });
     }
@@ -265,6 +290,9 @@
     }
 
     private void pollReports(Node node) {
+        if (directory.isEmpty() && reachesStore(node) && !node.outOfStep) {
+            node.handle(new Event.HostListConfirmed(nowMs));
+        }
         for (TargetId target : List.copyOf(node.watched)) {
             EngineModel engine = engines.get(target);
             if (engine.up) {
@@ -784,6 +812,10 @@
         Set<TargetId> watched = Set.of();
         boolean alive = true;
         boolean refusesRelays;
+
+        /** Whether this daemon has not read the current list of hosts. */
+        boolean outOfStep;
+
         Optional<Cut> cut = Optional.empty();
         private final Map<TargetId, Cut> pairCuts = new TreeMap<>();
         long queuedAtEngine;
@@ -940,6 +972,9 @@
                     request.replies++;
                     request.endedAtMs = nowMs;
                 }
+            } else if (effect instanceof Effect.Raise raise
+                    && raise.event() instanceof Event.HostListConfirmationRequested) {
+                confirmHosts(this);
             } else if (effect instanceof Effect.WatchTargets watch) {
                 watched = Set.copyOf(watch.addresses().keySet());
             }
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -25,7 +25,8 @@
  * have been dropped; a key whose record is behind the end of the pages has not. Failed reads are retried after a pause
  * with jitter, and those without a response with fewer bytes, as a slow link would never transfer the same bytes in time.
  * Reads start at least a minimum interval apart, so that many changes in a short time cost few reads; a change after a
- * quiet period is read at once. Invariant: a record that the listener fails to handle is skipped and reported, and
+ * quiet period is read at once. On request, one more read that does not wait confirms that all records have been
+ * delivered; a request during such a read is served by another one behind it. Invariant: a record that the listener fails to handle is skipped and reported, and
  * neither the records behind it nor later reads depend on it. Not thread-safe: confined to the daemon's event loop.
  */
 public final class KeyedTopicFollower {
@@ -55,10 +56,13 @@
     private final Backoff loadBackoff;
     private final Map<String, Long> offsets = new TreeMap<>();
     private final Set<String> loadedKeys = new HashSet<>();
+    private boolean confirming;
+    private boolean confirmAgain;
     private long nextOffset;
     private long followFrom;
     private boolean endNeeded;
     private boolean loading;
+    private boolean loaded;
     private boolean started;
     private long caughtUpAtMs = Long.MIN_VALUE / 2;
     private long confirmedAsOfMs = Long.MIN_VALUE / 2;
@@ -102,6 +106,51 @@
     public void stop() {
         started = false;
         lastRead++;
+        confirmAgain = false;
+    }
+
+    /**
+     * Reads to the end of the partition at once, beside the read that waits; the listener is notified by
+     * {@link Listener#caughtUp} or {@link Listener#unconfirmed}. Does nothing before the start or after the stop.
+     */
+    public void confirm(long nowMs, Effects out) {
+        if (!started) {
+            return;
+        }
+        if (confirming || loading) {
+            confirmAgain = true;
+            return;
+        }
+        confirming = true;
+        store.call(
+                new StoreRequest.Read(partition, nextOffset, maxKilobytes, 0),
+                (response, respondedAtMs, effects) -> confirmationReceived(response, nowMs, respondedAtMs, effects),
+                out);
+    }
+
+    private void confirmationReceived(StoreResponse response, long sentAtMs, long nowMs, Effects out) {
+        confirming = false;
+        if (!started) {
+            return;
+        }
+        if (loading || !(response instanceof StoreResponse.Records records) || records.end() < nextOffset) {
+            notifyListener("a confirmation", () -> listener.unconfirmed(sentAtMs, nowMs, out), out);
+        } else {
+            applyAll(records, nowMs, out);
+            if (nextOffset >= records.end()) {
+                reachedEnd(sentAtMs, nowMs, out);
+            } else {
+                confirmAgain = true;
+            }
+        }
+        confirmIfRequested(nowMs, out);
+    }
+
+    private void confirmIfRequested(long nowMs, Effects out) {
+        if (confirmAgain && !loading) {
+            confirmAgain = false;
+            confirm(nowMs, out);
+        }
     }
 
     /** Returns the time in ms at which this follower last reached the end of the partition. */
@@ -212,13 +261,18 @@
         dropMissingKeys(nowMs, out);
         loading = false;
         nextOffset = followFrom;
+        if (loaded) {
+            notifyListener("a load", () -> listener.reloaded(nowMs, out), out);
+        }
+        loaded = true;
         reachedEnd(loadBegunAtMs, nowMs, out);
         read(nowMs, out);
+        confirmIfRequested(nowMs, out);
     }
 
     private void reachedEnd(long readSentAtMs, long nowMs, Effects out) {
         caughtUpAtMs = nowMs;
-        confirmedAsOfMs = readSentAtMs;
+        confirmedAsOfMs = Math.max(confirmedAsOfMs, readSentAtMs);
         notifyListener("the end", () -> listener.caughtUp(nowMs, out), out);
     }
 
@@ -272,12 +326,7 @@
             return;
         }
         loadBackoff.reset();
-        for (StoreResponse.StoredRecord record : records.records()) {
-            if (record.offset() >= nextOffset) {
-                apply(record, nowMs, out);
-            }
-        }
-        nextOffset = Math.max(nextOffset, records.nextOffset());
+        applyAll(records, nowMs, out);
         if (nextOffset >= records.end()) {
             reachedEnd(readAtMs, nowMs, out);
             readWhenDue(nowMs, out);
@@ -286,6 +335,15 @@
         }
     }
 
+    private void applyAll(StoreResponse.Records records, long nowMs, Effects out) {
+        for (StoreResponse.StoredRecord record : records.records()) {
+            if (record.offset() >= nextOffset) {
+                apply(record, nowMs, out);
+            }
+        }
+        nextOffset = Math.max(nextOffset, records.nextOffset());
+    }
+
     private void apply(StoreResponse.StoredRecord record, long nowMs, Effects out) {
         if (record.isTombstone()) {
             if (offsets.remove(record.key()) != null) {
@@ -344,5 +402,11 @@
 
         /** All records up to the partition's end have been delivered. */
         default void caughtUp(long nowMs, Effects out) {}
+
+        /** A confirmation that was sent at {@code sentAtMs} has failed. */
+        default void unconfirmed(long sentAtMs, long nowMs, Effects out) {}
+
+        /** The partition has been loaded again, so that records between two values of a key may have been missed. */
+        default void reloaded(long nowMs, Effects out) {}
     }
 }
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
@@ -147,6 +147,75 @@
         assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 2, 1_024, 1_000));
     }
 
+    /** Guards against a belief that is as old as the read which waits for the next change. */
+    @Test
+    void confirmationReadsToTheEndBesideTheReadThatWaits() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        Effect.CallStore waiting = lastCall();
+        nowMs += 700;
+        final long confirmedSinceMs = nowMs;
+        confirm();
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 1, 1_024, 0));
+        respond(new StoreResponse.Records(List.of(record("b", 1)), 2, 2));
+        assertThat(follower.confirmedAsOfMs()).isEqualTo(confirmedSinceMs);
+        respond(waiting, new StoreResponse.Records(List.of(record("b", 1)), 2, 2));
+        assertThat(recorder.put).containsExactly("a", "b");
+        assertThat(follower.confirmedAsOfMs()).isEqualTo(confirmedSinceMs);
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 2, 1_024, 1_000));
+    }
+
+    /** Guards against a response that proves nothing about what was appended after its read was sent. */
+    @Test
+    void confirmationRequestedDuringAnotherOneIsServedByAReadBehindIt() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        confirm();
+        int calls = calls().size();
+        nowMs += 5;
+        final long secondAtMs = nowMs;
+        confirm();
+        assertThat(calls()).hasSize(calls);
+        respond(new StoreResponse.Records(List.of(), 1, 1));
+        assertThat(follower.confirmedAsOfMs()).isLessThan(secondAtMs);
+        assertThat(calls()).hasSize(calls + 1);
+        respond(new StoreResponse.Records(List.of(), 1, 1));
+        assertThat(follower.confirmedAsOfMs()).isGreaterThanOrEqualTo(secondAtMs);
+        assertThat(calls()).hasSize(calls + 1);
+    }
+
+    @Test
+    void confirmationThatFailsIsReportedAndConfirmsNothing() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        nowMs += 700;
+        confirm();
+        respond(new StoreResponse.NotDone("status 503"));
+        assertThat(recorder.unconfirmed).isEqualTo(1);
+        assertThat(follower.confirmedAsOfMs()).isLessThan(nowMs - 700);
+    }
+
+    /** Guards against a confirmation by records that were loaded anew, between which others may have come and gone. */
+    @Test
+    void laterLoadIsReportedBeforeItsEndConfirmsAnything() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        assertThat(recorder.reloads).isZero();
+        fail(new StoreResponse.Expired(7));
+        nowMs += 10;
+        confirm();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 8));
+        assertThat(recorder.reloads).isEqualTo(1);
+        assertThat(follower.confirmedAsOfMs()).isLessThan(nowMs - 1);
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 8, 1_024, 0));
+    }
+
+    private void confirm() {
+        Effects out = new Effects();
+        follower.confirm(nowMs, out);
+        effects.addAll(out.list());
+    }
+
     private long lastTimerMs() {
         return effects.stream()
                 .filter(Effect.Schedule.class::isInstance)
@@ -174,9 +243,12 @@
     }
 
     private void respond(StoreResponse response) {
+        respond(lastCall(), response);
+    }
+
+    private void respond(Effect.CallStore call, StoreResponse response) {
         Effects out = new Effects();
-        long number = lastCall().number();
-        store.on(new Event.StoreResponded(number, response), ++nowMs, out);
+        store.on(new Event.StoreResponded(call.number(), response), ++nowMs, out);
         effects.addAll(out.list());
     }
 
@@ -203,6 +275,8 @@
     private static final class Recorder implements KeyedTopicFollower.Listener {
 
         private final List<String> put = new ArrayList<>();
+        private int unconfirmed;
+        private int reloads;
 
         @Override
         public void put(StoreResponse.StoredRecord record, long nowMs, Effects out) {
@@ -216,5 +290,15 @@
         public void dropped(String key, long nowMs, Effects out) {
             put.remove(key);
         }
+
+        @Override
+        public void unconfirmed(long sentAtMs, long nowMs, Effects out) {
+            unconfirmed++;
+        }
+
+        @Override
+        public void reloaded(long nowMs, Effects out) {
+            reloads++;
+        }
     }
 }
