List each version that a read of the targets brings

Cause: the other state machines learn of the targets at the end of a read. A version whose only target had joined and left within one read, as after a pause of this daemon, was never listed, so that a stream which had begun there would have counted as one of the other version.

Change: the list is passed on at the entry that brings a new version of its service, besides at the end.

Evidence: versionThatComesAndGoesWithinOneReadIsListed fails without the change and passes with it.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -319,6 +319,7 @@
             unusableEntries.remove(record.key());
             missingUntilMs.remove(target.target());
             leavingTargets.listed(target.target(), target.incarnation(), nowMs);
+            boolean newVersion = targetsLoaded && !listsVersionOf(target);
             TargetEntry before = targets.put(target.target(), target);
             if (!target.equals(before)) {
                 changed = true;
@@ -328,6 +329,16 @@
                                 + target.softwareVersion(),
                         out);
             }
+            if (newVersion) {
+                // A target of this version may be gone again at the end of the same read.
+                notifyIfChanged(nowMs, out);
+            }
+        }
+
+        private boolean listsVersionOf(TargetEntry target) {
+            return targets.values().stream()
+                    .anyMatch(listed -> listed.service().equals(target.service())
+                            && listed.softwareVersion().equals(target.softwareVersion()));
         }
 
         @Override
--- a/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
+++ b/cornelcrank-gateway/src/test/java/org/cornelcrank/gateway/DirectoryStateMachineTests.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.IntStream;
 
@@ -251,6 +252,23 @@
         assertThat(lists.get(A).gaps).isEqualTo(1);
     }
 
+    /** Guards against streams of two versions: a stream began at a target that another daemon never had in its list. */
+    @Test
+    void versionThatComesAndGoesWithinOneReadIsListed() {
+        putTarget("t-1", "ready@1@v1");
+        start(A);
+        nodes.run(1_000);
+        putTarget("t-1", "ready@2@v1");
+        nodes.run(20);
+        putTarget("t-1", "ready@3@v1");
+        nodes.run(20);
+        putTarget("t-2", "ready@1@v2");
+        dropTarget("t-2");
+        nodes.run(1_000);
+        assertThat(targets(A)).containsExactly("t-1 ready");
+        assertThat(lists.get(A).seenVersions).containsExactlyInAnyOrder("v1", "v2");
+    }
+
     @Test
     void listIsConfirmedOnRequestByAReadThatBeginsThen() {
         putTarget("t-1", "ready");
@@ -494,6 +512,7 @@
 
         private List<HostEntry> entries = new ArrayList<>();
         private Map<ServiceName, Set<SoftwareVersion>> versions = Map.of();
+        private final Set<String> seenVersions = new TreeSet<>();
         private long confirmedAsOfMs;
         private long unconfirmedAsOfMs;
         private int gaps;
