Read the targets before a stream of a recorded version is refused

What callers saw: a stream that was taken up at a daemon which had not listed the targets of a new version yet, after a cut or a pause, was refused with "no target of version ... serves ...", though another daemon had told it the version and the store would have named its targets.

Cause: the list of targets was taken for current, whatever its age.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -136,19 +136,21 @@
     private void resolveVersion(Route route, long nowMs, Effects out) {
         context.count("streams-taken-up");
         long key = route.request.options().stream().orElseThrow().key();
-        Optional<SoftwareVersion> version = streams.recorded(key);
-        if (version.isPresent()) {
-            continueAt(route, version.get(), "recorded here", nowMs, out);
-            return;
-        }
         route.phase = Route.Phase.RESOLVING;
         ServiceName service = route.request.service();
+        Optional<SoftwareVersion> version = streams.recorded(key);
+        Set<HostId> asked = version.isPresent() ? Set.of() : streams.holders(key);
         long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
-        route.inquiry = new VersionInquiry(streams.holders(key), nowMs, untilMs);
+        route.inquiry = new VersionInquiry(asked, nowMs, untilMs);
         resolving.computeIfAbsent(key, unused -> new ArrayList<>()).add(route);
         wakeups.put(route.request.id(), untilMs, out);
+        if (version.isPresent()) {
+            route.inquiry.recorded(version.get(), "recorded here");
+            continueAtRecorded(route, nowMs, out);
+            return;
+        }
         if (!streams.services().mixed(service, nowMs)) {
-            out.add(new Effect.Raise(new Event.HostListConfirmationRequested()));
+            requestRead(route, out);
         }
         if (streams.services().withinReach(nowMs)) {
             streams.ask(key, service, route.inquiry.asked(), false, out);
@@ -158,6 +160,25 @@
         }
     }
 
+    private static void requestRead(Route route, Effects out) {
+        route.inquiry.readRequested();
+        out.add(new Effect.Raise(new Event.HostListConfirmationRequested()));
+    }
+
+    /** Continues a stream at its recorded version; reads the directory first if that version is not listed yet. */
+    private void continueAtRecorded(Route route, long nowMs, Effects out) {
+        VersionInquiry inquiry = route.inquiry;
+        SoftwareVersion version = inquiry.recorded().orElseThrow();
+        boolean listed = context.directory().lists(route.request.service(), version);
+        boolean readEnded = streams.services().confirmationEnded(inquiry.sinceMs());
+        if (listed || readEnded || nowMs >= inquiry.untilMs()) {
+            endResolving(route);
+            continueAt(route, version, inquiry.recordedWhere(), nowMs, out);
+        } else if (!inquiry.isReadRequested()) {
+            requestRead(route, out);
+        }
+    }
+
     /** Asks other daemons to read the directory, as this daemon's own read proves nothing. */
     private void askForConfirmation(Route route, long nowMs, Effects out) {
         long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
@@ -171,8 +192,8 @@
         for (Route route : List.copyOf(resolving.getOrDefault(reply.key(), List.of()))) {
             route.inquiry.replied(from, reply);
             if (reply.version().isPresent()) {
-                endResolving(route);
-                continueAt(route, reply.version().get(), "recorded by " + from, nowMs, out);
+                route.inquiry.recorded(reply.version().get(), "recorded by " + from);
+                continueAtRecorded(route, nowMs, out);
             } else {
                 decideVersion(route, nowMs, out);
             }
@@ -188,6 +209,10 @@
     /** Decides on a stream of which no daemon has stated the version, if it can be decided now. */
     private void decideVersion(Route route, long nowMs, Effects out) {
         VersionInquiry inquiry = route.inquiry;
+        if (inquiry.recorded().isPresent()) {
+            continueAtRecorded(route, nowMs, out);
+            return;
+        }
         ServiceName service = route.request.service();
         boolean timedOut = nowMs >= inquiry.untilMs();
         Optional<SoftwareVersion> version = streams.proven(service, inquiry, nowMs);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -22,7 +23,10 @@
     private final Set<HostId> awaited;
     private final long sinceMs;
     private final Map<HostId, RoutingMessage.StreamVersionReply> replies = new TreeMap<>();
+    private Optional<SoftwareVersion> recorded = Optional.empty();
+    private String recordedWhere = "";
     private long untilMs;
+    private boolean readRequested;
     private boolean confirmationAsked;
 
     /**
@@ -54,10 +58,33 @@
         }
     }
 
+    /** Notes the version that a daemon has recorded, which decides. */
+    void recorded(SoftwareVersion version, String where) {
+        recorded = Optional.of(version);
+        recordedWhere = where;
+    }
+
+    Optional<SoftwareVersion> recorded() {
+        return recorded;
+    }
+
+    String recordedWhere() {
+        return recordedWhere;
+    }
+
     Set<HostId> asked() {
         return asked;
     }
 
+    /** Notes that this daemon's own read of the directory has been requested. */
+    void readRequested() {
+        readRequested = true;
+    }
+
+    boolean isReadRequested() {
+        return readRequested;
+    }
+
     /** Returns when the caller took the stream up, in ms. */
     long sinceMs() {
         return sinceMs;
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
@@ -140,7 +140,6 @@
         final VirtualFleet.Node node;
         final Topic<T> topic;
         long seen;
-        boolean failed;
 
         Reader(VirtualFleet.Node node, Topic<T> topic) {
             this.node = node;
@@ -168,12 +167,7 @@
                     action.run();
                 }
             });
-            fleet.at(
-                    sentAtMs + timeoutMs,
-                    () -> end.accept(() -> {
-                        failed = true;
-                        otherwise.accept(sentAtMs);
-                    }));
+            fleet.at(sentAtMs + timeoutMs, () -> end.accept(() -> otherwise.accept(sentAtMs)));
             if (!reachedBy(node)) {
                 return;
             }
@@ -190,7 +184,6 @@
                         fleet.at(
                                 fleet.nowMs + latencyMs + node.storeLagMs,
                                 () -> end.accept(() -> {
-                                    failed = false;
                                     boolean changed = version > seen;
                                     seen = Math.max(seen, version);
                                     handle(value, changed, sentAtMs);
@@ -219,10 +212,7 @@
         }
 
         void confirm() {
-            if (failed) {
-                long nowMs = fleet.nowMs;
-                fleet.at(nowMs, () -> node.handle(new Event.HostListUnconfirmed(nowMs)));
-            } else if (confirming) {
+            if (confirming) {
                 confirmsAgain = true;
             } else {
                 confirming = true;
