--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectoryTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectoryTests.java
@@ -11,6 +11,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+/** Checks the model that tests of daemons out of step rely on. */
 class VirtualDirectoryTests {
 
     private static final TargetId LATER = new TargetId("r1");
