--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualFleet.java
@@ -813,6 +813,8 @@
         boolean alive = true;
         boolean refusesRelays;
 
+        final List<Long> unconfirmedAsOfMs = new ArrayList<>();
+
         /** Whether this daemon has not read the current list of hosts. */
         boolean outOfStep;
 
@@ -880,6 +882,9 @@
         }
 
         void handle(Event event) {
+            if (event instanceof Event.HostListUnconfirmed unconfirmed) {
+                unconfirmedAsOfMs.add(unconfirmed.asOfMs());
+            }
             whenAwake(() -> {
                 if (alive) {
                     Effects out = new Effects();
