Count only confirmed replies about the version of a stream

A reply stated the version that its sender had listed alone, confirmed or not, and an older one counted as a contradiction: a daemon that was out of step made others refuse streams whose version was proved. Daemons of the landed build, which run beside this one in an upgrade, would also still take such a reply for a proof. The version is stated only together with its proof now.

Evidence: StreamVersionTests, StreamVersionsOutOfStepTests, VirtualDirectoryTests and RoutingMessageCodecTests pass (204 cases).

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -139,9 +139,9 @@
     /**
      * States the version that began a stream, empty if the sender has no record of it.
      *
-     * <p>{@code sole} is the only version of the service that the sender has listed within the lifetime of a stream;
-     * {@code mixed} indicates that it has listed several. It states neither if it has not been running for that long.
-     * {@code confirmed} indicates that a read of the directory which began after the request has found only {@code sole}.
+     * <p>{@code mixed} indicates that the sender has listed several versions of the service within the lifetime of a
+     * stream. {@code confirmed} indicates that a read of the directory which began after the request has found that it has
+     * listed only {@code sole}. Earlier releases state {@code sole} without that, and take it for a proof.
      */
     record StreamVersionReply(
             long key,
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
@@ -99,20 +99,18 @@
      * Returns the version that began a stream of which no daemon has a record, empty if that is not proved.
      *
      * <p>Only a read of the directory that began after the caller took the stream up proves that no other version was
-     * listed as the stream began. It counts wherever it was made; listings that are older count as contradictions only,
-     * as any number of daemons may be out of step together.
+     * listed as the stream began. It counts wherever it was made; listings that are older do not, as any number of daemons
+     * may be out of step together.
      */
     Optional<SoftwareVersion> proven(ServiceName service, VersionInquiry others, long nowMs) {
-        Optional<SoftwareVersion> own = services.sole(service, nowMs);
         if (!provable(service, others, nowMs)) {
             return Optional.empty();
         }
-        Set<SoftwareVersion> versions = new HashSet<>(others.sole());
-        own.ifPresent(versions::add);
-        boolean confirmed = own.isPresent() && services.confirmedSince(others.sinceMs()) || others.confirmed();
-        return confirmed && versions.size() == 1
-                ? Optional.of(versions.iterator().next())
-                : Optional.empty();
+        Set<SoftwareVersion> versions = new HashSet<>(others.confirmed());
+        if (services.confirmedSince(others.sinceMs())) {
+            services.sole(service, nowMs).ifPresent(versions::add);
+        }
+        return versions.size() == 1 ? Optional.of(versions.iterator().next()) : Optional.empty();
     }
 
     /** Returns whether a read of the directory may still prove the version: nobody knows of several. */
@@ -164,7 +162,7 @@
         RoutingMessage reply = new RoutingMessage.StreamVersionReply(
                 request.key(),
                 recorded(request.key()),
-                services.sole(request.service(), nowMs),
+                confirmed ? services.sole(request.service(), nowMs) : Optional.empty(),
                 services.mixed(request.service(), nowMs),
                 confirmed);
         context.peers().send(to, reply, out);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
@@ -110,14 +110,12 @@
         return complete() || 2 * awaited.size() < asked.size();
     }
 
-    /** Returns the versions that other daemons have listed alone, whether or not they know all that is listed now. */
-    Set<SoftwareVersion> sole() {
-        return replies.values().stream().flatMap(reply -> reply.sole().stream()).collect(Collectors.toSet());
-    }
-
-    /** Returns whether another daemon has read the directory since it was asked, and found a single version. */
-    boolean confirmed() {
-        return replies.values().stream().anyMatch(RoutingMessage.StreamVersionReply::confirmed);
+    /** Returns the versions that other daemons have found alone by a read of the directory since they were asked. */
+    Set<SoftwareVersion> confirmed() {
+        return replies.values().stream()
+                .filter(RoutingMessage.StreamVersionReply::confirmed)
+                .flatMap(reply -> reply.sole().stream())
+                .collect(Collectors.toSet());
     }
 
     /** Returns whether another daemon has listed several versions within the lifetime of a stream. */
@@ -128,8 +126,8 @@
     /** Describes the replies for the log. */
     String describe() {
         return (asked.size() - awaited.size()) + " of " + asked.size() + " daemons replied without a record, "
-                + from(reply -> reply.sole().isPresent()) + " list only " + sole() + ", "
-                + from(RoutingMessage.StreamVersionReply::confirmed) + " by a read since, "
+                + from(RoutingMessage.StreamVersionReply::confirmed) + " have found " + confirmed()
+                + " alone by a read since, "
                 + from(RoutingMessage.StreamVersionReply::mixed) + " list several";
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
@@ -141,7 +141,7 @@
   private volatile java.lang.Object soleVersion_ = "";
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
@@ -153,7 +153,7 @@
   }
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
@@ -174,7 +174,7 @@
   }
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
@@ -798,7 +798,7 @@
     private java.lang.Object soleVersion_ = "";
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
@@ -809,7 +809,7 @@
     }
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
@@ -829,7 +829,7 @@
     }
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
@@ -850,7 +850,7 @@
     }
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
@@ -867,7 +867,7 @@
     }
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
@@ -881,7 +881,7 @@
     }
     /**
      * <pre>
-     * The only version that the sender has listed for that long, absent if there is none.
+     * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
      * </pre>
      *
      * <code>optional string sole_version = 4;</code>
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
@@ -57,7 +57,7 @@
 
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
@@ -66,7 +66,7 @@
   boolean hasSoleVersion();
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
@@ -75,7 +75,7 @@
   java.lang.String getSoleVersion();
   /**
    * <pre>
-   * The only version that the sender has listed for that long, absent if there is none.
+   * The only version that the sender has listed for that long, absent if there is none or it is not confirmed.
    * </pre>
    *
    * <code>optional string sole_version = 4;</code>
