Keep the version of a target's former process for the attempts that run there

Callers see: a stream begins at a target; the target starts again under its name with another version, and its entry is read before the attempt has ended. The stream goes on at the new version, within its response or when its caller takes it up at another daemon. Only with entries that do not state an incarnation, as the platform's "born" does.

Cause: TargetDirectory updated the state of a listed target in place unless its incarnation changed. A route takes the version of its stream from that state when the attempt ends (attemptFailed) and when a second version is listed (recordStreams), not when it is dispatched.

Change: an entry with another version is another process, and gets a state of its own, as with another incarnation.

Evidence: TargetVersionChangeTests, mvn -o test -pl cornelcrank-routing -am -Dtest=TargetVersionChangeTests. Before: retriedStreamKeepsTheVersionThatItsTargetHadWhenItBegan ran at [v1, v1.2], and recordOfAStreamStatesTheVersionThatItsTargetHadWhenItBegan took the stream up at v1.2. After: both pass.

Why it works: the version of a process does not change, and a route holds the state of the process that it was sent to.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -48,7 +48,7 @@
                 continue;
             }
             TargetState target = targets.get(new TargetId(host.name()));
-            if (target == null || target.incarnation() != host.incarnation()) {
+            if (target == null || startedAgain(target, host)) {
                 target = new TargetState(host, new TargetHealth(routing.ejection()));
             }
             target.listed(host);
@@ -65,6 +65,15 @@
         return leaving;
     }
 
+    /**
+     * Returns whether an entry is of another process than the target that was listed before. Its version changes only
+     * with the process, and the state of the former one keeps the version for the attempts that run there.
+     */
+    private static boolean startedAgain(TargetState target, HostEntry host) {
+        return target.incarnation() != host.incarnation()
+                || !target.softwareVersion().equals(host.softwareVersion());
+    }
+
     Optional<TargetState> find(TargetId target) {
         return Optional.ofNullable(targets.get(target));
     }
