Choose again if a target has changed its version while a request waited for it

Callers see: streams that wait for a permit while their target starts again under its name, at the same address, with another version begin there, but are attributed to the version before: they go on at targets of that one, and their records state it.

Cause: a route keeps the state of the target that was chosen for it until its permit arrives, for as long as a request may wait, and is dispatched to that address whatever is listed then. The version was compared at the choice only.

Change: a request is not dispatched if its target is listed with another version than when it was chosen. It gives its permit back and chooses again, or is given up if only that target could resume it.

Why it works: the dispatch names the process that is listed then. What a daemon has not read yet it cannot compare.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -690,6 +690,10 @@
 
     private void dispatch(Route route, long nowMs, Effects out) {
         RoutedRequest request = route.request;
+        if (context.directory().listsOtherVersion(route.target)) {
+            leaveChangedTarget(route, nowMs, out);
+            return;
+        }
         if (!context.paths().usable(route.target, nowMs)) {
             withdraw(route, out);
             findPath(route, nowMs, out);
@@ -731,6 +735,22 @@
         route.listener.routeDispatched(request, route.target.id(), nowMs, out);
     }
 
+    /** Chooses again, as the target has started with another version since it was chosen. */
+    private void leaveChangedTarget(Route route, long nowMs, Effects out) {
+        out.explain(
+                Subject.Kind.REQUEST,
+                route.request.id(),
+                nowMs,
+                "not dispatched to " + route.target.id(),
+                "it no longer has version " + route.target.softwareVersion());
+        withdraw(route, out);
+        if (route.boundToTarget()) {
+            giveUpWithoutTarget(route, nowMs, out);
+        } else {
+            chooseTarget(route, nowMs, out);
+        }
+    }
+
     private void recordStream(Route route, long nowMs, Effects out) {
         route.request.options().stream()
                 .ifPresent(stream -> streams.begun(
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/TargetDirectory.java
@@ -85,6 +85,13 @@
                 .isPresent();
     }
 
+    /** Returns whether the target is listed with another version, thus another process than the given state describes. */
+    boolean listsOtherVersion(TargetState target) {
+        return find(target.id())
+                .filter(listed -> !listed.softwareVersion().equals(target.softwareVersion()))
+                .isPresent();
+    }
+
     Set<TargetId> ids() {
         return targets.keySet();
     }
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetVersionChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetVersionChangeTests.java
@@ -1,6 +1,8 @@
 package org.cornelcrank.routing;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +14,8 @@
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -21,6 +25,8 @@
     private static final SoftwareVersion OLD = new SoftwareVersion("v1");
     private static final SoftwareVersion NEW = new SoftwareVersion("v1.2");
     private static final TargetId FIRST = new TargetId("r0");
+    private static final String ADDRESS = "127.0.0.1:9000";
+    private static final int DAEMONS = 4;
     private static final int TOKENS = 35;
     private static final long DEADLINE_MS = 5_000;
 
@@ -60,6 +66,13 @@
         fleet.list(host -> true);
     }
 
+    private void assertNoStreamOfTwoVersions() {
+        Map<Long, Set<SoftwareVersion>> versions = new LinkedHashMap<>();
+        streams.forEach((request, stream) ->
+                versions.computeIfAbsent(stream, key -> new LinkedHashSet<>()).addAll(request.versions));
+        assertThat(versions.values()).allSatisfy(each -> assertThat(each).hasSizeLessThanOrEqualTo(1));
+    }
+
     /** Guards against a retry at the version that a target was listed with after it had begun the stream. */
     @Test
     void retriedStreamKeepsTheVersionThatItsTargetHadWhenItBegan() {
@@ -89,4 +102,31 @@
         assertThat(stream.versions).containsExactly(OLD);
         assertThat(next.versions).isEmpty();
     }
+
+    /** Guards against a stream that is attributed to the version that its target had when the request began to wait. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1})
+    void streamThatWaitedForATargetWhichChangedItsVersionIsOfOneVersion(long startsLater) {
+        start(OLD);
+        List<SentRequest> sent = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            sent.add(begin(i % DAEMONS));
+        }
+        fleet.run(100);
+        List<SentRequest> waiting =
+                sent.stream().filter(each -> each.dispatchedTo.isEmpty()).toList();
+        assertThat(waiting).isNotEmpty();
+        fleet.setVersion(FIRST, NEW);
+        fleet.relist(FIRST, ADDRESS, fleet.hosts.get(FIRST).incarnation() + startsLater);
+        while (waiting.stream().noneMatch(each -> each.firstTokenAtMs >= 0)) {
+            fleet.run(5);
+        }
+        fleet.run(100);
+        fleet.addEngine("r1", VirtualFleet.SOUTH, OLD);
+        fleet.list(host -> true);
+        fleet.crashTarget(FIRST, 100);
+        fleet.run(DEADLINE_MS);
+        streams.keySet().removeIf(each -> !waiting.contains(each));
+        assertNoStreamOfTwoVersions();
+    }
 }
