Release a batch grant at a target that does not offer the job's service

Callers see: the route of a job is moved, or split in another way, so that the job goes to another service; an item that was granted before the controller learned of that runs at a target of the former service.

Cause: a grant names the job and the target only. BatchRunner.granted compared neither with the service that the job demands now.

Change: it releases a grant whose target does not offer that service.

Evidence: BatchServiceTests.grantAtATargetOfAnotherServiceIsReleased, mvn -o test -pl cornelcrank-routing -am -Dtest=BatchServiceTests. Without the condition a permit for target r1 reached the job; with it the test passes.

Why it works: from here on the demand and the target of a permit are of one service, whatever the controller knew.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -58,7 +58,8 @@
     }
 
     /**
-     * Handles a grant. One for a target that leaves is kept unused until it times out: its controller does not know yet
+     * Handles a grant. One that its controller has sent before it learned of another service of the job is released. One
+     * for a target that leaves is kept unused until it times out: its controller does not know yet
      * that the target leaves, and would grant the same slot again at once.
      */
     void granted(HostId from, RoutingMessage.BatchGranted granted, long nowMs, Effects out) {
@@ -72,6 +73,7 @@
         if (listener == null
                 || target.isEmpty()
                 || demand.isEmpty()
+                || !target.get().offers(demand.get().service())
                 || !context.paths().usable(target.get(), nowMs)
                 || !leaving && !advertiser.acceptGrant(granted.job())) {
             release(from, granted.attempt(), granted.target(), RoutingMessage.Use.UNUSED, 0, out);
