Continue items only at the service that began them

Callers see: a job's route is moved or split in another way while an item of it is interrupted, and the versions of both services have the same text. The item goes on at the new service: its result holds a part of each.

Cause: the progress of an item, in memory and in the store, stated the version of the software only; the service follows from the route at each run.

Change: a permit states the service of its demand, and progress its Generator, the service and the version. A run at any other one starts from the first event. Progress that an earlier release has saved states no service and is not continued: an item that is interrupted during an upgrade starts again once. Earlier releases ignore the new field.

Evidence: mvn -o test -pl cornelcrank-job -am -Dtest=JobStateMachineTests.

Why it works: what decides whether events fit together is stored with the events, and compared at the start of each run.

--- a/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
+++ b/cornelcrank-batch/src/test/java/org/cornelcrank/batch/FakeCapacity.java
@@ -16,6 +16,7 @@
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.ResumePoint;
+import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
@@ -28,6 +29,7 @@
 final class FakeCapacity implements BatchCapacity {
 
     static final TargetId TARGET = new TargetId("r1");
+    private static final ServiceName SERVICE = new ServiceName("llm");
 
     final SortedMap<JobId, BatchDemand> demands = new TreeMap<>();
     final Map<BatchPermit, BatchWork> running = new LinkedHashMap<>();
@@ -69,7 +71,7 @@
     }
 
     BatchPermit grant(JobId job, long nowMs, Effects out) {
-        BatchPermit permit = new BatchPermit(++nextPermit, job, TARGET, SoftwareVersion.UNSTATED);
+        BatchPermit permit = new BatchPermit(++nextPermit, job, TARGET, SERVICE, SoftwareVersion.UNSTATED);
         listener.permitGranted(permit, nowMs, out);
         return permit;
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRecords.java
@@ -11,6 +11,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.cornelcrank.core.JobId;
 import org.cornelcrank.core.KeyedRecord;
+import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.StableHash;
 import org.cornelcrank.core.StoreResponse;
@@ -263,13 +264,14 @@
 
     static KeyedRecord progress(JobId job, int item, StoredProgress progress) {
         StoredText text = StoredText.of(progress.text());
-        WireProgress wire = WireProgress.newBuilder()
+        WireProgress.Builder wire = WireProgress.newBuilder()
                 .setEvents(progress.events())
                 .setText(text.bytes())
-                .setDeflated(text.deflated())
-                .setSoftwareVersion(progress.version().text())
-                .build();
-        return new KeyedRecord(progressKey(job, item), wire.toByteString());
+                .setDeflated(text.deflated());
+        progress.generator()
+                .ifPresent(generator -> wire.setService(generator.service().value())
+                        .setSoftwareVersion(generator.version().text()));
+        return new KeyedRecord(progressKey(job, item), wire.build().toByteString());
     }
 
     /** Decodes the progress of an item, empty if it is malformed. */
@@ -277,13 +279,19 @@
         try {
             WireProgress wire = WireProgress.parseFrom(record.value());
             ByteString text = new StoredText(wire.getText(), wire.getDeflated()).text();
-            return Optional.of(
-                    new StoredProgress(wire.getEvents(), text, new SoftwareVersion(wire.getSoftwareVersion())));
+            return Optional.of(new StoredProgress(wire.getEvents(), text, generator(wire)));
         } catch (IOException | DataFormatException | IllegalArgumentException e) {
             return Optional.empty();
         }
     }
 
+    private static Optional<Generator> generator(WireProgress wire) {
+        return wire.getService().isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Generator(
+                        new ServiceName(wire.getService()), new SoftwareVersion(wire.getSoftwareVersion())));
+    }
+
     /** A parsed key; {@code number} is the part's index, the result's position or the item's index. */
     record Key(JobId job, Kind kind, int number) {}
 
@@ -297,8 +305,8 @@
         PROGRESS
     }
 
-    /** The saved progress of an item: the number of its events, their text and the version that generated them. */
-    record StoredProgress(long events, ByteString text, SoftwareVersion version) {}
+    /** The saved progress of an item: its events, their text and what generated them, empty from earlier releases. */
+    record StoredProgress(long events, ByteString text, Optional<Generator> generator) {}
 
     /** A result with the index of its item. */
     record StoredResult(int item, ListedResult result) {}
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/JobRun.java
@@ -12,7 +12,6 @@
 
 import com.google.protobuf.ByteString;
 import org.cornelcrank.core.JobId;
-import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.routing.BatchDemand;
 
 /**
@@ -100,14 +99,14 @@
     }
 
     /**
-     * Takes the waiting item that loses the least progress at a target of the version, and among these the one with the
-     * most, empty if no item may start now.
+     * Takes the waiting item that loses the least progress at a target, and among these the one with the most, empty if no
+     * item may start now.
      */
-    Optional<Integer> takeWaiting(SoftwareVersion version, long nowMs) {
+    Optional<Integer> takeWaiting(Generator target, long nowMs) {
         int best = -1;
         for (int item = waiting.nextSetBit(0); item >= 0; item = waiting.nextSetBit(item + 1)) {
             boolean better =
-                    best < 0 || progress(item).gain(version) > progress(best).gain(version);
+                    best < 0 || progress(item).gain(target) > progress(best).gain(target);
             if (progress(item).notBeforeMs <= nowMs && better) {
                 best = item;
             }
@@ -116,7 +115,7 @@
             return Optional.empty();
         }
         waiting.clear(best);
-        progress(best).begin(version);
+        progress(best).begin(target);
         return Optional.of(best);
     }
 
@@ -220,7 +219,7 @@
         private long events;
         private long savedEvents;
         private ByteString text = ByteString.EMPTY;
-        private SoftwareVersion version = SoftwareVersion.UNSTATED;
+        private Optional<Generator> generator = Optional.empty();
         private long notBeforeMs;
 
         /** Counts a run that failed at the target, and returns the number of such runs. */
@@ -241,32 +240,36 @@
             return text;
         }
 
-        /** Returns the version of the software of the target that generated the events. */
-        SoftwareVersion version() {
-            return version;
+        /** Returns what generated the events, empty if no run has begun or a former owner has not stored it. */
+        Optional<Generator> generator() {
+            return generator;
         }
 
-        /** Returns the number of events that a target of the version need not generate, negative if they are lost. */
-        private long gain(SoftwareVersion target) {
-            return version.equals(target) ? events : -events;
+        /** Returns the number of events that the target need not generate, negative if they are lost. */
+        private long gain(Generator target) {
+            return continuedBy(target) ? events : -events;
         }
 
-        /** Starts a run; drops the events that a target of the version cannot continue. */
-        private void begin(SoftwareVersion target) {
-            if (!version.equals(target)) {
+        private boolean continuedBy(Generator target) {
+            return generator.equals(Optional.of(target));
+        }
+
+        /** Starts a run; drops the events that the target cannot continue. */
+        private void begin(Generator target) {
+            if (!continuedBy(target)) {
                 events = 0;
                 savedEvents = 0;
                 text = ByteString.EMPTY;
-                version = target;
+                generator = Optional.of(target);
             }
         }
 
         /** Restores the progress that a former owner has saved. */
-        void restore(long restoredEvents, ByteString restoredText, SoftwareVersion restoredVersion) {
-            version = restoredVersion;
-            events = restoredEvents;
-            savedEvents = restoredEvents;
-            text = restoredText;
+        void restore(JobRecords.StoredProgress saved) {
+            generator = saved.generator();
+            events = saved.events();
+            savedEvents = saved.events();
+            text = saved.text();
         }
 
         /** Appends the events of a run that resumed after the events so far, and returns the text of all events. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/OwnedPartition.java
@@ -342,10 +342,11 @@
     /** Runs the next item of the permit's job, or releases the permit if no item can run. */
     void permitGranted(BatchPermit permit, long nowMs, Effects out) {
         JobRun run = jobs.get(permit.job());
+        Generator generator = new Generator(permit.service(), permit.softwareVersion());
         Optional<Integer> item =
                 run == null || closed || suspended || route(run).isEmpty()
                         ? Optional.empty()
-                        : run.takeWaiting(permit.softwareVersion(), nowMs);
+                        : run.takeWaiting(generator, nowMs);
         if (item.isEmpty()) {
             context.capacity().releaseUnused(permit, nowMs, out);
             return;
@@ -358,10 +359,10 @@
                 content.id(),
                 nowMs,
                 "runs on " + permit.target(),
-                "job " + run.id() + ", version " + permit.softwareVersion() + ", after event "
+                "job " + run.id() + ", " + generator + ", after event "
                         + run.progress(item.get()).events() + ", "
                         + run.waitingCount(nowMs) + " of " + run.remaining() + " wait");
-        DispatchSource source = new DispatchSource.Prepared(
+        DispatchSource request = new DispatchSource.Prepared(
                 content.id(),
                 run.content().host(),
                 "POST",
@@ -372,7 +373,7 @@
         context.capacity()
                 .run(
                         permit,
-                        new BatchWork(content.id(), OptionalLong.empty(), source, Optional.empty(), RUN_TIMEOUT_MS),
+                        new BatchWork(content.id(), OptionalLong.empty(), request, Optional.empty(), RUN_TIMEOUT_MS),
                         nowMs,
                         out);
     }
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/StoredRecords.java
@@ -81,7 +81,7 @@
             itemsWithProgress.put(run.id(), new TreeSet<>(savedProgress.keySet()));
             savedProgress.forEach((item, saved) -> {
                 if (item < run.content().items().size() && !run.isFinished(item)) {
-                    run.progress(item).restore(saved.events(), saved.text(), saved.version());
+                    run.progress(item).restore(saved);
                 }
             });
         }
@@ -93,7 +93,7 @@
         return JobRecords.progress(
                 job,
                 item,
-                new JobRecords.StoredProgress(itemProgress.events(), itemProgress.text(), itemProgress.version()));
+                new JobRecords.StoredProgress(itemProgress.events(), itemProgress.text(), itemProgress.generator()));
     }
 
     /** Returns the record that drops an item's progress from the store, empty if none is stored. */
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/JobProto.java
@@ -111,33 +111,33 @@
       "\014HeadersEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
       "\t:\0028\001\"^\n\nWireResult\022\014\n\004item\030\001 \001(\005\022\017\n\007ite" +
       "m_id\030\002 \001(\t\022\021\n\tcompleted\030\003 \001(\010\022\014\n\004text\030\004 " +
-      "\001(\014\022\020\n\010deflated\030\005 \001(\010\"X\n\014WireProgress\022\016\n" +
+      "\001(\014\022\020\n\010deflated\030\005 \001(\010\"i\n\014WireProgress\022\016\n" +
       "\006events\030\001 \001(\003\022\014\n\004text\030\002 \001(\014\022\020\n\010deflated\030" +
-      "\003 \001(\010\022\030\n\020software_version\030\004 \001(\t\"\316\001\n\016Wire" +
-      "JobMessage\022\'\n\003ask\030\001 \001(\0132\030.cornelcrank.jo" +
-      "b.WireAskH\000\022-\n\006answer\030\002 \001(\0132\033.cornelcran" +
-      "k.job.WireAnswerH\000\022+\n\005write\030\003 \001(\0132\032.corn" +
-      "elcrank.job.WireWriteH\000\022/\n\007written\030\004 \001(\013" +
-      "2\034.cornelcrank.job.WireWrittenH\000B\006\n\004kind" +
-      "\"l\n\007WireAsk\022\016\n\006number\030\001 \001(\003\022\013\n\003job\030\002 \001(\t" +
-      "\022\r\n\005after\030\003 \001(\005\022\017\n\007wait_ms\030\004 \001(\003\022\017\n\007body" +
-      "_of\030\005 \001(\t\022\023\n\013incarnation\030\006 \001(\003\"\254\001\n\nWireA" +
-      "nswer\022\016\n\006number\030\001 \001(\003\022\r\n\005known\030\002 \001(\010\022\r\n\005" +
-      "total\030\003 \001(\005\022,\n\007results\030\004 \003(\0132\033.cornelcra" +
-      "nk.job.WireListed\022\020\n\010has_body\030\005 \001(\010\022\014\n\004b" +
-      "ody\030\006 \001(\014\022\023\n\013incarnation\030\007 \001(\003\022\r\n\005owner\030" +
-      "\010 \001(\010\"p\n\tWireWrite\022\016\n\006number\030\001 \001(\003\022\013\n\003jo" +
-      "b\030\002 \001(\t\0221\n\007records\030\003 \003(\0132 .cornelcrank.j" +
-      "ob.WireKeyedRecord\022\023\n\013incarnation\030\004 \001(\003\"" +
-      "-\n\017WireKeyedRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value" +
-      "\030\002 \001(\014\"f\n\013WireWritten\022\016\n\006number\030\001 \001(\003\0222\n" +
-      "\007outcome\030\002 \001(\0162!.cornelcrank.job.WireWri" +
-      "teOutcome\022\023\n\013incarnation\030\003 \001(\003\">\n\nWireLi" +
-      "sted\022\017\n\007item_id\030\001 \001(\t\022\021\n\tcompleted\030\002 \001(\010" +
-      "\022\014\n\004text\030\003 \001(\014*I\n\020WireWriteOutcome\022\021\n\rWR" +
-      "ITE_UNKNOWN\020\000\022\016\n\nWRITE_DONE\020\001\022\022\n\016WRITE_N" +
-      "OT_DONE\020\002B&\n\030org.cornelcrank.job.wireB\010J" +
-      "obProtoP\001b\006proto3"
+      "\003 \001(\010\022\030\n\020software_version\030\004 \001(\t\022\017\n\007servi" +
+      "ce\030\005 \001(\t\"\316\001\n\016WireJobMessage\022\'\n\003ask\030\001 \001(\013" +
+      "2\030.cornelcrank.job.WireAskH\000\022-\n\006answer\030\002" +
+      " \001(\0132\033.cornelcrank.job.WireAnswerH\000\022+\n\005w" +
+      "rite\030\003 \001(\0132\032.cornelcrank.job.WireWriteH\000" +
+      "\022/\n\007written\030\004 \001(\0132\034.cornelcrank.job.Wire" +
+      "WrittenH\000B\006\n\004kind\"l\n\007WireAsk\022\016\n\006number\030\001" +
+      " \001(\003\022\013\n\003job\030\002 \001(\t\022\r\n\005after\030\003 \001(\005\022\017\n\007wait" +
+      "_ms\030\004 \001(\003\022\017\n\007body_of\030\005 \001(\t\022\023\n\013incarnatio" +
+      "n\030\006 \001(\003\"\254\001\n\nWireAnswer\022\016\n\006number\030\001 \001(\003\022\r" +
+      "\n\005known\030\002 \001(\010\022\r\n\005total\030\003 \001(\005\022,\n\007results\030" +
+      "\004 \003(\0132\033.cornelcrank.job.WireListed\022\020\n\010ha" +
+      "s_body\030\005 \001(\010\022\014\n\004body\030\006 \001(\014\022\023\n\013incarnatio" +
+      "n\030\007 \001(\003\022\r\n\005owner\030\010 \001(\010\"p\n\tWireWrite\022\016\n\006n" +
+      "umber\030\001 \001(\003\022\013\n\003job\030\002 \001(\t\0221\n\007records\030\003 \003(" +
+      "\0132 .cornelcrank.job.WireKeyedRecord\022\023\n\013i" +
+      "ncarnation\030\004 \001(\003\"-\n\017WireKeyedRecord\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\"f\n\013WireWritten\022\016" +
+      "\n\006number\030\001 \001(\003\0222\n\007outcome\030\002 \001(\0162!.cornel" +
+      "crank.job.WireWriteOutcome\022\023\n\013incarnatio" +
+      "n\030\003 \001(\003\">\n\nWireListed\022\017\n\007item_id\030\001 \001(\t\022\021" +
+      "\n\tcompleted\030\002 \001(\010\022\014\n\004text\030\003 \001(\014*I\n\020WireW" +
+      "riteOutcome\022\021\n\rWRITE_UNKNOWN\020\000\022\016\n\nWRITE_" +
+      "DONE\020\001\022\022\n\016WRITE_NOT_DONE\020\002B&\n\030org.cornel" +
+      "crank.job.wireB\010JobProtoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -178,7 +178,7 @@
     internal_static_cornelcrank_job_WireProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_job_WireProgress_descriptor,
-        new java.lang.String[] { "Events", "Text", "Deflated", "SoftwareVersion", });
+        new java.lang.String[] { "Events", "Text", "Deflated", "SoftwareVersion", "Service", });
     internal_static_cornelcrank_job_WireJobMessage_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_cornelcrank_job_WireJobMessage_fieldAccessorTable = new
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgress.java
@@ -34,6 +34,7 @@
   private WireProgress() {
     text_ = com.google.protobuf.ByteString.EMPTY;
     softwareVersion_ = "";
+    service_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -134,6 +135,53 @@
     }
   }
 
+  public static final int SERVICE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <pre>
+   * Of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string service = 5;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string service = 5;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -160,6 +208,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, softwareVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, service_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -179,6 +230,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, softwareVersion_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, service_);
+    }
     return size;
   }
   @java.lang.Override
@@ -211,6 +265,8 @@
         != other.getDeflated()) return false;
     if (!getSoftwareVersion()
         .equals(other.getSoftwareVersion())) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -232,6 +288,8 @@
         getDeflated());
     hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getSoftwareVersion().hashCode();
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -371,6 +429,7 @@
       text_ = com.google.protobuf.ByteString.EMPTY;
       deflated_ = false;
       softwareVersion_ = "";
+      service_ = "";
       return this;
     }
 
@@ -416,6 +475,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.softwareVersion_ = softwareVersion_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.service_ = service_;
+      }
     }
 
     @java.lang.Override
@@ -444,6 +506,11 @@
         bitField0_ |= 0x00000008;
         onChanged();
       }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -488,6 +555,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 42: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -693,6 +765,98 @@
       return this;
     }
 
+    private java.lang.Object service_ = "";
+    /**
+     * <pre>
+     * Of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string service = 5;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string service = 5;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string service = 5;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string service = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of the target that generated the events; empty in records of earlier releases.
+     * </pre>
+     *
+     * <code>string service = 5;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.job.WireProgress)
   }
 
--- a/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
+++ b/cornelcrank-job/src/main/java/org/cornelcrank/job/wire/WireProgressOrBuilder.java
@@ -47,4 +47,24 @@
    */
   com.google.protobuf.ByteString
       getSoftwareVersionBytes();
+
+  /**
+   * <pre>
+   * Of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string service = 5;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <pre>
+   * Of the target that generated the events; empty in records of earlier releases.
+   * </pre>
+   *
+   * <code>string service = 5;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
 }
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/FakeCapacity.java
@@ -16,6 +16,7 @@
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.JobId;
+import org.cornelcrank.core.ServiceName;
 import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.Verdict;
@@ -109,7 +110,8 @@
             BatchDemand demand = demands.values().iterator().next();
             demands.remove(demand.job());
             demands.put(demand.job(), demand);
-            BatchPermit permit = new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"), version);
+            BatchPermit permit =
+                    new BatchPermit(++lastPermit, demand.job(), new TargetId("t-1"), demand.service(), version);
             int before = running.size();
             listener.permitGranted(permit, nowMs, out);
             if (running.size() == before) {
@@ -178,7 +180,8 @@
     void revokeAll(int events, String text) {
         nodes.act(host, (nowMs, out) -> {
             for (Map.Entry<Long, BatchWork> run : Map.copyOf(running).entrySet()) {
-                BatchPermit permit = new BatchPermit(run.getKey(), new JobId("any"), new TargetId("t-1"), version);
+                BatchPermit permit = new BatchPermit(
+                        run.getKey(), new JobId("any"), new TargetId("t-1"), new ServiceName("any"), version);
                 end(permit, cancelled(events, text), nowMs, out);
             }
         });
--- a/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
+++ b/cornelcrank-job/src/test/java/org/cornelcrank/job/JobStateMachineTests.java
@@ -700,6 +700,36 @@
         assertThat(jobs.capacities.get(next).resumePoints().values()).containsOnly(resumePoint);
     }
 
+    /** Guards against a text of two services whose versions have the same name. */
+    @ParameterizedTest
+    @CsvSource({"llm, 5", "other, 0"})
+    void itemWhoseRouteMovesGoesOnOnlyAtATargetOfTheServiceThatBeganIt(String nextService, long resumePoint) {
+        jobs.submit(A, JOB, 1);
+        jobs.nodes.run(100);
+        FakeCapacity capacity = jobs.capacities.get(jobs.owner());
+        jobs.install(2, List.of(VirtualJobs.route(nextService)));
+        capacity.revokeAll(5, "first part");
+        jobs.nodes.run(100);
+        assertThat(capacity.resumePoints()).containsEntry(JOB + "-item-0", resumePoint);
+    }
+
+    /** Guards against saved progress that the next owner continues at another service. */
+    @ParameterizedTest
+    @CsvSource({"llm, 7", "other, 0"})
+    void nextOwnerResumesSavedProgressOnlyAtATargetOfItsService(String nextService, long resumePoint) {
+        jobs.setOutcomes((item, run) -> FakeCapacity.failed(FailureKind.CONNECTION_LOST, 0));
+        jobs.submit(A, JOB, 3);
+        HostId owner = jobs.awaitOwner();
+        jobs.capacities.get(owner).revokeAll(7, "begun");
+        jobs.nodes.run(1_500);
+        jobs.nodes.kill(owner);
+        jobs.capacities.remove(owner);
+        jobs.install(2, List.of(VirtualJobs.route(nextService)));
+        HostId next = jobs.awaitOwner();
+        assertThat(jobs.capacities.get(next).resumePoints()).hasSize(3);
+        assertThat(jobs.capacities.get(next).resumePoints().values()).containsOnly(resumePoint);
+    }
+
     @Test
     void bodyOfAnItemIsReadableUntilTheJobIsEnded() {
         jobs.submit(A, JOB, ITEMS);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -80,7 +80,11 @@
             return;
         }
         BatchPermit permit = new BatchPermit(
-                ++lastNumber, granted.job(), granted.target(), target.get().softwareVersion());
+                ++lastNumber,
+                granted.job(),
+                granted.target(),
+                demand.get().service(),
+                target.get().softwareVersion());
         BatchRun run = new BatchRun(permit, granted.attempt(), demand.get(), target.get(), from, nowMs);
         runs.put(permit.number(), run);
         byPermitId.put(granted.attempt(), run);
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchServiceTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/BatchServiceTests.java
@@ -47,6 +47,13 @@
                 .hasSize(1);
     }
 
+    @Test
+    void permitStatesTheServiceOfItsDemand() {
+        start();
+        grant(TARGET, 2);
+        assertThat(granted).extracting(BatchPermit::service).containsExactly(SERVICE);
+    }
+
     private void start() {
         fleet.keepEffects = true;
         fleet.addEngine("r0", VirtualFleet.SOUTH, 8, 20, 20);
