--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -59,8 +59,8 @@
 
     /**
      * Handles a grant. One that its controller has sent before it learned of another service of the job is released. One
-     * for a target that leaves is kept unused until it times out: its controller does not know yet
-     * that the target leaves, and would grant the same slot again at once.
+     * for a target that leaves is kept unused until it times out: its controller does not know yet that the target leaves,
+     * and would grant the same slot again at once.
      */
     void granted(HostId from, RoutingMessage.BatchGranted granted, long nowMs, Effects out) {
         if (byPermitId.containsKey(granted.attempt())) {
