--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/BatchRunner.java
@@ -58,8 +58,9 @@
     }
 
     /**
-     * Handles a grant. One for a target that leaves is kept unused until it times out: its controller does not know yet
-     * that the target leaves, and would grant the same slot again at once.
+     * Handles a grant. One that its controller has sent before it learned of another service of the job is released. One
+     * for a target that leaves is kept unused until it times out: its controller does not know yet that the target leaves,
+     * and would grant the same slot again at once.
      */
     void granted(HostId from, RoutingMessage.BatchGranted granted, long nowMs, Effects out) {
         if (byPermitId.containsKey(granted.attempt())) {
@@ -72,13 +73,18 @@
         if (listener == null
                 || target.isEmpty()
                 || demand.isEmpty()
+                || !target.get().offers(demand.get().service())
                 || !context.paths().usable(target.get(), nowMs)
                 || !leaving && !advertiser.acceptGrant(granted.job())) {
             release(from, granted.attempt(), granted.target(), RoutingMessage.Use.UNUSED, 0, out);
             return;
         }
         BatchPermit permit = new BatchPermit(
-                ++lastNumber, granted.job(), granted.target(), target.get().softwareVersion());
+                ++lastNumber,
+                granted.job(),
+                granted.target(),
+                demand.get().service(),
+                target.get().softwareVersion());
         BatchRun run = new BatchRun(permit, granted.attempt(), demand.get(), target.get(), from, nowMs);
         runs.put(permit.number(), run);
         byPermitId.put(granted.attempt(), run);
