--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetVersionChangeTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/TargetVersionChangeTests.java
@@ -90,7 +90,8 @@
     @Test
     void recordOfAStreamStatesTheVersionThatItsTargetHadWhenItBegan() {
         start(OLD);
-        fleet.nodes.forEach(node -> node.handle(new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, Set.of(OLD)))));
+        fleet.nodes.forEach(node ->
+                node.handle(new Event.VersionsRecorded(Map.of(VirtualFleet.SERVICE, Set.of(OLD)), fleet.nowMs)));
         SentRequest stream = begin(0);
         fleet.run(300);
         fleet.addEngine("r1", VirtualFleet.SOUTH, NEW);
