Let a release begin the soak of two regions while daemons are out of step

Cut off means: no call of the store is answered, and the other daemons stand still from the moment at which streams break; a proxy between peers has no place, as a daemon's address for peers is the one that it listens at. The summary states the take-ups, those at daemons out of step, and the streams of two versions.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -45,6 +45,7 @@
     private final Optional<String> productionClassPath;
     private final StoreStandIn store;
     private final ResponseLedger ledger = new ResponseLedger();
+    private final ResponseChecker checker = new ResponseChecker(ledger);
     private final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
     private final List<DaemonProgram> daemons = new ArrayList<>();
     private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -52,6 +53,8 @@
     private final SoakTargets targets;
     private final SoakDisruptions disruptions;
     private final SoakLinkFaults linkFaults;
+    private final SoakRelease release;
+    private final List<SoakCaller> callers = new ArrayList<>();
     private volatile boolean stopped;
     private volatile boolean readersStopped;
     private final List<Usage> idle = new ArrayList<>();
@@ -79,6 +82,7 @@
                 : Optional.empty();
         disruptions = new SoakDisruptions(random, store, daemons, targets, threads, troubles);
         linkFaults = new SoakLinkFaults(new Random(~seed), threads);
+        release = new SoakRelease(seed, shape, store, daemons, targets, threads);
     }
 
     /** Runs and returns what was wrong. */
@@ -104,15 +108,10 @@
             idle.add(Usage.of(daemon, store));
         }
         for (int i = 0; i < shape.callers(); i++) {
-            threads.execute(new SoakCaller(
-                    "caller-" + i,
-                    seed * SEED_FACTOR + i,
-                    shape,
-                    daemons,
-                    i % daemons.size(),
-                    attempts,
-                    () -> stopped));
+            callers.add(new SoakCaller(
+                    i, seed * SEED_FACTOR + i, shape, daemons, attempts, () -> stopped, release::outOfStep));
         }
+        callers.forEach(threads::execute);
         jobs = new SoakJobs(seed, shape.maxEvents(), daemons, () -> stopped);
         reads = new SoakReads(daemons, jobs, ledger);
         threads.execute(jobs);
@@ -120,6 +119,9 @@
             Random readerRandom = new Random(seed * SEED_FACTOR + i);
             threads.execute(() -> reads.run(readerRandom, () -> readersStopped));
         }
+        if (shape.release()) {
+            release.run(callers);
+        }
         Future<?> links = threads.submit(() -> {
             // Shorter than the other disruptions, as requests that hang end later than the fault.
             linkFaults.run(durationMs * 3 / 4);
@@ -167,7 +169,6 @@
     }
 
     private List<String> check() throws IOException, InterruptedException {
-        ResponseChecker checker = new ResponseChecker(ledger);
         reads.report(checker);
         jobs.check(checker, ledger);
         attempts.forEach(checker::check);
@@ -181,13 +182,14 @@
             }
         }
         for (DaemonProgram daemon : daemons) {
-            afterwards.add(awaitIdle(daemon, checker));
+            afterwards.add(awaitIdle(daemon));
             Files.writeString(directory.resolve(daemon.host() + ".dump"), daemon.dump());
         }
         Files.write(directory.resolve("faults.txt"), checker.faults());
         Files.write(
                 directory.resolve("disruptions.txt"),
-                Stream.concat(disruptions.log().stream(), linkFaults.log().stream())
+                Stream.of(release.log(), disruptions.log(), linkFaults.log())
+                        .flatMap(List::stream)
                         .sorted()
                         .toList());
         Files.writeString(directory.resolve("summary.txt"), summary() + ", faults " + checker.counts() + "\n");
@@ -198,7 +200,7 @@
      * Waits until a daemon has no more open than daemons had before the callers came, but for the partitions that it owns
      * and a kept connection to a target for each caller.
      */
-    private Usage awaitIdle(DaemonProgram daemon, ResponseChecker checker) throws InterruptedException {
+    private Usage awaitIdle(DaemonProgram daemon) throws InterruptedException {
         Usage limit = idle.stream()
                 .reduce(Usage.NONE, Usage::max)
                 .plus(2 * shape.partitions(), CONNECTIONS_TO_OTHERS + shape.callers());
@@ -263,12 +265,14 @@
         long resumed = ledger.all().stream()
                 .filter(written -> written.resumedAfter() > 0)
                 .count();
-        return "seed %d: %d requests, statuses %s, %d streams taken up, %d runs resumed, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %d faults of links, %s, %s, idle %s, afterwards %s"
+        return "seed %d: %d requests, statuses %s, %d streams taken up, %d streams of two versions, %s, %d runs resumed, %d responses written, %d copies, %d of them on a connection in use again, %d disruptions, %d faults of links, %s, %s, idle %s, afterwards %s"
                 .formatted(
                         seed,
                         attempts.size(),
                         statuses,
                         takenUp,
+                        checker.streamsOfTwoVersions(),
+                        shape.release() ? release.summary(attempts) : "no release",
                         resumed,
                         ledger.all().size(),
                         copies.size(),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakCaller.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakCaller.java
@@ -1,11 +1,13 @@
 package org.cornelcrank.server.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import org.cornelcrank.platform.fake.ResponseChecker.Attempt;
 import org.cornelcrank.platform.fake.RoutesStandIn;
@@ -14,7 +16,9 @@
 /**
  * A caller that sends one request after the other on a connection, and keeps it until its daemon is gone.
  *
- * <p>Not thread-safe, but for the queue of its attempts.
+ * <p>While daemons are out of step, it only sends streams that may be taken up, and takes them up at these daemons.
+ *
+ * <p>Not thread-safe, but for the queue of its attempts and resets.
  */
 final class SoakCaller implements Runnable {
 
@@ -32,25 +36,27 @@
     private final List<DaemonProgram> daemons;
     private final Queue<Attempt> attempts;
     private final BooleanSupplier stopped;
+    private final Supplier<List<Integer>> outOfStep;
     private final AtomicInteger requests = new AtomicInteger();
-    private int daemon;
-    private CallerConnection connection;
+    private volatile int daemon;
+    private volatile CallerConnection connection;
 
     SoakCaller(
-            String name,
+            int number,
             long seed,
             SoakShape shape,
             List<DaemonProgram> daemons,
-            int daemon,
             Queue<Attempt> attempts,
-            BooleanSupplier stopped) {
-        this.name = name;
+            BooleanSupplier stopped,
+            Supplier<List<Integer>> outOfStep) {
+        this.name = "caller-" + number;
         this.random = new Random(seed);
         this.shape = shape;
         this.daemons = daemons;
-        this.daemon = daemon;
+        this.daemon = number % daemons.size();
         this.attempts = attempts;
         this.stopped = stopped;
+        this.outOfStep = outOfStep;
     }
 
     @Override
@@ -95,7 +101,7 @@
     }
 
     private void call() throws IOException, InterruptedException {
-        String route = ROUTES[random.nextInt(ROUTES.length)];
+        String route = outOfStep.get().isEmpty() ? ROUTES[random.nextInt(ROUTES.length)] : "stream";
         boolean events = route.contains("stream") || route.equals("once");
         String path = "/" + route + (events ? "/stream/" + (1 + random.nextInt(shape.maxEvents())) : "/1");
         boolean leavesEarly = route.equals("stream") && shape.readers() > 0 && random.nextInt(4) == 0;
@@ -108,6 +114,18 @@
         }
     }
 
+    /** Ends the connection, unless it is one to these daemons. */
+    void resetUnlessAt(List<Integer> excepted) {
+        CallerConnection present = connection;
+        if (present != null && !excepted.contains(daemon)) {
+            try {
+                present.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
     private void pauseAfterRefusal(Attempt attempt) throws InterruptedException {
         if (attempt.status() == REFUSED) {
             Thread.sleep(shape.refusalPauseMs());
@@ -121,7 +139,10 @@
         int has = received;
         try {
             for (int tries = 0; tries < MAX_TAKE_UPS; tries++) {
-                daemon = random.nextInt(daemons.size());
+                List<Integer> preferred = outOfStep.get();
+                daemon = preferred.isEmpty()
+                        ? random.nextInt(daemons.size())
+                        : preferred.get(random.nextInt(preferred.size()));
                 disconnect();
                 if (connect()) {
                     Attempt attempt = send("stream", path, first, has, Integer.MAX_VALUE);
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakShape.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakShape.java
@@ -18,6 +18,7 @@
  * @param regionLink the link between a daemon and a target of another region
  * @param link the link between a daemon and any other target
  * @param maxEvents the limit of the events of a stream
+ * @param release whether a release begins the play while daemons are out of step
  */
 record SoakShape(
         int daemons,
@@ -31,19 +32,20 @@
         Rates soundTargets,
         LinkShape regionLink,
         LinkShape link,
-        int maxEvents) {
+        int maxEvents,
+        boolean release) {
 
     private static final List<String> ONE = List.of("dc-a");
 
     /** Few daemons with many callers, at which copies of responses show. */
     static final SoakShape COPIES = new SoakShape(
-            3, ONE, OptionalInt.empty(), 24, 0, 0, 2, false, Rates.SOUND, LinkShape.DIRECT, LinkShape.DIRECT, 8);
+            3, ONE, OptionalInt.empty(), 24, 0, 0, 2, false, Rates.SOUND, LinkShape.DIRECT, LinkShape.DIRECT, 8, false);
 
     /** Few daemons and callers, and a store with troubles. */
     static final SoakShape TROUBLED = new SoakShape(
-            3, ONE, OptionalInt.empty(), 4, 0, 3, 6, true, Rates.SOUND, LinkShape.DIRECT, LinkShape.DIRECT, 8);
+            3, ONE, OptionalInt.empty(), 4, 0, 3, 6, true, Rates.SOUND, LinkShape.DIRECT, LinkShape.DIRECT, 8, false);
 
-    /** Two regions, links that split and join segments, targets of several versions that break off long streams. */
+    /** Two regions, links that split and join segments, targets that break off long streams, and a release. */
     static final SoakShape REGIONS = new SoakShape(
             10,
             List.of("dc-a", "dc-b", "dc-c"),
@@ -56,7 +58,8 @@
             Rates.BREAKING,
             new LinkShape(30, 120),
             new LinkShape(1, 120),
-            31);
+            31,
+            true);
 
     /** Returns the regions of the data centres, as a daemon's setting has them. */
     String regions() {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
@@ -65,9 +65,25 @@
         return target.entry(SERVICE, dataCentres.get(target.address()));
     }
 
+    /** Registers as many sound targets of the next version as there were targets at first. */
+    void joinNewVersion() throws IOException {
+        for (int i = 0; i < initial; i++) {
+            join(shape.soundTargets());
+        }
+    }
+
     /** Announces that a target leaves; it goes on responding. */
     StutteringRunnerStandIn leave(Random random) {
-        StutteringRunnerStandIn target = registered.remove(random.nextInt(registered.size()));
+        return leave(random.nextInt(registered.size()));
+    }
+
+    /** Announces that the target leaves that has been registered longest; it goes on responding. */
+    StutteringRunnerStandIn leaveFirst() {
+        return leave(0);
+    }
+
+    private StutteringRunnerStandIn leave(int index) {
+        StutteringRunnerStandIn target = registered.remove(index);
         store.put("servers", target.id(), entry(target).replace("\"ready\"", "\"draining\""));
         return target;
     }
