--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/ResponseSoak.java
@@ -272,7 +272,7 @@
                         statuses,
                         takenUp,
                         checker.streamsOfTwoVersions(),
-                        shape.release() ? release.summary(attempts) : "no release",
+                        shape.release() ? release.summary(attempts, checker::versionThatBegan) : "no release",
                         resumed,
                         ledger.all().size(),
                         copies.size(),
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakRelease.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakRelease.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
+import java.util.function.Function;
 
 import org.cornelcrank.platform.fake.ResponseChecker.Attempt;
 import org.cornelcrank.platform.fake.StoreStandIn;
@@ -30,9 +31,8 @@
 final class SoakRelease {
 
     private static final long BEFORE_MS = 1_000;
-    private static final int MAX_LEAD_MS = 3_000;
-    private static final int MIN_MIXED_MS = 400;
-    private static final int MAX_MIXED_MS = 1_200;
+    private static final int MIN_MIXED_MS = 800;
+    private static final int MAX_MIXED_MS = 1_600;
     private static final int MIN_AFTER_BREAK_MS = 800;
     private static final int MAX_AFTER_BREAK_MS = 2_000;
     private static final long AFTERWARDS_MS = 1_000;
@@ -40,15 +40,23 @@
     private static final int MAX_FREEZE_MS = 4_000;
     private static final int MAX_KILLED = 3;
     private static final int MAX_RESTART_PAUSE_MS = 1_000;
-    private static final int LEAVING = 4;
+    private static final int LEAVING = 6;
     private static final int OK = 200;
     private static final int REFUSED = 503;
 
     /** In which way daemons get out of step. */
     enum Kind {
-        DATA_CENTRE_CUT_OFF,
-        CUT_OFF,
-        FROZEN
+        DATA_CENTRE_CUT_OFF(3_000),
+        /** Shorter before the release, as a listing that nobody confirms soon counts no more. */
+        CUT_OFF(1_000),
+        FROZEN(3_000);
+
+        /** The longest time from the beginning until the new version joins, in ms. */
+        private final int maxLeadMs;
+
+        Kind(int maxLeadMs) {
+            this.maxLeadMs = maxLeadMs;
+        }
     }
 
     private final Kind kind;
@@ -62,6 +70,7 @@
     private final List<String> log = new CopyOnWriteArrayList<>();
     private volatile List<Integer> outOfStep = List.of();
     private List<String> hosts = List.of();
+    private String newVersion = "";
     private long fromMs;
     private long untilMs;
 
@@ -95,7 +104,7 @@
         fromMs = System.currentTimeMillis();
         outOfStep = affected;
         List<StoreTrouble> troubles = kind == Kind.FROZEN ? freeze(affected) : cutOffStore();
-        Thread.sleep(random.nextInt(MAX_LEAD_MS));
+        Thread.sleep(random.nextInt(kind.maxLeadMs));
         release(random.nextInt(MIN_MIXED_MS, MAX_MIXED_MS));
         long afterBreakMs = random.nextInt(MIN_AFTER_BREAK_MS, MAX_AFTER_BREAK_MS);
         breakStreams(affected, afterBreakMs, callers);
@@ -141,13 +150,15 @@
     /** Lets as many targets of a new version join as there were at first, and some of the former ones leave in turn. */
     private void release(long durationMs) throws IOException, InterruptedException {
         note("RELEASE");
-        targets.joinNewVersion();
+        newVersion = targets.joinNewVersion();
+        long pauseMs = durationMs / (2 * LEAVING);
         for (int i = 0; i < LEAVING; i++) {
             StutteringRunnerStandIn leaving = targets.leaveFirst();
             note("LEAVE " + leaving.id());
-            Thread.sleep(durationMs / LEAVING);
+            Thread.sleep(pauseMs);
             targets.remove(leaving);
         }
+        Thread.sleep(durationMs - LEAVING * pauseMs);
     }
 
     private void breakStreams(List<Integer> affected, long durationMs, Collection<SoakCaller> callers) {
@@ -192,16 +203,26 @@
         return log;
     }
 
-    /** Returns how the streams fared that were taken up in the release. */
-    String summary(Collection<Attempt> attempts) {
+    /**
+     * Returns how the streams fared that were taken up in the release.
+     *
+     * @param versions returns the version that began a stream, empty if it is not known
+     */
+    String summary(Collection<Attempt> attempts, Function<String, Optional<String>> versions) {
         List<Attempt> takeUps = attempts.stream()
                 .filter(attempt -> attempt.resumedAfter() > 0 && attempt.atMs() >= fromMs && attempt.atMs() <= untilMs)
                 .toList();
         List<Attempt> here = takeUps.stream()
                 .filter(attempt -> hosts.contains(attempt.daemon()))
                 .toList();
-        return "%s %s: %d take-ups, %d of them at daemons out of step, of which %d went on and %d were refused"
-                .formatted(kind, hosts, takeUps.size(), here.size(), count(here, OK), count(here, REFUSED));
+        long ofNewVersion = here.stream()
+                .filter(attempt -> versions.apply(attempt.resumes())
+                        .filter(newVersion::equals)
+                        .isPresent())
+                .count();
+        return "%s %s: %d take-ups, %d of them at daemons out of step, of which %d began with the new version, %d went on and %d were refused"
+                .formatted(
+                        kind, hosts, takeUps.size(), here.size(), ofNewVersion, count(here, OK), count(here, REFUSED));
     }
 
     private static long count(List<Attempt> attempts, int status) {
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
@@ -53,23 +53,28 @@
     /** Registers a target; as many as there were at first have the same version. */
     void join(Rates rates) throws IOException {
         int number = all.size() + 1;
-        StutteringRunnerStandIn target = new StutteringRunnerStandIn(
-                "i-" + number, "v" + (1 + (number - 1) / initial), 31 * seed + number, rates, ledger);
+        StutteringRunnerStandIn target =
+                new StutteringRunnerStandIn("i-" + number, version(number), 31 * seed + number, rates, ledger);
         all.add(target);
         registered.add(target);
         dataCentres.put(target.address(), shape.dataCentre(number));
         store.put("servers", target.id(), entry(target));
     }
 
+    private String version(int number) {
+        return "v" + (1 + (number - 1) / initial);
+    }
+
     private String entry(StutteringRunnerStandIn target) {
         return target.entry(SERVICE, dataCentres.get(target.address()));
     }
 
-    /** Registers as many sound targets of the next version as there were targets at first. */
-    void joinNewVersion() throws IOException {
+    /** Registers as many sound targets of the next version as there were targets at first; returns the version. */
+    String joinNewVersion() throws IOException {
         for (int i = 0; i < initial; i++) {
             join(shape.soundTargets());
         }
+        return version(all.size());
     }
 
     /** Announces that a target leaves; it goes on responding. */
