--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/SoakTargets.java
@@ -53,21 +53,42 @@
     /** Registers a target; as many as there were at first have the same version. */
     void join(Rates rates) throws IOException {
         int number = all.size() + 1;
-        StutteringRunnerStandIn target = new StutteringRunnerStandIn(
-                "i-" + number, "v" + (1 + (number - 1) / initial), 31 * seed + number, rates, ledger);
+        StutteringRunnerStandIn target =
+                new StutteringRunnerStandIn("i-" + number, version(number), 31 * seed + number, rates, ledger);
         all.add(target);
         registered.add(target);
         dataCentres.put(target.address(), shape.dataCentre(number));
         store.put("servers", target.id(), entry(target));
     }
 
+    private String version(int number) {
+        return "v" + (1 + (number - 1) / initial);
+    }
+
     private String entry(StutteringRunnerStandIn target) {
         return target.entry(SERVICE, dataCentres.get(target.address()));
     }
 
+    /** Registers as many sound targets of the next version as there were targets at first; returns the version. */
+    String joinNewVersion() throws IOException {
+        for (int i = 0; i < initial; i++) {
+            join(shape.soundTargets());
+        }
+        return version(all.size());
+    }
+
     /** Announces that a target leaves; it goes on responding. */
     StutteringRunnerStandIn leave(Random random) {
-        StutteringRunnerStandIn target = registered.remove(random.nextInt(registered.size()));
+        return leave(random.nextInt(registered.size()));
+    }
+
+    /** Announces that the target leaves that has been registered longest; it goes on responding. */
+    StutteringRunnerStandIn leaveFirst() {
+        return leave(0);
+    }
+
+    private StutteringRunnerStandIn leave(int index) {
+        StutteringRunnerStandIn target = registered.remove(index);
         store.put("servers", target.id(), entry(target).replace("\"ready\"", "\"draining\""));
         return target;
     }
