Wait until a runner has read the request whose attempt a copy has ended

Cause: a race of the test. The runner writes the copy some 5 ms after its response. If the daemon has sent the next request on that connection by then, it takes the copy for the response, rejects it as of another request, and responds 502, as the request may have run. The runner reads that request, and counts it, only after it has written the copy; the check of the count did not wait for that.

Change: the check waits, for at most 30 s, until the runner has read the request. It is as strict: a 502 is still accepted only for a request that arrives at the runner that writes copies, and for one that may not be repeated only if it ran once at most.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/TargetBytesEndToEndTests.java
@@ -555,7 +555,8 @@
     }
 
     /** Compares status, signature and body with what the runners wrote for the request: none wrote a failure. */
-    private void assertResponseIsOfTheRunnerThatRan(String id, String body, HttpResponse<String> response) {
+    private void assertResponseIsOfTheRunnerThatRan(String id, String body, HttpResponse<String> response)
+            throws IOException {
         String signature = response.headers().firstValue("Response-Signature").orElse("none");
         switch (response.statusCode()) {
             case 200 -> {
@@ -566,7 +567,8 @@
             }
             case 502 -> {
                 assertThat(signature).isEqualTo("none");
-                assertThat(runner.runs(id)).isPositive();
+                // A copy that arrives once the request is sent ends its attempt before the runner has read the request.
+                GatewayFleet.await(() -> runner.runs(id) > 0);
             }
             default -> throw new AssertionError(
                     "status %d of %s, which ran %d times at one runner and %d times at the other"
