Resolve the versions of streams in a class of their own

The router of requests had grown by the resolution of streams that are taken up, which is a duty of its own with its own state. The calls are the same. Daemons that are asked for a read confirm by the same evidence as the one that asks.

--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/OnlineRouter.java
@@ -1,8 +1,6 @@
 package org.cornelcrank.routing;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,7 +16,6 @@
 import org.cornelcrank.core.AttemptOutcome;
 import org.cornelcrank.core.Effect;
 import org.cornelcrank.core.Effects;
-import org.cornelcrank.core.Event;
 import org.cornelcrank.core.FailureKind;
 import org.cornelcrank.core.HostId;
 import org.cornelcrank.core.Refusal;
@@ -26,7 +23,6 @@
 import org.cornelcrank.core.RequestId;
 import org.cornelcrank.core.ResumePoint;
 import org.cornelcrank.core.ServiceName;
-import org.cornelcrank.core.SoftwareVersion;
 import org.cornelcrank.core.Subject;
 import org.cornelcrank.core.TargetId;
 import org.cornelcrank.core.TimerKey;
@@ -61,9 +57,6 @@
     /** How long a request waits for the daemons to agree on the target's controller, in ms. */
     private static final long DISPUTE_TIMEOUT_MS = 500;
 
-    /** How long other daemons have to state the version that began a stream, in ms: several round trips between regions. */
-    private static final long STREAM_VERSION_TIMEOUT_MS = 250;
-
     /** How long after its deadline a request is ended that is still open, in ms: attempts end at the deadline. */
     private static final long OVERDUE_MS = 1_000;
 
@@ -83,6 +76,7 @@
     private final TeamLimiter limiter;
     private final LinkBudget link;
     private final StreamVersions streams;
+    private final StreamResolver resolver;
     private final TargetChoice choice;
     private final PermitRequests permits;
     private final RetryPolicy retryPolicy;
@@ -91,7 +85,6 @@
     private final DueQueue<RequestId> wakeups = new DueQueue<>(TIMER);
     private final Map<RequestId, Route> routes = new LinkedHashMap<>();
     private final Map<AttemptId, Route> byAttempt = new LinkedHashMap<>();
-    private final Map<Long, List<Route>> resolving = new HashMap<>();
     private Optional<Refusal> closedWith = Optional.empty();
 
     OnlineRouter(RoutingContext context, TeamLimiter limiter, LinkBudget link, StreamVersions streams) {
@@ -99,6 +92,7 @@
         this.limiter = limiter;
         this.link = link;
         this.streams = streams;
+        this.resolver = new StreamResolver(context, streams, wakeups, new ResolvedStreams());
         this.choice = new TargetChoice(context, link);
         this.permits = new PermitRequests(context);
         this.hedges = new HedgedPermitRequests(context, choice, permits, byAttempt);
@@ -126,141 +120,19 @@
         route.suspect = route.trial || context.suspects().suspected(request.fingerprint(), nowMs);
         routes.put(request.id(), route);
         if (request.options().stream().filter(StreamIdentity::resumed).isPresent()) {
-            resolveVersion(route, nowMs, out);
+            resolver.resolve(route, nowMs, out);
         } else {
             chooseTarget(route, nowMs, out);
         }
     }
 
-    /** Finds the version that began a stream which its caller takes up, since only its targets can continue it. */
-    private void resolveVersion(Route route, long nowMs, Effects out) {
-        context.count("streams-taken-up");
-        long key = route.request.options().stream().orElseThrow().key();
-        route.phase = Route.Phase.RESOLVING;
-        ServiceName service = route.request.service();
-        Optional<SoftwareVersion> version = streams.recorded(key);
-        Set<HostId> asked = version.isPresent() ? Set.of() : streams.holders(key);
-        long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
-        route.inquiry = new VersionInquiry(asked, nowMs, untilMs);
-        resolving.computeIfAbsent(key, unused -> new ArrayList<>()).add(route);
-        wakeups.put(route.request.id(), untilMs, out);
-        if (version.isPresent()) {
-            route.inquiry.recorded(version.get(), "recorded here");
-            continueAtRecorded(route, nowMs, out);
-            return;
-        }
-        if (!streams.services().mixed(service, nowMs)) {
-            requestRead(route, out);
-        }
-        if (streams.services().withinReach(nowMs)) {
-            streams.ask(key, service, route.inquiry.asked(), false, out);
-            decideVersion(route, nowMs, out);
-        } else {
-            askForConfirmation(route, nowMs, out);
-        }
-    }
-
-    private static void requestRead(Route route, Effects out) {
-        route.inquiry.readRequested();
-        out.add(new Effect.Raise(new Event.HostListConfirmationRequested()));
-    }
-
-    /** Continues a stream at its recorded version; reads the directory first if that version is not listed yet. */
-    private void continueAtRecorded(Route route, long nowMs, Effects out) {
-        VersionInquiry inquiry = route.inquiry;
-        SoftwareVersion version = inquiry.recorded().orElseThrow();
-        boolean listed = context.directory().lists(route.request.service(), version);
-        boolean readEnded = streams.services().confirmationEnded(inquiry.sinceMs());
-        if (listed || readEnded || nowMs >= inquiry.untilMs()) {
-            endResolving(route);
-            continueAt(route, version, inquiry.recordedWhere(), nowMs, out);
-        } else if (!inquiry.isReadRequested()) {
-            requestRead(route, out);
-        }
-    }
-
-    /** Asks other daemons to read the directory, as this daemon's own read proves nothing. */
-    private void askForConfirmation(Route route, long nowMs, Effects out) {
-        long untilMs = Math.min(route.request.deadlineAtMs(), nowMs + STREAM_VERSION_TIMEOUT_MS);
-        route.inquiry.askedForConfirmation(untilMs);
-        wakeups.put(route.request.id(), untilMs, out);
-        long key = route.request.options().stream().orElseThrow().key();
-        streams.ask(key, route.request.service(), route.inquiry.asked(), true, out);
-    }
-
     void streamVersionReplied(HostId from, RoutingMessage.StreamVersionReply reply, long nowMs, Effects out) {
-        for (Route route : List.copyOf(resolving.getOrDefault(reply.key(), List.of()))) {
-            route.inquiry.replied(from, reply);
-            if (reply.version().isPresent()) {
-                route.inquiry.recorded(reply.version().get(), "recorded by " + from);
-                continueAtRecorded(route, nowMs, out);
-            } else {
-                decideVersion(route, nowMs, out);
-            }
-        }
+        resolver.replied(from, reply, nowMs, out);
     }
 
     /** Decides on the streams whose version may be known now, as the directory or the recorded versions were read. */
     void versionsChanged(long nowMs, Effects out) {
-        List<Route> waiting = resolving.values().stream().flatMap(List::stream).toList();
-        waiting.forEach(route -> decideVersion(route, nowMs, out));
-    }
-
-    /** Decides on a stream of which no daemon has stated the version, if it can be decided now. */
-    private void decideVersion(Route route, long nowMs, Effects out) {
-        VersionInquiry inquiry = route.inquiry;
-        if (inquiry.recorded().isPresent()) {
-            continueAtRecorded(route, nowMs, out);
-            return;
-        }
-        ServiceName service = route.request.service();
-        boolean timedOut = nowMs >= inquiry.untilMs();
-        Optional<SoftwareVersion> version = streams.proven(service, inquiry, nowMs);
-        boolean readEnded = streams.services().confirmationEnded(inquiry.sinceMs());
-        boolean provable = streams.provable(service, inquiry, nowMs);
-        if (version.isPresent()) {
-            if (timedOut || inquiry.mostReplied()) {
-                concludeVersion(route, version, nowMs, out);
-            }
-        } else if (provable && !inquiry.confirmationAsked() && (timedOut || readEnded)) {
-            askForConfirmation(route, nowMs, out);
-        } else if (timedOut || inquiry.complete() && (readEnded || !provable)) {
-            concludeVersion(route, version, nowMs, out);
-        }
-    }
-
-    private void concludeVersion(Route route, Optional<SoftwareVersion> version, long nowMs, Effects out) {
-        endResolving(route);
-        ServiceName service = route.request.service();
-        String known = streams.describe(service, route.inquiry, nowMs);
-        if (version.isPresent()) {
-            context.count("streams-of-inferred-version");
-            continueAt(route, version.get(), "no record; the only version of " + service + "; " + known, nowMs, out);
-            return;
-        }
-        context.count("streams-of-unknown-version");
-        out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "version of the stream unknown", known);
-        giveUp(
-                route,
-                RefusalCode.NO_TARGET,
-                "the version of " + service + " that began the stream is unknown",
-                nowMs,
-                out);
-    }
-
-    private void endResolving(Route route) {
-        long key = route.request.options().stream().orElseThrow().key();
-        List<Route> others = resolving.get(key);
-        if (others != null && others.remove(route) && others.isEmpty()) {
-            resolving.remove(key);
-        }
-        wakeups.remove(route.request.id());
-    }
-
-    private void continueAt(Route route, SoftwareVersion version, String reason, long nowMs, Effects out) {
-        out.explain(Subject.Kind.REQUEST, route.request.id(), nowMs, "stream continues at version " + version, reason);
-        route.version = Optional.of(version);
-        chooseTarget(route, nowMs, out);
+        resolver.versionsChanged(nowMs, out);
     }
 
     private Optional<Refusal> refusalOnArrival(RoutedRequest request, Optional<TeamPolicy> team, long nowMs) {
@@ -323,7 +195,7 @@
             route.verdict = route.verdict.and(Verdict.MAY_HAVE_RUN);
             out.add(new Effect.CancelAttempt(route.attempt));
         } else if (route.phase == Route.Phase.RESOLVING) {
-            endResolving(route);
+            resolver.end(route);
         } else if (!route.awaitsTarget()) {
             withdraw(route, out);
         }
@@ -670,7 +542,7 @@
         for (RequestId id : wakeups.takeDue(nowMs, out)) {
             Route route = routes.get(id);
             if (route != null && route.phase == Route.Phase.RESOLVING) {
-                decideVersion(route, nowMs, out);
+                resolver.decide(route, nowMs, out);
                 continue;
             }
             if (route != null && route.awaitsTarget()) {
@@ -1156,4 +1028,17 @@
     double retryTokens() {
         return retryBudget.tokens();
     }
+
+    private final class ResolvedStreams implements StreamResolver.Listener {
+
+        @Override
+        public void resolved(Route route, long nowMs, Effects out) {
+            chooseTarget(route, nowMs, out);
+        }
+
+        @Override
+        public void unresolved(Route route, String reason, long nowMs, Effects out) {
+            giveUp(route, RefusalCode.NO_TARGET, reason, nowMs, out);
+        }
+    }
 }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
@@ -140,12 +140,6 @@
                 : Optional.empty();
     }
 
-    /** Returns whether this daemon has itself listed a single version for the lifetime of a stream. */
-    boolean soleForLifetime(ServiceName service, long nowMs) {
-        Versions versions = services.get(service);
-        return versions != null && versions.listed.size() == 1 && listedForLifetime(versions, nowMs);
-    }
-
     private boolean listedForLifetime(Versions versions, long nowMs) {
         return nowMs - Math.max(versions.changedAtMs, completeSinceMs) >= SoftwareVersion.STREAM_LIFETIME_MS;
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
@@ -135,7 +135,8 @@
     }
 
     void requested(HostId from, RoutingMessage.StreamVersionRequested request, long nowMs, Effects out) {
-        boolean mayConfirm = recorded(request.key()).isEmpty() && services.soleForLifetime(request.service(), nowMs);
+        boolean mayConfirm = recorded(request.key()).isEmpty()
+                && services.sole(request.service(), nowMs).isPresent();
         if (request.confirm() && mayConfirm && pendingReplies.size() < MAX_PENDING_REPLIES) {
             pendingReplies.add(new PendingReply(from, request, nowMs));
             out.add(new Effect.Raise(new Event.HostListConfirmationRequested()));
@@ -150,7 +151,7 @@
             boolean ended = services.confirmationEnded(pending.sinceMs());
             if (ended) {
                 boolean confirmed = services.confirmedSince(pending.sinceMs())
-                        && services.soleForLifetime(pending.request().service(), nowMs);
+                        && services.sole(pending.request().service(), nowMs).isPresent();
                 reply(pending.from(), pending.request(), confirmed, nowMs, out);
             }
             return ended;
