--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionsOutOfStepTests.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/StreamVersionsOutOfStepTests.java
@@ -23,6 +23,7 @@
 import org.cornelcrank.routing.VirtualFleet.SentRequest;
 import org.cornelcrank.routing.VirtualFleet.Work;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -166,7 +167,10 @@
         fleet.run(DEADLINE_MS);
         assertThat(takenUp).hasSizeGreaterThan(10);
         double completed = takenUp.stream().filter(SentRequest::completed).count();
-        assertThat(completed / takenUp.size()).isGreaterThan(0.9);
+        Map<String, Long> refusals = takenUp.stream()
+                .filter(request -> request.reply instanceof Refusal)
+                .collect(Collectors.groupingBy(request -> ((Refusal) request.reply).message(), Collectors.counting()));
+        assertThat(completed / takenUp.size()).as("%s", refusals).isGreaterThan(0.9);
     }
 
     /** Guards against the trust in a listing that was read before the cut. */
@@ -244,6 +248,83 @@
         assertMostTakeUpsGoOn();
     }
 
+    /** Guards against replies to the first question that count as replies to the request for a read. */
+    @ParameterizedTest
+    @CsvSource({"1, 1", "2, 1", "3, 1", "1, 9000", "2, 9000", "3, 9000"})
+    void streamOfTheOnlyVersionGoesOnAtADaemonThatTheStoreRefuses(long seed, long refusedForMs) {
+        start(seed);
+        fleet.run(30_000);
+        fleet.directory.get().refuse(fleet.nodes.get(0));
+        fleet.run(refusedForMs);
+        fleet.nodes.forEach(node -> node.storeLagMs = 120);
+        begin(Set.of(1, 2, 3, 5), STREAM_MS);
+        for (long stream = 1; stream <= lastStream; stream++) {
+            takeUp(0, stream);
+        }
+        assertMostTakeUpsGoOn();
+    }
+
+    /** Guards against a stream that a daemon out of step began at a target which had left the directory by then. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void streamThatBeganAtATargetWhichHadLeftTheDirectoryNeverChangesItsVersion(long seed) {
+        start(seed);
+        newVersionJoins();
+        fleet.run(1_000);
+        cutOff(Set.of(1), true);
+        fleet.list(host -> !host.softwareVersion().equals(OLD));
+        final long leftAtMs = fleet.nowMs;
+        fleet.run(1_500);
+        for (int i = 0; i < 30; i++) {
+            StreamIdentity identity = new StreamIdentity(++lastStream, false);
+            Work work = Work.online(1_500, identity.key()).withDeadline(30_000);
+            RequestOptions options = new RequestOptions(2, true, 300, Optional.of(identity), Optional.empty());
+            streams.put(fleet.send(1, work, options), identity.key());
+            fleet.run(INTERVAL_MS);
+        }
+        fleet.run(leftAtMs + 30_100 - fleet.nowMs);
+        kill(Set.of(1), Set.of(0));
+        assertNoStreamOfTwoVersions();
+    }
+
+    /** Guards against streams that nobody has recorded when the store fails, as many are taken up at that time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 2_000, 3_000, 4_500, 6_000, 9_000})
+    void streamOfTheOnlyVersionGoesOnWhileTheStoreRefusesAll(long downForMs) {
+        start(1);
+        fleet.run(35_000);
+        fleet.nodes.forEach(node -> fleet.directory.get().refuse(node));
+        takeUpDuringAnOutage(downForMs);
+    }
+
+    /** As above, with a store that replies to nothing. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 2_000, 3_000, 4_500, 6_000, 9_000})
+    void streamOfTheOnlyVersionGoesOnWhileTheStoreIsSilent(long downForMs) {
+        start(1);
+        fleet.run(35_000);
+        fleet.nodes.forEach(node -> fleet.directory.get().cutOff(node));
+        takeUpDuringAnOutage(downForMs);
+    }
+
+    private void takeUpDuringAnOutage(long downForMs) {
+        fleet.run(downForMs - STREAM_MS);
+        begin(Set.of(0, 4), STREAM_MS);
+        kill(Set.of(0, 4), daemons(daemon -> true));
+        assertMostTakeUpsGoOn();
+    }
+
+    /** As above, where the others have not been running for the lifetime of a stream. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void streamOfTheOnlyVersionGoesOnAtADaemonThatTheStoreRefusesSoonAfterTheStart(long seed) {
+        start(seed);
+        begin(Set.of(1, 2, 3, 5), STREAM_MS);
+        fleet.directory.get().refuse(fleet.nodes.get(0));
+        kill(Set.of(1, 2, 3, 5), Set.of(0));
+        assertMostTakeUpsGoOn();
+    }
+
     /** Refusing whatever is taken up while versions are mixed would protect nobody who is in touch. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
--- a/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
+++ b/cornelcrank-routing/src/test/java/org/cornelcrank/routing/VirtualDirectory.java
@@ -44,6 +44,7 @@
     private final Set<SoftwareVersion> everListed = new HashSet<>();
     private final Map<HostId, TargetsReader> readers = new HashMap<>();
     private final Set<HostId> cutOff = new HashSet<>();
+    private final Set<HostId> refused = new HashSet<>();
     private final Map<HostId, Integer> cuts = new HashMap<>();
 
     /** Creates the directory with the listing that all daemons know already. */
@@ -75,6 +76,11 @@
         cutOff.remove(node.identity.host());
     }
 
+    /** Lets the store refuse a daemon's reads at once, as with status 503. */
+    void refuse(VirtualFleet.Node node) {
+        refused.add(node.identity.host());
+    }
+
     boolean reachedBy(VirtualFleet.Node node) {
         return !cutOff.contains(node.identity.host());
     }
@@ -171,6 +177,12 @@
             if (!reachedBy(node)) {
                 return;
             }
+            if (refused.contains(host)) {
+                fleet.at(
+                        sentAtMs + 2 * VirtualFleet.latencyMs(node.identity.location(), STORE),
+                        () -> end.accept(() -> otherwise.accept(sentAtMs)));
+                return;
+            }
             int cutsBefore = cuts.getOrDefault(host, 0);
             long latencyMs = VirtualFleet.latencyMs(node.identity.location(), STORE);
             fleet.at(
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
@@ -210,6 +210,55 @@
         assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 8, 1_024, 0));
     }
 
+    /** Guards against a load, and the gap that it states, each time that a confirmation overtakes the read that waits. */
+    @Test
+    void readThatAConfirmationHasOvertakenIsNotALossOfRecords() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        Effect.CallStore waiting = lastCall();
+        confirm();
+        respond(new StoreResponse.Records(List.of(record("b", 1), record("c", 2)), 3, 3));
+        respond(waiting, new StoreResponse.Records(List.of(record("b", 1)), 2, 2));
+        Effects out = new Effects();
+        follower.timerDue(nowMs + 1_000, out);
+        effects.addAll(out.list());
+        assertThat(recorder.put).containsExactly("a", "b", "c");
+        assertThat(lastRequest()).isEqualTo(new StoreRequest.Read(PARTITION, 3, 1_024, 1_000));
+    }
+
+    /** Guards against streams that are refused because a change was read while the confirmation was on its way. */
+    @Test
+    void confirmationThatTheReadThatWaitsHasOvertakenStillConfirms() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        final Effect.CallStore waiting = lastCall();
+        nowMs += 700;
+        final long confirmedSinceMs = nowMs;
+        confirm();
+        final Effect.CallStore confirmation = lastCall();
+        respond(waiting, new StoreResponse.Records(List.of(record("b", 1)), 2, 2));
+        respond(confirmation, new StoreResponse.Records(List.of(), 1, 1));
+        assertThat(recorder.unconfirmed).isZero();
+        assertThat(follower.confirmedAsOfMs()).isGreaterThanOrEqualTo(confirmedSinceMs);
+    }
+
+    /** Guards against daemons that together exceed the rate at which the store may be read, as all streams are taken up. */
+    @Test
+    void manyRequestsForAConfirmationCostFewReads() {
+        start();
+        respond(new StoreResponse.Newest(List.of(record("a", 0)), false, 1));
+        int before = calls().size();
+        long untilMs = nowMs + 1_000;
+        while (nowMs < untilMs) {
+            confirm();
+            nowMs += 4;
+            if (lastRequest() instanceof StoreRequest.Read read && read.waitMs() == 0) {
+                respond(new StoreResponse.Records(List.of(), 1, 1));
+            }
+        }
+        assertThat(calls().size() - before).isLessThanOrEqualTo(20);
+    }
+
     private void confirm() {
         Effects out = new Effects();
         follower.confirm(nowMs, out);
