Let confirmations and the read that waits overtake each other

Cause: a response of the read that waits was compared with the offset that a confirmation had reached meanwhile, and taken for a loss of records: the follower loaded the whole directory again and stated a gap. The reverse made a confirmation fail. Nothing limited the rate of confirmations: 200 reads a second at one daemon. Found in review, by tests of the follower.

Change: a response is compared with the offset from which its own read was sent. Confirmations are at least 50 ms apart. The listener is told of failed reads of either kind, so that a failure of the store is noticed with the first one.

--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/DirectoryStateMachine.java
@@ -154,7 +154,7 @@
             registerHost(out);
         } else if (key.equals(MISSING_TIMER)) {
             removeMissing(nowMs, out);
-        } else {
+        } else if (!targetEntries.confirmationDue(key, nowMs, out)) {
             versions.timerDue(key, nowMs, out);
         }
     }
--- a/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/VersionHistory.java
+++ b/cornelcrank-gateway/src/main/java/org/cornelcrank/gateway/VersionHistory.java
@@ -93,7 +93,7 @@
         } else if (key.equals(WRITE_TIMER)) {
             writeDue(nowMs, out);
         } else {
-            return false;
+            return follower.confirmationDue(key, nowMs, out);
         }
         return true;
     }
--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -43,11 +43,15 @@
     /** The longest pause after a failed read, in ms; short, because changes must be observed within seconds. */
     private static final long LONGEST_PAUSE_MS = 800;
 
+    /** The shortest time between two confirmations, in ms; bounds the reads of many daemons that all need one. */
+    private static final long MIN_CONFIRMATION_INTERVAL_MS = 50;
+
     /** Sorts behind all usual keys; a page behind it is short, so that its end offset arrives soon. */
     private static final String KEY_BEHIND_ALL = "~";
 
     private final TopicPartition partition;
     private final TimerKey timer;
+    private final TimerKey confirmationTimer;
     private final StoreCalls store;
     private final Backoff backoff;
     private final Listener listener;
@@ -68,6 +72,7 @@
     private long confirmedAsOfMs = Long.MIN_VALUE / 2;
     private long loadBegunAtMs;
     private long lastRead;
+    private long confirmationSentAtMs = Long.MIN_VALUE / 2;
     private long readAtMs = Long.MIN_VALUE / 2;
     private int maxKilobytes = MAX_KILOBYTES;
     private String lastKey = "";
@@ -88,6 +93,7 @@
             Listener listener) {
         this.partition = Objects.requireNonNull(partition, "partition must not be null");
         this.timer = Objects.requireNonNull(timer, "timer must not be null");
+        this.confirmationTimer = new TimerKey(timer.stateMachine(), timer.name() + "/confirm");
         this.waitMs = times.waitMs();
         this.minIntervalMs = times.minIntervalMs();
         this.store = Objects.requireNonNull(store, "store must not be null");
@@ -121,19 +127,27 @@
             confirmAgain = true;
             return;
         }
+        if (nowMs < confirmationSentAtMs + MIN_CONFIRMATION_INTERVAL_MS) {
+            confirmAgain = true;
+            out.schedule(confirmationTimer, confirmationSentAtMs + MIN_CONFIRMATION_INTERVAL_MS);
+            return;
+        }
         confirming = true;
+        confirmationSentAtMs = nowMs;
+        long fromOffset = nextOffset;
         store.call(
-                new StoreRequest.Read(partition, nextOffset, maxKilobytes, 0),
-                (response, respondedAtMs, effects) -> confirmationReceived(response, nowMs, respondedAtMs, effects),
+                new StoreRequest.Read(partition, fromOffset, maxKilobytes, 0),
+                (response, respondedAtMs, effects) ->
+                        confirmationReceived(response, fromOffset, nowMs, respondedAtMs, effects),
                 out);
     }
 
-    private void confirmationReceived(StoreResponse response, long sentAtMs, long nowMs, Effects out) {
+    private void confirmationReceived(StoreResponse response, long fromOffset, long sentAtMs, long nowMs, Effects out) {
         confirming = false;
         if (!started) {
             return;
         }
-        if (loading || !(response instanceof StoreResponse.Records records) || records.end() < nextOffset) {
+        if (loading || !(response instanceof StoreResponse.Records records) || records.end() < fromOffset) {
             notifyListener("a confirmation", () -> listener.unconfirmed(sentAtMs, nowMs, out), out);
         } else {
             applyAll(records, nowMs, out);
@@ -147,7 +161,7 @@
     }
 
     private void confirmIfRequested(long nowMs, Effects out) {
-        if (confirmAgain && !loading) {
+        if (confirmAgain && !loading && !confirming) {
             confirmAgain = false;
             confirm(nowMs, out);
         }
@@ -166,6 +180,15 @@
         return confirmedAsOfMs;
     }
 
+    /** Sends a confirmation that had to wait; returns whether the timer belongs to this follower's confirmations. */
+    public boolean confirmationDue(TimerKey key, long nowMs, Effects out) {
+        if (!key.equals(confirmationTimer)) {
+            return false;
+        }
+        confirmIfRequested(nowMs, out);
+        return true;
+    }
+
     /** Retries the failed read; called when the timer is due. Does nothing before the start or after the stop. */
     public void timerDue(long nowMs, Effects out) {
         if (!started) {
@@ -296,18 +319,19 @@
 
     private void read(long nowMs, Effects out) {
         long number = ++lastRead;
+        long fromOffset = nextOffset;
         readAtMs = nowMs;
         store.call(
-                new StoreRequest.Read(partition, nextOffset, maxKilobytes, waitMs),
+                new StoreRequest.Read(partition, fromOffset, maxKilobytes, waitMs),
                 (response, respondedAtMs, effects) -> {
                     if (number == lastRead) {
-                        recordsReceived(response, respondedAtMs, effects);
+                        recordsReceived(response, fromOffset, respondedAtMs, effects);
                     }
                 },
                 out);
     }
 
-    private void recordsReceived(StoreResponse response, long nowMs, Effects out) {
+    private void recordsReceived(StoreResponse response, long fromOffset, long nowMs, Effects out) {
         if (response instanceof StoreResponse.Expired) {
             scheduleLoad(nowMs, out);
             return;
@@ -316,12 +340,13 @@
             maxKilobytes = Math.max(MIN_KILOBYTES, maxKilobytes / 2);
         }
         if (!(response instanceof StoreResponse.Records records)) {
+            notifyListener("a failed read", () -> listener.unconfirmed(readAtMs, nowMs, out), out);
             scheduleRetry(nowMs, out);
             return;
         }
         backoff.reset();
         maxKilobytes = Math.min(MAX_KILOBYTES, maxKilobytes * 2);
-        if (records.end() < nextOffset) {
+        if (records.end() < fromOffset) {
             scheduleLoad(nowMs, out);
             return;
         }
@@ -403,7 +428,7 @@
         /** All records up to the partition's end have been delivered. */
         default void caughtUp(long nowMs, Effects out) {}
 
-        /** A confirmation that was sent at {@code sentAtMs} has failed. */
+        /** A read that was sent at {@code sentAtMs} has failed: a confirmation, or one that follows the partition. */
         default void unconfirmed(long sentAtMs, long nowMs, Effects out) {}
 
         /** The partition has been loaded again, so that records between two values of a key may have been missed. */
--- a/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
+++ b/cornelcrank-store/src/test/java/org/cornelcrank/store/KeyedTopicFollowerTests.java
@@ -178,6 +178,8 @@
         assertThat(calls()).hasSize(calls);
         respond(new StoreResponse.Records(List.of(), 1, 1));
         assertThat(follower.confirmedAsOfMs()).isLessThan(secondAtMs);
+        nowMs = lastTimerMs();
+        confirmationDue();
         assertThat(calls()).hasSize(calls + 1);
         respond(new StoreResponse.Records(List.of(), 1, 1));
         assertThat(follower.confirmedAsOfMs()).isGreaterThanOrEqualTo(secondAtMs);
@@ -259,6 +261,13 @@
         assertThat(calls().size() - before).isLessThanOrEqualTo(20);
     }
 
+    private void confirmationDue() {
+        Effects out = new Effects();
+        assertThat(follower.confirmationDue(new TimerKey("owner", "follow/confirm"), nowMs, out))
+                .isTrue();
+        effects.addAll(out.list());
+    }
+
     private void confirm() {
         Effects out = new Effects();
         follower.confirm(nowMs, out);
