Record streams as soon as a read of the directory fails

What callers saw: since a stream without a record needs a read, all streams that were taken up in the first 6 s of a failure of the store were refused, though one version alone had ever served. And a daemon that the store refuses refused streams that its peers could have proved, if their replies to the first question came after the second one was sent.

Cause: streams were recorded 4 s after the last response, at a tick of 1 s; and any reply counted for the second question.

Change: a failed read makes the daemon record its streams at once. A reply states which question it answers. A daemon with nobody to ask, or without time left, does not ask again.

--- a/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
+++ b/cornelcrank-core/src/main/java/org/cornelcrank/core/Event.java
@@ -70,7 +70,7 @@
      */
     record HostListConfirmationRequested() implements Event {}
 
-    /** A read of the host list that was sent at {@code asOfMs} on request has failed. */
+    /** A read of the host list that was sent at {@code asOfMs} has failed, on request or not. */
     record HostListUnconfirmed(long asOfMs) implements Event {}
 
     /** Changes of the host list may have been missed: it has been read as a whole instead of change by change. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessage.java
@@ -141,13 +141,14 @@
      *
      * <p>{@code mixed} indicates that the sender has listed several versions of the service within the lifetime of a
      * stream. {@code confirmed} indicates that a read of the directory which began after the request has found that it has
-     * listed only {@code sole}. Earlier releases state {@code sole} without that, and take it for a proof.
+     * listed only {@code sole}; {@code confirmRequested} that the request asked for one. Earlier releases state {@code sole} without that, and take it for a proof.
      */
     record StreamVersionReply(
             long key,
             Optional<SoftwareVersion> version,
             Optional<SoftwareVersion> sole,
             boolean mixed,
+            boolean confirmRequested,
             boolean confirmed)
             implements RoutingMessage {}
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingMessageCodec.java
@@ -131,6 +131,7 @@
             WireStreamVersionReply.Builder wireReply = WireStreamVersionReply.newBuilder()
                     .setKey(reply.key())
                     .setMixed(reply.mixed())
+                    .setConfirmRequested(reply.confirmRequested())
                     .setConfirmed(reply.confirmed());
             reply.version().ifPresent(version -> wireReply.setVersion(version.text()));
             reply.sole().ifPresent(version -> wireReply.setSoleVersion(version.text()));
@@ -251,7 +252,7 @@
         Optional<SoftwareVersion> sole =
                 wire.hasSoleVersion() ? Optional.of(new SoftwareVersion(wire.getSoleVersion())) : Optional.empty();
         return new RoutingMessage.StreamVersionReply(
-                wire.getKey(), version, sole, wire.getMixed(), wire.getConfirmed());
+                wire.getKey(), version, sole, wire.getMixed(), wire.getConfirmRequested(), wire.getConfirmed());
     }
 
     private static RoutingMessage.PermitRequested permitRequested(WireAskPermit wire) {
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/RoutingStateMachine.java
@@ -166,7 +166,7 @@
         context.suspects().expire(nowMs);
         context.promptParts().expire(nowMs);
         streams.expire(nowMs);
-        streams.noLongerWithinReach(nowMs).forEach(service -> directoryLost(service, nowMs, out));
+        recordStreamsOutOfReach(nowMs, out);
         online.endOverdue(nowMs, out);
         controller.refresh(List.of(), nowMs, out);
         boolean readvertise =
@@ -181,10 +181,12 @@
         }
     }
 
-    private void directoryLost(ServiceName service, long nowMs, Effects out) {
-        out.add(new Effect.StateChanged(
-                NAME, "open streams of " + service + " are recorded, as the directory is out of reach"));
-        online.recordStreams(service, nowMs, out);
+    private void recordStreamsOutOfReach(long nowMs, Effects out) {
+        for (ServiceName service : streams.noLongerWithinReach(nowMs)) {
+            out.add(new Effect.StateChanged(
+                    NAME, "open streams of " + service + " are recorded, as the directory is out of reach"));
+            online.recordStreams(service, nowMs, out);
+        }
     }
 
     private void attemptEnded(Event.AttemptEnded ended, long nowMs, Effects out) {
@@ -206,6 +208,7 @@
             versionsChanged(nowMs, out);
         } else if (event instanceof Event.HostListUnconfirmed unconfirmed) {
             streams.services().unconfirmed(unconfirmed.asOfMs());
+            recordStreamsOutOfReach(nowMs, out);
             versionsChanged(nowMs, out);
         } else if (event instanceof Event.HostListGap) {
             streams.services().gap(nowMs);
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/ServiceVersions.java
@@ -32,6 +32,8 @@
     private long confirmedAsOfMs = Long.MIN_VALUE / 2;
     private long unconfirmedAsOfMs = Long.MIN_VALUE / 2;
 
+    private boolean readFailed;
+
     /** Since when all changes of the directory have been read. */
     private long completeSinceMs = Long.MIN_VALUE / 2;
 
@@ -59,12 +61,14 @@
 
     /** Records that all changes of the directory before {@code asOfMs} have been listed. */
     void confirmed(long asOfMs, long nowMs) {
+        readFailed = false;
         confirmedAtMs = nowMs;
         confirmedAsOfMs = Math.max(confirmedAsOfMs, asOfMs);
     }
 
-    /** Records that a read which was sent at {@code asOfMs} on request has failed. */
+    /** Records that a read which was sent at {@code asOfMs} has failed. */
     void unconfirmed(long asOfMs) {
+        readFailed = true;
         unconfirmedAsOfMs = Math.max(unconfirmedAsOfMs, asOfMs);
     }
 
@@ -78,14 +82,14 @@
         return confirmedAsOfMs >= sinceMs;
     }
 
-    /** Returns whether a read that was sent on request at the given time in ms or later has ended. */
+    /** Returns whether a read that was sent at the given time in ms or later has ended. */
     boolean confirmationEnded(long sinceMs) {
         return confirmedSince(sinceMs) || unconfirmedAsOfMs >= sinceMs;
     }
 
-    /** Returns whether the directory has been within reach of late. */
+    /** Returns whether the directory has been within reach of late, and no read has failed since. */
     boolean withinReach(long nowMs) {
-        return nowMs - confirmedAtMs <= WITHIN_REACH_MS;
+        return !readFailed && nowMs - confirmedAtMs <= WITHIN_REACH_MS;
     }
 
     /** Describes what is known of the service's versions, and its age, for the log. */
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamResolver.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamResolver.java
@@ -122,6 +122,9 @@
 
     /** Decides on a stream if it can be decided now; called when a time that it waits for is over. */
     void decide(Route route, long nowMs, Effects out) {
+        if (route.phase != Route.Phase.RESOLVING) {
+            return;
+        }
         VersionInquiry inquiry = route.inquiry;
         if (inquiry.recorded().isPresent()) {
             continueAtRecorded(route, nowMs, out);
@@ -136,13 +139,19 @@
             if (timedOut || inquiry.mostReplied()) {
                 conclude(route, version, nowMs, out);
             }
-        } else if (provable && !inquiry.confirmationAsked() && (timedOut || readEnded)) {
+        } else if (provable && mayAsk(route, nowMs) && (timedOut || readEnded)) {
             askForConfirmation(route, nowMs, out);
         } else if (timedOut || inquiry.complete() && (readEnded || !provable)) {
             conclude(route, version, nowMs, out);
         }
     }
 
+    private static boolean mayAsk(Route route, long nowMs) {
+        return !route.inquiry.confirmationAsked()
+                && !route.inquiry.asked().isEmpty()
+                && nowMs < route.request.deadlineAtMs();
+    }
+
     private void conclude(Route route, Optional<SoftwareVersion> version, long nowMs, Effects out) {
         end(route);
         ServiceName service = route.request.service();
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/StreamVersions.java
@@ -165,6 +165,7 @@
                 recorded(request.key()),
                 confirmed ? services.sole(request.service(), nowMs) : Optional.empty(),
                 services.mixed(request.service(), nowMs),
+                request.confirm(),
                 confirmed);
         context.peers().send(to, reply, out);
     }
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/VersionInquiry.java
@@ -52,9 +52,12 @@
 
     /** Adds a reply without a record, in place of an earlier one of the same daemon. */
     void replied(HostId from, RoutingMessage.StreamVersionReply reply) {
-        if (asked.contains(from)) {
+        if (!asked.contains(from)) {
+            return;
+        }
+        replies.put(from, reply);
+        if (reply.confirmRequested() || !confirmationAsked) {
             awaited.remove(from);
-            replies.put(from, reply);
         }
     }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/Routing.java
@@ -193,18 +193,19 @@
       "Permit\"D\n\017WireStreamBegun\022\013\n\003key\030\001 \001(\006\022\017" +
       "\n\007version\030\002 \001(\t\022\023\n\013lifetime_ms\030\003 \001(\005\"K\n\032" +
       "WireStreamVersionRequested\022\013\n\003key\030\001 \001(\006\022" +
-      "\017\n\007service\030\002 \001(\t\022\017\n\007confirm\030\003 \001(\010\"\225\001\n\026Wi" +
+      "\017\n\007service\030\002 \001(\t\022\017\n\007confirm\030\003 \001(\010\"\260\001\n\026Wi" +
       "reStreamVersionReply\022\013\n\003key\030\001 \001(\006\022\024\n\007ver" +
       "sion\030\002 \001(\tH\000\210\001\001\022\r\n\005mixed\030\003 \001(\010\022\031\n\014sole_v" +
-      "ersion\030\004 \001(\tH\001\210\001\001\022\021\n\tconfirmed\030\005 \001(\010B\n\n\010" +
-      "_versionB\017\n\r_sole_version\";\n\031WireReachab" +
-      "ilityRequested\022\016\n\006number\030\001 \001(\003\022\016\n\006target" +
-      "\030\002 \001(\t\"t\n\025WireReachabilityReply\022\016\n\006numbe" +
-      "r\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\022;\n\014reachability\030" +
-      "\003 \001(\0162%.cornelcrank.routing.WireReachabi" +
-      "lity*>\n\020WireReachability\022\n\n\006UNSURE\020\000\022\r\n\t" +
-      "REACHABLE\020\001\022\017\n\013UNREACHABLE\020\002B \n\034org.corn" +
-      "elcrank.routing.wireP\001b\006proto3"
+      "ersion\030\004 \001(\tH\001\210\001\001\022\021\n\tconfirmed\030\005 \001(\010\022\031\n\021" +
+      "confirm_requested\030\006 \001(\010B\n\n\010_versionB\017\n\r_" +
+      "sole_version\";\n\031WireReachabilityRequeste" +
+      "d\022\016\n\006number\030\001 \001(\003\022\016\n\006target\030\002 \001(\t\"t\n\025Wir" +
+      "eReachabilityReply\022\016\n\006number\030\001 \001(\003\022\016\n\006ta" +
+      "rget\030\002 \001(\t\022;\n\014reachability\030\003 \001(\0162%.corne" +
+      "lcrank.routing.WireReachability*>\n\020WireR" +
+      "eachability\022\n\n\006UNSURE\020\000\022\r\n\tREACHABLE\020\001\022\017" +
+      "\n\013UNREACHABLE\020\002B \n\034org.cornelcrank.routi" +
+      "ng.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -305,7 +306,7 @@
     internal_static_cornelcrank_routing_WireStreamVersionReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cornelcrank_routing_WireStreamVersionReply_descriptor,
-        new java.lang.String[] { "Key", "Version", "Mixed", "SoleVersion", "Confirmed", });
+        new java.lang.String[] { "Key", "Version", "Mixed", "SoleVersion", "Confirmed", "ConfirmRequested", });
     internal_static_cornelcrank_routing_WireReachabilityRequested_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_cornelcrank_routing_WireReachabilityRequested_fieldAccessorTable = new
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReply.java
@@ -210,6 +210,21 @@
     return confirmed_;
   }
 
+  public static final int CONFIRM_REQUESTED_FIELD_NUMBER = 6;
+  private boolean confirmRequested_ = false;
+  /**
+   * <pre>
+   * Whether the request asked for such a read.
+   * </pre>
+   *
+   * <code>bool confirm_requested = 6;</code>
+   * @return The confirmRequested.
+   */
+  @java.lang.Override
+  public boolean getConfirmRequested() {
+    return confirmRequested_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -239,6 +254,9 @@
     if (confirmed_ != false) {
       output.writeBool(5, confirmed_);
     }
+    if (confirmRequested_ != false) {
+      output.writeBool(6, confirmRequested_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -261,6 +279,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, confirmed_);
     }
+    if (confirmRequested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, confirmRequested_);
+    }
     return size;
   }
   @java.lang.Override
@@ -301,6 +323,8 @@
     }
     if (getConfirmed()
         != other.getConfirmed()) return false;
+    if (getConfirmRequested()
+        != other.getConfirmRequested()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -329,6 +353,9 @@
     hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getConfirmed());
+    hash = (37 * hash) + CONFIRM_REQUESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmRequested());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -465,6 +492,7 @@
       mixed_ = false;
       soleVersion_ = "";
       confirmed_ = false;
+      confirmRequested_ = false;
       return this;
     }
 
@@ -516,6 +544,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.confirmed_ = confirmed_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.confirmRequested_ = confirmRequested_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -550,6 +581,9 @@
       if (other.getConfirmed() != false) {
         setConfirmed(other.getConfirmed());
       }
+      if (other.getConfirmRequested() != false) {
+        setConfirmRequested(other.getConfirmRequested());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -599,6 +633,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              confirmRequested_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -942,6 +981,50 @@
       return this;
     }
 
+    private boolean confirmRequested_ ;
+    /**
+     * <pre>
+     * Whether the request asked for such a read.
+     * </pre>
+     *
+     * <code>bool confirm_requested = 6;</code>
+     * @return The confirmRequested.
+     */
+    @java.lang.Override
+    public boolean getConfirmRequested() {
+      return confirmRequested_;
+    }
+    /**
+     * <pre>
+     * Whether the request asked for such a read.
+     * </pre>
+     *
+     * <code>bool confirm_requested = 6;</code>
+     * @param value The confirmRequested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmRequested(boolean value) {
+
+      confirmRequested_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request asked for such a read.
+     * </pre>
+     *
+     * <code>bool confirm_requested = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmRequested() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      confirmRequested_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cornelcrank.routing.WireStreamVersionReply)
   }
 
--- a/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
+++ b/cornelcrank-routing/src/main/java/org/cornelcrank/routing/wire/WireStreamVersionReplyOrBuilder.java
@@ -93,4 +93,14 @@
    * @return The confirmed.
    */
   boolean getConfirmed();
+
+  /**
+   * <pre>
+   * Whether the request asked for such a read.
+   * </pre>
+   *
+   * <code>bool confirm_requested = 6;</code>
+   * @return The confirmRequested.
+   */
+  boolean getConfirmRequested();
 }
