Report what the daemons say when a test of lost relays waits in vain

The logs of the daemons go with the temporary folder, so that it cannot be told what they did. The message of the test now holds their dumps and the ends of their logs.

Not reproduced: 27 plays of the class beside load average 7 to 15, and 46 starts of the same three daemons beside 28, each served within 1.8 s.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -7,9 +7,11 @@
 import java.net.HttpURLConnection;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -32,6 +34,7 @@
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
     private static final int READ_TIMEOUT_MS = 2_000;
     private static final int OK = 200;
+    private static final int REPORTED_LINES = 100;
 
     private final String host;
     private final int[] ports = new int[PORTS];
@@ -233,6 +236,19 @@
         return read(ports[3], "/dump").orElse("");
     }
 
+    /** Returns the state of the process, its dump and the end of its log, for the message of a test that fails. */
+    String report() {
+        String lines;
+        try {
+            List<String> all = Files.readAllLines(log.toPath());
+            lines = String.join("\n", all.subList(Math.max(0, all.size() - REPORTED_LINES), all.size()));
+        } catch (IOException e) {
+            lines = "no log: " + e;
+        }
+        return host + (alive() ? " is alive" : " has ended") + ", ports " + Arrays.toString(ports) + "\n" + dump()
+                + lines;
+    }
+
     /** Returns the number of descriptors that the process has open. */
     synchronized int descriptors() {
         String[] open = new File("/proc/" + process.pid() + "/fd").list();
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/RelayLossEndToEndTests.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/RelayLossEndToEndTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import org.cornelcrank.platform.fake.LinkFault;
 import org.cornelcrank.platform.fake.LinkFault.Kind;
@@ -163,11 +164,13 @@
         }
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
+    private void await(BooleanSupplier condition) throws InterruptedException {
         long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(HANG_LIMIT_S);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > untilNanos) {
-                throw new AssertionError("the condition did not hold within " + HANG_LIMIT_S + " s");
+                throw new AssertionError("the condition did not hold within " + HANG_LIMIT_S + " s; the target got "
+                        + runner.requests() + " requests\n"
+                        + daemons.stream().map(DaemonProgram::report).collect(Collectors.joining("\n")));
             }
             Thread.sleep(10);
         }
