Give no two daemons of a test the same port

Whether this was the cause is not known: no logs were kept.

DaemonProgram drew its ports at random from 20,000 and freed them until the daemon took them, about a second later. The daemons of a test are created within that second, so that two could get the same port; the one that binds it last ends ("could not start"). If the shared port is that for readiness, awaitReady holds for both, as it asked whoever listened there. If the first daemon is the one that has ended, every request to it is refused at once.

Computed from that, not measured: about 6 of 100,000 starts fail in this way, and 24 of 10,000 have any shared port; with the ten daemons of the shape REGIONS 3.5 of 100.

The ports come from FreePorts now, which gives none twice, and awaitReady fails, with the log, if the process has ended.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -3,9 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.BindException;
 import java.net.HttpURLConnection;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,10 +12,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import org.cornelcrank.server.CornelcrankDaemon;
+import org.cornelcrank.server.FreePorts;
 import org.cornelcrank.server.OpenRequestLines;
 
 /**
@@ -28,8 +26,6 @@
 final class DaemonProgram implements AutoCloseable {
 
     private static final int PORTS = 4;
-    private static final int LEAST_PORT = 10_000;
-    private static final int END_OF_PORTS = 30_000;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
     private static final int READ_TIMEOUT_MS = 2_000;
@@ -37,7 +33,10 @@
     private static final int REPORTED_LINES = 100;
 
     private final String host;
-    private final int[] ports = new int[PORTS];
+
+    /** Given to no outgoing connection, as the daemon needs them again after each restart. */
+    private final int[] ports = FreePorts.next(PORTS);
+
     private final List<String> arguments;
     private final File log;
     private String classPath;
@@ -73,7 +72,6 @@
         this.host = host;
         this.log = logs.resolve(host + ".log").toFile();
         this.classPath = classPath;
-        takeFreePorts();
         arguments = List.of(
                 CornelcrankDaemon.class.getName(),
                 "gateway",
@@ -107,26 +105,6 @@
                 "json");
     }
 
-    /** Takes ports that no outgoing connection is given, as the daemon needs them again after each restart. */
-    private void takeFreePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            while (sockets.size() < PORTS) {
-                int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, END_OF_PORTS);
-                try {
-                    sockets.add(new ServerSocket(port));
-                    ports[sockets.size() - 1] = port;
-                } catch (BindException e) {
-                    // Another process has it.
-                }
-            }
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        }
-    }
-
     String host() {
         return host;
     }
@@ -136,6 +114,11 @@
         return ports[0];
     }
 
+    /** Returns all ports at which the daemon listens. */
+    List<Integer> ports() {
+        return Arrays.stream(ports).boxed().toList();
+    }
+
     synchronized void start() throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -194,14 +177,18 @@
                 .waitFor();
     }
 
+    /** Waits until the daemon states that it is ready; fails if its process has ended, whoever listens at its ports. */
     void awaitReady() throws InterruptedException {
         long untilNanos = System.nanoTime() + START_TIMEOUT.toNanos();
-        while (!ready()) {
+        while (alive() && !ready()) {
             if (System.nanoTime() > untilNanos) {
                 throw new IllegalStateException(host + " was not ready within " + START_TIMEOUT);
             }
             Thread.sleep(20);
         }
+        if (!alive()) {
+            throw new IllegalStateException(host + " must become ready but has ended\n" + report());
+        }
     }
 
     private boolean ready() {
