Hold the ports of daemons that do not run

Soaks had daemons that could not bind a port: DaemonProgram freed the ports until the daemon took them, about a second later, and at each restart. Sockets that are bound and do not listen hold them now, and FreePorts takes a port alone, so that it returns none that is held.

--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/FreePorts.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/FreePorts.java
@@ -1,7 +1,6 @@
 package org.cornelcrank.server;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -23,20 +22,28 @@
 
     private FreePorts() {}
 
-    /** Returns a port of the loopback interface at which nothing listens. */
+    /** Returns a port of the loopback interface to which no socket is bound. */
     public static int next() throws IOException {
         for (int i = 0; i < COUNT; i++) {
             int port = FIRST + Math.floorMod(TRIED.getAndIncrement(), COUNT);
-            try (ServerSocket socket = new ServerSocket()) {
-                socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            if (isFree(port)) {
                 return port;
-            } catch (BindException e) {
-                // In use; the next one is tried.
             }
         }
         throw new IOException("expected a free port from " + FIRST + " on, but all " + COUNT + " are in use");
     }
 
+    /** Returns whether no socket is bound to the port, also none that does not listen. */
+    public static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.setReuseAddress(false);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns that many different ports of the loopback interface. */
     public static int[] next(int count) throws IOException {
         int[] ports = new int[count];
--- a/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
+++ b/cornelcrank-server/src/test/java/org/cornelcrank/server/soak/DaemonProgram.java
@@ -3,7 +3,11 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -33,10 +37,8 @@
     private static final int REPORTED_LINES = 100;
 
     private final String host;
-
-    /** Given to no outgoing connection, as the daemon needs them again after each restart. */
-    private final int[] ports = FreePorts.next(PORTS);
-
+    private final int[] ports = new int[PORTS];
+    private final List<Socket> portHolders = new ArrayList<>();
     private final List<String> arguments;
     private final File log;
     private String classPath;
@@ -72,6 +74,7 @@
         this.host = host;
         this.log = logs.resolve(host + ".log").toFile();
         this.classPath = classPath;
+        takeFreePorts();
         arguments = List.of(
                 CornelcrankDaemon.class.getName(),
                 "gateway",
@@ -105,6 +108,27 @@
                 "json");
     }
 
+    /**
+     * Takes ports that no outgoing connection is given, as the daemon needs them again after each restart. Sockets that
+     * are bound but do not listen hold them while the daemon does not run; {@link FreePorts} does not return such ports.
+     */
+    private void takeFreePorts() throws IOException {
+        while (portHolders.size() < PORTS) {
+            int port = FreePorts.next();
+            Socket holder = new Socket();
+            try {
+                // Shared only once it is held, so that the daemon can listen, but no other holder can take it.
+                holder.setReuseAddress(false);
+                holder.bind(new InetSocketAddress("127.0.0.1", port));
+                holder.setReuseAddress(true);
+                ports[portHolders.size()] = port;
+                portHolders.add(holder);
+            } catch (BindException e) {
+                holder.close();
+            }
+        }
+    }
+
     String host() {
         return host;
     }
@@ -274,5 +298,12 @@
         if (process != null) {
             process.destroyForcibly().onExit().join();
         }
+        try {
+            for (Socket holder : portHolders) {
+                holder.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
