--- a/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
+++ b/cornelcrank-store/src/main/java/org/cornelcrank/store/KeyedTopicFollower.java
@@ -18,16 +18,17 @@
 /**
  * Follows one partition of a keyed topic: loads the newest record of each key, then reads each further record.
  *
- * <p>The pages of a load are not a consistent snapshot, so reading continues from the lowest end offset of its pages. A
- * page that arrives in part has no end offset; if it is the first one, the end is read by itself and the load begins
- * again, and goes on behind what has arrived from then on. If records expire before they are read, or the end is behind
- * those that have been read, the follower loads the partition again after a pause, and notifies the listener of keys that
- * have been dropped; a key whose record is behind the end of the pages has not. Failed reads are retried after a pause
- * with jitter, and those without a response with fewer bytes, as a slow link would never transfer the same bytes in time.
- * Reads start at least a minimum interval apart, so that many changes in a short time cost few reads; a change after a
- * quiet period is read at once. On request, one more read that does not wait confirms that all records have been
- * delivered; a request during such a read is served by another one behind it. Invariant: a record that the listener fails to handle is skipped and reported, and
- * neither the records behind it nor later reads depend on it. Not thread-safe: confined to the daemon's event loop.
+ * <p>The pages of a load are not a consistent snapshot, so reading continues from the lowest end offset of its pages.
+ * A page that arrives in part has no end offset; if it is the first one, the end is read by itself and the load begins
+ * again, and goes on behind what has arrived from then on. If records expire before they are read, or the end is
+ * behind those that have been read, the follower loads the partition again after a pause, and notifies the listener of
+ * keys that have been dropped; a key whose record is behind the end of the pages has not. Failed reads are retried
+ * after a pause with jitter, and those without a response with fewer bytes, as a slow link would never transfer the
+ * same bytes in time. Reads start at least a minimum interval apart, so that many changes in a short time cost few
+ * reads; a change after a quiet period is read at once. On request, one more read that does not wait confirms that all
+ * records have been delivered; a request during such a read is served by another one behind it. Invariant: a record
+ * that the listener fails to handle is skipped and reported, and neither the records behind it nor later reads depend
+ * on it. Not thread-safe: confined to the daemon's event loop.
  */
 public final class KeyedTopicFollower {
 
